build: project skeleton, common code, keys, messages and the design page

Cause: a new project needs one build, one style and fixed interfaces before parts can be written side by side. Before: nothing. Conclusion: the interfaces in include/ are the contract for the parts that follow.

--- /dev/null
+++ b/core/event.c
@@ -0,0 +1,60 @@
+#include "core/event.h"
+
+#include "common/alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+dks_effect_t *
+dks_effects_add (dks_effects_t *effects, dks_effect_type_t type)
+{
+  dks_effect_t *effect;
+
+  if (effects->count == effects->capacity)
+    {
+      effects->capacity = effects->capacity > 0 ? 2 * effects->capacity : 16;
+      effects->items = dks_realloc (effects->items, effects->capacity * sizeof (effects->items[0]));
+    }
+  effect = &effects->items[effects->count++];
+  memset (effect, 0, sizeof (*effect));
+  effect->type = type;
+  return effect;
+}
+
+static void
+effect_release (dks_effect_t *effect)
+{
+  switch (effect->type)
+    {
+    case DKS_EFFECT_REPLY:
+      dks_answer_unref (effect->u.reply.answer);
+      break;
+    case DKS_EFFECT_PEER_SEND:
+      dks_msg_unref (effect->u.peer_send.msg);
+      break;
+    case DKS_EFFECT_TARGET_SEND:
+      dks_blob_unref (effect->u.target_send.payload);
+      break;
+    case DKS_EFFECT_STORE_CAS:
+      dks_blob_unref (effect->u.store.value);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+dks_effects_clear (dks_effects_t *effects)
+{
+  for (size_t i = 0; i < effects->count; i++)
+    effect_release (&effects->items[i]);
+  effects->count = 0;
+}
+
+void
+dks_effects_destroy (dks_effects_t *effects)
+{
+  dks_effects_clear (effects);
+  free (effects->items);
+  *effects = (dks_effects_t){ 0 };
+}
--- /dev/null
+++ b/include/core/event.h
@@ -0,0 +1,207 @@
+/**
+ * Events that the host gives to the reducer, and effects that it gets back. The host owns all I/O,
+ * clocks and randomness; the reducer owns all decisions.
+ */
+#ifndef DKS_CORE_EVENT_H
+#define DKS_CORE_EVENT_H
+
+#include "common/log.h"
+#include "core/msg.h"
+#include "core/settings.h"
+
+/** Result of a call to the platform's key-value service. */
+typedef enum
+{
+  DKS_STORE_OK = 1,
+  DKS_STORE_NOT_FOUND, /**< GET only */
+  DKS_STORE_CONFLICT,  /**< CAS only: the version did not match */
+  DKS_STORE_UNKNOWN,   /**< no reply: a write may have taken effect */
+} dks_store_status_t;
+
+/** One row of the platform's list of instances. */
+typedef struct
+{
+  char id[DKS_NAME_SIZE];
+  char address[DKS_ADDRESS_SIZE]; /**< IP:port; of the HTTP server for targets, of the peer port for
+                                     entry instances */
+  char data_centre[DKS_NAME_SIZE];
+  bool is_target; /**< else an entry instance */
+  bool leaving;
+  uint32_t slots; /**< targets only, as are the three below */
+  uint32_t cpus;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+} dks_listed_instance_t;
+
+typedef enum
+{
+  DKS_EVENT_TICK = 1,    /**< time passed; sent at dks_reducer_next_us() at the latest */
+  DKS_EVENT_SUBMIT,      /**< a caller submitted work */
+  DKS_EVENT_CANCEL,      /**< a caller cancels a key */
+  DKS_EVENT_QUERY,       /**< a caller asks for the answer of a key */
+  DKS_EVENT_CALLER_GONE, /**< the caller's connection closed; no answer can be delivered */
+  DKS_EVENT_PEER_UP,     /**< a connection to an instance is ready for messages */
+  DKS_EVENT_PEER_DOWN,   /**< the connection closed */
+  DKS_EVENT_PEER_MSG,
+  DKS_EVENT_TARGET_REPLY,  /**< outcome of a TARGET_SEND */
+  DKS_EVENT_STORE_REPLY,   /**< outcome of a STORE_GET or STORE_CAS */
+  DKS_EVENT_STORE_RECORD,  /**< a watch delivered a record */
+  DKS_EVENT_INSTANCE_LIST, /**< the platform's list was read */
+  DKS_EVENT_SETTINGS_EDIT, /**< an operator edits the settings tree */
+  DKS_EVENT_DRAIN,         /**< shut down gracefully */
+} dks_event_type_t;
+
+/** The reducer takes its own references; the caller of dks_reducer_apply keeps the event's. */
+typedef struct
+{
+  dks_event_type_t type;
+  dks_time_t now;
+  union
+  {
+    struct
+    {
+      uint64_t caller; /**< chosen by the host, never reused */
+      dks_submission_t *submission;
+    } submit;
+    struct
+    {
+      uint64_t caller;
+      const char *key;
+    } key; /**< CANCEL and QUERY */
+    struct
+    {
+      uint64_t caller;
+    } caller_gone;
+    struct
+    {
+      const char *peer;        /**< member id: "INSTANCE#INCARNATION" */
+      const char *data_centre; /**< PEER_UP only */
+    } peer;
+    struct
+    {
+      const char *peer;
+      dks_msg_t *msg;
+    } peer_msg;
+    struct
+    {
+      uint64_t attempt;
+      dks_attempt_status_t status;
+      bool leaving; /**< the target said that it is leaving */
+      dks_blob_t *body;
+    } target_reply;
+    struct
+    {
+      uint64_t op;
+      dks_store_status_t status;
+      int64_t
+          version; /**< store revision of the record; on CONFLICT the current one, 0 if unknown */
+      dks_blob_t *value; /**< GET only */
+    } store_reply;
+    struct
+    {
+      const char *key;
+      int64_t version;
+      dks_blob_t *value;
+    } store_record;
+    struct
+    {
+      const dks_listed_instance_t *items;
+      size_t count;
+    } instance_list;
+    struct
+    {
+      uint64_t caller;
+      dks_settings_edit_t edit; /**< `edit.id` may be empty; the reducer then makes one */
+    } settings_edit;
+  } u;
+} dks_event_t;
+
+typedef enum
+{
+  DKS_EFFECT_REPLY = 1,  /**< final answer (or ACCEPTED) to a caller; at most one a caller id */
+  DKS_EFFECT_EDIT_REPLY, /**< outcome of SETTINGS_EDIT */
+  DKS_EFFECT_PEER_SEND,
+  DKS_EFFECT_PEER_CONNECT, /**< an instance exists at this address; keep a connection to it */
+  DKS_EFFECT_TARGET_SEND,  /**< run one task at a target */
+  DKS_EFFECT_TARGET_ABORT, /**< drop an attempt; a reply event for it may still follow */
+  DKS_EFFECT_STORE_GET,
+  DKS_EFFECT_STORE_CAS,
+  DKS_EFFECT_LOG,
+  DKS_EFFECT_EXIT, /**< drained: nothing is left to do */
+} dks_effect_type_t;
+
+/** Everything in an effect lives until the effects are cleared. */
+typedef struct
+{
+  dks_effect_type_t type;
+  union
+  {
+    struct
+    {
+      uint64_t caller;
+      dks_answer_t *answer;
+    } reply;
+    struct
+    {
+      uint64_t caller;
+      int error;       /**< 0 or a negative error number; DKS_ERR_TIMEOUT: may take effect later */
+      int64_t version; /**< version of the tree that contains the edit */
+      uint32_t instances_total;    /**< live instances known when the reply was made */
+      uint32_t instances_in_force; /**< of these, how many apply this version */
+      char missing[DKS_TEXT_SIZE]; /**< data centres where it is not known to be in force */
+      char detail[DKS_TEXT_SIZE];
+    } edit_reply;
+    struct
+    {
+      char peer[DKS_NAME_SIZE]; /**< member id */
+      dks_msg_t *msg;
+    } peer_send;
+    struct
+    {
+      char address[DKS_ADDRESS_SIZE];
+      char id[DKS_NAME_SIZE]; /**< instance id without incarnation */
+    } peer_connect;
+    struct
+    {
+      uint64_t attempt; /**< never reused */
+      char address[DKS_ADDRESS_SIZE];
+      char key[DKS_KEY_SIZE];
+      uint32_t index;
+      uint32_t number;
+      int64_t deadline_ms;
+      dks_blob_t *payload;
+    } target_send;
+    struct
+    {
+      uint64_t attempt;
+    } target_abort;
+    struct
+    {
+      uint64_t op; /**< never reused */
+      char key[DKS_NAME_SIZE + 8];
+      int64_t version; /**< CAS: expected store revision, 0 for "does not exist" */
+      dks_blob_t *value;
+    } store;
+    struct
+    {
+      dks_log_level_t level;
+      char text[256];
+    } log;
+  } u;
+} dks_effect_t;
+
+typedef struct
+{
+  dks_effect_t *items;
+  size_t count;
+  size_t capacity;
+} dks_effects_t;
+
+/** Appends a zeroed effect and returns it; valid until the next append. */
+dks_effect_t *dks_effects_add (dks_effects_t *effects, dks_effect_type_t type);
+/** Drops all effects and their references; keeps the memory for reuse. */
+void dks_effects_clear (dks_effects_t *effects);
+/** Clears and frees the memory. */
+void dks_effects_destroy (dks_effects_t *effects);
+
+#endif
--- /dev/null
+++ b/include/core/msg.h
@@ -0,0 +1,166 @@
+/**
+ * Messages between instances. The wire format is protobuf (proto/peer.proto); this is the form in
+ * memory that the reducer reads and writes. Messages are reference-counted and immutable once sent.
+ */
+#ifndef DKS_CORE_MSG_H
+#define DKS_CORE_MSG_H
+
+#include "core/submission.h"
+
+typedef enum
+{
+  DKS_MSG_HEARTBEAT = 1,
+  DKS_MSG_FORWARD,      /**< entry -> owner: a submission */
+  DKS_MSG_ASK,          /**< entry -> owner: cancel or query a key */
+  DKS_MSG_ANSWER,       /**< owner -> entry: answer to FORWARD or ASK */
+  DKS_MSG_CLAIM,        /**< owner -> backup: permission to start a key */
+  DKS_MSG_CONFIRM,      /**< owner -> backup: am I still the owner? needed before "not run" */
+  DKS_MSG_CLAIM_ACK,    /**< backup -> owner: verdict on CLAIM or CONFIRM */
+  DKS_MSG_RESULT,       /**< runner -> owner and backup: final answer of a claimed key */
+  DKS_MSG_SNAPSHOT,     /**< owner -> next backup: part of a shard's claims */
+  DKS_MSG_SNAPSHOT_ACK, /**< next backup -> owner: the whole snapshot has been stored */
+  DKS_MSG_DEMAND,       /**< borrower -> lender: wanted slots, replaces the earlier demand */
+  DKS_MSG_GRANT,        /**< lender -> borrower: reserved slots */
+  DKS_MSG_GRANT_RETURN, /**< borrower -> lender: slots that are not needed */
+  DKS_MSG_RUN,          /**< borrower -> lender: one task for a granted slot */
+  DKS_MSG_RUN_DONE,     /**< lender -> borrower: outcome of RUN */
+  DKS_MSG_RUN_ABORT,    /**< borrower -> lender: the result is not needed any more */
+  DKS_MSG_RECORD,       /**< a platform record (settings or a view) with its version */
+  DKS_MSG_RECORD_ASK,   /**< asks a peer for all its records */
+  DKS_MSG_TYPE_COUNT
+} dks_msg_type_t;
+
+/** Outcome of one attempt to run a task at a target. */
+typedef enum
+{
+  DKS_ATTEMPT_OK = 1,
+  DKS_ATTEMPT_NOT_STARTED, /**< the target or lender certainly did not start it */
+  DKS_ATTEMPT_FAILED,      /**< the target answered with an error after the start */
+  DKS_ATTEMPT_LOST,        /**< no answer; it may have run */
+} dks_attempt_status_t;
+
+/** One claim as it stands in SNAPSHOT and RESULT messages. */
+typedef struct
+{
+  char key[DKS_KEY_SIZE];
+  int64_t issued_ms;
+  uint64_t digest;
+  char runner[DKS_NAME_SIZE]; /**< instance that executes it */
+  dks_answer_t *answer;       /**< NULL while not finished */
+} dks_claim_item_t;
+
+typedef struct
+{
+  uint32_t refs;
+  dks_msg_type_t type;
+  union
+  {
+    struct
+    {
+      int64_t wall_ms;          /**< sender's clock */
+      int64_t settings_version; /**< version of the settings tree in force, 0 for none */
+      int64_t view_version;     /**< store revision of the sender's own data centre's view */
+      uint32_t free_slots;      /**< slots that could be lent now */
+      uint32_t queued_tasks;
+      bool draining;
+    } heartbeat;
+    struct
+    {
+      uint64_t request; /**< chosen by the entry, never reused by one instance */
+      dks_submission_t *submission;
+    } forward;
+    struct
+    {
+      uint64_t request;
+      char key[DKS_KEY_SIZE];
+      bool cancel; /**< else only query */
+    } ask;
+    struct
+    {
+      uint64_t request;
+      dks_answer_t *answer; /**< problem MOVED: ask the new owner */
+    } answer;
+    struct
+    {
+      uint32_t shard;
+      uint64_t epoch; /**< shard epoch under which the owner acts */
+      uint64_t id;    /**< echoed by CLAIM_ACK */
+      dks_claim_item_t item;
+    } claim;
+    struct
+    {
+      uint32_t shard;
+      uint64_t epoch;
+      uint64_t id;
+    } confirm;
+    struct
+    {
+      uint32_t shard;
+      uint64_t epoch; /**< epoch known to the backup */
+      uint64_t id;
+      bool ok;
+    } claim_ack;
+    struct
+    {
+      uint32_t shard;
+      dks_claim_item_t item;
+    } result;
+    struct
+    {
+      uint32_t shard;
+      uint64_t epoch;
+      uint64_t id;      /**< snapshot id, echoed by SNAPSHOT_ACK */
+      int64_t floor_ms; /**< keys issued before this have no record */
+      bool first;       /**< first part: drop earlier content */
+      bool last;        /**< last part */
+      uint32_t count;
+      dks_claim_item_t *items;
+    } snapshot;
+    struct
+    {
+      uint32_t shard;
+      uint64_t id;
+    } snapshot_ack;
+    struct
+    {
+      uint32_t want;     /**< slots wanted now; 0 withdraws */
+      int64_t oldest_ms; /**< arrival of the oldest waiting task, Unix ms */
+    } demand;
+    struct
+    {
+      uint32_t count;
+    } grant; /**< GRANT and GRANT_RETURN */
+    struct
+    {
+      uint64_t attempt; /**< chosen by the borrower, never reused by one instance */
+      char key[DKS_KEY_SIZE];
+      char service[DKS_NAME_SIZE];
+      uint32_t index;
+      uint32_t number;     /**< attempt number of this task, from 1 */
+      int64_t deadline_ms; /**< Unix ms */
+      dks_task_spec_t spec;
+    } run;
+    struct
+    {
+      uint64_t attempt; /**< RUN_DONE and RUN_ABORT */
+      dks_attempt_status_t status;
+      dks_blob_t *body;
+    } run_done;
+    struct
+    {
+      char key[DKS_NAME_SIZE + 8]; /**< store key, e.g. "settings" or "view/dc1" */
+      int64_t version;             /**< store revision */
+      dks_blob_t *value;
+    } record;
+  } u;
+} dks_msg_t;
+
+/** New message with zeroed content and one reference. */
+dks_msg_t *dks_msg_create (dks_msg_type_t type);
+dks_msg_t *dks_msg_ref (dks_msg_t *msg);
+/** Drops a reference and with the last one everything that the message refers to. */
+void dks_msg_unref (dks_msg_t *msg);
+/** Stable name of a message type, e.g. "claim". */
+const char *dks_msg_name (dks_msg_type_t type);
+
+#endif
