net: interfaces of the transport parts

Cause: the transport parts are written side by side and need fixed interfaces. Conclusion: no behaviour yet.

--- /dev/null
+++ b/include/net/http_server.h
@@ -0,0 +1,46 @@
+/**
+ * HTTP interface for callers and operators (libmicrohttpd), as described in docs/design.md. It
+ * turns requests into events of the reducer and answers into replies.
+ */
+#ifndef DKS_NET_HTTP_SERVER_H
+#define DKS_NET_HTTP_SERVER_H
+
+#include "core/event.h"
+#include "core/reducer.h"
+#include "net/loop.h"
+
+typedef struct dks_http_server_t dks_http_server_t;
+
+typedef struct
+{
+  /** A decoded request as an event without `now`: SUBMIT, CANCEL, QUERY, CALLER_GONE,
+   * SETTINGS_EDIT or DRAIN. */
+  void (*event) (void *context, dks_event_t *event);
+  /** State for GET requests that the server answers itself. */
+  const dks_reducer_t *(*reducer) (void *context);
+  void *context;
+} dks_http_server_callbacks_t;
+
+typedef struct
+{
+  const char *address;         /**< IP:port to listen on */
+  uint32_t connections;        /**< connections held at most */
+  uint32_t idle_timeout_s;     /**< an idle connection is closed after this */
+  const char *data_centre;     /**< own data centre, for generated keys */
+  int64_t deadline_default_ms; /**< used when a submission gives no deadline */
+  uint64_t seed;               /**< of generated keys */
+} dks_http_server_config_t;
+
+int dks_http_server_create (dks_loop_t *loop, const dks_http_server_config_t *config,
+                            const dks_http_server_callbacks_t *callbacks,
+                            dks_http_server_t **server);
+void dks_http_server_destroy (dks_http_server_t *server);
+/** Sends the reply of a DKS_EFFECT_REPLY or DKS_EFFECT_EDIT_REPLY; ignored when the caller is gone.
+ */
+void dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect);
+/** Requests whose reply has not been sent yet. */
+uint32_t dks_http_server_open_requests (const dks_http_server_t *server);
+/** Number of requests that could not be decoded. */
+uint64_t dks_http_server_bad_input (const dks_http_server_t *server);
+
+#endif
