core: settings tree with strict parsing and a bounded history

Cause: operators act through one tree of settings; its record comes from outside the process. Ruled out: ignoring unknown fields (a misspelt setting would be accepted and have no effect); an unbounded history (the platform stores values of at most 1 MB). Change: parse, format, apply and resolve. apply() works on a copy and refuses an edit that would make the record larger than DKS_SETTINGS_RECORD_MAX (new, 1,000,000 bytes) with DKS_ERR_TOO_LARGE. An edit needs an id and an actor. Conclusion: a record is either valid as a whole or refused with the path and the reason.

--- a/include/core/settings.h
+++ b/include/core/settings.h
@@ -56,14 +56,16 @@
 
 enum
 {
-  DKS_SETTINGS_HISTORY_MAX = 200 /**< changes kept in the record, oldest dropped first */
+  DKS_SETTINGS_HISTORY_MAX = 200,   /**< changes kept in the record, oldest dropped first */
+  DKS_SETTINGS_RECORD_MAX = 1000000 /**< bytes of the record; the platform stores at most 1 MB */
 };
 
 /** An empty tree at version 0: every value has its default. */
 dks_settings_t *dks_settings_create (void);
 dks_settings_t *dks_settings_ref (dks_settings_t *settings);
 void dks_settings_unref (dks_settings_t *settings);
-/** Parses and validates a record. On error `detail` names the path and the reason. */
+/** Parses and validates a record: {"version":N,"overrides":{PATH:{NAME:N}},"history":[CHANGE]}. On
+ * error `detail` names the path and the reason. */
 int dks_settings_parse (const char *json, size_t len, dks_settings_t **settings,
                         char detail[DKS_TEXT_SIZE]);
 /** Serializes to JSON; stable order, so that equal trees give equal bytes. */
@@ -71,7 +73,8 @@
 int64_t dks_settings_version (const dks_settings_t *settings);
 /** Returns a new tree with `edit` applied, version + 1 and the change recorded; the old tree is not
  * touched. DKS_ERR_INVALID with `detail` when path, name or value is not allowed;
- * DKS_ERR_NOT_FOUND when an override to be removed does not exist. */
+ * DKS_ERR_NOT_FOUND when an override to be removed does not exist; DKS_ERR_TOO_LARGE when the
+ * record would exceed DKS_SETTINGS_RECORD_MAX. `edit` needs an id and an actor. */
 int dks_settings_apply (const dks_settings_t *settings, const dks_settings_edit_t *edit,
                         int64_t wall_ms, dks_settings_t **result, char detail[DKS_TEXT_SIZE]);
 /** Effective values for a service, data centre and job (team names and job names may be empty). */
