--- /dev/null
+++ b/core/claim.c
@@ -0,0 +1,174 @@
+#include "core/claim.h"
+
+#include "common/alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+dks_claims_t *
+dks_claims_create (uint32_t max)
+{
+  dks_claims_t *claims = dks_alloc (sizeof (*claims));
+
+  apr_pool_create (&claims->pool, NULL);
+  claims->by_key = apr_hash_make (claims->pool);
+  claims->max = max;
+  APR_RING_INIT (&claims->ring, dks_claim_t, link);
+  APR_RING_INIT (&claims->open, dks_claim_t, open_link);
+  return claims;
+}
+
+void
+dks_claims_destroy (dks_claims_t *claims)
+{
+  if (claims == NULL)
+    return;
+  dks_claims_clear (claims);
+  apr_pool_destroy (claims->pool);
+  free (claims);
+}
+
+void
+dks_claims_clear (dks_claims_t *claims)
+{
+  while (!APR_RING_EMPTY (&claims->ring, dks_claim_t, link))
+    dks_claims_remove (claims, APR_RING_FIRST (&claims->ring));
+  claims->floor_ms = 0;
+}
+
+dks_claim_t *
+dks_claims_find (const dks_claims_t *claims, const char *key)
+{
+  return apr_hash_get (claims->by_key, key, APR_HASH_KEY_STRING);
+}
+
+static size_t
+answer_bytes (const dks_answer_t *answer)
+{
+  size_t bytes = 0;
+
+  if (answer == NULL)
+    return 0;
+  for (uint32_t i = 0; i < answer->task_count; i++)
+    bytes += sizeof (answer->tasks[i])
+             + (answer->tasks[i].body != NULL ? answer->tasks[i].body->len : 0);
+  return bytes + sizeof (*answer);
+}
+
+/* Drops the oldest finished claims until the table is within its bounds. */
+static void
+claims_trim (dks_claims_t *claims)
+{
+  dks_claim_t *claim = APR_RING_FIRST (&claims->ring);
+
+  while ((claims->count > claims->max || claims->answer_bytes > DKS_CLAIM_ANSWER_BYTES_MAX)
+         && claim != APR_RING_SENTINEL (&claims->ring, dks_claim_t, link))
+    {
+      dks_claim_t *next = APR_RING_NEXT (claim, link);
+
+      if (claim->answer != NULL)
+        {
+          if (claims->floor_ms <= claim->issued_ms)
+            claims->floor_ms = claim->issued_ms + 1;
+          dks_claims_remove (claims, claim);
+        }
+      claim = next;
+    }
+}
+
+void
+dks_claims_put (dks_claims_t *claims, const dks_claim_item_t *item)
+{
+  dks_claim_t *claim = dks_claims_find (claims, item->key);
+  size_t size = strlen (item->key) + 1;
+
+  if (claim == NULL)
+    {
+      claim = dks_alloc (sizeof (*claim) + size);
+      memcpy (claim->key, item->key, size);
+      claim->issued_ms = item->issued_ms;
+      claim->digest = item->digest;
+      dks_strcpy (claim->runner, sizeof (claim->runner), item->runner);
+      apr_hash_set (claims->by_key, claim->key, APR_HASH_KEY_STRING, claim);
+      APR_RING_INIT (&claim->waiters, dks_waiter_t, link);
+      APR_RING_INSERT_TAIL (&claims->ring, claim, dks_claim_t, link);
+      APR_RING_INSERT_TAIL (&claims->open, claim, dks_claim_t, open_link);
+      claims->count++;
+      claims->unfinished++;
+    }
+  if (item->answer != NULL)
+    dks_claims_finish (claims, claim, item->answer);
+  else
+    claims_trim (claims);
+}
+
+static void
+claim_close (dks_claims_t *claims, dks_claim_t *claim)
+{
+  claims->unfinished--;
+  APR_RING_REMOVE (claim, open_link);
+}
+
+void
+dks_claims_finish (dks_claims_t *claims, dks_claim_t *claim, dks_answer_t *answer)
+{
+  if (claim->answer != NULL && claim->answer->outcome != DKS_OUTCOME_UNKNOWN)
+    return;
+  if (claim->answer == NULL)
+    claim_close (claims, claim);
+  claims->answer_bytes += answer_bytes (answer);
+  claims->answer_bytes -= answer_bytes (claim->answer);
+  dks_answer_ref (answer);
+  dks_answer_unref (claim->answer);
+  claim->answer = answer;
+  claims_trim (claims);
+}
+
+void
+dks_claims_remove (dks_claims_t *claims, dks_claim_t *claim)
+{
+  dks_waiter_t *waiter;
+
+  apr_hash_set (claims->by_key, claim->key, APR_HASH_KEY_STRING, NULL);
+  APR_RING_REMOVE (claim, link);
+  claims->count--;
+  if (claim->answer == NULL)
+    claim_close (claims, claim);
+  claims->answer_bytes -= answer_bytes (claim->answer);
+  dks_answer_unref (claim->answer);
+  while ((waiter = dks_waiters_take (&claim->waiters)) != NULL)
+    free (waiter);
+  free (claim);
+}
+
+void
+dks_claims_expire (dks_claims_t *claims, int64_t floor_ms)
+{
+  dks_claim_t *claim = APR_RING_FIRST (&claims->ring);
+
+  if (floor_ms <= claims->floor_ms)
+    return;
+  claims->floor_ms = floor_ms;
+  /* Entries are roughly in order of issue time; one that is kept too long is harmless, because a
+   * claim in the table goes before the floor. */
+  while (claim != APR_RING_SENTINEL (&claims->ring, dks_claim_t, link)
+         && claim->issued_ms < floor_ms)
+    {
+      dks_claim_t *next = APR_RING_NEXT (claim, link);
+
+      if (claim->answer != NULL)
+        dks_claims_remove (claims, claim);
+      claim = next;
+    }
+}
+
+void
+dks_claim_to_item (const dks_claim_t *claim, dks_claim_item_t *item)
+{
+  memset (item, 0, sizeof (*item));
+  dks_strcpy (item->key, sizeof (item->key), claim->key);
+  item->issued_ms = claim->issued_ms;
+  item->digest = claim->digest;
+  dks_strcpy (item->runner, sizeof (item->runner), claim->runner);
+  item->answer = dks_answer_ref (claim->answer);
+}
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,327 @@
+#include "core/state.h"
+
+#include "common/alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  REMOTE_HEARTBEAT_EVERY = 5, /* heartbeats between data centres are this much rarer */
+  RECONNECT_US = 300000, /* a closed connection that does not return in this time is a failure */
+  ABSENT_US = 10000000,  /* missing from the list this long proves that an instance has ended */
+  FORGET_PEER_US = 60000000
+};
+
+dks_peer_t *
+dks_peer_find (const dks_reducer_t *r, const char *id)
+{
+  return apr_hash_get (r->peers_by_id, id, APR_HASH_KEY_STRING);
+}
+
+bool
+dks_peer_is_usable (const dks_reducer_t *r, const dks_peer_t *peer)
+{
+  return peer->up && r->now.mono_us - peer->heard_us < r->config.failure_timeout_us * 2;
+}
+
+static bool
+is_silent (const dks_reducer_t *r, const dks_peer_t *peer)
+{
+  int64_t timeout_us = r->config.failure_timeout_us;
+
+  if (strcmp (peer->data_centre, r->config.data_centre) != 0)
+    timeout_us += REMOTE_HEARTBEAT_EVERY * r->config.heartbeat_us;
+  return r->now.mono_us - peer->heard_us >= timeout_us;
+}
+
+bool
+dks_member_is_alive (const dks_reducer_t *r, const char *id)
+{
+  const dks_peer_t *peer = dks_peer_find (r, id);
+
+  if (strcmp (id, r->self) == 0)
+    return true;
+  /* A member that was never heard gets the failure timeout from our own start. */
+  if (peer == NULL)
+    return r->now.mono_us - r->created_us < r->config.failure_timeout_us;
+  return !is_silent (r, peer);
+}
+
+/* A newer incarnation at the same address has bound the port of this one, which therefore ended. */
+static bool
+is_replaced (const dks_reducer_t *r, const char *id)
+{
+  const dks_view_t *view = dks_own_view (r);
+  const dks_view_member_t *member = dks_view_member (view, id);
+
+  if (member == NULL)
+    return false;
+  if (strcmp (id, r->self) != 0 && dks_view_same_instance (id, r->self)
+      && strcmp (member->address, r->config.address) == 0)
+    return true;
+  for (uint32_t i = 0; i < view->member_count; i++)
+    {
+      const dks_view_member_t *other = &view->members[i];
+
+      if (other > member && dks_view_same_instance (other->id, id)
+          && strcmp (other->address, member->address) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+dks_member_is_dead (const dks_reducer_t *r, const char *id)
+{
+  char instance[DKS_NAME_SIZE];
+  const int64_t *absent_since;
+
+  if (is_replaced (r, id))
+    return true;
+  dks_strcpy (instance, sizeof (instance), id);
+  instance[strcspn (instance, "#")] = '\0';
+  absent_since = apr_hash_get (r->absent_since, instance, APR_HASH_KEY_STRING);
+  return absent_since != NULL && r->list_read_us - *absent_since >= ABSENT_US
+         && !dks_member_is_alive (r, id);
+}
+
+static dks_peer_t *
+peer_create (dks_reducer_t *r, const char *id, const char *data_centre)
+{
+  dks_peer_t *peer = dks_alloc (sizeof (*peer));
+
+  dks_strcpy (peer->id, sizeof (peer->id), id);
+  dks_strcpy (peer->data_centre, sizeof (peer->data_centre), data_centre);
+  apr_hash_set (r->peers_by_id, peer->id, APR_HASH_KEY_STRING, peer);
+  APR_RING_INSERT_TAIL (&r->peers, peer, dks_peer_t, link);
+  return peer;
+}
+
+static void
+peer_remove (dks_reducer_t *r, dks_peer_t *peer)
+{
+  apr_hash_set (r->peers_by_id, peer->id, APR_HASH_KEY_STRING, NULL);
+  APR_RING_REMOVE (peer, link);
+  free (peer);
+}
+
+static void
+send_record (dks_reducer_t *r, const char *peer, const char *key, int64_t version,
+             dks_blob_t *value)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_RECORD);
+
+  dks_strcpy (msg->u.record.key, sizeof (msg->u.record.key), key);
+  msg->u.record.version = version;
+  msg->u.record.value = value;
+  dks_emit_peer (r, peer, msg);
+}
+
+void
+dks_members_send_records (dks_reducer_t *r, const char *peer)
+{
+  if (r->settings_value != NULL)
+    send_record (r, peer, "settings", r->settings_revision, dks_blob_ref (r->settings_value));
+  for (size_t i = 0; i < r->config.data_centre_count; i++)
+    {
+      char key[sizeof (((dks_msg_t *)0)->u.record.key)] = "view/";
+
+      if (r->views[i].version == 0)
+        continue;
+      dks_strcpy (key + strlen (key), sizeof (key) - strlen (key), r->config.data_centres[i]);
+      send_record (r, peer, key, r->views[i].version, dks_view_format (&r->views[i]));
+    }
+}
+
+void
+dks_members_handle_up (dks_reducer_t *r, const char *id, const char *data_centre)
+{
+  dks_peer_t *peer = dks_peer_find (r, id);
+
+  if (peer == NULL)
+    peer = peer_create (r, id, data_centre);
+  peer->up = true;
+  peer->heard_us = r->now.mono_us;
+  peer->asked = peer->asked_next = peer->received = 0;
+  peer->wanted = peer->given = 0;
+  dks_emit_log (r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
+  dks_members_send_records (r, id);
+}
+
+void
+dks_members_handle_down (dks_reducer_t *r, const char *id)
+{
+  dks_peer_t *peer = dks_peer_find (r, id);
+  int64_t heard_us;
+
+  if (peer == NULL)
+    return;
+  peer->up = false;
+  /* A process that dies closes its connections, so this is an early sign of a failure. */
+  heard_us = r->now.mono_us - r->config.failure_timeout_us + RECONNECT_US;
+  if (peer->heard_us > heard_us)
+    peer->heard_us = heard_us;
+  dks_emit_log (r, DKS_LOG_INFO, "event=peer-down peer=%s", id);
+  dks_lend_forget_peer (r, peer);
+}
+
+void
+dks_members_handle_heartbeat (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
+{
+  peer->draining = msg->u.heartbeat.draining;
+  peer->free_slots = msg->u.heartbeat.free_slots;
+  peer->queued_tasks = msg->u.heartbeat.queued_tasks;
+  peer->view_version = msg->u.heartbeat.view_version;
+  peer->settings_version = msg->u.heartbeat.settings_version;
+  if (peer->settings_version < dks_settings_version (r->settings) && r->settings_value != NULL)
+    send_record (r, peer->id, "settings", r->settings_revision, dks_blob_ref (r->settings_value));
+}
+
+static void
+update_absences (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
+{
+  const dks_view_t *view = dks_own_view (r);
+
+  for (uint32_t i = 0; i < view->member_count; i++)
+    {
+      char instance[DKS_NAME_SIZE];
+      int64_t *since;
+      bool listed = false;
+
+      dks_strcpy (instance, sizeof (instance), view->members[i].id);
+      instance[strcspn (instance, "#")] = '\0';
+      for (size_t j = 0; j < count && !listed; j++)
+        listed = !items[j].is_target && strcmp (items[j].id, instance) == 0;
+      since = apr_hash_get (r->absent_since, instance, APR_HASH_KEY_STRING);
+      if (listed && since != NULL)
+        {
+          apr_hash_set (r->absent_since, instance, APR_HASH_KEY_STRING, NULL);
+          free (since);
+        }
+      if (!listed && since == NULL)
+        {
+          /* The key lives in the same block as the value. */
+          char *key;
+
+          since = dks_alloc (sizeof (*since) + sizeof (instance));
+          *since = r->now.mono_us;
+          key = (char *)(since + 1);
+          dks_strcpy (key, sizeof (instance), instance);
+          apr_hash_set (r->absent_since, key, APR_HASH_KEY_STRING, since);
+        }
+    }
+}
+
+void
+dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
+{
+  r->list_read_us = r->now.mono_us;
+  update_absences (r, items, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      dks_effect_t *effect;
+
+      if (items[i].is_target || strcmp (items[i].id, r->config.id) == 0)
+        continue;
+      effect = dks_effects_add (r->effects, DKS_EFFECT_PEER_CONNECT);
+      dks_strcpy (effect->u.peer_connect.address, sizeof (effect->u.peer_connect.address),
+                  items[i].address);
+      dks_strcpy (effect->u.peer_connect.id, sizeof (effect->u.peer_connect.id), items[i].id);
+    }
+  dks_targets_update (r->targets, items, count, r->config.data_centre);
+  dks_jobs_handle_targets_changed (r);
+}
+
+void
+dks_members_forgive (dks_reducer_t *r)
+{
+  dks_peer_t *peer;
+
+  r->created_us = r->now.mono_us;
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      if (peer->up)
+        peer->heard_us = r->now.mono_us;
+    }
+}
+
+static void
+forget_old_peers (dks_reducer_t *r)
+{
+  dks_peer_t *peer = APR_RING_FIRST (&r->peers);
+
+  while (peer != APR_RING_SENTINEL (&r->peers, dks_peer_t, link))
+    {
+      dks_peer_t *next = APR_RING_NEXT (peer, link);
+
+      /* A member of the view must stay known as silent. */
+      if (!peer->up && r->now.mono_us - peer->heard_us > FORGET_PEER_US
+          && dks_view_member (dks_own_view (r), peer->id) == NULL)
+        peer_remove (r, peer);
+      peer = next;
+    }
+}
+
+static void
+send_heartbeats (dks_reducer_t *r)
+{
+  bool to_remote = r->heartbeat_count % REMOTE_HEARTBEAT_EVERY == 0;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_HEARTBEAT);
+  dks_peer_t *peer;
+
+  msg->u.heartbeat.wall_ms = r->now.wall_ms;
+  msg->u.heartbeat.settings_version = dks_settings_version (r->settings);
+  msg->u.heartbeat.view_version = dks_own_view (r)->version;
+  msg->u.heartbeat.free_slots = dks_lend_free (r);
+  msg->u.heartbeat.queued_tasks = dks_jobs_backlog (r);
+  msg->u.heartbeat.draining = r->draining;
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      bool is_local = strcmp (peer->data_centre, r->config.data_centre) == 0;
+
+      if (!peer->up || (!is_local && !to_remote))
+        continue;
+      dks_emit_peer (r, peer->id, dks_msg_ref (msg));
+      dks_count (&r->counters, DKS_COUNTER_HEARTBEATS);
+    }
+  dks_msg_unref (msg);
+}
+
+static void
+handle_heartbeat_timer (void *context, int64_t now_us)
+{
+  dks_reducer_t *r = context;
+
+  send_heartbeats (r);
+  if (r->heartbeat_count++ % 64 == 0)
+    {
+      forget_old_peers (r);
+      dks_owner_expire (r);
+    }
+  dks_owner_review (r);
+  dks_view_review (r);
+  dks_settings_ops_review (r);
+  dks_lend_review (r);
+  dks_timer_set (r->timers, &r->heartbeat_timer, now_us + r->config.heartbeat_us);
+}
+
+void
+dks_members_init (dks_reducer_t *r)
+{
+  APR_RING_INIT (&r->peers, dks_peer_t, link);
+  r->peers_by_id = apr_hash_make (r->pool);
+  r->absent_since = apr_hash_make (r->pool);
+  dks_timer_init (&r->heartbeat_timer, handle_heartbeat_timer, r);
+  dks_timer_set (r->timers, &r->heartbeat_timer, r->now.mono_us);
+}
+
+void
+dks_members_clear (dks_reducer_t *r)
+{
+  while (!APR_RING_EMPTY (&r->peers, dks_peer_t, link))
+    peer_remove (r, APR_RING_FIRST (&r->peers));
+  for (apr_hash_index_t *i = apr_hash_first (r->pool, r->absent_since); i != NULL;
+       i = apr_hash_next (i))
+    free (apr_hash_this_val (i));
+}
--- /dev/null
+++ b/core/owner.c
@@ -0,0 +1,1141 @@
+#include "core/state.h"
+
+#include "common/alloc.h"
+#include "core/key.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CLAIM_RETRY_US = 100000,   /* a claim or confirm without acknowledgement is sent again */
+  SYNC_TIMEOUT_US = 3000000, /* a copy of the claims that is not acknowledged is started again */
+  SNAPSHOT_ITEMS = 256,      /* claims in one snapshot message */
+  RETRY_AFTER_MS = 1000
+};
+
+static const dks_view_shard_t *
+view_shard (const dks_reducer_t *r, uint32_t shard)
+{
+  return &dks_own_view (r)->shards[shard];
+}
+
+bool
+dks_owner_is_self (const dks_reducer_t *r, uint32_t shard)
+{
+  return strcmp (view_shard (r, shard)->owner, r->self) == 0;
+}
+
+static bool
+is_backup (const dks_reducer_t *r, uint32_t shard)
+{
+  return strcmp (view_shard (r, shard)->backup, r->self) == 0;
+}
+
+void
+dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer)
+{
+  dks_msg_t *msg;
+
+  if (waiter->peer[0] == '\0')
+    {
+      dks_entry_handle_answer (r, "", waiter->request, answer);
+      return;
+    }
+  msg = dks_msg_create (DKS_MSG_ANSWER);
+  msg->u.answer.request = waiter->request;
+  msg->u.answer.answer = dks_answer_ref (answer);
+  dks_emit_peer (r, waiter->peer, msg);
+}
+
+static void
+answer_waiters (dks_reducer_t *r, dks_waiter_ring_t *waiters, dks_answer_t *answer)
+{
+  dks_waiter_t *waiter;
+
+  while ((waiter = dks_waiters_take (waiters)) != NULL)
+    {
+      dks_waiter_answer (r, waiter, answer);
+      free (waiter);
+    }
+}
+
+static void
+answer_now (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key, dks_outcome_t outcome,
+            dks_problem_t problem, const char *detail)
+{
+  dks_answer_t *answer = dks_answer_create (key, outcome, problem, 0);
+
+  dks_strcpy (answer->detail, sizeof (answer->detail), detail);
+  if (outcome == DKS_OUTCOME_UNKNOWN && problem == DKS_PROBLEM_NO_OWNER)
+    answer->retry_after_ms = RETRY_AFTER_MS;
+  dks_waiter_answer (r, waiter, answer);
+  dks_answer_unref (answer);
+}
+
+static void
+answer_moved (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key)
+{
+  answer_now (r, waiter, key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, "");
+}
+
+/* Refusals */
+
+static bool
+needs_sync_ack (const dks_shard_state_t *st)
+{
+  return st->sync_peer[0] != '\0';
+}
+
+static void
+deliver_refusals (dks_reducer_t *r, dks_shard_state_t *st, uint64_t confirm_id)
+{
+  dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+  while (refusal != APR_RING_SENTINEL (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *next = APR_RING_NEXT (refusal, link);
+
+      if (refusal->confirm_id == confirm_id)
+        {
+          APR_RING_REMOVE (refusal, link);
+          dks_waiter_answer (r, &refusal->waiter, refusal->answer);
+          dks_answer_unref (refusal->answer);
+          free (refusal);
+        }
+      refusal = next;
+    }
+}
+
+static void
+move_refusals (dks_reducer_t *r, dks_shard_state_t *st)
+{
+  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+      APR_RING_REMOVE (refusal, link);
+      answer_moved (r, &refusal->waiter, refusal->answer->key);
+      dks_answer_unref (refusal->answer);
+      free (refusal);
+    }
+  st->confirm_id = 0;
+}
+
+static void
+send_confirm (dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_CONFIRM);
+
+  msg->u.confirm.shard = shard;
+  msg->u.confirm.epoch = view_shard (r, shard)->epoch;
+  msg->u.confirm.id = r->shards[shard].confirm_id;
+  dks_emit_peer (r, peer, msg);
+}
+
+/* One confirm message covers all refusals that are waiting when it is sent. */
+static void
+confirm_refusals (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *vs = view_shard (r, shard);
+  dks_refusal_t *refusal;
+
+  if (st->confirm_id != 0 || APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    return;
+  st->confirm_id = dks_next_id (r);
+  st->confirm_us = r->now.mono_us;
+  st->confirm_backup_ok = vs->backup[0] == '\0';
+  st->confirm_sync_ok = !needs_sync_ack (st);
+  APR_RING_FOREACH (refusal, &st->refusals, dks_refusal_t, link)
+    {
+      refusal->confirm_id = st->confirm_id;
+    }
+  if (!st->confirm_backup_ok)
+    send_confirm (r, shard, vs->backup);
+  if (!st->confirm_sync_ok)
+    send_confirm (r, shard, st->sync_peer);
+  if (st->confirm_backup_ok && st->confirm_sync_ok)
+    {
+      uint64_t id = st->confirm_id;
+
+      st->confirm_id = 0;
+      deliver_refusals (r, st, id);
+    }
+}
+
+static void
+restart_confirm (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  st->confirm_id = 0;
+  confirm_refusals (r, shard);
+}
+
+/* Takes over the caller's reference to `answer`. */
+static void
+refuse (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
+{
+  dks_refusal_t *refusal = dks_alloc (sizeof (*refusal));
+
+  refusal->waiter = *waiter;
+  refusal->answer = answer;
+  APR_RING_INSERT_TAIL (&r->shards[shard].refusals, refusal, dks_refusal_t, link);
+  confirm_refusals (r, shard);
+}
+
+static dks_answer_t *
+refusal_answer (const char *key, dks_problem_t problem, uint32_t retry_after_ms, const char *detail)
+{
+  dks_answer_t *answer = dks_answer_create (key, DKS_OUTCOME_REFUSED, problem, 0);
+
+  answer->retry_after_ms = retry_after_ms;
+  dks_strcpy (answer->detail, sizeof (answer->detail), detail);
+  return answer;
+}
+
+/* Messages about claims */
+
+static void
+send_result (dks_reducer_t *r, uint32_t shard, const char *peer, const dks_claim_item_t *item)
+{
+  dks_msg_t *msg;
+
+  if (peer[0] == '\0' || strcmp (peer, r->self) == 0)
+    return;
+  msg = dks_msg_create (DKS_MSG_RESULT);
+  msg->u.result.shard = shard;
+  msg->u.result.item = *item;
+  dks_answer_ref (item->answer);
+  dks_emit_peer (r, peer, msg);
+}
+
+static void
+job_item (const dks_reducer_t *r, const dks_job_t *job, dks_claim_item_t *item)
+{
+  memset (item, 0, sizeof (*item));
+  dks_strcpy (item->key, sizeof (item->key), job->submission->key);
+  dks_strcpy (item->runner, sizeof (item->runner), r->self);
+  item->issued_ms = job->submission->issued_ms;
+  item->digest = job->submission->digest;
+}
+
+/* Tells the owner and backup that a claim of ours was never started and never will be. */
+static void
+release_claim (dks_reducer_t *r, dks_job_t *job)
+{
+  const dks_view_shard_t *vs = view_shard (r, job->shard);
+  dks_claim_item_t item;
+
+  job_item (r, job, &item);
+  item.answer = dks_answer_create (item.key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
+  send_result (r, job->shard, vs->owner, &item);
+  send_result (r, job->shard, vs->backup, &item);
+  if (strcmp (r->shards[job->shard].sync_peer, vs->backup) != 0)
+    send_result (r, job->shard, r->shards[job->shard].sync_peer, &item);
+  dks_answer_unref (item.answer);
+}
+
+void
+dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job)
+{
+  const dks_view_shard_t *vs = view_shard (r, job->shard);
+  dks_shard_state_t *st = &r->shards[job->shard];
+  dks_claim_t *claim = dks_claims_find (st->claims, job->submission->key);
+  dks_claim_item_t item;
+
+  if (claim != NULL)
+    dks_claims_finish (st->claims, claim, job->answer);
+  job_item (r, job, &item);
+  item.answer = job->answer;
+  send_result (r, job->shard, vs->owner, &item);
+  send_result (r, job->shard, vs->backup, &item);
+  if (strcmp (st->sync_peer, vs->backup) != 0)
+    send_result (r, job->shard, st->sync_peer, &item);
+}
+
+/* Claims */
+
+static void
+forget_claim_id (dks_reducer_t *r, dks_job_t *job)
+{
+  if (job->claim_id != 0)
+    apr_hash_set (r->claims_under_way, &job->claim_id, sizeof (job->claim_id), NULL);
+  job->claim_id = 0;
+  dks_timer_cancel (r->timers, &job->claim_timer);
+}
+
+static void
+grant_claim (dks_reducer_t *r, dks_job_t *job)
+{
+  dks_shard_state_t *st = &r->shards[job->shard];
+  dks_claim_item_t item;
+
+  forget_claim_id (r, job);
+  job_item (r, job, &item);
+  dks_claims_put (st->claims, &item);
+  if (st->accepted_ms < item.issued_ms)
+    st->accepted_ms = item.issued_ms;
+  dks_job_activate (r, job);
+}
+
+static void
+send_claim (dks_reducer_t *r, dks_job_t *job, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM);
+
+  msg->u.claim.shard = job->shard;
+  msg->u.claim.epoch = view_shard (r, job->shard)->epoch;
+  msg->u.claim.id = job->claim_id;
+  job_item (r, job, &msg->u.claim.item);
+  dks_count (&r->counters, DKS_COUNTER_CLAIMS);
+  dks_emit_peer (r, peer, msg);
+}
+
+void
+dks_owner_claim (dks_reducer_t *r, dks_job_t *job)
+{
+  dks_shard_state_t *st = &r->shards[job->shard];
+  const dks_view_shard_t *vs = view_shard (r, job->shard);
+
+  forget_claim_id (r, job);
+  job->state = DKS_JOB_CLAIMING;
+  job->backup_acked = vs->backup[0] == '\0';
+  job->sync_acked = !needs_sync_ack (st);
+  if (st->closing)
+    {
+      dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + CLAIM_RETRY_US);
+      return;
+    }
+  if (job->backup_acked && job->sync_acked)
+    {
+      grant_claim (r, job);
+      return;
+    }
+  job->claim_id = dks_next_id (r);
+  apr_hash_set (r->claims_under_way, &job->claim_id, sizeof (job->claim_id), job);
+  if (!job->backup_acked)
+    send_claim (r, job, vs->backup);
+  if (!job->sync_acked)
+    send_claim (r, job, st->sync_peer);
+  dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + CLAIM_RETRY_US);
+}
+
+static bool
+accepts_owner (const dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  const dks_shard_state_t *st = &r->shards[shard];
+
+  return strcmp (view_shard (r, shard)->owner, peer) == 0 && !st->fenced
+         && (is_backup (r, shard) || strcmp (st->sync_from, peer) == 0);
+}
+
+static void
+send_ack (dks_reducer_t *r, const char *peer, uint32_t shard, uint64_t id, bool ok)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM_ACK);
+
+  msg->u.claim_ack.shard = shard;
+  msg->u.claim_ack.epoch = view_shard (r, shard)->epoch;
+  msg->u.claim_ack.id = id;
+  msg->u.claim_ack.ok = ok;
+  if (!ok)
+    dks_count (&r->counters, DKS_COUNTER_CLAIMS_REJECTED);
+  dks_emit_peer (r, peer, msg);
+}
+
+void
+dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.claim.shard;
+  dks_claims_t *claims = r->shards[shard].claims;
+  const dks_claim_t *known = dks_claims_find (claims, msg->u.claim.item.key);
+  bool ok = accepts_owner (r, shard, peer);
+
+  if (ok && known != NULL && (known->answer != NULL || strcmp (known->runner, peer) != 0))
+    {
+      /* The owner lacks this claim: it must not start the key, and learns why first. */
+      dks_claim_item_t item;
+
+      dks_claim_to_item (known, &item);
+      send_result (r, shard, peer, &item);
+      dks_answer_unref (item.answer);
+      ok = false;
+    }
+  if (ok)
+    dks_claims_put (claims, &msg->u.claim.item);
+  send_ack (r, peer, shard, msg->u.claim.id, ok);
+}
+
+void
+dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.confirm.shard;
+
+  send_ack (r, peer, shard, msg->u.confirm.id, accepts_owner (r, shard, peer));
+}
+
+static void
+handle_confirm_ack (dks_reducer_t *r, const char *peer, uint32_t shard, bool ok)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  uint64_t id = st->confirm_id;
+
+  if (!ok)
+    return; /* sent again by dks_owner_review() */
+  if (strcmp (peer, view_shard (r, shard)->backup) == 0)
+    st->confirm_backup_ok = true;
+  if (strcmp (peer, st->sync_peer) == 0)
+    st->confirm_sync_ok = true;
+  if (!st->confirm_backup_ok || !st->confirm_sync_ok)
+    return;
+  st->confirm_id = 0;
+  deliver_refusals (r, st, id);
+  confirm_refusals (r, shard);
+}
+
+void
+dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.claim_ack.shard;
+  uint64_t id = msg->u.claim_ack.id;
+  dks_job_t *job;
+
+  if (id == r->shards[shard].confirm_id)
+    {
+      handle_confirm_ack (r, peer, shard, msg->u.claim_ack.ok);
+      return;
+    }
+  job = apr_hash_get (r->claims_under_way, &id, sizeof (id));
+  if (job == NULL || !msg->u.claim_ack.ok)
+    return;
+  if (strcmp (peer, view_shard (r, job->shard)->backup) == 0)
+    job->backup_acked = true;
+  if (strcmp (peer, r->shards[job->shard].sync_peer) == 0)
+    job->sync_acked = true;
+  if (job->backup_acked && job->sync_acked)
+    grant_claim (r, job);
+}
+
+/* Submissions */
+
+static int64_t
+effective_floor_ms (const dks_reducer_t *r, uint32_t shard)
+{
+  int64_t floor_ms = view_shard (r, shard)->floor_ms;
+
+  if (floor_ms < r->shards[shard].claims->floor_ms)
+    floor_ms = r->shards[shard].claims->floor_ms;
+  if (floor_ms < r->now.wall_ms - r->config.retention_ms)
+    floor_ms = r->now.wall_ms - r->config.retention_ms;
+  return floor_ms;
+}
+
+static bool
+check_issue_time (dks_reducer_t *r, const char *key, int64_t issued_ms, uint32_t shard,
+                  const dks_waiter_t *waiter)
+{
+  const dks_view_member_t *self = dks_view_member (dks_own_view (r), r->self);
+
+  if (issued_ms < effective_floor_ms (r, shard))
+    {
+      answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_KEY_EXPIRED,
+                  "the record of keys issued at this time is gone; use a new key for new work");
+      return false;
+    }
+  if (self == NULL || issued_ms >= self->ceiling_ms)
+    {
+      answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NO_OWNER,
+                  "the owner may not accept keys issued at this time");
+      return false;
+    }
+  if (issued_ms > r->now.wall_ms + r->config.clock_skew_ms)
+    {
+      refuse (r, shard, waiter,
+              refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
+                              "the issue time of the key is in the future"));
+      return false;
+    }
+  return true;
+}
+
+/* Time in ms until a new task of this size could start, from the queue and the mean run time. */
+static int64_t
+estimate_wait_ms (const dks_reducer_t *r)
+{
+  uint32_t slots = dks_targets_capacity (r->targets, r->now.mono_us);
+
+  if (slots == 0 || dks_lend_free (r) + dks_lend_credits (r) > 0)
+    return 0;
+  return (int64_t)(r->mean_run_us * dks_jobs_backlog (r) / slots / 1000);
+}
+
+/* Returns false after it has refused the submission. */
+static bool
+admit (dks_reducer_t *r, dks_submission_t *s, uint32_t shard, const dks_waiter_t *waiter)
+{
+  dks_settings_values_t values;
+  int64_t wait_ms = estimate_wait_ms (r);
+  int64_t run_ms = (int64_t)(r->mean_run_us / 1000);
+  dks_answer_t *answer = NULL;
+  char detail[DKS_TEXT_SIZE];
+
+  dks_settings_values (r, s->service, s->team, &values);
+  for (uint32_t i = 0; i < s->task_count && answer == NULL; i++)
+    {
+      const char *what;
+
+      if (dks_targets_can_fit (r->targets, &s->tasks[i], &what))
+        continue;
+      snprintf (detail, sizeof (detail), "task %u needs more %s than any target has", i, what);
+      answer = refusal_answer (s->key, DKS_PROBLEM_INFEASIBLE, 0, detail);
+    }
+  if (answer == NULL && s->deadline_ms <= r->now.wall_ms)
+    answer = refusal_answer (s->key, DKS_PROBLEM_DEADLINE, 0, "the deadline has passed");
+  if (answer == NULL && values.team_quota == 0)
+    answer = refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
+  if (answer == NULL && dks_jobs_backlog (r) + s->task_count > values.queue_limit)
+    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL,
+                             (uint32_t)(wait_ms > RETRY_AFTER_MS ? wait_ms : RETRY_AFTER_MS),
+                             "the queue is full");
+  if (answer == NULL && wait_ms > 0 && r->now.wall_ms + wait_ms + run_ms > s->deadline_ms)
+    answer = refusal_answer (
+        s->key, DKS_PROBLEM_DEADLINE,
+        (uint32_t)(r->now.wall_ms + wait_ms + run_ms - s->deadline_ms + RETRY_AFTER_MS),
+        "the queue is too long for the deadline");
+  if (answer == NULL)
+    return true;
+  refuse (r, shard, waiter, answer);
+  return false;
+}
+
+static void
+answer_accepted (dks_reducer_t *r, const dks_waiter_t *waiter, const dks_submission_t *s)
+{
+  if (s->respond_async)
+    answer_now (r, waiter, s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+}
+
+static void
+answer_reused (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key)
+{
+  answer_now (r, waiter, key, DKS_OUTCOME_FAILED, DKS_PROBLEM_KEY_REUSED,
+              "the key was used for other content");
+}
+
+/* Attaches a waiter to work that is known already. Returns false if the key is new. */
+static bool
+attach (dks_reducer_t *r, const char *key, uint64_t digest, uint32_t shard,
+        const dks_waiter_t *waiter)
+{
+  dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
+  dks_job_t *job = dks_job_find (r, key);
+
+  if (claim != NULL && claim->answer != NULL)
+    {
+      if (digest != 0 && claim->digest != 0 && claim->digest != digest)
+        answer_reused (r, waiter, key);
+      else
+        dks_waiter_answer (r, waiter, claim->answer);
+      return true;
+    }
+  if (job != NULL)
+    {
+      if (digest != 0 && job->submission->digest != 0 && job->submission->digest != digest)
+        answer_reused (r, waiter, key);
+      else
+        dks_job_add_waiter (job, waiter);
+      return true;
+    }
+  if (claim != NULL)
+    {
+      dks_waiters_add (&claim->waiters, waiter);
+      return true;
+    }
+  return false;
+}
+
+void
+dks_owner_submit (dks_reducer_t *r, dks_submission_t *submission, const dks_waiter_t *waiter)
+{
+  uint32_t shard = dks_key_shard (submission->key);
+  dks_job_t *job;
+
+  if (!dks_owner_is_self (r, shard))
+    {
+      answer_moved (r, waiter, submission->key);
+      return;
+    }
+  if (attach (r, submission->key, submission->digest, shard, waiter))
+    {
+      answer_accepted (r, waiter, submission);
+      return;
+    }
+  if (!check_issue_time (r, submission->key, submission->issued_ms, shard, waiter)
+      || !admit (r, submission, shard, waiter))
+    return;
+  job = dks_job_create (r, submission, shard);
+  dks_job_add_waiter (job, waiter);
+  answer_accepted (r, waiter, submission);
+  dks_queue_push (r->queue, job);
+}
+
+static void
+cancel_job (dks_reducer_t *r, dks_job_t *job)
+{
+  switch (job->state)
+    {
+    case DKS_JOB_QUEUED:
+      dks_queue_remove (r->queue, job);
+      job->is_cancel = true;
+      dks_owner_claim (r, job);
+      break;
+    case DKS_JOB_CLAIMING:
+      if (!job->is_cancel)
+        {
+          r->claiming_tasks -= job->submission->task_count;
+          job->team->in_use -= job->submission->task_count;
+        }
+      job->is_cancel = true;
+      break;
+    case DKS_JOB_ACTIVE:
+      dks_job_finish (r, job, DKS_OUTCOME_CANCELLED, DKS_PROBLEM_CANCELLED,
+                      "cancelled by the caller");
+      break;
+    case DKS_JOB_DONE:
+      break;
+    }
+}
+
+/* Claims a key that was never submitted, so that a late submission of it does not start. */
+static void
+cancel_unknown_key (dks_reducer_t *r, const char *key, const dks_key_t *parsed, uint32_t shard,
+                    const dks_waiter_t *waiter)
+{
+  dks_submission_t *submission;
+  dks_job_t *job;
+
+  if (!check_issue_time (r, key, parsed->issued_ms, shard, waiter))
+    return;
+  submission = dks_submission_create (0);
+  dks_strcpy (submission->key, sizeof (submission->key), key);
+  submission->issued_ms = parsed->issued_ms;
+  submission->deadline_ms = r->now.wall_ms + (int64_t)5 * RETRY_AFTER_MS;
+  job = dks_job_create (r, submission, shard);
+  dks_submission_unref (submission);
+  job->is_cancel = true;
+  dks_job_add_waiter (job, waiter);
+  dks_owner_claim (r, job);
+}
+
+/* A question about a claim that this instance runs although it does not own the shard any more. */
+static void
+ask_runner (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter)
+{
+  dks_job_t *job = dks_job_find (r, key);
+  bool is_entry = waiter->request != 0;
+
+  if (job == NULL || job->state == DKS_JOB_QUEUED || job->state == DKS_JOB_CLAIMING)
+    {
+      if (is_entry)
+        answer_moved (r, waiter, key);
+      else
+        answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NOT_FOUND, "");
+      return;
+    }
+  dks_job_add_waiter (job, waiter);
+  if (job->state == DKS_JOB_DONE)
+    dks_job_answer_waiters (r, job, job->answer);
+  else if (cancel)
+    cancel_job (r, job);
+}
+
+void
+dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter)
+{
+  uint32_t shard = dks_key_shard (key);
+  dks_job_t *job;
+  dks_key_t parsed;
+
+  if (!dks_owner_is_self (r, shard))
+    {
+      ask_runner (r, key, cancel, waiter);
+      return;
+    }
+  job = dks_job_find (r, key);
+  if (attach (r, key, 0, shard, waiter))
+    {
+      if (cancel && job != NULL)
+        cancel_job (r, job);
+      return;
+    }
+  if (cancel && dks_key_parse (key, &parsed) == 0)
+    cancel_unknown_key (r, key, &parsed, shard, waiter);
+  else
+    answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NOT_FOUND,
+                "no record of this key; it is not running");
+}
+
+void
+dks_owner_refuse_job (dks_reducer_t *r, dks_job_t *job, dks_problem_t problem,
+                      uint32_t retry_after_ms, const char *detail)
+{
+  dks_waiter_t *waiter;
+
+  if (job->state == DKS_JOB_CLAIMING)
+    release_claim (r, job);
+  while ((waiter = dks_waiters_take (&job->waiters)) != NULL)
+    {
+      refuse (r, job->shard, waiter,
+              refusal_answer (job->submission->key, problem, retry_after_ms, detail));
+      free (waiter);
+    }
+  forget_claim_id (r, job);
+  dks_job_discard (r, job);
+}
+
+/* Results and claims that another instance runs */
+
+static void
+finish_foreign_claim (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim,
+                      dks_answer_t *answer)
+{
+  dks_waiter_ring_t waiters;
+  bool is_void = answer->problem == DKS_PROBLEM_MOVED;
+
+  APR_RING_INIT (&waiters, dks_waiter_t, link);
+  APR_RING_CONCAT (&waiters, &claim->waiters, dks_waiter_t, link);
+  if (is_void)
+    dks_claims_remove (st->claims, claim);
+  else
+    dks_claims_finish (st->claims, claim, answer);
+  answer_waiters (r, &waiters, answer);
+}
+
+static void
+finish_unknown (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim)
+{
+  dks_answer_t *answer =
+      dks_answer_create (claim->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_OWNER_LOST, 0);
+
+  dks_strcpy (answer->detail, sizeof (answer->detail),
+              "the instance that ran this work failed; the work may have run");
+  finish_foreign_claim (r, st, claim, answer);
+  dks_answer_unref (answer);
+}
+
+/* Our backup knows a claim that we lack: our own job for this key must not start. */
+static void
+adopt_claim (dks_reducer_t *r, const dks_claim_item_t *item)
+{
+  dks_job_t *job = dks_job_find (r, item->key);
+  dks_claim_t *claim;
+
+  if (job == NULL || (job->state != DKS_JOB_QUEUED && job->state != DKS_JOB_CLAIMING))
+    return;
+  claim = dks_claims_find (r->shards[job->shard].claims, item->key);
+  if (claim == NULL)
+    return;
+  if (claim->answer != NULL)
+    answer_waiters (r, &job->waiters, claim->answer);
+  else
+    APR_RING_CONCAT (&claim->waiters, &job->waiters, dks_waiter_t, link);
+  if (job->state == DKS_JOB_QUEUED)
+    dks_queue_remove (r->queue, job);
+  forget_claim_id (r, job);
+  dks_job_discard (r, job);
+}
+
+void
+dks_owner_handle_result (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.result.shard;
+  const dks_claim_item_t *item = &msg->u.result.item;
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_claim_t *claim = dks_claims_find (st->claims, item->key);
+
+  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && strcmp (st->sync_from, peer) != 0)
+    return;
+  if (item->answer != NULL && item->answer->problem == DKS_PROBLEM_MOVED)
+    {
+      if (claim != NULL && claim->answer == NULL && strcmp (claim->runner, peer) == 0)
+        finish_foreign_claim (r, st, claim, item->answer);
+      return;
+    }
+  if (claim != NULL && item->answer != NULL)
+    finish_foreign_claim (r, st, claim, item->answer);
+  else
+    dks_claims_put (st->claims, item);
+  if (dks_owner_is_self (r, shard))
+    adopt_claim (r, item);
+}
+
+void
+dks_owner_handle_runner_answer (dks_reducer_t *r, const char *key, dks_answer_t *answer)
+{
+  uint32_t shard = dks_key_shard (key);
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_claim_t *claim = dks_claims_find (st->claims, key);
+
+  if (claim == NULL || claim->answer != NULL || !dks_owner_is_self (r, shard))
+    return;
+  if (answer->problem == DKS_PROBLEM_NOT_FOUND)
+    finish_unknown (r, st, claim);
+  else
+    finish_foreign_claim (r, st, claim, answer);
+}
+
+static void
+ask_for_claim (dks_reducer_t *r, dks_claim_t *claim)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_ASK);
+
+  dks_strcpy (msg->u.ask.key, sizeof (msg->u.ask.key), claim->key);
+  claim->asked = true;
+  dks_emit_peer (r, claim->runner, msg);
+}
+
+/* A claim of our own that came back with a copy, after the message with its answer was lost. */
+static void
+review_own_claim (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim)
+{
+  const dks_job_t *job = dks_job_find (r, claim->key);
+
+  if (job == NULL)
+    finish_unknown (r, st, claim);
+  else if (job->state == DKS_JOB_DONE)
+    finish_foreign_claim (r, st, claim, job->answer);
+}
+
+/* Looks after unfinished claims that have no job here. */
+static void
+review_runners (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_claim_t *claim = APR_RING_FIRST (&st->claims->open);
+
+  while (claim != APR_RING_SENTINEL (&st->claims->open, dks_claim_t, open_link))
+    {
+      dks_claim_t *next = APR_RING_NEXT (claim, open_link);
+
+      if (strcmp (claim->runner, r->self) == 0)
+        review_own_claim (r, st, claim);
+      else
+        {
+          const dks_peer_t *peer = dks_peer_find (r, claim->runner);
+
+          if (!dks_member_is_alive (r, claim->runner))
+            finish_unknown (r, st, claim);
+          else if (!claim->asked && peer != NULL && peer->up)
+            ask_for_claim (r, claim);
+        }
+      claim = next;
+    }
+}
+
+/* Copies of the claims for new backups */
+
+static void
+send_snapshot_part (dks_reducer_t *r, uint32_t shard, dks_claim_t **cursor, bool first)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_SNAPSHOT);
+  uint32_t count = 0;
+
+  msg->u.snapshot.items = dks_alloc (SNAPSHOT_ITEMS * sizeof (dks_claim_item_t));
+  while (*cursor != APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link)
+         && count < SNAPSHOT_ITEMS)
+    {
+      dks_claim_to_item (*cursor, &msg->u.snapshot.items[count++]);
+      *cursor = APR_RING_NEXT (*cursor, link);
+    }
+  msg->u.snapshot.shard = shard;
+  msg->u.snapshot.epoch = view_shard (r, shard)->epoch;
+  msg->u.snapshot.id = st->sync_id;
+  msg->u.snapshot.floor_ms = effective_floor_ms (r, shard);
+  msg->u.snapshot.first = first;
+  msg->u.snapshot.last = *cursor == APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link);
+  msg->u.snapshot.count = count;
+  dks_emit_peer (r, st->sync_peer, msg);
+}
+
+/* From here on every claim also needs the acknowledgement of the next backup. */
+static void
+start_sync (dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_claim_t *cursor = APR_RING_FIRST (&st->claims->ring);
+  dks_job_t *job;
+  dks_job_t *next;
+  bool first = true;
+
+  dks_strcpy (st->sync_peer, sizeof (st->sync_peer), peer);
+  st->sync_id = dks_next_id (r);
+  st->sync_us = r->now.mono_us;
+  st->sync_acked = false;
+  do
+    {
+      send_snapshot_part (r, shard, &cursor, first);
+      first = false;
+    }
+  while (cursor != APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link));
+  for (job = APR_RING_FIRST (&st->jobs);
+       job != APR_RING_SENTINEL (&st->jobs, dks_job_t, shard_link); job = next)
+    {
+      next = APR_RING_NEXT (job, shard_link);
+      if (job->state == DKS_JOB_CLAIMING)
+        dks_owner_claim (r, job);
+    }
+  restart_confirm (r, shard);
+}
+
+static void
+reclaim_all (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_job_t *job;
+  dks_job_t *next;
+
+  for (job = APR_RING_FIRST (&st->jobs);
+       job != APR_RING_SENTINEL (&st->jobs, dks_job_t, shard_link); job = next)
+    {
+      next = APR_RING_NEXT (job, shard_link);
+      if (job->state == DKS_JOB_CLAIMING)
+        dks_owner_claim (r, job);
+    }
+  restart_confirm (r, shard);
+}
+
+static void
+stop_sync (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  if (st->sync_peer[0] == '\0')
+    return;
+  st->sync_peer[0] = '\0';
+  st->sync_acked = false;
+  if (dks_owner_is_self (r, shard))
+    reclaim_all (r, shard);
+}
+
+void
+dks_owner_handle_snapshot (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.snapshot.shard;
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_msg_t *ack;
+
+  if (strcmp (view_shard (r, shard)->owner, peer) != 0)
+    return;
+  dks_strcpy (st->sync_from, sizeof (st->sync_from), peer);
+  for (uint32_t i = 0; i < msg->u.snapshot.count; i++)
+    dks_claims_put (st->claims, &msg->u.snapshot.items[i]);
+  if (st->claims->floor_ms < msg->u.snapshot.floor_ms)
+    st->claims->floor_ms = msg->u.snapshot.floor_ms;
+  if (!msg->u.snapshot.last)
+    return;
+  ack = dks_msg_create (DKS_MSG_SNAPSHOT_ACK);
+  ack->u.snapshot_ack.shard = shard;
+  ack->u.snapshot_ack.id = msg->u.snapshot.id;
+  dks_emit_peer (r, peer, ack);
+}
+
+void
+dks_owner_handle_snapshot_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  dks_shard_state_t *st = &r->shards[msg->u.snapshot_ack.shard];
+
+  if (st->sync_id != msg->u.snapshot_ack.id || strcmp (st->sync_peer, peer) != 0)
+    return;
+  st->sync_acked = true;
+  dks_view_review (r);
+}
+
+void
+dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      dks_shard_state_t *st = &r->shards[i];
+      dks_claim_t *claim;
+
+      /* Claims sent to a peer may be lost with the connection, so a copy starts again. While it
+       * may still become the backup, its acknowledgement stays necessary. */
+      st->sync_acked = st->sync_acked && strcmp (st->sync_peer, peer) != 0;
+      if (strcmp (st->sync_peer, peer) == 0 && !st->sync_proposed)
+        stop_sync (r, i);
+      if (strcmp (st->sync_from, peer) == 0)
+        st->sync_from[0] = '\0';
+      APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
+        {
+          if (strcmp (claim->runner, peer) == 0)
+            claim->asked = false;
+        }
+    }
+}
+
+/* Changes of the view */
+
+static void
+lose_shard (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  dks_job_t *job = APR_RING_FIRST (&st->jobs);
+  dks_claim_t *claim;
+
+  st->sync_peer[0] = '\0';
+  st->sync_acked = false;
+  while (job != APR_RING_SENTINEL (&st->jobs, dks_job_t, shard_link))
+    {
+      dks_job_t *next = APR_RING_NEXT (job, shard_link);
+
+      if (job->state == DKS_JOB_QUEUED || job->state == DKS_JOB_CLAIMING)
+        {
+          dks_answer_t *moved =
+              dks_answer_create (job->submission->key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
+
+          if (job->state == DKS_JOB_CLAIMING)
+            release_claim (r, job);
+          else
+            dks_queue_remove (r->queue, job);
+          answer_waiters (r, &job->waiters, moved);
+          dks_answer_unref (moved);
+          forget_claim_id (r, job);
+          dks_job_discard (r, job);
+        }
+      job = next;
+    }
+  APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
+    {
+      dks_answer_t *moved =
+          dks_answer_create (claim->key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
+
+      answer_waiters (r, &claim->waiters, moved);
+      dks_answer_unref (moved);
+    }
+  move_refusals (r, st);
+}
+
+static void
+apply_shard (dks_reducer_t *r, uint32_t shard, const dks_view_shard_t *old)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *vs = view_shard (r, shard);
+  bool was_owner = strcmp (old->owner, r->self) == 0;
+
+  if (vs->epoch == old->epoch && strcmp (vs->owner, old->owner) == 0)
+    {
+      if (was_owner)
+        reclaim_all (r, shard);
+      return;
+    }
+  st->fenced = false;
+  if (strcmp (st->sync_peer, vs->backup) == 0)
+    st->sync_peer[0] = '\0';
+  if (was_owner && !dks_owner_is_self (r, shard))
+    lose_shard (r, shard);
+  if (is_backup (r, shard) || strcmp (st->sync_from, vs->owner) != 0)
+    st->sync_from[0] = '\0';
+  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && st->sync_from[0] == '\0')
+    dks_claims_clear (st->claims);
+  if (!dks_owner_is_self (r, shard))
+    return;
+  if (!was_owner)
+    {
+      dks_claim_t *claim;
+
+      APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
+        {
+          claim->asked = false;
+        }
+      review_runners (r, shard);
+    }
+  reclaim_all (r, shard);
+}
+
+void
+dks_owner_handle_view (dks_reducer_t *r, const dks_view_t *old)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    apply_shard (r, i, &old->shards[i]);
+}
+
+static void
+review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const char *backup = dks_view_best_backup (dks_own_view (r), inputs, shard);
+  const dks_peer_t *peer = backup != NULL ? dks_peer_find (r, backup) : NULL;
+
+  if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
+    restart_confirm (r, shard);
+  review_runners (r, shard);
+  if (st->sync_proposed)
+    return;
+  if (st->sync_peer[0] != '\0'
+      && (backup == NULL || strcmp (backup, st->sync_peer) != 0
+          || (!st->sync_acked && r->now.mono_us - st->sync_us > SYNC_TIMEOUT_US)))
+    stop_sync (r, shard);
+  if (st->sync_peer[0] == '\0' && peer != NULL && peer->up
+      && strcmp (backup, view_shard (r, shard)->backup) != 0)
+    start_sync (r, shard, backup);
+}
+
+void
+dks_owner_review (dks_reducer_t *r)
+{
+  dks_view_inputs_t inputs;
+
+  dks_view_inputs (r, &inputs);
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      if (dks_owner_is_self (r, i))
+        review_own_shard (r, i, &inputs);
+      else if (is_backup (r, i))
+        r->shards[i].fenced = !dks_member_is_alive (r, view_shard (r, i)->owner)
+                              || (r->shards[i].fenced && r->view_op != 0);
+    }
+}
+
+void
+dks_owner_expire (dks_reducer_t *r)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      if (r->shards[i].claims->count > 0)
+        dks_claims_expire (r->shards[i].claims, r->now.wall_ms - r->config.retention_ms);
+    }
+}
+
+void
+dks_owner_init (dks_reducer_t *r)
+{
+  r->jobs_by_key = apr_hash_make (r->pool);
+  r->claims_under_way = apr_hash_make (r->pool);
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      r->shards[i].claims = dks_claims_create (r->config.claims_max);
+      APR_RING_INIT (&r->shards[i].jobs, dks_job_t, shard_link);
+      APR_RING_INIT (&r->shards[i].refusals, dks_refusal_t, link);
+    }
+}
+
+void
+dks_owner_clear (dks_reducer_t *r)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      while (!APR_RING_EMPTY (&r->shards[i].refusals, dks_refusal_t, link))
+        {
+          dks_refusal_t *refusal = APR_RING_FIRST (&r->shards[i].refusals);
+
+          APR_RING_REMOVE (refusal, link);
+          dks_answer_unref (refusal->answer);
+          free (refusal);
+        }
+      dks_claims_destroy (r->shards[i].claims);
+    }
+}
--- /dev/null
+++ b/core/reducer.c
@@ -0,0 +1,432 @@
+#include "core/reducer.h"
+
+#include "common/alloc.h"
+#include "common/hash.h"
+#include "core/state.h"
+
+#include <apr_general.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VIEW_PREFIX "view/"
+
+/* Services to the other parts */
+
+uint64_t
+dks_next_id (dks_reducer_t *r)
+{
+  return ++r->next_id;
+}
+
+uint64_t
+dks_random (dks_reducer_t *r)
+{
+  return dks_random_next (&r->random);
+}
+
+void
+dks_emit_log (dks_reducer_t *r, dks_log_level_t level, const char *format, ...)
+{
+  dks_effect_t *effect = dks_effects_add (r->effects, DKS_EFFECT_LOG);
+  va_list args;
+
+  effect->u.log.level = level;
+  va_start (args, format);
+  vsnprintf (effect->u.log.text, sizeof (effect->u.log.text), format, args);
+  va_end (args);
+}
+
+void
+dks_emit_peer (dks_reducer_t *r, const char *peer, dks_msg_t *msg)
+{
+  dks_effect_t *effect = dks_effects_add (r->effects, DKS_EFFECT_PEER_SEND);
+
+  dks_strcpy (effect->u.peer_send.peer, sizeof (effect->u.peer_send.peer), peer);
+  effect->u.peer_send.msg = msg;
+  if (msg->type != DKS_MSG_HEARTBEAT)
+    dks_count (&r->counters, DKS_COUNTER_PEER_MESSAGES);
+}
+
+void
+dks_settings_values (dks_reducer_t *r, const char *service, const char *team,
+                     dks_settings_values_t *values)
+{
+  dks_settings_resolve (r->settings, service, r->config.data_centre, team, values);
+}
+
+/* Events */
+
+static void
+handle_peer_down (dks_reducer_t *r, const char *peer)
+{
+  dks_members_handle_down (r, peer);
+  dks_jobs_handle_peer_down (r, peer);
+  dks_owner_handle_peer_down (r, peer);
+  dks_entry_route_all (r);
+}
+
+static void
+handle_peer_up (dks_reducer_t *r, const char *peer, const char *data_centre)
+{
+  dks_members_handle_up (r, peer, data_centre);
+  dks_owner_review (r);
+  dks_entry_route_all (r);
+}
+
+static void
+handle_record (dks_reducer_t *r, const char *key, int64_t version, dks_blob_t *value)
+{
+  if (strcmp (key, "settings") == 0)
+    dks_settings_ops_handle_record (r, version, value);
+  else if (strncmp (key, VIEW_PREFIX, strlen (VIEW_PREFIX)) == 0)
+    dks_view_handle_record (r, key + strlen (VIEW_PREFIX), version, value);
+}
+
+static void
+handle_forward (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
+{
+  dks_waiter_t waiter = { .request = msg->u.forward.request };
+
+  dks_strcpy (waiter.peer, sizeof (waiter.peer), peer->id);
+  dks_owner_submit (r, msg->u.forward.submission, &waiter);
+}
+
+static void
+handle_ask (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
+{
+  dks_waiter_t waiter = { .request = msg->u.ask.request };
+
+  dks_strcpy (waiter.peer, sizeof (waiter.peer), peer->id);
+  dks_owner_ask (r, msg->u.ask.key, msg->u.ask.cancel, &waiter);
+}
+
+static void
+handle_answer (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
+{
+  /* Request 0 is an owner's question to the runner of a claim. */
+  if (msg->u.answer.request == 0)
+    dks_owner_handle_runner_answer (r, msg->u.answer.answer->key, msg->u.answer.answer);
+  else
+    dks_entry_handle_answer (r, peer->id, msg->u.answer.request, msg->u.answer.answer);
+}
+
+static void
+handle_peer_msg (dks_reducer_t *r, const char *from, const dks_msg_t *msg)
+{
+  dks_peer_t *peer = dks_peer_find (r, from);
+
+  if (peer == NULL || !peer->up)
+    return;
+  peer->heard_us = r->now.mono_us;
+  switch (msg->type)
+    {
+    case DKS_MSG_HEARTBEAT:
+      dks_members_handle_heartbeat (r, peer, msg);
+      break;
+    case DKS_MSG_FORWARD:
+      handle_forward (r, peer, msg);
+      break;
+    case DKS_MSG_ASK:
+      handle_ask (r, peer, msg);
+      break;
+    case DKS_MSG_ANSWER:
+      handle_answer (r, peer, msg);
+      break;
+    case DKS_MSG_CLAIM:
+      dks_owner_handle_claim (r, from, msg);
+      break;
+    case DKS_MSG_CONFIRM:
+      dks_owner_handle_confirm (r, from, msg);
+      break;
+    case DKS_MSG_CLAIM_ACK:
+      dks_owner_handle_ack (r, from, msg);
+      break;
+    case DKS_MSG_RESULT:
+      dks_owner_handle_result (r, from, msg);
+      break;
+    case DKS_MSG_SNAPSHOT:
+      dks_owner_handle_snapshot (r, from, msg);
+      break;
+    case DKS_MSG_SNAPSHOT_ACK:
+      dks_owner_handle_snapshot_ack (r, from, msg);
+      break;
+    case DKS_MSG_DEMAND:
+      dks_lend_handle_demand (r, peer, msg);
+      break;
+    case DKS_MSG_GRANT:
+      dks_lend_handle_grant (r, peer, msg);
+      break;
+    case DKS_MSG_GRANT_RETURN:
+      dks_lend_handle_return (r, peer, msg);
+      break;
+    case DKS_MSG_RUN:
+      dks_jobs_handle_run (r, peer, msg);
+      break;
+    case DKS_MSG_RUN_DONE:
+      dks_jobs_handle_run_done (r, from, msg);
+      break;
+    case DKS_MSG_RUN_ABORT:
+      dks_jobs_handle_run_abort (r, from, msg);
+      break;
+    case DKS_MSG_RECORD:
+      handle_record (r, msg->u.record.key, msg->u.record.version, msg->u.record.value);
+      break;
+    case DKS_MSG_RECORD_ASK:
+      dks_members_send_records (r, from);
+      break;
+    case DKS_MSG_TYPE_COUNT:
+      break;
+    }
+}
+
+static void
+handle_store_reply (dks_reducer_t *r, const dks_event_t *event)
+{
+  uint64_t op = event->u.store_reply.op;
+
+  if (op == 0)
+    return;
+  if (op == r->view_op)
+    dks_view_handle_reply (r, event->u.store_reply.status, event->u.store_reply.version,
+                           event->u.store_reply.value);
+  else if (op == r->settings_op)
+    dks_settings_ops_handle_reply (r, event->u.store_reply.status, event->u.store_reply.version,
+                                   event->u.store_reply.value);
+}
+
+static void
+handle_drain (dks_reducer_t *r)
+{
+  if (r->draining)
+    return;
+  r->draining = true;
+  dks_emit_log (r, DKS_LOG_NOTICE, "event=drain-start");
+  dks_view_review (r);
+}
+
+static void
+check_drained (dks_reducer_t *r)
+{
+  if (!r->draining || r->exit_sent || r->request_count > 0 || r->attempt_count > 0
+      || dks_jobs_backlog (r) > 0 || dks_view_member (dks_own_view (r), r->self) != NULL
+      || !APR_RING_EMPTY (&r->edits, dks_edit_t, link))
+    return;
+  r->exit_sent = true;
+  dks_emit_log (r, DKS_LOG_NOTICE, "event=drain-end");
+  dks_effects_add (r->effects, DKS_EFFECT_EXIT);
+}
+
+static void
+handle_event (dks_reducer_t *r, const dks_event_t *event)
+{
+  switch (event->type)
+    {
+    case DKS_EVENT_TICK:
+      break;
+    case DKS_EVENT_SUBMIT:
+      dks_entry_handle_submit (r, event->u.submit.caller, event->u.submit.submission);
+      break;
+    case DKS_EVENT_CANCEL:
+    case DKS_EVENT_QUERY:
+      dks_entry_handle_key (r, event->u.key.caller, event->u.key.key,
+                            event->type == DKS_EVENT_CANCEL);
+      break;
+    case DKS_EVENT_CALLER_GONE:
+      dks_entry_handle_caller_gone (r, event->u.caller_gone.caller);
+      break;
+    case DKS_EVENT_PEER_UP:
+      handle_peer_up (r, event->u.peer.peer, event->u.peer.data_centre);
+      break;
+    case DKS_EVENT_PEER_DOWN:
+      handle_peer_down (r, event->u.peer.peer);
+      break;
+    case DKS_EVENT_PEER_MSG:
+      handle_peer_msg (r, event->u.peer_msg.peer, event->u.peer_msg.msg);
+      break;
+    case DKS_EVENT_TARGET_REPLY:
+      dks_jobs_handle_target_reply (r, event->u.target_reply.attempt, event->u.target_reply.status,
+                                    event->u.target_reply.leaving, event->u.target_reply.body);
+      break;
+    case DKS_EVENT_STORE_REPLY:
+      handle_store_reply (r, event);
+      break;
+    case DKS_EVENT_STORE_RECORD:
+      handle_record (r, event->u.store_record.key, event->u.store_record.version,
+                     event->u.store_record.value);
+      break;
+    case DKS_EVENT_INSTANCE_LIST:
+      dks_members_handle_list (r, event->u.instance_list.items, event->u.instance_list.count);
+      break;
+    case DKS_EVENT_SETTINGS_EDIT:
+      dks_settings_ops_handle_edit (r, event->u.settings_edit.caller, &event->u.settings_edit.edit);
+      break;
+    case DKS_EVENT_DRAIN:
+      handle_drain (r);
+      break;
+    }
+}
+
+void
+dks_reducer_apply (dks_reducer_t *r, const dks_event_t *event, dks_effects_t *effects)
+{
+  r->effects = effects;
+  r->now = event->now;
+  dks_count (&r->counters, DKS_COUNTER_EVENTS);
+  /* A gap this long means that this process was paused: the others were not silent. */
+  if (r->now.mono_us - r->event_us > r->config.failure_timeout_us / 2)
+    dks_members_forgive (r);
+  r->event_us = r->now.mono_us;
+  handle_event (r, event);
+  dks_timers_run (r->timers, r->now.mono_us);
+  dks_jobs_pump (r);
+  check_drained (r);
+  r->effects = NULL;
+}
+
+int64_t
+dks_reducer_next_us (const dks_reducer_t *r)
+{
+  return dks_timers_next (r->timers);
+}
+
+/* Life cycle and read access */
+
+dks_reducer_t *
+dks_reducer_create (const dks_config_t *config, dks_time_t now)
+{
+  dks_reducer_t *r = dks_alloc (sizeof (*r));
+  dks_effects_t effects = { 0 };
+
+  apr_initialize ();
+  apr_pool_create (&r->pool, NULL);
+  r->config = *config;
+  r->now = now;
+  r->created_us = now.mono_us;
+  r->event_us = now.mono_us;
+  r->random = config->seed;
+  r->effects = &effects;
+  snprintf (r->self, sizeof (r->self), "%.*s#%016" PRIx64, DKS_NAME_SIZE - 18, config->id,
+            config->incarnation);
+  for (size_t i = 0; i < config->data_centre_count; i++)
+    {
+      if (strcmp (config->data_centres[i], config->data_centre) == 0)
+        r->own = (int)i;
+    }
+  r->timers = dks_timers_create ();
+  dks_settings_ops_init (r);
+  dks_entry_init (r);
+  dks_owner_init (r);
+  dks_jobs_init (r);
+  dks_members_init (r);
+  dks_view_ops_init (r);
+  dks_effects_destroy (&effects);
+  r->effects = NULL;
+  return r;
+}
+
+void
+dks_reducer_destroy (dks_reducer_t *r)
+{
+  if (r == NULL)
+    return;
+  dks_entry_clear (r);
+  dks_jobs_clear (r);
+  dks_owner_clear (r);
+  dks_members_clear (r);
+  dks_settings_ops_clear (r);
+  dks_timers_destroy (r->timers);
+  apr_pool_destroy (r->pool);
+  free (r);
+  apr_terminate ();
+}
+
+const char *
+dks_reducer_member_id (const dks_reducer_t *r)
+{
+  return r->self;
+}
+
+const dks_counters_t *
+dks_reducer_counters (const dks_reducer_t *r)
+{
+  return &r->counters;
+}
+
+const dks_settings_t *
+dks_reducer_settings (const dks_reducer_t *r)
+{
+  return r->settings;
+}
+
+static json_t *
+status_peers (const dks_reducer_t *r)
+{
+  json_t *peers = json_array ();
+  const dks_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      json_array_append_new (peers, json_pack ("{s:s, s:s, s:b, s:b, s:I}", "id", peer->id,
+                                               "data_centre", peer->data_centre, "alive",
+                                               (int)dks_member_is_alive (r, peer->id), "draining",
+                                               (int)peer->draining, "settings_version",
+                                               (json_int_t)peer->settings_version));
+    }
+  return peers;
+}
+
+static json_t *
+status_targets (const dks_reducer_t *r)
+{
+  json_t *targets = json_array ();
+  const dks_target_t *target;
+
+  APR_RING_FOREACH (target, &r->targets->ring, dks_target_t, link)
+    {
+      json_array_append_new (
+          targets, json_pack ("{s:s, s:s, s:b, s:b, s:b, s:i, s:i}", "id", target->listed.id,
+                              "address", target->listed.address, "own", (int)target->is_mine,
+                              "leaving", (int)target->said_leaving, "ejected",
+                              (int)(target->ejected_until_us > r->now.mono_us), "slots",
+                              (int)target->listed.slots, "used", (int)target->used));
+    }
+  return targets;
+}
+
+static json_t *
+status_shards (const dks_reducer_t *r)
+{
+  json_t *shards = json_array ();
+
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      const dks_view_shard_t *vs = &dks_own_view (r)->shards[i];
+
+      json_array_append_new (
+          shards, json_pack ("{s:i, s:s, s:s, s:I, s:I, s:i}", "shard", (int)i, "owner", vs->owner,
+                             "backup", vs->backup, "epoch", (json_int_t)vs->epoch, "floor_ms",
+                             (json_int_t)vs->floor_ms, "claims", (int)r->shards[i].claims->count));
+    }
+  return shards;
+}
+
+char *
+dks_reducer_status (const dks_reducer_t *r)
+{
+  json_t *root =
+      json_pack ("{s:s, s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:o, s:o, s:o}", "id", r->self,
+                 "data_centre", r->config.data_centre, "draining", (int)r->draining,
+                 "settings_version", (json_int_t)dks_settings_version (r->settings), "view_version",
+                 (json_int_t)dks_own_view (r)->version, "open_requests", (int)r->request_count,
+                 "running_attempts", (int)r->attempt_count, "queued_tasks",
+                 (int)dks_jobs_backlog (r), "free_slots", (int)dks_lend_free (r), "peers",
+                 status_peers (r), "shards", status_shards (r), "targets", status_targets (r));
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  return text;
+}
--- /dev/null
+++ b/core/retry.c
@@ -0,0 +1,44 @@
+#include "core/retry.h"
+
+enum
+{
+  TOKENS_PER_ATTEMPT = 100,
+  TOKENS_MAX = 10 * TOKENS_PER_ATTEMPT, /* lets a quiet instance retry a few failures at once */
+  DELAY_MIN_US = 20000,
+  DELAY_MAX_US = 1000000
+};
+
+void
+dks_retry_init (dks_retry_budget_t *budget)
+{
+  budget->tokens = TOKENS_MAX;
+}
+
+void
+dks_retry_credit (dks_retry_budget_t *budget, int64_t percent)
+{
+  budget->tokens += percent;
+  if (budget->tokens > TOKENS_MAX)
+    budget->tokens = TOKENS_MAX;
+}
+
+bool
+dks_retry_take (dks_retry_budget_t *budget)
+{
+  if (budget->tokens < TOKENS_PER_ATTEMPT)
+    return false;
+  budget->tokens -= TOKENS_PER_ATTEMPT;
+  return true;
+}
+
+int64_t
+dks_retry_delay_us (uint32_t number, uint64_t random)
+{
+  int64_t delay_us = DELAY_MIN_US;
+
+  for (uint32_t i = 2; i < number && delay_us < DELAY_MAX_US; i++)
+    delay_us *= 2;
+  if (delay_us > DELAY_MAX_US)
+    delay_us = DELAY_MAX_US;
+  return (int64_t)(random % (uint64_t)delay_us) + 1;
+}
--- /dev/null
+++ b/core/view.c
@@ -0,0 +1,380 @@
+#include "core/view.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "common/hash.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SHARD_SEED UINT64_C (0x7368617264)
+
+static json_t *
+member_to_json (const dks_view_member_t *member)
+{
+  return json_pack ("{s:s, s:s, s:I, s:b}", "id", member->id, "address", member->address,
+                    "ceiling_ms", (json_int_t)member->ceiling_ms, "leaving", (int)member->leaving);
+}
+
+static json_t *
+shard_to_json (const dks_view_shard_t *shard)
+{
+  return json_pack ("{s:I, s:s, s:s, s:I}", "epoch", (json_int_t)shard->epoch, "owner",
+                    shard->owner, "backup", shard->backup, "floor_ms", (json_int_t)shard->floor_ms);
+}
+
+dks_blob_t *
+dks_view_format (const dks_view_t *view)
+{
+  json_t *members = json_array ();
+  json_t *shards = json_array ();
+  json_t *root;
+  char *text;
+  dks_blob_t *blob;
+
+  for (uint32_t i = 0; i < view->member_count; i++)
+    json_array_append_new (members, member_to_json (&view->members[i]));
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    json_array_append_new (shards, shard_to_json (&view->shards[i]));
+  root = json_pack ("{s:o, s:o}", "members", members, "shards", shards);
+  text = json_dumps (root, JSON_COMPACT);
+  DKS_INVARIANT (text != NULL);
+  blob = dks_blob_create_text (text);
+  free (text);
+  json_decref (root);
+  return blob;
+}
+
+static int
+member_from_json (json_t *json, dks_view_member_t *member)
+{
+  const char *id;
+  const char *address;
+  json_int_t ceiling_ms;
+  int leaving;
+
+  if (json_unpack (json, "{s:s, s:s, s:I, s:b !}", "id", &id, "address", &address, "ceiling_ms",
+                   &ceiling_ms, "leaving", &leaving)
+      != 0)
+    return DKS_ERR_INVALID;
+  if (dks_strcpy (member->id, sizeof (member->id), id) != DKS_OK
+      || dks_strcpy (member->address, sizeof (member->address), address) != DKS_OK)
+    return DKS_ERR_INVALID;
+  member->ceiling_ms = ceiling_ms;
+  member->leaving = leaving != 0;
+  return DKS_OK;
+}
+
+static int
+shard_from_json (json_t *json, dks_view_shard_t *shard)
+{
+  const char *owner;
+  const char *backup;
+  json_int_t epoch;
+  json_int_t floor_ms;
+
+  if (json_unpack (json, "{s:I, s:s, s:s, s:I !}", "epoch", &epoch, "owner", &owner, "backup",
+                   &backup, "floor_ms", &floor_ms)
+      != 0)
+    return DKS_ERR_INVALID;
+  if (dks_strcpy (shard->owner, sizeof (shard->owner), owner) != DKS_OK
+      || dks_strcpy (shard->backup, sizeof (shard->backup), backup) != DKS_OK)
+    return DKS_ERR_INVALID;
+  shard->epoch = (uint64_t)epoch;
+  shard->floor_ms = floor_ms;
+  return DKS_OK;
+}
+
+int
+dks_view_parse (const char *json, size_t len, int64_t version, dks_view_t *view)
+{
+  json_t *root = json_loadb (json, len, JSON_REJECT_DUPLICATES, NULL);
+  json_t *members = json_object_get (root, "members");
+  json_t *shards = json_object_get (root, "shards");
+  int result = DKS_ERR_INVALID;
+
+  memset (view, 0, sizeof (*view));
+  view->version = version;
+  if (!json_is_array (members) || json_array_size (members) > DKS_MEMBERS_MAX)
+    goto out;
+  if (!json_is_array (shards) || json_array_size (shards) != DKS_SHARDS)
+    goto out;
+  for (size_t i = 0; i < json_array_size (members); i++)
+    {
+      if (member_from_json (json_array_get (members, i), &view->members[i]) != DKS_OK)
+        goto out;
+    }
+  view->member_count = (uint32_t)json_array_size (members);
+  for (size_t i = 0; i < DKS_SHARDS; i++)
+    {
+      if (shard_from_json (json_array_get (shards, i), &view->shards[i]) != DKS_OK)
+        goto out;
+    }
+  result = DKS_OK;
+out:
+  json_decref (root);
+  return result;
+}
+
+const dks_view_member_t *
+dks_view_member (const dks_view_t *view, const char *id)
+{
+  for (uint32_t i = 0; i < view->member_count; i++)
+    {
+      if (strcmp (view->members[i].id, id) == 0)
+        return &view->members[i];
+    }
+  return NULL;
+}
+
+bool
+dks_view_has_role (const dks_view_t *view, const char *id)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      if (strcmp (view->shards[i].owner, id) == 0 || strcmp (view->shards[i].backup, id) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+dks_view_same_instance (const char *a, const char *b)
+{
+  size_t len = strcspn (a, "#");
+
+  return len == strcspn (b, "#") && strncmp (a, b, len) == 0;
+}
+
+uint64_t
+dks_view_score (const char *member, uint64_t thing)
+{
+  return dks_hash_text (member, thing);
+}
+
+/* Score without the incarnation, so that a restarted instance gets its shards back. */
+static uint64_t
+shard_score (const char *member, uint32_t shard)
+{
+  return dks_hash_bytes (member, strcspn (member, "#"), SHARD_SEED + shard);
+}
+
+static bool
+is_self (const dks_view_inputs_t *in, const char *member)
+{
+  return strcmp (in->self, member) == 0;
+}
+
+static bool
+is_alive (const dks_view_inputs_t *in, const char *member)
+{
+  return is_self (in, member) || in->is_alive (in->context, member);
+}
+
+static bool
+can_take_role (const dks_view_inputs_t *in, const dks_view_member_t *member)
+{
+  return !member->leaving && is_alive (in, member->id) && !in->is_dead (in->context, member->id);
+}
+
+/* Member with the highest score for the shard that can take a role, without `except`. */
+static const dks_view_member_t *
+best_member (const dks_view_t *view, const dks_view_inputs_t *in, uint32_t shard,
+             const char *except)
+{
+  const dks_view_member_t *best = NULL;
+  uint64_t best_score = 0;
+
+  for (uint32_t i = 0; i < view->member_count; i++)
+    {
+      const dks_view_member_t *member = &view->members[i];
+      uint64_t score = shard_score (member->id, shard);
+
+      if ((except != NULL && strcmp (member->id, except) == 0) || !can_take_role (in, member))
+        continue;
+      if (best == NULL || score > best_score)
+        {
+          best = member;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+const char *
+dks_view_best_backup (const dks_view_t *view, const dks_view_inputs_t *in, uint32_t shard)
+{
+  const dks_view_member_t *member = best_member (view, in, shard, view->shards[shard].owner);
+
+  return member != NULL ? member->id : NULL;
+}
+
+static void
+shard_set (dks_view_shard_t *shard, const char *owner, const char *backup)
+{
+  char owner_copy[DKS_NAME_SIZE];
+  char backup_copy[DKS_NAME_SIZE];
+
+  dks_strcpy (owner_copy, sizeof (owner_copy), owner);
+  dks_strcpy (backup_copy, sizeof (backup_copy), backup);
+  dks_strcpy (shard->owner, sizeof (shard->owner), owner_copy);
+  dks_strcpy (shard->backup, sizeof (shard->backup), backup_copy);
+  shard->epoch++;
+}
+
+static bool
+is_leaving (const dks_view_t *view, const char *id)
+{
+  const dks_view_member_t *member = dks_view_member (view, id);
+
+  return member != NULL && member->leaving;
+}
+
+static void
+plan_own_shard (dks_view_t *view, const dks_view_inputs_t *in, uint32_t i)
+{
+  dks_view_shard_t *shard = &view->shards[i];
+  const dks_view_member_t *best = best_member (view, in, i, NULL);
+  const char *backup = dks_view_best_backup (view, in, i);
+
+  if (shard->backup[0] != '\0' && !is_alive (in, shard->backup))
+    {
+      shard_set (shard, shard->owner, "");
+      return;
+    }
+  if (backup == NULL && !in->draining && is_leaving (view, shard->backup))
+    {
+      /* Nobody else can be the backup, and keeping this one would delay its shutdown. */
+      shard_set (shard, shard->owner, "");
+      return;
+    }
+  if (best != NULL && strcmp (best->id, shard->backup) == 0)
+    {
+      shard_set (shard, best->id, in->self);
+      return;
+    }
+  if (backup != NULL && strcmp (backup, shard->backup) != 0 && strcmp (backup, in->synced[i]) == 0)
+    {
+      shard_set (shard, shard->owner, backup);
+      return;
+    }
+  if (in->may_leave && backup == NULL)
+    {
+      /* Nobody is left to take over: the next member to join starts above every accepted key. */
+      if (shard->floor_ms < in->next_floor_ms[i])
+        shard->floor_ms = in->next_floor_ms[i];
+      shard_set (shard, "", "");
+    }
+}
+
+static int64_t
+ceiling_of (const dks_view_t *view, const char *member)
+{
+  const dks_view_member_t *found = dks_view_member (view, member);
+
+  return found != NULL ? found->ceiling_ms : 0;
+}
+
+/* Takes a shard whose claims are lost. The floor excludes every key that the lost members can have
+ * accepted or can still accept. */
+static void
+plan_lost_shard (dks_view_t *view, const dks_view_inputs_t *in, uint32_t i)
+{
+  dks_view_shard_t *shard = &view->shards[i];
+  const dks_view_member_t *best = best_member (view, in, i, NULL);
+  const char *roles[] = { shard->owner, shard->backup };
+  int64_t floor_ms = shard->floor_ms;
+
+  if (best == NULL || !is_self (in, best->id))
+    return;
+  for (size_t j = 0; j < 2; j++)
+    {
+      int64_t bound;
+
+      if (roles[j][0] == '\0')
+        continue;
+      if (is_alive (in, roles[j]))
+        return;
+      bound = in->is_dead (in->context, roles[j]) ? in->wall_ms + 2 * in->clock_skew_ms
+                                                  : ceiling_of (view, roles[j]);
+      if (bound > floor_ms)
+        floor_ms = bound;
+    }
+  shard->floor_ms = floor_ms;
+  shard_set (shard, in->self, "");
+}
+
+static void
+plan_shards (dks_view_t *view, const dks_view_inputs_t *in)
+{
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      dks_view_shard_t *shard = &view->shards[i];
+
+      if (is_self (in, shard->owner))
+        plan_own_shard (view, in, i);
+      else if (is_self (in, shard->backup))
+        {
+          if (in->fenced[i] && !is_alive (in, shard->owner))
+            shard_set (shard, in->self, "");
+        }
+      else if (!in->draining)
+        plan_lost_shard (view, in, i);
+    }
+}
+
+static void
+remove_member (dks_view_t *view, uint32_t i)
+{
+  memmove (&view->members[i], &view->members[i + 1],
+           (view->member_count - i - 1) * sizeof (view->members[0]));
+  view->member_count--;
+  memset (&view->members[view->member_count], 0, sizeof (view->members[0]));
+}
+
+static void
+plan_members (dks_view_t *view, const dks_view_inputs_t *in)
+{
+  for (uint32_t i = view->member_count; i-- > 0;)
+    {
+      const char *id = view->members[i].id;
+      bool gone = is_self (in, id) ? in->draining && in->may_leave
+                                   : !is_alive (in, id) || in->is_dead (in->context, id);
+
+      if (gone && !dks_view_has_role (view, id))
+        remove_member (view, i);
+    }
+}
+
+static void
+plan_self (dks_view_t *view, const dks_view_inputs_t *in)
+{
+  dks_view_member_t *self = (dks_view_member_t *)dks_view_member (view, in->self);
+
+  if (self == NULL)
+    {
+      if (in->draining || view->member_count == DKS_MEMBERS_MAX)
+        return;
+      self = &view->members[view->member_count++];
+      dks_strcpy (self->id, sizeof (self->id), in->self);
+      dks_strcpy (self->address, sizeof (self->address), in->address);
+    }
+  self->leaving = in->draining;
+  if (self->ceiling_ms < in->wall_ms + in->ceiling_ms * 2 / 3)
+    self->ceiling_ms = in->wall_ms + in->ceiling_ms;
+}
+
+bool
+dks_view_plan (const dks_view_t *view, const dks_view_inputs_t *inputs, dks_view_t *next)
+{
+  *next = *view;
+  plan_self (next, inputs);
+  if (dks_view_member (next, inputs->self) != NULL)
+    {
+      plan_shards (next, inputs);
+      plan_members (next, inputs);
+    }
+  /* `next` started as a copy with its padding, so a difference is a change of a member. */
+  return memcmp (next, view, sizeof (*next)) != 0; // NOLINT(bugprone-suspicious-memory-comparison)
+}
--- /dev/null
+++ b/include/core/claim.h
@@ -0,0 +1,65 @@
+/**
+ * Claim table of one shard: which keys may have been started, by whom, and their answers.
+ */
+#ifndef DKS_CORE_CLAIM_H
+#define DKS_CORE_CLAIM_H
+
+#include "core/msg.h"
+#include "core/waiter.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <apr_ring.h>
+
+typedef struct dks_claim_t dks_claim_t;
+
+struct dks_claim_t
+{
+  APR_RING_ENTRY (dks_claim_t) link;      /**< in the list of all claims */
+  APR_RING_ENTRY (dks_claim_t) open_link; /**< in the list of unfinished claims */
+  int64_t issued_ms;
+  uint64_t digest;
+  dks_answer_t *answer;      /**< NULL while not finished */
+  bool asked;                /**< the runner has been asked for the answer */
+  dks_waiter_ring_t waiters; /**< callers of a claim that another instance runs */
+  char runner[DKS_NAME_SIZE];
+  char key[]; /**< NUL-terminated */
+};
+
+typedef struct
+{
+  apr_pool_t *pool;
+  apr_hash_t *by_key;
+  APR_RING_HEAD (dks_claim_ring_t, dks_claim_t) ring;      /**< oldest entry first */
+  APR_RING_HEAD (dks_claim_open_ring_t, dks_claim_t) open; /**< unfinished claims */
+  uint32_t count;
+  uint32_t max;
+  uint32_t unfinished;
+  size_t answer_bytes; /**< bytes of results that the table keeps alive */
+  int64_t floor_ms;    /**< keys issued before this and not in the table are unknown */
+} dks_claims_t;
+
+enum
+{
+  DKS_CLAIM_ANSWER_BYTES_MAX = 4 << 20 /**< results kept per shard */
+};
+
+dks_claims_t *dks_claims_create (uint32_t max);
+void dks_claims_destroy (dks_claims_t *claims);
+/** Drops all claims and the floor. */
+void dks_claims_clear (dks_claims_t *claims);
+dks_claim_t *dks_claims_find (const dks_claims_t *claims, const char *key);
+/** Adds the claim of `item`, or fills in the answer if the table has none yet. Finished claims that
+ * exceed a bound are dropped, and the floor rises above them. */
+void dks_claims_put (dks_claims_t *claims, const dks_claim_item_t *item);
+/** Records the final answer. A real answer replaces an UNKNOWN one, never the reverse. `claim` may
+ * be dropped by this call. */
+void dks_claims_finish (dks_claims_t *claims, dks_claim_t *claim, dks_answer_t *answer);
+/** Removes a claim whose work certainly was not started. */
+void dks_claims_remove (dks_claims_t *claims, dks_claim_t *claim);
+/** Drops finished claims issued before `floor_ms` and raises the floor. */
+void dks_claims_expire (dks_claims_t *claims, int64_t floor_ms);
+/** Copies a claim into a message item; takes a reference to the answer. */
+void dks_claim_to_item (const dks_claim_t *claim, dks_claim_item_t *item);
+
+#endif
--- /dev/null
+++ b/include/core/job.h
@@ -0,0 +1,94 @@
+/**
+ * Jobs under way at their owner, their tasks, attempts and waiting callers.
+ */
+#ifndef DKS_CORE_JOB_H
+#define DKS_CORE_JOB_H
+
+#include "common/timer.h"
+#include "core/msg.h"
+#include "core/target.h"
+#include "core/waiter.h"
+
+#include <apr_ring.h>
+
+typedef struct dks_job_t dks_job_t;
+typedef struct dks_attempt_t dks_attempt_t;
+typedef struct dks_team_t dks_team_t;
+struct dks_reducer_t;
+
+typedef enum
+{
+  DKS_JOB_QUEUED = 1, /**< admitted; no claim, so certainly not started */
+  DKS_JOB_CLAIMING,   /**< waits for the acknowledgement of its claim */
+  DKS_JOB_ACTIVE,     /**< claimed; tasks may start */
+  DKS_JOB_DONE,       /**< has its answer; attempts may still be under way */
+} dks_job_state_t;
+
+typedef struct
+{
+  uint32_t attempts; /**< made so far */
+  uint32_t running;  /**< under way */
+  bool finished;
+  dks_task_result_t result;
+} dks_task_t;
+
+struct dks_job_t
+{
+  APR_RING_ENTRY (dks_job_t) link;       /**< in the team's queue or the ready list */
+  APR_RING_ENTRY (dks_job_t) shard_link; /**< in the list of jobs of its shard */
+  struct dks_reducer_t *reducer;
+  uint32_t refs;
+  dks_job_state_t state;
+  bool is_cancel; /**< holds the claim of a cancelled key; has nothing to run */
+  dks_submission_t *submission;
+  uint32_t shard;
+  dks_team_t *team;
+  int64_t arrived_ms;  /**< Unix ms */
+  int64_t deadline_us; /**< monotonic */
+  uint64_t claim_id;   /**< of the claim that waits for acknowledgement */
+  bool backup_acked;
+  bool sync_acked;
+  uint32_t next_task;    /**< tasks from here on have never been started */
+  uint32_t retry_count;  /**< entries in `retry` */
+  uint16_t *retry;       /**< tasks that must be attempted again, room for all tasks */
+  int64_t not_before_us; /**< backoff: no attempt before this */
+  uint32_t finished;     /**< tasks with a result */
+  bool on_ready;
+  dks_answer_t *answer;
+  dks_waiter_ring_t waiters;
+  dks_timer_t deadline_timer;
+  dks_timer_t claim_timer;
+  dks_timer_t hedge_timer;
+  dks_timer_t forget_timer;
+  dks_task_t tasks[];
+};
+
+APR_RING_HEAD (dks_job_ring_t, dks_job_t);
+typedef struct dks_job_ring_t dks_job_ring_t;
+
+typedef enum
+{
+  DKS_ATTEMPT_OWN = 1,  /**< our job on our target */
+  DKS_ATTEMPT_LENT,     /**< a peer's task on our target */
+  DKS_ATTEMPT_BORROWED, /**< our job on a peer's target */
+} dks_attempt_kind_t;
+
+struct dks_attempt_t
+{
+  APR_RING_ENTRY (dks_attempt_t) link;
+  struct dks_reducer_t *reducer;
+  uint64_t id;
+  dks_attempt_kind_t kind;
+  dks_job_t *job;           /**< OWN and BORROWED; holds a reference */
+  uint32_t task;            /**< index in the job */
+  dks_target_t *target;     /**< OWN and LENT; holds a reference */
+  char peer[DKS_NAME_SIZE]; /**< LENT: borrower; BORROWED: lender */
+  uint64_t peer_attempt;    /**< LENT: the borrower's attempt id */
+  int64_t started_us;
+  dks_timer_t timer;
+};
+
+APR_RING_HEAD (dks_attempt_ring_t, dks_attempt_t);
+typedef struct dks_attempt_ring_t dks_attempt_ring_t;
+
+#endif
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -19,7 +19,7 @@
   DKS_MSG_RESULT,       /**< runner -> owner and backup: final answer of a claimed key */
   DKS_MSG_SNAPSHOT,     /**< owner -> next backup: part of a shard's claims */
   DKS_MSG_SNAPSHOT_ACK, /**< next backup -> owner: the whole snapshot has been stored */
-  DKS_MSG_DEMAND,       /**< borrower -> lender: wanted slots, replaces the earlier demand */
+  DKS_MSG_DEMAND,       /**< borrower -> lender: wanted slots */
   DKS_MSG_GRANT,        /**< lender -> borrower: reserved slots */
   DKS_MSG_GRANT_RETURN, /**< borrower -> lender: slots that are not needed */
   DKS_MSG_RUN,          /**< borrower -> lender: one task for a granted slot */
@@ -123,7 +123,8 @@
     } snapshot_ack;
     struct
     {
-      uint32_t want;     /**< slots wanted now; 0 withdraws */
+      uint32_t want;     /**< slots wanted in all since the connection came up, modulo 2^32; a lower
+                              value than before withdraws */
       int64_t oldest_ms; /**< arrival of the oldest waiting task, Unix ms */
     } demand;
     struct
--- /dev/null
+++ b/include/core/state.h
@@ -0,0 +1,336 @@
+/**
+ * State of the reducer and the functions that its parts offer to each other. Internal: hosts use
+ * core/reducer.h.
+ *
+ * apr_hash tables serve look-ups only. Their order of iteration differs between runs, so everything
+ * that is iterated stands in a ring, which keeps a run repeatable from its seed.
+ */
+#ifndef DKS_CORE_STATE_H
+#define DKS_CORE_STATE_H
+
+#include "common/timer.h"
+#include "core/claim.h"
+#include "core/job.h"
+#include "core/queue.h"
+#include "core/reducer.h"
+#include "core/retry.h"
+#include "core/view.h"
+
+#include <apr_hash.h>
+#include <apr_ring.h>
+
+typedef struct dks_peer_t dks_peer_t;
+typedef struct dks_request_t dks_request_t;
+typedef struct dks_refusal_t dks_refusal_t;
+typedef struct dks_edit_t dks_edit_t;
+
+/** Another instance. */
+struct dks_peer_t
+{
+  APR_RING_ENTRY (dks_peer_t) link;
+  char id[DKS_NAME_SIZE]; /**< member id */
+  char data_centre[DKS_NAME_SIZE];
+  bool up;          /**< there is a connection */
+  int64_t heard_us; /**< latest sign of life */
+  bool draining;
+  uint32_t free_slots; /**< as last told, less what was asked for since */
+  uint32_t queued_tasks;
+  int64_t settings_version;
+  int64_t view_version;
+  /* Borrower. Demands and grants are counted since the connection came up, so that messages that
+   * cross cannot be counted twice. */
+  uint32_t asked;      /**< slots asked for in all, as the peer knows it */
+  uint32_t asked_next; /**< the same, to be sent */
+  uint32_t received;   /**< slots granted by the peer in all */
+  uint32_t credits;    /**< granted slots that are not used yet */
+  /* Lender. */
+  uint32_t wanted;        /**< slots that the peer asked for in all */
+  uint32_t given;         /**< slots granted to the peer in all */
+  int64_t want_oldest_ms; /**< arrival of the peer's oldest waiting task, Unix ms */
+  uint32_t granted;       /**< granted slots that are not used yet */
+  int64_t granted_us;     /**< time of the latest grant */
+  uint32_t granting;      /**< lender: granted in this event, not sent yet */
+};
+
+typedef enum
+{
+  DKS_REQUEST_SUBMIT = 1,
+  DKS_REQUEST_CANCEL,
+  DKS_REQUEST_QUERY,
+} dks_request_kind_t;
+
+/** A caller's request at its entry instance. */
+struct dks_request_t
+{
+  APR_RING_ENTRY (dks_request_t) link;
+  struct dks_reducer_t *reducer;
+  uint64_t id;
+  dks_request_kind_t kind;
+  uint64_t caller; /**< 0 when the caller is gone or has been told ACCEPTED */
+  dks_submission_t *submission;
+  char key[DKS_KEY_SIZE];
+  int home; /**< index of the home data centre */
+  uint32_t shard;
+  char sent_to[DKS_NAME_SIZE]; /**< owner that has the request, or empty */
+  int64_t give_up_us;          /**< monotonic; while no owner has it */
+  dks_timer_t timer;
+};
+
+/** A "not run" answer that waits for the backup's confirmation. */
+struct dks_refusal_t
+{
+  APR_RING_ENTRY (dks_refusal_t) link;
+  dks_waiter_t waiter;
+  dks_answer_t *answer;
+  uint64_t confirm_id; /**< 0: not covered by a confirm message yet */
+};
+
+/** An operator's change of the settings tree that is under way. */
+struct dks_edit_t
+{
+  APR_RING_ENTRY (dks_edit_t) link;
+  uint64_t caller;
+  dks_settings_edit_t edit;
+  int64_t give_up_us;
+  int64_t accepted_version; /**< tree version that contains it, 0 until accepted */
+};
+
+/** Ownership state of one shard of our data centre. */
+typedef struct
+{
+  dks_claims_t *claims;
+  bool fenced;                   /**< as backup: claims of the owner are rejected */
+  int64_t accepted_ms;           /**< as owner: latest issue time accepted */
+  dks_job_ring_t jobs;           /**< all jobs of this shard that run here */
+  char sync_peer[DKS_NAME_SIZE]; /**< as owner: member that receives a copy of the claims */
+  uint64_t sync_id;
+  int64_t sync_us;    /**< when the copy was started */
+  bool sync_acked;    /**< the copy is complete */
+  bool sync_proposed; /**< a CAS that adds `sync_peer` may still take effect */
+  bool closing;       /**< a CAS that gives the shard up may still take effect; no new claims */
+  char sync_from[DKS_NAME_SIZE]; /**< owner that copies its claims to us */
+  uint64_t confirm_id;           /**< confirm message under way, 0 for none */
+  int64_t confirm_us;            /**< when it was sent */
+  bool confirm_backup_ok;
+  bool confirm_sync_ok;
+  APR_RING_HEAD (dks_refusal_ring_t, dks_refusal_t) refusals;
+} dks_shard_state_t;
+
+struct dks_reducer_t
+{
+  dks_config_t config;
+  char self[DKS_NAME_SIZE];
+  int own; /**< index of the own data centre in config.data_centres */
+  dks_time_t now;
+  int64_t created_us;
+  int64_t event_us;       /**< time of the latest event */
+  dks_effects_t *effects; /**< of the event being applied */
+  uint64_t random;
+  uint64_t next_id; /**< requests, attempts, operations, claims */
+  apr_pool_t *pool;
+  dks_timers_t *timers;
+  dks_counters_t counters;
+
+  /* members.c */
+  APR_RING_HEAD (dks_peer_ring_t, dks_peer_t) peers;
+  apr_hash_t *peers_by_id;
+  dks_view_t views[DKS_DATA_CENTRES_MAX];
+  dks_timer_t heartbeat_timer;
+  uint32_t heartbeat_count;
+  int64_t list_read_us;     /**< time of the latest instance list, 0 for none */
+  apr_hash_t *absent_since; /**< instance id -> int64_t, us; missing while listed */
+
+  /* view_ops.c */
+  uint64_t view_op; /**< store operation under way, 0 for none */
+  bool view_op_is_cas;
+  dks_view_t view_proposed;
+  dks_timer_t view_timer;
+  bool view_known; /**< the own view has been read from the store or a peer */
+
+  /* owner.c */
+  dks_shard_state_t shards[DKS_SHARDS];
+  apr_hash_t *jobs_by_key;
+  apr_hash_t *claims_under_way; /**< claim id -> job */
+
+  /* jobs.c */
+  dks_queue_t *queue;
+  dks_job_ring_t ready; /**< active jobs with tasks to start, in order of their claims */
+  uint32_t ready_tasks;
+  uint32_t claiming_tasks;
+  apr_hash_t *attempts_by_id;
+  dks_attempt_ring_t attempts;
+  uint32_t attempt_count;
+  dks_targets_t *targets;
+  dks_retry_budget_t retry_budget;
+  dks_retry_budget_t hedge_budget;
+  double mean_run_us; /**< moving average of a task's time at a target */
+  dks_timer_t pump_timer;
+  uint32_t own_free_slots; /**< free slots of our targets, kept during a pump */
+
+  /* lend.c */
+  uint32_t granted_total; /**< slots promised to peers and not used yet */
+  uint32_t credits_total; /**< slots promised by peers and not used yet */
+  uint32_t lend_cursor;   /**< rotates the peer that is asked first */
+
+  /* entry.c */
+  apr_hash_t *requests_by_id;
+  apr_hash_t *requests_by_caller;
+  APR_RING_HEAD (dks_request_ring_t, dks_request_t) requests;
+  uint32_t request_count;
+
+  /* settings_ops.c */
+  dks_settings_t *settings;
+  dks_blob_t *settings_value; /**< record in force, for peers */
+  int64_t settings_revision;  /**< store revision of it */
+  APR_RING_HEAD (dks_edit_ring_t, dks_edit_t) edits;
+  uint64_t settings_op;
+  bool settings_op_is_cas;
+  dks_settings_t *settings_proposed;
+  dks_timer_t settings_timer;
+
+  bool draining;
+  bool exit_sent;
+};
+
+/* reducer.c */
+uint64_t dks_next_id (dks_reducer_t *r);
+uint64_t dks_random (dks_reducer_t *r);
+void dks_emit_log (dks_reducer_t *r, dks_log_level_t level, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+/** Sends a message and drops the caller's reference to it. */
+void dks_emit_peer (dks_reducer_t *r, const char *peer, dks_msg_t *msg);
+void dks_settings_values (dks_reducer_t *r, const char *service, const char *team,
+                          dks_settings_values_t *values);
+
+/* members.c */
+void dks_members_init (dks_reducer_t *r);
+void dks_members_clear (dks_reducer_t *r);
+dks_peer_t *dks_peer_find (const dks_reducer_t *r, const char *id);
+/** Connected and heard from within the failure timeout. */
+bool dks_peer_is_usable (const dks_reducer_t *r, const dks_peer_t *peer);
+/** Not known to have been silent for the failure timeout. */
+bool dks_member_is_alive (const dks_reducer_t *r, const char *id);
+/** Proved to have ended. */
+bool dks_member_is_dead (const dks_reducer_t *r, const char *id);
+void dks_members_handle_up (dks_reducer_t *r, const char *id, const char *data_centre);
+void dks_members_handle_down (dks_reducer_t *r, const char *id);
+void dks_members_handle_heartbeat (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
+void dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count);
+/** Forgives all silence, after this process has been paused. */
+void dks_members_forgive (dks_reducer_t *r);
+void dks_members_send_records (dks_reducer_t *r, const char *peer);
+
+/* view_ops.c */
+void dks_view_ops_init (dks_reducer_t *r);
+/** The view of our own data centre. */
+const dks_view_t *dks_own_view (const dks_reducer_t *r);
+/** Applies a record if it is newer than what is known. */
+void dks_view_handle_record (dks_reducer_t *r, const char *data_centre, int64_t version,
+                             dks_blob_t *value);
+void dks_view_handle_reply (dks_reducer_t *r, dks_store_status_t status, int64_t version,
+                            dks_blob_t *value);
+/** Plans and proposes changes of the own view unless an operation is under way. */
+void dks_view_review (dks_reducer_t *r);
+void dks_view_inputs (dks_reducer_t *r, dks_view_inputs_t *inputs);
+
+/* owner.c */
+void dks_owner_init (dks_reducer_t *r);
+void dks_owner_clear (dks_reducer_t *r);
+bool dks_owner_is_self (const dks_reducer_t *r, uint32_t shard);
+void dks_owner_submit (dks_reducer_t *r, dks_submission_t *submission, const dks_waiter_t *waiter);
+void dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter);
+/** Sends or repeats the claim of a job in state CLAIMING, or activates it if no one must agree. */
+void dks_owner_claim (dks_reducer_t *r, dks_job_t *job);
+/** Gives a "not run" answer to all waiters of a job that was never started, and drops the job. */
+void dks_owner_refuse_job (dks_reducer_t *r, dks_job_t *job, dks_problem_t problem,
+                           uint32_t retry_after_ms, const char *detail);
+/** Records the final answer of a job at the owner and backup of its shard. */
+void dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job);
+void dks_owner_handle_view (dks_reducer_t *r, const dks_view_t *old);
+void dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_result (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_snapshot (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_snapshot_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer);
+/** Answer of another instance to our question about a claim that it runs. */
+void dks_owner_handle_runner_answer (dks_reducer_t *r, const char *key, dks_answer_t *answer);
+/** Fences failed owners, copies claims to new backups, looks after claims of failed runners. */
+void dks_owner_review (dks_reducer_t *r);
+/** Drops expired claims. */
+void dks_owner_expire (dks_reducer_t *r);
+void dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer);
+
+/* jobs.c */
+void dks_jobs_init (dks_reducer_t *r);
+void dks_jobs_clear (dks_reducer_t *r);
+dks_job_t *dks_job_create (dks_reducer_t *r, dks_submission_t *submission, uint32_t shard);
+void dks_job_unref (dks_job_t *job);
+dks_job_t *dks_job_find (const dks_reducer_t *r, const char *key);
+void dks_job_add_waiter (dks_job_t *job, const dks_waiter_t *waiter);
+void dks_job_answer_waiters (dks_reducer_t *r, dks_job_t *job, dks_answer_t *answer);
+/** Starts to work on a job whose claim was granted. */
+void dks_job_activate (dks_reducer_t *r, dks_job_t *job);
+/** Removes a job that was never started from all lists and drops it. */
+void dks_job_discard (dks_reducer_t *r, dks_job_t *job);
+/** Ends a job with its final answer; attempts under way are left to finish unobserved. */
+void dks_job_finish (dks_reducer_t *r, dks_job_t *job, dks_outcome_t outcome, dks_problem_t problem,
+                     const char *detail);
+/** Claims and starts as much as slots allow. */
+void dks_jobs_pump (dks_reducer_t *r);
+void dks_jobs_handle_target_reply (dks_reducer_t *r, uint64_t id, dks_attempt_status_t status,
+                                   bool leaving, dks_blob_t *body);
+void dks_jobs_handle_run (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
+void dks_jobs_handle_run_done (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_jobs_handle_run_abort (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_jobs_handle_peer_down (dks_reducer_t *r, const char *peer);
+void dks_jobs_handle_targets_changed (dks_reducer_t *r);
+/** Tasks that are admitted and not started. */
+uint32_t dks_jobs_backlog (const dks_reducer_t *r);
+/** Starts one ready task of ours on a target of ours or on a slot lent by `lender`. */
+bool dks_job_start_next (dks_reducer_t *r, dks_peer_t *lender);
+/** Arrival of the oldest ready task in Unix ms, or INT64_MAX. */
+int64_t dks_jobs_oldest_ready_ms (const dks_reducer_t *r);
+
+/* lend.c */
+/** Own free slots that are not promised to others. */
+uint32_t dks_lend_free (const dks_reducer_t *r);
+uint32_t dks_lend_credits (const dks_reducer_t *r);
+uint32_t dks_lend_asked (const dks_reducer_t *r);
+/** Gives one free slot to the peer that has waited longest if its task is older than
+ * `own_oldest_ms`. */
+bool dks_lend_grant_one (dks_reducer_t *r, int64_t own_oldest_ms);
+/** Sends the grants of this event and brings demands in line with the backlog. */
+void dks_lend_update (dks_reducer_t *r);
+/** Takes back grants that were not used in time and repeats open demands; on each heartbeat. */
+void dks_lend_review (dks_reducer_t *r);
+void dks_lend_handle_demand (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
+void dks_lend_handle_grant (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
+void dks_lend_handle_return (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
+void dks_lend_forget_peer (dks_reducer_t *r, dks_peer_t *peer);
+
+/* entry.c */
+void dks_entry_init (dks_reducer_t *r);
+void dks_entry_clear (dks_reducer_t *r);
+void dks_entry_handle_submit (dks_reducer_t *r, uint64_t caller, dks_submission_t *submission);
+void dks_entry_handle_key (dks_reducer_t *r, uint64_t caller, const char *key, bool cancel);
+void dks_entry_handle_caller_gone (dks_reducer_t *r, uint64_t caller);
+/** Answer of the owner `peer` (empty: this instance) to one of our requests. */
+void
+dks_entry_handle_answer (dks_reducer_t *r, const char *peer, uint64_t id, dks_answer_t *answer);
+/** Sends all requests without an owner, or with one that is gone, to the present owners. */
+void dks_entry_route_all (dks_reducer_t *r);
+
+/* settings_ops.c */
+void dks_settings_ops_init (dks_reducer_t *r);
+void dks_settings_ops_clear (dks_reducer_t *r);
+void dks_settings_ops_handle_record (dks_reducer_t *r, int64_t revision, dks_blob_t *value);
+void dks_settings_ops_handle_reply (dks_reducer_t *r, dks_store_status_t status, int64_t revision,
+                                    dks_blob_t *value);
+void
+dks_settings_ops_handle_edit (dks_reducer_t *r, uint64_t caller, const dks_settings_edit_t *edit);
+/** Answers edits whose version is in force everywhere, or whose time is up. */
+void dks_settings_ops_review (dks_reducer_t *r);
+
+#endif
--- /dev/null
+++ b/include/core/target.h
@@ -0,0 +1,76 @@
+/**
+ * Targets of one instance: slots, health, choice. Every target has one dispatching instance, which
+ * counts the slots exactly.
+ */
+#ifndef DKS_CORE_TARGET_H
+#define DKS_CORE_TARGET_H
+
+#include "core/event.h"
+
+#include <apr_ring.h>
+
+typedef struct dks_target_t dks_target_t;
+
+struct dks_target_t
+{
+  APR_RING_ENTRY (dks_target_t) link;
+  uint32_t refs;
+  dks_listed_instance_t listed;
+  bool is_listed;           /**< still in the platform's list */
+  bool is_mine;             /**< this instance dispatches to it */
+  bool said_leaving;        /**< by its own answer or the list */
+  bool listed_leaving;      /**< the list has shown it as leaving; if it is live later, it is a new
+                               process */
+  uint32_t used;            /**< attempts under way */
+  uint32_t failures;        /**< failed attempts in a row */
+  int64_t ejected_until_us; /**< 0 while in rotation */
+  int64_t backoff_us;       /**< length of the latest ejection */
+  bool is_probing;          /**< one attempt checks whether it works again */
+  int64_t full_until_us;    /**< refused an attempt; it gets no work before this */
+};
+
+typedef struct
+{
+  APR_RING_HEAD (dks_target_ring_t, dks_target_t) ring; /**< in order of first appearance */
+  uint32_t count;
+} dks_targets_t;
+
+typedef enum
+{
+  DKS_TARGET_KEPT = 0,
+  DKS_TARGET_EJECTED, /**< taken out of rotation by this result */
+} dks_target_change_t;
+
+dks_targets_t *dks_targets_create (void);
+void dks_targets_destroy (dks_targets_t *targets);
+dks_target_t *dks_target_ref (dks_target_t *target);
+void dks_target_unref (dks_target_t *target);
+/** Takes over the targets of `data_centre` from the platform's list. */
+void dks_targets_update (dks_targets_t *targets, const dks_listed_instance_t *items, size_t count,
+                         const char *data_centre);
+/** Decides which targets are ours: rendezvous hashing over `members` (member ids). */
+void dks_targets_assign (dks_targets_t *targets, const char *self, const char *const *members,
+                         size_t member_count);
+/** Free slots of usable targets of ours at `now_us`. */
+uint32_t dks_targets_free (const dks_targets_t *targets, int64_t now_us);
+/** All slots of usable targets of ours, used or not. */
+uint32_t dks_targets_capacity (const dks_targets_t *targets, int64_t now_us);
+/** Least loaded usable target of ours that fits `spec`, other than `except`; or NULL. */
+dks_target_t *dks_targets_pick (dks_targets_t *targets, const dks_task_spec_t *spec,
+                                const dks_target_t *except, int64_t now_us);
+/** Whether any listed target could ever run `spec`; if not, `what` names the resource that is
+ * short. */
+bool
+dks_targets_can_fit (const dks_targets_t *targets, const dks_task_spec_t *spec, const char **what);
+/** Records that an attempt starts. */
+void dks_target_start (dks_target_t *target, int64_t now_us);
+/** Records the end of an attempt. Ejects after `eject_failures` failures in a row or one lost
+ * attempt, unless that would leave fewer than half of our targets in rotation. `random` gives the
+ * jitter. */
+dks_target_change_t dks_target_finish (dks_targets_t *targets, dks_target_t *target,
+                                       dks_attempt_status_t status, uint32_t eject_failures,
+                                       int64_t now_us, uint64_t random);
+/** Earliest time after `now_us` at which a target returns to rotation, or INT64_MAX. */
+int64_t dks_targets_next_us (const dks_targets_t *targets, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/core/view.h
@@ -0,0 +1,73 @@
+/**
+ * The view of one data centre: its members and who owns each shard of its keys. It is one record of
+ * the platform's key-value service, "view/DATA_CENTRE", changed only by compare-and-swap.
+ */
+#ifndef DKS_CORE_VIEW_H
+#define DKS_CORE_VIEW_H
+
+#include "common/blob.h"
+#include "core/types.h"
+
+typedef struct
+{
+  char id[DKS_NAME_SIZE];         /**< member id "INSTANCE#INCARNATION" */
+  char address[DKS_ADDRESS_SIZE]; /**< IP:port for other instances */
+  int64_t ceiling_ms;             /**< the member accepts only keys issued before this, Unix ms */
+  bool leaving;                   /**< it is shutting down and takes no new role */
+} dks_view_member_t;
+
+typedef struct
+{
+  uint64_t epoch;             /**< rises with every change of this entry */
+  char owner[DKS_NAME_SIZE];  /**< member id, empty when nobody owns the shard */
+  char backup[DKS_NAME_SIZE]; /**< member id, empty when the owner is solo */
+  int64_t floor_ms;           /**< keys issued before this are never started, Unix ms */
+} dks_view_shard_t;
+
+typedef struct
+{
+  int64_t version; /**< revision of the record in the store; 0 when it does not exist */
+  uint32_t member_count;
+  dks_view_member_t members[DKS_MEMBERS_MAX];
+  dks_view_shard_t shards[DKS_SHARDS];
+} dks_view_t;
+
+/** Parses a record. Returns DKS_ERR_INVALID for anything that dks_view_format() cannot write. */
+int dks_view_parse (const char *json, size_t len, int64_t version, dks_view_t *view);
+/** Serializes to JSON. */
+dks_blob_t *dks_view_format (const dks_view_t *view);
+/** Member with this id, or NULL. */
+const dks_view_member_t *dks_view_member (const dks_view_t *view, const char *id);
+/** Whether the member owns or backs up any shard. */
+bool dks_view_has_role (const dks_view_t *view, const char *id);
+/** Whether two member ids are incarnations of the same instance. */
+bool dks_view_same_instance (const char *a, const char *b);
+/** Rendezvous score of a member for a shard or any other named thing; the highest wins. */
+uint64_t dks_view_score (const char *member, uint64_t thing);
+
+/** What the planning member knows about the others. */
+typedef struct
+{
+  const char *self; /**< own member id */
+  const char *address;
+  bool draining;
+  bool may_leave; /**< nothing is left to do once all roles are handed over */
+  int64_t wall_ms;
+  int64_t ceiling_ms;    /**< reach of the ceiling beyond `wall_ms` */
+  int64_t clock_skew_ms; /**< largest assumed difference between clocks */
+  bool (*is_alive) (void *context,
+                    const char *member);               /**< heard from within the failure timeout */
+  bool (*is_dead) (void *context, const char *member); /**< proved to have ended */
+  void *context;
+  bool fenced[DKS_SHARDS];                /**< as backup: claims of the owner are being rejected */
+  char synced[DKS_SHARDS][DKS_NAME_SIZE]; /**< as owner: member that holds all claims, or empty */
+  int64_t next_floor_ms[DKS_SHARDS];      /**< as owner: above every key that was accepted */
+} dks_view_inputs_t;
+
+/** Plans all changes that this member may make. Returns true if `next` differs from `view`. */
+bool dks_view_plan (const dks_view_t *view, const dks_view_inputs_t *inputs, dks_view_t *next);
+/** Best member for the backup of a shard as seen by its owner, or NULL. */
+const char *
+dks_view_best_backup (const dks_view_t *view, const dks_view_inputs_t *inputs, uint32_t shard);
+
+#endif
