--- /dev/null
+++ b/tests/test_target.cc
@@ -0,0 +1,147 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "core/target.h"
+}
+
+#include <cstring>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t second = 1000000;
+
+class TargetTest : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    targets = dks_targets_create ();
+    list ({ "t0", "t1", "t2", "t3" });
+  }
+
+  void
+  TearDown () override
+  {
+    dks_targets_destroy (targets);
+  }
+
+  void
+  list (const std::vector<const char *> &ids, const char *leaving = "")
+  {
+    std::vector<dks_listed_instance_t> items;
+    const char *self[] = { "e1#1" };
+
+    for (const char *id : ids)
+      {
+        dks_listed_instance_t item = {};
+        strcpy (item.id, id);
+        strcpy (item.address, id);
+        strcpy (item.data_centre, "dc1");
+        item.is_target = true;
+        item.slots = 2;
+        item.cpus = 16;
+        item.leaving = strcmp (id, leaving) == 0;
+        items.push_back (item);
+      }
+    dks_targets_update (targets, items.data (), items.size (), "dc1");
+    dks_targets_assign (targets, "e1#1", self, 1);
+  }
+
+  dks_target_t *
+  pick (int64_t now_us)
+  {
+    return dks_targets_pick (targets, &spec, nullptr, now_us);
+  }
+
+  dks_target_change_t
+  run (dks_target_t *target, dks_attempt_status_t status, int64_t now_us)
+  {
+    dks_target_start (target, now_us);
+    return dks_target_finish (targets, target, status, 5, now_us, 0);
+  }
+
+  dks_targets_t *targets = nullptr;
+  dks_task_spec_t spec = {};
+};
+
+TEST_F (TargetTest, SlotsAreNeverOversubscribed)
+{
+  for (int i = 0; i < 8; i++)
+    {
+      dks_target_t *target = pick (0);
+      ASSERT_NE (target, nullptr);
+      dks_target_start (target, 0);
+      EXPECT_LE (target->used, 2u);
+    }
+  EXPECT_EQ (pick (0), nullptr);
+  EXPECT_EQ (dks_targets_free (targets, 0), 0u);
+}
+
+TEST_F (TargetTest, FailingTargetIsEjectedAndProbedWithOneTask)
+{
+  dks_target_t *target = pick (0);
+
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (run (target, DKS_ATTEMPT_FAILED, 0), DKS_TARGET_KEPT);
+  EXPECT_EQ (run (target, DKS_ATTEMPT_FAILED, 0), DKS_TARGET_EJECTED);
+  EXPECT_EQ (dks_targets_free (targets, 0), 6u);
+  EXPECT_EQ (dks_targets_free (targets, 2 * second), 7u) << "one slot for the probe";
+  EXPECT_EQ (pick (2 * second), target);
+  EXPECT_EQ (run (target, DKS_ATTEMPT_OK, 2 * second), DKS_TARGET_KEPT);
+  EXPECT_EQ (dks_targets_free (targets, 2 * second), 8u);
+}
+
+// A fault that all targets share, such as a bad payload, must not take all of them away.
+TEST_F (TargetTest, AtMostHalfOfTheTargetsAreEjected)
+{
+  int ejected = 0;
+  dks_target_t *target;
+
+  APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
+    {
+      ejected += run (target, DKS_ATTEMPT_LOST, 0) == DKS_TARGET_EJECTED;
+    }
+  EXPECT_EQ (ejected, 2);
+}
+
+TEST_F (TargetTest, LeavingTargetGetsNothingUntilItIsReplaced)
+{
+  list ({ "t0" });
+  dks_target_t *target = pick (0);
+
+  ASSERT_NE (target, nullptr);
+  target->said_leaving = true;
+  list ({ "t0" });
+  EXPECT_EQ (pick (0), nullptr) << "the list lags behind the target's own word";
+  list ({ "t0" }, "t0");
+  EXPECT_EQ (pick (0), nullptr);
+  list ({ "t0" });
+  EXPECT_NE (pick (0), nullptr) << "live again after it was listed as leaving: a new process";
+}
+
+TEST_F (TargetTest, RefusalPausesATarget)
+{
+  list ({ "t0" });
+  dks_target_t *target = pick (0);
+
+  run (target, DKS_ATTEMPT_NOT_STARTED, 0);
+  EXPECT_EQ (pick (0), nullptr);
+  EXPECT_EQ (dks_targets_next_us (targets, 0), 50000);
+  EXPECT_EQ (pick (50000), target);
+}
+
+TEST_F (TargetTest, NamesTheResourceThatNoTargetHas)
+{
+  const char *what;
+
+  spec.accelerators = 1;
+  EXPECT_FALSE (dks_targets_can_fit (targets, &spec, &what));
+  EXPECT_STREQ (what, "accelerators");
+  EXPECT_EQ (pick (0), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_view.cc
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/error.h"
+#include "core/view.h"
+}
+
+#include <cstring>
+#include <set>
+#include <string>
+
+namespace
+{
+
+constexpr int64_t now_ms = 1764800000000;
+constexpr int64_t reach_ms = 3600000;
+
+class ViewTest : public testing::Test
+{
+protected:
+  dks_view_inputs_t
+  inputs (const char *self)
+  {
+    dks_view_inputs_t in = {};
+
+    in.self = self;
+    in.address = "127.0.0.1:1";
+    in.wall_ms = now_ms;
+    in.ceiling_ms = reach_ms;
+    in.clock_skew_ms = 500;
+    in.context = this;
+    in.is_alive = [] (void *context, const char *id) {
+      return static_cast<ViewTest *> (context)->silent.count (id) == 0;
+    };
+    in.is_dead = [] (void *context, const char *id) {
+      return static_cast<ViewTest *> (context)->dead.count (id) > 0;
+    };
+    return in;
+  }
+
+  bool
+  plan (const dks_view_inputs_t &in)
+  {
+    dks_view_t next;
+    bool changed = dks_view_plan (&view, &in, &next);
+
+    view = next;
+    view.version++;
+    return changed;
+  }
+
+  /** Lets "a" and "b" join and share the shards. */
+  void
+  make_pair ()
+  {
+    dks_view_inputs_t a = inputs ("a#1");
+    dks_view_inputs_t b = inputs ("b#1");
+
+    plan (a);
+    plan (b);
+    for (auto &synced : a.synced)
+      strcpy (synced, "b#1");
+    for (int i = 0; i < 4; i++)
+      {
+        plan (a);
+        plan (b);
+      }
+  }
+
+  dks_view_t view = {};
+  std::set<std::string> silent;
+  std::set<std::string> dead;
+};
+
+TEST_F (ViewTest, FirstMemberOwnsEverythingAlone)
+{
+  dks_view_inputs_t in = inputs ("a#1");
+
+  EXPECT_TRUE (plan (in));
+  for (const auto &shard : view.shards)
+    {
+      EXPECT_STREQ (shard.owner, "a#1");
+      EXPECT_STREQ (shard.backup, "");
+    }
+  EXPECT_EQ (view.members[0].ceiling_ms, now_ms + reach_ms);
+  EXPECT_FALSE (plan (in)) << "a plan without news must not write";
+}
+
+TEST_F (ViewTest, TwoMembersShareShardsAndBackEachOtherUp)
+{
+  std::set<std::string> owners;
+
+  make_pair ();
+  for (const auto &shard : view.shards)
+    {
+      owners.insert (shard.owner);
+      EXPECT_NE (std::string (shard.owner), shard.backup);
+      EXPECT_STRNE (shard.backup, "");
+    }
+  EXPECT_EQ (owners.size (), 2u);
+}
+
+// A backup that has not copied the claims would start keys a second time after a takeover.
+TEST_F (ViewTest, BackupIsAddedOnlyAfterItHasAllClaims)
+{
+  dks_view_inputs_t a = inputs ("a#1");
+  dks_view_inputs_t b = inputs ("b#1");
+
+  plan (a);
+  plan (b);
+  plan (a);
+  for (const auto &shard : view.shards)
+    EXPECT_STREQ (shard.backup, "");
+}
+
+TEST_F (ViewTest, BackupTakesOverOnlyAfterItHasFencedTheOwner)
+{
+  make_pair ();
+  dks_view_t before = view;
+  dks_view_inputs_t b = inputs ("b#1");
+
+  silent.insert ("a#1");
+  plan (b);
+  for (int i = 0; i < DKS_SHARDS; i++)
+    {
+      EXPECT_STREQ (view.shards[i].owner, before.shards[i].owner);
+    }
+  for (bool &fenced : b.fenced)
+    fenced = true;
+  plan (b);
+  for (int i = 0; i < DKS_SHARDS; i++)
+    {
+      EXPECT_STREQ (view.shards[i].owner, "b#1");
+      EXPECT_EQ (view.shards[i].floor_ms, before.shards[i].floor_ms)
+          << "the backup knows every claim, so no key is lost";
+    }
+}
+
+// Owner and backup may only be paused: keys that they can still accept must not start elsewhere.
+TEST_F (ViewTest, LostPairLeavesAFloorAtItsCeiling)
+{
+  make_pair ();
+  dks_view_inputs_t c = inputs ("c#1");
+
+  silent = { "a#1", "b#1" };
+  plan (c);
+  for (const auto &shard : view.shards)
+    {
+      EXPECT_STREQ (shard.owner, "c#1");
+      EXPECT_EQ (shard.floor_ms, now_ms + reach_ms);
+    }
+}
+
+TEST_F (ViewTest, PairThatIsProvedDeadLeavesALowFloor)
+{
+  make_pair ();
+  dks_view_inputs_t c = inputs ("c#1");
+
+  silent = dead = { "a#1", "b#1" };
+  plan (c);
+  for (const auto &shard : view.shards)
+    EXPECT_EQ (shard.floor_ms, now_ms + 1000);
+}
+
+TEST_F (ViewTest, RecordSurvivesARoundTripAndRejectsDamage)
+{
+  dks_view_t parsed;
+
+  make_pair ();
+  dks_blob_t *blob = dks_view_format (&view);
+  const char *text = reinterpret_cast<const char *> (blob->data);
+  ASSERT_EQ (dks_view_parse (text, blob->len, view.version, &parsed), DKS_OK);
+  EXPECT_STREQ (parsed.shards[3].owner, view.shards[3].owner);
+  EXPECT_EQ (parsed.member_count, 2u);
+  EXPECT_EQ (dks_view_parse (text, blob->len - 1, 1, &parsed), DKS_ERR_INVALID);
+  EXPECT_EQ (dks_view_parse ("{\"members\":[],\"shards\":[]}", 26, 1, &parsed), DKS_ERR_INVALID);
+  dks_blob_unref (blob);
+}
+
+} // namespace
