damaskshore: command-line tool

Cause: callers and operators need a tool for submit, status, cancel, drain and the settings. Ruled out: sending an edit again after a lost connection (it could undo a change made in between); taking a bare 502 or 503 as an answer (a load balancer sends these for requests that it has passed on, so they do not prove "not run"). A complete answer with a wrong number of results is reported as unknown. Before: no tool. Not yet run against damaskshored.

--- /dev/null
+++ b/include/damaskshore/answer.h
@@ -0,0 +1,33 @@
+/**
+ * Answers of the server: exit codes and output.
+ */
+#ifndef DKS_DAMASKSHORE_ANSWER_H
+#define DKS_DAMASKSHORE_ANSWER_H
+
+#include "damaskshore/client.h"
+
+#include <jansson.h>
+
+/** Whether an instance wrote this body, rather than a load balancer in between. */
+bool dks_reply_is_own (const json_t *body);
+/** Exit code of an answer about a submission: by the field "outcome", else by HTTP status. */
+dks_exit_t dks_answer_exit (int status, const json_t *body);
+/** Exit code of an answer about anything else: by HTTP status. */
+dks_exit_t dks_reply_exit (int status);
+/** Writes an answer about the submission `key`. `task_count` is the expected number of results, or
+ * 0 when not known. Returns the exit code; an answer that is not understood or has another number
+ * of results is reported as DKS_EXIT_UNKNOWN. */
+dks_exit_t dks_answer_print (dks_cli_t *cli, const char *key, const dks_client_reply_t *reply,
+                             uint32_t task_count);
+/** Writes the problem in `reply` to `err`, or its body to `out` with --json. Returns the exit code
+ * of the HTTP status. */
+dks_exit_t dks_problem_print (dks_cli_t *cli, const dks_client_reply_t *reply);
+/** Writes the recorded changes of `path`, or all of them when it is NULL: with --json as an array,
+ * else one line "VERSION TIME ACTOR PATH NAME FROM TO" each. */
+void dks_changes_print (dks_cli_t *cli, const json_t *changes, const char *path);
+/** Parses the body of a reply; NULL and a message on `err` when it is not JSON. */
+json_t *dks_reply_json (dks_cli_t *cli, const dks_client_reply_t *reply);
+/** Writes `value` as one line of JSON. */
+void dks_json_print (dks_cli_t *cli, const json_t *value);
+
+#endif
