net: keep the poll descriptors of the event loop alive

Cause: the pollset was created with APR_POLLSET_NOCOPY, but got the address of a pollfd on the stack. A ready descriptor then read a dead stack frame: the first test with two connections ended in a segmentation fault in dispatch(). Ruled out: dropping APR_POLLSET_NOCOPY, because APR then walks the list of all descriptors on each removal. Change: each watch is allocated by itself and holds its pollfd. The fallback without the flag is gone, since epoll supports it.

--- a/net/loop.c
+++ b/net/loop.c
@@ -16,9 +16,11 @@
   MAX_WAIT_US = 1000000
 };
 
+/* Allocated one by one: the pollset keeps the address of `pollfd` (APR_POLLSET_NOCOPY, which makes
+ * a removal independent of the number of descriptors). */
 typedef struct
 {
-  apr_socket_t *socket;
+  apr_pollfd_t pollfd;
   dks_loop_func_t func;
   void *context;
   int events;
@@ -29,7 +31,7 @@
   apr_pool_t *pool;
   apr_pollset_t *pollset;
   dks_timers_t *timers;
-  watch_t *watches; /* indexed by descriptor */
+  watch_t **watches; /* indexed by descriptor; NULL if never watched */
   int watch_count;
   void (*turn_end) (void *context);
   void *turn_end_context;
@@ -48,8 +50,6 @@
   DKS_INVARIANT (status == APR_SUCCESS);
   status = apr_pollset_create (&loop->pollset, POLLSET_SIZE, loop->pool,
                                APR_POLLSET_NOCOPY | APR_POLLSET_NODEFAULT);
-  if (status != APR_SUCCESS)
-    status = apr_pollset_create (&loop->pollset, POLLSET_SIZE, loop->pool, 0);
   DKS_INVARIANT (status == APR_SUCCESS);
   loop->timers = dks_timers_create ();
   return loop;
@@ -61,6 +61,8 @@
   if (loop == NULL)
     return;
   apr_pollset_destroy (loop->pollset);
+  for (int i = 0; i < loop->watch_count; i++)
+    free (loop->watches[i]);
   apr_pool_destroy (loop->pool);
   dks_timers_destroy (loop->timers);
   free (loop->watches);
@@ -68,54 +70,51 @@
   apr_terminate ();
 }
 
-static void
-watches_reserve (dks_loop_t *loop, int fd)
+static watch_t *
+watch_get (dks_loop_t *loop, int fd)
 {
   int count = loop->watch_count > 0 ? loop->watch_count : 64;
+  watch_t *watch;
 
-  if (fd < loop->watch_count)
-    return;
-  while (count <= fd)
-    count *= 2;
-  loop->watches = dks_realloc (loop->watches, (size_t)count * sizeof (loop->watches[0]));
-  for (int i = loop->watch_count; i < count; i++)
-    loop->watches[i] = (watch_t){ 0 };
-  loop->watch_count = count;
-}
-
-static apr_pollfd_t
-watch_pollfd (dks_loop_t *loop, int fd, int events)
-{
-  apr_pollfd_t pollfd = { .p = loop->pool, .desc_type = APR_POLL_SOCKET };
-
-  pollfd.reqevents = (apr_int16_t)((events & DKS_LOOP_READ ? APR_POLLIN : 0)
-                                   | (events & DKS_LOOP_WRITE ? APR_POLLOUT : 0));
-  pollfd.desc.s = loop->watches[fd].socket;
-  pollfd.client_data = (void *)(intptr_t)fd; // NOLINT(performance-no-int-to-ptr)
-  return pollfd;
+  if (fd >= loop->watch_count)
+    {
+      while (count <= fd)
+        count *= 2;
+      loop->watches = dks_realloc (loop->watches, (size_t)count * sizeof (*loop->watches));
+      for (int i = loop->watch_count; i < count; i++)
+        loop->watches[i] = NULL;
+      loop->watch_count = count;
+    }
+  if (loop->watches[fd] != NULL)
+    return loop->watches[fd];
+  /* The watch and its APR wrapper are kept for the next descriptor with the same number: APR frees
+   * the wrapper only with the pool. */
+  watch = dks_alloc (sizeof (*watch));
+  watch->pollfd = (apr_pollfd_t){ .p = loop->pool, .desc_type = APR_POLL_SOCKET };
+  watch->pollfd.client_data = (void *)(intptr_t)fd; // NOLINT(performance-no-int-to-ptr)
+  if (apr_os_sock_put (&watch->pollfd.desc.s, &fd, loop->pool) != APR_SUCCESS)
+    {
+      free (watch);
+      return NULL;
+    }
+  loop->watches[fd] = watch;
+  return watch;
 }
 
 int
 dks_loop_watch (dks_loop_t *loop, int fd, int events, dks_loop_func_t func, void *context)
 {
-  watch_t *watch;
-  apr_pollfd_t pollfd;
+  watch_t *watch = watch_get (loop, fd);
 
-  watches_reserve (loop, fd);
-  watch = &loop->watches[fd];
-  /* The APR wrapper of a descriptor is kept for the next descriptor with the same number: APR
-   * frees it only with the pool. */
-  if (watch->socket == NULL && apr_os_sock_put (&watch->socket, &fd, loop->pool) != APR_SUCCESS)
+  if (watch == NULL)
     return DKS_ERR_IO;
   if (watch->events != 0 && watch->events != events)
-    {
-      pollfd = watch_pollfd (loop, fd, watch->events);
-      apr_pollset_remove (loop->pollset, &pollfd);
-    }
+    apr_pollset_remove (loop->pollset, &watch->pollfd);
   if (events != 0 && watch->events != events)
     {
-      pollfd = watch_pollfd (loop, fd, events);
-      if (apr_pollset_add (loop->pollset, &pollfd) != APR_SUCCESS)
+      watch->pollfd.reqevents = (apr_int16_t)((events & DKS_LOOP_READ ? APR_POLLIN : 0)
+                                              | (events & DKS_LOOP_WRITE ? APR_POLLOUT : 0));
+      if (apr_pollset_add (loop->pollset, &watch->pollfd) != APR_SUCCESS)
         {
           watch->events = 0;
           return DKS_ERR_IO;
@@ -173,7 +172,7 @@
 dispatch (dks_loop_t *loop, const apr_pollfd_t *ready)
 {
   int fd = (int)(intptr_t)ready->client_data;
-  const watch_t *watch = &loop->watches[fd];
+  const watch_t *watch = loop->watches[fd];
 
   /* An earlier callback of this turn may have stopped the watch. */
   if (watch->events == 0)
