net: HTTP client on libcurl's multi-socket interface

Cause: targets and the platform are reached over HTTP, and a task must start at most once. libcurl 7.88 sends a request again, POST included, when a reused connection is closed without a byte of reply. Ruled out: CURLMOPT_MAX_HOST_CONNECTIONS, whose single waiting list can leave a request of an idle host waiting behind one of a busy host; counting socket opens, because the second copy may go over another kept connection. Change: CURLOPT_PREREQFUNCTION, which runs before every copy, stops a request of which a byte was written. 'Unavailable' is reported only while libcurl has written no byte. Bytes that arrive on an idle connection close it, so that a second reply to one request does not answer the next. Replies without a length are rejected. Conclusion: a reply that crosses the next request on the wire still cannot be told apart in HTTP/1.1; only a target that answers twice can cause it.

--- /dev/null
+++ b/net/http_client.c
@@ -0,0 +1,647 @@
+#include "net/http_client.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <apr_ring.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  REPLY_MAX = 2 << 20,       /* body; a result of DKS_PAYLOAD_MAX and its envelope fit */
+  REPLY_HEAD_MAX = 64 << 10, /* all header lines of one reply */
+  /* One lost SYN is sent again after 1 s, so this allows one loss. */
+  CONNECT_TIMEOUT_MS = 2000,
+  IDLE_CONNECTIONS = 4096, /* kept by libcurl over all hosts */
+  BUCKETS = 1024
+};
+
+typedef struct http_request_t http_request_t;
+typedef struct http_host_t http_host_t;
+
+APR_RING_HEAD (http_ring_t, http_request_t);
+
+/* libcurl's own bound (CURLMOPT_MAX_HOST_CONNECTIONS) is not used: its single waiting list wakes
+ * one request at a time, and when the host of that request is busy, no other one is tried. */
+struct http_host_t
+{
+  http_host_t *next; /* in the bucket */
+  struct http_ring_t waiting;
+  size_t bucket;
+  int active; /* requests handed to libcurl */
+  char origin[];
+};
+
+struct http_request_t
+{
+  APR_RING_ENTRY (http_request_t) link; /* in host->waiting, or in the list of active requests */
+  http_request_t *next;                 /* in the bucket of its id */
+  dks_http_client_t *client;
+  http_host_t *host;
+  uint64_t id;
+  CURL *easy;
+  struct curl_slist *headers;
+  dks_blob_t *body;
+  dks_timer_t timeout;
+  dks_http_func_t func;
+  void *context;
+  uint8_t *reply;
+  size_t reply_len;
+  size_t reply_capacity;
+  size_t head_len;
+  int opened_fd; /* socket that libcurl opened last for this request, or -1 */
+  bool active;
+  bool prepared; /* the connection was ready at least once */
+  bool restart;  /* start once more on a new connection */
+  bool restarted;
+  bool too_large; /* the reply exceeded a bound */
+  bool framed;    /* the reply says how long it is */
+  bool not_run;
+  bool leaving;
+  bool closing;
+};
+
+/* An open connection. libcurl names no socket before a request is sent, only the two addresses. */
+typedef struct http_connection_t http_connection_t;
+
+struct http_connection_t
+{
+  http_connection_t *next; /* in the bucket of the local port */
+  int fd;
+  char name[128];
+};
+
+struct dks_http_client_t
+{
+  dks_loop_t *loop;
+  CURLM *multi;
+  dks_timer_t timer; /* of libcurl */
+  int connections_per_host;
+  uint64_t next_id;
+  struct http_ring_t active;
+  http_request_t *requests[BUCKETS];
+  http_host_t *hosts[BUCKETS];
+  http_connection_t *connections[BUCKETS];
+};
+
+static size_t
+text_bucket (const char *text, size_t len)
+{
+  size_t hash = 5381;
+
+  for (size_t i = 0; i < len; i++)
+    hash = hash * 33 + (unsigned char)text[i];
+  return hash % BUCKETS;
+}
+
+/* The origin is the URL up to the path. */
+static http_host_t *
+host_find (dks_http_client_t *client, const char *url)
+{
+  const char *start = strstr (url, "://");
+  size_t len;
+  size_t bucket;
+  http_host_t *host;
+
+  start = start != NULL ? start + 3 : url;
+  len = (size_t)(start - url) + strcspn (start, "/?#");
+  bucket = text_bucket (url, len);
+  for (host = client->hosts[bucket]; host != NULL; host = host->next)
+    {
+      if (strncmp (host->origin, url, len) == 0 && host->origin[len] == '\0')
+        return host;
+    }
+  host = dks_alloc (sizeof (*host) + len + 1);
+  memcpy (host->origin, url, len);
+  APR_RING_INIT (&host->waiting, http_request_t, link);
+  host->bucket = bucket;
+  host->next = client->hosts[bucket];
+  client->hosts[bucket] = host;
+  return host;
+}
+
+static void
+host_release (dks_http_client_t *client, http_host_t *host)
+{
+  http_host_t **at = &client->hosts[host->bucket];
+
+  if (host->active > 0 || !APR_RING_EMPTY (&host->waiting, http_request_t, link))
+    return;
+  while (*at != host)
+    at = &(*at)->next;
+  *at = host->next;
+  free (host);
+}
+
+static http_request_t *
+request_find (dks_http_client_t *client, uint64_t id)
+{
+  http_request_t *request = client->requests[id % BUCKETS];
+
+  while (request != NULL && request->id != id)
+    request = request->next;
+  return request;
+}
+
+/* Whether the kernel got any byte of the request, in any attempt of libcurl. */
+static bool
+request_is_sent (const http_request_t *request)
+{
+  long size = 0;
+
+  curl_easy_getinfo (request->easy, CURLINFO_REQUEST_SIZE, &size);
+  return size > 0;
+}
+
+static void
+request_start (http_request_t *request)
+{
+  dks_http_client_t *client = request->client;
+  CURLMcode code;
+
+  request->active = true;
+  request->host->active++;
+  APR_RING_INSERT_TAIL (&client->active, request, http_request_t, link);
+  code = curl_multi_add_handle (client->multi, request->easy);
+  DKS_INVARIANT (code == CURLM_OK);
+}
+
+/* Takes the request out of libcurl and of all lists, and lets the next one of its host start. */
+static void
+request_detach (http_request_t *request)
+{
+  dks_http_client_t *client = request->client;
+  http_host_t *host = request->host;
+  http_request_t **at = &client->requests[request->id % BUCKETS];
+
+  while (*at != request)
+    at = &(*at)->next;
+  *at = request->next;
+  dks_timer_cancel (dks_loop_timers (client->loop), &request->timeout);
+  APR_RING_REMOVE (request, link);
+  if (request->active)
+    {
+      curl_multi_remove_handle (client->multi, request->easy);
+      host->active--;
+    }
+  while (host->active < client->connections_per_host
+         && !APR_RING_EMPTY (&host->waiting, http_request_t, link))
+    {
+      http_request_t *next = APR_RING_FIRST (&host->waiting);
+
+      APR_RING_REMOVE (next, link);
+      request_start (next);
+    }
+  host_release (client, host);
+}
+
+static void
+request_free (http_request_t *request)
+{
+  curl_easy_cleanup (request->easy);
+  curl_slist_free_all (request->headers);
+  dks_blob_unref (request->body);
+  free (request->reply);
+  free (request);
+}
+
+/* `error` as in dks_http_result_t. */
+static void
+request_finish (http_request_t *request, int error)
+{
+  dks_http_result_t result = { .error = error };
+
+  if (error == DKS_OK)
+    {
+      long status = 0;
+
+      curl_easy_getinfo (request->easy, CURLINFO_RESPONSE_CODE, &status);
+      result.status = (int)status;
+      result.not_run = request->not_run;
+      result.leaving = request->leaving || (request->closing && status == 503);
+      result.body = dks_blob_create (request->reply, request->reply_len);
+    }
+  request_detach (request);
+  request->func (request->context, request->id, &result);
+  dks_blob_unref (result.body);
+  request_free (request);
+}
+
+static int
+request_error (const http_request_t *request, CURLcode code)
+{
+  long status = 0;
+
+  if (code == CURLE_OK)
+    {
+      /* A reply that ends with the connection cannot be told from one that was cut off. */
+      curl_easy_getinfo (request->easy, CURLINFO_RESPONSE_CODE, &status);
+      return request->framed || status == 204 || status == 304 ? DKS_OK : DKS_ERR_IO;
+    }
+  if (request->too_large)
+    return DKS_ERR_TOO_LARGE;
+  return request_is_sent (request) ? DKS_ERR_IO : DKS_ERR_UNAVAILABLE;
+}
+
+/* Nothing of the request was sent and its connection has been closed. */
+static void
+request_restart (http_request_t *request)
+{
+  CURLM *multi = request->client->multi;
+  CURLMcode code;
+
+  request->restart = false;
+  request->restarted = true;
+  curl_multi_remove_handle (multi, request->easy);
+  curl_easy_setopt (request->easy, CURLOPT_FRESH_CONNECT, 1L);
+  code = curl_multi_add_handle (multi, request->easy);
+  DKS_INVARIANT (code == CURLM_OK);
+}
+
+static void
+finish_done (dks_http_client_t *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      http_request_t *request = NULL;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&request);
+      if (request->restart)
+        request_restart (request);
+      else
+        request_finish (request, request_error (request, code));
+    }
+}
+
+static void
+handle_socket (void *context, int fd, int events)
+{
+  dks_http_client_t *client = context;
+  int running;
+  int mask = 0;
+
+  if (events & DKS_LOOP_READ)
+    mask |= CURL_CSELECT_IN;
+  if (events & DKS_LOOP_WRITE)
+    mask |= CURL_CSELECT_OUT;
+  /* With a mask of 0 libcurl tests the descriptor itself. CURL_CSELECT_ERR would make it drop a
+   * reply that is still to be read. */
+  curl_multi_socket_action (client->multi, fd, mask, &running);
+  finish_done (client);
+}
+
+static void
+handle_timer (void *context, int64_t now_us)
+{
+  dks_http_client_t *client = context;
+  int running;
+
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_done (client);
+}
+
+static void
+handle_timeout (void *context, int64_t now_us)
+{
+  http_request_t *request = context;
+
+  request_finish (request, request->active && request_is_sent (request) ? DKS_ERR_TIMEOUT
+                                                                        : DKS_ERR_UNAVAILABLE);
+}
+
+static int
+socket_changed (CURL *easy, curl_socket_t fd, int what, void *context, void *socket_context)
+{
+  dks_http_client_t *client = context;
+  int events = 0;
+
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    events |= DKS_LOOP_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    events |= DKS_LOOP_WRITE;
+  return dks_loop_watch (client->loop, fd, events, handle_socket, client) == DKS_OK ? 0 : -1;
+}
+
+static int
+timer_changed (CURLM *multi, long timeout_ms, void *context)
+{
+  dks_http_client_t *client = context;
+  dks_timers_t *timers = dks_loop_timers (client->loop);
+
+  if (timeout_ms < 0)
+    dks_timer_cancel (timers, &client->timer);
+  else
+    dks_timer_set (timers, &client->timer, dks_loop_now ().mono_us + (int64_t)timeout_ms * 1000);
+  return 0;
+}
+
+static curl_socket_t
+open_socket (void *context, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  http_request_t *request = context;
+
+  request->opened_fd =
+      socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  return request->opened_fd;
+}
+
+static int
+close_socket (void *context, curl_socket_t fd)
+{
+  dks_http_client_t *client = context;
+
+  for (int i = 0; i < BUCKETS; i++)
+    {
+      http_connection_t **at = &client->connections[i];
+
+      while (*at != NULL && (*at)->fd != fd)
+        at = &(*at)->next;
+      if (*at != NULL)
+        {
+          http_connection_t *connection = *at;
+
+          *at = connection->next;
+          free (connection);
+          break;
+        }
+    }
+  return close (fd);
+}
+
+/* Descriptor of the connection with this name, which `request` opened if it is a new one; -1 if it
+ * is not known. */
+static int
+connection_find (http_request_t *request, const char *name, int local_port)
+{
+  http_connection_t **bucket = &request->client->connections[local_port % BUCKETS];
+  http_connection_t *connection = *bucket;
+
+  while (connection != NULL && strcmp (connection->name, name) != 0)
+    connection = connection->next;
+  if (connection != NULL)
+    return connection->fd;
+  if (request->opened_fd < 0)
+    return -1;
+  connection = dks_alloc (sizeof (*connection));
+  dks_strcpy (connection->name, sizeof (connection->name), name);
+  connection->fd = request->opened_fd;
+  connection->next = *bucket;
+  *bucket = connection;
+  return connection->fd;
+}
+
+/* libcurl calls this each time before it sends the request. It sends a request again, whatever the
+ * method, when a reused connection was closed without a byte of reply (Curl_retry_request in
+ * 7.88). The peer may have received the first copy, so the second must not be sent. */
+static int
+before_send (void *context, char *primary_ip, char *local_ip, int primary_port, int local_port)
+{
+  http_request_t *request = context;
+  char name[128];
+  char byte;
+  int fd;
+
+  if (request->prepared && request_is_sent (request))
+    return CURL_PREREQFUNC_ABORT;
+  request->prepared = true;
+  /* Bytes that arrived before the request are no reply to it; libcurl would take them for one. */
+  snprintf (name, sizeof (name), "%s:%d-%s:%d", local_ip, local_port, primary_ip, primary_port);
+  fd = connection_find (request, name, local_port);
+  if (fd < 0 || recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+    {
+      request->restart = !request->restarted;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+write_body (char *data, size_t size, size_t count, void *context)
+{
+  http_request_t *request = context;
+  size_t len = size * count;
+
+  if (len > REPLY_MAX - request->reply_len)
+    {
+      request->too_large = true;
+      return 0;
+    }
+  if (request->reply_len + len > request->reply_capacity)
+    {
+      size_t capacity = request->reply_capacity > 0 ? request->reply_capacity : 1024;
+
+      while (capacity < request->reply_len + len)
+        capacity *= 2;
+      request->reply = dks_realloc (request->reply, capacity);
+      request->reply_capacity = capacity;
+    }
+  memcpy (request->reply + request->reply_len, data, len);
+  request->reply_len += len;
+  return len;
+}
+
+/* Whether the header line is `name` with `value` (any value when NULL). */
+static bool
+header_is (const char *line, size_t len, const char *name, const char *value)
+{
+  size_t name_len = strlen (name);
+
+  if (len <= name_len || line[name_len] != ':' || strncasecmp (line, name, name_len) != 0)
+    return false;
+  if (value == NULL)
+    return true;
+  line += name_len + 1;
+  len -= name_len + 1;
+  while (len > 0 && (*line == ' ' || *line == '\t'))
+    line++, len--;
+  while (len > 0 && strchr (" \t\r\n", line[len - 1]) != NULL)
+    len--;
+  return len == strlen (value) && strncasecmp (line, value, len) == 0;
+}
+
+static size_t
+read_header (char *data, size_t size, size_t count, void *context)
+{
+  http_request_t *request = context;
+  size_t len = size * count;
+
+  request->head_len += len;
+  if (request->head_len > REPLY_HEAD_MAX)
+    {
+      request->too_large = true;
+      return 0;
+    }
+  if (len >= 5 && memcmp (data, "HTTP/", 5) == 0)
+    {
+      /* Headers of an interim reply (1xx) do not count. */
+      request->framed = false;
+      request->not_run = false;
+      request->leaving = false;
+      request->closing = false;
+    }
+  else if (header_is (data, len, "Content-Length", NULL)
+           || header_is (data, len, "Transfer-Encoding", "chunked"))
+    request->framed = true;
+  else if (header_is (data, len, "Damaskshore-Not-Run", "1"))
+    request->not_run = true;
+  else if (header_is (data, len, "Damaskshore-Leaving", "1"))
+    request->leaving = true;
+  else if (header_is (data, len, "Connection", "close"))
+    request->closing = true;
+  return len;
+}
+
+dks_http_client_t *
+dks_http_client_create (dks_loop_t *loop, int connections_per_host)
+{
+  dks_http_client_t *client = dks_alloc (sizeof (*client));
+
+  DKS_INVARIANT (connections_per_host > 0);
+  DKS_INVARIANT (curl_global_init (CURL_GLOBAL_DEFAULT) == CURLE_OK);
+  client->loop = loop;
+  client->connections_per_host = connections_per_host;
+  client->next_id = 1;
+  APR_RING_INIT (&client->active, http_request_t, link);
+  dks_timer_init (&client->timer, handle_timer, client);
+  client->multi = curl_multi_init ();
+  DKS_INVARIANT (client->multi != NULL);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, socket_changed);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, timer_changed);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  /* The default is four for each open request, which closes idle connections in calm times. */
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS);
+  return client;
+}
+
+void
+dks_http_client_destroy (dks_http_client_t *client)
+{
+  if (client == NULL)
+    return;
+  for (int i = 0; i < BUCKETS; i++)
+    {
+      while (client->requests[i] != NULL)
+        dks_http_client_abort (client, client->requests[i]->id);
+    }
+  curl_multi_cleanup (client->multi);
+  dks_timer_cancel (dks_loop_timers (client->loop), &client->timer);
+  curl_global_cleanup ();
+  free (client);
+}
+
+static bool
+has_header (const char *const *headers, const char *name)
+{
+  for (; headers != NULL && *headers != NULL; headers++)
+    {
+      if (header_is (*headers, strlen (*headers), name, NULL))
+        return true;
+    }
+  return false;
+}
+
+static void
+request_add_header (http_request_t *request, const char *line)
+{
+  struct curl_slist *headers = curl_slist_append (request->headers, line);
+
+  DKS_INVARIANT (headers != NULL);
+  request->headers = headers;
+}
+
+static void
+request_set_options (http_request_t *request, const dks_http_request_t *from)
+{
+  CURL *easy = request->easy;
+
+  for (const char *const *line = from->headers; line != NULL && *line != NULL; line++)
+    request_add_header (request, *line);
+  /* An empty value removes a header that libcurl adds. It would wait up to 1 s for the answer to
+   * "Expect: 100-continue". */
+  request_add_header (request, "Expect:");
+  if (!has_header (from->headers, "Content-Type"))
+    request_add_header (request, "Content-Type:");
+  curl_easy_setopt (easy, CURLOPT_URL, from->url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, request->headers);
+  if (request->body != NULL || strcmp (from->method, "POST") == 0
+      || strcmp (from->method, "PUT") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)(request->body != NULL ? request->body->len : 0));
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                        request->body != NULL ? (const char *)request->body->data : "");
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, from->method);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, request);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, request->client);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, request);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, write_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, request);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, request);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, request);
+}
+
+uint64_t
+dks_http_client_send (dks_http_client_t *client, const dks_http_request_t *request)
+{
+  http_request_t *entry = dks_alloc (sizeof (*entry));
+  http_request_t **bucket;
+
+  entry->client = client;
+  entry->opened_fd = -1;
+  entry->id = client->next_id++;
+  entry->func = request->func;
+  entry->context = request->context;
+  entry->body = dks_blob_ref (request->body);
+  entry->easy = curl_easy_init ();
+  DKS_INVARIANT (entry->easy != NULL);
+  request_set_options (entry, request);
+  bucket = &client->requests[entry->id % BUCKETS];
+  entry->next = *bucket;
+  *bucket = entry;
+  dks_timer_init (&entry->timeout, handle_timeout, entry);
+  dks_timer_set (dks_loop_timers (client->loop), &entry->timeout,
+                 dks_loop_now ().mono_us + request->timeout_ms * 1000);
+  entry->host = host_find (client, request->url);
+  APR_RING_ELEM_INIT (entry, link);
+  if (entry->host->active < client->connections_per_host)
+    request_start (entry);
+  else
+    APR_RING_INSERT_TAIL (&entry->host->waiting, entry, http_request_t, link);
+  return entry->id;
+}
+
+void
+dks_http_client_abort (dks_http_client_t *client, uint64_t id)
+{
+  http_request_t *request = request_find (client, id);
+
+  if (request == NULL)
+    return;
+  request_detach (request);
+  request_free (request);
+}
