net: codec of the messages between instances

Cause: the reducer trusts every field of a message, so the decoder is the only place where a damaged or foreign frame is stopped. All strings, counts, enums, shards, payloads, times and keys are checked; the issue time must be the one in the key. Conclusion: an empty result of a failed task decodes as no result, since proto3 does not tell them apart.

--- /dev/null
+++ b/tests/test_codec.cc
@@ -0,0 +1,673 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/error.h"
+#include "net/codec.h"
+}
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const char *const key = "dc1~1764800000123-order-77";
+const int64_t issued_ms = 1764800000123;
+
+void
+set_text (char *to, size_t size, const char *from)
+{
+  snprintf (to, size, "%s", from);
+}
+
+dks_answer_t *
+make_answer (dks_outcome_t outcome, uint32_t tasks)
+{
+  dks_answer_t *answer = dks_answer_create (
+      key, outcome, outcome == DKS_OUTCOME_FAILED ? DKS_PROBLEM_TASK_FAILED : DKS_PROBLEM_NONE,
+      tasks);
+
+  answer->retry_after_ms = 77;
+  set_text (answer->detail, sizeof (answer->detail), "it ist \xc3\xa9tabli");
+  for (uint32_t i = 0; i < tasks; i++)
+    {
+      answer->tasks[i].ok = i != 1;
+      answer->tasks[i].problem = i != 1 ? DKS_PROBLEM_NONE : DKS_PROBLEM_TARGET_LOST;
+      answer->tasks[i].body = i != 1 ? dks_blob_create ("a\0b", 3) : nullptr;
+    }
+  return answer;
+}
+
+void
+fill_item (dks_claim_item_t *item, dks_answer_t *answer)
+{
+  set_text (item->key, sizeof (item->key), key);
+  set_text (item->runner, sizeof (item->runner), "entry-1#17");
+  item->issued_ms = issued_ms;
+  item->digest = UINT64_C (0xfedcba9876543210);
+  item->answer = answer;
+}
+
+dks_submission_t *
+make_submission (uint32_t tasks)
+{
+  dks_submission_t *submission = dks_submission_create (tasks);
+
+  set_text (submission->key, sizeof (submission->key), key);
+  set_text (submission->service, sizeof (submission->service), "lexicon");
+  set_text (submission->team, sizeof (submission->team), "team-a");
+  submission->issued_ms = issued_ms;
+  submission->deadline_ms = issued_ms + 5000;
+  submission->single = tasks == 1;
+  submission->repeatable = true;
+  submission->respond_async = true;
+  for (uint32_t i = 0; i < tasks; i++)
+    {
+      submission->tasks[i].payload = dks_blob_create ("pay\0load", i % 9);
+      submission->tasks[i].run_ms = 50 + i;
+      submission->tasks[i].cpus = 2;
+      submission->tasks[i].memory_mb = UINT32_MAX;
+      submission->tasks[i].accelerators = 1;
+    }
+  dks_submission_set_digest (submission);
+  return submission;
+}
+
+// A message of `type` with every field set.
+dks_msg_t *
+make_msg (dks_msg_type_t type)
+{
+  dks_msg_t *msg = dks_msg_create (type);
+
+  switch (type)
+    {
+    case DKS_MSG_HEARTBEAT:
+      msg->u.heartbeat = { issued_ms, 5, INT64_MAX, 7, 8, true };
+      break;
+    case DKS_MSG_FORWARD:
+      msg->u.forward.request = UINT64_MAX;
+      msg->u.forward.submission = make_submission (3);
+      break;
+    case DKS_MSG_ASK:
+      msg->u.ask.request = 5;
+      set_text (msg->u.ask.key, sizeof (msg->u.ask.key), key);
+      msg->u.ask.cancel = true;
+      break;
+    case DKS_MSG_ANSWER:
+      msg->u.answer.request = 6;
+      msg->u.answer.answer = make_answer (DKS_OUTCOME_FAILED, 3);
+      break;
+    case DKS_MSG_CLAIM:
+      msg->u.claim.shard = 15;
+      msg->u.claim.epoch = 3;
+      msg->u.claim.id = 4;
+      fill_item (&msg->u.claim.item, nullptr);
+      break;
+    case DKS_MSG_CONFIRM:
+      msg->u.confirm = { 1, 2, 3 };
+      break;
+    case DKS_MSG_CLAIM_ACK:
+      msg->u.claim_ack = { 1, 2, 3, true };
+      break;
+    case DKS_MSG_RESULT:
+      msg->u.result.shard = 2;
+      fill_item (&msg->u.result.item, make_answer (DKS_OUTCOME_COMPLETE, 1));
+      break;
+    case DKS_MSG_SNAPSHOT:
+      msg->u.snapshot = { 4, 5, 6, 7, true, true, 3, nullptr };
+      msg->u.snapshot.items =
+          static_cast<dks_claim_item_t *> (calloc (3, sizeof (dks_claim_item_t)));
+      fill_item (&msg->u.snapshot.items[0], make_answer (DKS_OUTCOME_COMPLETE, 1));
+      fill_item (&msg->u.snapshot.items[1], nullptr);
+      fill_item (&msg->u.snapshot.items[2], make_answer (DKS_OUTCOME_CANCELLED, 0));
+      break;
+    case DKS_MSG_SNAPSHOT_ACK:
+      msg->u.snapshot_ack = { 4, 5 };
+      break;
+    case DKS_MSG_DEMAND:
+      msg->u.demand = { 4, INT64_MAX };
+      break;
+    case DKS_MSG_GRANT:
+    case DKS_MSG_GRANT_RETURN:
+      msg->u.grant.count = 9;
+      break;
+    case DKS_MSG_RUN:
+      msg->u.run.attempt = 11;
+      set_text (msg->u.run.key, sizeof (msg->u.run.key), key);
+      set_text (msg->u.run.service, sizeof (msg->u.run.service), "lexicon");
+      msg->u.run.index = DKS_TASKS_MAX - 1;
+      msg->u.run.number = 2;
+      msg->u.run.deadline_ms = issued_ms;
+      msg->u.run.spec = { dks_blob_create_text ("payload"), 1, 2, 3, 4 };
+      break;
+    case DKS_MSG_RUN_DONE:
+      msg->u.run_done.attempt = 11;
+      msg->u.run_done.status = DKS_ATTEMPT_LOST;
+      msg->u.run_done.body = dks_blob_create_text ("result");
+      break;
+    case DKS_MSG_RUN_ABORT:
+      msg->u.run_done.attempt = 12;
+      break;
+    case DKS_MSG_RECORD:
+      set_text (msg->u.record.key, sizeof (msg->u.record.key), "view/dc1");
+      msg->u.record.version = 99;
+      msg->u.record.value = dks_blob_create_text ("{}");
+      break;
+    default:
+      break;
+    }
+  return msg;
+}
+
+std::string
+text_of (const dks_blob_t *blob)
+{
+  return blob != nullptr ? std::string (reinterpret_cast<const char *> (blob->data), blob->len)
+                         : "(none)";
+}
+
+std::string
+text_of (const dks_task_spec_t &spec)
+{
+  return text_of (spec.payload) + "," + std::to_string (spec.run_ms) + ","
+         + std::to_string (spec.cpus) + "," + std::to_string (spec.memory_mb) + ","
+         + std::to_string (spec.accelerators) + ";";
+}
+
+std::string
+text_of (const dks_answer_t *answer)
+{
+  std::string text;
+
+  if (answer == nullptr)
+    return "(none)";
+  text = std::string (answer->key) + "," + std::to_string (answer->outcome) + ","
+         + std::to_string (answer->problem) + "," + std::to_string (answer->retry_after_ms) + ","
+         + answer->detail;
+  for (uint32_t i = 0; i < answer->task_count; i++)
+    text += "," + std::to_string (answer->tasks[i].ok) + std::to_string (answer->tasks[i].problem)
+            + text_of (answer->tasks[i].body);
+  return text;
+}
+
+std::string
+text_of (const dks_claim_item_t &item)
+{
+  return std::string (item.key) + "," + std::to_string (item.issued_ms) + ","
+         + std::to_string (item.digest) + "," + item.runner + "," + text_of (item.answer) + ";";
+}
+
+// All fields of a message as text.
+std::string
+text_of (const dks_msg_t *msg)
+{
+  std::string text = dks_msg_name (msg->type);
+  auto add = [&text] (auto value) { text += "," + std::to_string (value); };
+
+  switch (msg->type)
+    {
+    case DKS_MSG_FORWARD:
+      {
+        const dks_submission_t *s = msg->u.forward.submission;
+        add (msg->u.forward.request);
+        text += std::string (s->key) + "," + s->service + "," + s->team;
+        add (s->issued_ms);
+        add (s->deadline_ms);
+        add (s->single);
+        add (s->repeatable);
+        add (s->respond_async);
+        add (s->digest);
+        for (uint32_t i = 0; i < s->task_count; i++)
+          text += text_of (s->tasks[i]);
+        break;
+      }
+    case DKS_MSG_ANSWER:
+      add (msg->u.answer.request);
+      text += text_of (msg->u.answer.answer);
+      break;
+    case DKS_MSG_CLAIM:
+      add (msg->u.claim.shard);
+      add (msg->u.claim.epoch);
+      add (msg->u.claim.id);
+      text += text_of (msg->u.claim.item);
+      break;
+    case DKS_MSG_RESULT:
+      add (msg->u.result.shard);
+      text += text_of (msg->u.result.item);
+      break;
+    case DKS_MSG_SNAPSHOT:
+      add (msg->u.snapshot.shard);
+      add (msg->u.snapshot.epoch);
+      add (msg->u.snapshot.id);
+      add (msg->u.snapshot.floor_ms);
+      add (msg->u.snapshot.first);
+      add (msg->u.snapshot.last);
+      for (uint32_t i = 0; i < msg->u.snapshot.count; i++)
+        text += text_of (msg->u.snapshot.items[i]);
+      break;
+    case DKS_MSG_RUN:
+      add (msg->u.run.attempt);
+      text += std::string (msg->u.run.key) + "," + msg->u.run.service;
+      add (msg->u.run.index);
+      add (msg->u.run.number);
+      add (msg->u.run.deadline_ms);
+      text += text_of (msg->u.run.spec);
+      break;
+    case DKS_MSG_RUN_DONE:
+    case DKS_MSG_RUN_ABORT:
+      add (msg->u.run_done.attempt);
+      add (msg->u.run_done.status);
+      text += text_of (msg->u.run_done.body);
+      break;
+    case DKS_MSG_RECORD:
+      text += msg->u.record.key;
+      add (msg->u.record.version);
+      text += text_of (msg->u.record.value);
+      break;
+    case DKS_MSG_HEARTBEAT:
+      add (msg->u.heartbeat.wall_ms);
+      add (msg->u.heartbeat.settings_version);
+      add (msg->u.heartbeat.view_version);
+      add (msg->u.heartbeat.free_slots);
+      add (msg->u.heartbeat.queued_tasks);
+      add (msg->u.heartbeat.draining);
+      break;
+    case DKS_MSG_ASK:
+      add (msg->u.ask.request);
+      text += msg->u.ask.key;
+      add (msg->u.ask.cancel);
+      break;
+    case DKS_MSG_CONFIRM:
+      add (msg->u.confirm.shard);
+      add (msg->u.confirm.epoch);
+      add (msg->u.confirm.id);
+      break;
+    case DKS_MSG_CLAIM_ACK:
+      add (msg->u.claim_ack.shard);
+      add (msg->u.claim_ack.epoch);
+      add (msg->u.claim_ack.id);
+      add (msg->u.claim_ack.ok);
+      break;
+    case DKS_MSG_SNAPSHOT_ACK:
+      add (msg->u.snapshot_ack.shard);
+      add (msg->u.snapshot_ack.id);
+      break;
+    case DKS_MSG_DEMAND:
+      add (msg->u.demand.want);
+      add (msg->u.demand.oldest_ms);
+      break;
+    case DKS_MSG_GRANT:
+    case DKS_MSG_GRANT_RETURN:
+      add (msg->u.grant.count);
+      break;
+    case DKS_MSG_RECORD_ASK:
+    case DKS_MSG_TYPE_COUNT:
+      break;
+    }
+  return text;
+}
+
+std::vector<uint8_t>
+encode (const dks_msg_t *msg)
+{
+  uint8_t *frame;
+  size_t len;
+
+  dks_codec_encode (msg, &frame, &len);
+  std::vector<uint8_t> bytes (frame, frame + len);
+  free (frame);
+  return bytes;
+}
+
+// Encodes and decodes; returns the result of the decoder and drops `msg`.
+int
+pass (dks_msg_t *msg, std::string *text = nullptr)
+{
+  std::vector<uint8_t> frame = encode (msg);
+  dks_msg_t *copy = nullptr;
+  int error = dks_codec_decode (frame.data () + 4, frame.size () - 4, &copy);
+
+  if (text != nullptr && error == DKS_OK)
+    *text = text_of (copy);
+  EXPECT_EQ (copy != nullptr, error == DKS_OK);
+  dks_msg_unref (copy);
+  dks_msg_unref (msg);
+  return error;
+}
+
+TEST (Codec, RoundTripOfEveryType)
+{
+  for (int type = 1; type < DKS_MSG_TYPE_COUNT; type++)
+    {
+      dks_msg_t *msg = make_msg (static_cast<dks_msg_type_t> (type));
+      std::vector<uint8_t> frame = encode (msg);
+      std::string expected = text_of (msg);
+      std::string text;
+      size_t len = static_cast<size_t> (frame[0]) << 24 | static_cast<size_t> (frame[1]) << 16
+                   | static_cast<size_t> (frame[2]) << 8 | frame[3];
+
+      EXPECT_EQ (len, frame.size () - 4);
+      ASSERT_EQ (pass (msg, &text), DKS_OK) << dks_msg_name (static_cast<dks_msg_type_t> (type));
+      EXPECT_EQ (text, expected);
+    }
+}
+
+// An empty payload must stay distinct from a missing one, or a target would get no body.
+TEST (Codec, EmptyPayloadsAndResultsStay)
+{
+  dks_msg_t *msg = make_msg (DKS_MSG_RUN);
+  std::string expected;
+  std::string text;
+
+  dks_blob_unref (msg->u.run.spec.payload);
+  msg->u.run.spec.payload = dks_blob_create (nullptr, 0);
+  expected = text_of (msg);
+  ASSERT_EQ (pass (msg, &text), DKS_OK);
+  EXPECT_EQ (text, expected);
+  msg = dks_msg_create (DKS_MSG_RUN_DONE);
+  msg->u.run_done.status = DKS_ATTEMPT_OK;
+  msg->u.run_done.body = dks_blob_create (nullptr, 0);
+  expected = text_of (msg);
+  ASSERT_EQ (pass (msg, &text), DKS_OK);
+  EXPECT_EQ (text, expected);
+}
+
+TEST (Codec, LargestJobAndSnapshotPass)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_FORWARD);
+
+  msg->u.forward.submission = make_submission (DKS_TASKS_MAX);
+  EXPECT_EQ (pass (msg), DKS_OK);
+  // Tasks without any content take the most memory for their size in the frame.
+  msg = dks_msg_create (DKS_MSG_FORWARD);
+  msg->u.forward.submission = make_submission (DKS_TASKS_MAX);
+  for (uint32_t i = 0; i < DKS_TASKS_MAX; i++)
+    {
+      dks_blob_unref (msg->u.forward.submission->tasks[i].payload);
+      msg->u.forward.submission->tasks[i] = {};
+    }
+  EXPECT_EQ (pass (msg), DKS_OK);
+  msg = dks_msg_create (DKS_MSG_SNAPSHOT);
+  msg->u.snapshot.count = 256;
+  msg->u.snapshot.items = static_cast<dks_claim_item_t *> (calloc (256, sizeof (dks_claim_item_t)));
+  for (uint32_t i = 0; i < 256; i++)
+    {
+      dks_answer_t *answer = dks_answer_create (key, DKS_OUTCOME_COMPLETE, DKS_PROBLEM_NONE, 480);
+      for (uint32_t t = 0; t < 480; t++)
+        answer->tasks[t].ok = true;
+      fill_item (&msg->u.snapshot.items[i], answer);
+    }
+  EXPECT_EQ (pass (msg), DKS_OK);
+}
+
+// Each case changes one field of a valid message to a value that the reducer must never see.
+TEST (Codec, RejectsValuesOutOfBounds)
+{
+  auto msg_with = [] (dks_msg_type_t type, auto change) {
+    dks_msg_t *msg = make_msg (type);
+    change (msg);
+    return msg;
+  };
+  auto check = [&] (dks_msg_type_t type, int error, auto change) {
+    EXPECT_EQ (pass (msg_with (type, change)), error) << dks_msg_name (type);
+  };
+
+  check (DKS_MSG_CLAIM, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.claim.shard = DKS_SHARDS; });
+  check (DKS_MSG_CONFIRM, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.confirm.shard = DKS_SHARDS; });
+  check (DKS_MSG_CLAIM_ACK, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.claim_ack.shard = UINT32_MAX; });
+  check (DKS_MSG_RESULT, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.result.shard = DKS_SHARDS; });
+  check (DKS_MSG_SNAPSHOT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.snapshot.shard = DKS_SHARDS; });
+  check (DKS_MSG_SNAPSHOT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.snapshot.floor_ms = INT64_MAX; });
+  check (DKS_MSG_SNAPSHOT_ACK, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.snapshot_ack.shard = DKS_SHARDS; });
+  check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.heartbeat.wall_ms = INT64_MIN; });
+  check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.heartbeat.view_version = -1; });
+  check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.heartbeat.settings_version = -1; });
+  check (DKS_MSG_ASK, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.ask.key[0] = '\0'; });
+  check (DKS_MSG_ASK, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.ask.key[5] = '\n'; });
+  check (DKS_MSG_FORWARD, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.forward.submission->issued_ms++; });
+  check (DKS_MSG_FORWARD, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.forward.submission->deadline_ms = INT64_MAX; });
+  check (DKS_MSG_FORWARD, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.forward.submission->team[0] = '\r'; });
+  check (DKS_MSG_FORWARD, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.forward.submission->single = true; });
+  check (DKS_MSG_FORWARD, DKS_ERR_TOO_LARGE, [] (dks_msg_t *m) {
+    std::string large (DKS_PAYLOAD_MAX + 1, 'x');
+    dks_blob_unref (m->u.forward.submission->tasks[2].payload);
+    m->u.forward.submission->tasks[2].payload = dks_blob_create_text (large.c_str ());
+  });
+  check (DKS_MSG_FORWARD, DKS_ERR_INVALID, [] (dks_msg_t *m) {
+    dks_submission_unref (m->u.forward.submission);
+    m->u.forward.submission = make_submission (0);
+  });
+  check (DKS_MSG_FORWARD, DKS_ERR_TOO_LARGE, [] (dks_msg_t *m) {
+    dks_submission_unref (m->u.forward.submission);
+    m->u.forward.submission = make_submission (DKS_TASKS_MAX + 1);
+  });
+  check (DKS_MSG_FORWARD, DKS_ERR_TOO_LARGE, [] (dks_msg_t *m) {
+    std::string large (DKS_PAYLOAD_MAX, 'x');
+    dks_submission_unref (m->u.forward.submission);
+    m->u.forward.submission = make_submission (9);
+    for (int i = 0; i < 9; i++)
+      {
+        dks_blob_unref (m->u.forward.submission->tasks[i].payload);
+        m->u.forward.submission->tasks[i].payload = dks_blob_create_text (large.c_str ());
+      }
+  });
+  check (DKS_MSG_ANSWER, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.answer.answer->outcome = static_cast<dks_outcome_t> (0); });
+  check (DKS_MSG_ANSWER, DKS_ERR_INVALID, [] (dks_msg_t *m) {
+    m->u.answer.answer->outcome = static_cast<dks_outcome_t> (DKS_OUTCOME_ACCEPTED + 1);
+  });
+  check (DKS_MSG_ANSWER, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.answer.answer->problem = DKS_PROBLEM_COUNT; });
+  check (DKS_MSG_ANSWER, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.answer.answer->tasks[0].problem = DKS_PROBLEM_COUNT; });
+  check (DKS_MSG_ANSWER, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.answer.answer->outcome = DKS_OUTCOME_REFUSED; });
+  check (DKS_MSG_ANSWER, DKS_ERR_TOO_LARGE, [] (dks_msg_t *m) {
+    dks_answer_unref (m->u.answer.answer);
+    m->u.answer.answer = make_answer (DKS_OUTCOME_COMPLETE, DKS_TASKS_MAX + 1);
+  });
+  check (DKS_MSG_RESULT, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.result.item.answer->key[25] = '8'; });
+  check (DKS_MSG_CLAIM, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.claim.item.runner[0] = 1; });
+  check (DKS_MSG_RUN, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.run.index = DKS_TASKS_MAX; });
+  check (DKS_MSG_RUN, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.run.number = 0; });
+  check (DKS_MSG_RUN, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.run.deadline_ms = INT64_MIN; });
+  check (DKS_MSG_RUN_DONE, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.run_done.status = static_cast<dks_attempt_status_t> (0); });
+  check (DKS_MSG_RUN_DONE, DKS_ERR_INVALID, [] (dks_msg_t *m) {
+    m->u.run_done.status = static_cast<dks_attempt_status_t> (DKS_ATTEMPT_LOST + 1);
+  });
+  check (DKS_MSG_RUN_DONE, DKS_ERR_TOO_LARGE, [] (dks_msg_t *m) {
+    std::string large (DKS_PAYLOAD_MAX + 1, 'x');
+    dks_blob_unref (m->u.run_done.body);
+    m->u.run_done.body = dks_blob_create_text (large.c_str ());
+  });
+  check (DKS_MSG_RECORD, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.record.version = -1; });
+  check (DKS_MSG_RECORD, DKS_ERR_INVALID, [] (dks_msg_t *m) { m->u.record.key[0] = '\0'; });
+}
+
+// Strings that do not fit the arrays of the message cannot be made with the encoder.
+TEST (Codec, RejectsLongStringsAndMissingParts)
+{
+  std::string name (DKS_NAME_SIZE, 'n');
+  std::string long_key = "1764800000123-" + std::string (DKS_KEY_SIZE, 'k');
+  dks_msg_t *msg;
+  auto frame = [] (int field, const std::string &body) {
+    EXPECT_LT (body.size (), 16384U);
+    std::string text (1, static_cast<char> (field << 3 | 2));
+    text += static_cast<char> ((body.size () & 0x7f) | 0x80);
+    if (field > 15)
+      text = std::string ({ static_cast<char> ((field & 15) << 3 | 2 | 0x80),
+                            static_cast<char> (field >> 4),
+                            static_cast<char> ((body.size () & 0x7f) | 0x80) });
+    text += static_cast<char> (body.size () >> 7);
+    return text + body;
+  };
+  auto decode = [&] (const std::string &text) {
+    int error =
+        dks_codec_decode (reinterpret_cast<const uint8_t *> (text.data ()), text.size (), &msg);
+    EXPECT_EQ (msg, nullptr);
+    return error;
+  };
+
+  EXPECT_EQ (decode (frame (4, frame (2, long_key))), DKS_ERR_TOO_LARGE); // ask
+  EXPECT_EQ (decode (frame (18, frame (1, std::string (DKS_NAME_SIZE + 8, 'n')))),
+             DKS_ERR_TOO_LARGE);                         // record
+  EXPECT_EQ (decode (frame (3, "")), DKS_ERR_INVALID);   // forward without submission
+  EXPECT_EQ (decode (frame (5, "")), DKS_ERR_INVALID);   // answer without answer
+  EXPECT_EQ (decode (frame (6, "")), DKS_ERR_INVALID);   // claim without item
+  EXPECT_EQ (decode (frame (9, "")), DKS_ERR_INVALID);   // result without item
+  EXPECT_EQ (decode (frame (15, "")), DKS_ERR_INVALID);  // run without spec
+  EXPECT_EQ (decode (frame (100, "")), DKS_ERR_INVALID); // unknown message
+  EXPECT_EQ (decode (""), DKS_ERR_INVALID);
+
+  uint8_t *hello;
+  size_t len;
+  char member[DKS_NAME_SIZE];
+  char data_centre[DKS_NAME_SIZE];
+  dks_codec_encode_hello (name.c_str (), "dc1", &hello, &len);
+  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_ERR_INVALID);
+  free (hello);
+  dks_codec_encode_hello ("", "dc1", &hello, &len);
+  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_ERR_INVALID);
+  free (hello);
+}
+
+TEST (Codec, HelloRoundTripAndNoConfusionWithMessages)
+{
+  uint8_t *hello;
+  size_t len;
+  char member[DKS_NAME_SIZE];
+  char data_centre[DKS_NAME_SIZE];
+  dks_msg_t *msg;
+
+  dks_codec_encode_hello ("entry-1#17", "dc1", &hello, &len);
+  ASSERT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_OK);
+  EXPECT_STREQ (member, "entry-1#17");
+  EXPECT_STREQ (data_centre, "dc1");
+  EXPECT_EQ (dks_codec_decode (hello + 4, len - 4, &msg), DKS_ERR_INVALID);
+  free (hello);
+  msg = make_msg (DKS_MSG_RECORD_ASK);
+  std::vector<uint8_t> frame = encode (msg);
+  dks_msg_unref (msg);
+  EXPECT_EQ (dks_codec_decode_hello (frame.data () + 4, frame.size () - 4, member, data_centre),
+             DKS_ERR_INVALID);
+}
+
+// Guards against a small frame that unpacks to a large multiple of its size.
+TEST (Codec, BoundsMemoryOfNestedEmptyMessages)
+{
+  size_t items = 7 << 20;
+  std::string body;
+  std::string text;
+  dks_msg_t *msg;
+
+  for (size_t i = 0; i < items; i++)
+    body.append ("\x3a\x00", 2); // Snapshot.items
+  text += static_cast<char> (10 << 3 | 2);
+  for (size_t len = body.size (); len > 0; len >>= 7)
+    text += static_cast<char> ((len & 0x7f) | (len > 0x7f ? 0x80 : 0));
+  text += body;
+  EXPECT_EQ (
+      dks_codec_decode (reinterpret_cast<const uint8_t *> (text.data ()), text.size (), &msg),
+      DKS_ERR_INVALID);
+}
+
+// Damaged frames must be rejected or decode to a message that encodes again; the sanitizers check
+// the rest.
+TEST (Codec, SurvivesMutationsOfEveryType)
+{
+  const int mutations = 3000;
+
+  for (int type = 1; type <= DKS_MSG_TYPE_COUNT; type++)
+    {
+      std::mt19937 random (static_cast<unsigned> (type));
+      std::vector<uint8_t> valid;
+      int accepted = 0;
+
+      if (type < DKS_MSG_TYPE_COUNT)
+        {
+          dks_msg_t *msg = make_msg (static_cast<dks_msg_type_t> (type));
+          valid = encode (msg);
+          dks_msg_unref (msg);
+        }
+      else
+        {
+          uint8_t *hello;
+          size_t len;
+          dks_codec_encode_hello ("entry-1#17", "dc1", &hello, &len);
+          valid.assign (hello, hello + len);
+          free (hello);
+        }
+      valid.erase (valid.begin (), valid.begin () + 4);
+      for (int i = 0; i < mutations; i++)
+        {
+          std::vector<uint8_t> data = valid;
+          char member[DKS_NAME_SIZE];
+          char data_centre[DKS_NAME_SIZE];
+          dks_msg_t *msg = nullptr;
+
+          for (unsigned n = 1 + random () % 4; n > 0 && !data.empty (); n--)
+            {
+              size_t at = random () % data.size ();
+              switch (random () % 5)
+                {
+                case 0:
+                  data[at] ^= static_cast<uint8_t> (1U << random () % 8);
+                  break;
+                case 1:
+                  data[at] = static_cast<uint8_t> (random ());
+                  break;
+                case 2:
+                  data.resize (at);
+                  break;
+                case 3:
+                  data.insert (data.begin () + static_cast<long> (at),
+                               static_cast<uint8_t> (random ()));
+                  break;
+                default:
+                  // Repeats a part, so that fields and whole sub-messages occur twice.
+                  {
+                    std::vector<uint8_t> part (data.begin () + static_cast<long> (at), data.end ());
+                    data.insert (data.end (), part.begin (), part.end ());
+                  }
+                  break;
+                }
+            }
+          // A copy of exact size lets the sanitizer see a read past the end.
+          std::unique_ptr<uint8_t[]> exact (new uint8_t[data.size () + 1]);
+          uint8_t *start = exact.get () + 1;
+          std::copy (data.begin (), data.end (), start);
+          if (dks_codec_decode (start, data.size (), &msg) == DKS_OK)
+            {
+              accepted++;
+              encode (msg);
+              text_of (msg);
+              dks_msg_unref (msg);
+            }
+          else
+            ASSERT_EQ (msg, nullptr);
+          dks_codec_decode_hello (start, data.size (), member, data_centre);
+        }
+      RecordProperty ("accepted_" + std::to_string (type), accepted);
+    }
+}
+
+} // namespace
