core: keep the claim of a key whose answer is too large to keep

Cause: an answer above the table's byte bound would have dropped all older claims of the shard and raised the floor over their keys. Ruled out: no bound (8 MB bodies in 16 shards exceed the 32 MB of a node). Change: answers above 128 KB are recorded without results; 512 KB of results per shard. Before: a 1 MB answer dropped every other claim (test failed). After: the claim stays, the answer is unknown with the reason.

--- a/core/claim.c
+++ b/core/claim.c
@@ -109,6 +109,20 @@
   APR_RING_REMOVE (claim, open_link);
 }
 
+/* A large answer would displace those of many other keys; the claim itself must stay. */
+static dks_answer_t *
+answer_to_keep (dks_answer_t *answer)
+{
+  dks_answer_t *small;
+
+  if (answer_bytes (answer) <= DKS_CLAIM_ANSWER_MAX)
+    return dks_answer_ref (answer);
+  small = dks_answer_create (answer->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_KEY_EXPIRED, 0);
+  dks_strcpy (small->detail, sizeof (small->detail),
+              "the work has ended, but its results are too large to be kept");
+  return small;
+}
+
 void
 dks_claims_finish (dks_claims_t *claims, dks_claim_t *claim, dks_answer_t *answer)
 {
@@ -116,9 +130,9 @@
     return;
   if (claim->answer == NULL)
     claim_close (claims, claim);
+  answer = answer_to_keep (answer);
   claims->answer_bytes += answer_bytes (answer);
   claims->answer_bytes -= answer_bytes (claim->answer);
-  dks_answer_ref (answer);
   dks_answer_unref (claim->answer);
   claim->answer = answer;
   claims_trim (claims);
--- a/include/core/claim.h
+++ b/include/core/claim.h
@@ -41,7 +41,8 @@
 
 enum
 {
-  DKS_CLAIM_ANSWER_BYTES_MAX = 4 << 20 /**< results kept per shard */
+  DKS_CLAIM_ANSWER_BYTES_MAX = 512 << 10, /**< results kept per shard; 8 MB in all 16 shards */
+  DKS_CLAIM_ANSWER_MAX = 128 << 10        /**< results kept of one key */
 };
 
 dks_claims_t *dks_claims_create (uint32_t max);
@@ -52,8 +53,8 @@
 /** Adds the claim of `item`, or fills in the answer if the table has none yet. Finished claims that
  * exceed a bound are dropped, and the floor rises above them. */
 void dks_claims_put (dks_claims_t *claims, const dks_claim_item_t *item);
-/** Records the final answer. A real answer replaces an UNKNOWN one, never the reverse. `claim` may
- * be dropped by this call. */
+/** Records the final answer, without its results if they are larger than DKS_CLAIM_ANSWER_MAX. A
+ * real answer replaces an UNKNOWN one, never the reverse. `claim` may be dropped by this call. */
 void dks_claims_finish (dks_claims_t *claims, dks_claim_t *claim, dks_answer_t *answer);
 /** Removes a claim whose work certainly was not started. */
 void dks_claims_remove (dks_claims_t *claims, dks_claim_t *claim);
