core: keep the kind of a store operation that is started by its predecessor's reply

Cause: the reply to a read of the view could start a compare-and-swap, whose kind was then overwritten; its reply was taken for a read without a value and crashed the process. Ruled out: a wrong reply of the store (the operation id matched). Change: the kind is only set when an operation starts; the view is published by argument.

--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -148,7 +148,7 @@
 }
 
 static void
-apply_own_view (dks_reducer_t *r, const dks_view_t *view)
+apply_own_view (dks_reducer_t *r, const dks_view_t *view, bool is_from_us)
 {
   dks_view_t old = r->views[r->own];
   dks_peer_t *peer;
@@ -158,7 +158,7 @@
   clear_proposals (r);
   log_takeovers (r, &old, view);
   /* Peers learn the view from us before they get a message that depends on it. */
-  if (view->version > 0 && r->view_op_is_cas)
+  if (is_from_us)
     {
       APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
         {
@@ -209,7 +209,7 @@
         }
       if ((int)i == r->own)
         {
-          apply_own_view (r, &view);
+          apply_own_view (r, &view, false);
           dks_view_review (r);
         }
       else
@@ -253,10 +253,11 @@
     }
   if (was_cas)
     {
-      r->view_proposed.version = version;
-      r->view_op_is_cas = true;
+      dks_view_t written = r->view_proposed;
+
+      written.version = version;
       if (version > dks_own_view (r)->version)
-        apply_own_view (r, &r->view_proposed);
+        apply_own_view (r, &written, true);
     }
   else
     {
@@ -264,7 +265,6 @@
       if (status == DKS_STORE_OK)
         dks_view_handle_record (r, r->config.data_centre, version, value);
     }
-  r->view_op_is_cas = false;
   dks_view_review (r);
 }
 
