net: connections between instances

Cause: instances need one ordered connection per pair that survives restarts, strangers and simultaneous connects. Ruled out: closing the loser of two connections by member id alone, because the side that has just accepted cannot tell a late connect from a lost connection, and a working connection would be replaced. Change: the opener sends hello, the accepting side answers. It refuses with 'duplicate' while its own outgoing connection to that member is up. Only when both sides have accepted each other does the smaller member id decide. A new connection by the same opener replaces the old one. Up and down always pair. TCP_USER_TIMEOUT of 5 s ends a connection that broke in a partition. Conclusion: giving up an address after 60 s has no test, since the loop runs on the real clock.

--- a/net/codec.c
+++ b/net/codec.c
@@ -816,7 +816,8 @@
 }
 
 void
-dks_codec_encode_hello (const char *member, const char *data_centre, uint8_t **frame, size_t *len)
+dks_codec_encode_hello (const char *member, const char *data_centre, bool duplicate,
+                        uint8_t **frame, size_t *len)
 {
   Dks__PeerMessage wire = DKS__PEER_MESSAGE__INIT;
   Dks__Hello body = DKS__HELLO__INIT;
@@ -824,6 +825,7 @@
   body.member = (char *)member;
   body.data_centre = (char *)data_centre;
   body.protocol = PROTOCOL;
+  body.duplicate = duplicate;
   wire.body_case = DKS__PEER_MESSAGE__BODY_HELLO;
   wire.hello = &body;
   pack (&wire, frame, len);
@@ -831,7 +833,7 @@
 
 int
 dks_codec_decode_hello (const uint8_t *data, size_t len, char member[DKS_NAME_SIZE],
-                        char data_centre[DKS_NAME_SIZE])
+                        char data_centre[DKS_NAME_SIZE], bool *duplicate)
 {
   Dks__PeerMessage *wire = unpack (data, len);
   int error = DKS_ERR_INVALID;
@@ -843,6 +845,8 @@
       && copy_text (member, DKS_NAME_SIZE, wire->hello->member) == DKS_OK
       && copy_text (data_centre, DKS_NAME_SIZE, wire->hello->data_centre) == DKS_OK)
     error = DKS_OK;
+  if (error == DKS_OK)
+    *duplicate = wire->hello->duplicate;
   release (wire);
   return error;
 }
--- /dev/null
+++ b/net/peer.c
@@ -0,0 +1,864 @@
+#include "net/peer.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "net/codec.h"
+
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <apr_ring.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  LENGTH_SIZE = 4,
+  HELLO_MAX = 512, /* bytes of a hello frame; a larger first frame is no hello */
+  HELLO_TIMEOUT_US = 5000000,
+  BACKOFF_MIN_US = 100000,
+  BACKOFF_MAX_US = 2000000,
+  STABLE_US = 2000000, /* a connection that lasted this long resets the backoff */
+  GIVE_UP_US = 60000000,
+  ACCEPT_PAUSE_US = 100000, /* after an error of accept(), e.g. no free descriptor */
+  STRANGERS_MAX = 256,      /* accepted connections without a hello */
+  READ_CHUNK = 32 << 10,
+  READ_MAX = 1 << 20, /* read from one connection in one turn */
+  BUFFER_KEEP = 64 << 10,
+  BACKLOG = 64,
+  BUCKETS = 64,
+  /* Without it, a connection that broke during a partition is noticed only at the next
+   * retransmission, up to 2 min after the partition ended. */
+  UNACKED_TIMEOUT_MS = 5000
+};
+
+typedef struct link_t link_t;
+typedef struct dial_t dial_t;
+
+typedef struct
+{
+  uint8_t *data;
+  size_t start;
+  size_t end;
+  size_t capacity;
+} buffer_t;
+
+/* A connection. */
+struct link_t
+{
+  APR_RING_ENTRY (link_t) all_link;
+  APR_RING_ENTRY (link_t) dirty_link; /* valid while `dirty` */
+  link_t *next;                       /* in the bucket of `member`, while `up` */
+  dks_peers_t *peers;
+  apr_pool_t *pool;
+  apr_socket_t *socket;
+  int fd;
+  dial_t *dial; /* NULL when accepted */
+  bool outgoing;
+  bool connecting;
+  bool up;
+  bool dirty;
+  bool writing; /* waits until the descriptor is writable */
+  const char *close_reason;
+  int64_t up_us;
+  dks_timer_t timer; /* hello timeout, later the deferred close */
+  buffer_t in;
+  buffer_t out;
+  char member[DKS_NAME_SIZE];
+  char data_centre[DKS_NAME_SIZE];
+  char address[DKS_ADDRESS_SIZE]; /* of the other side, for logs */
+};
+
+/* An address to which a connection is kept. */
+struct dial_t
+{
+  APR_RING_ENTRY (dial_t) link;
+  dks_peers_t *peers;
+  link_t *connection;
+  dks_timer_t timer;
+  int64_t backoff_us;
+  int64_t failing_us;         /* start of the series of failures, or 0 */
+  bool self;                  /* our own address */
+  char member[DKS_NAME_SIZE]; /* who answered last, or empty */
+  char address[DKS_ADDRESS_SIZE];
+};
+
+struct dks_peers_t
+{
+  dks_loop_t *loop;
+  dks_peer_callbacks_t callbacks;
+  char member[DKS_NAME_SIZE];
+  char data_centre[DKS_NAME_SIZE];
+  apr_pool_t *pool;
+  apr_socket_t *listener;
+  int listener_fd;
+  dks_timer_t accept_timer;
+  int strangers;
+  APR_RING_HEAD (link_ring_t, link_t) links;
+  APR_RING_HEAD (dirty_ring_t, link_t) dirty;
+  APR_RING_HEAD (dial_ring_t, dial_t) dials;
+  link_t *members[BUCKETS];
+};
+
+static void handle_link (void *context, int fd, int events);
+static void dial_wake (dial_t *dial);
+
+/* Buffers */
+
+static size_t
+buffer_len (const buffer_t *buffer)
+{
+  return buffer->end - buffer->start;
+}
+
+/* Returns space for `size` bytes at the end. */
+static uint8_t *
+buffer_reserve (buffer_t *buffer, size_t size)
+{
+  /* Moving less than half of the space at a time keeps the cost of a byte constant. */
+  if (buffer->start > buffer->capacity / 2 && buffer->end + size > buffer->capacity)
+    {
+      memmove (buffer->data, buffer->data + buffer->start, buffer_len (buffer));
+      buffer->end -= buffer->start;
+      buffer->start = 0;
+    }
+  if (buffer->end + size > buffer->capacity)
+    {
+      size_t capacity = buffer->capacity > 0 ? buffer->capacity : READ_CHUNK;
+
+      while (capacity < buffer->end + size)
+        capacity *= 2;
+      buffer->data = dks_realloc (buffer->data, capacity);
+      buffer->capacity = capacity;
+    }
+  return buffer->data + buffer->end;
+}
+
+static void
+buffer_consume (buffer_t *buffer, size_t size)
+{
+  buffer->start += size;
+  if (buffer->start < buffer->end)
+    return;
+  buffer->start = buffer->end = 0;
+  if (buffer->capacity <= BUFFER_KEEP)
+    return;
+  free (buffer->data);
+  *buffer = (buffer_t){ 0 };
+}
+
+/* Addresses */
+
+/* Only numbers are accepted: looking up a name would block the loop. */
+static int
+address_parse (const char *text, apr_pool_t *pool, apr_sockaddr_t **address)
+{
+  struct in6_addr number;
+  char *host = NULL;
+  char *scope = NULL;
+  apr_port_t port = 0;
+
+  if (apr_parse_addr_port (&host, &scope, &port, text, pool) != APR_SUCCESS || host == NULL
+      || scope != NULL)
+    return DKS_ERR_INVALID;
+  if (inet_pton (AF_INET, host, &number) != 1 && inet_pton (AF_INET6, host, &number) != 1)
+    return DKS_ERR_INVALID;
+  if (apr_sockaddr_info_get (address, host, APR_UNSPEC, port, 0, pool) != APR_SUCCESS)
+    return DKS_ERR_INVALID;
+  return DKS_OK;
+}
+
+/* Connections */
+
+static link_t **
+members_bucket (dks_peers_t *peers, const char *member)
+{
+  return &peers->members[dks_hash_text (member, 0) % BUCKETS];
+}
+
+static link_t *
+members_find (dks_peers_t *peers, const char *member)
+{
+  link_t *link = *members_bucket (peers, member);
+
+  while (link != NULL && strcmp (link->member, member) != 0)
+    link = link->next;
+  return link;
+}
+
+static void
+members_remove (link_t *link)
+{
+  link_t **at = members_bucket (link->peers, link->member);
+
+  while (*at != link)
+    at = &(*at)->next;
+  *at = link->next;
+}
+
+/* Frees the connection without a callback. */
+static void
+link_free (link_t *link)
+{
+  dks_peers_t *peers = link->peers;
+
+  dks_timer_cancel (dks_loop_timers (peers->loop), &link->timer);
+  dks_loop_watch (peers->loop, link->fd, 0, NULL, NULL);
+  APR_RING_REMOVE (link, all_link);
+  if (link->dirty)
+    APR_RING_REMOVE (link, dirty_link);
+  if (!link->outgoing && !link->up)
+    peers->strangers--;
+  if (link->up)
+    members_remove (link);
+  if (link->dial != NULL)
+    link->dial->connection = NULL;
+  apr_pool_destroy (link->pool);
+  free (link->in.data);
+  free (link->out.data);
+  free (link);
+}
+
+/* Called once for each connection that ends; the connection is gone afterwards. */
+static void
+link_close (link_t *link, const char *reason)
+{
+  dks_peers_t *peers = link->peers;
+  dial_t *own = link->dial;
+  bool was_up = link->up;
+  char member[DKS_NAME_SIZE];
+  dial_t *dial;
+
+  dks_strcpy (member, sizeof (member), link->member);
+  /* Attempts to connect fail all the time while an instance is away. */
+  dks_log (was_up || !link->outgoing ? DKS_LOG_NOTICE : DKS_LOG_DEBUG,
+           "event=peer-closed address=%s member=%s up=%d reason=\"%s\"", link->address,
+           member[0] != '\0' ? member : "-", was_up, reason);
+  if (own != NULL && was_up && dks_loop_now ().mono_us - link->up_us >= STABLE_US)
+    own->backoff_us = BACKOFF_MIN_US;
+  link_free (link);
+  if (own != NULL)
+    dial_wake (own);
+  if (!was_up)
+    return;
+  APR_RING_FOREACH (dial, &peers->dials, dial_t, link)
+    {
+      if (strcmp (dial->member, member) == 0)
+        dial_wake (dial);
+    }
+  peers->callbacks.down (peers->callbacks.context, member);
+}
+
+static void
+handle_link_timer (void *context, int64_t now_us)
+{
+  link_t *link = context;
+
+  if (link->close_reason != NULL)
+    link_close (link, link->close_reason);
+  else if (link->connecting)
+    link_close (link, "connect timed out");
+  else
+    link_close (link, "no hello in time");
+}
+
+/* Closes in the next turn, for callers that must not see a callback. */
+static void
+link_close_later (link_t *link, const char *reason)
+{
+  if (link->close_reason != NULL)
+    return;
+  link->close_reason = reason;
+  dks_timer_set (dks_loop_timers (link->peers->loop), &link->timer, dks_loop_now ().mono_us);
+}
+
+static int
+link_watch (link_t *link)
+{
+  int events = link->connecting || link->writing ? DKS_LOOP_WRITE : 0;
+
+  if (!link->connecting)
+    events |= DKS_LOOP_READ;
+  return dks_loop_watch (link->peers->loop, link->fd, events, handle_link, link);
+}
+
+/* Takes over `socket` of `pool`. Returns NULL, with the pool destroyed, if it cannot be used. */
+static link_t *
+link_create (dks_peers_t *peers, apr_pool_t *pool, apr_socket_t *socket, dial_t *dial,
+             const char *address)
+{
+  link_t *link = dks_alloc (sizeof (*link));
+  int on = 1;
+  int timeout_ms = UNACKED_TIMEOUT_MS;
+
+  link->peers = peers;
+  link->pool = pool;
+  link->socket = socket;
+  link->dial = dial;
+  link->outgoing = dial != NULL;
+  link->connecting = dial != NULL;
+  dks_strcpy (link->address, sizeof (link->address), address);
+  dks_timer_init (&link->timer, handle_link_timer, link);
+  apr_os_sock_get (&link->fd, socket);
+  apr_socket_opt_set (socket, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (socket, 0);
+  setsockopt (link->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
+  setsockopt (link->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof (on));
+  setsockopt (link->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof (timeout_ms));
+  if (link_watch (link) != DKS_OK)
+    {
+      apr_pool_destroy (pool);
+      free (link);
+      return NULL;
+    }
+  APR_RING_INSERT_TAIL (&peers->links, link, link_t, all_link);
+  if (dial != NULL)
+    dial->connection = link;
+  else
+    peers->strangers++;
+  dks_timer_set (dks_loop_timers (peers->loop), &link->timer,
+                 dks_loop_now ().mono_us + HELLO_TIMEOUT_US);
+  return link;
+}
+
+/* Writes as much as the kernel takes. Returns false on an error. */
+static bool
+link_write (link_t *link)
+{
+  while (buffer_len (&link->out) > 0)
+    {
+      ssize_t n = send (link->fd, link->out.data + link->out.start, buffer_len (&link->out),
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno != EAGAIN)
+        return false;
+      if (n < 0)
+        break;
+      buffer_consume (&link->out, (size_t)n);
+    }
+  if (link->writing != (buffer_len (&link->out) > 0))
+    {
+      link->writing = !link->writing;
+      return link_watch (link) == DKS_OK;
+    }
+  return true;
+}
+
+static bool
+link_send_hello (link_t *link, bool duplicate)
+{
+  dks_peers_t *peers = link->peers;
+  uint8_t *frame;
+  size_t len;
+
+  dks_codec_encode_hello (peers->member, peers->data_centre, duplicate, &frame, &len);
+  memcpy (buffer_reserve (&link->out, len), frame, len);
+  link->out.end += len;
+  free (frame);
+  return link_write (link);
+}
+
+static void
+link_set_up (link_t *link)
+{
+  dks_peers_t *peers = link->peers;
+  link_t **bucket = members_bucket (peers, link->member);
+
+  dks_timer_cancel (dks_loop_timers (peers->loop), &link->timer);
+  if (!link->outgoing)
+    peers->strangers--;
+  link->up = true;
+  link->up_us = dks_loop_now ().mono_us;
+  link->next = *bucket;
+  *bucket = link;
+  if (link->dial != NULL)
+    link->dial->failing_us = 0;
+  dks_log (DKS_LOG_NOTICE, "event=peer-up address=%s member=%s data_centre=%s outgoing=%d",
+           link->address, link->member, link->data_centre, link->outgoing);
+  peers->callbacks.up (peers->callbacks.context, link->member, link->data_centre);
+}
+
+/* The side that accepted a connection decides whether it is used. A second connection by the same
+ * opener means that the opener has lost the first one. */
+static bool
+accept_hello (link_t *link)
+{
+  link_t *other = members_find (link->peers, link->member);
+
+  if (other != NULL && other->outgoing)
+    {
+      link_send_hello (link, true);
+      link_close (link, "duplicate");
+      return false;
+    }
+  if (other != NULL)
+    link_close (other, "replaced by a new connection");
+  if (!link_send_hello (link, false))
+    {
+      link_close (link, "write error");
+      return false;
+    }
+  link_set_up (link);
+  return true;
+}
+
+/* An answer that accepts can meet a connection that was accepted here in the meantime: then both
+ * sides know both, and both keep the one of the smaller member. */
+static bool
+answer_hello (link_t *link, bool duplicate)
+{
+  dks_peers_t *peers = link->peers;
+  link_t *other = members_find (peers, link->member);
+
+  dks_strcpy (link->dial->member, sizeof (link->dial->member), link->member);
+  if (duplicate)
+    {
+      link_close (link, "duplicate");
+      return false;
+    }
+  if (other != NULL && !other->outgoing && strcmp (peers->member, link->member) > 0)
+    {
+      link_close (link, "duplicate");
+      return false;
+    }
+  if (other != NULL)
+    link_close (other, "replaced by a new connection");
+  link_set_up (link);
+  return true;
+}
+
+static bool
+link_hello (link_t *link, const uint8_t *data, size_t len)
+{
+  bool duplicate;
+
+  if (dks_codec_decode_hello (data, len, link->member, link->data_centre, &duplicate) != DKS_OK)
+    {
+      link->member[0] = '\0';
+      link_close (link, "bad hello");
+      return false;
+    }
+  if (strcmp (link->member, link->peers->member) == 0)
+    {
+      if (link->dial != NULL)
+        link->dial->self = true;
+      else
+        link_send_hello (link, true);
+      link_close (link, "connection to self");
+      return false;
+    }
+  return link->outgoing ? answer_hello (link, duplicate) : accept_hello (link);
+}
+
+static bool
+link_message (link_t *link, const uint8_t *data, size_t len)
+{
+  dks_peers_t *peers = link->peers;
+  dks_msg_t *msg;
+  int error = dks_codec_decode (data, len, &msg);
+
+  if (error != DKS_OK)
+    {
+      link_close (link, "bad message");
+      return false;
+    }
+  peers->callbacks.message (peers->callbacks.context, link->member, msg);
+  dks_msg_unref (msg);
+  return link->close_reason == NULL;
+}
+
+/* Handles all whole frames. Returns false if the connection is gone or is about to be closed. */
+static bool
+link_frames (link_t *link)
+{
+  while (buffer_len (&link->in) >= LENGTH_SIZE)
+    {
+      const uint8_t *data = link->in.data + link->in.start;
+      size_t len = (size_t)data[0] << 24 | (size_t)data[1] << 16 | (size_t)data[2] << 8 | data[3];
+
+      if (len > (link->up ? DKS_FRAME_MAX : HELLO_MAX))
+        {
+          link_close (link, "frame too large");
+          return false;
+        }
+      if (buffer_len (&link->in) < LENGTH_SIZE + len)
+        break;
+      if (!(link->up ? link_message (link, data + LENGTH_SIZE, len)
+                     : link_hello (link, data + LENGTH_SIZE, len)))
+        return false;
+      buffer_consume (&link->in, LENGTH_SIZE + len);
+    }
+  return true;
+}
+
+static void
+link_read (link_t *link)
+{
+  for (size_t total = 0; total < READ_MAX;)
+    {
+      uint8_t *space = buffer_reserve (&link->in, READ_CHUNK);
+      ssize_t n = recv (link->fd, space, READ_CHUNK, MSG_DONTWAIT);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno == EAGAIN)
+        return;
+      if (n <= 0)
+        {
+          link_close (link, n == 0 ? "closed by the other side" : "read error");
+          return;
+        }
+      link->in.end += (size_t)n;
+      total += (size_t)n;
+      if (!link_frames (link) || n < READ_CHUNK)
+        return;
+    }
+}
+
+static void
+link_connected (link_t *link)
+{
+  struct sockaddr_storage address;
+  socklen_t size = sizeof (address);
+  int error = 0;
+  socklen_t error_size = sizeof (error);
+
+  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &error_size);
+  if (error != 0)
+    {
+      link_close (link, strerror (error));
+      return;
+    }
+  /* An event of an earlier connection with the same descriptor can arrive here. */
+  if (getpeername (link->fd, (struct sockaddr *)&address, &size) != 0)
+    return;
+  link->connecting = false;
+  if (link_watch (link) != DKS_OK || !link_send_hello (link, false))
+    link_close (link, "write error");
+}
+
+static void
+handle_link (void *context, int fd, int events)
+{
+  link_t *link = context;
+
+  if (link->close_reason != NULL)
+    return;
+  if (link->connecting)
+    {
+      link_connected (link);
+      return;
+    }
+  if ((events & DKS_LOOP_WRITE) && !link_write (link))
+    {
+      link_close (link, "write error");
+      return;
+    }
+  if (events & (DKS_LOOP_READ | DKS_LOOP_ERROR))
+    link_read (link);
+}
+
+/* Kept addresses */
+
+static void
+dial_free (dial_t *dial)
+{
+  dks_timer_cancel (dks_loop_timers (dial->peers->loop), &dial->timer);
+  APR_RING_REMOVE (dial, link);
+  free (dial);
+}
+
+/* Whether another connection to the same member is up. */
+static bool
+dial_is_served (const dial_t *dial)
+{
+  return dial->member[0] != '\0' && members_find (dial->peers, dial->member) != NULL;
+}
+
+static void
+dial_start (dial_t *dial)
+{
+  dks_peers_t *peers = dial->peers;
+  apr_pool_t *pool = NULL;
+  apr_sockaddr_t *address;
+  apr_socket_t *socket;
+  apr_status_t status;
+
+  apr_pool_create (&pool, peers->pool);
+  if (address_parse (dial->address, pool, &address) != DKS_OK
+      || apr_socket_create (&socket, address->family, SOCK_STREAM, APR_PROTO_TCP, pool)
+             != APR_SUCCESS)
+    {
+      apr_pool_destroy (pool);
+      dial_wake (dial);
+      return;
+    }
+  apr_socket_opt_set (socket, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (socket, 0);
+  status = apr_socket_connect (socket, address);
+  if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS (status))
+    {
+      apr_pool_destroy (pool);
+      dial_wake (dial);
+      return;
+    }
+  if (link_create (peers, pool, socket, dial, dial->address) == NULL)
+    dial_wake (dial);
+}
+
+/* Plans the next attempt after a connection or an attempt has ended. */
+static void
+dial_wake (dial_t *dial)
+{
+  int64_t now_us = dks_loop_now ().mono_us;
+
+  if (dial->connection != NULL || dks_timer_is_armed (&dial->timer))
+    return;
+  if (dial->failing_us == 0)
+    dial->failing_us = now_us;
+  dks_timer_set (dks_loop_timers (dial->peers->loop), &dial->timer, now_us + dial->backoff_us);
+  dial->backoff_us = 2 * dial->backoff_us < BACKOFF_MAX_US ? 2 * dial->backoff_us : BACKOFF_MAX_US;
+}
+
+static void
+handle_dial_timer (void *context, int64_t now_us)
+{
+  dial_t *dial = context;
+
+  if (dial->self)
+    return;
+  if (dial_is_served (dial))
+    {
+      dial->failing_us = 0;
+      dial->backoff_us = BACKOFF_MIN_US;
+      return;
+    }
+  if (dial->failing_us != 0 && now_us - dial->failing_us >= GIVE_UP_US)
+    {
+      dks_log (DKS_LOG_NOTICE, "event=peer-given-up address=%s", dial->address);
+      dial_free (dial);
+      return;
+    }
+  dial_start (dial);
+}
+
+void
+dks_peers_connect (dks_peers_t *peers, const char *address)
+{
+  dial_t *dial;
+  apr_sockaddr_t *parsed;
+  apr_pool_t *pool = NULL;
+  int error;
+
+  APR_RING_FOREACH (dial, &peers->dials, dial_t, link)
+    {
+      if (strcmp (dial->address, address) != 0)
+        continue;
+      if (dial->failing_us != 0)
+        dial->failing_us = dks_loop_now ().mono_us;
+      return;
+    }
+  apr_pool_create (&pool, peers->pool);
+  error = address_parse (address, pool, &parsed);
+  if (error == DKS_OK && (parsed->port == 0 || strlen (address) >= DKS_ADDRESS_SIZE))
+    error = DKS_ERR_INVALID;
+  apr_pool_destroy (pool);
+  if (error != DKS_OK)
+    {
+      dks_log (DKS_LOG_WARNING, "event=peer-bad-address address=\"%.64s\"", address);
+      return;
+    }
+  dial = dks_alloc (sizeof (*dial));
+  dial->peers = peers;
+  dial->backoff_us = BACKOFF_MIN_US;
+  dks_strcpy (dial->address, sizeof (dial->address), address);
+  dks_timer_init (&dial->timer, handle_dial_timer, dial);
+  APR_RING_INSERT_TAIL (&peers->dials, dial, dial_t, link);
+  /* In the next turn: no callback may happen here. */
+  dks_timer_set (dks_loop_timers (peers->loop), &dial->timer, dks_loop_now ().mono_us);
+}
+
+/* Listening */
+
+static void
+handle_listener (void *context, int fd, int events)
+{
+  dks_peers_t *peers = context;
+
+  for (;;)
+    {
+      apr_pool_t *pool = NULL;
+      apr_socket_t *socket = NULL;
+      apr_sockaddr_t *from = NULL;
+      apr_status_t status;
+      char host[48] = "";
+      char address[DKS_ADDRESS_SIZE];
+
+      apr_pool_create (&pool, peers->pool);
+      status = apr_socket_accept (&socket, peers->listener, pool);
+      if (status != APR_SUCCESS)
+        {
+          apr_pool_destroy (pool);
+          if (APR_STATUS_IS_EAGAIN (status))
+            return;
+          if (status == ECONNABORTED || APR_STATUS_IS_EINTR (status))
+            continue;
+          dks_log (DKS_LOG_ERROR, "event=peer-accept-failed errno=%d", (int)status);
+          dks_loop_watch (peers->loop, fd, 0, NULL, NULL);
+          dks_timer_set (dks_loop_timers (peers->loop), &peers->accept_timer,
+                         dks_loop_now ().mono_us + ACCEPT_PAUSE_US);
+          return;
+        }
+      if (apr_socket_addr_get (&from, APR_REMOTE, socket) == APR_SUCCESS)
+        apr_sockaddr_ip_getbuf (host, sizeof (host), from);
+      snprintf (address, sizeof (address), "%s:%u", host, from != NULL ? from->port : 0U);
+      if (peers->strangers >= STRANGERS_MAX)
+        {
+          dks_log (DKS_LOG_WARNING, "event=peer-refused address=%s reason=\"too many connections\"",
+                   address);
+          apr_pool_destroy (pool);
+          continue;
+        }
+      link_create (peers, pool, socket, NULL, address);
+    }
+}
+
+static void
+handle_accept_timer (void *context, int64_t now_us)
+{
+  dks_peers_t *peers = context;
+
+  if (dks_loop_watch (peers->loop, peers->listener_fd, DKS_LOOP_READ, handle_listener, peers)
+      != DKS_OK)
+    dks_timer_set (dks_loop_timers (peers->loop), &peers->accept_timer, now_us + ACCEPT_PAUSE_US);
+}
+
+static int
+peers_listen (dks_peers_t *peers, const char *text)
+{
+  apr_sockaddr_t *address;
+  int error = address_parse (text, peers->pool, &address);
+
+  if (error != DKS_OK)
+    return error;
+  if (apr_socket_create (&peers->listener, address->family, SOCK_STREAM, APR_PROTO_TCP, peers->pool)
+      != APR_SUCCESS)
+    return DKS_ERR_IO;
+  apr_socket_opt_set (peers->listener, APR_SO_REUSEADDR, 1);
+  apr_socket_opt_set (peers->listener, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (peers->listener, 0);
+  if (apr_socket_bind (peers->listener, address) != APR_SUCCESS
+      || apr_socket_listen (peers->listener, BACKLOG) != APR_SUCCESS)
+    return DKS_ERR_IO;
+  apr_os_sock_get (&peers->listener_fd, peers->listener);
+  return dks_loop_watch (peers->loop, peers->listener_fd, DKS_LOOP_READ, handle_listener, peers);
+}
+
+int
+dks_peers_create (dks_loop_t *loop, const dks_peer_config_t *config,
+                  const dks_peer_callbacks_t *callbacks, dks_peers_t **peers)
+{
+  dks_peers_t *p = dks_alloc (sizeof (*p));
+  int error;
+
+  p->loop = loop;
+  p->callbacks = *callbacks;
+  p->listener_fd = -1;
+  APR_RING_INIT (&p->links, link_t, all_link);
+  APR_RING_INIT (&p->dirty, link_t, dirty_link);
+  APR_RING_INIT (&p->dials, dial_t, link);
+  dks_timer_init (&p->accept_timer, handle_accept_timer, p);
+  DKS_INVARIANT (apr_pool_create (&p->pool, NULL) == APR_SUCCESS);
+  if (config->member[0] == '\0' || config->data_centre[0] == '\0'
+      || dks_strcpy (p->member, sizeof (p->member), config->member) != DKS_OK
+      || dks_strcpy (p->data_centre, sizeof (p->data_centre), config->data_centre) != DKS_OK)
+    error = DKS_ERR_INVALID;
+  else
+    error = peers_listen (p, config->address);
+  if (error != DKS_OK)
+    {
+      apr_pool_destroy (p->pool);
+      free (p);
+      return error;
+    }
+  *peers = p;
+  return DKS_OK;
+}
+
+void
+dks_peers_destroy (dks_peers_t *peers)
+{
+  link_t *link;
+  link_t *next_link;
+  dial_t *dial;
+  dial_t *next_dial;
+
+  if (peers == NULL)
+    return;
+  APR_RING_FOREACH_SAFE (link, next_link, &peers->links, link_t, all_link)
+    {
+      link_free (link);
+    }
+  APR_RING_FOREACH_SAFE (dial, next_dial, &peers->dials, dial_t, link)
+    {
+      dial_free (dial);
+    }
+  dks_timer_cancel (dks_loop_timers (peers->loop), &peers->accept_timer);
+  dks_loop_watch (peers->loop, peers->listener_fd, 0, NULL, NULL);
+  apr_pool_destroy (peers->pool);
+  free (peers);
+}
+
+void
+dks_peers_send (dks_peers_t *peers, const char *member, const dks_msg_t *msg)
+{
+  link_t *link = members_find (peers, member);
+  uint8_t *frame;
+  size_t len;
+
+  if (link == NULL || link->close_reason != NULL)
+    return;
+  dks_codec_encode (msg, &frame, &len);
+  if (len - LENGTH_SIZE > DKS_FRAME_MAX)
+    {
+      /* The other side would close the connection. */
+      dks_log (DKS_LOG_ERROR, "event=peer-message-dropped member=%s type=%s bytes=%zu", member,
+               dks_msg_name (msg->type), len);
+    }
+  else if (buffer_len (&link->out) + len > DKS_PEER_BACKLOG_MAX)
+    link_close_later (link, "backlog too large");
+  else
+    {
+      memcpy (buffer_reserve (&link->out, len), frame, len);
+      link->out.end += len;
+      if (!link->dirty)
+        {
+          link->dirty = true;
+          APR_RING_INSERT_TAIL (&peers->dirty, link, link_t, dirty_link);
+        }
+    }
+  free (frame);
+}
+
+void
+dks_peers_flush (dks_peers_t *peers)
+{
+  while (!APR_RING_EMPTY (&peers->dirty, link_t, dirty_link))
+    {
+      link_t *link = APR_RING_FIRST (&peers->dirty);
+
+      APR_RING_REMOVE (link, dirty_link);
+      link->dirty = false;
+      /* When it waits for the descriptor, another write would only cost a call. */
+      if (link->close_reason == NULL && !link->writing && !link_write (link))
+        link_close_later (link, "write error");
+    }
+}
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1544,7 +1544,7 @@
   (ProtobufCMessageInit) dks__claim_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dks__hello__field_descriptors[4] =
 {
   {
     "member",
@@ -1582,16 +1582,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "duplicate",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Hello, duplicate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__hello__field_indices_by_name[] = {
   1,   /* field[1] = data_centre */
+  3,   /* field[3] = duplicate */
   0,   /* field[0] = member */
   2,   /* field[2] = protocol */
 };
 static const ProtobufCIntRange dks__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dks__hello__descriptor =
 {
@@ -1601,7 +1614,7 @@
   "Dks__Hello",
   "dks",
   sizeof(Dks__Hello),
-  3,
+  4,
   dks__hello__field_descriptors,
   dks__hello__field_indices_by_name,
   1,  dks__hello__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -122,7 +122,7 @@
 
 
 /*
- * First message on a connection, in both directions.
+ * First message on a connection: the side that opened it sends it at once, the other one answers.
  */
 struct  Dks__Hello
 {
@@ -130,10 +130,14 @@
   char *member;
   char *data_centre;
   uint32_t protocol;
+  /*
+   * answer only: another connection to this member is kept, this one is closed
+   */
+  protobuf_c_boolean duplicate;
 };
 #define DKS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Dks__Heartbeat
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -542,11 +542,14 @@
   size_t len;
   char member[DKS_NAME_SIZE];
   char data_centre[DKS_NAME_SIZE];
-  dks_codec_encode_hello (name.c_str (), "dc1", &hello, &len);
-  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_ERR_INVALID);
+  bool duplicate = false;
+  dks_codec_encode_hello (name.c_str (), "dc1", true, &hello, &len);
+  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre, &duplicate),
+             DKS_ERR_INVALID);
   free (hello);
-  dks_codec_encode_hello ("", "dc1", &hello, &len);
-  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_ERR_INVALID);
+  dks_codec_encode_hello ("", "dc1", true, &hello, &len);
+  EXPECT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre, &duplicate),
+             DKS_ERR_INVALID);
   free (hello);
 }
 
@@ -556,18 +559,21 @@
   size_t len;
   char member[DKS_NAME_SIZE];
   char data_centre[DKS_NAME_SIZE];
+  bool duplicate = false;
   dks_msg_t *msg;
 
-  dks_codec_encode_hello ("entry-1#17", "dc1", &hello, &len);
-  ASSERT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre), DKS_OK);
+  dks_codec_encode_hello ("entry-1#17", "dc1", true, &hello, &len);
+  ASSERT_EQ (dks_codec_decode_hello (hello + 4, len - 4, member, data_centre, &duplicate), DKS_OK);
   EXPECT_STREQ (member, "entry-1#17");
   EXPECT_STREQ (data_centre, "dc1");
+  EXPECT_TRUE (duplicate);
   EXPECT_EQ (dks_codec_decode (hello + 4, len - 4, &msg), DKS_ERR_INVALID);
   free (hello);
   msg = make_msg (DKS_MSG_RECORD_ASK);
   std::vector<uint8_t> frame = encode (msg);
   dks_msg_unref (msg);
-  EXPECT_EQ (dks_codec_decode_hello (frame.data () + 4, frame.size () - 4, member, data_centre),
+  EXPECT_EQ (dks_codec_decode_hello (frame.data () + 4, frame.size () - 4, member, data_centre,
+                                     &duplicate),
              DKS_ERR_INVALID);
 }
 
@@ -612,7 +618,7 @@
         {
           uint8_t *hello;
           size_t len;
-          dks_codec_encode_hello ("entry-1#17", "dc1", &hello, &len);
+          dks_codec_encode_hello ("entry-1#17", "dc1", true, &hello, &len);
           valid.assign (hello, hello + len);
           free (hello);
         }
@@ -622,6 +628,7 @@
           std::vector<uint8_t> data = valid;
           char member[DKS_NAME_SIZE];
           char data_centre[DKS_NAME_SIZE];
+          bool duplicate = false;
           dks_msg_t *msg = nullptr;
 
           for (unsigned n = 1 + random () % 4; n > 0 && !data.empty (); n--)
@@ -664,7 +671,7 @@
             }
           else
             ASSERT_EQ (msg, nullptr);
-          dks_codec_decode_hello (start, data.size (), member, data_centre);
+          dks_codec_decode_hello (start, data.size (), member, data_centre, &duplicate);
         }
       RecordProperty ("accepted_" + std::to_string (type), accepted);
     }
