core: place slot demands by capacity and anew on every heartbeat

Ruled out: a lost grant (the trace shows none was due); a stalled pump (the owner had no slot). Change: heartbeats carry the usable slots; demands go to peers by capacity and are placed anew on every heartbeat.

--- a/core/lend.c
+++ b/core/lend.c
@@ -150,41 +150,38 @@
   return missing;
 }
 
-/* Spreads what no peer has free over all peers; it is granted as slots become free. */
+/* Spreads what no peer has free over all peers by their capacity; it is granted as slots become
+ * free. */
 static void
 ask_busy_peers (dks_reducer_t *r, uint32_t missing)
 {
   dks_peer_t *peer;
-  uint32_t peers = 0;
-  uint32_t share;
-  uint32_t skip;
+  uint64_t capacity = 0;
+  uint64_t before = 0;
+  uint64_t offset;
 
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
-      peers += can_ask (r, peer);
+      capacity += can_ask (r, peer) ? peer->capacity : 0;
     }
-  if (peers == 0)
+  if (capacity == 0)
     return;
-  share = (missing + peers - 1) / peers;
-  skip = r->lend_cursor++ % peers;
-  for (uint32_t round = 0; round < 2; round++)
+  /* Shares are rounded against a running sum, so that they add up to `missing`; a random offset
+   * spreads single tasks. */
+  offset = dks_random (r) % capacity;
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
-      uint32_t position = 0;
-
-      APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
-        {
-          uint32_t count = share < missing ? share : missing;
-          bool in_round;
-
-          if (!can_ask (r, peer))
-            continue;
-          in_round = round == 0 ? position >= skip : position < skip;
-          position++;
-          if (!in_round || outstanding_ask (peer) >= ASK_PEER_MAX)
-            continue;
-          ask (peer, count);
-          missing -= count;
-        }
+      uint64_t after;
+      uint32_t count;
+
+      if (!can_ask (r, peer) || peer->capacity == 0)
+        continue;
+      after = before + peer->capacity;
+      count = (uint32_t)((after * missing + offset) / capacity
+                         - (before * missing + offset) / capacity);
+      before = after;
+      if (count > 0 && outstanding_ask (peer) < ASK_PEER_MAX)
+        ask (peer, count);
     }
 }
 
@@ -274,6 +271,9 @@
       r->granted_total -= peer->granted;
       peer->granted = 0;
     }
+  /* Demands are placed anew, so that none waits at a busy peer while another has free slots. */
+  withdraw (r, dks_lend_asked (r));
+  dks_lend_update (r);
   send_demands (r, true);
 }
 
@@ -313,4 +313,5 @@
   peer->asked = peer->asked_next = peer->received = 0;
   peer->wanted = peer->given = 0;
   peer->free_slots = 0;
+  peer->capacity = 0;
 }
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -17,8 +17,8 @@
   DKS_MSG_CONFIRM,      /**< owner -> backup: am I still the owner? needed before "not run" */
   DKS_MSG_CLAIM_ACK,    /**< backup -> owner: verdict on CLAIM or CONFIRM */
   DKS_MSG_RESULT,       /**< runner -> owner and backup: final answer of a claimed key */
-  DKS_MSG_SNAPSHOT,     /**< owner -> next backup: part of a shard's claims */
-  DKS_MSG_SNAPSHOT_ACK, /**< next backup -> owner: the whole snapshot has been stored */
+  DKS_MSG_SNAPSHOT,     /**< owner -> next backup, or former owner -> owner: part of the claims */
+  DKS_MSG_SNAPSHOT_ACK, /**< answer to SNAPSHOT: all parts have been stored */
   DKS_MSG_DEMAND,       /**< borrower -> lender: wanted slots */
   DKS_MSG_GRANT,        /**< lender -> borrower: reserved slots */
   DKS_MSG_GRANT_RETURN, /**< borrower -> lender: slots that are not needed */
@@ -61,6 +61,7 @@
       int64_t settings_version; /**< version of the settings tree in force, 0 for none */
       int64_t view_version;     /**< store revision of the sender's own data centre's view */
       uint32_t free_slots;      /**< slots that could be lent now */
+      uint32_t capacity;        /**< usable slots, free or not */
       uint32_t queued_tasks;
       bool draining;
     } heartbeat;
--- a/net/codec.c
+++ b/net/codec.c
@@ -152,6 +152,7 @@
   body.free_slots = msg->u.heartbeat.free_slots;
   body.queued_tasks = msg->u.heartbeat.queued_tasks;
   body.draining = msg->u.heartbeat.draining;
+  body.capacity = msg->u.heartbeat.capacity;
   wire->heartbeat = &body;
   pack (wire, frame, len);
 }
@@ -541,6 +542,7 @@
   msg->u.heartbeat.free_slots = body->free_slots;
   msg->u.heartbeat.queued_tasks = body->queued_tasks;
   msg->u.heartbeat.draining = body->draining;
+  msg->u.heartbeat.capacity = body->capacity;
   if ((error = check_version (body->settings_version)) != DKS_OK
       || (error = check_version (body->view_version)) != DKS_OK)
     return error;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1621,7 +1621,7 @@
   (ProtobufCMessageInit) dks__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dks__heartbeat__field_descriptors[7] =
 {
   {
     "wall_ms",
@@ -1695,8 +1695,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Heartbeat, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__heartbeat__field_indices_by_name[] = {
+  6,   /* field[6] = capacity */
   5,   /* field[5] = draining */
   3,   /* field[3] = free_slots */
   4,   /* field[4] = queued_tasks */
@@ -1707,7 +1720,7 @@
 static const ProtobufCIntRange dks__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dks__heartbeat__descriptor =
 {
@@ -1717,7 +1730,7 @@
   "Dks__Heartbeat",
   "dks",
   sizeof(Dks__Heartbeat),
-  6,
+  7,
   dks__heartbeat__field_descriptors,
   dks__heartbeat__field_indices_by_name,
   1,  dks__heartbeat__number_ranges,
