core: recover the floor after a takeover without the claims

Queries of keys below the floor were answered not-found, and a query waited 5 s for work under way. Ruled out: a shorter ceiling (service would stop in a longer outage of the platform); dropping the floor when the silent members return (their claims are needed first). Change: the former owner or backup hands its claims to the new owner, which copies them to its backup before it lowers the floor; members proved dead later lower it to now plus twice the skew. Queries answer accepted for work under way, and not-found is a confirmed refusal.

--- a/core/members.c
+++ b/core/members.c
@@ -50,40 +50,53 @@
 
 /* A newer incarnation at the same address has bound the port of this one, which therefore ended. */
 static bool
-is_replaced (const dks_reducer_t *r, const char *id)
+is_replaced (const dks_reducer_t *r, const dks_view_member_t *member)
 {
   const dks_view_t *view = dks_own_view (r);
-  const dks_view_member_t *member = dks_view_member (view, id);
+  const dks_view_member_t *in_view = dks_view_member (view, member->id);
 
-  if (member == NULL)
-    return false;
-  if (strcmp (id, r->self) != 0 && dks_view_same_instance (id, r->self)
+  if (strcmp (member->id, r->self) != 0 && dks_view_same_instance (member->id, r->self)
       && strcmp (member->address, r->config.address) == 0)
     return true;
   for (uint32_t i = 0; i < view->member_count; i++)
     {
       const dks_view_member_t *other = &view->members[i];
 
-      if (other > member && dks_view_same_instance (other->id, id)
-          && strcmp (other->address, member->address) == 0)
+      /* Members join at the end, so later ones are newer. */
+      if ((in_view == NULL || other > in_view) && dks_view_same_instance (other->id, member->id)
+          && strcmp (other->id, member->id) != 0 && strcmp (other->address, member->address) == 0)
         return true;
     }
   return false;
 }
 
+static void
+instance_of (const char *member, char instance[DKS_NAME_SIZE])
+{
+  dks_strcpy (instance, DKS_NAME_SIZE, member);
+  instance[strcspn (instance, "#")] = '\0';
+}
+
 bool
-dks_member_is_dead (const dks_reducer_t *r, const char *id)
+dks_former_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member)
 {
   char instance[DKS_NAME_SIZE];
   const int64_t *absent_since;
 
-  if (is_replaced (r, id))
+  if (is_replaced (r, member))
     return true;
-  dks_strcpy (instance, sizeof (instance), id);
-  instance[strcspn (instance, "#")] = '\0';
+  instance_of (member->id, instance);
   absent_since = apr_hash_get (r->absent_since, instance, APR_HASH_KEY_STRING);
   return absent_since != NULL && r->list_read_us - *absent_since >= ABSENT_US
-         && !dks_member_is_alive (r, id);
+         && !dks_member_is_alive (r, member->id);
+}
+
+bool
+dks_member_is_dead (const dks_reducer_t *r, const char *id)
+{
+  const dks_view_member_t *member = dks_view_member (dks_own_view (r), id);
+
+  return member != NULL && dks_former_member_is_dead (r, member);
 }
 
 static dks_peer_t *
@@ -171,6 +184,7 @@
 {
   peer->draining = msg->u.heartbeat.draining;
   peer->free_slots = msg->u.heartbeat.free_slots;
+  peer->capacity = msg->u.heartbeat.capacity;
   peer->queued_tasks = msg->u.heartbeat.queued_tasks;
   peer->view_version = msg->u.heartbeat.view_version;
   peer->settings_version = msg->u.heartbeat.settings_version;
@@ -178,38 +192,50 @@
     send_record (r, peer->id, "settings", r->settings_revision, dks_blob_ref (r->settings_value));
 }
 
+/* Notes since when the instance of a member has been missing from the list. */
+static void
+update_absence (dks_reducer_t *r, const char *member, const dks_listed_instance_t *items,
+                size_t count)
+{
+  char instance[DKS_NAME_SIZE];
+  bool listed = false;
+  int64_t *since;
+
+  if (member[0] == '\0')
+    return;
+  instance_of (member, instance);
+  for (size_t i = 0; i < count && !listed; i++)
+    listed = !items[i].is_target && strcmp (items[i].id, instance) == 0;
+  since = apr_hash_get (r->absent_since, instance, APR_HASH_KEY_STRING);
+  if (listed && since != NULL)
+    {
+      apr_hash_set (r->absent_since, instance, APR_HASH_KEY_STRING, NULL);
+      free (since);
+    }
+  if (!listed && since == NULL)
+    {
+      /* The key lives in the same block as the value. */
+      char *key;
+
+      since = dks_alloc (sizeof (*since) + sizeof (instance));
+      *since = r->now.mono_us;
+      key = (char *)(since + 1);
+      dks_strcpy (key, sizeof (instance), instance);
+      apr_hash_set (r->absent_since, key, APR_HASH_KEY_STRING, since);
+    }
+}
+
 static void
 update_absences (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
 {
   const dks_view_t *view = dks_own_view (r);
 
   for (uint32_t i = 0; i < view->member_count; i++)
+    update_absence (r, view->members[i].id, items, count);
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
     {
-      char instance[DKS_NAME_SIZE];
-      int64_t *since;
-      bool listed = false;
-
-      dks_strcpy (instance, sizeof (instance), view->members[i].id);
-      instance[strcspn (instance, "#")] = '\0';
-      for (size_t j = 0; j < count && !listed; j++)
-        listed = !items[j].is_target && strcmp (items[j].id, instance) == 0;
-      since = apr_hash_get (r->absent_since, instance, APR_HASH_KEY_STRING);
-      if (listed && since != NULL)
-        {
-          apr_hash_set (r->absent_since, instance, APR_HASH_KEY_STRING, NULL);
-          free (since);
-        }
-      if (!listed && since == NULL)
-        {
-          /* The key lives in the same block as the value. */
-          char *key;
-
-          since = dks_alloc (sizeof (*since) + sizeof (instance));
-          *since = r->now.mono_us;
-          key = (char *)(since + 1);
-          dks_strcpy (key, sizeof (instance), instance);
-          apr_hash_set (r->absent_since, key, APR_HASH_KEY_STRING, since);
-        }
+      update_absence (r, r->shards[i].lost[0].id, items, count);
+      update_absence (r, r->shards[i].lost[1].id, items, count);
     }
 }
 
@@ -274,6 +300,7 @@
   msg->u.heartbeat.settings_version = dks_settings_version (r->settings);
   msg->u.heartbeat.view_version = dks_own_view (r)->version;
   msg->u.heartbeat.free_slots = dks_lend_free (r);
+  msg->u.heartbeat.capacity = dks_targets_capacity (r->targets, r->now.mono_us);
   msg->u.heartbeat.queued_tasks = dks_jobs_backlog (r);
   msg->u.heartbeat.draining = r->draining;
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
--- a/core/owner.c
+++ b/core/owner.c
@@ -33,6 +33,19 @@
   return strcmp (view_shard (r, shard)->backup, r->self) == 0;
 }
 
+bool
+dks_owner_can_lower_floor (const dks_reducer_t *r, uint32_t shard)
+{
+  const dks_shard_state_t *st = &r->shards[shard];
+  const char *backup = view_shard (r, shard)->backup;
+
+  if (!st->recover_ready || !dks_owner_is_self (r, shard))
+    return false;
+  if (backup[0] == '\0')
+    return st->sync_peer[0] == '\0' || st->sync_id > st->recover_id;
+  return strcmp (st->sync_peer, backup) == 0 && st->sync_acked && st->sync_id > st->recover_id;
+}
+
 void
 dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer)
 {
@@ -617,8 +630,6 @@
   dks_submission_t *submission;
   dks_job_t *job;
 
-  if (!check_issue_time (r, key, parsed->issued_ms, shard, waiter))
-    return;
   submission = dks_submission_create (0);
   dks_strcpy (submission->key, sizeof (submission->key), key);
   submission->issued_ms = parsed->issued_ms;
@@ -652,6 +663,14 @@
     cancel_job (r, job);
 }
 
+static bool
+is_under_way (const dks_reducer_t *r, const char *key, uint32_t shard)
+{
+  const dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
+
+  return claim != NULL ? claim->answer == NULL : dks_job_find (r, key) != NULL;
+}
+
 void
 dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter)
 {
@@ -665,17 +684,25 @@
       return;
     }
   job = dks_job_find (r, key);
+  if (!cancel && waiter->request != 0 && is_under_way (r, key, shard))
+    {
+      answer_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+      return;
+    }
   if (attach (r, key, 0, shard, waiter))
     {
       if (cancel && job != NULL)
         cancel_job (r, job);
       return;
     }
-  if (cancel && dks_key_parse (key, &parsed) == 0)
+  if (dks_key_parse (key, &parsed) != 0
+      || !check_issue_time (r, key, parsed.issued_ms, shard, waiter))
+    return;
+  if (cancel)
     cancel_unknown_key (r, key, &parsed, shard, waiter);
   else
-    answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NOT_FOUND,
-                "no record of this key; it is not running");
+    refuse (r, shard, waiter,
+            refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
 }
 
 void
@@ -838,12 +865,14 @@
 /* Copies of the claims for new backups */
 
 static void
-send_snapshot_part (dks_reducer_t *r, uint32_t shard, dks_claim_t **cursor, bool first)
+send_snapshot_part (dks_reducer_t *r, uint32_t shard, const char *peer, uint64_t id,
+                    int64_t floor_ms, dks_claim_t **cursor)
 {
   dks_shard_state_t *st = &r->shards[shard];
   dks_msg_t *msg = dks_msg_create (DKS_MSG_SNAPSHOT);
   uint32_t count = 0;
 
+  msg->u.snapshot.first = *cursor == APR_RING_FIRST (&st->claims->ring);
   msg->u.snapshot.items = dks_alloc (SNAPSHOT_ITEMS * sizeof (dks_claim_item_t));
   while (*cursor != APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link)
          && count < SNAPSHOT_ITEMS)
@@ -853,42 +882,22 @@
     }
   msg->u.snapshot.shard = shard;
   msg->u.snapshot.epoch = view_shard (r, shard)->epoch;
-  msg->u.snapshot.id = st->sync_id;
-  msg->u.snapshot.floor_ms = effective_floor_ms (r, shard);
-  msg->u.snapshot.first = first;
+  msg->u.snapshot.id = id;
+  msg->u.snapshot.floor_ms = floor_ms;
   msg->u.snapshot.last = *cursor == APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link);
   msg->u.snapshot.count = count;
-  dks_emit_peer (r, st->sync_peer, msg);
+  dks_emit_peer (r, peer, msg);
 }
 
-/* From here on every claim also needs the acknowledgement of the next backup. */
 static void
-start_sync (dks_reducer_t *r, uint32_t shard, const char *peer)
+send_snapshot (dks_reducer_t *r, uint32_t shard, const char *peer, uint64_t id, int64_t floor_ms)
 {
   dks_shard_state_t *st = &r->shards[shard];
   dks_claim_t *cursor = APR_RING_FIRST (&st->claims->ring);
-  dks_job_t *job;
-  dks_job_t *next;
-  bool first = true;
 
-  dks_strcpy (st->sync_peer, sizeof (st->sync_peer), peer);
-  st->sync_id = dks_next_id (r);
-  st->sync_us = r->now.mono_us;
-  st->sync_acked = false;
   do
-    {
-      send_snapshot_part (r, shard, &cursor, first);
-      first = false;
-    }
+    send_snapshot_part (r, shard, peer, id, floor_ms, &cursor);
   while (cursor != APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link));
-  for (job = APR_RING_FIRST (&st->jobs);
-       job != APR_RING_SENTINEL (&st->jobs, dks_job_t, shard_link); job = next)
-    {
-      next = APR_RING_NEXT (job, shard_link);
-      if (job->state == DKS_JOB_CLAIMING)
-        dks_owner_claim (r, job);
-    }
-  restart_confirm (r, shard);
 }
 
 static void
@@ -908,6 +917,20 @@
   restart_confirm (r, shard);
 }
 
+/* From here on every claim also needs the acknowledgement of the next backup. */
+static void
+start_sync (dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  dks_strcpy (st->sync_peer, sizeof (st->sync_peer), peer);
+  st->sync_id = dks_next_id (r);
+  st->sync_us = r->now.mono_us;
+  st->sync_acked = false;
+  send_snapshot (r, shard, peer, st->sync_id, effective_floor_ms (r, shard));
+  reclaim_all (r, shard);
+}
+
 static void
 stop_sync (dks_reducer_t *r, uint32_t shard)
 {
@@ -921,39 +944,107 @@
     reclaim_all (r, shard);
 }
 
+/* Claims are back: the floor may be lowered once the backup has them too. */
+static void
+finish_recovery (dks_reducer_t *r, uint32_t shard, int64_t floor_ms)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  st->recover_ready = true;
+  st->recover_floor_ms = floor_ms > st->lost_floor_ms ? floor_ms : st->lost_floor_ms;
+  st->recover_id = dks_next_id (r);
+  st->lost[0].id[0] = '\0';
+  st->lost[1].id[0] = '\0';
+  /* A copy that is under way may lack the recovered claims. */
+  if (!st->sync_proposed)
+    stop_sync (r, shard);
+  dks_emit_log (r, DKS_LOG_NOTICE, "event=claims-recovered shard=%u", shard);
+}
+
 void
 dks_owner_handle_snapshot (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
 {
   uint32_t shard = msg->u.snapshot.shard;
   dks_shard_state_t *st = &r->shards[shard];
+  bool from_owner = strcmp (view_shard (r, shard)->owner, peer) == 0;
+  bool from_lost = dks_owner_is_self (r, shard)
+                   && (strcmp (st->lost[0].id, peer) == 0 || strcmp (st->lost[1].id, peer) == 0);
   dks_msg_t *ack;
 
-  if (strcmp (view_shard (r, shard)->owner, peer) != 0)
+  if (!from_owner && !from_lost)
     return;
-  dks_strcpy (st->sync_from, sizeof (st->sync_from), peer);
+  if (from_owner)
+    dks_strcpy (st->sync_from, sizeof (st->sync_from), peer);
   for (uint32_t i = 0; i < msg->u.snapshot.count; i++)
     dks_claims_put (st->claims, &msg->u.snapshot.items[i]);
   if (st->claims->floor_ms < msg->u.snapshot.floor_ms)
     st->claims->floor_ms = msg->u.snapshot.floor_ms;
   if (!msg->u.snapshot.last)
     return;
+  if (from_lost)
+    finish_recovery (r, shard, msg->u.snapshot.floor_ms);
   ack = dks_msg_create (DKS_MSG_SNAPSHOT_ACK);
   ack->u.snapshot_ack.shard = shard;
   ack->u.snapshot_ack.id = msg->u.snapshot.id;
   dks_emit_peer (r, peer, ack);
 }
 
+static void
+end_handback (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  st->handback_to[0] = '\0';
+  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && st->sync_from[0] == '\0')
+    dks_claims_clear (st->claims);
+}
+
 void
 dks_owner_handle_snapshot_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
 {
-  dks_shard_state_t *st = &r->shards[msg->u.snapshot_ack.shard];
+  uint32_t shard = msg->u.snapshot_ack.shard;
+  dks_shard_state_t *st = &r->shards[shard];
+  uint64_t id = msg->u.snapshot_ack.id;
 
-  if (st->sync_id != msg->u.snapshot_ack.id || strcmp (st->sync_peer, peer) != 0)
+  if (strcmp (st->handback_to, peer) == 0 && st->handback_id == id)
+    end_handback (r, shard);
+  if (st->sync_id != id || strcmp (st->sync_peer, peer) != 0)
     return;
   st->sync_acked = true;
   dks_view_review (r);
 }
 
+/* A former owner or backup sends its claims to a new owner that lacks them. */
+static void
+review_handback (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_peer_t *peer = dks_peer_find (r, st->handback_to);
+
+  if (st->handback_to[0] == '\0' || peer == NULL || !peer->up
+      || r->now.mono_us - st->handback_us < SYNC_TIMEOUT_US)
+    return;
+  st->handback_us = r->now.mono_us;
+  st->handback_id = dks_next_id (r);
+  send_snapshot (r, shard, st->handback_to, st->handback_id, st->handback_floor_ms);
+}
+
+/* Members that are proved to have ended cannot accept any key after this point in time. */
+static void
+review_lost (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  if (st->lost[0].id[0] == '\0' && st->lost[1].id[0] == '\0')
+    return;
+  for (size_t i = 0; i < 2; i++)
+    {
+      if (st->lost[i].id[0] != '\0' && !dks_former_member_is_dead (r, &st->lost[i]))
+        return;
+    }
+  finish_recovery (r, shard, r->now.wall_ms + 2 * r->config.clock_skew_ms);
+}
+
 void
 dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer)
 {
@@ -1019,40 +1110,96 @@
   move_refusals (r, st);
 }
 
+static bool
+has_role (const dks_view_shard_t *shard, const char *member)
+{
+  return strcmp (shard->owner, member) == 0 || strcmp (shard->backup, member) == 0;
+}
+
+static void
+note_lost_member (const dks_view_t *old, const char *id, dks_view_member_t *lost)
+{
+  const dks_view_member_t *member = dks_view_member (old, id);
+
+  memset (lost, 0, sizeof (*lost));
+  if (member != NULL)
+    *lost = *member;
+}
+
+/* We own the shard now. If we had no part in it before, its claims are elsewhere or lost. */
+static void
+gain_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *before = &old->shards[shard];
+  bool had_role = has_role (before, r->self);
+  dks_claim_t *claim;
+
+  st->recover_ready = false;
+  note_lost_member (old, had_role ? "" : before->owner, &st->lost[0]);
+  note_lost_member (old, had_role ? "" : before->backup, &st->lost[1]);
+  st->lost_floor_ms = before->floor_ms;
+  APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
+    {
+      claim->asked = false;
+    }
+  review_runners (r, shard);
+}
+
+/* We had a part in the shard and have none now. */
+static void
+leave_shard (dks_reducer_t *r, uint32_t shard, const dks_view_shard_t *before)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *vs = view_shard (r, shard);
+
+  st->recover_ready = false;
+  st->lost[0].id[0] = '\0';
+  st->lost[1].id[0] = '\0';
+  if (vs->owner[0] == '\0' || has_role (before, vs->owner) || !has_role (before, r->self))
+    return;
+  dks_strcpy (st->handback_to, sizeof (st->handback_to), vs->owner);
+  st->handback_us = 0;
+  st->handback_floor_ms =
+      before->floor_ms > st->claims->floor_ms ? before->floor_ms : st->claims->floor_ms;
+}
+
 static void
-apply_shard (dks_reducer_t *r, uint32_t shard, const dks_view_shard_t *old)
+apply_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old)
 {
   dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *before = &old->shards[shard];
   const dks_view_shard_t *vs = view_shard (r, shard);
-  bool was_owner = strcmp (old->owner, r->self) == 0;
+  bool was_owner = strcmp (before->owner, r->self) == 0;
+  bool is_owner = dks_owner_is_self (r, shard);
 
-  if (vs->epoch == old->epoch && strcmp (vs->owner, old->owner) == 0)
+  if (vs->epoch == before->epoch && strcmp (vs->owner, before->owner) == 0)
     {
       if (was_owner)
         reclaim_all (r, shard);
       return;
     }
   st->fenced = false;
+  if (strcmp (st->handback_to, vs->owner) != 0)
+    st->handback_to[0] = '\0';
   if (strcmp (st->sync_peer, vs->backup) == 0)
     st->sync_peer[0] = '\0';
-  if (was_owner && !dks_owner_is_self (r, shard))
+  if (st->recover_ready && vs->floor_ms <= st->recover_floor_ms)
+    st->recover_ready = false;
+  if (was_owner && !is_owner)
     lose_shard (r, shard);
   if (is_backup (r, shard) || strcmp (st->sync_from, vs->owner) != 0)
     st->sync_from[0] = '\0';
-  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && st->sync_from[0] == '\0')
-    dks_claims_clear (st->claims);
-  if (!dks_owner_is_self (r, shard))
-    return;
-  if (!was_owner)
+  if (!is_owner && !is_backup (r, shard))
     {
-      dks_claim_t *claim;
-
-      APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
-        {
-          claim->asked = false;
-        }
-      review_runners (r, shard);
+      leave_shard (r, shard, before);
+      if (st->sync_from[0] == '\0' && st->handback_to[0] == '\0')
+        dks_claims_clear (st->claims);
     }
+  if (!is_owner)
+    return;
+  if (!was_owner)
+    gain_shard (r, shard, old);
   reclaim_all (r, shard);
 }
 
@@ -1060,7 +1207,7 @@
 dks_owner_handle_view (dks_reducer_t *r, const dks_view_t *old)
 {
   for (uint32_t i = 0; i < DKS_SHARDS; i++)
-    apply_shard (r, i, &old->shards[i]);
+    apply_shard (r, i, old);
 }
 
 static void
@@ -1068,19 +1215,23 @@
 {
   dks_shard_state_t *st = &r->shards[shard];
   const char *backup = dks_view_best_backup (dks_own_view (r), inputs, shard);
-  const dks_peer_t *peer = backup != NULL ? dks_peer_find (r, backup) : NULL;
+  const dks_peer_t *peer;
 
   if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
     restart_confirm (r, shard);
   review_runners (r, shard);
+  review_lost (r, shard);
   if (st->sync_proposed)
     return;
+  if (st->recover_ready && view_shard (r, shard)->backup[0] != '\0')
+    backup = view_shard (r, shard)->backup;
   if (st->sync_peer[0] != '\0'
       && (backup == NULL || strcmp (backup, st->sync_peer) != 0
           || (!st->sync_acked && r->now.mono_us - st->sync_us > SYNC_TIMEOUT_US)))
     stop_sync (r, shard);
+  peer = backup != NULL ? dks_peer_find (r, backup) : NULL;
   if (st->sync_peer[0] == '\0' && peer != NULL && peer->up
-      && strcmp (backup, view_shard (r, shard)->backup) != 0)
+      && (st->recover_ready || strcmp (backup, view_shard (r, shard)->backup) != 0))
     start_sync (r, shard, backup);
 }
 
@@ -1097,6 +1248,7 @@
       else if (is_backup (r, i))
         r->shards[i].fenced = !dks_member_is_alive (r, view_shard (r, i)->owner)
                               || (r->shards[i].fenced && r->view_op != 0);
+      review_handback (r, i);
     }
 }
 
--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -54,6 +54,8 @@
       inputs->next_floor_ms[i] = shard->accepted_ms + 1;
       if (shard->sync_acked)
         dks_strcpy (inputs->synced[i], sizeof (inputs->synced[i]), shard->sync_peer);
+      inputs->may_lower_floor[i] = dks_owner_can_lower_floor (r, i);
+      inputs->lower_floor_ms[i] = shard->recover_floor_ms;
     }
 }
 
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -34,6 +34,7 @@
   int64_t heard_us; /**< latest sign of life */
   bool draining;
   uint32_t free_slots; /**< as last told, less what was asked for since */
+  uint32_t capacity;   /**< usable slots, as last told */
   uint32_t queued_tasks;
   int64_t settings_version;
   int64_t view_version;
@@ -114,6 +115,17 @@
   bool confirm_backup_ok;
   bool confirm_sync_ok;
   APR_RING_HEAD (dks_refusal_ring_t, dks_refusal_t) refusals;
+  /* As an owner that took over without the claims: how to lower the floor again. */
+  dks_view_member_t lost[2]; /**< owner and backup that had the claims; empty ids if none */
+  int64_t lost_floor_ms;     /**< floor before the takeover */
+  bool recover_ready;        /**< `recover_floor_ms` may replace the floor of the view */
+  int64_t recover_floor_ms;
+  uint64_t recover_id; /**< copies of the claims with a higher id contain what was recovered */
+  /* As a former owner or backup: claims that the new owner lacks. */
+  char handback_to[DKS_NAME_SIZE];
+  uint64_t handback_id;
+  int64_t handback_us; /**< when it was last sent, 0 for never */
+  int64_t handback_floor_ms;
 } dks_shard_state_t;
 
 struct dks_reducer_t
@@ -170,7 +182,6 @@
   /* lend.c */
   uint32_t granted_total; /**< slots promised to peers and not used yet */
   uint32_t credits_total; /**< slots promised by peers and not used yet */
-  uint32_t lend_cursor;   /**< rotates the peer that is asked first */
 
   /* entry.c */
   apr_hash_t *requests_by_id;
@@ -212,6 +223,8 @@
 bool dks_member_is_alive (const dks_reducer_t *r, const char *id);
 /** Proved to have ended. */
 bool dks_member_is_dead (const dks_reducer_t *r, const char *id);
+/** The same for a member that may have left the view. */
+bool dks_former_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member);
 void dks_members_handle_up (dks_reducer_t *r, const char *id, const char *data_centre);
 void dks_members_handle_down (dks_reducer_t *r, const char *id);
 void dks_members_handle_heartbeat (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
@@ -237,6 +250,8 @@
 void dks_owner_init (dks_reducer_t *r);
 void dks_owner_clear (dks_reducer_t *r);
 bool dks_owner_is_self (const dks_reducer_t *r, uint32_t shard);
+/** Whether claims that were lost at a takeover are back, also at the backup. */
+bool dks_owner_can_lower_floor (const dks_reducer_t *r, uint32_t shard);
 void dks_owner_submit (dks_reducer_t *r, dks_submission_t *submission, const dks_waiter_t *waiter);
 void dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter);
 /** Sends or repeats the claim of a job in state CLAIMING, or activates it if no one must agree. */
--- a/include/core/view.h
+++ b/include/core/view.h
@@ -62,6 +62,8 @@
   bool fenced[DKS_SHARDS];                /**< as backup: claims of the owner are being rejected */
   char synced[DKS_SHARDS][DKS_NAME_SIZE]; /**< as owner: member that holds all claims, or empty */
   int64_t next_floor_ms[DKS_SHARDS];      /**< as owner: above every key that was accepted */
+  bool may_lower_floor[DKS_SHARDS];       /**< as owner: lost claims have been recovered */
+  int64_t lower_floor_ms[DKS_SHARDS];     /**< floor that the recovered claims allow */
 } dks_view_inputs_t;
 
 /** Plans all changes that this member may make. Returns true if `next` differs from `view`. */
