core: confirm refusals against newer submissions, and calm membership

New members counted as silent until they were connected and were removed as soon as they had joined: up to 170 writes of the view in 1.2 s after a restart. A settings edit could be reported as accepted by the write of an earlier one. Change: refusals are checked against jobs and claims when they are delivered; a member of the view counts as alive for the failure timeout and rejoins at most every two timeouts; a shard with claims to recover is not handed over; edits check that the written record contains them; deadlines beyond deadline_max_ms are refused; a team's quota is divided among the members.

--- a/core/entry.c
+++ b/core/entry.c
@@ -110,7 +110,7 @@
 static void
 handle_here (dks_reducer_t *r, dks_request_t *request)
 {
-  dks_waiter_t waiter = { .request = request->id };
+  dks_waiter_t waiter = { .request = request->id, .is_query = request->kind == DKS_REQUEST_QUERY };
 
   dks_strcpy (request->sent_to, sizeof (request->sent_to), r->self);
   /* The calls below may answer at once and destroy the request. */
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -58,6 +58,16 @@
   dks_job_unref (job);
 }
 
+/* Our part of a team's quota in the data centre. The parts of all members exceed the quota by less
+ * than one slot each. */
+static uint32_t
+quota_share (const dks_reducer_t *r, int64_t quota)
+{
+  uint32_t members = dks_own_view (r)->member_count;
+
+  return members > 1 ? (uint32_t)((quota + members - 1) / members) : (uint32_t)quota;
+}
+
 dks_job_t *
 dks_job_create (dks_reducer_t *r, dks_submission_t *submission, uint32_t shard)
 {
@@ -76,7 +86,7 @@
   job->team = dks_queue_team (r->queue, submission->team);
   dks_settings_values (r, submission->service, submission->team, &values);
   job->team->weight = (uint32_t)values.team_weight;
-  job->team->quota = (uint32_t)values.team_quota;
+  job->team->quota = quota_share (r, values.team_quota);
   APR_RING_ELEM_INIT (job, link);
   APR_RING_INIT (&job->waiters, dks_waiter_t, link);
   dks_timer_init (&job->deadline_timer, handle_deadline, job);
--- a/core/members.c
+++ b/core/members.c
@@ -259,6 +259,17 @@
   dks_jobs_handle_targets_changed (r);
 }
 
+void
+dks_members_note (dks_reducer_t *r, const char *id)
+{
+  dks_peer_t *peer;
+
+  if (strcmp (id, r->self) == 0 || dks_peer_find (r, id) != NULL)
+    return;
+  peer = peer_create (r, id, r->config.data_centre);
+  peer->heard_us = r->now.mono_us;
+}
+
 void
 dks_members_forgive (dks_reducer_t *r)
 {
--- a/core/owner.c
+++ b/core/owner.c
@@ -101,6 +101,8 @@
   return st->sync_peer[0] != '\0';
 }
 
+static bool attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter);
+
 static void
 deliver_refusals (dks_reducer_t *r, dks_shard_state_t *st, uint64_t confirm_id)
 {
@@ -113,7 +115,9 @@
       if (refusal->confirm_id == confirm_id)
         {
           APR_RING_REMOVE (refusal, link);
-          dks_waiter_answer (r, &refusal->waiter, refusal->answer);
+          /* The key may have been submitted again while the backup was asked. */
+          if (!attach_known (r, refusal->answer->key, &refusal->waiter))
+            dks_waiter_answer (r, &refusal->waiter, refusal->answer);
           dks_answer_unref (refusal->answer);
           free (refusal);
         }
@@ -507,6 +511,9 @@
     }
   if (answer == NULL && s->deadline_ms <= r->now.wall_ms)
     answer = refusal_answer (s->key, DKS_PROBLEM_DEADLINE, 0, "the deadline has passed");
+  if (answer == NULL && s->deadline_ms > r->now.wall_ms + values.deadline_max_ms)
+    answer = refusal_answer (s->key, DKS_PROBLEM_BAD_REQUEST, 0,
+                             "the deadline is later than deadline_max_ms allows");
   if (answer == NULL && values.team_quota == 0)
     answer = refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
   if (answer == NULL && dks_jobs_backlog (r) + s->task_count > values.queue_limit)
@@ -570,6 +577,26 @@
   return false;
 }
 
+static bool
+is_under_way (const dks_reducer_t *r, const char *key, uint32_t shard)
+{
+  const dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
+
+  return claim != NULL ? claim->answer == NULL : dks_job_find (r, key) != NULL;
+}
+
+/* Like attach() for any content; a query is told at once that work is under way. */
+static bool
+attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter)
+{
+  uint32_t shard = dks_key_shard (key);
+
+  if (!waiter->is_query || !is_under_way (r, key, shard))
+    return attach (r, key, 0, shard, waiter);
+  answer_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+  return true;
+}
+
 void
 dks_owner_submit (dks_reducer_t *r, dks_submission_t *submission, const dks_waiter_t *waiter)
 {
@@ -663,14 +690,6 @@
     cancel_job (r, job);
 }
 
-static bool
-is_under_way (const dks_reducer_t *r, const char *key, uint32_t shard)
-{
-  const dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
-
-  return claim != NULL ? claim->answer == NULL : dks_job_find (r, key) != NULL;
-}
-
 void
 dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter)
 {
@@ -684,12 +703,7 @@
       return;
     }
   job = dks_job_find (r, key);
-  if (!cancel && waiter->request != 0 && is_under_way (r, key, shard))
-    {
-      answer_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
-      return;
-    }
-  if (attach (r, key, 0, shard, waiter))
+  if (attach_known (r, key, waiter))
     {
       if (cancel && job != NULL)
         cancel_job (r, job);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -98,7 +98,9 @@
 static void
 handle_ask (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
 {
-  dks_waiter_t waiter = { .request = msg->u.ask.request };
+  /* The owner's question to a runner, request 0, waits for the end. */
+  dks_waiter_t waiter = { .request = msg->u.ask.request,
+                          .is_query = !msg->u.ask.cancel && msg->u.ask.request != 0 };
 
   dks_strcpy (waiter.peer, sizeof (waiter.peer), peer->id);
   dks_owner_ask (r, msg->u.ask.key, msg->u.ask.cancel, &waiter);
--- a/core/settings_ops.c
+++ b/core/settings_ops.c
@@ -232,6 +232,8 @@
   if (!was_cas)
     handle_read (r, edit, status == DKS_STORE_OK ? revision : 0,
                  status == DKS_STORE_OK ? value : NULL);
+  else if (!dks_settings_has_change (r->settings_proposed, edit->edit.id))
+    start_get (r); /* the write was that of an earlier edit, which has been given up */
   else
     {
       dks_blob_t *written = dks_settings_format (r->settings_proposed);
--- a/core/view.c
+++ b/core/view.c
@@ -255,7 +255,9 @@
       shard_set (shard, shard->owner, "");
       return;
     }
-  if (best != NULL && strcmp (best->id, shard->backup) == 0)
+  /* The next owner would not know which members hold the lost claims. */
+  if (best != NULL && strcmp (best->id, shard->backup) == 0
+      && (!in->is_recovering[i] || in->draining))
     {
       shard_set (shard, best->id, in->self);
       return;
@@ -360,7 +362,7 @@
 
   if (self == NULL)
     {
-      if (in->draining || view->member_count == DKS_MEMBERS_MAX)
+      if (in->draining || !in->may_join || view->member_count == DKS_MEMBERS_MAX)
         return;
       self = &view->members[view->member_count++];
       dks_strcpy (self->id, sizeof (self->id), in->self);
--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -37,6 +37,8 @@
     .self = r->self,
     .address = r->config.address,
     .draining = r->draining,
+    .may_join =
+        r->joined_us == 0 || r->now.mono_us - r->joined_us > 2 * r->config.failure_timeout_us,
     .may_leave =
         r->draining && r->request_count == 0 && r->attempt_count == 0 && dks_jobs_backlog (r) == 0,
     .wall_ms = r->now.wall_ms,
@@ -54,6 +56,8 @@
       inputs->next_floor_ms[i] = shard->accepted_ms + 1;
       if (shard->sync_acked)
         dks_strcpy (inputs->synced[i], sizeof (inputs->synced[i]), shard->sync_peer);
+      inputs->is_recovering[i] =
+          shard->recover_ready || shard->lost[0].id[0] != '\0' || shard->lost[1].id[0] != '\0';
       inputs->may_lower_floor[i] = dks_owner_can_lower_floor (r, i);
       inputs->lower_floor_ms[i] = shard->recover_floor_ms;
     }
@@ -100,6 +104,10 @@
       if (dks_owner_is_self (r, i) && r->view_proposed.shards[i].owner[0] == '\0')
         shard->closing = true;
     }
+  /* Two members that cannot reach each other would otherwise remove and add each other without a
+   * pause. */
+  if (dks_view_member (dks_own_view (r), r->self) == NULL)
+    r->joined_us = r->now.mono_us;
   dks_count (&r->counters, DKS_COUNTER_STORE_WRITES);
   effect = start_op (r, DKS_EFFECT_STORE_CAS);
   effect->u.store.version = dks_own_view (r)->version;
@@ -158,6 +166,8 @@
   r->views[r->own] = *view;
   r->view_known = true;
   clear_proposals (r);
+  for (uint32_t i = 0; i < view->member_count; i++)
+    dks_members_note (r, view->members[i].id);
   log_takeovers (r, &old, view);
   /* Peers learn the view from us before they get a message that depends on it. */
   if (is_from_us)
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -157,7 +157,8 @@
   bool view_op_is_cas;
   dks_view_t view_proposed;
   dks_timer_t view_timer;
-  bool view_known; /**< the own view has been read from the store or a peer */
+  int64_t joined_us; /**< when this member last tried to join the view, 0 for never */
+  bool view_known;   /**< the own view has been read from the store or a peer */
 
   /* owner.c */
   dks_shard_state_t shards[DKS_SHARDS];
@@ -229,6 +230,9 @@
 void dks_members_handle_down (dks_reducer_t *r, const char *id);
 void dks_members_handle_heartbeat (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
 void dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count);
+/** Takes note of a member of the own view. One that is new counts as alive for the failure timeout,
+ * in which connections are made; otherwise it would be removed as soon as it has joined. */
+void dks_members_note (dks_reducer_t *r, const char *id);
 /** Forgives all silence, after this process has been paused. */
 void dks_members_forgive (dks_reducer_t *r);
 void dks_members_send_records (dks_reducer_t *r, const char *peer);
--- a/include/core/view.h
+++ b/include/core/view.h
@@ -51,6 +51,7 @@
   const char *self; /**< own member id */
   const char *address;
   bool draining;
+  bool may_join;  /**< the last time is long enough ago */
   bool may_leave; /**< nothing is left to do once all roles are handed over */
   int64_t wall_ms;
   int64_t ceiling_ms;    /**< reach of the ceiling beyond `wall_ms` */
@@ -62,6 +63,7 @@
   bool fenced[DKS_SHARDS];                /**< as backup: claims of the owner are being rejected */
   char synced[DKS_SHARDS][DKS_NAME_SIZE]; /**< as owner: member that holds all claims, or empty */
   int64_t next_floor_ms[DKS_SHARDS];      /**< as owner: above every key that was accepted */
+  bool is_recovering[DKS_SHARDS];         /**< as owner: lost claims may still come back */
   bool may_lower_floor[DKS_SHARDS];       /**< as owner: lost claims have been recovered */
   int64_t lower_floor_ms[DKS_SHARDS];     /**< floor that the recovered claims allow */
 } dks_view_inputs_t;
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -289,7 +289,7 @@
   File no_array (json ("{'payload':'x'}"));
   File no_utf8 ("\xff\n");
   File empty ("");
-  const std::vector<std::vector<std::string> > cases = {
+  const std::vector<std::vector<std::string>> cases = {
     {},
     { "no-such-command" },
     { "settings" },
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -109,7 +109,7 @@
   int error = 0;
   bool in_call = false;
   std::vector<std::string> events;
-  std::vector<std::pair<std::string, uint32_t> > messages;
+  std::vector<std::pair<std::string, uint32_t>> messages;
 };
 
 class Peer : public ::testing::Test
@@ -243,7 +243,7 @@
   }
 
   dks_loop_t *loop = nullptr;
-  std::deque<std::unique_ptr<Instance> > instances;
+  std::deque<std::unique_ptr<Instance>> instances;
   std::vector<int> sockets;
 };
 
--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -230,7 +230,7 @@
   int64_t mono_us = 1000000;
   int64_t revision = 0;
   bool exited = false;
-  std::map<std::string, std::pair<int64_t, std::string> > store;
+  std::map<std::string, std::pair<int64_t, std::string>> store;
   std::map<uint64_t, dks_answer_t *> answers;
   std::map<std::string, int> starts;
   std::vector<uint64_t> attempts;
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -324,7 +324,7 @@
     return json ("{'version':1,'overrides':{},'history':[") + text.replace (at, from.size (), to)
            + "]}";
   };
-  const std::vector<std::pair<std::string, std::string> > cases = {
+  const std::vector<std::pair<std::string, std::string>> cases = {
     { "", "record: line 1" },
     { "[]", "record: must be an object" },
     { "{}", "record: field version is missing" },
--- a/tests/test_view.cc
+++ b/tests/test_view.cc
@@ -25,6 +25,7 @@
     dks_view_inputs_t in = {};
 
     in.self = self;
+    in.may_join = true;
     in.address = "127.0.0.1:1";
     in.wall_ms = now_ms;
     in.ceiling_ms = reach_ms;
