--- a/core/entry.c
+++ b/core/entry.c
@@ -112,6 +112,9 @@
 {
   dks_waiter_t waiter = { .request = request->id, .is_query = request->kind == DKS_REQUEST_QUERY };
 
+  if (request->submission != NULL)
+    waiter.digest = request->submission->digest;
+
   dks_strcpy (request->sent_to, sizeof (request->sent_to), r->self);
   /* The calls below may answer at once and destroy the request. */
   if (request->kind == DKS_REQUEST_SUBMIT)
--- a/core/owner.c
+++ b/core/owner.c
@@ -547,9 +547,9 @@
 
 /* Attaches a waiter to work that is known already. Returns false if the key is new. */
 static bool
-attach (dks_reducer_t *r, const char *key, uint64_t digest, uint32_t shard,
-        const dks_waiter_t *waiter)
+attach (dks_reducer_t *r, const char *key, uint32_t shard, const dks_waiter_t *waiter)
 {
+  uint64_t digest = waiter->digest;
   dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
   dks_job_t *job = dks_job_find (r, key);
 
@@ -585,14 +585,14 @@
   return claim != NULL ? claim->answer == NULL : dks_job_find (r, key) != NULL;
 }
 
-/* Like attach() for any content; a query is told at once that work is under way. */
+/* Like attach(), but a query is told at once that work is under way. */
 static bool
 attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter)
 {
   uint32_t shard = dks_key_shard (key);
 
   if (!waiter->is_query || !is_under_way (r, key, shard))
-    return attach (r, key, 0, shard, waiter);
+    return attach (r, key, shard, waiter);
   answer_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
   return true;
 }
@@ -608,7 +608,7 @@
       answer_moved (r, waiter, submission->key);
       return;
     }
-  if (attach (r, submission->key, submission->digest, shard, waiter))
+  if (attach (r, submission->key, shard, waiter))
     {
       answer_accepted (r, waiter, submission);
       return;
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -89,7 +89,8 @@
 static void
 handle_forward (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
 {
-  dks_waiter_t waiter = { .request = msg->u.forward.request };
+  dks_waiter_t waiter = { .request = msg->u.forward.request,
+                          .digest = msg->u.forward.submission->digest };
 
   dks_strcpy (waiter.peer, sizeof (waiter.peer), peer->id);
   dks_owner_submit (r, msg->u.forward.submission, &waiter);
--- a/include/core/waiter.h
+++ b/include/core/waiter.h
@@ -16,6 +16,7 @@
   APR_RING_ENTRY (dks_waiter_t) link;
   char peer[DKS_NAME_SIZE]; /**< member id, or empty for this instance */
   uint64_t request;         /**< request id at that instance */
+  uint64_t digest;          /**< of the content that was submitted; 0 for questions */
   bool is_query;            /**< wants the state, not to wait for the end */
 };
 
