damaskshore: outcomes decide exit codes; overload moves on to the next server

Cause: the HTTP server puts "outcome" into every answer about a submission, and leaves it out of errors found before the submission is looked up (overload, bad input). Ruled out: taking an exit code from the HTTP status alone; a 503 for overload would be reported as "not run" although an earlier attempt with the same key may be running. Change: without an outcome only 400, 405 and 413 count as refusals. submit tries the next server after an overload, and reports "refused" only when nothing was sent before under a new key. Conclusion: a refusal by the tool is as true as one by an instance.

--- a/damaskshore/answer.c
+++ b/damaskshore/answer.c
@@ -34,13 +34,20 @@
     }
 }
 
-bool
-dks_reply_is_own (const json_t *body)
+/* Name of the problem in a reply, or NULL when it has none of an instance. */
+static const char *
+problem_name (const json_t *body)
 {
   const char *type = json_string_value (json_object_get (body, "type"));
+  size_t len = strlen (PROBLEM_PREFIX);
 
-  return json_is_string (json_object_get (body, "outcome"))
-         || (type != NULL && strncmp (type, PROBLEM_PREFIX, strlen (PROBLEM_PREFIX)) == 0);
+  return type != NULL && strncmp (type, PROBLEM_PREFIX, len) == 0 ? type + len : NULL;
+}
+
+bool
+dks_reply_is_own (const json_t *body)
+{
+  return json_is_string (json_object_get (body, "outcome")) || problem_name (body) != NULL;
 }
 
 static bool
@@ -71,33 +78,20 @@
 dks_answer_exit (int status, const json_t *body)
 {
   const char *outcome = json_string_value (json_object_get (body, "outcome"));
+  const char *problem = problem_name (body);
   dks_exit_t exit_code;
 
   if (outcome != NULL && outcome_exit (outcome, &exit_code))
-    return exit_code;
-  /* Anything between this program and an instance may have written the reply, and may have passed
-   * the request on, so its status code proves nothing. */
-  if (status != 200 && status != 202 && !dks_reply_is_own (body))
-    return DKS_EXIT_UNKNOWN;
-  switch (status)
     {
-    case 409:
-      return DKS_EXIT_CANCELLED;
-    case 502:
-      return DKS_EXIT_FAILED;
-    case 200:
-    case 202:
-    case 400:
-    case 404:
-    case 410:
-    case 413:
-    case 422:
-    case 429:
-    case 503:
-      return dks_reply_exit (status);
-    default:
-      return DKS_EXIT_UNKNOWN;
+      /* The outcome of a key without a record is "unknown", but scripts must tell the two apart. */
+      if (problem != NULL && strcmp (problem, dks_problem_name (DKS_PROBLEM_NOT_FOUND)) == 0)
+        return DKS_EXIT_NOT_FOUND;
+      return exit_code;
     }
+  /* Without an outcome a reply tells nothing about the work, except that this request was bad. */
+  if (problem != NULL && (status == 400 || status == 405 || status == 413))
+    return DKS_EXIT_REFUSED;
+  return DKS_EXIT_UNKNOWN;
 }
 
 json_t *
@@ -131,20 +125,20 @@
 print_problem (dks_cli_t *cli, const dks_client_reply_t *reply, const json_t *body)
 {
   const char *outcome = json_string_value (json_object_get (body, "outcome"));
-  const char *type = json_string_value (json_object_get (body, "type"));
+  const char *problem = problem_name (body);
   const char *detail = json_string_value (json_object_get (body, "detail"));
+  const json_t *task;
+  size_t i;
 
   fputs ("damaskshore: ", cli->err);
   if (outcome != NULL)
     print_safe (cli->err, outcome);
   else
     fprintf (cli->err, "HTTP status %d", reply->status);
-  if (type != NULL)
+  if (problem != NULL)
     {
-      if (strncmp (type, PROBLEM_PREFIX, strlen (PROBLEM_PREFIX)) == 0)
-        type += strlen (PROBLEM_PREFIX);
       fputs (": ", cli->err);
-      print_safe (cli->err, type);
+      print_safe (cli->err, problem);
     }
   if (detail != NULL && detail[0] != '\0')
     {
@@ -154,6 +148,15 @@
   if (reply->retry_after_s >= 0)
     fprintf (cli->err, " (retry after %lld s)", (long long)reply->retry_after_s);
   fputc ('\n', cli->err);
+  json_array_foreach (json_object_get (body, "failed_tasks"), i, task)
+  {
+    const char *reason = json_string_value (json_object_get (task, "problem"));
+
+    fprintf (cli->err, "damaskshore: task %lld: ",
+             (long long)json_integer_value (json_object_get (task, "index")));
+    print_safe (cli->err, reason != NULL ? reason : "failed");
+    fputc ('\n', cli->err);
+  }
 }
 
 static void
@@ -168,13 +171,44 @@
   dks_json_print (cli, result);
 }
 
+/* Result of a single request. One that is not UTF-8 is in "result_base64" and is shown as an object
+ * with this name, as it is within the results of a job. */
+static json_t *
+single_result (const json_t *body)
+{
+  json_t *result = json_object_get (body, "result");
+  json_t *encoded = json_object_get (body, "result_base64");
+
+  if (result != NULL)
+    return json_incref (result);
+  return encoded != NULL ? json_pack ("{s:O}", "result_base64", encoded) : NULL;
+}
+
+static void
+print_results (dks_cli_t *cli, const json_t *body)
+{
+  const json_t *results = json_object_get (body, "results");
+  json_t *item;
+  size_t i;
+
+  if (json_is_array (results))
+    {
+      json_array_foreach (results, i, item) print_result (cli, item);
+      return;
+    }
+  item = single_result (body);
+  print_result (cli, item);
+  json_decref (item);
+}
+
 /* Checks that a complete answer holds every result (R2). */
 static bool
 is_whole (dks_cli_t *cli, const json_t *body, uint32_t task_count)
 {
   const json_t *results = json_object_get (body, "results");
   size_t count = json_is_array (results) ? json_array_size (results)
-                                         : json_object_get (body, "result") != NULL;
+                                         : json_object_get (body, "result") != NULL
+                                               || json_object_get (body, "result_base64") != NULL;
 
   if (count == 0 || (task_count > 0 && count != task_count))
     {
@@ -189,9 +223,6 @@
                   uint32_t task_count)
 {
   json_t *body = dks_reply_json (cli, reply);
-  const json_t *results;
-  const json_t *item;
-  size_t i;
   dks_exit_t exit_code = dks_answer_exit (reply->status, body);
   bool is_complete = exit_code == DKS_EXIT_OK;
 
@@ -200,7 +231,7 @@
       if (body != NULL)
         dks_cli_error (cli, "HTTP status %d with a body that is not an object", reply->status);
       json_decref (body);
-      return exit_code == DKS_EXIT_OK ? DKS_EXIT_UNKNOWN : exit_code;
+      return exit_code;
     }
   if (is_complete && !is_whole (cli, body, task_count))
     exit_code = DKS_EXIT_UNKNOWN;
@@ -213,12 +244,7 @@
       dks_json_print (cli, body);
     }
   else if (exit_code == DKS_EXIT_OK)
-    {
-      results = json_object_get (body, "results");
-      json_array_foreach (results, i, item) print_result (cli, item);
-      if (!json_is_array (results))
-        print_result (cli, json_object_get (body, "result"));
-    }
+    print_results (cli, body);
   else if (!is_complete)
     print_problem (cli, reply, body);
   json_decref (body);
--- a/damaskshore/commands/settings_get.c
+++ b/damaskshore/commands/settings_get.c
@@ -67,8 +67,6 @@
   body = dks_reply_json (cli, &reply);
   dks_client_reply_clear (&reply);
   values = json_object_get (body, "values");
-  if (values == NULL)
-    values = body;
   if (!json_is_object (values))
     {
       dks_cli_error (cli, "the answer has no values");
--- a/damaskshore/commands/submit.c
+++ b/damaskshore/commands/submit.c
@@ -40,6 +40,7 @@
 typedef struct
 {
   char key[DKS_KEY_SIZE];
+  bool is_key_given;
   bool is_request;
   bool is_async;
   int64_t deadline_ms; /* 0: not given */
@@ -76,6 +77,7 @@
     {
       if (dks_key_parse (args->key->sval[0], &parsed) != DKS_OK)
         return dks_cli_usage (cli, "submit", "bad key %s", args->key->sval[0]);
+      submit->is_key_given = true;
       dks_strcpy (submit->key, sizeof (submit->key), args->key->sval[0]);
       return DKS_EXIT_OK;
     }
@@ -257,22 +259,35 @@
   return exit_code;
 }
 
-/* Whether the reply comes from something between this program and an instance that failed. */
-static bool
-is_foreign_failure (const dks_client_reply_t *reply)
+/* What a reply or its absence says about the submission. */
+typedef enum
+{
+  SENT_ANSWERED,    /* final */
+  SENT_NOT_TAKEN,   /* the instance did not take the request, for example because of overload */
+  SENT_UNREACHABLE, /* nothing was sent */
+  SENT_LOST,        /* may have been received */
+} sent_t;
+
+/* A server error without an outcome is either from an instance, which then has not taken the
+ * request, or from something in between, which may have passed it on to an instance that failed. */
+static sent_t
+classify_reply (const dks_client_reply_t *reply)
 {
   json_t *body;
-  bool is_own;
+  sent_t sent = SENT_ANSWERED;
 
   if (reply->status < 500)
-    return false;
+    return SENT_ANSWERED;
   body = json_loadb (reply->body, reply->len, JSON_ALLOW_NUL, NULL);
-  is_own = dks_reply_is_own (body);
+  if (!dks_reply_is_own (body))
+    sent = SENT_LOST;
+  else if (json_object_get (body, "outcome") == NULL)
+    sent = reply->status == 503 ? SENT_NOT_TAKEN : SENT_LOST;
   json_decref (body);
-  return !is_own;
+  return sent;
 }
 
-static int
+static sent_t
 send_once (dks_cli_t *cli, const char *server, const submit_t *submit, int64_t left_ms,
            dks_client_reply_t *reply)
 {
@@ -281,6 +296,7 @@
                                   NULL };
   char *body;
   int error;
+  sent_t sent;
 
   snprintf (key_header, sizeof (key_header), "Idempotency-Key: %s", submit->key);
   /* The deadline is relative to the arrival, so a later attempt has less of it left. */
@@ -298,13 +314,50 @@
   };
   error = dks_client_call_server (cli, server, &request, reply);
   free (body);
-  if (error == DKS_OK && is_foreign_failure (reply))
+  if (error != DKS_OK)
+    return error == DKS_ERR_UNAVAILABLE ? SENT_UNREACHABLE : SENT_LOST;
+  sent = classify_reply (reply);
+  if (sent != SENT_ANSWERED)
     {
-      dks_cli_error (cli, "%s: HTTP status %d that is not from an instance", server, reply->status);
+      dks_cli_error (cli, "%s: HTTP status %d without an outcome", server, reply->status);
       dks_client_reply_clear (reply);
-      error = DKS_ERR_IO;
     }
-  return error;
+  return sent;
+}
+
+static dks_exit_t
+finish_answered (dks_cli_t *cli, const submit_t *submit, dks_client_reply_t *reply,
+                 bool may_have_run)
+{
+  json_t *body = json_loadb (reply->body, reply->len, JSON_ALLOW_NUL, NULL);
+  bool has_outcome = json_object_get (body, "outcome") != NULL;
+  dks_exit_t exit_code =
+      dks_answer_print (cli, submit->key, reply, (uint32_t)json_array_size (submit->tasks));
+
+  json_decref (body);
+  dks_client_reply_clear (reply);
+  if (submit->is_async && exit_code == DKS_EXIT_PENDING)
+    return DKS_EXIT_OK;
+  /* Without an outcome the reply says nothing about an earlier attempt that may be running. */
+  return !has_outcome && may_have_run ? DKS_EXIT_UNKNOWN : exit_code;
+}
+
+static dks_exit_t
+finish_unanswered (dks_cli_t *cli, const submit_t *submit, bool may_have_run, bool is_refused)
+{
+  if (may_have_run || (is_refused && submit->is_key_given))
+    {
+      dks_cli_error (cli, "no answer; the work may have run: ask with 'damaskshore status %s'",
+                     submit->key);
+      return DKS_EXIT_UNKNOWN;
+    }
+  if (is_refused)
+    {
+      dks_cli_error (cli, "refused: no instance took the submission; nothing was run");
+      return DKS_EXIT_REFUSED;
+    }
+  dks_cli_error (cli, "no server could be reached; nothing was sent");
+  return DKS_EXIT_UNREACHABLE;
 }
 
 /* Sends the submission until it is answered. Sending it again with the same key is safe, because
@@ -315,8 +368,8 @@
   int64_t limit_ms = submit->deadline_ms > 0 ? submit->deadline_ms : DEADLINE_MAX_MS;
   int64_t start_ms = now_ms (CLOCK_MONOTONIC);
   bool may_have_run = false;
+  bool is_refused = false;
   dks_client_reply_t reply;
-  dks_exit_t exit_code;
 
   for (int pass = 0; pass < PASSES; pass++)
     {
@@ -325,32 +378,25 @@
       for (size_t i = 0; i < cli->server_count; i++)
         {
           int64_t left_ms = limit_ms - (now_ms (CLOCK_MONOTONIC) - start_ms);
-          int error;
 
           if (left_ms < DEADLINE_MIN_MS)
-            goto failed;
-          error = send_once (cli, cli->servers[i], submit, left_ms, &reply);
-          if (error == DKS_OK)
+            return finish_unanswered (cli, submit, may_have_run, is_refused);
+          switch (send_once (cli, cli->servers[i], submit, left_ms, &reply))
             {
-              exit_code = dks_answer_print (cli, submit->key, &reply,
-                                            (uint32_t)json_array_size (submit->tasks));
-              if (submit->is_async && exit_code == DKS_EXIT_PENDING)
-                exit_code = DKS_EXIT_OK;
-              dks_client_reply_clear (&reply);
-              return exit_code;
+            case SENT_ANSWERED:
+              return finish_answered (cli, submit, &reply, may_have_run);
+            case SENT_LOST:
+              may_have_run = true;
+              break;
+            case SENT_NOT_TAKEN:
+              is_refused = true;
+              break;
+            case SENT_UNREACHABLE:
+              break;
             }
-          may_have_run = may_have_run || error != DKS_ERR_UNAVAILABLE;
         }
     }
-failed:
-  if (!may_have_run)
-    {
-      dks_cli_error (cli, "no server could be reached; nothing was sent");
-      return DKS_EXIT_UNREACHABLE;
-    }
-  dks_cli_error (cli, "no answer; the work may have run: ask with 'damaskshore status %s'",
-                 submit->key);
-  return DKS_EXIT_UNKNOWN;
+  return finish_unanswered (cli, submit, may_have_run, is_refused);
 }
 
 dks_exit_t
--- a/include/damaskshore/answer.h
+++ b/include/damaskshore/answer.h
@@ -10,7 +10,9 @@
 
 /** Whether an instance wrote this body, rather than a load balancer in between. */
 bool dks_reply_is_own (const json_t *body);
-/** Exit code of an answer about a submission: by the field "outcome", else by HTTP status. */
+/** Exit code of an answer about a submission, by its field "outcome"; but the problem "not-found"
+ * gives DKS_EXIT_NOT_FOUND. Without an outcome it is DKS_EXIT_REFUSED for a request that an
+ * instance calls bad (400, 405, 413), else DKS_EXIT_UNKNOWN. */
 dks_exit_t dks_answer_exit (int status, const json_t *body);
 /** Exit code of an answer about anything else: by HTTP status. */
 dks_exit_t dks_reply_exit (int status);
