core: drop a job before its callers are refused

Cause: since refusals are withdrawn for known keys, a solo owner found the job that was just being refused and attached its callers to it again, without end (test_reducer hung). Ruled out: a timer that re-arms itself for the present. Change: the job is removed first, then its callers are refused. Before: QueuedJobIsRefusedAsNotRunAtItsDeadline hung.

--- a/core/owner.c
+++ b/core/owner.c
@@ -723,18 +723,25 @@
 dks_owner_refuse_job (dks_reducer_t *r, dks_job_t *job, dks_problem_t problem,
                       uint32_t retry_after_ms, const char *detail)
 {
+  uint32_t shard = job->shard;
+  char key[DKS_KEY_SIZE];
+  dks_waiter_ring_t waiters;
   dks_waiter_t *waiter;
 
+  dks_strcpy (key, sizeof (key), job->submission->key);
   if (job->state == DKS_JOB_CLAIMING)
     release_claim (r, job);
-  while ((waiter = dks_waiters_take (&job->waiters)) != NULL)
+  APR_RING_INIT (&waiters, dks_waiter_t, link);
+  APR_RING_CONCAT (&waiters, &job->waiters, dks_waiter_t, link);
+  forget_claim_id (r, job);
+  /* The job must be gone before its callers are refused: a refusal is withdrawn if its key is
+   * known. */
+  dks_job_discard (r, job);
+  while ((waiter = dks_waiters_take (&waiters)) != NULL)
     {
-      refuse (r, job->shard, waiter,
-              refusal_answer (job->submission->key, problem, retry_after_ms, detail));
+      refuse (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
       free (waiter);
     }
-  forget_claim_id (r, job);
-  dks_job_discard (r, job);
 }
 
 /* Results and claims that another instance runs */
--- a/tests/test_store_client.cc
+++ b/tests/test_store_client.cc
@@ -169,7 +169,7 @@
   std::mutex mutex;
   std::vector<HttpRequest> requests;
   std::map<uint64_t, Reply> replies;
-  std::vector<std::tuple<std::string, int64_t, std::string> > records;
+  std::vector<std::tuple<std::string, int64_t, std::string>> records;
   std::vector<dks_listed_instance_t> instances;
   int lists = 0;
   bool in_call = false;
@@ -313,7 +313,7 @@
 
 TEST_F (StoreClient, WatchFollowsRevisions)
 {
-  auto changed = std::make_shared<std::atomic<bool> > (false);
+  auto changed = std::make_shared<std::atomic<bool>> (false);
 
   start (
       [=] (const HttpRequest &request) -> std::string {
@@ -344,7 +344,7 @@
 // After an error a change may have been missed; only a read from 0 is sure to find it.
 TEST_F (StoreClient, WatchReadsAllAgainAfterEachKindOfError)
 {
-  auto errors = std::make_shared<std::atomic<int> > (0);
+  auto errors = std::make_shared<std::atomic<int>> (0);
   const std::vector<std::string> bad = {
     "",
     http_reply (500, "{}"),
@@ -379,7 +379,7 @@
 // bound.
 TEST_F (StoreClient, BacksOffWhileTheStoreFails)
 {
-  auto down = std::make_shared<std::atomic<bool> > (true);
+  auto down = std::make_shared<std::atomic<bool>> (true);
 
   start (
       [=] (const HttpRequest &request) -> std::string {
