damaskshored: options and host of the reducer

Cause: the transports and the reducer need a process that connects them. Ruled out: applying a nested event's effects at once, because messages to a peer could then overtake earlier ones; they are appended to the list that is being carried out.

--- /dev/null
+++ b/damaskshored/host.c
@@ -0,0 +1,436 @@
+#include "damaskshored/host.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+#include "net/peer.h"
+#include "net/store_client.h"
+#include "net/target_client.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+enum
+{
+  STORE_TIMEOUT_MS = 2000,
+  STORE_WATCH_WAIT_MS = 10000,
+  /* A leaving target must get no new work after 3 s; the list itself may lag by 2 s. */
+  STORE_LIST_INTERVAL_MS = 1000,
+  /* Callers that do not read their answer hold up the exit at most this long. */
+  EXIT_WAIT_US = 30 * 1000000,
+  OTHER_DESCRIPTORS = 256 /* peers, platform, logs */
+};
+
+struct dks_host_t
+{
+  dks_loop_t *loop;
+  dks_reducer_t *reducer;
+  dks_peers_t *peers;
+  dks_store_client_t *store;
+  dks_http_client_t *target_http;
+  dks_target_client_t *targets;
+  dks_http_server_t *server;
+  dks_timer_t tick;
+  dks_effects_t effects;
+  bool carrying_out; /* effects are being carried out; new ones are appended to the same list */
+  int signal_fd;
+  bool draining;
+  int64_t exit_at_us; /* latest exit after DKS_EFFECT_EXIT; 0 before */
+  int status;         /* exit status */
+};
+
+static void
+carry_out (dks_host_t *host, const dks_effect_t *effect)
+{
+  switch (effect->type)
+    {
+    case DKS_EFFECT_REPLY:
+    case DKS_EFFECT_EDIT_REPLY:
+      dks_http_server_reply (host->server, effect);
+      break;
+    case DKS_EFFECT_PEER_SEND:
+      dks_peers_send (host->peers, effect->u.peer_send.peer, effect->u.peer_send.msg);
+      break;
+    case DKS_EFFECT_PEER_CONNECT:
+      dks_peers_connect (host->peers, effect->u.peer_connect.address);
+      break;
+    case DKS_EFFECT_TARGET_SEND:
+      dks_target_client_send (host->targets, effect, dks_loop_now ().wall_ms);
+      break;
+    case DKS_EFFECT_TARGET_ABORT:
+      dks_target_client_abort (host->targets, effect->u.target_abort.attempt);
+      break;
+    case DKS_EFFECT_STORE_GET:
+      dks_store_client_get (host->store, effect->u.store.op, effect->u.store.key);
+      break;
+    case DKS_EFFECT_STORE_CAS:
+      dks_store_client_cas (host->store, effect->u.store.op, effect->u.store.key,
+                            effect->u.store.version, effect->u.store.value);
+      break;
+    case DKS_EFFECT_LOG:
+      dks_log (effect->u.log.level, "%s", effect->u.log.text);
+      break;
+    case DKS_EFFECT_EXIT:
+      if (host->exit_at_us == 0)
+        host->exit_at_us = dks_loop_now ().mono_us + EXIT_WAIT_US;
+      break;
+    }
+}
+
+static void
+apply (dks_host_t *host, dks_event_t *event)
+{
+  event->now = dks_loop_now ();
+  dks_reducer_apply (host->reducer, event, &host->effects);
+  /* A transport may report an event while an effect is carried out. Its effects come after those
+   * that are still waiting, so that messages keep their order. */
+  if (host->carrying_out)
+    return;
+  host->carrying_out = true;
+  for (size_t i = 0; i < host->effects.count; i++)
+    {
+      dks_effect_t effect = host->effects.items[i]; /* a nested call may move the list */
+      carry_out (host, &effect);
+    }
+  dks_effects_clear (&host->effects);
+  host->carrying_out = false;
+}
+
+static void
+drain (dks_host_t *host)
+{
+  dks_event_t event = { .type = DKS_EVENT_DRAIN };
+
+  if (host->draining)
+    return;
+  host->draining = true;
+  dks_log (DKS_LOG_NOTICE, "event=drain");
+  dks_http_server_set_draining (host->server);
+  apply (host, &event);
+}
+
+static void
+handle_http_event (void *context, dks_event_t *event)
+{
+  dks_host_t *host = context;
+
+  if (event->type == DKS_EVENT_DRAIN)
+    drain (host);
+  else
+    apply (host, event);
+}
+
+static const dks_reducer_t *
+handle_http_reducer (void *context)
+{
+  return ((dks_host_t *)context)->reducer;
+}
+
+static void
+handle_peer_up (void *context, const char *member, const char *data_centre)
+{
+  dks_event_t event = { .type = DKS_EVENT_PEER_UP };
+
+  event.u.peer.peer = member;
+  event.u.peer.data_centre = data_centre;
+  apply (context, &event);
+}
+
+static void
+handle_peer_down (void *context, const char *member)
+{
+  dks_event_t event = { .type = DKS_EVENT_PEER_DOWN };
+
+  event.u.peer.peer = member;
+  apply (context, &event);
+}
+
+static void
+handle_peer_message (void *context, const char *member, dks_msg_t *msg)
+{
+  dks_event_t event = { .type = DKS_EVENT_PEER_MSG };
+
+  event.u.peer_msg.peer = member;
+  event.u.peer_msg.msg = msg;
+  apply (context, &event);
+}
+
+static void
+handle_target_reply (void *context, uint64_t attempt, dks_attempt_status_t status, bool leaving,
+                     dks_blob_t *body)
+{
+  dks_event_t event = { .type = DKS_EVENT_TARGET_REPLY };
+
+  event.u.target_reply.attempt = attempt;
+  event.u.target_reply.status = status;
+  event.u.target_reply.leaving = leaving;
+  event.u.target_reply.body = body;
+  apply (context, &event);
+}
+
+static void
+handle_store_reply (void *context, uint64_t op, dks_store_status_t status, int64_t version,
+                    dks_blob_t *value)
+{
+  dks_event_t event = { .type = DKS_EVENT_STORE_REPLY };
+
+  event.u.store_reply.op = op;
+  event.u.store_reply.status = status;
+  event.u.store_reply.version = version;
+  event.u.store_reply.value = value;
+  apply (context, &event);
+}
+
+static void
+handle_store_record (void *context, const char *key, int64_t version, dks_blob_t *value)
+{
+  dks_event_t event = { .type = DKS_EVENT_STORE_RECORD };
+
+  event.u.store_record.key = key;
+  event.u.store_record.version = version;
+  event.u.store_record.value = value;
+  apply (context, &event);
+}
+
+static void
+handle_instance_list (void *context, const dks_listed_instance_t *items, size_t count)
+{
+  dks_event_t event = { .type = DKS_EVENT_INSTANCE_LIST };
+
+  event.u.instance_list.items = items;
+  event.u.instance_list.count = count;
+  apply (context, &event);
+}
+
+static void
+handle_tick (void *context, int64_t now_us)
+{
+  dks_event_t event = { .type = DKS_EVENT_TICK };
+
+  apply (context, &event);
+}
+
+static void
+handle_signal (void *context, int fd, int events)
+{
+  dks_host_t *host = context;
+  struct signalfd_siginfo info;
+
+  while (read (fd, &info, sizeof (info)) == sizeof (info))
+    {
+      if (host->draining)
+        {
+          dks_log (DKS_LOG_WARNING, "event=exit reason=second-signal open_requests=%u",
+                   dks_http_server_open_requests (host->server));
+          host->status = EXIT_FAILURE;
+          dks_loop_stop (host->loop);
+          return;
+        }
+      drain (host);
+    }
+}
+
+static void
+schedule_tick (dks_host_t *host)
+{
+  int64_t next_us = dks_reducer_next_us (host->reducer);
+
+  if (next_us == INT64_MAX)
+    dks_timer_cancel (dks_loop_timers (host->loop), &host->tick);
+  else if (!dks_timer_is_armed (&host->tick) || host->tick.at_us != next_us)
+    dks_timer_set (dks_loop_timers (host->loop), &host->tick, next_us);
+}
+
+static void
+handle_turn_end (void *context)
+{
+  dks_host_t *host = context;
+  uint32_t open_requests;
+
+  dks_peers_flush (host->peers);
+  schedule_tick (host);
+  if (host->exit_at_us == 0)
+    return;
+  open_requests = dks_http_server_open_requests (host->server);
+  if (open_requests > 0 && dks_loop_now ().mono_us < host->exit_at_us)
+    return;
+  dks_log (DKS_LOG_NOTICE, "event=exit reason=drained open_requests=%u", open_requests);
+  dks_loop_stop (host->loop);
+}
+
+/* One descriptor is needed per caller, target connection and peer. */
+static int
+raise_descriptor_limit (const dks_options_t *options)
+{
+  struct rlimit limit;
+  rlim_t wanted = (rlim_t)options->http_connections + OTHER_DESCRIPTORS;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return DKS_ERR_IO;
+  if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < wanted)
+    {
+      dks_log (DKS_LOG_ERROR,
+               "event=start-failed reason=\"--http-connections %u needs %" PRIu64
+               " descriptors, the limit is %" PRIu64 "\"",
+               options->http_connections, (uint64_t)wanted, (uint64_t)limit.rlim_max);
+      return DKS_ERR_UNAVAILABLE;
+    }
+  limit.rlim_cur = limit.rlim_max;
+  return setrlimit (RLIMIT_NOFILE, &limit) == 0 ? DKS_OK : DKS_ERR_IO;
+}
+
+static int
+open_signals (dks_host_t *host)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  host->signal_fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (host->signal_fd < 0)
+    return DKS_ERR_IO;
+  return dks_loop_watch (host->loop, host->signal_fd, DKS_LOOP_READ, handle_signal, host);
+}
+
+static int
+open_peers (dks_host_t *host, const dks_options_t *options)
+{
+  const dks_peer_config_t config = {
+    .member = dks_reducer_member_id (host->reducer),
+    .data_centre = options->config.data_centre,
+    .address = options->config.address,
+  };
+  const dks_peer_callbacks_t callbacks = {
+    .up = handle_peer_up,
+    .down = handle_peer_down,
+    .message = handle_peer_message,
+    .context = host,
+  };
+  int error = dks_peers_create (host->loop, &config, &callbacks, &host->peers);
+
+  if (error != DKS_OK)
+    dks_log (DKS_LOG_ERROR, "event=start-failed part=peers address=%s reason=\"%s\"",
+             config.address, dks_strerror (error));
+  return error;
+}
+
+static int
+open_server (dks_host_t *host, const dks_options_t *options)
+{
+  const dks_http_server_config_t config = {
+    .address = options->http_address,
+    .connections = options->http_connections,
+    .idle_timeout_s = options->http_idle_timeout_s,
+    .data_centre = options->config.data_centre,
+    .deadline_default_ms = options->deadline_default_ms,
+    /* Instances with the same --seed must not generate the same keys. */
+    .seed = options->config.seed ^ options->config.incarnation,
+  };
+  const dks_http_server_callbacks_t callbacks = {
+    .event = handle_http_event,
+    .reducer = handle_http_reducer,
+    .context = host,
+  };
+  int error = dks_http_server_create (host->loop, &config, &callbacks, &host->server);
+
+  if (error != DKS_OK)
+    dks_log (DKS_LOG_ERROR, "event=start-failed part=http address=%s reason=\"%s\"", config.address,
+             dks_strerror (error));
+  return error;
+}
+
+static void
+open_clients (dks_host_t *host, const dks_options_t *options)
+{
+  static const char *const prefixes[] = { "settings", "view/", NULL };
+  const dks_store_config_t config = {
+    .base_url = options->platform_url,
+    .timeout_ms = STORE_TIMEOUT_MS,
+    .watch_wait_ms = STORE_WATCH_WAIT_MS,
+    .list_interval_ms = STORE_LIST_INTERVAL_MS,
+    .prefixes = prefixes,
+  };
+  const dks_store_callbacks_t callbacks = {
+    .reply = handle_store_reply,
+    .record = handle_store_record,
+    .instances = handle_instance_list,
+    .context = host,
+  };
+
+  host->target_http = dks_http_client_create (host->loop, (int)options->target_connections);
+  host->targets = dks_target_client_create (host->target_http, handle_target_reply, host);
+  host->store = dks_store_client_create (host->loop, &config, &callbacks);
+}
+
+int
+dks_host_create (const dks_options_t *options, dks_host_t **host_out)
+{
+  dks_host_t *host = dks_alloc (sizeof (*host));
+  int error = raise_descriptor_limit (options);
+
+  host->signal_fd = -1;
+  host->loop = dks_loop_create ();
+  dks_timer_init (&host->tick, handle_tick, host);
+  host->reducer = dks_reducer_create (&options->config, dks_loop_now ());
+  if (error == DKS_OK)
+    error = open_signals (host);
+  if (error == DKS_OK)
+    error = open_peers (host, options);
+  if (error == DKS_OK)
+    error = open_server (host, options);
+  if (error != DKS_OK)
+    {
+      dks_host_destroy (host);
+      return error;
+    }
+  open_clients (host, options);
+  dks_loop_set_turn_end (host->loop, handle_turn_end, host);
+  schedule_tick (host);
+  dks_log (DKS_LOG_NOTICE, "event=start version=%s member=%s data_centre=%s http=%s peer=%s",
+           DKS_VERSION, dks_reducer_member_id (host->reducer), options->config.data_centre,
+           options->http_address, options->config.address);
+  *host_out = host;
+  return DKS_OK;
+}
+
+void
+dks_host_destroy (dks_host_t *host)
+{
+  if (host == NULL)
+    return;
+  if (host->server != NULL)
+    dks_http_server_destroy (host->server);
+  if (host->store != NULL)
+    dks_store_client_destroy (host->store);
+  if (host->targets != NULL)
+    dks_target_client_destroy (host->targets);
+  if (host->target_http != NULL)
+    dks_http_client_destroy (host->target_http);
+  if (host->peers != NULL)
+    dks_peers_destroy (host->peers);
+  if (host->signal_fd >= 0)
+    {
+      dks_loop_watch (host->loop, host->signal_fd, 0, NULL, NULL);
+      close (host->signal_fd);
+    }
+  dks_timer_cancel (dks_loop_timers (host->loop), &host->tick);
+  dks_effects_destroy (&host->effects);
+  dks_reducer_destroy (host->reducer);
+  dks_loop_destroy (host->loop);
+  free (host);
+}
+
+int
+dks_host_run (dks_host_t *host)
+{
+  dks_loop_run (host->loop);
+  return host->status;
+}
--- /dev/null
+++ b/damaskshored/main.c
@@ -0,0 +1,68 @@
+#include "common/error.h"
+#include "damaskshored/host.h"
+#include "damaskshored/options.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+enum
+{
+  EXIT_USAGE = 2
+};
+
+static const char *
+read_env (const char *name)
+{
+  return getenv (name);
+}
+
+/* Signals are read from a descriptor in the event loop. A closed connection is reported by
+ * write(), not by SIGPIPE. */
+static void
+block_signals (void)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, char **argv)
+{
+  dks_options_t options;
+  dks_host_t *host = NULL;
+  char error[DKS_OPTIONS_ERROR_SIZE];
+  int status;
+
+  if (dks_options_parse (argc, argv, read_env, &options, error) != DKS_OK)
+    {
+      fprintf (stderr, "%s: %s\n", argv[0], error);
+      return EXIT_USAGE;
+    }
+  switch (options.mode)
+    {
+    case DKS_MODE_HELP:
+      dks_options_print_help (argv[0]);
+      return EXIT_SUCCESS;
+    case DKS_MODE_VERSION:
+      printf ("damaskshored " DKS_VERSION "\n");
+      return EXIT_SUCCESS;
+    case DKS_MODE_VALIDATE:
+      return EXIT_SUCCESS;
+    case DKS_MODE_RUN:
+      break;
+    }
+  dks_log_set_level (options.log_level);
+  block_signals ();
+  if (dks_host_create (&options, &host) != DKS_OK)
+    return EXIT_FAILURE;
+  status = dks_host_run (host);
+  dks_host_destroy (host);
+  return status;
+}
--- /dev/null
+++ b/damaskshored/options.c
@@ -0,0 +1,499 @@
+#include "damaskshored/options.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "core/key.h"
+#include "net/address.h"
+
+#include <argtable2.h>
+#include <ctype.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define ENV_PREFIX "DAMASKSHORE_"
+
+enum
+{
+  FLAG_SIZE = 40,
+  HELP_SIZE = 192
+};
+
+typedef struct option_t option_t;
+
+/* Stores `value` in the field of the option; returns false when it is not allowed. */
+typedef bool (*option_set_t) (const option_t *option, const char *value, dks_options_t *options);
+
+struct option_t
+{
+  const char *flag; /* without the dashes */
+  const char *type; /* placeholder in the help text */
+  option_set_t set;
+  const char *fallback; /* value when neither flag nor variable is set; NULL: see `required` */
+  bool required;        /* else the field keeps the value of dks_config_init() */
+  int64_t min;          /* numbers only */
+  int64_t max;
+  int64_t unit;        /* numbers only: the field is in 1/unit of the option's unit */
+  size_t offset;       /* of the field in dks_options_t */
+  size_t size;         /* of the field */
+  const char *allowed; /* allowed values of options that are not numbers */
+  const char *help;
+};
+
+#define NAME_ALLOWED "1 to 24 letters, digits, '-', '_' or '.'"
+#define DATA_CENTRE_ALLOWED "1 to 47 letters, digits, '-', '_' or '.'"
+
+static bool
+is_name (const char *text, size_t len, size_t max)
+{
+  if (len < 1 || len > max)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    {
+      if (!isalnum ((unsigned char)text[i]) && strchr ("-_.", text[i]) == NULL)
+        return false;
+    }
+  return true;
+}
+
+static char *
+option_text_field (const option_t *option, dks_options_t *options)
+{
+  return (char *)options + option->offset;
+}
+
+static bool
+set_id (const option_t *option, const char *value, dks_options_t *options)
+{
+  /* The member id "ID#INCARNATION" must fit in DKS_NAME_SIZE, with up to 20 digits of
+   * incarnation. */
+  return is_name (value, strlen (value), 24)
+         && dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
+}
+
+static bool
+set_data_centre (const option_t *option, const char *value, dks_options_t *options)
+{
+  return is_name (value, strlen (value), DKS_NAME_SIZE - 1)
+         && dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
+}
+
+static bool
+set_data_centres (const option_t *option, const char *value, dks_options_t *options)
+{
+  dks_config_t *config = &options->config;
+
+  config->data_centre_count = 0;
+  for (;;)
+    {
+      size_t len = strcspn (value, ",");
+      size_t count = config->data_centre_count;
+
+      if (count == DKS_DATA_CENTRES_MAX || !is_name (value, len, DKS_NAME_SIZE - 1))
+        return false;
+      memcpy (config->data_centres[count], value, len);
+      config->data_centres[count][len] = '\0';
+      for (size_t i = 0; i < count; i++)
+        {
+          if (strcmp (config->data_centres[i], config->data_centres[count]) == 0)
+            return false;
+        }
+      config->data_centre_count++;
+      if (value[len] == '\0')
+        return true;
+      value += len + 1;
+    }
+}
+
+static bool
+set_listen_address (const option_t *option, const char *value, dks_options_t *options)
+{
+  dks_address_t address;
+
+  return dks_address_parse (value, &address) == DKS_OK
+         && dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
+}
+
+/* Other instances connect to this address, so it cannot be a wildcard. */
+static bool
+set_peer_address (const option_t *option, const char *value, dks_options_t *options)
+{
+  dks_address_t address;
+
+  return dks_address_parse (value, &address) == DKS_OK && !dks_address_is_wildcard (&address)
+         && dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
+}
+
+/* Whether the URL has the scheme http, a numeric host and nothing after the port but a slash. */
+static bool
+is_base_url (CURLU *url, const char *value)
+{
+  static const CURLUPart absent[] = { CURLUPART_USER, CURLUPART_QUERY, CURLUPART_FRAGMENT };
+  char *scheme = NULL;
+  char *host = NULL;
+  char *port = NULL;
+  char *path = NULL;
+  char *part = NULL;
+  char authority[DKS_ADDRESS_SIZE];
+  dks_address_t address;
+  bool ok = false;
+
+  if (curl_url_set (url, CURLUPART_URL, value, 0) != CURLUE_OK
+      || curl_url_get (url, CURLUPART_SCHEME, &scheme, 0) != CURLUE_OK
+      || curl_url_get (url, CURLUPART_HOST, &host, 0) != CURLUE_OK
+      || curl_url_get (url, CURLUPART_PORT, &port, CURLU_DEFAULT_PORT) != CURLUE_OK
+      || curl_url_get (url, CURLUPART_PATH, &path, 0) != CURLUE_OK)
+    goto out;
+  snprintf (authority, sizeof (authority), "%s:%s", host, port);
+  ok = strcmp (scheme, "http") == 0 && strcmp (path, "/") == 0
+       && dks_address_parse (authority, &address) == DKS_OK;
+  for (size_t i = 0; i < sizeof (absent) / sizeof (absent[0]); i++)
+    {
+      if (curl_url_get (url, absent[i], &part, 0) == CURLUE_OK)
+        {
+          curl_free (part);
+          ok = false;
+        }
+    }
+out:
+  curl_free (scheme);
+  curl_free (host);
+  curl_free (port);
+  curl_free (path);
+  return ok;
+}
+
+static bool
+set_url (const option_t *option, const char *value, dks_options_t *options)
+{
+  char *field = option_text_field (option, options);
+  CURLU *url = curl_url ();
+  size_t len;
+  bool ok;
+
+  DKS_INVARIANT (url != NULL);
+  ok = is_base_url (url, value) && dks_strcpy (field, option->size, value) == DKS_OK;
+  curl_url_cleanup (url);
+  len = strlen (field);
+  if (ok && len > 0 && field[len - 1] == '/')
+    field[len - 1] = '\0';
+  return ok;
+}
+
+static bool
+set_log_level (const option_t *option, const char *value, dks_options_t *options)
+{
+  return dks_log_parse_level (value, &options->log_level) == DKS_OK;
+}
+
+static bool
+set_number (const option_t *option, const char *value, dks_options_t *options)
+{
+  char *field = option_text_field (option, options);
+  char *end = NULL;
+  long long number;
+  int64_t scaled;
+
+  if (!isdigit ((unsigned char)value[0]))
+    return false;
+  errno = 0;
+  number = strtoll (value, &end, 10);
+  if (errno != 0 || *end != '\0' || number < option->min || number > option->max)
+    return false;
+  scaled = number * option->unit;
+  if (option->size == sizeof (uint32_t))
+    *(uint32_t *)field = (uint32_t)scaled;
+  else
+    *(int64_t *)field = scaled;
+  return true;
+}
+
+#define FIELD(field) offsetof (dks_options_t, field), sizeof (((dks_options_t *)0)->field)
+
+/* Sorted by flag. The seed and the incarnation are unsigned 64-bit fields, but their options are
+ * limited to the positive range of a signed number. */
+static const option_t option_table[] = {
+  { "ceiling-ms", "MS", set_number, NULL, false, 60000, 86400000, 1, FIELD (config.ceiling_ms),
+    NULL, "how far beyond now this instance may accept keys" },
+  { "claims-max", "N", set_number, NULL, false, 16, 10000000, 1, FIELD (config.claims_max), NULL,
+    "claims kept per shard" },
+  { "clock-skew-ms", "MS", set_number, NULL, false, 0, 600000, 1, FIELD (config.clock_skew_ms),
+    NULL, "largest assumed difference between clocks" },
+  { "data-centre", "NAME", set_data_centre, NULL, true, 0, 0, 0, FIELD (config.data_centre),
+    DATA_CENTRE_ALLOWED, "data centre of this instance" },
+  { "data-centres", "NAME,...", set_data_centres, NULL, false, 0, 0, 0, 0, 0,
+    "1 to 16 different names, each of " DATA_CENTRE_ALLOWED,
+    "all data centres, the same list everywhere (default: only the own one)" },
+  { "deadline-default-ms", "MS", set_number, "30000", false, 10, 3600000, 1,
+    FIELD (deadline_default_ms), NULL, "deadline of submissions that give none" },
+  { "failure-timeout-ms", "MS", set_number, NULL, false, 10, 600000, 1000,
+    FIELD (config.failure_timeout_us), NULL, "silence after which another instance has failed" },
+  { "heartbeat-ms", "MS", set_number, NULL, false, 1, 60000, 1000, FIELD (config.heartbeat_us),
+    NULL, "interval of heartbeats within the data centre" },
+  { "http-address", "IP:PORT", set_listen_address, "127.0.0.1:8080", false, 0, 0, 0,
+    FIELD (http_address), "a numeric IP address and a port from 1 to 65535",
+    "address of the HTTP server" },
+  { "http-connections", "N", set_number, "4096", false, 1, 60000, 1, FIELD (http_connections), NULL,
+    "connections of callers held at once" },
+  { "http-idle-timeout-s", "S", set_number, "60", false, 1, 3600, 1, FIELD (http_idle_timeout_s),
+    NULL, "time after which an idle connection of a caller is closed" },
+  { "id", "NAME", set_id, NULL, true, 0, 0, 0, FIELD (config.id), NAME_ALLOWED,
+    "name of this instance, unique among all instances" },
+  { "incarnation", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.incarnation), NULL,
+    "number that differs at every start; 0: take the time of the start" },
+  { "log-level", "LEVEL", set_log_level, "info", false, 0, 0, 0, FIELD (log_level),
+    "error, warning, notice, info or debug", "least important log lines to write" },
+  { "peer-address", "IP:PORT", set_peer_address, "127.0.0.1:8081", false, 0, 0, 0,
+    FIELD (config.address),
+    "a numeric IP address that is not a wildcard, and a port from 1 to 65535",
+    "address for connections from other instances" },
+  { "platform-url", "URL", set_url, NULL, true, 0, 0, 0, FIELD (platform_url),
+    "http://IP[:PORT] with a numeric IP address, no path and at most 255 characters",
+    "base URL of the platform" },
+  { "retention-ms", "MS", set_number, NULL, false, 1000, 86400000, 1, FIELD (config.retention_ms),
+    NULL, "how long after its issue time the record of a key is kept" },
+  { "seed", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.seed), NULL,
+    "seed of random choices; 0: take one from the system" },
+  { "target-connections", "N", set_number, "60", false, 1, 1024, 1, FIELD (target_connections),
+    NULL, "connections to one target held at once" },
+};
+
+enum
+{
+  OPTION_COUNT = sizeof (option_table) / sizeof (option_table[0]),
+  ARG_HELP = OPTION_COUNT,
+  ARG_VALIDATE,
+  ARG_VERSION,
+  ARG_END,
+  ARG_COUNT
+};
+
+typedef struct
+{
+  void *args[ARG_COUNT];
+  char help[OPTION_COUNT][HELP_SIZE];
+} arguments_t;
+
+static struct arg_str *
+arguments_value (const arguments_t *arguments, int i)
+{
+  return arguments->args[i];
+}
+
+static bool
+arguments_has (const arguments_t *arguments, int i)
+{
+  return ((struct arg_lit *)arguments->args[i])->count > 0;
+}
+
+static void
+arguments_init (arguments_t *arguments)
+{
+  for (int i = 0; i < OPTION_COUNT; i++)
+    {
+      const option_t *option = &option_table[i];
+      char *help = arguments->help[i];
+      int len = snprintf (help, HELP_SIZE, "%s", option->help);
+
+      if (option->required)
+        snprintf (help + len, HELP_SIZE - (size_t)len, " (required)");
+      else if (option->fallback != NULL)
+        snprintf (help + len, HELP_SIZE - (size_t)len, " (default: %s)", option->fallback);
+      arguments->args[i] = arg_str0 (NULL, option->flag, option->type, help);
+    }
+  arguments->args[ARG_HELP] = arg_lit0 (NULL, "help", "print this text and exit");
+  arguments->args[ARG_VALIDATE] =
+      arg_lit0 (NULL, "validate", "check the options and exit with status 0 or 2");
+  arguments->args[ARG_VERSION] = arg_lit0 (NULL, "version", "print the version and exit");
+  arguments->args[ARG_END] = arg_end (1);
+  DKS_INVARIANT (arg_nullcheck (arguments->args) == 0);
+}
+
+static void
+option_env_name (const option_t *option, char name[FLAG_SIZE + sizeof (ENV_PREFIX)])
+{
+  size_t len = sizeof (ENV_PREFIX) - 1;
+
+  memcpy (name, ENV_PREFIX, len);
+  for (const char *c = option->flag; *c != '\0'; c++)
+    name[len++] = (char)(*c == '-' ? '_' : toupper ((unsigned char)*c));
+  name[len] = '\0';
+}
+
+static int
+option_error (const option_t *option, const char *source, const char *value,
+              char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  int len = snprintf (error, DKS_OPTIONS_ERROR_SIZE, "--%s%s: ", option->flag, source);
+
+  if (value == NULL)
+    len += snprintf (error + len, DKS_OPTIONS_ERROR_SIZE - (size_t)len, "no value given");
+  else
+    len += snprintf (error + len, DKS_OPTIONS_ERROR_SIZE - (size_t)len,
+                     "value \"%.100s\" is not allowed", value);
+  if (option->allowed != NULL)
+    snprintf (error + len, DKS_OPTIONS_ERROR_SIZE - (size_t)len, "; allowed: %s", option->allowed);
+  else
+    snprintf (error + len, DKS_OPTIONS_ERROR_SIZE - (size_t)len,
+              "; allowed: a whole number from %" PRId64 " to %" PRId64, option->min, option->max);
+  return DKS_ERR_INVALID;
+}
+
+static int
+option_apply (const option_t *option, const struct arg_str *arg, dks_options_getenv_t getenv_func,
+              dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  char env_name[FLAG_SIZE + sizeof (ENV_PREFIX)];
+  char source[sizeof (env_name) + 16] = "";
+  const char *value = option->fallback;
+
+  option_env_name (option, env_name);
+  if (arg->count > 0)
+    value = arg->sval[0];
+  else if (getenv_func (env_name) != NULL)
+    {
+      value = getenv_func (env_name);
+      snprintf (source, sizeof (source), " (from %s)", env_name);
+    }
+  if (value == NULL)
+    return option->required ? option_error (option, source, NULL, error) : DKS_OK;
+  return option->set (option, value, options) ? DKS_OK
+                                              : option_error (option, source, value, error);
+}
+
+static uint64_t
+random_seed (void)
+{
+  uint64_t seed = 0;
+
+  DKS_INVARIANT (getrandom (&seed, sizeof (seed), 0) == sizeof (seed));
+  return seed;
+}
+
+static uint64_t
+start_time_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+/* Values that depend on other options. */
+static int
+options_complete (dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  dks_config_t *config = &options->config;
+  char detail[DKS_TEXT_SIZE] = "";
+  bool listed = false;
+
+  if (config->data_centre_count == 0)
+    {
+      config->data_centre_count = 1;
+      dks_strcpy (config->data_centres[0], sizeof (config->data_centres[0]), config->data_centre);
+    }
+  for (size_t i = 0; i < config->data_centre_count; i++)
+    listed = listed || strcmp (config->data_centres[i], config->data_centre) == 0;
+  if (!listed)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+                "--data-centre: value \"%s\" is not allowed; allowed: a name in --data-centres",
+                config->data_centre);
+      return DKS_ERR_INVALID;
+    }
+  if (strcmp (options->http_address, config->address) == 0)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+                "--peer-address: value \"%s\" is not allowed; allowed: an address that differs "
+                "from --http-address",
+                config->address);
+      return DKS_ERR_INVALID;
+    }
+  if (config->incarnation == 0)
+    config->incarnation = start_time_us ();
+  if (config->seed == 0)
+    config->seed = random_seed ();
+  if (dks_config_validate (config, detail) != DKS_OK)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE, "%s", detail);
+      return DKS_ERR_INVALID;
+    }
+  return DKS_OK;
+}
+
+/* argtable2 prints its errors to a stream only. */
+static int
+syntax_error (const arguments_t *arguments, const char *program, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  FILE *stream = fmemopen (error, DKS_OPTIONS_ERROR_SIZE, "w");
+
+  DKS_INVARIANT (stream != NULL);
+  arg_print_errors (stream, arguments->args[ARG_END], program);
+  fclose (stream);
+  error[DKS_OPTIONS_ERROR_SIZE - 1] = '\0';
+  error[strcspn (error, "\n")] = '\0';
+  return DKS_ERR_INVALID;
+}
+
+int
+dks_options_parse (int argc, char **argv, dks_options_getenv_t getenv_func, dks_options_t *options,
+                   char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  arguments_t *arguments = dks_alloc (sizeof (*arguments));
+  int syntax_errors;
+  int result = DKS_OK;
+
+  memset (options, 0, sizeof (*options));
+  error[0] = '\0';
+  options->mode = DKS_MODE_RUN;
+  dks_config_init (&options->config);
+  options->config.data_centre_count = 0;
+  arguments_init (arguments);
+  syntax_errors = arg_parse (argc, argv, arguments->args);
+  if (arguments_has (arguments, ARG_HELP))
+    {
+      options->mode = DKS_MODE_HELP;
+      goto out;
+    }
+  if (arguments_has (arguments, ARG_VERSION))
+    {
+      options->mode = DKS_MODE_VERSION;
+      goto out;
+    }
+  if (arguments_has (arguments, ARG_VALIDATE))
+    options->mode = DKS_MODE_VALIDATE;
+  if (syntax_errors > 0)
+    {
+      result = syntax_error (arguments, argv[0], error);
+      goto out;
+    }
+  for (int i = 0; i < OPTION_COUNT && result == DKS_OK; i++)
+    result = option_apply (&option_table[i], arguments_value (arguments, i), getenv_func, options,
+                           error);
+  if (result == DKS_OK)
+    result = options_complete (options, error);
+out:
+  arg_freetable (arguments->args, ARG_COUNT);
+  free (arguments);
+  return result;
+}
+
+void
+dks_options_print_help (const char *program)
+{
+  arguments_t *arguments = dks_alloc (sizeof (*arguments));
+
+  arguments_init (arguments);
+  printf ("Usage: %s", program);
+  arg_print_syntax (stdout, arguments->args, "\n");
+  printf ("Dispatches short tasks to targets.\n\n");
+  arg_print_glossary (stdout, arguments->args, "  %-28s %s\n");
+  printf ("\nEach option NAME can also be given as the environment variable " ENV_PREFIX
+          "NAME,\nin upper case and with underscores; the option overrides it.\n");
+  arg_freetable (arguments->args, ARG_COUNT);
+  free (arguments);
+}
--- /dev/null
+++ b/include/damaskshored/options.h
@@ -0,0 +1,50 @@
+/**
+ * Options of the daemon: command-line flags and environment variables. The flag --data-centre has
+ * the variable DAMASKSHORE_DATA_CENTRE, and so on; a flag overrides its variable.
+ */
+#ifndef DKS_DAMASKSHORED_OPTIONS_H
+#define DKS_DAMASKSHORED_OPTIONS_H
+
+#include "common/log.h"
+#include "core/reducer.h"
+
+enum
+{
+  DKS_URL_SIZE = 256,          /**< bytes of the platform's URL with NUL */
+  DKS_OPTIONS_ERROR_SIZE = 512 /**< bytes of an error message with NUL */
+};
+
+typedef enum
+{
+  DKS_MODE_RUN = 1,
+  DKS_MODE_VALIDATE, /**< check the options and exit */
+  DKS_MODE_HELP,
+  DKS_MODE_VERSION,
+} dks_mode_t;
+
+typedef struct
+{
+  dks_mode_t mode;
+  dks_config_t config;
+  char http_address[DKS_ADDRESS_SIZE]; /**< IP:port of the HTTP server */
+  char platform_url[DKS_URL_SIZE];     /**< without a trailing slash */
+  uint32_t target_connections;         /**< connections to one target at most */
+  uint32_t http_connections;           /**< connections of callers at most */
+  uint32_t http_idle_timeout_s;
+  int64_t deadline_default_ms; /**< of submissions that give no deadline */
+  dks_log_level_t log_level;
+} dks_options_t;
+
+/** Reads one environment variable; NULL when it is not set. */
+typedef const char *(*dks_options_getenv_t) (const char *name);
+
+/** Fills `options` from the flags and the environment. DKS_ERR_INVALID when a value is missing or
+ * not allowed; `error` then names the flag, the value and the allowed values. In the modes HELP and
+ * VERSION no other value is checked. `config.incarnation` and `config.seed` are chosen here when
+ * they are not given. */
+int dks_options_parse (int argc, char **argv, dks_options_getenv_t getenv_func,
+                       dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE]);
+/** Prints the help text on standard output. */
+void dks_options_print_help (const char *program);
+
+#endif
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -38,6 +38,8 @@
 /** Sends the reply of a DKS_EFFECT_REPLY or DKS_EFFECT_EDIT_REPLY; ignored when the caller is gone.
  */
 void dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect);
+/** From now on every reply closes its connection and /healthz reports that the instance drains. */
+void dks_http_server_set_draining (dks_http_server_t *server);
 /** Requests whose reply has not been sent yet. */
 uint32_t dks_http_server_open_requests (const dks_http_server_t *server);
 /** Number of requests that could not be decoded. */
