net: HTTP server for callers and operators

Cause: callers and operators need the interface of the design page. Ruled out: the connection limit of libmicrohttpd alone, because a caller above it waits in the listen queue without an answer; replying at once to a too large body, because closing with unread data resets the connection. Change: http_server holds connections, bodies and waiting callers, http_routes the paths, http_json the bodies. 64 connections above the bound are accepted only to be answered with 503. A waiting caller's socket is watched, so that its disconnection becomes an event. An error found before the reducer says "not run" only when the key was generated for the request.

--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -25,7 +25,7 @@
   STORE_LIST_INTERVAL_MS = 1000,
   /* Callers that do not read their answer hold up the exit at most this long. */
   EXIT_WAIT_US = 30 * 1000000,
-  OTHER_DESCRIPTORS = 256 /* peers, platform, logs */
+  OTHER_DESCRIPTORS = 512 /* excess callers, peers, platform, some targets */
 };
 
 struct dks_host_t
--- /dev/null
+++ b/include/net/http_exchange.h
@@ -0,0 +1,92 @@
+/**
+ * Shared by the two parts of the HTTP server: http_server.c (connections, bodies, waiting callers)
+ * and http_routes.c (what each path does). Not used elsewhere.
+ */
+#ifndef DKS_NET_HTTP_EXCHANGE_H
+#define DKS_NET_HTTP_EXCHANGE_H
+
+#include "net/http_json.h"
+#include "net/http_server.h"
+
+#include <apr_hash.h>
+#include <microhttpd.h>
+
+typedef struct dks_http_exchange_t dks_http_exchange_t;
+
+typedef struct
+{
+  const char *path; /**< a path that ends in a slash also matches everything below it */
+  const char *method;
+  void (*handle) (dks_http_exchange_t *exchange);
+  size_t body_max; /**< bytes; a longer body is answered with 413 */
+  bool submits;    /**< takes or generates an idempotency key */
+} dks_http_route_t;
+
+struct dks_http_server_t
+{
+  dks_loop_t *loop;
+  dks_http_server_config_t config;
+  dks_http_server_callbacks_t callbacks;
+  char data_centre[DKS_NAME_SIZE];
+  struct MHD_Daemon *daemon;
+  int epoll_fd;
+  dks_timer_t run_timer;
+  bool running; /**< inside MHD_run() */
+  bool resumed; /**< MHD_run() must be called for a resumed connection */
+  bool stopping;
+  bool draining;
+  apr_pool_t *pool;
+  apr_hash_t *callers; /**< caller id -> exchange that waits for a reply */
+  uint64_t last_caller;
+  uint64_t random;
+  uint32_t connections;
+  uint32_t open_requests;
+  size_t body_bytes; /**< of all bodies held */
+  uint64_t bad_input;
+};
+
+/** One request and its reply. */
+struct dks_http_exchange_t
+{
+  dks_http_server_t *server;
+  struct MHD_Connection *connection;
+  const dks_http_route_t *route;
+  char *rest;             /**< path below the route, without a leading slash */
+  char key[DKS_KEY_SIZE]; /**< given or generated; empty when there is none */
+  int64_t issued_ms;      /**< issue time of `key` */
+  bool key_given;
+  uint8_t *body;
+  size_t body_len;
+  size_t body_capacity;
+  size_t received; /**< bytes of the body, kept or not */
+  uint64_t caller; /**< id for the reducer; 0 before the event */
+  bool waiting;    /**< the reducer has not replied yet */
+  bool suspended;
+  bool gone;   /**< the caller closed the connection */
+  bool excess; /**< on a connection above the bound; it is closed after the reply */
+  struct MHD_Response *response;
+  unsigned status;
+};
+
+/** Route for a request; NULL when the path is unknown, or when the method is not allowed, in which
+ * case `allow` lists the allowed methods. `rest` is the path below the route. */
+const dks_http_route_t *
+dks_http_route_find (const char *method, const char *path, const char **rest, char allow[64]);
+
+/** Prepares the reply; takes the malloc'ed `body`. Only the first reply counts. */
+void
+dks_http_exchange_reply (dks_http_exchange_t *exchange, int status, const char *type, char *body);
+/** Prepares an error reply. */
+void dks_http_exchange_problem (dks_http_exchange_t *exchange, const dks_http_problem_t *problem);
+/** Prepares an error reply to a request that was not understood, and counts it. */
+void dks_http_exchange_reject (dks_http_exchange_t *exchange, int status, const char *name,
+                               const char *detail);
+/** Registers the exchange as a caller and returns its id for an event. */
+uint64_t dks_http_exchange_register (dks_http_exchange_t *exchange);
+/** Value of a request header, or NULL. */
+const char *dks_http_exchange_header (const dks_http_exchange_t *exchange, const char *name);
+/** Prepares the reply to an answer or an edit of the reducer. */
+void dks_http_exchange_answer (dks_http_exchange_t *exchange, const dks_answer_t *answer);
+void dks_http_exchange_edit_reply (dks_http_exchange_t *exchange, const dks_effect_t *effect);
+
+#endif
--- /dev/null
+++ b/include/net/http_json.h
@@ -0,0 +1,57 @@
+/**
+ * JSON bodies of the HTTP interface, as described in docs/design.md. Decoders trust nothing; the
+ * encoders return malloc'ed strings and accept any bytes.
+ */
+#ifndef DKS_NET_HTTP_JSON_H
+#define DKS_NET_HTTP_JSON_H
+
+#include "core/event.h"
+#include "core/settings.h"
+
+enum
+{
+  DKS_DEADLINE_MIN_MS = 10,
+  DKS_DEADLINE_MAX_MS = 3600000
+};
+
+typedef struct
+{
+  bool single;                 /**< body of /v1/requests, else of /v1/jobs */
+  int64_t wall_ms;             /**< time of arrival, Unix ms */
+  int64_t deadline_default_ms; /**< used when the body gives no deadline */
+} dks_http_json_context_t;
+
+/** Fields of an application/problem+json body. */
+typedef struct
+{
+  const char *name; /**< last part of the type, e.g. "queue-full" */
+  int status;
+  const char *detail;         /**< may be NULL or empty */
+  const char *key;            /**< may be NULL or empty */
+  dks_outcome_t outcome;      /**< 0: not known; REFUSED adds "not_run": true */
+  uint32_t retry_after_ms;    /**< 0: no advice */
+  const dks_answer_t *answer; /**< its failed tasks are listed; may be NULL */
+} dks_http_problem_t;
+
+/** Decodes a submission without key and issue time. Returns DKS_ERR_INVALID, or DKS_ERR_TOO_LARGE
+ * for too many tasks or a too large payload; `detail` then names the field. */
+int dks_http_json_submission (const void *body, size_t len, const dks_http_json_context_t *context,
+                              dks_submission_t **submission, char detail[DKS_TEXT_SIZE]);
+/** Decodes {"value":N}; DKS_ERR_INVALID with `detail` for anything else. */
+int dks_http_json_value (const void *body, size_t len, int64_t *value, char detail[DKS_TEXT_SIZE]);
+
+/** {"key","outcome"} and for a complete answer "results", or "result" when `single`. A result that
+ * is not valid UTF-8 is {"result_base64"} in the list, or "result_base64" when `single`. */
+char *dks_http_json_answer (const dks_answer_t *answer, bool single);
+char *dks_http_json_problem (const dks_http_problem_t *problem);
+/** {"version","instances_total","instances_in_force","missing"}. */
+char *dks_http_json_edit (const dks_effect_t *effect);
+/** {"path","version","values"}; only the value `name` unless that is NULL. */
+char *dks_http_json_effective (const char *path, const char *name, int64_t version,
+                               const dks_settings_values_t *values);
+/** {"version","changes":[...]}, oldest change first. */
+char *dks_http_json_audit (const dks_settings_t *settings);
+/** Whether `name` is a value of the settings tree. */
+bool dks_http_json_is_setting (const char *name);
+
+#endif
--- /dev/null
+++ b/net/http_server.c
@@ -0,0 +1,707 @@
+#include "net/http_server.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "core/key.h"
+#include "net/address.h"
+#include "net/http_exchange.h"
+
+#include <apr_pools.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+enum
+{
+  /* Connections accepted above the bound only to answer them with 503; without them a caller would
+   * wait in the listen queue without any answer. */
+  EXCESS_CONNECTIONS = 64,
+  EXCESS_TIMEOUT_S = 2,
+  EXCESS_RETRY_MS = 1000,
+  /* A body above its bound is read and dropped up to this length, because closing a connection with
+   * unread data resets it and may destroy the reply. */
+  DISCARD_MAX = 4 * DKS_SUBMISSION_MAX,
+  BODY_FIRST_CAPACITY = 4096,
+  BODY_TOTAL_MAX = 256 << 20, /* bytes of all bodies held */
+  MS_PER_S = 1000
+};
+
+/* ---- Replies ---- */
+
+const char *
+dks_http_exchange_header (const dks_http_exchange_t *exchange, const char *name)
+{
+  return MHD_lookup_connection_value (exchange->connection, MHD_HEADER_KIND, name);
+}
+
+static void
+exchange_add_header (dks_http_exchange_t *exchange, const char *name, const char *value)
+{
+  MHD_add_response_header (exchange->response, name, value);
+}
+
+void
+dks_http_exchange_reply (dks_http_exchange_t *exchange, int status, const char *type, char *body)
+{
+  if (exchange->response != NULL)
+    {
+      free (body);
+      return;
+    }
+  exchange->status = (unsigned)status;
+  exchange->response = MHD_create_response_from_buffer (strlen (body), body, MHD_RESPMEM_MUST_FREE);
+  DKS_INVARIANT (exchange->response != NULL);
+  exchange_add_header (exchange, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+  if (exchange->key[0] != '\0')
+    exchange_add_header (exchange, "Idempotency-Key", exchange->key);
+  if (exchange->server->draining || exchange->excess)
+    exchange_add_header (exchange, MHD_HTTP_HEADER_CONNECTION, "close");
+}
+
+void
+dks_http_exchange_problem (dks_http_exchange_t *exchange, const dks_http_problem_t *problem)
+{
+  char seconds[16];
+
+  if (exchange->response != NULL)
+    return;
+  dks_http_exchange_reply (exchange, problem->status, "application/problem+json",
+                           dks_http_json_problem (problem));
+  if (problem->retry_after_ms == 0)
+    return;
+  snprintf (seconds, sizeof (seconds), "%" PRIu32,
+            problem->retry_after_ms / MS_PER_S + (problem->retry_after_ms % MS_PER_S != 0));
+  exchange_add_header (exchange, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+}
+
+/* An error found before the reducer knows of the request. Nothing is known of an earlier submission
+ * with the same key, so "not run" is only said when the key has just been generated. */
+static void
+exchange_fail (dks_http_exchange_t *exchange, int status, const char *name, const char *detail,
+               uint32_t retry_after_ms)
+{
+  const dks_http_problem_t problem = {
+    .name = name,
+    .status = status,
+    .detail = detail,
+    .key = exchange->key,
+    .outcome = exchange->key[0] != '\0' && !exchange->key_given && exchange->route != NULL
+                       && exchange->route->submits
+                   ? DKS_OUTCOME_REFUSED
+                   : 0,
+    .retry_after_ms = retry_after_ms,
+  };
+
+  dks_http_exchange_problem (exchange, &problem);
+}
+
+void
+dks_http_exchange_reject (dks_http_exchange_t *exchange, int status, const char *name,
+                          const char *detail)
+{
+  exchange->server->bad_input++;
+  exchange_fail (exchange, status, name, detail, 0);
+}
+
+static int
+answer_status (const dks_answer_t *answer)
+{
+  switch (answer->problem)
+    {
+    case DKS_PROBLEM_BAD_REQUEST:
+      return 400;
+    case DKS_PROBLEM_KEY_REUSED:
+      return 422;
+    case DKS_PROBLEM_KEY_EXPIRED:
+      return 410;
+    case DKS_PROBLEM_NOT_FOUND:
+      return 404;
+    case DKS_PROBLEM_QUOTA:
+      return 429;
+    default:
+      break;
+    }
+  switch (answer->outcome)
+    {
+    case DKS_OUTCOME_COMPLETE:
+      return 200;
+    case DKS_OUTCOME_ACCEPTED:
+      return 202;
+    case DKS_OUTCOME_FAILED:
+      return 502;
+    case DKS_OUTCOME_REFUSED:
+      return 503;
+    case DKS_OUTCOME_CANCELLED:
+      return 409;
+    case DKS_OUTCOME_UNKNOWN:
+      break;
+    }
+  return 504;
+}
+
+void
+dks_http_exchange_answer (dks_http_exchange_t *exchange, const dks_answer_t *answer)
+{
+  const dks_http_route_t *route = exchange->route;
+  int status = answer_status (answer);
+  dks_http_problem_t problem;
+  char location[DKS_KEY_SIZE + 16];
+
+  /* The caller of DELETE asked for this outcome; for a submission it is a conflict. */
+  if (answer->outcome == DKS_OUTCOME_CANCELLED && strcmp (route->method, "DELETE") == 0)
+    status = 200;
+  if (status < 300)
+    {
+      bool single = strcmp (route->path, "/v1/requests") == 0;
+      dks_http_exchange_reply (exchange, status, "application/json",
+                               dks_http_json_answer (answer, single));
+      if (status == 202)
+        {
+          snprintf (location, sizeof (location), "/v1/jobs/%s", exchange->key);
+          exchange_add_header (exchange, MHD_HTTP_HEADER_LOCATION, location);
+        }
+      return;
+    }
+  problem = (dks_http_problem_t){
+    .name = dks_problem_name (answer->problem),
+    .status = status,
+    .detail = answer->detail,
+    .key = exchange->key,
+    .outcome = answer->outcome,
+    .retry_after_ms = answer->retry_after_ms,
+    .answer = answer,
+  };
+  dks_http_exchange_problem (exchange, &problem);
+}
+
+void
+dks_http_exchange_edit_reply (dks_http_exchange_t *exchange, const dks_effect_t *effect)
+{
+  static const struct
+  {
+    int error;
+    int status;
+    const char *name;
+  } rows[] = {
+    { DKS_ERR_INVALID, 400, "bad-request" }, { DKS_ERR_NOT_FOUND, 404, "not-found" },
+    { DKS_ERR_CONFLICT, 409, "conflict" },   { DKS_ERR_TOO_LARGE, 400, "too-large" },
+    { DKS_ERR_TIMEOUT, 504, "timeout" },     { DKS_ERR_UNAVAILABLE, 503, "platform-unavailable" },
+  };
+  dks_http_problem_t problem = {
+    .name = "timeout",
+    .status = 504,
+    .detail = effect->u.edit_reply.detail,
+  };
+
+  if (effect->u.edit_reply.error == DKS_OK)
+    {
+      dks_http_exchange_reply (exchange, 200, "application/json", dks_http_json_edit (effect));
+      return;
+    }
+  for (size_t i = 0; i < sizeof (rows) / sizeof (rows[0]); i++)
+    {
+      if (rows[i].error == effect->u.edit_reply.error)
+        {
+          problem.name = rows[i].name;
+          problem.status = rows[i].status;
+        }
+    }
+  dks_http_exchange_problem (exchange, &problem);
+}
+
+/* ---- Waiting callers ---- */
+
+static void
+server_run_soon (dks_http_server_t *server)
+{
+  server->resumed = true;
+  if (!server->running)
+    dks_timer_set (dks_loop_timers (server->loop), &server->run_timer, dks_loop_now ().mono_us);
+}
+
+static int
+exchange_fd (const dks_http_exchange_t *exchange)
+{
+  return MHD_get_connection_info (exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
+static void
+exchange_resume (dks_http_exchange_t *exchange)
+{
+  if (!exchange->suspended)
+    return;
+  exchange->suspended = false;
+  dks_loop_watch (exchange->server->loop, exchange_fd (exchange), 0, NULL, NULL);
+  MHD_resume_connection (exchange->connection);
+  server_run_soon (exchange->server);
+}
+
+uint64_t
+dks_http_exchange_register (dks_http_exchange_t *exchange)
+{
+  dks_http_server_t *server = exchange->server;
+
+  exchange->caller = ++server->last_caller;
+  exchange->waiting = true;
+  apr_hash_set (server->callers, &exchange->caller, sizeof (exchange->caller), exchange);
+  return exchange->caller;
+}
+
+static void
+exchange_forget (dks_http_exchange_t *exchange)
+{
+  if (!exchange->waiting)
+    return;
+  exchange->waiting = false;
+  apr_hash_set (exchange->server->callers, &exchange->caller, sizeof (exchange->caller), NULL);
+}
+
+/* The caller closed its connection before the reply. */
+static void
+exchange_caller_gone (dks_http_exchange_t *exchange)
+{
+  const dks_http_server_callbacks_t *callbacks = &exchange->server->callbacks;
+  dks_event_t event = { .type = DKS_EVENT_CALLER_GONE };
+
+  if (!exchange->waiting)
+    return;
+  exchange_forget (exchange);
+  exchange->gone = true;
+  event.u.caller_gone.caller = exchange->caller;
+  callbacks->event (callbacks->context, &event);
+}
+
+/* libmicrohttpd does not watch suspended connections. */
+static void
+handle_caller_readable (void *context, int fd, int events)
+{
+  dks_http_exchange_t *exchange = context;
+  char byte;
+  ssize_t len = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  if (len > 0)
+    {
+      /* The next request is already there; it is read after the reply. Its data would wake the loop
+       * all the time. */
+      dks_loop_watch (exchange->server->loop, fd, 0, NULL, NULL);
+      return;
+    }
+  if (len < 0 && (errno == EAGAIN || errno == EINTR) && !(events & DKS_LOOP_ERROR))
+    return;
+  exchange_caller_gone (exchange);
+  exchange_resume (exchange);
+}
+
+static void
+exchange_suspend (dks_http_exchange_t *exchange)
+{
+  exchange->suspended = true;
+  MHD_suspend_connection (exchange->connection);
+  dks_loop_watch (exchange->server->loop, exchange_fd (exchange), DKS_LOOP_READ,
+                  handle_caller_readable, exchange);
+}
+
+void
+dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect)
+{
+  bool is_edit = effect->type == DKS_EFFECT_EDIT_REPLY;
+  uint64_t caller = is_edit ? effect->u.edit_reply.caller : effect->u.reply.caller;
+  dks_http_exchange_t *exchange = apr_hash_get (server->callers, &caller, sizeof (caller));
+
+  if (exchange == NULL)
+    return;
+  exchange_forget (exchange);
+  if (is_edit)
+    dks_http_exchange_edit_reply (exchange, effect);
+  else
+    dks_http_exchange_answer (exchange, effect->u.reply.answer);
+  exchange_resume (exchange);
+}
+
+/* ---- Requests ---- */
+
+static void
+exchange_drop_body (dks_http_exchange_t *exchange)
+{
+  exchange->server->body_bytes -= exchange->body_capacity;
+  free (exchange->body);
+  exchange->body = NULL;
+  exchange->body_len = 0;
+  exchange->body_capacity = 0;
+}
+
+static void
+exchange_append_body (dks_http_exchange_t *exchange, const char *data, size_t len)
+{
+  dks_http_server_t *server = exchange->server;
+  size_t capacity =
+      exchange->body_capacity > 0 ? exchange->body_capacity : (size_t)BODY_FIRST_CAPACITY;
+
+  if (exchange->response != NULL)
+    return;
+  if (exchange->received > exchange->route->body_max)
+    {
+      char detail[DKS_TEXT_SIZE];
+
+      snprintf (detail, sizeof (detail), "the body is larger than %zu bytes",
+                exchange->route->body_max);
+      exchange_drop_body (exchange);
+      dks_http_exchange_reject (exchange, 413, "too-large", detail);
+      return;
+    }
+  while (capacity < exchange->body_len + len)
+    capacity *= 2;
+  if (server->body_bytes - exchange->body_capacity + capacity > BODY_TOTAL_MAX)
+    {
+      exchange_drop_body (exchange);
+      exchange_fail (exchange, 503, "overloaded", "too many bytes of requests are held",
+                     EXCESS_RETRY_MS);
+      return;
+    }
+  if (capacity != exchange->body_capacity)
+    {
+      server->body_bytes += capacity - exchange->body_capacity;
+      exchange->body = dks_realloc (exchange->body, capacity);
+      exchange->body_capacity = capacity;
+    }
+  memcpy (exchange->body + exchange->body_len, data, len);
+  exchange->body_len += len;
+}
+
+/* Takes the key of the request or generates one. */
+static void
+exchange_set_key (dks_http_exchange_t *exchange)
+{
+  dks_http_server_t *server = exchange->server;
+  const char *given = dks_http_exchange_header (exchange, "Idempotency-Key");
+  dks_key_t key;
+
+  if (given == NULL)
+    {
+      const uint64_t random[2] = { dks_random_next (&server->random),
+                                   dks_random_next (&server->random) };
+
+      exchange->issued_ms = dks_loop_now ().wall_ms;
+      dks_key_generate (server->data_centre, exchange->issued_ms, random, exchange->key);
+      return;
+    }
+  exchange->key_given = true;
+  if (dks_key_parse (given, &key) != DKS_OK)
+    {
+      dks_http_exchange_reject (exchange, 400, "bad-request",
+                                "the header Idempotency-Key is not valid: expected a UUIDv7 or "
+                                "<13 digit Unix ms>-<name>, with an optional <data centre>~");
+      return;
+    }
+  dks_strcpy (exchange->key, sizeof (exchange->key), given);
+  exchange->issued_ms = key.issued_ms;
+}
+
+static void
+exchange_set_route (dks_http_exchange_t *exchange, const char *method, const char *url)
+{
+  const char *rest = "";
+  char allow[64];
+
+  exchange->route = dks_http_route_find (method, url, &rest, allow);
+  if (exchange->route != NULL)
+    {
+      exchange->rest = dks_strdup (rest);
+      if (exchange->route->submits)
+        exchange_set_key (exchange);
+    }
+  else if (allow[0] != '\0')
+    {
+      dks_http_exchange_reject (exchange, 405, "method-not-allowed", allow);
+      exchange_add_header (exchange, MHD_HTTP_HEADER_ALLOW, allow);
+    }
+  else
+    dks_http_exchange_reject (exchange, 404, "not-found", "there is nothing at this path");
+}
+
+static bool
+connection_is_excess (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info != NULL && info->socket_context != NULL;
+}
+
+static dks_http_exchange_t *
+exchange_create (dks_http_server_t *server, struct MHD_Connection *connection, const char *method,
+                 const char *url)
+{
+  dks_http_exchange_t *exchange = dks_alloc (sizeof (*exchange));
+
+  exchange->server = server;
+  exchange->connection = connection;
+  exchange->excess = connection_is_excess (connection);
+  server->open_requests++;
+  exchange_set_route (exchange, method, url);
+  if (exchange->excess)
+    exchange_fail (exchange, 503, "too-many-connections",
+                   "this instance holds as many connections as it may", EXCESS_RETRY_MS);
+  return exchange;
+}
+
+static void
+exchange_destroy (dks_http_exchange_t *exchange)
+{
+  exchange->server->open_requests--;
+  exchange_drop_body (exchange);
+  if (exchange->response != NULL)
+    MHD_destroy_response (exchange->response);
+  free (exchange->rest);
+  free (exchange);
+}
+
+static enum MHD_Result
+exchange_queue (dks_http_exchange_t *exchange)
+{
+  return MHD_queue_response (exchange->connection, exchange->status, exchange->response);
+}
+
+/* Decides on the header of a request alone whether its body need not be read. */
+static bool
+exchange_refuses_body (dks_http_exchange_t *exchange)
+{
+  const char *length = dks_http_exchange_header (exchange, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  const char *expect = dks_http_exchange_header (exchange, MHD_HTTP_HEADER_EXPECT);
+  uint64_t size = length != NULL ? strtoull (length, NULL, 10) : 0;
+
+  if (exchange->response == NULL && size > exchange->route->body_max
+      && exchange->route->body_max > 0)
+    {
+      char detail[DKS_TEXT_SIZE];
+
+      snprintf (detail, sizeof (detail), "the body has %" PRIu64 " bytes, allowed are %zu", size,
+                exchange->route->body_max);
+      dks_http_exchange_reject (exchange, 413, "too-large", detail);
+    }
+  if (exchange->response == NULL)
+    return false;
+  /* A caller that waits for "100 Continue" sends no body after an error. */
+  return size > DISCARD_MAX || (expect != NULL && strcasecmp (expect, "100-continue") == 0);
+}
+
+static enum MHD_Result
+exchange_finish (dks_http_exchange_t *exchange)
+{
+  if (exchange->response == NULL && exchange->caller == 0)
+    {
+      exchange->route->handle (exchange);
+      exchange_drop_body (exchange);
+      if (exchange->response == NULL)
+        {
+          exchange_suspend (exchange);
+          return MHD_YES;
+        }
+    }
+  if (exchange->response == NULL)
+    return MHD_NO; /* the caller is gone */
+  return exchange_queue (exchange);
+}
+
+static enum MHD_Result
+handle_access (void *context, struct MHD_Connection *connection, const char *url,
+               const char *method, const char *version, const char *upload_data,
+               size_t *upload_data_size, void **connection_context)
+{
+  dks_http_exchange_t *exchange = *connection_context;
+
+  if (exchange == NULL)
+    {
+      exchange = exchange_create (context, connection, method, url);
+      *connection_context = exchange;
+      return exchange_refuses_body (exchange) ? exchange_queue (exchange) : MHD_YES;
+    }
+  if (*upload_data_size == 0)
+    return exchange_finish (exchange);
+  exchange->received += *upload_data_size;
+  if (exchange->received > DISCARD_MAX)
+    return MHD_NO;
+  exchange_append_body (exchange, upload_data, *upload_data_size);
+  *upload_data_size = 0;
+  return MHD_YES;
+}
+
+static void
+handle_completed (void *context, struct MHD_Connection *connection, void **connection_context,
+                  enum MHD_RequestTerminationCode code)
+{
+  dks_http_exchange_t *exchange = *connection_context;
+
+  if (exchange == NULL)
+    return;
+  *connection_context = NULL;
+  if (!exchange->server->stopping)
+    exchange_caller_gone (exchange);
+  exchange_destroy (exchange);
+}
+
+static void
+handle_connection (void *context, struct MHD_Connection *connection, void **socket_context,
+                   enum MHD_ConnectionNotificationCode code)
+{
+  dks_http_server_t *server = context;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      server->connections--;
+      return;
+    }
+  server->connections++;
+  if (server->connections > server->config.connections)
+    {
+      *socket_context = server;
+      MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                 (unsigned)EXCESS_TIMEOUT_S);
+    }
+}
+
+/* ---- Server ---- */
+
+static void
+server_run (dks_http_server_t *server)
+{
+  int64_t now_us;
+  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+
+  server->running = true;
+  server->resumed = false;
+  MHD_run (server->daemon);
+  server->running = false;
+  now_us = dks_loop_now ().mono_us;
+  if (server->resumed)
+    dks_timer_set (dks_loop_timers (server->loop), &server->run_timer, now_us);
+  else if (MHD_get_timeout (server->daemon, &timeout_ms) == MHD_YES)
+    dks_timer_set (dks_loop_timers (server->loop), &server->run_timer,
+                   now_us + (int64_t)timeout_ms * 1000);
+  else
+    dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
+}
+
+static void
+handle_epoll (void *context, int fd, int events)
+{
+  server_run (context);
+}
+
+static void
+handle_run_timer (void *context, int64_t now_us)
+{
+  server_run (context);
+}
+
+static void __attribute__ ((format (printf, 2, 0)))
+handle_log (void *context, const char *format, va_list args)
+{
+  char text[256];
+
+  vsnprintf (text, sizeof (text), format, args);
+  text[strcspn (text, "\n")] = '\0';
+  dks_log (DKS_LOG_DEBUG, "event=http-server text=\"%s\"", text);
+}
+
+static struct MHD_Daemon *
+start_daemon (dks_http_server_t *server, const dks_address_t *address)
+{
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+  const struct MHD_OptionItem options[] = {
+    /* The logger must come first to see the messages about later options. */
+    { MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)handle_log, server },
+    { MHD_OPTION_SOCK_ADDR, 0, (void *)&address->any },
+    { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)server->config.connections + EXCESS_CONNECTIONS,
+      NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, server->config.idle_timeout_s, NULL },
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)handle_completed, server },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)handle_connection, server },
+    { MHD_OPTION_END, 0, NULL },
+  };
+
+  if (address->any.sa_family == AF_INET6)
+    flags |= MHD_USE_IPv6;
+  return MHD_start_daemon (flags, 0, NULL, NULL, handle_access, server, MHD_OPTION_ARRAY, options,
+                           MHD_OPTION_END);
+}
+
+int
+dks_http_server_create (dks_loop_t *loop, const dks_http_server_config_t *config,
+                        const dks_http_server_callbacks_t *callbacks, dks_http_server_t **server)
+{
+  dks_http_server_t *created;
+  dks_address_t address;
+  apr_status_t status;
+
+  if (dks_address_parse (config->address, &address) != DKS_OK)
+    return DKS_ERR_INVALID;
+  created = dks_alloc (sizeof (*created));
+  created->loop = loop;
+  created->config = *config;
+  created->callbacks = *callbacks;
+  created->random = config->seed;
+  dks_strcpy (created->data_centre, sizeof (created->data_centre), config->data_centre);
+  created->daemon = start_daemon (created, &address);
+  if (created->daemon == NULL)
+    {
+      free (created);
+      return DKS_ERR_IO;
+    }
+  status = apr_pool_create (&created->pool, NULL);
+  DKS_INVARIANT (status == APR_SUCCESS);
+  created->callers = apr_hash_make (created->pool);
+  created->epoll_fd = MHD_get_daemon_info (created->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  dks_timer_init (&created->run_timer, handle_run_timer, created);
+  if (dks_loop_watch (loop, created->epoll_fd, DKS_LOOP_READ, handle_epoll, created) != DKS_OK)
+    {
+      dks_http_server_destroy (created);
+      return DKS_ERR_IO;
+    }
+  *server = created;
+  return DKS_OK;
+}
+
+void
+dks_http_server_destroy (dks_http_server_t *server)
+{
+  if (server == NULL)
+    return;
+  server->stopping = true;
+  /* A daemon must not be stopped while a connection is suspended. */
+  for (apr_hash_index_t *i = apr_hash_first (server->pool, server->callers); i != NULL;
+       i = apr_hash_next (i))
+    {
+      dks_http_exchange_t *exchange = apr_hash_this_val (i);
+      exchange_resume (exchange);
+    }
+  dks_loop_watch (server->loop, server->epoll_fd, 0, NULL, NULL);
+  MHD_stop_daemon (server->daemon);
+  dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
+  apr_pool_destroy (server->pool);
+  free (server);
+}
+
+void
+dks_http_server_set_draining (dks_http_server_t *server)
+{
+  server->draining = true;
+}
+
+uint32_t
+dks_http_server_open_requests (const dks_http_server_t *server)
+{
+  return server->open_requests;
+}
+
+uint64_t
+dks_http_server_bad_input (const dks_http_server_t *server)
+{
+  return server->bad_input;
+}
