net: target client

Cause: effects of the reducer start tasks at targets over HTTP. Ruled out: taking every 503 as "not run"; only the header says so. Change: status mapping of an attempt; "not started" comes only from a connection that was never made or from a 503 with Damaskshore-Not-Run. The deadline sent is the time that remains. Conclusion: done.

--- /dev/null
+++ b/net/target_client.c
@@ -0,0 +1,139 @@
+#include "net/target_client.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  HEADER_SIZE = DKS_KEY_SIZE + 64
+};
+
+typedef struct
+{
+  dks_target_client_t *client;
+  uint64_t attempt;
+  uint64_t request; /* id at the HTTP client */
+} entry_t;
+
+struct dks_target_client_t
+{
+  dks_http_client_t *http;
+  dks_target_func_t func;
+  void *context;
+  apr_pool_t *pool;
+  apr_hash_t *entries; /* attempt -> entry_t of an open request */
+};
+
+dks_target_client_t *
+dks_target_client_create (dks_http_client_t *http, dks_target_func_t func, void *context)
+{
+  dks_target_client_t *client = dks_alloc (sizeof (*client));
+  apr_status_t status = apr_pool_create (&client->pool, NULL);
+
+  DKS_INVARIANT (status == APR_SUCCESS);
+  client->http = http;
+  client->func = func;
+  client->context = context;
+  client->entries = apr_hash_make (client->pool);
+  return client;
+}
+
+static void
+entry_remove (entry_t *entry)
+{
+  apr_hash_set (entry->client->entries, &entry->attempt, sizeof (entry->attempt), NULL);
+  free (entry);
+}
+
+void
+dks_target_client_destroy (dks_target_client_t *client)
+{
+  apr_hash_index_t *i;
+
+  if (client == NULL)
+    return;
+  while ((i = apr_hash_first (client->pool, client->entries)) != NULL)
+    {
+      entry_t *entry = apr_hash_this_val (i);
+      dks_target_client_abort (client, entry->attempt);
+    }
+  apr_pool_destroy (client->pool);
+  free (client);
+}
+
+static dks_attempt_status_t
+result_status (const dks_http_result_t *result)
+{
+  if (result->error == DKS_ERR_UNAVAILABLE)
+    return DKS_ATTEMPT_NOT_STARTED;
+  if (result->error != DKS_OK)
+    return DKS_ATTEMPT_LOST;
+  if (result->status == 503 && result->not_run)
+    return DKS_ATTEMPT_NOT_STARTED;
+  /* A larger result could not be passed on to another instance. */
+  if (result->status == 200 && result->body->len <= DKS_PAYLOAD_MAX)
+    return DKS_ATTEMPT_OK;
+  return DKS_ATTEMPT_FAILED;
+}
+
+static void
+handle_result (void *context, uint64_t id, const dks_http_result_t *result)
+{
+  entry_t *entry = context;
+  dks_target_client_t *client = entry->client;
+  uint64_t attempt = entry->attempt;
+  dks_attempt_status_t status = result_status (result);
+  bool leaving = result->error == DKS_OK && result->leaving;
+
+  entry_remove (entry);
+  client->func (client->context, attempt, status, leaving,
+                status == DKS_ATTEMPT_OK ? result->body : NULL);
+}
+
+void
+dks_target_client_send (dks_target_client_t *client, const dks_effect_t *effect, int64_t wall_ms)
+{
+  int64_t remaining_ms = effect->u.target_send.deadline_ms - wall_ms;
+  char url[DKS_ADDRESS_SIZE + 16];
+  char task[HEADER_SIZE];
+  char attempt[HEADER_SIZE];
+  char deadline[HEADER_SIZE];
+  const char *const headers[] = { "Content-Type: application/octet-stream", task, attempt, deadline,
+                                  NULL };
+  entry_t *entry = dks_alloc (sizeof (*entry));
+  dks_http_request_t request = { .method = "POST", .url = url, .headers = headers };
+
+  if (remaining_ms < 1)
+    remaining_ms = 1;
+  snprintf (url, sizeof (url), "http://%s/run", effect->u.target_send.address);
+  snprintf (task, sizeof (task), "Damaskshore-Task: %s/%" PRIu32, effect->u.target_send.key,
+            effect->u.target_send.index);
+  snprintf (attempt, sizeof (attempt), "Damaskshore-Attempt: %" PRIu32,
+            effect->u.target_send.number);
+  snprintf (deadline, sizeof (deadline), "Damaskshore-Deadline-Ms: %" PRId64, remaining_ms);
+  entry->client = client;
+  entry->attempt = effect->u.target_send.attempt;
+  request.body = effect->u.target_send.payload;
+  request.timeout_ms = remaining_ms;
+  request.func = handle_result;
+  request.context = entry;
+  apr_hash_set (client->entries, &entry->attempt, sizeof (entry->attempt), entry);
+  entry->request = dks_http_client_send (client->http, &request);
+}
+
+void
+dks_target_client_abort (dks_target_client_t *client, uint64_t attempt)
+{
+  entry_t *entry = apr_hash_get (client->entries, &attempt, sizeof (attempt));
+
+  if (entry == NULL)
+    return;
+  dks_http_client_abort (client->http, entry->request);
+  entry_remove (entry);
+}
