net: names of settings apart from the path

Cause: the command-line tool gives the name of a value in the body or the query, the server took only the last part of the path; the tool reads the audit trail as "history". Change: both forms are accepted; the audit trail is named as in the record; actors may be any UTF-8 text without control characters. The ranges of the daemon's options are those of dks_config_validate. Conclusion: the tool and the server agree.

--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -44,7 +44,7 @@
   const char *help;
 };
 
-#define NAME_ALLOWED "1 to 24 letters, digits, '-', '_' or '.'"
+#define NAME_ALLOWED "1 to 30 letters, digits, '-', '_' or '.'"
 #define DATA_CENTRE_ALLOWED "1 to 47 letters, digits, '-', '_' or '.'"
 
 static bool
@@ -69,9 +69,8 @@
 static bool
 set_id (const option_t *option, const char *value, dks_options_t *options)
 {
-  /* The member id "ID#INCARNATION" must fit in DKS_NAME_SIZE, with up to 20 digits of
-   * incarnation. */
-  return is_name (value, strlen (value), 24)
+  /* The member id, ID "#" 16 hexadecimal digits, must fit in DKS_NAME_SIZE. */
+  return is_name (value, strlen (value), DKS_NAME_SIZE - 18)
          && dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
 }
 
@@ -219,10 +218,10 @@
 static const option_t option_table[] = {
   { "ceiling-ms", "MS", set_number, NULL, false, 60000, 86400000, 1, FIELD (config.ceiling_ms),
     NULL, "how far beyond now this instance may accept keys" },
-  { "claims-max", "N", set_number, NULL, false, 16, 10000000, 1, FIELD (config.claims_max), NULL,
+  { "claims-max", "N", set_number, NULL, false, 16, 1000000, 1, FIELD (config.claims_max), NULL,
     "claims kept per shard" },
-  { "clock-skew-ms", "MS", set_number, NULL, false, 0, 600000, 1, FIELD (config.clock_skew_ms),
-    NULL, "largest assumed difference between clocks" },
+  { "clock-skew-ms", "MS", set_number, NULL, false, 1, 60000, 1, FIELD (config.clock_skew_ms), NULL,
+    "largest assumed difference between clocks" },
   { "data-centre", "NAME", set_data_centre, NULL, true, 0, 0, 0, FIELD (config.data_centre),
     DATA_CENTRE_ALLOWED, "data centre of this instance" },
   { "data-centres", "NAME,...", set_data_centres, NULL, false, 0, 0, 0, 0, 0,
@@ -230,9 +229,9 @@
     "all data centres, the same list everywhere (default: only the own one)" },
   { "deadline-default-ms", "MS", set_number, "30000", false, 10, 3600000, 1,
     FIELD (deadline_default_ms), NULL, "deadline of submissions that give none" },
-  { "failure-timeout-ms", "MS", set_number, NULL, false, 10, 600000, 1000,
+  { "failure-timeout-ms", "MS", set_number, NULL, false, 30, 60000, 1000,
     FIELD (config.failure_timeout_us), NULL, "silence after which another instance has failed" },
-  { "heartbeat-ms", "MS", set_number, NULL, false, 1, 60000, 1000, FIELD (config.heartbeat_us),
+  { "heartbeat-ms", "MS", set_number, NULL, false, 10, 10000, 1000, FIELD (config.heartbeat_us),
     NULL, "interval of heartbeats within the data centre" },
   { "http-address", "IP:PORT", set_listen_address, "127.0.0.1:8080", false, 0, 0, 0,
     FIELD (http_address), "a numeric IP address and a port from 1 to 65535",
@@ -254,7 +253,7 @@
   { "platform-url", "URL", set_url, NULL, true, 0, 0, 0, FIELD (platform_url),
     "http://IP[:PORT] with a numeric IP address, no path and at most 255 characters",
     "base URL of the platform" },
-  { "retention-ms", "MS", set_number, NULL, false, 1000, 86400000, 1, FIELD (config.retention_ms),
+  { "retention-ms", "MS", set_number, NULL, false, 10000, 86400000, 1, FIELD (config.retention_ms),
     NULL, "how long after its issue time the record of a key is kept" },
   { "seed", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.seed), NULL,
     "seed of random choices; 0: take one from the system" },
@@ -413,6 +412,14 @@
                 config->address);
       return DKS_ERR_INVALID;
     }
+  if (config->failure_timeout_us < 3 * config->heartbeat_us)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+                "--failure-timeout-ms: value \"%" PRId64 "\" is not allowed; allowed: at least "
+                "three times --heartbeat-ms, here %" PRId64,
+                config->failure_timeout_us / 1000, 3 * config->heartbeat_us / 1000);
+      return DKS_ERR_INVALID;
+    }
   if (config->incarnation == 0)
     config->incarnation = start_time_us ();
   if (config->seed == 0)
--- a/include/net/http_json.h
+++ b/include/net/http_json.h
@@ -37,8 +37,12 @@
  * for too many tasks or a too large payload; `detail` then names the field. */
 int dks_http_json_submission (const void *body, size_t len, const dks_http_json_context_t *context,
                               dks_submission_t **submission, char detail[DKS_TEXT_SIZE]);
-/** Decodes {"value":N}; DKS_ERR_INVALID with `detail` for anything else. */
-int dks_http_json_value (const void *body, size_t len, int64_t *value, char detail[DKS_TEXT_SIZE]);
+/** Decodes {"value":N} or {"name":NAME,"value":N}; DKS_ERR_INVALID with `detail` for anything else.
+ * `name` is empty when it is not given. */
+int dks_http_json_value (const void *body, size_t len, char name[DKS_NAME_SIZE], int64_t *value,
+                         char detail[DKS_TEXT_SIZE]);
+/** Whether `text` is valid UTF-8 without control characters. */
+bool dks_http_json_is_text (const char *text);
 
 /** {"key","outcome"} and for a complete answer "results", or "result" when `single`. A result that
  * is not valid UTF-8 is {"result_base64"} in the list, or "result_base64" when `single`. */
@@ -49,7 +53,7 @@
 /** {"path","version","values"}; only the value `name` unless that is NULL. */
 char *dks_http_json_effective (const char *path, const char *name, int64_t version,
                                const dks_settings_values_t *values);
-/** {"version","changes":[...]}, oldest change first. */
+/** {"version","history":[...]}, oldest change first. */
 char *dks_http_json_audit (const dks_settings_t *settings);
 /** Whether `name` is a value of the settings tree. */
 bool dks_http_json_is_setting (const char *name);
--- a/net/http_json.c
+++ b/net/http_json.c
@@ -372,29 +372,60 @@
   return error;
 }
 
+typedef struct
+{
+  char *name; /* DKS_NAME_SIZE bytes */
+  int64_t value;
+  bool has_value;
+} edit_t;
+
 static int
-decode_value (void *target, const char *where, const json_t *value, char detail[DKS_TEXT_SIZE])
+decode_edit_name (void *target, const char *where, const json_t *value, char detail[DKS_TEXT_SIZE])
 {
-  return decode_integer (where, value, INT64_MIN, INT64_MAX, target, detail);
+  return decode_name (where, value, ((edit_t *)target)->name, detail);
+}
+
+static int
+decode_edit_value (void *target, const char *where, const json_t *value, char detail[DKS_TEXT_SIZE])
+{
+  edit_t *edit = target;
+
+  edit->has_value = true;
+  return decode_integer (where, value, INT64_MIN, INT64_MAX, &edit->value, detail);
 }
 
 int
-dks_http_json_value (const void *body, size_t len, int64_t *value, char detail[DKS_TEXT_SIZE])
+dks_http_json_value (const void *body, size_t len, char name[DKS_NAME_SIZE], int64_t *value,
+                     char detail[DKS_TEXT_SIZE])
 {
-  static const field_t fields[] = { { "value", decode_value } };
+  static const field_t fields[] = { { "name", decode_edit_name }, { "value", decode_edit_value } };
+  edit_t edit = { .name = name };
   json_t *root = NULL;
   int error = load_object (body, len, &root, detail);
 
+  name[0] = '\0';
   if (error != DKS_OK)
     return error;
-  if (json_object_size (root) == 0)
+  error = decode_fields (fields, sizeof (fields) / sizeof (fields[0]), &edit, "", root, detail);
+  if (error == DKS_OK && !edit.has_value)
     error = fail (DKS_ERR_INVALID, detail, "field \"value\" is missing");
-  else
-    error = decode_fields (fields, 1, value, "", root, detail);
+  *value = edit.value;
   json_decref (root);
   return error;
 }
 
+bool
+dks_http_json_is_text (const char *text)
+{
+  json_t *value = json_string (text);
+  bool ok = value != NULL;
+
+  json_decref (value);
+  for (; ok && *text != '\0'; text++)
+    ok = !iscntrl ((unsigned char)*text);
+  return ok;
+}
+
 static json_t *
 base64_json (const dks_blob_t *blob)
 {
@@ -605,7 +636,7 @@
       json_array_append_new (changes, item);
     }
   set_integer (object, "version", dks_settings_version (settings));
-  json_object_set_new (object, "changes", changes);
+  json_object_set_new (object, "history", changes);
   return dump (object);
 }
 
--- a/net/http_routes.c
+++ b/net/http_routes.c
@@ -136,6 +136,14 @@
   char name[DKS_NAME_SIZE];
 } settings_path_t;
 
+/* Whether the last part of a path is the name of a value. */
+typedef enum
+{
+  NAME_ABSENT,
+  NAME_OPTIONAL, /* it is one if the settings tree has such a value */
+  NAME_REQUIRED
+} name_mode_t;
+
 static bool
 is_level (const char *text, size_t len)
 {
@@ -150,7 +158,7 @@
 }
 
 static bool
-parse_settings_path (const char *rest, bool needs_name, settings_path_t *out)
+parse_settings_path (const char *rest, name_mode_t mode, settings_path_t *out)
 {
   char parts[PATH_LEVELS_MAX + 1][DKS_NAME_SIZE] = { "" };
   size_t count = 0;
@@ -168,9 +176,11 @@
       if (*rest == '/' && *++rest == '\0')
         return false;
     }
-  if (count > 0 && (needs_name || dks_http_json_is_setting (parts[count - 1])))
+  if (count > 0
+      && (mode == NAME_REQUIRED
+          || (mode == NAME_OPTIONAL && dks_http_json_is_setting (parts[count - 1]))))
     memcpy (out->name, parts[--count], DKS_NAME_SIZE);
-  if (count > PATH_LEVELS_MAX || (needs_name && out->name[0] == '\0'))
+  if (count > PATH_LEVELS_MAX || (mode == NAME_REQUIRED && out->name[0] == '\0'))
     return false;
   out->path[0] = '/';
   for (size_t i = 0; i < count; i++)
@@ -207,7 +217,7 @@
   dks_settings_values_t values;
   settings_path_t path;
 
-  if (!parse_settings_path (exchange->rest, false, &path))
+  if (!parse_settings_path (exchange->rest, NAME_OPTIONAL, &path))
     {
       reject_settings_path (exchange, "[SERVICE[/DATA_CENTRE[/JOB]]][/NAME]");
       return;
@@ -225,47 +235,37 @@
 {
   size_t len = text != NULL ? strlen (text) : 0;
 
-  if (len < 1 || len >= DKS_NAME_SIZE)
-    return false;
-  for (size_t i = 0; i < len; i++)
-    {
-      if (text[i] < ' ' || text[i] > '~')
-        return false;
-    }
-  return true;
+  return len >= 1 && len < DKS_NAME_SIZE && dks_http_json_is_text (text);
 }
 
+/* Passes an edit on. The name of the value is the last part of the path unless `name` gives it. */
 static void
-edit (dks_http_exchange_t *exchange, bool unset)
+edit (dks_http_exchange_t *exchange, const char *name, bool unset, int64_t value)
 {
   dks_event_t event = { .type = DKS_EVENT_SETTINGS_EDIT };
   dks_settings_edit_t *change = &event.u.settings_edit.edit;
   const char *actor = dks_http_exchange_header (exchange, "Damaskshore-Actor");
-  char detail[DKS_TEXT_SIZE] = "";
+  bool named = name != NULL && name[0] != '\0';
   settings_path_t path;
 
   if (!is_actor (actor))
     {
       dks_http_exchange_reject (exchange, 400, "bad-request",
-                                "the header Damaskshore-Actor must have 1 to 47 printable ASCII "
-                                "characters");
+                                "the header Damaskshore-Actor must have 1 to 47 bytes of UTF-8 "
+                                "without control characters");
       return;
     }
-  if (!parse_settings_path (exchange->rest, true, &path))
+  if (!parse_settings_path (exchange->rest, named ? NAME_ABSENT : NAME_REQUIRED, &path)
+      || (named && dks_strcpy (path.name, sizeof (path.name), name) != DKS_OK))
     {
       reject_settings_path (exchange, "[SERVICE/[DATA_CENTRE/[JOB/]]]NAME");
       return;
     }
-  if (!unset
-      && dks_http_json_value (exchange->body, exchange->body_len, &change->value, detail) != DKS_OK)
-    {
-      dks_http_exchange_reject (exchange, 400, "bad-request", detail);
-      return;
-    }
   dks_strcpy (change->actor, sizeof (change->actor), actor);
   memcpy (change->path, path.path, sizeof (change->path));
   memcpy (change->name, path.name, sizeof (change->name));
   change->unset = unset;
+  change->value = value;
   event.u.settings_edit.caller = dks_http_exchange_register (exchange);
   exchange_emit (exchange, &event);
 }
@@ -273,13 +273,23 @@
 static void
 handle_put_setting (dks_http_exchange_t *exchange)
 {
-  edit (exchange, false);
+  char name[DKS_NAME_SIZE];
+  char detail[DKS_TEXT_SIZE] = "";
+  int64_t value = 0;
+
+  if (dks_http_json_value (exchange->body, exchange->body_len, name, &value, detail) != DKS_OK)
+    dks_http_exchange_reject (exchange, 400, "bad-request", detail);
+  else
+    edit (exchange, name, false, value);
 }
 
 static void
 handle_delete_setting (dks_http_exchange_t *exchange)
 {
-  edit (exchange, true);
+  const char *name =
+      MHD_lookup_connection_value (exchange->connection, MHD_GET_ARGUMENT_KIND, "name");
+
+  edit (exchange, name, true, 0);
 }
 
 static void
