--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -289,20 +289,49 @@
   return ((struct arg_lit *)arguments->args[i])->count > 0;
 }
 
+/* Writes the default of a number that dks_config_init() sets. */
+static void
+format_default (const option_t *option, char *text, size_t size)
+{
+  dks_options_t defaults = { 0 };
+  const char *field = option_text_field (option, &defaults);
+  int64_t value;
+
+  dks_config_init (&defaults.config);
+  value = option->size == sizeof (uint32_t) ? *(const uint32_t *)field : *(const int64_t *)field;
+  snprintf (text, size, "%" PRId64, value / option->unit);
+}
+
+static void
+format_help (const option_t *option, char help[HELP_SIZE])
+{
+  int len = snprintf (help, HELP_SIZE, "%s", option->help);
+  char *end = help + len;
+  size_t size = HELP_SIZE - (size_t)len;
+  char number[24];
+
+  if (option->required)
+    snprintf (end, size, " (required)");
+  else if (option->set == set_number)
+    {
+      if (option->fallback == NULL)
+        format_default (option, number, sizeof (number));
+      snprintf (end, size, " (%" PRId64 " to %" PRId64 ", default: %s)", option->min, option->max,
+                option->fallback != NULL ? option->fallback : number);
+    }
+  else if (option->fallback != NULL)
+    snprintf (end, size, " (default: %s)", option->fallback);
+}
+
 static void
 arguments_init (arguments_t *arguments)
 {
   for (int i = 0; i < OPTION_COUNT; i++)
     {
       const option_t *option = &option_table[i];
-      char *help = arguments->help[i];
-      int len = snprintf (help, HELP_SIZE, "%s", option->help);
-
-      if (option->required)
-        snprintf (help + len, HELP_SIZE - (size_t)len, " (required)");
-      else if (option->fallback != NULL)
-        snprintf (help + len, HELP_SIZE - (size_t)len, " (default: %s)", option->fallback);
-      arguments->args[i] = arg_str0 (NULL, option->flag, option->type, help);
+
+      format_help (option, arguments->help[i]);
+      arguments->args[i] = arg_str0 (NULL, option->flag, option->type, arguments->help[i]);
     }
   arguments->args[ARG_HELP] = arg_lit0 (NULL, "help", "print this text and exit");
   arguments->args[ARG_VALIDATE] =
@@ -432,17 +461,47 @@
   return DKS_OK;
 }
 
+/* argtable2 does not name the flag of an empty value. Returns the option, or NULL. */
+static const option_t *
+find_empty_value (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    {
+      for (int j = 0; j < OPTION_COUNT; j++)
+        {
+          size_t len = strlen (option_table[j].flag);
+
+          if (strncmp (argv[i], "--", 2) != 0
+              || strncmp (argv[i] + 2, option_table[j].flag, len) != 0)
+            continue;
+          if (strcmp (argv[i] + 2 + len, "=") == 0
+              || (argv[i][2 + len] == '\0' && i + 1 < argc && argv[i + 1][0] == '\0'))
+            return &option_table[j];
+        }
+    }
+  return NULL;
+}
+
 /* argtable2 prints its errors to a stream only. */
 static int
-syntax_error (const arguments_t *arguments, const char *program, char error[DKS_OPTIONS_ERROR_SIZE])
+syntax_error (const arguments_t *arguments, int argc, char **argv,
+              char error[DKS_OPTIONS_ERROR_SIZE])
 {
-  FILE *stream = fmemopen (error, DKS_OPTIONS_ERROR_SIZE, "w");
+  const option_t *empty = find_empty_value (argc, argv);
+  size_t name_len = strlen (argv[0]);
+  FILE *stream;
 
+  if (empty != NULL)
+    return option_error (empty, "", "", error);
+  stream = fmemopen (error, DKS_OPTIONS_ERROR_SIZE, "w");
   DKS_INVARIANT (stream != NULL);
-  arg_print_errors (stream, arguments->args[ARG_END], program);
+  arg_print_errors (stream, arguments->args[ARG_END], argv[0]);
   fclose (stream);
   error[DKS_OPTIONS_ERROR_SIZE - 1] = '\0';
   error[strcspn (error, "\n")] = '\0';
+  /* The caller prints the name of the program. */
+  if (strncmp (error, argv[0], name_len) == 0 && strncmp (error + name_len, ": ", 2) == 0)
+    memmove (error, error + name_len + 2, strlen (error + name_len + 2) + 1);
   return DKS_ERR_INVALID;
 }
 
@@ -475,7 +534,7 @@
     options->mode = DKS_MODE_VALIDATE;
   if (syntax_errors > 0)
     {
-      result = syntax_error (arguments, argv[0], error);
+      result = syntax_error (arguments, argc, argv, error);
       goto out;
     }
   for (int i = 0; i < OPTION_COUNT && result == DKS_OK; i++)
