--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -225,7 +225,7 @@
 static int
 port_open (port_t *port)
 {
-  char address[DKS_ADDRESS_SIZE + 8];
+  char address[128];
   int error;
 
   snprintf (address, sizeof (address), "%s:%u", port->standin->ip, port->number);
