core: floors of shards left behind, stale evidence after pauses and cuts

Change: (a) the floor left behind is above every claim in the table; (b) targets are held until two lists have been read; (c) silence counts from the return of the platform; (d) ACCEPTED is confirmed like a refusal. Records of views are kept as text instead of being formatted for each peer.

--- a/core/members.c
+++ b/core/members.c
@@ -9,7 +9,8 @@
 {
   REMOTE_HEARTBEAT_EVERY = 5, /* heartbeats between data centres are this much rarer */
   RECONNECT_US = 300000, /* a closed connection that does not return in this time is a failure */
-  ABSENT_US = 10000000,  /* missing from the list this long proves that an instance has ended */
+  PLATFORM_GAP_US = 3000000, /* three reads of the list */
+  ABSENT_US = 10000000,      /* missing from the list this long proves that an instance has ended */
   FORGET_PEER_US = 60000000
 };
 
@@ -29,10 +30,11 @@
 is_silent (const dks_reducer_t *r, const dks_peer_t *peer)
 {
   int64_t timeout_us = r->config.failure_timeout_us;
+  int64_t since_us = peer->heard_us > r->platform_back_us ? peer->heard_us : r->platform_back_us;
 
   if (strcmp (peer->data_centre, r->config.data_centre) != 0)
     timeout_us += REMOTE_HEARTBEAT_EVERY * r->config.heartbeat_us;
-  return r->now.mono_us - peer->heard_us >= timeout_us;
+  return r->now.mono_us - since_us >= timeout_us;
 }
 
 bool
@@ -131,6 +133,16 @@
   dks_emit_peer (r, peer, msg);
 }
 
+void
+dks_members_send_view (dks_reducer_t *r, const char *peer, size_t data_centre)
+{
+  char key[sizeof (((dks_msg_t *)0)->u.record.key)] = "view/";
+
+  dks_strcpy (key + strlen (key), sizeof (key) - strlen (key), r->config.data_centres[data_centre]);
+  send_record (r, peer, key, r->views[data_centre].version,
+               dks_blob_ref (r->view_values[data_centre]));
+}
+
 void
 dks_members_send_records (dks_reducer_t *r, const char *peer)
 {
@@ -138,12 +150,8 @@
     send_record (r, peer, "settings", r->settings_revision, dks_blob_ref (r->settings_value));
   for (size_t i = 0; i < r->config.data_centre_count; i++)
     {
-      char key[sizeof (((dks_msg_t *)0)->u.record.key)] = "view/";
-
-      if (r->views[i].version == 0)
-        continue;
-      dks_strcpy (key + strlen (key), sizeof (key) - strlen (key), r->config.data_centres[i]);
-      send_record (r, peer, key, r->views[i].version, dks_view_format (&r->views[i]));
+      if (r->view_values[i] != NULL)
+        dks_members_send_view (r, peer, i);
     }
 }
 
@@ -242,6 +250,10 @@
 void
 dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
 {
+  /* An instance that was cut off from everything heard nobody, which says nothing about the others.
+   * It can change the view as soon as it reaches the platform, so silence counts from then on. */
+  if (r->now.mono_us - r->list_read_us > PLATFORM_GAP_US)
+    r->platform_back_us = r->now.mono_us;
   r->list_read_us = r->now.mono_us;
   update_absences (r, items, count);
   for (size_t i = 0; i < count; i++)
@@ -276,6 +288,7 @@
   dks_peer_t *peer;
 
   r->created_us = r->now.mono_us;
+  dks_targets_hold (r->targets, r->now.mono_us);
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
       if (peer->up)
@@ -357,6 +370,8 @@
 void
 dks_members_clear (dks_reducer_t *r)
 {
+  for (size_t i = 0; i < DKS_DATA_CENTRES_MAX; i++)
+    dks_blob_unref (r->view_values[i]);
   while (!APR_RING_EMPTY (&r->peers, dks_peer_t, link))
     peer_remove (r, APR_RING_FIRST (&r->peers));
   for (apr_hash_index_t *i = apr_hash_first (r->pool, r->absent_since); i != NULL;
--- a/core/owner.c
+++ b/core/owner.c
@@ -116,7 +116,8 @@
         {
           APR_RING_REMOVE (refusal, link);
           /* The key may have been submitted again while the backup was asked. */
-          if (!attach_known (r, refusal->answer->key, &refusal->waiter))
+          if (refusal->answer->outcome == DKS_OUTCOME_ACCEPTED
+              || !attach_known (r, refusal->answer->key, &refusal->waiter))
             dks_waiter_answer (r, &refusal->waiter, refusal->answer);
           dks_answer_unref (refusal->answer);
           free (refusal);
@@ -191,9 +192,10 @@
   confirm_refusals (r, shard);
 }
 
-/* Takes over the caller's reference to `answer`. */
+/* Gives an answer once the backup has confirmed that we are the owner. Takes over the caller's
+ * reference to `answer`. */
 static void
-refuse (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
+confirm_answer (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
 {
   dks_refusal_t *refusal = dks_alloc (sizeof (*refusal));
 
@@ -293,8 +295,6 @@
   forget_claim_id (r, job);
   job_item (r, job, &item);
   dks_claims_put (st->claims, &item);
-  if (st->accepted_ms < item.issued_ms)
-    st->accepted_ms = item.issued_ms;
   dks_job_activate (r, job);
 }
 
@@ -470,9 +470,9 @@
     }
   if (issued_ms > r->now.wall_ms + r->config.clock_skew_ms)
     {
-      refuse (r, shard, waiter,
-              refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
-                              "the issue time of the key is in the future"));
+      confirm_answer (r, shard, waiter,
+                      refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
+                                      "the issue time of the key is in the future"));
       return false;
     }
   return true;
@@ -527,15 +527,17 @@
         "the queue is too long for the deadline");
   if (answer == NULL)
     return true;
-  refuse (r, shard, waiter, answer);
+  confirm_answer (r, shard, waiter, answer);
   return false;
 }
 
+/* Confirmed like a refusal: a former owner could accept a key that was used for other content. */
 static void
 answer_accepted (dks_reducer_t *r, const dks_waiter_t *waiter, const dks_submission_t *s)
 {
   if (s->respond_async)
-    answer_now (r, waiter, s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+    confirm_answer (r, dks_key_shard (s->key), waiter,
+                    dks_answer_create (s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, 0));
 }
 
 static void
@@ -715,8 +717,8 @@
   if (cancel)
     cancel_unknown_key (r, key, &parsed, shard, waiter);
   else
-    refuse (r, shard, waiter,
-            refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
+    confirm_answer (r, shard, waiter,
+                    refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
 }
 
 void
@@ -739,7 +741,7 @@
   dks_job_discard (r, job);
   while ((waiter = dks_waiters_take (&waiters)) != NULL)
     {
-      refuse (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
+      confirm_answer (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
       free (waiter);
     }
 }
--- a/core/target.c
+++ b/core/target.c
@@ -12,6 +12,7 @@
 {
   EJECT_MIN_US = 1000000,
   EJECT_MAX_US = 60000000,
+  HOLD_US = 3000000,
   FULL_PAUSE_US = 50000 /* a refusal shows a slot that we do not know of; most tasks end later */
 };
 
@@ -69,6 +70,13 @@
   return NULL;
 }
 
+void
+dks_targets_hold (dks_targets_t *targets, int64_t now_us)
+{
+  targets->hold_until_us = now_us + HOLD_US;
+  targets->hold_lists = 2;
+}
+
 void
 dks_targets_update (dks_targets_t *targets, const dks_listed_instance_t *items, size_t count,
                     const char *data_centre)
@@ -76,6 +84,8 @@
   dks_target_t *target;
   dks_target_t *next;
 
+  if (targets->hold_lists > 0 && --targets->hold_lists == 0)
+    targets->hold_until_us = 0;
   APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
     {
       target->is_listed = false;
@@ -147,9 +157,9 @@
 
 /* Slots that may be used at this time, of which `used` are taken. */
 static uint32_t
-usable_slots (const dks_target_t *target, int64_t now_us)
+usable_slots (const dks_targets_t *targets, const dks_target_t *target, int64_t now_us)
 {
-  if (!is_usable (target) || target->ejected_until_us > now_us)
+  if (!is_usable (target) || targets->hold_until_us > now_us || target->ejected_until_us > now_us)
     return 0;
   if (target->full_until_us > now_us)
     return target->used;
@@ -159,9 +169,9 @@
 }
 
 static uint32_t
-free_slots (const dks_target_t *target, int64_t now_us)
+free_slots (const dks_targets_t *targets, const dks_target_t *target, int64_t now_us)
 {
-  uint32_t slots = usable_slots (target, now_us);
+  uint32_t slots = usable_slots (targets, target, now_us);
 
   return slots > target->used ? slots - target->used : 0;
 }
@@ -174,7 +184,7 @@
 
   APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
     {
-      sum += free_slots (target, now_us);
+      sum += free_slots (targets, target, now_us);
     }
   return sum;
 }
@@ -187,7 +197,7 @@
 
   APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
     {
-      sum += usable_slots (target, now_us);
+      sum += usable_slots (targets, target, now_us);
     }
   return sum;
 }
@@ -214,7 +224,7 @@
 
   APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
     {
-      uint32_t slots = free_slots (target, now_us);
+      uint32_t slots = free_slots (targets, target, now_us);
 
       if (slots == 0 || target == except || lacking_resource (&target->listed, spec) != NULL)
         continue;
@@ -305,7 +315,7 @@
 dks_targets_next_us (const dks_targets_t *targets, int64_t now_us)
 {
   const dks_target_t *target;
-  int64_t next_us = INT64_MAX;
+  int64_t next_us = targets->hold_until_us > now_us ? targets->hold_until_us : INT64_MAX;
 
   APR_RING_FOREACH (target, &targets->ring, dks_target_t, link)
     {
--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -53,7 +53,9 @@
       const dks_shard_state_t *shard = &r->shards[i];
 
       inputs->fenced[i] = shard->fenced;
-      inputs->next_floor_ms[i] = shard->accepted_ms + 1;
+      inputs->next_floor_ms[i] = shard->claims->latest_ms + 1;
+      if (inputs->next_floor_ms[i] < shard->claims->floor_ms)
+        inputs->next_floor_ms[i] = shard->claims->floor_ms;
       if (shard->sync_acked)
         dks_strcpy (inputs->synced[i], sizeof (inputs->synced[i]), shard->sync_peer);
       inputs->is_recovering[i] =
@@ -158,12 +160,21 @@
 }
 
 static void
-apply_own_view (dks_reducer_t *r, const dks_view_t *view, bool is_from_us)
+keep_view (dks_reducer_t *r, size_t data_centre, const dks_view_t *view, dks_blob_t *value)
+{
+  r->views[data_centre] = *view;
+  dks_blob_ref (value);
+  dks_blob_unref (r->view_values[data_centre]);
+  r->view_values[data_centre] = value;
+}
+
+static void
+apply_own_view (dks_reducer_t *r, const dks_view_t *view, dks_blob_t *value, bool is_from_us)
 {
   dks_view_t old = r->views[r->own];
   dks_peer_t *peer;
 
-  r->views[r->own] = *view;
+  keep_view (r, (size_t)r->own, view, value);
   r->view_known = true;
   clear_proposals (r);
   for (uint32_t i = 0; i < view->member_count; i++)
@@ -175,7 +186,7 @@
       APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
         {
           if (peer->up)
-            dks_members_send_records (r, peer->id);
+            dks_members_send_view (r, peer->id, (size_t)r->own);
         }
     }
   dks_owner_handle_view (r, &old);
@@ -221,12 +232,12 @@
         }
       if ((int)i == r->own)
         {
-          apply_own_view (r, &view, false);
+          apply_own_view (r, &view, value, false);
           dks_view_review (r);
         }
       else
         {
-          r->views[i] = view;
+          keep_view (r, i, &view, value);
           dks_entry_route_all (r);
         }
       connect_members (r, &view);
@@ -266,10 +277,12 @@
   if (was_cas)
     {
       dks_view_t written = r->view_proposed;
+      dks_blob_t *record = dks_view_format (&written);
 
       written.version = version;
       if (version > dks_own_view (r)->version)
-        apply_own_view (r, &written, true);
+        apply_own_view (r, &written, record, true);
+      dks_blob_unref (record);
     }
   else
     {
--- a/include/core/claim.h
+++ b/include/core/claim.h
@@ -36,6 +36,7 @@
   uint32_t max;
   uint32_t unfinished;
   size_t answer_bytes; /**< bytes of results that the table keeps alive */
+  int64_t latest_ms;   /**< latest issue time of any claim since the table was cleared */
   int64_t floor_ms;    /**< keys issued before this and not in the table are unknown */
 } dks_claims_t;
 
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -101,7 +101,6 @@
 {
   dks_claims_t *claims;
   bool fenced;                   /**< as backup: claims of the owner are rejected */
-  int64_t accepted_ms;           /**< as owner: latest issue time accepted */
   dks_job_ring_t jobs;           /**< all jobs of this shard that run here */
   char sync_peer[DKS_NAME_SIZE]; /**< as owner: member that receives a copy of the claims */
   uint64_t sync_id;
@@ -147,9 +146,11 @@
   APR_RING_HEAD (dks_peer_ring_t, dks_peer_t) peers;
   apr_hash_t *peers_by_id;
   dks_view_t views[DKS_DATA_CENTRES_MAX];
+  dks_blob_t *view_values[DKS_DATA_CENTRES_MAX]; /**< the same as records, NULL when unknown */
   dks_timer_t heartbeat_timer;
   uint32_t heartbeat_count;
   int64_t list_read_us;     /**< time of the latest instance list, 0 for none */
+  int64_t platform_back_us; /**< since when the list has been read without a long gap */
   apr_hash_t *absent_since; /**< instance id -> int64_t, us; missing while listed */
 
   /* view_ops.c */
@@ -236,6 +237,7 @@
 /** Forgives all silence, after this process has been paused. */
 void dks_members_forgive (dks_reducer_t *r);
 void dks_members_send_records (dks_reducer_t *r, const char *peer);
+void dks_members_send_view (dks_reducer_t *r, const char *peer, size_t data_centre);
 
 /* view_ops.c */
 void dks_view_ops_init (dks_reducer_t *r);
--- a/include/core/target.h
+++ b/include/core/target.h
@@ -33,6 +33,8 @@
 {
   APR_RING_HEAD (dks_target_ring_t, dks_target_t) ring; /**< in order of first appearance */
   uint32_t count;
+  int64_t hold_until_us; /**< no target gets work before this */
+  uint32_t hold_lists;   /**< lists that must be read to end the hold early */
 } dks_targets_t;
 
 typedef enum
@@ -45,6 +47,9 @@
 void dks_targets_destroy (dks_targets_t *targets);
 dks_target_t *dks_target_ref (dks_target_t *target);
 void dks_target_unref (dks_target_t *target);
+/** Uses no target until two lists have been read, for at most 3 s. After a pause of this process,
+ * targets may have left long ago, and the first list may have been sent before the pause. */
+void dks_targets_hold (dks_targets_t *targets, int64_t now_us);
 /** Takes over the targets of `data_centre` from the platform's list. */
 void dks_targets_update (dks_targets_t *targets, const dks_listed_instance_t *items, size_t count,
                          const char *data_centre);
