core: keep former members in the view and lower floors when none is left

An owner that took a shard back after losing it counted its own earlier floor as lost. Ruled out: a chain of floors per shard (it grows with every takeover). Change: members that lost a role while silent stay in the view as former members until they are proved dead, have read the view or their ceiling passes; then floors drop to now plus twice the skew. Silence is judged only by instances that reach the platform. New problem cancelled-not-run.

--- a/core/jobs.c
+++ b/core/jobs.c
@@ -252,7 +252,7 @@
 
   if (job->is_cancel)
     {
-      dks_job_finish (r, job, DKS_OUTCOME_CANCELLED, DKS_PROBLEM_CANCELLED,
+      dks_job_finish (r, job, DKS_OUTCOME_CANCELLED, DKS_PROBLEM_CANCELLED_NOT_RUN,
                       "cancelled before it was started");
       return;
     }
--- a/core/members.c
+++ b/core/members.c
@@ -30,11 +30,10 @@
 is_silent (const dks_reducer_t *r, const dks_peer_t *peer)
 {
   int64_t timeout_us = r->config.failure_timeout_us;
-  int64_t since_us = peer->heard_us > r->platform_back_us ? peer->heard_us : r->platform_back_us;
 
   if (strcmp (peer->data_centre, r->config.data_centre) != 0)
     timeout_us += REMOTE_HEARTBEAT_EVERY * r->config.heartbeat_us;
-  return r->now.mono_us - since_us >= timeout_us;
+  return r->now.mono_us - peer->heard_us >= timeout_us;
 }
 
 bool
@@ -50,6 +49,15 @@
   return !is_silent (r, peer);
 }
 
+bool
+dks_members_can_judge (const dks_reducer_t *r)
+{
+  int64_t now_us = r->now.mono_us;
+
+  return now_us - r->list_read_us <= PLATFORM_GAP_US
+         && now_us - r->platform_back_us >= r->config.failure_timeout_us;
+}
+
 /* A newer incarnation at the same address has bound the port of this one, which therefore ended. */
 static bool
 is_replaced (const dks_reducer_t *r, const dks_view_member_t *member)
@@ -80,7 +88,7 @@
 }
 
 bool
-dks_former_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member)
+dks_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member)
 {
   char instance[DKS_NAME_SIZE];
   const int64_t *absent_since;
@@ -93,14 +101,6 @@
          && !dks_member_is_alive (r, member->id);
 }
 
-bool
-dks_member_is_dead (const dks_reducer_t *r, const char *id)
-{
-  const dks_view_member_t *member = dks_view_member (dks_own_view (r), id);
-
-  return member != NULL && dks_former_member_is_dead (r, member);
-}
-
 static dks_peer_t *
 peer_create (dks_reducer_t *r, const char *id, const char *data_centre)
 {
@@ -209,8 +209,6 @@
   bool listed = false;
   int64_t *since;
 
-  if (member[0] == '\0')
-    return;
   instance_of (member, instance);
   for (size_t i = 0; i < count && !listed; i++)
     listed = !items[i].is_target && strcmp (items[i].id, instance) == 0;
@@ -240,18 +238,13 @@
 
   for (uint32_t i = 0; i < view->member_count; i++)
     update_absence (r, view->members[i].id, items, count);
-  for (uint32_t i = 0; i < DKS_SHARDS; i++)
-    {
-      update_absence (r, r->shards[i].lost[0].id, items, count);
-      update_absence (r, r->shards[i].lost[1].id, items, count);
-    }
+  for (uint32_t i = 0; i < view->former_count; i++)
+    update_absence (r, view->former[i].id, items, count);
 }
 
 void
 dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
 {
-  /* An instance that was cut off from everything heard nobody, which says nothing about the others.
-   * It can change the view as soon as it reaches the platform, so silence counts from then on. */
   if (r->now.mono_us - r->list_read_us > PLATFORM_GAP_US)
     r->platform_back_us = r->now.mono_us;
   r->list_read_us = r->now.mono_us;
--- a/core/owner.c
+++ b/core/owner.c
@@ -976,8 +976,8 @@
   st->recover_ready = true;
   st->recover_floor_ms = floor_ms > st->lost_floor_ms ? floor_ms : st->lost_floor_ms;
   st->recover_id = dks_next_id (r);
-  st->lost[0].id[0] = '\0';
-  st->lost[1].id[0] = '\0';
+  st->lost[0][0] = '\0';
+  st->lost[1][0] = '\0';
   /* A copy that is under way may lack the recovered claims. */
   if (!st->sync_proposed)
     stop_sync (r, shard);
@@ -991,7 +991,7 @@
   dks_shard_state_t *st = &r->shards[shard];
   bool from_owner = strcmp (view_shard (r, shard)->owner, peer) == 0;
   bool from_lost = dks_owner_is_self (r, shard)
-                   && (strcmp (st->lost[0].id, peer) == 0 || strcmp (st->lost[1].id, peer) == 0);
+                   && (strcmp (st->lost[0], peer) == 0 || strcmp (st->lost[1], peer) == 0);
   dks_msg_t *ack;
 
   if (!from_owner && !from_lost)
@@ -1052,22 +1052,6 @@
   send_snapshot (r, shard, st->handback_to, st->handback_id, st->handback_floor_ms);
 }
 
-/* Members that are proved to have ended cannot accept any key after this point in time. */
-static void
-review_lost (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-
-  if (st->lost[0].id[0] == '\0' && st->lost[1].id[0] == '\0')
-    return;
-  for (size_t i = 0; i < 2; i++)
-    {
-      if (st->lost[i].id[0] != '\0' && !dks_former_member_is_dead (r, &st->lost[i]))
-        return;
-    }
-  finish_recovery (r, shard, r->now.wall_ms + 2 * r->config.clock_skew_ms);
-}
-
 void
 dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer)
 {
@@ -1139,19 +1123,9 @@
   return strcmp (shard->owner, member) == 0 || strcmp (shard->backup, member) == 0;
 }
 
-static void
-note_lost_member (const dks_view_t *old, const char *id, dks_view_member_t *lost)
-{
-  const dks_view_member_t *member = dks_view_member (old, id);
-
-  memset (lost, 0, sizeof (*lost));
-  if (member != NULL)
-    *lost = *member;
-}
-
 /* We own the shard now. If we had no part in it before, its claims are elsewhere or lost. */
 static void
-gain_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old)
+gain_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old, bool kept_claims)
 {
   dks_shard_state_t *st = &r->shards[shard];
   const dks_view_shard_t *before = &old->shards[shard];
@@ -1159,9 +1133,10 @@
   dks_claim_t *claim;
 
   st->recover_ready = false;
-  note_lost_member (old, had_role ? "" : before->owner, &st->lost[0]);
-  note_lost_member (old, had_role ? "" : before->backup, &st->lost[1]);
-  st->lost_floor_ms = before->floor_ms;
+  dks_strcpy (st->lost[0], sizeof (st->lost[0]), had_role ? "" : before->owner);
+  dks_strcpy (st->lost[1], sizeof (st->lost[1]), had_role ? "" : before->backup);
+  /* With the claims from before the last owner's time, only those that it made are missing. */
+  st->lost_floor_ms = kept_claims ? st->own_floor_ms : before->floor_ms;
   APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
     {
       claim->asked = false;
@@ -1177,13 +1152,14 @@
   const dks_view_shard_t *vs = view_shard (r, shard);
 
   st->recover_ready = false;
-  st->lost[0].id[0] = '\0';
-  st->lost[1].id[0] = '\0';
+  st->lost[0][0] = '\0';
+  st->lost[1][0] = '\0';
   if (vs->owner[0] == '\0' || has_role (before, vs->owner) || !has_role (before, r->self))
     return;
   dks_strcpy (st->handback_to, sizeof (st->handback_to), vs->owner);
   st->handback_us = 0;
-  st->handback_floor_ms =
+  st->handback_floor_ms = st->claims->floor_ms;
+  st->own_floor_ms =
       before->floor_ms > st->claims->floor_ms ? before->floor_ms : st->claims->floor_ms;
 }
 
@@ -1195,6 +1171,7 @@
   const dks_view_shard_t *vs = view_shard (r, shard);
   bool was_owner = strcmp (before->owner, r->self) == 0;
   bool is_owner = dks_owner_is_self (r, shard);
+  bool kept_claims = before->owner[0] != '\0' && strcmp (st->handback_to, before->owner) == 0;
 
   if (vs->epoch == before->epoch && strcmp (vs->owner, before->owner) == 0)
     {
@@ -1222,7 +1199,7 @@
   if (!is_owner)
     return;
   if (!was_owner)
-    gain_shard (r, shard, old);
+    gain_shard (r, shard, old, kept_claims);
   reclaim_all (r, shard);
 }
 
@@ -1243,7 +1220,6 @@
   if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
     restart_confirm (r, shard);
   review_runners (r, shard);
-  review_lost (r, shard);
   if (st->sync_proposed)
     return;
   if (st->recover_ready && view_shard (r, shard)->backup[0] != '\0')
--- a/core/view.c
+++ b/core/view.c
@@ -28,6 +28,7 @@
 dks_view_format (const dks_view_t *view)
 {
   json_t *members = json_array ();
+  json_t *former = json_array ();
   json_t *shards = json_array ();
   json_t *root;
   char *text;
@@ -35,9 +36,11 @@
 
   for (uint32_t i = 0; i < view->member_count; i++)
     json_array_append_new (members, member_to_json (&view->members[i]));
+  for (uint32_t i = 0; i < view->former_count; i++)
+    json_array_append_new (former, member_to_json (&view->former[i]));
   for (uint32_t i = 0; i < DKS_SHARDS; i++)
     json_array_append_new (shards, shard_to_json (&view->shards[i]));
-  root = json_pack ("{s:o, s:o}", "members", members, "shards", shards);
+  root = json_pack ("{s:o, s:o, s:o}", "members", members, "former", former, "shards", shards);
   text = json_dumps (root, JSON_COMPACT);
   DKS_INVARIANT (text != NULL);
   blob = dks_blob_create_text (text);
@@ -86,33 +89,48 @@
   return DKS_OK;
 }
 
+static int
+members_from_json (json_t *json, dks_view_member_t *members, size_t max, uint32_t *count)
+{
+  if (!json_is_array (json) || json_array_size (json) > max)
+    return DKS_ERR_INVALID;
+  for (size_t i = 0; i < json_array_size (json); i++)
+    {
+      if (member_from_json (json_array_get (json, i), &members[i]) != DKS_OK)
+        return DKS_ERR_INVALID;
+    }
+  *count = (uint32_t)json_array_size (json);
+  return DKS_OK;
+}
+
+static int
+shards_from_json (json_t *json, dks_view_shard_t *shards)
+{
+  if (!json_is_array (json) || json_array_size (json) != DKS_SHARDS)
+    return DKS_ERR_INVALID;
+  for (size_t i = 0; i < DKS_SHARDS; i++)
+    {
+      if (shard_from_json (json_array_get (json, i), &shards[i]) != DKS_OK)
+        return DKS_ERR_INVALID;
+    }
+  return DKS_OK;
+}
+
 int
 dks_view_parse (const char *json, size_t len, int64_t version, dks_view_t *view)
 {
   json_t *root = json_loadb (json, len, JSON_REJECT_DUPLICATES, NULL);
-  json_t *members = json_object_get (root, "members");
-  json_t *shards = json_object_get (root, "shards");
-  int result = DKS_ERR_INVALID;
+  int result;
 
   memset (view, 0, sizeof (*view));
   view->version = version;
-  if (!json_is_array (members) || json_array_size (members) > DKS_MEMBERS_MAX)
-    goto out;
-  if (!json_is_array (shards) || json_array_size (shards) != DKS_SHARDS)
-    goto out;
-  for (size_t i = 0; i < json_array_size (members); i++)
-    {
-      if (member_from_json (json_array_get (members, i), &view->members[i]) != DKS_OK)
-        goto out;
-    }
-  view->member_count = (uint32_t)json_array_size (members);
-  for (size_t i = 0; i < DKS_SHARDS; i++)
-    {
-      if (shard_from_json (json_array_get (shards, i), &view->shards[i]) != DKS_OK)
-        goto out;
-    }
-  result = DKS_OK;
-out:
+  result = members_from_json (json_object_get (root, "members"), view->members, DKS_MEMBERS_MAX,
+                              &view->member_count);
+  if (result == DKS_OK)
+    result = members_from_json (json_object_get (root, "former"), view->former, DKS_FORMER_MAX,
+                                &view->former_count);
+  if (result == DKS_OK)
+    result = shards_from_json (json_object_get (root, "shards"), view->shards);
   json_decref (root);
   return result;
 }
@@ -175,7 +193,7 @@
 static bool
 can_take_role (const dks_view_inputs_t *in, const dks_view_member_t *member)
 {
-  return !member->leaving && is_alive (in, member->id) && !in->is_dead (in->context, member->id);
+  return !member->leaving && is_alive (in, member->id) && !in->is_dead (in->context, member);
 }
 
 /* Member with the highest score for the shard that can take a role, without `except`. */
@@ -276,41 +294,88 @@
     }
 }
 
+static dks_view_member_t *
+find_former (dks_view_t *view, const char *id)
+{
+  for (uint32_t i = 0; i < view->former_count; i++)
+    {
+      if (strcmp (view->former[i].id, id) == 0)
+        return &view->former[i];
+    }
+  return NULL;
+}
+
+/* Floor above every key that a lost member can have accepted or can still accept. */
 static int64_t
-ceiling_of (const dks_view_t *view, const char *member)
+floor_above (dks_view_t *view, const dks_view_inputs_t *in, const char *id)
 {
-  const dks_view_member_t *found = dks_view_member (view, member);
+  const dks_view_member_t *member = dks_view_member (view, id);
 
-  return found != NULL ? found->ceiling_ms : 0;
+  if (member == NULL)
+    return 0;
+  if (in->is_dead (in->context, member))
+    return in->wall_ms + 2 * in->clock_skew_ms;
+  if (find_former (view, id) == NULL)
+    view->former[view->former_count++] = *member;
+  return member->ceiling_ms;
 }
 
-/* Takes a shard whose claims are lost. The floor excludes every key that the lost members can have
- * accepted or can still accept. */
+/* Takes a shard whose claims are lost. */
 static void
 plan_lost_shard (dks_view_t *view, const dks_view_inputs_t *in, uint32_t i)
 {
   dks_view_shard_t *shard = &view->shards[i];
   const dks_view_member_t *best = best_member (view, in, i, NULL);
   const char *roles[] = { shard->owner, shard->backup };
-  int64_t floor_ms = shard->floor_ms;
 
-  if (best == NULL || !is_self (in, best->id))
+  if (best == NULL || !is_self (in, best->id) || view->former_count + 2 > DKS_FORMER_MAX)
     return;
   for (size_t j = 0; j < 2; j++)
     {
-      int64_t bound;
+      if (roles[j][0] != '\0' && is_alive (in, roles[j]))
+        return;
+    }
+  for (size_t j = 0; j < 2; j++)
+    {
+      int64_t floor_ms = floor_above (view, in, roles[j]);
+
+      if (floor_ms > shard->floor_ms)
+        shard->floor_ms = floor_ms;
+    }
+  shard_set (shard, in->self, "");
+}
+
+/* A former member that has ended, whose ceiling has passed, or that has read this view cannot
+ * accept another key of a shard that it lost. */
+static void
+plan_former (dks_view_t *view, const dks_view_inputs_t *in)
+{
+  for (uint32_t i = view->former_count; i-- > 0;)
+    {
+      const dks_view_member_t *former = &view->former[i];
 
-      if (roles[j][0] == '\0')
+      if (!is_self (in, former->id) && !in->is_dead (in->context, former)
+          && former->ceiling_ms + 2 * in->clock_skew_ms > in->wall_ms)
         continue;
-      if (is_alive (in, roles[j]))
-        return;
-      bound = in->is_dead (in->context, roles[j]) ? in->wall_ms + 2 * in->clock_skew_ms
-                                                  : ceiling_of (view, roles[j]);
-      if (bound > floor_ms)
-        floor_ms = bound;
+      view->former_count--;
+      memmove (&view->former[i], &view->former[i + 1],
+               (view->former_count - i) * sizeof (view->former[0]));
+      memset (&view->former[view->former_count], 0, sizeof (view->former[0]));
     }
+}
+
+/* With no former member left, nobody but the owner accepts keys; those that were accepted before
+ * are below this floor. */
+static void
+plan_floor (dks_view_t *view, const dks_view_inputs_t *in, uint32_t i)
+{
+  dks_view_shard_t *shard = &view->shards[i];
+  int64_t floor_ms = in->wall_ms + 2 * in->clock_skew_ms;
+
+  if (view->former_count > 0 || shard->floor_ms <= floor_ms)
+    return;
   shard->floor_ms = floor_ms;
-  shard_set (shard, in->self, "");
+  shard->epoch++;
 }
 
 static void
@@ -321,7 +386,10 @@
       dks_view_shard_t *shard = &view->shards[i];
 
       if (is_self (in, shard->owner))
-        plan_own_shard (view, in, i);
+        {
+          plan_floor (view, in, i);
+          plan_own_shard (view, in, i);
+        }
       else if (is_self (in, shard->backup))
         {
           if (in->fenced[i] && !is_alive (in, shard->owner))
@@ -347,8 +415,9 @@
   for (uint32_t i = view->member_count; i-- > 0;)
     {
       const char *id = view->members[i].id;
-      bool gone = is_self (in, id) ? in->draining && in->may_leave
-                                   : !is_alive (in, id) || in->is_dead (in->context, id);
+      bool gone = is_self (in, id)
+                      ? in->draining && in->may_leave
+                      : !is_alive (in, id) || in->is_dead (in->context, &view->members[i]);
 
       if (gone && !dks_view_has_role (view, id))
         remove_member (view, i);
@@ -380,6 +449,7 @@
   plan_self (next, inputs);
   if (dks_view_member (next, inputs->self) != NULL)
     {
+      plan_former (next, inputs);
       plan_shards (next, inputs);
       plan_members (next, inputs);
     }
--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -21,11 +21,11 @@
 static bool
 input_is_alive (void *context, const char *member)
 {
-  return dks_member_is_alive (context, member);
+  return !dks_members_can_judge (context) || dks_member_is_alive (context, member);
 }
 
 static bool
-input_is_dead (void *context, const char *member)
+input_is_dead (void *context, const dks_view_member_t *member)
 {
   return dks_member_is_dead (context, member);
 }
@@ -58,8 +58,9 @@
         inputs->next_floor_ms[i] = shard->claims->floor_ms;
       if (shard->sync_acked)
         dks_strcpy (inputs->synced[i], sizeof (inputs->synced[i]), shard->sync_peer);
-      inputs->is_recovering[i] =
-          shard->recover_ready || shard->lost[0].id[0] != '\0' || shard->lost[1].id[0] != '\0';
+      inputs->is_recovering[i] = shard->recover_ready
+                                 || (dks_own_view (r)->former_count > 0
+                                     && (shard->lost[0][0] != '\0' || shard->lost[1][0] != '\0'));
       inputs->may_lower_floor[i] = dks_owner_can_lower_floor (r, i);
       inputs->lower_floor_ms[i] = shard->recover_floor_ms;
     }
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -115,16 +115,17 @@
   bool confirm_sync_ok;
   APR_RING_HEAD (dks_refusal_ring_t, dks_refusal_t) refusals;
   /* As an owner that took over without the claims: how to lower the floor again. */
-  dks_view_member_t lost[2]; /**< owner and backup that had the claims; empty ids if none */
-  int64_t lost_floor_ms;     /**< floor before the takeover */
-  bool recover_ready;        /**< `recover_floor_ms` may replace the floor of the view */
+  char lost[2][DKS_NAME_SIZE]; /**< owner and backup that had the claims, or empty */
+  int64_t lost_floor_ms;       /**< floor before the takeover */
+  bool recover_ready;          /**< `recover_floor_ms` may replace the floor of the view */
   int64_t recover_floor_ms;
   uint64_t recover_id; /**< copies of the claims with a higher id contain what was recovered */
   /* As a former owner or backup: claims that the new owner lacks. */
   char handback_to[DKS_NAME_SIZE];
   uint64_t handback_id;
-  int64_t handback_us; /**< when it was last sent, 0 for never */
-  int64_t handback_floor_ms;
+  int64_t handback_us;       /**< when it was last sent, 0 for never */
+  int64_t handback_floor_ms; /**< below this, claims have been dropped from the table */
+  int64_t own_floor_ms; /**< all claims of keys from here on, until the shard was lost, are kept */
 } dks_shard_state_t;
 
 struct dks_reducer_t
@@ -223,10 +224,11 @@
 bool dks_peer_is_usable (const dks_reducer_t *r, const dks_peer_t *peer);
 /** Not known to have been silent for the failure timeout. */
 bool dks_member_is_alive (const dks_reducer_t *r, const char *id);
-/** Proved to have ended. */
-bool dks_member_is_dead (const dks_reducer_t *r, const char *id);
-/** The same for a member that may have left the view. */
-bool dks_former_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member);
+/** Whether the silence of others says anything about them. An instance that was cut off from
+ * everything heard nobody, but may reach the platform before its peers; it must not act on that. */
+bool dks_members_can_judge (const dks_reducer_t *r);
+/** Proved to have ended. `member` may be a former one. */
+bool dks_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member);
 void dks_members_handle_up (dks_reducer_t *r, const char *id, const char *data_centre);
 void dks_members_handle_down (dks_reducer_t *r, const char *id);
 void dks_members_handle_heartbeat (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
--- a/include/core/types.h
+++ b/include/core/types.h
@@ -17,6 +17,7 @@
   DKS_TASKS_MAX = 480,   /**< tasks of one submission */
   DKS_DATA_CENTRES_MAX = 16,
   DKS_MEMBERS_MAX = 64,        /**< instances of one data centre */
+  DKS_FORMER_MAX = 32,         /**< former members that a view keeps */
   DKS_SHARDS = 16,             /**< shards of the keys of one data centre */
   DKS_PAYLOAD_MAX = 1 << 20,   /**< bytes of one task's payload or result */
   DKS_SUBMISSION_MAX = 8 << 20 /**< bytes of one submission's body */
@@ -56,10 +57,11 @@
   DKS_PROBLEM_OWNER_LOST, /**< the instance that ran the work died */
   DKS_PROBLEM_TASK_FAILED,
   DKS_PROBLEM_TARGET_LOST, /**< the target or the connection to it died after the start */
-  DKS_PROBLEM_CANCELLED,
+  DKS_PROBLEM_CANCELLED,   /**< cancelled; tasks may have run or be running */
   DKS_PROBLEM_NOT_FOUND,
-  DKS_PROBLEM_NO_TARGET, /**< no usable target */
-  DKS_PROBLEM_MOVED,     /**< internal: ask the new owner */
+  DKS_PROBLEM_NO_TARGET,         /**< no usable target */
+  DKS_PROBLEM_MOVED,             /**< internal: ask the new owner */
+  DKS_PROBLEM_CANCELLED_NOT_RUN, /**< cancelled, and no task was or will be started */
   DKS_PROBLEM_COUNT
 } dks_problem_t;
 
--- a/include/core/view.h
+++ b/include/core/view.h
@@ -29,6 +29,10 @@
   int64_t version; /**< revision of the record in the store; 0 when it does not exist */
   uint32_t member_count;
   dks_view_member_t members[DKS_MEMBERS_MAX];
+  /** Members that lost a role while they were silent and may not know it yet. Their ceilings are
+   * the reason for high floors. */
+  uint32_t former_count;
+  dks_view_member_t former[DKS_FORMER_MAX];
   dks_view_shard_t shards[DKS_SHARDS];
 } dks_view_t;
 
@@ -57,8 +61,8 @@
   int64_t ceiling_ms;    /**< reach of the ceiling beyond `wall_ms` */
   int64_t clock_skew_ms; /**< largest assumed difference between clocks */
   bool (*is_alive) (void *context,
-                    const char *member);               /**< heard from within the failure timeout */
-  bool (*is_dead) (void *context, const char *member); /**< proved to have ended */
+                    const char *member); /**< heard from within the failure timeout */
+  bool (*is_dead) (void *context, const dks_view_member_t *member); /**< proved to have ended */
   void *context;
   bool fenced[DKS_SHARDS];                /**< as backup: claims of the owner are being rejected */
   char synced[DKS_SHARDS][DKS_NAME_SIZE]; /**< as owner: member that holds all claims, or empty */
--- a/net/http_json.c
+++ b/net/http_json.c
@@ -557,6 +557,12 @@
   json_object_set_new (object, "failed_tasks", tasks);
 }
 
+static bool
+is_cancelled_not_run (const dks_http_problem_t *problem)
+{
+  return strcmp (problem->name, dks_problem_name (DKS_PROBLEM_CANCELLED_NOT_RUN)) == 0;
+}
+
 char *
 dks_http_json_problem (const dks_http_problem_t *problem)
 {
@@ -573,7 +579,7 @@
     set_text (object, "key", problem->key);
   if (problem->outcome != 0)
     set_text (object, "outcome", dks_outcome_name (problem->outcome));
-  if (problem->outcome == DKS_OUTCOME_REFUSED)
+  if (problem->outcome == DKS_OUTCOME_REFUSED || is_cancelled_not_run (problem))
     json_object_set_new (object, "not_run", json_true ());
   if (problem->retry_after_ms > 0)
     set_integer (object, "retry_after_ms", problem->retry_after_ms);
--- a/tests/test_view.cc
+++ b/tests/test_view.cc
@@ -34,8 +34,8 @@
     in.is_alive = [] (void *context, const char *id) {
       return static_cast<ViewTest *> (context)->silent.count (id) == 0;
     };
-    in.is_dead = [] (void *context, const char *id) {
-      return static_cast<ViewTest *> (context)->dead.count (id) > 0;
+    in.is_dead = [] (void *context, const dks_view_member_t *member) {
+      return static_cast<ViewTest *> (context)->dead.count (member->id) > 0;
     };
     return in;
   }
@@ -164,6 +164,28 @@
     EXPECT_EQ (shard.floor_ms, now_ms + 1000);
 }
 
+// After both have read the newer view or have ended, a high floor would only keep callers out.
+TEST_F (ViewTest, FloorIsLoweredWhenNoFormerMemberIsLeft)
+{
+  make_pair ();
+  dks_view_inputs_t a = inputs ("a#1");
+  dks_view_inputs_t c = inputs ("c#1");
+
+  silent = { "a#1", "b#1" };
+  plan (c);
+  EXPECT_EQ (view.former_count, 2u);
+  plan (c);
+  EXPECT_EQ (view.shards[0].floor_ms, now_ms + reach_ms);
+  dead = { "b#1" };
+  plan (c);
+  EXPECT_EQ (view.shards[0].floor_ms, now_ms + reach_ms) << "the other one is only silent";
+  silent = { "b#1" };
+  plan (a);
+  plan (c);
+  EXPECT_EQ (view.former_count, 0u);
+  EXPECT_EQ (view.shards[0].floor_ms, now_ms + 1000);
+}
+
 TEST_F (ViewTest, RecordSurvivesARoundTripAndRejectsDamage)
 {
   dks_view_t parsed;
@@ -175,7 +197,8 @@
   EXPECT_STREQ (parsed.shards[3].owner, view.shards[3].owner);
   EXPECT_EQ (parsed.member_count, 2u);
   EXPECT_EQ (dks_view_parse (text, blob->len - 1, 1, &parsed), DKS_ERR_INVALID);
-  EXPECT_EQ (dks_view_parse ("{\"members\":[],\"shards\":[]}", 26, 1, &parsed), DKS_ERR_INVALID);
+  std::string empty = "{\"members\":[],\"former\":[],\"shards\":[]}";
+  EXPECT_EQ (dks_view_parse (empty.data (), empty.size (), 1, &parsed), DKS_ERR_INVALID);
   dks_blob_unref (blob);
 }
 
