core: leave the view's floor out of copies of the claims

Cause: a new backup kept the high floor of the view as the floor of its own table, so lowering the view's floor later had no effect once it became the owner (schedule seeds 764, 2034: no_recovery). Change: copies carry only the floor below which the table itself has dropped claims.

--- a/core/owner.c
+++ b/core/owner.c
@@ -438,16 +438,22 @@
 
 /* Submissions */
 
+/* Keys issued before this may have lost their claims in our table. */
+static int64_t
+table_floor_ms (const dks_reducer_t *r, uint32_t shard)
+{
+  int64_t floor_ms = r->shards[shard].claims->floor_ms;
+  int64_t expired_ms = r->now.wall_ms - r->config.retention_ms;
+
+  return floor_ms > expired_ms ? floor_ms : expired_ms;
+}
+
 static int64_t
 effective_floor_ms (const dks_reducer_t *r, uint32_t shard)
 {
-  int64_t floor_ms = view_shard (r, shard)->floor_ms;
+  int64_t floor_ms = table_floor_ms (r, shard);
 
-  if (floor_ms < r->shards[shard].claims->floor_ms)
-    floor_ms = r->shards[shard].claims->floor_ms;
-  if (floor_ms < r->now.wall_ms - r->config.retention_ms)
-    floor_ms = r->now.wall_ms - r->config.retention_ms;
-  return floor_ms;
+  return floor_ms > view_shard (r, shard)->floor_ms ? floor_ms : view_shard (r, shard)->floor_ms;
 }
 
 static bool
@@ -950,7 +956,8 @@
   st->sync_id = dks_next_id (r);
   st->sync_us = r->now.mono_us;
   st->sync_acked = false;
-  send_snapshot (r, shard, peer, st->sync_id, effective_floor_ms (r, shard));
+  /* The floor of the view is not part of the copy: it may be lowered later. */
+  send_snapshot (r, shard, peer, st->sync_id, table_floor_ms (r, shard));
   reclaim_all (r, shard);
 }
 
