--- /dev/null
+++ b/tests/process/test_cluster.cc
@@ -0,0 +1,234 @@
+/* Instances, stand-ins and callers as processes on loopback. The tests check counts and invariants,
+ * never times. */
+#include "cluster.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+
+using namespace process;
+
+namespace
+{
+
+/* What must hold for every submission, whatever happened to it (R1, R2, R4, R5). */
+void
+expect_truthful (const std::vector<Outcome> &outcomes, const std::map<std::string, int> &starts)
+{
+  for (const Outcome &outcome : outcomes)
+    {
+      auto found = starts.find (outcome.key + "/0");
+      int started = found != starts.end () ? found->second : 0;
+
+      EXPECT_LE (started, 1) << outcome.key << " started more than once";
+      if (outcome.outcome == "complete")
+        {
+          EXPECT_EQ (1, started) << outcome.key << " is complete without a start";
+          EXPECT_TRUE (is_whole (outcome.last, outcome.key, 1)) << outcome.last.body;
+        }
+      /* No final answer: the last word of the instances was "not run". */
+      if (outcome.outcome.empty () && outcome.last.status != 0)
+        {
+          EXPECT_EQ (0, started) << outcome.key << " ran but was refused: " << outcome.last.body;
+        }
+    }
+}
+
+/* One example of each kind of answer, for the message of a failed check. */
+std::string
+describe (const std::vector<Outcome> &outcomes)
+{
+  std::map<std::string, std::pair<int, std::string>> kinds;
+  std::string text;
+
+  for (const Outcome &outcome : outcomes)
+    {
+      auto &kind = kinds[outcome.outcome + " " + outcome.last.field ("type")];
+      kind.first++;
+      kind.second = std::to_string (outcome.last.status) + " " + outcome.last.body;
+    }
+  for (const auto &kind : kinds)
+    text += "\n" + std::to_string (kind.second.first) + " x " + kind.second.second;
+  return text;
+}
+
+int
+count_of (const std::vector<Outcome> &outcomes, const char *name)
+{
+  int count = 0;
+
+  for (const Outcome &outcome : outcomes)
+    count += outcome.outcome == name;
+  return count;
+}
+
+Reply
+submit_job (const Cluster &cluster, int instance, const std::string &key, int run_ms, int tasks)
+{
+  return http ("POST", cluster.url (instance, "/v1/jobs"), job_body (key, run_ms, tasks),
+               { "Idempotency-Key: " + key });
+}
+
+}
+
+/* Guards against a break anywhere on the path of one request: caller, owner, backup, target and
+ * back; and against a second start by a resubmission. */
+TEST (Cluster, RunsOneRequestOnce)
+{
+  Cluster cluster (2, 2);
+  std::string key = new_key ();
+  std::string body = request_body (key, 50);
+  std::vector<std::string> headers = { "Idempotency-Key: " + key };
+
+  cluster.wait_until_ready ();
+  Reply first = http ("POST", cluster.url (0, "/v1/requests"), body, headers);
+  EXPECT_TRUE (is_whole (first, key, 1)) << first.status << " " << first.body;
+  Reply again = http ("POST", cluster.url (1, "/v1/requests"), body, headers);
+  EXPECT_TRUE (is_whole (again, key, 1)) << again.status << " " << again.body;
+  for (int i = 0; i < 2; i++)
+    {
+      Reply asked = http ("GET", cluster.url (i, "/v1/jobs/" + key));
+      EXPECT_EQ (200, asked.status) << asked.body;
+      EXPECT_EQ ("complete", asked.field ("outcome")) << asked.body;
+    }
+  Reply reused = http ("POST", cluster.url (1, "/v1/requests"), request_body (key, 51), headers);
+  EXPECT_EQ (422, reused.status) << reused.body;
+  EXPECT_EQ (1, cluster.targets ().starts ()[key + "/0"]);
+}
+
+/* Guards against a job that misses results, mixes up their order or starts a task twice when it is
+ * larger than all slots and is submitted to two instances at the same time. */
+TEST (Cluster, RunsEveryTaskOfALargeJobOnce)
+{
+  Cluster cluster (2, 3);
+  std::string key = new_key ();
+  constexpr int tasks = 480;
+
+  cluster.wait_until_ready ();
+  Reply first = http ("POST", cluster.url (0, "/v1/jobs"), job_body (key, 10, tasks),
+                      { "Idempotency-Key: " + key, "Prefer: respond-async" });
+  EXPECT_EQ (202, first.status) << first.body;
+  Reply second = submit_job (cluster, 1, key, 10, tasks);
+  EXPECT_TRUE (is_whole (second, key, tasks))
+      << second.status << " " << second.body.substr (0, 300);
+  std::map<std::string, int> starts = cluster.targets ().starts ();
+  for (int i = 0; i < tasks; i++)
+    EXPECT_EQ (1, starts[key + "/" + std::to_string (i)]) << "task " << i;
+}
+
+/* Guards against double starts, lost requests and false refusals when an instance that owns and
+ * runs work is killed, and against shards that nobody takes over. */
+TEST (Cluster, SurvivesTheKillOfAnOwner)
+{
+  Cluster cluster (3, 4);
+  constexpr int count = 60;
+
+  cluster.wait_until_ready ();
+  int64_t before = cluster.targets ().stat ("started");
+  Batch batch (cluster, { 1, 2 }, count, 400);
+  ASSERT_TRUE (
+      eventually ([&] { return cluster.targets ().stat ("started") >= before + count / 3; }));
+  cluster.instance (0).signal (SIGKILL);
+  EXPECT_EQ (128 + SIGKILL, cluster.instance (0).wait ());
+  const std::vector<Outcome> &outcomes = batch.outcomes ();
+  expect_truthful (outcomes, cluster.targets ().starts ());
+  /* Work on the killed instance, or on slots that it had lent, may end as unknown or failed. */
+  EXPECT_EQ (count, count_of (outcomes, "complete") + count_of (outcomes, "unknown")
+                        + count_of (outcomes, "failed"))
+      << describe (outcomes);
+  EXPECT_GT (count_of (outcomes, "complete"), 0);
+  ASSERT_TRUE (eventually ([&] { return cluster.is_settled ({ 1, 2 }); }));
+  Batch later (cluster, { 1, 2 }, count, 10);
+  EXPECT_EQ (count, count_of (later.outcomes (), "complete")) << describe (later.outcomes ());
+  expect_truthful (later.outcomes (), cluster.targets ().starts ());
+}
+
+/* Guards against an instance that needs the platform for each submission, or that gives up its
+ * shards in an outage. */
+TEST (Cluster, ServesDuringAPlatformOutage)
+{
+  Cluster cluster (2, 2);
+  constexpr int count = 30;
+
+  cluster.wait_until_ready ();
+  cluster.platform ().control ("down=1");
+  int64_t dropped = cluster.platform ().stat ("dropped");
+  /* The outage has been noticed, and lasts through many calls. */
+  EXPECT_TRUE (eventually ([&] { return cluster.platform ().stat ("dropped") > dropped + 20; }));
+  Batch batch (cluster, { 0, 1 }, count, 10);
+  EXPECT_EQ (count, count_of (batch.outcomes (), "complete")) << describe (batch.outcomes ());
+  std::string key = new_key ();
+  EXPECT_TRUE (is_whole (submit_job (cluster, 0, key, 10, 100), key, 100));
+  expect_truthful (batch.outcomes (), cluster.targets ().starts ());
+  cluster.platform ().control ("down=0");
+  Batch later (cluster, { 0, 1 }, count, 10);
+  EXPECT_EQ (count, count_of (later.outcomes (), "complete")) << describe (later.outcomes ());
+  expect_truthful (later.outcomes (), cluster.targets ().starts ());
+}
+
+/* Guards against a takeover without the compare-and-swap, against false refusals while nobody can
+ * tell whether a key has run, and against shards that stay without an owner after the outage. */
+TEST (Cluster, StaysTruthfulWhenAnOwnerDiesInAPlatformOutage)
+{
+  Cluster cluster (2, 2);
+  constexpr int count = 30;
+  constexpr int deadline_ms = 3000;
+  auto answers = [&] {
+    return cluster.metric (1, "answers_complete_total") + cluster.metric (1, "answers_failed_total")
+           + cluster.metric (1, "answers_refused_total")
+           + cluster.metric (1, "answers_unknown_total");
+  };
+
+  cluster.wait_until_ready ();
+  cluster.platform ().control ("down=1");
+  cluster.instance (0).signal (SIGKILL);
+  EXPECT_EQ (128 + SIGKILL, cluster.instance (0).wait ());
+  int64_t answers_before = answers ();
+  int64_t started_before = cluster.targets ().stat ("started");
+  Batch batch (cluster, { 1 }, count, 10, deadline_ms);
+  EXPECT_TRUE (eventually ([&] { return answers () >= answers_before + count; }));
+  /* Every shard has lost its owner or its backup, and neither can be replaced. */
+  EXPECT_EQ (started_before, cluster.targets ().stat ("started"));
+  cluster.platform ().control ("down=0");
+  ASSERT_TRUE (eventually ([&] { return cluster.is_settled ({ 1 }); }))
+      << http ("GET", cluster.platform ().url ("/kv/view/north")).body;
+  expect_truthful (batch.outcomes (), cluster.targets ().starts ());
+  Batch later (cluster, { 1 }, count, 10);
+  EXPECT_EQ (count, count_of (later.outcomes (), "complete")) << describe (later.outcomes ());
+  expect_truthful (later.outcomes (), cluster.targets ().starts ());
+}
+
+/* Guards against a view or a claim that goes wrong when a write takes effect but its reply is
+ * lost. */
+TEST (Cluster, StartsUpWithLostReplies)
+{
+  Cluster cluster (3, 2, 8, { "--lost-percent", "50", "--seed", "7" });
+  constexpr int count = 30;
+
+  cluster.wait_until_ready ();
+  EXPECT_GT (cluster.platform ().stat ("lost"), 0);
+  Batch batch (cluster, { 0, 1, 2 }, count, 10);
+  EXPECT_EQ (count, count_of (batch.outcomes (), "complete")) << describe (batch.outcomes ());
+  expect_truthful (batch.outcomes (), cluster.targets ().starts ());
+}
+
+/* R7. Guards against a shutdown that cuts off requests in flight or never ends. */
+TEST (Cluster, DrainFinishesRequestsInFlight)
+{
+  Cluster cluster (2, 4);
+  constexpr int count = 30;
+  constexpr int run_ms = 1000;
+
+  cluster.wait_until_ready ();
+  int64_t before = cluster.targets ().stat ("started");
+  Batch batch (cluster, { 0 }, count, run_ms);
+  ASSERT_TRUE (eventually ([&] { return cluster.targets ().stat ("started") == before + count; }));
+  cluster.instance (0).signal (SIGTERM);
+  const std::vector<Outcome> &outcomes = batch.outcomes ();
+  EXPECT_EQ (count, count_of (outcomes, "complete")) << describe (outcomes);
+  expect_truthful (outcomes, cluster.targets ().starts ());
+  for (const Outcome &outcome : outcomes)
+    EXPECT_EQ (0, outcome.refusals) << outcome.key << " was running and was then refused";
+  EXPECT_EQ (0, cluster.instance (0).wait ());
+  Batch later (cluster, { 1 }, count, 10);
+  EXPECT_EQ (count, count_of (later.outcomes (), "complete")) << describe (later.outcomes ());
+}
