core: admission by expected wait, demands in heartbeats, lending while draining

From the daemon's tests: an instance that drained kept its targets but lent no slots, so its own open requests waited at peers for them. Change: submissions are refused when the expected wait is longer than 1 s, or 100 ms once the queue has been longer than that for 2 s; work that cannot end in time is refused instead of claimed; a smaller demand travels in heartbeats; busy peers are asked only beyond borrow_after_ms of own work; a borrowed slot is kept for credit_hold_ms; a draining instance lends until only attempts are left.

--- a/core/jobs.c
+++ b/core/jobs.c
@@ -710,6 +710,13 @@
   limit += asked < BORROW_AHEAD_TASKS ? asked : BORROW_AHEAD_TASKS;
   while (r->ready_tasks + r->claiming_tasks < limit && (job = dks_queue_pop (r->queue)) != NULL)
     {
+      /* Work that cannot end in time would take slots from work that can. */
+      if (r->now.mono_us + (int64_t)r->mean_run_us > job->deadline_us)
+        {
+          dks_owner_refuse_job (r, job, DKS_PROBLEM_DEADLINE, RETRY_AFTER_MS,
+                                "the queue was too long for the deadline");
+          continue;
+        }
       r->claiming_tasks += job->submission->task_count;
       job->team->in_use += job->submission->task_count;
       dks_owner_claim (r, job);
--- a/core/lend.c
+++ b/core/lend.c
@@ -56,7 +56,7 @@
   dks_peer_t *peer;
   dks_peer_t *best = NULL;
 
-  if (r->draining)
+  if (dks_drain_is_final (r))
     return false;
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
@@ -185,6 +185,19 @@
     }
 }
 
+static void
+withdraw_from (dks_peer_t *peer, uint32_t *surplus)
+{
+  int32_t open = outstanding_ask (peer);
+  uint32_t count;
+
+  if (open <= 0)
+    return;
+  count = (uint32_t)open < *surplus ? (uint32_t)open : *surplus;
+  peer->asked_next -= count;
+  *surplus -= count;
+}
+
 static void
 withdraw (dks_reducer_t *r, uint32_t surplus)
 {
@@ -192,15 +205,22 @@
 
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
-      int32_t open = outstanding_ask (peer);
-      uint32_t count;
+      withdraw_from (peer, &surplus);
+    }
+}
 
-      if (open <= 0)
-        continue;
-      count = (uint32_t)open < surplus ? (uint32_t)open : surplus;
-      peer->asked_next -= count;
-      surplus -= count;
+/* Withdraws from peers that had no free slot when they last told, then from the others. */
+static void
+withdraw_from_busy (dks_reducer_t *r, uint32_t surplus)
+{
+  dks_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      if ((int32_t)(peer->asked_next - peer->asked) <= 0)
+        withdraw_from (peer, &surplus);
     }
+  withdraw (r, surplus);
 }
 
 static int64_t
@@ -213,8 +233,9 @@
   return oldest_ms != INT64_MAX ? oldest_ms : r->now.wall_ms;
 }
 
+/* Only more demand is worth a message of its own; less of it is told with the next heartbeat. */
 static void
-send_demands (dks_reducer_t *r, bool repeat)
+send_demands (dks_reducer_t *r)
 {
   dks_peer_t *peer;
   int64_t oldest_ms = oldest_waiting_ms (r);
@@ -223,7 +244,7 @@
     {
       dks_msg_t *msg;
 
-      if (!peer->up || (peer->asked == peer->asked_next && !(repeat && outstanding_ask (peer) > 0)))
+      if (!peer->up || (int32_t)(peer->asked_next - peer->asked) <= 0)
         continue;
       peer->asked = peer->asked_next;
       msg = dks_msg_create (DKS_MSG_DEMAND);
@@ -233,35 +254,82 @@
     }
 }
 
+/* Tasks that own slots will start within `borrow_after_ms` anyway. */
+static uint32_t
+served_soon (dks_reducer_t *r)
+{
+  dks_settings_values_t values;
+  uint32_t slots = dks_targets_capacity (r->targets, r->now.mono_us);
+
+  dks_settings_values (r, "", "", &values);
+  if (r->mean_run_us <= 0)
+    return 0;
+  return (uint32_t)((double)values.borrow_after_ms * 1000 * slots / r->mean_run_us);
+}
+
+/* A slot that was granted for a task that has started elsewhere meanwhile is kept for the next task
+ * for a moment: returning it costs two messages. */
+static void
+hold_credits (dks_reducer_t *r, uint32_t backlog)
+{
+  dks_settings_values_t values;
+
+  if (r->credits_total == 0 || backlog > 0)
+    {
+      dks_timer_cancel (r->timers, &r->credit_timer);
+      return;
+    }
+  if (dks_timer_is_armed (&r->credit_timer))
+    return;
+  dks_settings_values (r, "", "", &values);
+  dks_timer_set (r->timers, &r->credit_timer, r->now.mono_us + values.credit_hold_ms * 1000);
+}
+
+static void
+handle_credit_timer (void *context, int64_t now_us)
+{
+  return_credits (context);
+}
+
+void
+dks_lend_init (dks_reducer_t *r)
+{
+  dks_timer_init (&r->credit_timer, handle_credit_timer, r);
+}
+
 void
 dks_lend_update (dks_reducer_t *r)
 {
   uint32_t backlog = dks_jobs_backlog (r);
   uint32_t have = dks_lend_free (r) + r->credits_total;
   uint32_t missing = backlog > have ? backlog - have : 0;
-  uint32_t asked = dks_lend_asked (r);
+  uint32_t asked;
+  uint32_t soon;
 
+  send_grants (r);
+  hold_credits (r, backlog);
+  if (missing == 0)
+    return;
   if (missing > ASK_MAX)
     missing = ASK_MAX;
-  send_grants (r);
-  if (backlog == 0 && r->credits_total > 0)
-    return_credits (r);
-  if (missing > asked)
-    {
-      uint32_t rest = ask_free_peers (r, missing - asked, true);
-
-      rest = ask_free_peers (r, rest, false);
-      if (rest > 0)
-        ask_busy_peers (r, rest);
-    }
-  else if (asked > missing)
-    withdraw (r, asked - missing);
-  send_demands (r, false);
+  asked = dks_lend_asked (r);
+  if (missing <= asked)
+    return;
+  missing = ask_free_peers (r, missing - asked, true);
+  missing = ask_free_peers (r, missing, false);
+  soon = served_soon (r);
+  if (missing > soon)
+    ask_busy_peers (r, missing - soon);
+  send_demands (r);
 }
 
 void
 dks_lend_review (dks_reducer_t *r)
 {
+  uint32_t backlog = dks_jobs_backlog (r);
+  uint32_t have = dks_lend_free (r) + r->credits_total;
+  uint32_t missing = backlog > have ? backlog - have : 0;
+  uint32_t asked = dks_lend_asked (r);
   dks_peer_t *peer;
 
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
@@ -271,17 +339,39 @@
       r->granted_total -= peer->granted;
       peer->granted = 0;
     }
-  /* Demands are placed anew, so that none waits at a busy peer while another has free slots. */
-  withdraw (r, dks_lend_asked (r));
-  dks_lend_update (r);
-  send_demands (r, true);
+  if (missing == 0)
+    {
+      withdraw (r, asked);
+      return;
+    }
+  /* Demands move from busy peers to those with free slots, so that none waits in vain. */
+  ask_free_peers (r, missing, true);
+  ask_free_peers (r, missing, false);
+  asked = dks_lend_asked (r);
+  if (asked > missing)
+    withdraw_from_busy (r, asked - missing);
+  send_demands (r);
+}
+
+void
+dks_lend_fill_heartbeat (const dks_reducer_t *r, dks_peer_t *peer, dks_msg_t *msg)
+{
+  peer->asked = peer->asked_next;
+  msg->u.heartbeat.want = peer->asked;
+  msg->u.heartbeat.oldest_ms = oldest_waiting_ms (r);
+}
+
+void
+dks_lend_take_demand (dks_peer_t *peer, uint32_t want, int64_t oldest_ms)
+{
+  peer->wanted = want;
+  peer->want_oldest_ms = oldest_ms;
 }
 
 void
 dks_lend_handle_demand (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg)
 {
-  peer->wanted = msg->u.demand.want;
-  peer->want_oldest_ms = msg->u.demand.oldest_ms;
+  dks_lend_take_demand (peer, msg->u.demand.want, msg->u.demand.oldest_ms);
 }
 
 void
--- a/core/members.c
+++ b/core/members.c
@@ -193,6 +193,7 @@
   peer->draining = msg->u.heartbeat.draining;
   peer->free_slots = msg->u.heartbeat.free_slots;
   peer->capacity = msg->u.heartbeat.capacity;
+  dks_lend_take_demand (peer, msg->u.heartbeat.want, msg->u.heartbeat.oldest_ms);
   peer->queued_tasks = msg->u.heartbeat.queued_tasks;
   peer->view_version = msg->u.heartbeat.view_version;
   peer->settings_version = msg->u.heartbeat.settings_version;
@@ -310,26 +311,29 @@
 send_heartbeats (dks_reducer_t *r)
 {
   bool to_remote = r->heartbeat_count % REMOTE_HEARTBEAT_EVERY == 0;
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_HEARTBEAT);
+  uint32_t free_slots = dks_lend_free (r);
+  uint32_t capacity = dks_targets_capacity (r->targets, r->now.mono_us);
   dks_peer_t *peer;
 
-  msg->u.heartbeat.wall_ms = r->now.wall_ms;
-  msg->u.heartbeat.settings_version = dks_settings_version (r->settings);
-  msg->u.heartbeat.view_version = dks_own_view (r)->version;
-  msg->u.heartbeat.free_slots = dks_lend_free (r);
-  msg->u.heartbeat.capacity = dks_targets_capacity (r->targets, r->now.mono_us);
-  msg->u.heartbeat.queued_tasks = dks_jobs_backlog (r);
-  msg->u.heartbeat.draining = r->draining;
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
       bool is_local = strcmp (peer->data_centre, r->config.data_centre) == 0;
+      dks_msg_t *msg;
 
       if (!peer->up || (!is_local && !to_remote))
         continue;
-      dks_emit_peer (r, peer->id, dks_msg_ref (msg));
+      msg = dks_msg_create (DKS_MSG_HEARTBEAT);
+      msg->u.heartbeat.wall_ms = r->now.wall_ms;
+      msg->u.heartbeat.settings_version = dks_settings_version (r->settings);
+      msg->u.heartbeat.view_version = dks_own_view (r)->version;
+      msg->u.heartbeat.free_slots = free_slots;
+      msg->u.heartbeat.capacity = capacity;
+      msg->u.heartbeat.queued_tasks = dks_jobs_backlog (r);
+      msg->u.heartbeat.draining = dks_drain_is_final (r);
+      dks_lend_fill_heartbeat (r, peer, msg);
+      dks_emit_peer (r, peer->id, msg);
       dks_count (&r->counters, DKS_COUNTER_HEARTBEATS);
     }
-  dks_msg_unref (msg);
 }
 
 static void
@@ -337,6 +341,7 @@
 {
   dks_reducer_t *r = context;
 
+  dks_lend_review (r);
   send_heartbeats (r);
   if (r->heartbeat_count++ % 64 == 0)
     {
@@ -346,7 +351,6 @@
   dks_owner_review (r);
   dks_view_review (r);
   dks_settings_ops_review (r);
-  dks_lend_review (r);
   dks_timer_set (r->timers, &r->heartbeat_timer, now_us + r->config.heartbeat_us);
 }
 
--- a/core/owner.c
+++ b/core/owner.c
@@ -12,7 +12,9 @@
   CLAIM_RETRY_US = 100000,   /* a claim or confirm without acknowledgement is sent again */
   SYNC_TIMEOUT_US = 3000000, /* a copy of the claims that is not acknowledged is started again */
   SNAPSHOT_ITEMS = 256,      /* claims in one snapshot message */
-  RETRY_AFTER_MS = 1000
+  RETRY_AFTER_MS = 1000,
+  OVERLOAD_US = 2000000, /* a queue above its target for this time is an overload */
+  RETRY_AFTER_MIN_MS = 200
 };
 
 static const dks_view_shard_t *
@@ -484,15 +486,65 @@
   return true;
 }
 
-/* Time in ms until a new task of this size could start, from the queue and the mean run time. */
-static int64_t
-estimate_wait_ms (const dks_reducer_t *r)
+typedef struct
+{
+  int64_t wait_ms; /**< until a new task starts */
+  int64_t run_ms;  /**< from then on until the last task of the submission ends */
+} estimate_t;
+
+/* Slots are lent between instances, so a long queue here counts only if it is long everywhere. What
+ * others have told may be a second old; a queue that is short here ends quickly in any case. Run
+ * times are learned: declared ones are often far off. */
+static estimate_t
+estimate (const dks_reducer_t *r, uint32_t task_count)
+{
+  double own_backlog = dks_jobs_backlog (r);
+  double own_slots = dks_targets_capacity (r->targets, r->now.mono_us);
+  double all_backlog = own_backlog;
+  double all_slots = own_slots;
+  double mean_ms = r->mean_run_us / 1000;
+  double wait_ms;
+  estimate_t result = { 0 };
+  const dks_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      if (!peer->up || peer->draining)
+        continue;
+      all_backlog += peer->queued_tasks;
+      all_slots += peer->capacity;
+    }
+  if (all_slots <= 0)
+    return result;
+  result.run_ms = (int64_t)(mean_ms * (1 + task_count / all_slots));
+  wait_ms = mean_ms * all_backlog / all_slots;
+  if (own_slots > 0 && own_backlog / own_slots < all_backlog / all_slots)
+    wait_ms = mean_ms * own_backlog / own_slots;
+  if (dks_lend_free (r) + dks_lend_credits (r) == 0)
+    result.wait_ms = (int64_t)wait_ms;
+  return result;
+}
+
+/* By then half of the present queue is gone if nothing else arrives. */
+static uint32_t
+retry_after_ms (const estimate_t *expected)
 {
-  uint32_t slots = dks_targets_capacity (r->targets, r->now.mono_us);
+  return (uint32_t)(expected->wait_ms / 2 > RETRY_AFTER_MIN_MS ? expected->wait_ms / 2
+                                                               : RETRY_AFTER_MIN_MS);
+}
 
-  if (slots == 0 || dks_lend_free (r) + dks_lend_credits (r) > 0)
-    return 0;
-  return (int64_t)(r->mean_run_us * dks_jobs_backlog (r) / slots / 1000);
+/* A burst may wait long, because its queue drains again. In an overload the queue would stay at its
+ * bound: every task would wait that long, and more of them would miss their deadlines after they
+ * have used a slot. A queue that has been above the target for this time is an overload (the idea
+ * of controlled delay in queue management). */
+static int64_t
+longest_wait_ms (dks_reducer_t *r, const estimate_t *expected, const dks_settings_values_t *values)
+{
+  if (expected->wait_ms <= values->queue_wait_target_ms)
+    r->queue_short_us = r->now.mono_us;
+  if (r->now.mono_us - r->queue_short_us < OVERLOAD_US)
+    return values->queue_wait_max_ms;
+  return values->queue_wait_target_ms;
 }
 
 /* Returns false after it has refused the submission. */
@@ -500,12 +552,14 @@
 admit (dks_reducer_t *r, dks_submission_t *s, uint32_t shard, const dks_waiter_t *waiter)
 {
   dks_settings_values_t values;
-  int64_t wait_ms = estimate_wait_ms (r);
-  int64_t run_ms = (int64_t)(r->mean_run_us / 1000);
+  estimate_t expected = estimate (r, s->task_count);
+  int64_t end_ms = r->now.wall_ms + expected.wait_ms + expected.run_ms;
+  int64_t wait_limit_ms;
   dks_answer_t *answer = NULL;
   char detail[DKS_TEXT_SIZE];
 
   dks_settings_values (r, s->service, s->team, &values);
+  wait_limit_ms = longest_wait_ms (r, &expected, &values);
   for (uint32_t i = 0; i < s->task_count && answer == NULL; i++)
     {
       const char *what;
@@ -523,14 +577,14 @@
   if (answer == NULL && values.team_quota == 0)
     answer = refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
   if (answer == NULL && dks_jobs_backlog (r) + s->task_count > values.queue_limit)
-    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL,
-                             (uint32_t)(wait_ms > RETRY_AFTER_MS ? wait_ms : RETRY_AFTER_MS),
+    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (&expected),
                              "the queue is full");
-  if (answer == NULL && wait_ms > 0 && r->now.wall_ms + wait_ms + run_ms > s->deadline_ms)
-    answer = refusal_answer (
-        s->key, DKS_PROBLEM_DEADLINE,
-        (uint32_t)(r->now.wall_ms + wait_ms + run_ms - s->deadline_ms + RETRY_AFTER_MS),
-        "the queue is too long for the deadline");
+  if (answer == NULL && expected.wait_ms > wait_limit_ms)
+    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (&expected),
+                             "the wait in the queue is too long");
+  if (answer == NULL && expected.wait_ms > 0 && end_ms > s->deadline_ms)
+    answer = refusal_answer (s->key, DKS_PROBLEM_DEADLINE, retry_after_ms (&expected),
+                             "the queue is too long for the deadline");
   if (answer == NULL)
     return true;
   confirm_answer (r, shard, waiter, answer);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -211,6 +211,13 @@
   dks_view_review (r);
 }
 
+bool
+dks_drain_is_final (const dks_reducer_t *r)
+{
+  return r->draining && r->request_count == 0 && dks_jobs_backlog (r) == 0
+         && !dks_view_has_role (dks_own_view (r), r->self);
+}
+
 static void
 check_drained (dks_reducer_t *r)
 {
@@ -324,6 +331,7 @@
   dks_entry_init (r);
   dks_owner_init (r);
   dks_jobs_init (r);
+  dks_lend_init (r);
   dks_members_init (r);
   dks_view_ops_init (r);
   dks_effects_destroy (&effects);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -63,7 +63,9 @@
       uint32_t free_slots;      /**< slots that could be lent now */
       uint32_t capacity;        /**< usable slots, free or not */
       uint32_t queued_tasks;
-      bool draining;
+      bool draining;     /**< shutting down, and lends no more slots */
+      uint32_t want;     /**< as in DEMAND; keeps the receiver's demand up to date */
+      int64_t oldest_ms; /**< as in DEMAND */
     } heartbeat;
     struct
     {
--- a/include/core/settings.h
+++ b/include/core/settings.h
@@ -17,6 +17,10 @@
   X (retry_percent, "retry_percent", 10, 0, 100, "Retries per 100 starts.")                        \
   X (hedge_percent, "hedge_percent", 0, 0, 50, "Second attempts per 100 starts.")                  \
   X (hedge_after_ms, "hedge_after_ms", 1000, 10, 60000, "Run time before a second attempt.")       \
+  X (queue_wait_max_ms, "queue_wait_max_ms", 1000, 1, 600000, "Longest wait in a burst.")          \
+  X (queue_wait_target_ms, "queue_wait_target_ms", 100, 1, 600000, "Longest wait in an overload.") \
+  X (borrow_after_ms, "borrow_after_ms", 200, 0, 60000, "Own wait before asking busy instances.")  \
+  X (credit_hold_ms, "credit_hold_ms", 500, 0, 900, "How long a borrowed slot may wait for work.") \
   X (team_weight, "team_weight", 100, 1, 10000, "Share of a team in the fair queue.")              \
   X (team_quota, "team_quota", 1000000, 0, 1000000, "Slots that a team may use per data centre.")  \
   X (eject_failures, "eject_failures", 5, 1, 1000, "Failures in a row that eject a target.")
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -178,13 +178,15 @@
   dks_targets_t *targets;
   dks_retry_budget_t retry_budget;
   dks_retry_budget_t hedge_budget;
-  double mean_run_us; /**< moving average of a task's time at a target */
+  int64_t queue_short_us; /**< when the wait in the queue was last within its target */
+  double mean_run_us;     /**< moving average of a task's time at a target */
   dks_timer_t pump_timer;
   uint32_t own_free_slots; /**< free slots of our targets, kept during a pump */
 
   /* lend.c */
-  uint32_t granted_total; /**< slots promised to peers and not used yet */
-  uint32_t credits_total; /**< slots promised by peers and not used yet */
+  uint32_t granted_total;   /**< slots promised to peers and not used yet */
+  dks_timer_t credit_timer; /**< returns credits that found no work */
+  uint32_t credits_total;   /**< slots promised by peers and not used yet */
 
   /* entry.c */
   apr_hash_t *requests_by_id;
@@ -211,6 +213,9 @@
 uint64_t dks_random (dks_reducer_t *r);
 void dks_emit_log (dks_reducer_t *r, dks_log_level_t level, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
+/** Whether a draining instance only waits for attempts to end. Until then it lends its slots: other
+ * instances may need them for the very requests that it waits for. */
+bool dks_drain_is_final (const dks_reducer_t *r);
 /** Sends a message and drops the caller's reference to it. */
 void dks_emit_peer (dks_reducer_t *r, const char *peer, dks_msg_t *msg);
 void dks_settings_values (dks_reducer_t *r, const char *service, const char *team,
@@ -317,6 +322,7 @@
 int64_t dks_jobs_oldest_ready_ms (const dks_reducer_t *r);
 
 /* lend.c */
+void dks_lend_init (dks_reducer_t *r);
 /** Own free slots that are not promised to others. */
 uint32_t dks_lend_free (const dks_reducer_t *r);
 uint32_t dks_lend_credits (const dks_reducer_t *r);
@@ -328,6 +334,10 @@
 void dks_lend_update (dks_reducer_t *r);
 /** Takes back grants that were not used in time and repeats open demands; on each heartbeat. */
 void dks_lend_review (dks_reducer_t *r);
+/** Puts our demand to `peer` into a heartbeat. */
+void dks_lend_fill_heartbeat (const dks_reducer_t *r, dks_peer_t *peer, dks_msg_t *msg);
+/** Takes note of what `peer` wants. */
+void dks_lend_take_demand (dks_peer_t *peer, uint32_t want, int64_t oldest_ms);
 void dks_lend_handle_demand (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
 void dks_lend_handle_grant (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
 void dks_lend_handle_return (dks_reducer_t *r, dks_peer_t *peer, const dks_msg_t *msg);
--- a/net/codec.c
+++ b/net/codec.c
@@ -153,6 +153,8 @@
   body.queued_tasks = msg->u.heartbeat.queued_tasks;
   body.draining = msg->u.heartbeat.draining;
   body.capacity = msg->u.heartbeat.capacity;
+  body.want = msg->u.heartbeat.want;
+  body.oldest_ms = msg->u.heartbeat.oldest_ms;
   wire->heartbeat = &body;
   pack (wire, frame, len);
 }
@@ -543,6 +545,8 @@
   msg->u.heartbeat.queued_tasks = body->queued_tasks;
   msg->u.heartbeat.draining = body->draining;
   msg->u.heartbeat.capacity = body->capacity;
+  msg->u.heartbeat.want = body->want;
+  msg->u.heartbeat.oldest_ms = body->oldest_ms;
   if ((error = check_version (body->settings_version)) != DKS_OK
       || (error = check_version (body->view_version)) != DKS_OK)
     return error;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1621,7 +1621,7 @@
   (ProtobufCMessageInit) dks__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dks__heartbeat__field_descriptors[9] =
 {
   {
     "wall_ms",
@@ -1707,20 +1707,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Heartbeat, want),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "oldest_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Heartbeat, oldest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__heartbeat__field_indices_by_name[] = {
   6,   /* field[6] = capacity */
   5,   /* field[5] = draining */
   3,   /* field[3] = free_slots */
+  8,   /* field[8] = oldest_ms */
   4,   /* field[4] = queued_tasks */
   1,   /* field[1] = settings_version */
   2,   /* field[2] = view_version */
   0,   /* field[0] = wall_ms */
+  7,   /* field[7] = want */
 };
 static const ProtobufCIntRange dks__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dks__heartbeat__descriptor =
 {
@@ -1730,7 +1756,7 @@
   "Dks__Heartbeat",
   "dks",
   sizeof(Dks__Heartbeat),
-  7,
+  9,
   dks__heartbeat__field_descriptors,
   dks__heartbeat__field_indices_by_name,
   1,  dks__heartbeat__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -150,10 +150,12 @@
   uint32_t queued_tasks;
   protobuf_c_boolean draining;
   uint32_t capacity;
+  uint32_t want;
+  int64_t oldest_ms;
 };
 #define DKS__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__Forward
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -88,7 +88,7 @@
   switch (type)
     {
     case DKS_MSG_HEARTBEAT:
-      msg->u.heartbeat = { issued_ms, 5, INT64_MAX, 7, 9, 8, true };
+      msg->u.heartbeat = { issued_ms, 5, INT64_MAX, 7, 9, 8, true, 10, issued_ms };
       break;
     case DKS_MSG_FORWARD:
       msg->u.forward.request = UINT64_MAX;
@@ -276,6 +276,8 @@
       add (msg->u.heartbeat.view_version);
       add (msg->u.heartbeat.free_slots);
       add (msg->u.heartbeat.capacity);
+      add (msg->u.heartbeat.want);
+      add (msg->u.heartbeat.oldest_ms);
       add (msg->u.heartbeat.queued_tasks);
       add (msg->u.heartbeat.draining);
       break;
