--- a/core/owner.c
+++ b/core/owner.c
@@ -116,7 +116,8 @@
         {
           APR_RING_REMOVE (refusal, link);
           /* The key may have been submitted again while the backup was asked. */
-          if (!attach_known (r, refusal->answer->key, &refusal->waiter))
+          if (refusal->answer->outcome == DKS_OUTCOME_ACCEPTED
+              || !attach_known (r, refusal->answer->key, &refusal->waiter))
             dks_waiter_answer (r, &refusal->waiter, refusal->answer);
           dks_answer_unref (refusal->answer);
           free (refusal);
@@ -191,9 +192,10 @@
   confirm_refusals (r, shard);
 }
 
-/* Takes over the caller's reference to `answer`. */
+/* Gives an answer once the backup has confirmed that we are the owner. Takes over the caller's
+ * reference to `answer`. */
 static void
-refuse (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
+confirm_answer (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
 {
   dks_refusal_t *refusal = dks_alloc (sizeof (*refusal));
 
@@ -293,8 +295,6 @@
   forget_claim_id (r, job);
   job_item (r, job, &item);
   dks_claims_put (st->claims, &item);
-  if (st->accepted_ms < item.issued_ms)
-    st->accepted_ms = item.issued_ms;
   dks_job_activate (r, job);
 }
 
@@ -438,16 +438,22 @@
 
 /* Submissions */
 
+/* Keys issued before this may have lost their claims in our table. */
+static int64_t
+table_floor_ms (const dks_reducer_t *r, uint32_t shard)
+{
+  int64_t floor_ms = r->shards[shard].claims->floor_ms;
+  int64_t expired_ms = r->now.wall_ms - r->config.retention_ms;
+
+  return floor_ms > expired_ms ? floor_ms : expired_ms;
+}
+
 static int64_t
 effective_floor_ms (const dks_reducer_t *r, uint32_t shard)
 {
-  int64_t floor_ms = view_shard (r, shard)->floor_ms;
+  int64_t floor_ms = table_floor_ms (r, shard);
 
-  if (floor_ms < r->shards[shard].claims->floor_ms)
-    floor_ms = r->shards[shard].claims->floor_ms;
-  if (floor_ms < r->now.wall_ms - r->config.retention_ms)
-    floor_ms = r->now.wall_ms - r->config.retention_ms;
-  return floor_ms;
+  return floor_ms > view_shard (r, shard)->floor_ms ? floor_ms : view_shard (r, shard)->floor_ms;
 }
 
 static bool
@@ -470,9 +476,9 @@
     }
   if (issued_ms > r->now.wall_ms + r->config.clock_skew_ms)
     {
-      refuse (r, shard, waiter,
-              refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
-                              "the issue time of the key is in the future"));
+      confirm_answer (r, shard, waiter,
+                      refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
+                                      "the issue time of the key is in the future"));
       return false;
     }
   return true;
@@ -527,15 +533,17 @@
         "the queue is too long for the deadline");
   if (answer == NULL)
     return true;
-  refuse (r, shard, waiter, answer);
+  confirm_answer (r, shard, waiter, answer);
   return false;
 }
 
+/* Confirmed like a refusal: a former owner could accept a key that was used for other content. */
 static void
 answer_accepted (dks_reducer_t *r, const dks_waiter_t *waiter, const dks_submission_t *s)
 {
   if (s->respond_async)
-    answer_now (r, waiter, s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+    confirm_answer (r, dks_key_shard (s->key), waiter,
+                    dks_answer_create (s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, 0));
 }
 
 static void
@@ -715,8 +723,8 @@
   if (cancel)
     cancel_unknown_key (r, key, &parsed, shard, waiter);
   else
-    refuse (r, shard, waiter,
-            refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
+    confirm_answer (r, shard, waiter,
+                    refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
 }
 
 void
@@ -739,7 +747,7 @@
   dks_job_discard (r, job);
   while ((waiter = dks_waiters_take (&waiters)) != NULL)
     {
-      refuse (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
+      confirm_answer (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
       free (waiter);
     }
 }
@@ -948,7 +956,8 @@
   st->sync_id = dks_next_id (r);
   st->sync_us = r->now.mono_us;
   st->sync_acked = false;
-  send_snapshot (r, shard, peer, st->sync_id, effective_floor_ms (r, shard));
+  /* The floor of the view is not part of the copy: it may be lowered later. */
+  send_snapshot (r, shard, peer, st->sync_id, table_floor_ms (r, shard));
   reclaim_all (r, shard);
 }
 
@@ -974,8 +983,8 @@
   st->recover_ready = true;
   st->recover_floor_ms = floor_ms > st->lost_floor_ms ? floor_ms : st->lost_floor_ms;
   st->recover_id = dks_next_id (r);
-  st->lost[0].id[0] = '\0';
-  st->lost[1].id[0] = '\0';
+  st->lost[0][0] = '\0';
+  st->lost[1][0] = '\0';
   /* A copy that is under way may lack the recovered claims. */
   if (!st->sync_proposed)
     stop_sync (r, shard);
@@ -989,7 +998,7 @@
   dks_shard_state_t *st = &r->shards[shard];
   bool from_owner = strcmp (view_shard (r, shard)->owner, peer) == 0;
   bool from_lost = dks_owner_is_self (r, shard)
-                   && (strcmp (st->lost[0].id, peer) == 0 || strcmp (st->lost[1].id, peer) == 0);
+                   && (strcmp (st->lost[0], peer) == 0 || strcmp (st->lost[1], peer) == 0);
   dks_msg_t *ack;
 
   if (!from_owner && !from_lost)
@@ -1050,22 +1059,6 @@
   send_snapshot (r, shard, st->handback_to, st->handback_id, st->handback_floor_ms);
 }
 
-/* Members that are proved to have ended cannot accept any key after this point in time. */
-static void
-review_lost (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-
-  if (st->lost[0].id[0] == '\0' && st->lost[1].id[0] == '\0')
-    return;
-  for (size_t i = 0; i < 2; i++)
-    {
-      if (st->lost[i].id[0] != '\0' && !dks_former_member_is_dead (r, &st->lost[i]))
-        return;
-    }
-  finish_recovery (r, shard, r->now.wall_ms + 2 * r->config.clock_skew_ms);
-}
-
 void
 dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer)
 {
@@ -1137,19 +1130,9 @@
   return strcmp (shard->owner, member) == 0 || strcmp (shard->backup, member) == 0;
 }
 
-static void
-note_lost_member (const dks_view_t *old, const char *id, dks_view_member_t *lost)
-{
-  const dks_view_member_t *member = dks_view_member (old, id);
-
-  memset (lost, 0, sizeof (*lost));
-  if (member != NULL)
-    *lost = *member;
-}
-
 /* We own the shard now. If we had no part in it before, its claims are elsewhere or lost. */
 static void
-gain_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old)
+gain_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old, bool kept_claims)
 {
   dks_shard_state_t *st = &r->shards[shard];
   const dks_view_shard_t *before = &old->shards[shard];
@@ -1157,9 +1140,10 @@
   dks_claim_t *claim;
 
   st->recover_ready = false;
-  note_lost_member (old, had_role ? "" : before->owner, &st->lost[0]);
-  note_lost_member (old, had_role ? "" : before->backup, &st->lost[1]);
-  st->lost_floor_ms = before->floor_ms;
+  dks_strcpy (st->lost[0], sizeof (st->lost[0]), had_role ? "" : before->owner);
+  dks_strcpy (st->lost[1], sizeof (st->lost[1]), had_role ? "" : before->backup);
+  /* With the claims from before the last owner's time, only those that it made are missing. */
+  st->lost_floor_ms = kept_claims ? st->own_floor_ms : before->floor_ms;
   APR_RING_FOREACH (claim, &st->claims->open, dks_claim_t, open_link)
     {
       claim->asked = false;
@@ -1175,13 +1159,14 @@
   const dks_view_shard_t *vs = view_shard (r, shard);
 
   st->recover_ready = false;
-  st->lost[0].id[0] = '\0';
-  st->lost[1].id[0] = '\0';
+  st->lost[0][0] = '\0';
+  st->lost[1][0] = '\0';
   if (vs->owner[0] == '\0' || has_role (before, vs->owner) || !has_role (before, r->self))
     return;
   dks_strcpy (st->handback_to, sizeof (st->handback_to), vs->owner);
   st->handback_us = 0;
-  st->handback_floor_ms =
+  st->handback_floor_ms = st->claims->floor_ms;
+  st->own_floor_ms =
       before->floor_ms > st->claims->floor_ms ? before->floor_ms : st->claims->floor_ms;
 }
 
@@ -1193,6 +1178,7 @@
   const dks_view_shard_t *vs = view_shard (r, shard);
   bool was_owner = strcmp (before->owner, r->self) == 0;
   bool is_owner = dks_owner_is_self (r, shard);
+  bool kept_claims = before->owner[0] != '\0' && strcmp (st->handback_to, before->owner) == 0;
 
   if (vs->epoch == before->epoch && strcmp (vs->owner, before->owner) == 0)
     {
@@ -1220,7 +1206,7 @@
   if (!is_owner)
     return;
   if (!was_owner)
-    gain_shard (r, shard, old);
+    gain_shard (r, shard, old, kept_claims);
   reclaim_all (r, shard);
 }
 
@@ -1241,7 +1227,6 @@
   if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
     restart_confirm (r, shard);
   review_runners (r, shard);
-  review_lost (r, shard);
   if (st->sync_proposed)
     return;
   if (st->recover_ready && view_shard (r, shard)->backup[0] != '\0')
