net: "not run" in the answer of a cancel

Cause: the new problem cancelled-not-run had no title, and a DELETE that cancelled work before its start did not say so. Ruled out: a status of 409 for DELETE, whose caller asked for this outcome. Change: the title, "not_run" in the answer, and a test that every problem has a title. Conclusion: done.

--- a/net/http_json.c
+++ b/net/http_json.c
@@ -488,6 +488,8 @@
   set_text (object, "outcome", dks_outcome_name (answer->outcome));
   if (answer->detail[0] != '\0')
     set_text (object, "detail", answer->detail);
+  if (answer->problem == DKS_PROBLEM_CANCELLED_NOT_RUN)
+    json_object_set_new (object, "not_run", json_true ());
   if (answer->outcome == DKS_OUTCOME_COMPLETE)
     {
       if (single)
@@ -508,6 +510,7 @@
   } titles[] = {
     { "bad-request", "The request is not valid" },
     { "cancelled", "The work was cancelled" },
+    { "cancelled-not-run", "The work was cancelled before it started" },
     { "conflict", "The setting was changed at the same time" },
     { "deadline", "The deadline cannot be met" },
     { "draining", "The instance is shutting down" },
--- a/tests/test_http_server.cc
+++ b/tests/test_http_server.cc
@@ -749,9 +749,16 @@
   response = call ("DELETE", "/v1/jobs/dc1%7E1700000000000-b");
   EXPECT_EQ (response.status, 200);
   EXPECT_EQ (response.field ("outcome"), "cancelled");
+  EXPECT_EQ (response.field ("not_run"), "");
   EXPECT_EQ (events.back ().type, DKS_EVENT_CANCEL);
   EXPECT_EQ (events.back ().key, key_b);
   EXPECT_EQ (call ("GET", std::string ("/v1/jobs/") + key_b).status, 409);
+  on_event = [&] (const Event &event) {
+    reply_problem (event.caller, DKS_OUTCOME_CANCELLED, DKS_PROBLEM_CANCELLED_NOT_RUN, 0);
+  };
+  response = call ("DELETE", std::string ("/v1/jobs/") + key_b);
+  EXPECT_EQ (response.status, 200);
+  EXPECT_EQ (response.field ("not_run"), "true");
 }
 
 TEST_F (HttpServer, RejectsUnknownPathsAndMethods)
@@ -1190,6 +1197,24 @@
   EXPECT_GT (accepted, 100);
 }
 
+/* Guards against a new problem without a title. */
+TEST (HttpJson, EveryProblemHasItsOwnTitle)
+{
+  for (int i = DKS_PROBLEM_NONE + 1; i < DKS_PROBLEM_COUNT; i++)
+    {
+      dks_http_problem_t problem = {};
+      char *text;
+
+      /* MOVED never leaves the instances. */
+      if (i == DKS_PROBLEM_MOVED)
+        continue;
+      problem.name = dks_problem_name (static_cast<dks_problem_t> (i));
+      text = dks_http_json_problem (&problem);
+      EXPECT_EQ (std::string (text).find ("The work is not complete"), std::string::npos) << text;
+      free (text);
+    }
+}
+
 /* Guards against a crash when text from outside is cut within a character. */
 TEST (HttpJson, EncodesAnyText)
 {
