--- a/core/members.c
+++ b/core/members.c
@@ -9,7 +9,8 @@
 {
   REMOTE_HEARTBEAT_EVERY = 5, /* heartbeats between data centres are this much rarer */
   RECONNECT_US = 300000, /* a closed connection that does not return in this time is a failure */
-  ABSENT_US = 10000000,  /* missing from the list this long proves that an instance has ended */
+  PLATFORM_GAP_US = 3000000, /* three reads of the list */
+  ABSENT_US = 10000000,      /* missing from the list this long proves that an instance has ended */
   FORGET_PEER_US = 60000000
 };
 
@@ -48,6 +49,15 @@
   return !is_silent (r, peer);
 }
 
+bool
+dks_members_can_judge (const dks_reducer_t *r)
+{
+  int64_t now_us = r->now.mono_us;
+
+  return now_us - r->list_read_us <= PLATFORM_GAP_US
+         && now_us - r->platform_back_us >= r->config.failure_timeout_us;
+}
+
 /* A newer incarnation at the same address has bound the port of this one, which therefore ended. */
 static bool
 is_replaced (const dks_reducer_t *r, const dks_view_member_t *member)
@@ -78,7 +88,7 @@
 }
 
 bool
-dks_former_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member)
+dks_member_is_dead (const dks_reducer_t *r, const dks_view_member_t *member)
 {
   char instance[DKS_NAME_SIZE];
   const int64_t *absent_since;
@@ -91,14 +101,6 @@
          && !dks_member_is_alive (r, member->id);
 }
 
-bool
-dks_member_is_dead (const dks_reducer_t *r, const char *id)
-{
-  const dks_view_member_t *member = dks_view_member (dks_own_view (r), id);
-
-  return member != NULL && dks_former_member_is_dead (r, member);
-}
-
 static dks_peer_t *
 peer_create (dks_reducer_t *r, const char *id, const char *data_centre)
 {
@@ -131,6 +133,16 @@
   dks_emit_peer (r, peer, msg);
 }
 
+void
+dks_members_send_view (dks_reducer_t *r, const char *peer, size_t data_centre)
+{
+  char key[sizeof (((dks_msg_t *)0)->u.record.key)] = "view/";
+
+  dks_strcpy (key + strlen (key), sizeof (key) - strlen (key), r->config.data_centres[data_centre]);
+  send_record (r, peer, key, r->views[data_centre].version,
+               dks_blob_ref (r->view_values[data_centre]));
+}
+
 void
 dks_members_send_records (dks_reducer_t *r, const char *peer)
 {
@@ -138,12 +150,8 @@
     send_record (r, peer, "settings", r->settings_revision, dks_blob_ref (r->settings_value));
   for (size_t i = 0; i < r->config.data_centre_count; i++)
     {
-      char key[sizeof (((dks_msg_t *)0)->u.record.key)] = "view/";
-
-      if (r->views[i].version == 0)
-        continue;
-      dks_strcpy (key + strlen (key), sizeof (key) - strlen (key), r->config.data_centres[i]);
-      send_record (r, peer, key, r->views[i].version, dks_view_format (&r->views[i]));
+      if (r->view_values[i] != NULL)
+        dks_members_send_view (r, peer, i);
     }
 }
 
@@ -201,8 +209,6 @@
   bool listed = false;
   int64_t *since;
 
-  if (member[0] == '\0')
-    return;
   instance_of (member, instance);
   for (size_t i = 0; i < count && !listed; i++)
     listed = !items[i].is_target && strcmp (items[i].id, instance) == 0;
@@ -232,16 +238,15 @@
 
   for (uint32_t i = 0; i < view->member_count; i++)
     update_absence (r, view->members[i].id, items, count);
-  for (uint32_t i = 0; i < DKS_SHARDS; i++)
-    {
-      update_absence (r, r->shards[i].lost[0].id, items, count);
-      update_absence (r, r->shards[i].lost[1].id, items, count);
-    }
+  for (uint32_t i = 0; i < view->former_count; i++)
+    update_absence (r, view->former[i].id, items, count);
 }
 
 void
 dks_members_handle_list (dks_reducer_t *r, const dks_listed_instance_t *items, size_t count)
 {
+  if (r->now.mono_us - r->list_read_us > PLATFORM_GAP_US)
+    r->platform_back_us = r->now.mono_us;
   r->list_read_us = r->now.mono_us;
   update_absences (r, items, count);
   for (size_t i = 0; i < count; i++)
@@ -276,6 +281,7 @@
   dks_peer_t *peer;
 
   r->created_us = r->now.mono_us;
+  dks_targets_hold (r->targets, r->now.mono_us);
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
       if (peer->up)
@@ -357,6 +363,8 @@
 void
 dks_members_clear (dks_reducer_t *r)
 {
+  for (size_t i = 0; i < DKS_DATA_CENTRES_MAX; i++)
+    dks_blob_unref (r->view_values[i]);
   while (!APR_RING_EMPTY (&r->peers, dks_peer_t, link))
     peer_remove (r, APR_RING_FIRST (&r->peers));
   for (apr_hash_index_t *i = apr_hash_first (r->pool, r->absent_since); i != NULL;
