tests: bench of response time and wasted messages in virtual time

Cause: the two measures of docs/design.md 1.8 need one workload for the dispatcher, the ideal queue and the alternatives of 5.3. Ruled out: loopback processes for this purpose, because their figures differ from run to run. Response times are taken at the entry instance, as the ideal has no network. Before: nothing.

--- /dev/null
+++ b/tests/sim/bench.h
@@ -0,0 +1,57 @@
+/**
+ * Workload, ideal and baselines of damaskshore-bench.
+ */
+#ifndef DKS_TESTS_SIM_BENCH_H
+#define DKS_TESTS_SIM_BENCH_H
+
+#include "sim.h"
+
+/** One submission of the workload. */
+typedef struct
+{
+  int64_t arrival_us;  /**< at the entry instance */
+  int64_t deadline_us; /**< absolute */
+  uint32_t entry;      /**< entry instance */
+  uint32_t team;
+  uint32_t task_count;
+  bool single;
+  const uint32_t *service_us; /**< per task */
+} bench_request_t;
+
+typedef struct
+{
+  uint32_t data_centres;
+  uint32_t instances[SIM_DATA_CENTRES_MAX];
+  uint32_t targets[SIM_DATA_CENTRES_MAX];
+  uint32_t slots;
+  int64_t local_us;
+  int64_t remote_us;
+  int64_t client_us;
+} bench_shape_t;
+
+typedef enum
+{
+  BENCH_RANDOM,      /**< a uniformly random target */
+  BENCH_ROUND_ROBIN, /**< every instance goes round all targets */
+  BENCH_TWO_CHOICES, /**< the better of two random targets by the instance's own counts */
+  BENCH_ALONE,       /**< every instance has its own targets and its own queue */
+  BENCH_POLICY_COUNT
+} bench_policy_t;
+
+/** Outcome of a model: completion times and the messages beyond the minimum. */
+typedef struct
+{
+  int64_t *done_us; /**< per request; -1 when it missed its deadline */
+  uint64_t *wasted; /**< per request */
+} bench_result_t;
+
+const char *bench_policy_name (bench_policy_t policy);
+/** One central FIFO queue over all slots, without any cost. */
+void bench_ideal (const bench_shape_t *shape, const bench_request_t *requests, size_t count,
+                  int64_t *done_us);
+void bench_baseline (const bench_shape_t *shape, bench_policy_t policy, uint64_t seed,
+                     const bench_request_t *requests, size_t count, bench_result_t *result);
+/** Prints processor time and memory of the reducer as JSON lines. */
+void bench_micro (void);
+
+#endif
--- /dev/null
+++ b/tests/sim/micro.c
@@ -0,0 +1,120 @@
+/* Processor time and memory of the reducer. Memory is read as slopes: the difference between two
+ * sizes of one quantity, so that fixed costs cancel out. */
+#include "bench.h"
+
+#include "common/alloc.h"
+
+#include <malloc.h>
+#include <string.h>
+
+#define START_US (5 * SIM_SECOND)
+#define SETTLED_US (30 * SIM_SECOND)
+
+static double
+heap_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return (double)info.uordblks + (double)info.hblkhd;
+}
+
+static sim_t *
+world_create (uint32_t instances, uint32_t targets, uint32_t slots)
+{
+  sim_config_t config = { .seed = 7,
+                          .data_centres = 1,
+                          .instances = { instances },
+                          .targets = { targets },
+                          .slots = slots,
+                          .local_us = 200,
+                          .remote_us = 500,
+                          .client_us = 1000,
+                          .measure = true };
+
+  return sim_create (&config);
+}
+
+static void
+print_slope (const char *name, double value, const char *unit)
+{
+  printf ("{\"name\": \"micro.%s\", \"value\": %.1f, \"unit\": \"%s\"}\n", name, value, unit);
+}
+
+/* Heap that `count` single requests add, while they are queued or after they are done. */
+static double
+bytes_of_requests (uint32_t count, bool done, double *event_ns)
+{
+  sim_t *sim = world_create (2, 1, done ? 64 : 1);
+  double before;
+  double after;
+
+  sim_requests_reserve (sim, count + 16);
+  /* The first request keeps the only slot busy, so that the others stay queued. */
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t key = sim_key_add (sim, 1, true, NULL);
+
+      sim->keys[key].service_us[0] = (done ? 1 : 200 * SIM_MS) * SIM_MS;
+      sim->keys[key].deadline_ms = 290000;
+      sim_chain_add (sim, SIM_REQUEST_SUBMIT, key, START_US + (int64_t)i * 5 * SIM_MS);
+    }
+  sim_run (sim, START_US - SIM_MS);
+  before = heap_bytes ();
+  sim_run (sim, SETTLED_US);
+  after = heap_bytes ();
+  if (!done && sim->chains_open != count)
+    fprintf (stderr, "micro: %u of %u requests were answered and not queued\n",
+             count - sim->chains_open, count);
+  if (done && sim->chains_open > 0)
+    fprintf (stderr, "micro: %u requests were not answered\n", sim->chains_open);
+  *event_ns = (double)sim->reducer_ns / (double)sim->reducer_events;
+  sim_destroy (sim);
+  return after - before;
+}
+
+static double
+bytes_of_world (uint32_t instances, uint32_t targets)
+{
+  sim_t *sim = world_create (instances, targets, 8);
+  double before = heap_bytes ();
+  double after;
+
+  sim_run (sim, START_US);
+  after = heap_bytes ();
+  sim_destroy (sim);
+  return after - before;
+}
+
+void
+bench_micro (void)
+{
+  enum
+  {
+    FEW = 500,
+    MANY = 2500,
+    TARGETS = 1000,
+    INSTANCES = 16
+  };
+  double few_ns;
+  double many_ns;
+  double few;
+  double many;
+
+  few = bytes_of_requests (FEW, false, &few_ns);
+  many = bytes_of_requests (MANY, false, &many_ns);
+  print_slope ("queued_job", (many - few) / (MANY - FEW), "bytes");
+  print_slope ("event_time.queue_500", few_ns, "ns");
+  print_slope ("event_time.queue_2500", many_ns, "ns");
+  few = bytes_of_requests (FEW, true, &few_ns);
+  many = bytes_of_requests (MANY, true, &many_ns);
+  /* Owner and backup have one record each. */
+  print_slope ("claim", (many - few) / (MANY - FEW) / 2, "bytes");
+  print_slope ("event_time.claims_500", few_ns, "ns");
+  print_slope ("event_time.claims_2500", many_ns, "ns");
+  few = bytes_of_world (2, 50);
+  many = bytes_of_world (2, 50 + TARGETS);
+  print_slope ("target", (many - few) / TARGETS / 2, "bytes");
+  few = bytes_of_world (4, 8);
+  many = bytes_of_world (4 + INSTANCES, 8);
+  print_slope ("instance", (many / (4 + INSTANCES) - few / 4) / INSTANCES, "bytes");
+}
