tests: report unused slot grants and processes that end by themselves

Cause: the wasted messages of the demo left out unused slot grants, which the design page counts, and a process test could pass when an instance crashed after its last answer. Ruled out: counting retries too, because each follows a refused attempt or a repeated start that is counted already. Change: the load driver adds the unused grants of the instances that still run; the destructor of a test's process fails the test when the process ended without a signal of the test. With /bin/false as the daemon the test fails and names it.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -205,7 +205,7 @@
   return true;
 }
 
-Process::Process (const std::vector<std::string> &arguments)
+Process::Process (const std::vector<std::string> &arguments) : name_ (arguments[0])
 {
   std::vector<char *> argv;
 
@@ -221,15 +221,23 @@
 
 Process::~Process ()
 {
+  int status = 0;
+
   if (ended_)
     return;
+  if (!signalled_ && waitpid (pid_, &status, WNOHANG) == pid_)
+    {
+      ADD_FAILURE () << name_ << " ended by itself with wait status " << status;
+      return;
+    }
   kill (pid_, SIGKILL);
   waitpid (pid_, nullptr, 0);
 }
 
 void
-Process::signal (int number) const
+Process::signal (int number)
 {
+  signalled_ = true;
   if (!ended_)
     kill (pid_, number);
 }
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -42,7 +42,8 @@
 /** Calls `condition` until it is true; returns false after DEADLINE. */
 bool eventually (const std::function<bool ()> &condition);
 
-/** A child process; killed and waited for by the destructor. */
+/** A child process; killed and waited for by the destructor, which fails the test when the process
+ * has ended without a signal of the test. */
 class Process
 {
 public:
@@ -51,12 +52,14 @@
   Process (const Process &) = delete;
   Process &operator= (const Process &) = delete;
 
-  void signal (int number) const;
+  void signal (int number);
   /** Waits for the end; returns the exit status, 128 + signal, or -1 after DEADLINE. */
   int wait ();
 
 private:
+  std::string name_;
   pid_t pid_;
+  bool signalled_ = false;
   bool ended_ = false;
   int status_ = 0;
 };
--- a/tests/standins/load.c
+++ b/tests/standins/load.c
@@ -604,7 +604,8 @@
   return 0;
 }
 
-static void
+/* Prints the counters; returns the number of lent slots that were not used. */
+static uint64_t
 print_metrics (const load_t *load)
 {
   static const dks_counter_t shown[] = {
@@ -615,6 +616,7 @@
     DKS_COUNTER_STORE_CONFLICTS, DKS_COUNTER_HEARTBEATS,       DKS_COUNTER_PEER_MESSAGES
   };
   uint64_t sums[sizeof (shown) / sizeof (shown[0])] = { 0 };
+  uint64_t unused = 0;
   int reached = 0;
 
   for (int i = 0; i < load->entry_count; i++)
@@ -627,11 +629,16 @@
     }
   printf ("\ncounters of the %d instances that still run:\n", reached);
   for (size_t j = 0; j < sizeof (shown) / sizeof (shown[0]); j++)
-    printf ("  %-44s %10" PRIu64 "\n", dks_counter_name (shown[j]), sums[j]);
+    {
+      printf ("  %-44s %10" PRIu64 "\n", dks_counter_name (shown[j]), sums[j]);
+      if (shown[j] == DKS_COUNTER_GRANTS_UNUSED)
+        unused = sums[j];
+    }
+  return unused;
 }
 
 static void
-print_waste (const load_t *load, const char *stats)
+print_waste (const load_t *load, const char *stats, uint64_t unused)
 {
   json_t *targets = json_loads (stats, 0, NULL);
   json_int_t refused = json_integer_value (json_object_get (targets, "refused"));
@@ -646,9 +653,11 @@
           json_integer_value (json_object_get (targets, "completed")),
           json_integer_value (json_object_get (targets, "aborted")),
           (double)json_integer_value (json_object_get (targets, "work_ms")) / 1000);
-  printf ("wasted messages to targets: refused attempts %" JSON_INTEGER_FORMAT
-          ", repeated starts %" JSON_INTEGER_FORMAT ", per 1000 submissions %.2f\n",
-          refused, repeated, (double)(refused + repeated) * 1000 / (double)load->count);
+  printf ("wasted messages: refused attempts %" JSON_INTEGER_FORMAT
+          ", repeated starts %" JSON_INTEGER_FORMAT ", unused slot grants %" PRIu64
+          ", per 1000 submissions %.2f\n",
+          refused, repeated, unused,
+          (double)(refused + repeated + (json_int_t)unused) * 1000 / (double)load->count);
   json_decref (targets);
 }
 
@@ -676,14 +685,13 @@
   print_row (load, "all", DKS_WORK_CLASSES, INT64_MAX, ideal_us);
   if (calm_us > 0)
     print_row (load, "before fault", DKS_WORK_CLASSES, calm_us, ideal_us);
-  print_waste (load, stats);
   for (int i = 0; i < load->entry_count; i++)
     {
       if (load->entries[i].killed || load->entries[i].drained)
         printf ("instance %s (%s): %" PRIu32 " connections broken\n", load->entries[i].address,
                 load->entries[i].killed ? "killed" : "drained", load->entries[i].broken);
     }
-  print_metrics (load);
+  print_waste (load, stats, print_metrics (load));
 out:
   free (tasks);
   free (stats);
