tests: process tests for leaving and crashed targets

Cause: no process test covered R6, or the death of a target with running tasks. Ruled out: a check of the 3 s bound of R6 as a time, because process tests do not gate on wall-clock figures; the test requires that new work stops and does not start again. A check that exactly the tasks on the crashed target are named as failed: a job fails with its first failed task, so the state of the others is open. Change: one test marks a target as leaving in the platform's list only and another one by its own answers; one test crashes a target under a job of 16 tasks and checks that the job fails without results and that no task starts twice, also when it is submitted again.

--- a/tests/process/test_cluster.cc
+++ b/tests/process/test_cluster.cc
@@ -232,3 +232,58 @@
   Batch later (cluster, { 1 }, count, 10);
   EXPECT_EQ (count, count_of (later.outcomes (), "complete")) << describe (later.outcomes ());
 }
+
+/* R6. Guards against new work for a target that is leaving by the platform's list only, and for one
+ * that says so in its answers. */
+TEST (Cluster, SendsNoNewWorkToLeavingTargets)
+{
+  Cluster cluster (2, 3);
+  constexpr int count = 20;
+  std::string first = "port=" + std::to_string (cluster.targets ().port (0));
+  std::string second = "port=" + std::to_string (cluster.targets ().port (1));
+  auto attempts_of_a_batch = [&] {
+    int64_t before = cluster.targets ().stat ("leaving_attempts");
+    Batch batch (cluster, { 0, 1 }, count, 10);
+    EXPECT_EQ (count, count_of (batch.outcomes (), "complete")) << describe (batch.outcomes ());
+    expect_truthful (batch.outcomes (), cluster.targets ().starts ());
+    return cluster.targets ().stat ("leaving_attempts") - before;
+  };
+
+  cluster.wait_until_ready ();
+  cluster.targets ().control (first + "&mode=leaving-silent");
+  EXPECT_GT (attempts_of_a_batch (), 0) << "the target was not in use, so the test shows nothing";
+  cluster.platform ().control ("instance=target-0&state=leaving");
+  EXPECT_TRUE (eventually ([&] { return attempts_of_a_batch () == 0; }));
+  cluster.targets ().control (second + "&mode=leaving");
+  EXPECT_TRUE (eventually ([&] { return attempts_of_a_batch () == 0; }));
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (0, attempts_of_a_batch ());
+}
+
+/* Guards against a second start of a task whose target died, and against a job that hides it. */
+TEST (Cluster, DoesNotRepeatTasksOfACrashedTarget)
+{
+  Cluster cluster (2, 2);
+  constexpr int tasks = 16;
+  std::string key = new_key ();
+
+  cluster.wait_until_ready ();
+  EXPECT_EQ (202, http ("POST", cluster.url (0, "/v1/jobs"), job_body (key, 2000, tasks),
+                        { "Idempotency-Key: " + key, "Prefer: respond-async" })
+                      .status);
+  ASSERT_TRUE (eventually ([&] { return cluster.targets ().stat ("busy") == tasks; }));
+  cluster.targets ().control ("port=" + std::to_string (cluster.targets ().port (0))
+                              + "&mode=crash");
+  Reply answer = submit_job (cluster, 1, key, 2000, tasks);
+  EXPECT_EQ (502, answer.status) << answer.body;
+  EXPECT_EQ ("failed", answer.field ("outcome")) << answer.body;
+  EXPECT_EQ ("urn:damaskshore:problem:target-lost", answer.field ("type")) << answer.body;
+  json_ptr body = answer.json ();
+  EXPECT_GT (json_array_size (json_object_get (body.get (), "failed_tasks")), 0u) << answer.body;
+  EXPECT_EQ (nullptr, json_object_get (body.get (), "results")) << "partial answer";
+  /* Asking again starts nothing either. */
+  EXPECT_EQ (502, submit_job (cluster, 0, key, 2000, tasks).status);
+  std::map<std::string, int> starts = cluster.targets ().starts ();
+  for (int i = 0; i < tasks; i++)
+    EXPECT_EQ (1, starts[key + "/" + std::to_string (i)]) << "task " << i;
+}
