tests: list all failed seeds of a schedule and connect the bench's plots

Cause: the report names only the first failed seed, so the seeds of a rarer failure had to be searched one by one; gnuplot broke the lines at rows of other models. Change: every failed seed and its first check go to standard error; rows of other models are missing values and not gaps.

--- a/tests/sim/bench.gp
+++ b/tests/sim/bench.gp
@@ -1,6 +1,6 @@
 # Plots of damaskshore-bench. Variables: folder (of the data files) and user.
 set terminal svg size 800,480
-set datafile missing "-"
+set datafile missing NaN
 set key outside right
 set grid
 set xlabel "load (% of capacity)"
--- a/tests/sim/schedule.c
+++ b/tests/sim/schedule.c
@@ -637,6 +637,8 @@
           report.checks[i] += sim->checks[i];
           failed = failed || sim->checks[i] > 0;
         }
+      if (failed)
+        fprintf (stderr, "seed %" PRIu64 ": %s\n", seed, sim->first_check);
       if (failed && report.failed_seeds++ == 0)
         {
           report.first_seed = seed;
