core: shorter functions in owner.c

Ruled out: moving and rewriting in one step, which hides a change of behaviour in the diff. Change: the checks of an admission, the end of transfers at a change of the view, and the reviews of confirms and copies are functions of their own. No change of behaviour.

--- a/core/owner.c
+++ b/core/owner.c
@@ -194,6 +194,28 @@
   confirm_refusals (r, shard);
 }
 
+static void
+review_confirm (dks_reducer_t *r, uint32_t shard)
+{
+  const dks_shard_state_t *st = &r->shards[shard];
+
+  if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
+    restart_confirm (r, shard);
+}
+
+static void
+drop_refusals (dks_shard_state_t *st)
+{
+  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+      APR_RING_REMOVE (refusal, link);
+      dks_answer_unref (refusal->answer);
+      free (refusal);
+    }
+}
+
 /* Gives an answer once the backup has confirmed that we are the owner. Takes over the caller's
  * reference to `answer`. */
 static void
@@ -547,44 +569,73 @@
   return values->queue_wait_target_ms;
 }
 
-/* Returns false after it has refused the submission. */
-static bool
-admit (dks_reducer_t *r, dks_submission_t *s, uint32_t shard, const dks_waiter_t *waiter)
+/* Returns a refusal if no target could ever run one of the tasks. */
+static dks_answer_t *
+check_tasks (const dks_reducer_t *r, const dks_submission_t *s)
 {
-  dks_settings_values_t values;
-  estimate_t expected = estimate (r, s->task_count);
-  int64_t end_ms = r->now.wall_ms + expected.wait_ms + expected.run_ms;
-  int64_t wait_limit_ms;
-  dks_answer_t *answer = NULL;
   char detail[DKS_TEXT_SIZE];
 
-  dks_settings_values (r, s->service, s->team, &values);
-  wait_limit_ms = longest_wait_ms (r, &expected, &values);
-  for (uint32_t i = 0; i < s->task_count && answer == NULL; i++)
+  for (uint32_t i = 0; i < s->task_count; i++)
     {
       const char *what;
 
       if (dks_targets_can_fit (r->targets, &s->tasks[i], &what))
         continue;
       snprintf (detail, sizeof (detail), "task %u needs more %s than any target has", i, what);
-      answer = refusal_answer (s->key, DKS_PROBLEM_INFEASIBLE, 0, detail);
+      return refusal_answer (s->key, DKS_PROBLEM_INFEASIBLE, 0, detail);
     }
-  if (answer == NULL && s->deadline_ms <= r->now.wall_ms)
-    answer = refusal_answer (s->key, DKS_PROBLEM_DEADLINE, 0, "the deadline has passed");
-  if (answer == NULL && s->deadline_ms > r->now.wall_ms + values.deadline_max_ms)
-    answer = refusal_answer (s->key, DKS_PROBLEM_BAD_REQUEST, 0,
-                             "the deadline is later than deadline_max_ms allows");
-  if (answer == NULL && values.team_quota == 0)
-    answer = refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
-  if (answer == NULL && dks_jobs_backlog (r) + s->task_count > values.queue_limit)
-    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (&expected),
-                             "the queue is full");
-  if (answer == NULL && expected.wait_ms > wait_limit_ms)
-    answer = refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (&expected),
-                             "the wait in the queue is too long");
-  if (answer == NULL && expected.wait_ms > 0 && end_ms > s->deadline_ms)
-    answer = refusal_answer (s->key, DKS_PROBLEM_DEADLINE, retry_after_ms (&expected),
-                             "the queue is too long for the deadline");
+  return NULL;
+}
+
+static dks_answer_t *
+check_settings (const dks_reducer_t *r, const dks_submission_t *s,
+                const dks_settings_values_t *values)
+{
+  if (s->deadline_ms <= r->now.wall_ms)
+    return refusal_answer (s->key, DKS_PROBLEM_DEADLINE, 0, "the deadline has passed");
+  if (s->deadline_ms > r->now.wall_ms + values->deadline_max_ms)
+    return refusal_answer (s->key, DKS_PROBLEM_BAD_REQUEST, 0,
+                           "the deadline is later than deadline_max_ms allows");
+  if (values->team_quota == 0)
+    return refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
+  return NULL;
+}
+
+static dks_answer_t *
+check_queue (const dks_reducer_t *r, const dks_submission_t *s, const dks_settings_values_t *values,
+             const estimate_t *expected, int64_t wait_limit_ms)
+{
+  int64_t end_ms = r->now.wall_ms + expected->wait_ms + expected->run_ms;
+
+  if (dks_jobs_backlog (r) + s->task_count > values->queue_limit)
+    return refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (expected),
+                           "the queue is full");
+  if (expected->wait_ms > wait_limit_ms)
+    return refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (expected),
+                           "the wait in the queue is too long");
+  if (expected->wait_ms > 0 && end_ms > s->deadline_ms)
+    return refusal_answer (s->key, DKS_PROBLEM_DEADLINE, retry_after_ms (expected),
+                           "the queue is too long for the deadline");
+  return NULL;
+}
+
+/* Returns false after it has refused the submission. */
+static bool
+admit (dks_reducer_t *r, dks_submission_t *s, uint32_t shard, const dks_waiter_t *waiter)
+{
+  dks_settings_values_t values;
+  estimate_t expected = estimate (r, s->task_count);
+  int64_t wait_limit_ms;
+  dks_answer_t *answer;
+
+  dks_settings_values (r, s->service, s->team, &values);
+  /* Taken for refused submissions too: it also tracks how long the queue has been long. */
+  wait_limit_ms = longest_wait_ms (r, &expected, &values);
+  answer = check_tasks (r, s);
+  if (answer == NULL)
+    answer = check_settings (r, s, &values);
+  if (answer == NULL)
+    answer = check_queue (r, s, &values, &expected, wait_limit_ms);
   if (answer == NULL)
     return true;
   confirm_answer (r, shard, waiter, answer);
@@ -1224,6 +1275,19 @@
       before->floor_ms > st->claims->floor_ms ? before->floor_ms : st->claims->floor_ms;
 }
 
+/* Ends what the new owner, backup or floor has made unnecessary. */
+static void
+end_transfers (dks_shard_state_t *st, const dks_view_shard_t *vs)
+{
+  st->fenced = false;
+  if (strcmp (st->handback_to, vs->owner) != 0)
+    st->handback_to[0] = '\0';
+  if (strcmp (st->sync_peer, vs->backup) == 0)
+    st->sync_peer[0] = '\0';
+  if (st->recover_ready && vs->floor_ms <= st->recover_floor_ms)
+    st->recover_ready = false;
+}
+
 static void
 apply_shard (dks_reducer_t *r, uint32_t shard, const dks_view_t *old)
 {
@@ -1240,13 +1304,7 @@
         reclaim_all (r, shard);
       return;
     }
-  st->fenced = false;
-  if (strcmp (st->handback_to, vs->owner) != 0)
-    st->handback_to[0] = '\0';
-  if (strcmp (st->sync_peer, vs->backup) == 0)
-    st->sync_peer[0] = '\0';
-  if (st->recover_ready && vs->floor_ms <= st->recover_floor_ms)
-    st->recover_ready = false;
+  end_transfers (st, vs);
   if (was_owner && !is_owner)
     lose_shard (r, shard);
   if (is_backup (r, shard) || strcmp (st->sync_from, vs->owner) != 0)
@@ -1272,15 +1330,12 @@
 }
 
 static void
-review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
+review_sync (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
 {
   dks_shard_state_t *st = &r->shards[shard];
   const char *backup = dks_view_best_backup (dks_own_view (r), inputs, shard);
   const dks_peer_t *peer;
 
-  if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
-    restart_confirm (r, shard);
-  review_runners (r, shard);
   if (st->sync_proposed)
     return;
   if (st->recover_ready && view_shard (r, shard)->backup[0] != '\0')
@@ -1295,6 +1350,14 @@
     start_sync (r, shard, backup);
 }
 
+static void
+review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
+{
+  review_confirm (r, shard);
+  review_runners (r, shard);
+  review_sync (r, shard, inputs);
+}
+
 void
 dks_owner_review (dks_reducer_t *r)
 {
@@ -1340,14 +1403,7 @@
 {
   for (uint32_t i = 0; i < DKS_SHARDS; i++)
     {
-      while (!APR_RING_EMPTY (&r->shards[i].refusals, dks_refusal_t, link))
-        {
-          dks_refusal_t *refusal = APR_RING_FIRST (&r->shards[i].refusals);
-
-          APR_RING_REMOVE (refusal, link);
-          dks_answer_unref (refusal->answer);
-          free (refusal);
-        }
+      drop_refusals (&r->shards[i]);
       dks_claims_destroy (r->shards[i].claims);
     }
 }
