core: confirms, admission and replies in files of their own

Cause: owner.c held the answers that wait for the backup, the admission and the claims in one file. Ruled out: renaming the functions that other parts of the reducer use; that would touch jobs.c and view_ops.c for no gain. Change: confirm.c, admission.c and reply.c; include/core/owner.h declares what these files share. Functions are moved, and renamed where shared.

--- /dev/null
+++ b/core/confirm.c
@@ -0,0 +1,148 @@
+#include "core/owner.h"
+
+#include "common/alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+deliver_refusals (dks_reducer_t *r, dks_shard_state_t *st, uint64_t confirm_id)
+{
+  dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+  while (refusal != APR_RING_SENTINEL (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *next = APR_RING_NEXT (refusal, link);
+
+      if (refusal->confirm_id == confirm_id)
+        {
+          APR_RING_REMOVE (refusal, link);
+          /* The key may have been submitted again while the backup was asked. */
+          if (refusal->answer->outcome == DKS_OUTCOME_ACCEPTED
+              || !dks_owner_attach_known (r, refusal->answer->key, &refusal->waiter))
+            dks_waiter_answer (r, &refusal->waiter, refusal->answer);
+          dks_answer_unref (refusal->answer);
+          free (refusal);
+        }
+      refusal = next;
+    }
+}
+
+void
+dks_confirm_move_all (dks_reducer_t *r, dks_shard_state_t *st)
+{
+  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+      APR_RING_REMOVE (refusal, link);
+      dks_reply_moved (r, &refusal->waiter, refusal->answer->key);
+      dks_answer_unref (refusal->answer);
+      free (refusal);
+    }
+  st->confirm_id = 0;
+}
+
+static void
+send_confirm (dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_CONFIRM);
+
+  msg->u.confirm.shard = shard;
+  msg->u.confirm.epoch = dks_owner_view_shard (r, shard)->epoch;
+  msg->u.confirm.id = r->shards[shard].confirm_id;
+  dks_emit_peer (r, peer, msg);
+}
+
+/* One confirm message covers all refusals that are waiting when it is sent. */
+static void
+confirm_refusals (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, shard);
+  dks_refusal_t *refusal;
+
+  if (st->confirm_id != 0 || APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    return;
+  st->confirm_id = dks_next_id (r);
+  st->confirm_us = r->now.mono_us;
+  st->confirm_backup_ok = vs->backup[0] == '\0';
+  st->confirm_sync_ok = !dks_owner_needs_sync_ack (st);
+  APR_RING_FOREACH (refusal, &st->refusals, dks_refusal_t, link)
+    {
+      refusal->confirm_id = st->confirm_id;
+    }
+  if (!st->confirm_backup_ok)
+    send_confirm (r, shard, vs->backup);
+  if (!st->confirm_sync_ok)
+    send_confirm (r, shard, st->sync_peer);
+  if (st->confirm_backup_ok && st->confirm_sync_ok)
+    {
+      uint64_t id = st->confirm_id;
+
+      st->confirm_id = 0;
+      deliver_refusals (r, st, id);
+    }
+}
+
+void
+dks_confirm_restart (dks_reducer_t *r, uint32_t shard)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+
+  st->confirm_id = 0;
+  confirm_refusals (r, shard);
+}
+
+void
+dks_confirm_review (dks_reducer_t *r, uint32_t shard)
+{
+  const dks_shard_state_t *st = &r->shards[shard];
+
+  if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > DKS_CLAIM_RETRY_US)
+    dks_confirm_restart (r, shard);
+}
+
+void
+dks_confirm_clear (dks_shard_state_t *st)
+{
+  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+      APR_RING_REMOVE (refusal, link);
+      dks_answer_unref (refusal->answer);
+      free (refusal);
+    }
+}
+
+void
+dks_confirm_answer (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter,
+                    dks_answer_t *answer)
+{
+  dks_refusal_t *refusal = dks_alloc (sizeof (*refusal));
+
+  refusal->waiter = *waiter;
+  refusal->answer = answer;
+  APR_RING_INSERT_TAIL (&r->shards[shard].refusals, refusal, dks_refusal_t, link);
+  confirm_refusals (r, shard);
+}
+
+void
+dks_confirm_handle_ack (dks_reducer_t *r, const char *peer, uint32_t shard, bool ok)
+{
+  dks_shard_state_t *st = &r->shards[shard];
+  uint64_t id = st->confirm_id;
+
+  if (!ok)
+    return; /* sent again by dks_owner_review() */
+  if (strcmp (peer, dks_owner_view_shard (r, shard)->backup) == 0)
+    st->confirm_backup_ok = true;
+  if (strcmp (peer, st->sync_peer) == 0)
+    st->confirm_sync_ok = true;
+  if (!st->confirm_backup_ok || !st->confirm_sync_ok)
+    return;
+  st->confirm_id = 0;
+  deliver_refusals (r, st, id);
+  confirm_refusals (r, shard);
+}
--- a/core/owner.c
+++ b/core/owner.c
@@ -1,24 +1,19 @@
-#include "core/state.h"
+#include "core/owner.h"
 
 #include "common/alloc.h"
 #include "core/key.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  CLAIM_RETRY_US = 100000,   /* a claim or confirm without acknowledgement is sent again */
   SYNC_TIMEOUT_US = 3000000, /* a copy of the claims that is not acknowledged is started again */
-  SNAPSHOT_ITEMS = 256,      /* claims in one snapshot message */
-  RETRY_AFTER_MS = 1000,
-  OVERLOAD_US = 2000000, /* a queue above its target for this time is an overload */
-  RETRY_AFTER_MIN_MS = 200
+  SNAPSHOT_ITEMS = 256       /* claims in one snapshot message */
 };
 
-static const dks_view_shard_t *
-view_shard (const dks_reducer_t *r, uint32_t shard)
+const dks_view_shard_t *
+dks_owner_view_shard (const dks_reducer_t *r, uint32_t shard)
 {
   return &dks_own_view (r)->shards[shard];
 }
@@ -26,20 +21,20 @@
 bool
 dks_owner_is_self (const dks_reducer_t *r, uint32_t shard)
 {
-  return strcmp (view_shard (r, shard)->owner, r->self) == 0;
+  return strcmp (dks_owner_view_shard (r, shard)->owner, r->self) == 0;
 }
 
 static bool
 is_backup (const dks_reducer_t *r, uint32_t shard)
 {
-  return strcmp (view_shard (r, shard)->backup, r->self) == 0;
+  return strcmp (dks_owner_view_shard (r, shard)->backup, r->self) == 0;
 }
 
 bool
 dks_owner_can_lower_floor (const dks_reducer_t *r, uint32_t shard)
 {
   const dks_shard_state_t *st = &r->shards[shard];
-  const char *backup = view_shard (r, shard)->backup;
+  const char *backup = dks_owner_view_shard (r, shard)->backup;
 
   if (!st->recover_ready || !dks_owner_is_self (r, shard))
     return false;
@@ -48,199 +43,12 @@
   return strcmp (st->sync_peer, backup) == 0 && st->sync_acked && st->sync_id > st->recover_id;
 }
 
-void
-dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer)
-{
-  dks_msg_t *msg;
-
-  if (waiter->peer[0] == '\0')
-    {
-      dks_entry_handle_answer (r, "", waiter->request, answer);
-      return;
-    }
-  msg = dks_msg_create (DKS_MSG_ANSWER);
-  msg->u.answer.request = waiter->request;
-  msg->u.answer.answer = dks_answer_ref (answer);
-  dks_emit_peer (r, waiter->peer, msg);
-}
-
-static void
-answer_waiters (dks_reducer_t *r, dks_waiter_ring_t *waiters, dks_answer_t *answer)
-{
-  dks_waiter_t *waiter;
-
-  while ((waiter = dks_waiters_take (waiters)) != NULL)
-    {
-      dks_waiter_answer (r, waiter, answer);
-      free (waiter);
-    }
-}
-
-static void
-answer_now (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key, dks_outcome_t outcome,
-            dks_problem_t problem, const char *detail)
-{
-  dks_answer_t *answer = dks_answer_create (key, outcome, problem, 0);
-
-  dks_strcpy (answer->detail, sizeof (answer->detail), detail);
-  if (outcome == DKS_OUTCOME_UNKNOWN && problem == DKS_PROBLEM_NO_OWNER)
-    answer->retry_after_ms = RETRY_AFTER_MS;
-  dks_waiter_answer (r, waiter, answer);
-  dks_answer_unref (answer);
-}
-
-static void
-answer_moved (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key)
-{
-  answer_now (r, waiter, key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, "");
-}
-
-/* Refusals */
-
-static bool
-needs_sync_ack (const dks_shard_state_t *st)
+bool
+dks_owner_needs_sync_ack (const dks_shard_state_t *st)
 {
   return st->sync_peer[0] != '\0';
 }
 
-static bool attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter);
-
-static void
-deliver_refusals (dks_reducer_t *r, dks_shard_state_t *st, uint64_t confirm_id)
-{
-  dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
-
-  while (refusal != APR_RING_SENTINEL (&st->refusals, dks_refusal_t, link))
-    {
-      dks_refusal_t *next = APR_RING_NEXT (refusal, link);
-
-      if (refusal->confirm_id == confirm_id)
-        {
-          APR_RING_REMOVE (refusal, link);
-          /* The key may have been submitted again while the backup was asked. */
-          if (refusal->answer->outcome == DKS_OUTCOME_ACCEPTED
-              || !attach_known (r, refusal->answer->key, &refusal->waiter))
-            dks_waiter_answer (r, &refusal->waiter, refusal->answer);
-          dks_answer_unref (refusal->answer);
-          free (refusal);
-        }
-      refusal = next;
-    }
-}
-
-static void
-move_refusals (dks_reducer_t *r, dks_shard_state_t *st)
-{
-  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
-    {
-      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
-
-      APR_RING_REMOVE (refusal, link);
-      answer_moved (r, &refusal->waiter, refusal->answer->key);
-      dks_answer_unref (refusal->answer);
-      free (refusal);
-    }
-  st->confirm_id = 0;
-}
-
-static void
-send_confirm (dks_reducer_t *r, uint32_t shard, const char *peer)
-{
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_CONFIRM);
-
-  msg->u.confirm.shard = shard;
-  msg->u.confirm.epoch = view_shard (r, shard)->epoch;
-  msg->u.confirm.id = r->shards[shard].confirm_id;
-  dks_emit_peer (r, peer, msg);
-}
-
-/* One confirm message covers all refusals that are waiting when it is sent. */
-static void
-confirm_refusals (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-  const dks_view_shard_t *vs = view_shard (r, shard);
-  dks_refusal_t *refusal;
-
-  if (st->confirm_id != 0 || APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
-    return;
-  st->confirm_id = dks_next_id (r);
-  st->confirm_us = r->now.mono_us;
-  st->confirm_backup_ok = vs->backup[0] == '\0';
-  st->confirm_sync_ok = !needs_sync_ack (st);
-  APR_RING_FOREACH (refusal, &st->refusals, dks_refusal_t, link)
-    {
-      refusal->confirm_id = st->confirm_id;
-    }
-  if (!st->confirm_backup_ok)
-    send_confirm (r, shard, vs->backup);
-  if (!st->confirm_sync_ok)
-    send_confirm (r, shard, st->sync_peer);
-  if (st->confirm_backup_ok && st->confirm_sync_ok)
-    {
-      uint64_t id = st->confirm_id;
-
-      st->confirm_id = 0;
-      deliver_refusals (r, st, id);
-    }
-}
-
-static void
-restart_confirm (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-
-  st->confirm_id = 0;
-  confirm_refusals (r, shard);
-}
-
-static void
-review_confirm (dks_reducer_t *r, uint32_t shard)
-{
-  const dks_shard_state_t *st = &r->shards[shard];
-
-  if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > CLAIM_RETRY_US)
-    restart_confirm (r, shard);
-}
-
-static void
-drop_refusals (dks_shard_state_t *st)
-{
-  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
-    {
-      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
-
-      APR_RING_REMOVE (refusal, link);
-      dks_answer_unref (refusal->answer);
-      free (refusal);
-    }
-}
-
-/* Gives an answer once the backup has confirmed that we are the owner. Takes over the caller's
- * reference to `answer`. */
-static void
-confirm_answer (dks_reducer_t *r, uint32_t shard, const dks_waiter_t *waiter, dks_answer_t *answer)
-{
-  dks_refusal_t *refusal = dks_alloc (sizeof (*refusal));
-
-  refusal->waiter = *waiter;
-  refusal->answer = answer;
-  APR_RING_INSERT_TAIL (&r->shards[shard].refusals, refusal, dks_refusal_t, link);
-  confirm_refusals (r, shard);
-}
-
-static dks_answer_t *
-refusal_answer (const char *key, dks_problem_t problem, uint32_t retry_after_ms, const char *detail)
-{
-  dks_answer_t *answer = dks_answer_create (key, DKS_OUTCOME_REFUSED, problem, 0);
-
-  answer->retry_after_ms = retry_after_ms;
-  dks_strcpy (answer->detail, sizeof (answer->detail), detail);
-  return answer;
-}
-
-/* Messages about claims */
-
 static void
 send_result (dks_reducer_t *r, uint32_t shard, const char *peer, const dks_claim_item_t *item)
 {
@@ -269,7 +77,7 @@
 static void
 release_claim (dks_reducer_t *r, dks_job_t *job)
 {
-  const dks_view_shard_t *vs = view_shard (r, job->shard);
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
   dks_claim_item_t item;
 
   job_item (r, job, &item);
@@ -284,7 +92,7 @@
 void
 dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job)
 {
-  const dks_view_shard_t *vs = view_shard (r, job->shard);
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
   dks_shard_state_t *st = &r->shards[job->shard];
   dks_claim_t *claim = dks_claims_find (st->claims, job->submission->key);
   dks_claim_item_t item;
@@ -299,8 +107,6 @@
     send_result (r, job->shard, st->sync_peer, &item);
 }
 
-/* Claims */
-
 static void
 forget_claim_id (dks_reducer_t *r, dks_job_t *job)
 {
@@ -328,7 +134,7 @@
   dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM);
 
   msg->u.claim.shard = job->shard;
-  msg->u.claim.epoch = view_shard (r, job->shard)->epoch;
+  msg->u.claim.epoch = dks_owner_view_shard (r, job->shard)->epoch;
   msg->u.claim.id = job->claim_id;
   job_item (r, job, &msg->u.claim.item);
   dks_count (&r->counters, DKS_COUNTER_CLAIMS);
@@ -339,15 +145,15 @@
 dks_owner_claim (dks_reducer_t *r, dks_job_t *job)
 {
   dks_shard_state_t *st = &r->shards[job->shard];
-  const dks_view_shard_t *vs = view_shard (r, job->shard);
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
 
   forget_claim_id (r, job);
   job->state = DKS_JOB_CLAIMING;
   job->backup_acked = vs->backup[0] == '\0';
-  job->sync_acked = !needs_sync_ack (st);
+  job->sync_acked = !dks_owner_needs_sync_ack (st);
   if (st->closing)
     {
-      dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + CLAIM_RETRY_US);
+      dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + DKS_CLAIM_RETRY_US);
       return;
     }
   if (job->backup_acked && job->sync_acked)
@@ -361,7 +167,7 @@
     send_claim (r, job, vs->backup);
   if (!job->sync_acked)
     send_claim (r, job, st->sync_peer);
-  dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + CLAIM_RETRY_US);
+  dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + DKS_CLAIM_RETRY_US);
 }
 
 static bool
@@ -369,7 +175,7 @@
 {
   const dks_shard_state_t *st = &r->shards[shard];
 
-  return strcmp (view_shard (r, shard)->owner, peer) == 0 && !st->fenced
+  return strcmp (dks_owner_view_shard (r, shard)->owner, peer) == 0 && !st->fenced
          && (is_backup (r, shard) || strcmp (st->sync_from, peer) == 0);
 }
 
@@ -379,7 +185,7 @@
   dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM_ACK);
 
   msg->u.claim_ack.shard = shard;
-  msg->u.claim_ack.epoch = view_shard (r, shard)->epoch;
+  msg->u.claim_ack.epoch = dks_owner_view_shard (r, shard)->epoch;
   msg->u.claim_ack.id = id;
   msg->u.claim_ack.ok = ok;
   if (!ok)
@@ -418,25 +224,6 @@
   send_ack (r, peer, shard, msg->u.confirm.id, accepts_owner (r, shard, peer));
 }
 
-static void
-handle_confirm_ack (dks_reducer_t *r, const char *peer, uint32_t shard, bool ok)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-  uint64_t id = st->confirm_id;
-
-  if (!ok)
-    return; /* sent again by dks_owner_review() */
-  if (strcmp (peer, view_shard (r, shard)->backup) == 0)
-    st->confirm_backup_ok = true;
-  if (strcmp (peer, st->sync_peer) == 0)
-    st->confirm_sync_ok = true;
-  if (!st->confirm_backup_ok || !st->confirm_sync_ok)
-    return;
-  st->confirm_id = 0;
-  deliver_refusals (r, st, id);
-  confirm_refusals (r, shard);
-}
-
 void
 dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
 {
@@ -446,13 +233,13 @@
 
   if (id == r->shards[shard].confirm_id)
     {
-      handle_confirm_ack (r, peer, shard, msg->u.claim_ack.ok);
+      dks_confirm_handle_ack (r, peer, shard, msg->u.claim_ack.ok);
       return;
     }
   job = apr_hash_get (r->claims_under_way, &id, sizeof (id));
   if (job == NULL || !msg->u.claim_ack.ok)
     return;
-  if (strcmp (peer, view_shard (r, job->shard)->backup) == 0)
+  if (strcmp (peer, dks_owner_view_shard (r, job->shard)->backup) == 0)
     job->backup_acked = true;
   if (strcmp (peer, r->shards[job->shard].sync_peer) == 0)
     job->sync_acked = true;
@@ -460,202 +247,20 @@
     grant_claim (r, job);
 }
 
-/* Submissions */
-
-/* Keys issued before this may have lost their claims in our table. */
-static int64_t
-table_floor_ms (const dks_reducer_t *r, uint32_t shard)
-{
-  int64_t floor_ms = r->shards[shard].claims->floor_ms;
-  int64_t expired_ms = r->now.wall_ms - r->config.retention_ms;
-
-  return floor_ms > expired_ms ? floor_ms : expired_ms;
-}
-
-static int64_t
-effective_floor_ms (const dks_reducer_t *r, uint32_t shard)
-{
-  int64_t floor_ms = table_floor_ms (r, shard);
-
-  return floor_ms > view_shard (r, shard)->floor_ms ? floor_ms : view_shard (r, shard)->floor_ms;
-}
-
-static bool
-check_issue_time (dks_reducer_t *r, const char *key, int64_t issued_ms, uint32_t shard,
-                  const dks_waiter_t *waiter)
-{
-  const dks_view_member_t *self = dks_view_member (dks_own_view (r), r->self);
-
-  if (issued_ms < effective_floor_ms (r, shard))
-    {
-      answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_KEY_EXPIRED,
-                  "the record of keys issued at this time is gone; use a new key for new work");
-      return false;
-    }
-  if (self == NULL || issued_ms >= self->ceiling_ms)
-    {
-      answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NO_OWNER,
-                  "the owner may not accept keys issued at this time");
-      return false;
-    }
-  if (issued_ms > r->now.wall_ms + r->config.clock_skew_ms)
-    {
-      confirm_answer (r, shard, waiter,
-                      refusal_answer (key, DKS_PROBLEM_BAD_REQUEST, 0,
-                                      "the issue time of the key is in the future"));
-      return false;
-    }
-  return true;
-}
-
-typedef struct
-{
-  int64_t wait_ms; /**< until a new task starts */
-  int64_t run_ms;  /**< from then on until the last task of the submission ends */
-} estimate_t;
-
-/* Slots are lent between instances, so a long queue here counts only if it is long everywhere. What
- * others have told may be a second old; a queue that is short here ends quickly in any case. Run
- * times are learned: declared ones are often far off. */
-static estimate_t
-estimate (const dks_reducer_t *r, uint32_t task_count)
-{
-  double own_backlog = dks_jobs_backlog (r);
-  double own_slots = dks_targets_capacity (r->targets, r->now.mono_us);
-  double all_backlog = own_backlog;
-  double all_slots = own_slots;
-  double mean_ms = r->mean_run_us / 1000;
-  double wait_ms;
-  estimate_t result = { 0 };
-  const dks_peer_t *peer;
-
-  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
-    {
-      if (!peer->up || peer->draining)
-        continue;
-      all_backlog += peer->queued_tasks;
-      all_slots += peer->capacity;
-    }
-  if (all_slots <= 0)
-    return result;
-  result.run_ms = (int64_t)(mean_ms * (1 + task_count / all_slots));
-  wait_ms = mean_ms * all_backlog / all_slots;
-  if (own_slots > 0 && own_backlog / own_slots < all_backlog / all_slots)
-    wait_ms = mean_ms * own_backlog / own_slots;
-  if (dks_lend_free (r) + dks_lend_credits (r) == 0)
-    result.wait_ms = (int64_t)wait_ms;
-  return result;
-}
-
-/* By then half of the present queue is gone if nothing else arrives. */
-static uint32_t
-retry_after_ms (const estimate_t *expected)
-{
-  return (uint32_t)(expected->wait_ms / 2 > RETRY_AFTER_MIN_MS ? expected->wait_ms / 2
-                                                               : RETRY_AFTER_MIN_MS);
-}
-
-/* A burst may wait long, because its queue drains again. In an overload the queue would stay at its
- * bound: every task would wait that long, and more of them would miss their deadlines after they
- * have used a slot. A queue that has been above the target for this time is an overload (the idea
- * of controlled delay in queue management). */
-static int64_t
-longest_wait_ms (dks_reducer_t *r, const estimate_t *expected, const dks_settings_values_t *values)
-{
-  if (expected->wait_ms <= values->queue_wait_target_ms)
-    r->queue_short_us = r->now.mono_us;
-  if (r->now.mono_us - r->queue_short_us < OVERLOAD_US)
-    return values->queue_wait_max_ms;
-  return values->queue_wait_target_ms;
-}
-
-/* Returns a refusal if no target could ever run one of the tasks. */
-static dks_answer_t *
-check_tasks (const dks_reducer_t *r, const dks_submission_t *s)
-{
-  char detail[DKS_TEXT_SIZE];
-
-  for (uint32_t i = 0; i < s->task_count; i++)
-    {
-      const char *what;
-
-      if (dks_targets_can_fit (r->targets, &s->tasks[i], &what))
-        continue;
-      snprintf (detail, sizeof (detail), "task %u needs more %s than any target has", i, what);
-      return refusal_answer (s->key, DKS_PROBLEM_INFEASIBLE, 0, detail);
-    }
-  return NULL;
-}
-
-static dks_answer_t *
-check_settings (const dks_reducer_t *r, const dks_submission_t *s,
-                const dks_settings_values_t *values)
-{
-  if (s->deadline_ms <= r->now.wall_ms)
-    return refusal_answer (s->key, DKS_PROBLEM_DEADLINE, 0, "the deadline has passed");
-  if (s->deadline_ms > r->now.wall_ms + values->deadline_max_ms)
-    return refusal_answer (s->key, DKS_PROBLEM_BAD_REQUEST, 0,
-                           "the deadline is later than deadline_max_ms allows");
-  if (values->team_quota == 0)
-    return refusal_answer (s->key, DKS_PROBLEM_QUOTA, 0, "the team's quota is 0");
-  return NULL;
-}
-
-static dks_answer_t *
-check_queue (const dks_reducer_t *r, const dks_submission_t *s, const dks_settings_values_t *values,
-             const estimate_t *expected, int64_t wait_limit_ms)
-{
-  int64_t end_ms = r->now.wall_ms + expected->wait_ms + expected->run_ms;
-
-  if (dks_jobs_backlog (r) + s->task_count > values->queue_limit)
-    return refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (expected),
-                           "the queue is full");
-  if (expected->wait_ms > wait_limit_ms)
-    return refusal_answer (s->key, DKS_PROBLEM_QUEUE_FULL, retry_after_ms (expected),
-                           "the wait in the queue is too long");
-  if (expected->wait_ms > 0 && end_ms > s->deadline_ms)
-    return refusal_answer (s->key, DKS_PROBLEM_DEADLINE, retry_after_ms (expected),
-                           "the queue is too long for the deadline");
-  return NULL;
-}
-
-/* Returns false after it has refused the submission. */
-static bool
-admit (dks_reducer_t *r, dks_submission_t *s, uint32_t shard, const dks_waiter_t *waiter)
-{
-  dks_settings_values_t values;
-  estimate_t expected = estimate (r, s->task_count);
-  int64_t wait_limit_ms;
-  dks_answer_t *answer;
-
-  dks_settings_values (r, s->service, s->team, &values);
-  /* Taken for refused submissions too: it also tracks how long the queue has been long. */
-  wait_limit_ms = longest_wait_ms (r, &expected, &values);
-  answer = check_tasks (r, s);
-  if (answer == NULL)
-    answer = check_settings (r, s, &values);
-  if (answer == NULL)
-    answer = check_queue (r, s, &values, &expected, wait_limit_ms);
-  if (answer == NULL)
-    return true;
-  confirm_answer (r, shard, waiter, answer);
-  return false;
-}
-
 /* Confirmed like a refusal: a former owner could accept a key that was used for other content. */
 static void
 answer_accepted (dks_reducer_t *r, const dks_waiter_t *waiter, const dks_submission_t *s)
 {
   if (s->respond_async)
-    confirm_answer (r, dks_key_shard (s->key), waiter,
-                    dks_answer_create (s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, 0));
+    dks_confirm_answer (r, dks_key_shard (s->key), waiter,
+                        dks_answer_create (s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, 0));
 }
 
 static void
 answer_reused (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key)
 {
-  answer_now (r, waiter, key, DKS_OUTCOME_FAILED, DKS_PROBLEM_KEY_REUSED,
-              "the key was used for other content");
+  dks_reply_now (r, waiter, key, DKS_OUTCOME_FAILED, DKS_PROBLEM_KEY_REUSED,
+                 "the key was used for other content");
 }
 
 /* Attaches a waiter to work that is known already. Returns false if the key is new. */
@@ -698,15 +303,14 @@
   return claim != NULL ? claim->answer == NULL : dks_job_find (r, key) != NULL;
 }
 
-/* Like attach(), but a query is told at once that work is under way. */
-static bool
-attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter)
+bool
+dks_owner_attach_known (dks_reducer_t *r, const char *key, const dks_waiter_t *waiter)
 {
   uint32_t shard = dks_key_shard (key);
 
   if (!waiter->is_query || !is_under_way (r, key, shard))
     return attach (r, key, shard, waiter);
-  answer_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
+  dks_reply_now (r, waiter, key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, "");
   return true;
 }
 
@@ -718,7 +322,7 @@
 
   if (!dks_owner_is_self (r, shard))
     {
-      answer_moved (r, waiter, submission->key);
+      dks_reply_moved (r, waiter, submission->key);
       return;
     }
   if (attach (r, submission->key, shard, waiter))
@@ -726,8 +330,8 @@
       answer_accepted (r, waiter, submission);
       return;
     }
-  if (!check_issue_time (r, submission->key, submission->issued_ms, shard, waiter)
-      || !admit (r, submission, shard, waiter))
+  if (!dks_admission_check_issue_time (r, submission->key, submission->issued_ms, shard, waiter)
+      || !dks_admission_check_work (r, submission, shard, waiter))
     return;
   job = dks_job_create (r, submission, shard);
   dks_job_add_waiter (job, waiter);
@@ -773,7 +377,7 @@
   submission = dks_submission_create (0);
   dks_strcpy (submission->key, sizeof (submission->key), key);
   submission->issued_ms = parsed->issued_ms;
-  submission->deadline_ms = r->now.wall_ms + (int64_t)5 * RETRY_AFTER_MS;
+  submission->deadline_ms = r->now.wall_ms + (int64_t)5 * DKS_RETRY_AFTER_MS;
   job = dks_job_create (r, submission, shard);
   dks_submission_unref (submission);
   job->is_cancel = true;
@@ -791,9 +395,9 @@
   if (job == NULL || job->state == DKS_JOB_QUEUED || job->state == DKS_JOB_CLAIMING)
     {
       if (is_entry)
-        answer_moved (r, waiter, key);
+        dks_reply_moved (r, waiter, key);
       else
-        answer_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NOT_FOUND, "");
+        dks_reply_now (r, waiter, key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NOT_FOUND, "");
       return;
     }
   dks_job_add_waiter (job, waiter);
@@ -816,20 +420,21 @@
       return;
     }
   job = dks_job_find (r, key);
-  if (attach_known (r, key, waiter))
+  if (dks_owner_attach_known (r, key, waiter))
     {
       if (cancel && job != NULL)
         cancel_job (r, job);
       return;
     }
   if (dks_key_parse (key, &parsed) != 0
-      || !check_issue_time (r, key, parsed.issued_ms, shard, waiter))
+      || !dks_admission_check_issue_time (r, key, parsed.issued_ms, shard, waiter))
     return;
   if (cancel)
     cancel_unknown_key (r, key, &parsed, shard, waiter);
   else
-    confirm_answer (r, shard, waiter,
-                    refusal_answer (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
+    dks_confirm_answer (
+        r, shard, waiter,
+        dks_reply_create_refusal (key, DKS_PROBLEM_NOT_FOUND, 0, "this key has not been run"));
 }
 
 void
@@ -852,13 +457,12 @@
   dks_job_discard (r, job);
   while ((waiter = dks_waiters_take (&waiters)) != NULL)
     {
-      confirm_answer (r, shard, waiter, refusal_answer (key, problem, retry_after_ms, detail));
+      dks_confirm_answer (r, shard, waiter,
+                          dks_reply_create_refusal (key, problem, retry_after_ms, detail));
       free (waiter);
     }
 }
 
-/* Results and claims that another instance runs */
-
 static void
 finish_foreign_claim (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim,
                       dks_answer_t *answer)
@@ -872,7 +476,7 @@
     dks_claims_remove (st->claims, claim);
   else
     dks_claims_finish (st->claims, claim, answer);
-  answer_waiters (r, &waiters, answer);
+  dks_reply_all (r, &waiters, answer);
 }
 
 static void
@@ -900,7 +504,7 @@
   if (claim == NULL)
     return;
   if (claim->answer != NULL)
-    answer_waiters (r, &job->waiters, claim->answer);
+    dks_reply_all (r, &job->waiters, claim->answer);
   else
     APR_RING_CONCAT (&claim->waiters, &job->waiters, dks_waiter_t, link);
   if (job->state == DKS_JOB_QUEUED)
@@ -996,8 +600,6 @@
     }
 }
 
-/* Copies of the claims for new backups */
-
 static void
 send_snapshot_part (dks_reducer_t *r, uint32_t shard, const char *peer, uint64_t id,
                     int64_t floor_ms, dks_claim_t **cursor)
@@ -1015,7 +617,7 @@
       *cursor = APR_RING_NEXT (*cursor, link);
     }
   msg->u.snapshot.shard = shard;
-  msg->u.snapshot.epoch = view_shard (r, shard)->epoch;
+  msg->u.snapshot.epoch = dks_owner_view_shard (r, shard)->epoch;
   msg->u.snapshot.id = id;
   msg->u.snapshot.floor_ms = floor_ms;
   msg->u.snapshot.last = *cursor == APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link);
@@ -1048,7 +650,7 @@
       if (job->state == DKS_JOB_CLAIMING)
         dks_owner_claim (r, job);
     }
-  restart_confirm (r, shard);
+  dks_confirm_restart (r, shard);
 }
 
 /* From here on every claim also needs the acknowledgement of the next backup. */
@@ -1062,7 +664,7 @@
   st->sync_us = r->now.mono_us;
   st->sync_acked = false;
   /* The floor of the view is not part of the copy: it may be lowered later. */
-  send_snapshot (r, shard, peer, st->sync_id, table_floor_ms (r, shard));
+  send_snapshot (r, shard, peer, st->sync_id, dks_admission_table_floor_ms (r, shard));
   reclaim_all (r, shard);
 }
 
@@ -1101,7 +703,7 @@
 {
   uint32_t shard = msg->u.snapshot.shard;
   dks_shard_state_t *st = &r->shards[shard];
-  bool from_owner = strcmp (view_shard (r, shard)->owner, peer) == 0;
+  bool from_owner = strcmp (dks_owner_view_shard (r, shard)->owner, peer) == 0;
   bool from_lost = dks_owner_is_self (r, shard)
                    && (strcmp (st->lost[0], peer) == 0 || strcmp (st->lost[1], peer) == 0);
   dks_msg_t *ack;
@@ -1187,8 +789,6 @@
     }
 }
 
-/* Changes of the view */
-
 static void
 lose_shard (dks_reducer_t *r, uint32_t shard)
 {
@@ -1211,7 +811,7 @@
             release_claim (r, job);
           else
             dks_queue_remove (r->queue, job);
-          answer_waiters (r, &job->waiters, moved);
+          dks_reply_all (r, &job->waiters, moved);
           dks_answer_unref (moved);
           forget_claim_id (r, job);
           dks_job_discard (r, job);
@@ -1223,10 +823,10 @@
       dks_answer_t *moved =
           dks_answer_create (claim->key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
 
-      answer_waiters (r, &claim->waiters, moved);
+      dks_reply_all (r, &claim->waiters, moved);
       dks_answer_unref (moved);
     }
-  move_refusals (r, st);
+  dks_confirm_move_all (r, st);
 }
 
 static bool
@@ -1261,7 +861,7 @@
 leave_shard (dks_reducer_t *r, uint32_t shard, const dks_view_shard_t *before)
 {
   dks_shard_state_t *st = &r->shards[shard];
-  const dks_view_shard_t *vs = view_shard (r, shard);
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, shard);
 
   st->recover_ready = false;
   st->lost[0][0] = '\0';
@@ -1293,7 +893,7 @@
 {
   dks_shard_state_t *st = &r->shards[shard];
   const dks_view_shard_t *before = &old->shards[shard];
-  const dks_view_shard_t *vs = view_shard (r, shard);
+  const dks_view_shard_t *vs = dks_owner_view_shard (r, shard);
   bool was_owner = strcmp (before->owner, r->self) == 0;
   bool is_owner = dks_owner_is_self (r, shard);
   bool kept_claims = before->owner[0] != '\0' && strcmp (st->handback_to, before->owner) == 0;
@@ -1338,22 +938,22 @@
 
   if (st->sync_proposed)
     return;
-  if (st->recover_ready && view_shard (r, shard)->backup[0] != '\0')
-    backup = view_shard (r, shard)->backup;
+  if (st->recover_ready && dks_owner_view_shard (r, shard)->backup[0] != '\0')
+    backup = dks_owner_view_shard (r, shard)->backup;
   if (st->sync_peer[0] != '\0'
       && (backup == NULL || strcmp (backup, st->sync_peer) != 0
           || (!st->sync_acked && r->now.mono_us - st->sync_us > SYNC_TIMEOUT_US)))
     stop_sync (r, shard);
   peer = backup != NULL ? dks_peer_find (r, backup) : NULL;
   if (st->sync_peer[0] == '\0' && peer != NULL && peer->up
-      && (st->recover_ready || strcmp (backup, view_shard (r, shard)->backup) != 0))
+      && (st->recover_ready || strcmp (backup, dks_owner_view_shard (r, shard)->backup) != 0))
     start_sync (r, shard, backup);
 }
 
 static void
 review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
 {
-  review_confirm (r, shard);
+  dks_confirm_review (r, shard);
   review_runners (r, shard);
   review_sync (r, shard, inputs);
 }
@@ -1369,7 +969,7 @@
       if (dks_owner_is_self (r, i))
         review_own_shard (r, i, &inputs);
       else if (is_backup (r, i))
-        r->shards[i].fenced = !dks_member_is_alive (r, view_shard (r, i)->owner)
+        r->shards[i].fenced = !dks_member_is_alive (r, dks_owner_view_shard (r, i)->owner)
                               || (r->shards[i].fenced && r->view_op != 0);
       review_handback (r, i);
     }
@@ -1403,7 +1003,7 @@
 {
   for (uint32_t i = 0; i < DKS_SHARDS; i++)
     {
-      drop_refusals (&r->shards[i]);
+      dks_confirm_clear (&r->shards[i]);
       dks_claims_destroy (r->shards[i].claims);
     }
 }
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -288,6 +288,8 @@
 void dks_owner_review (dks_reducer_t *r);
 /** Drops expired claims. */
 void dks_owner_expire (dks_reducer_t *r);
+
+/* reply.c */
 void dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer);
 
 /* jobs.c */
