core: claims, backup and runners in files of their own

Cause: the work of an owner and of a backup was mixed in owner.c. Change: claim_ops.c (claims at the owner), backup.c (acknowledgements at the backup) and runner.c (results, claims that another instance runs).

--- /dev/null
+++ b/core/backup.c
@@ -0,0 +1,57 @@
+#include "core/owner.h"
+
+#include <string.h>
+
+static bool
+accepts_owner (const dks_reducer_t *r, uint32_t shard, const char *peer)
+{
+  const dks_shard_state_t *st = &r->shards[shard];
+
+  return strcmp (dks_owner_view_shard (r, shard)->owner, peer) == 0 && !st->fenced
+         && (dks_owner_is_backup (r, shard) || strcmp (st->sync_from, peer) == 0);
+}
+
+static void
+send_ack (dks_reducer_t *r, const char *peer, uint32_t shard, uint64_t id, bool ok)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM_ACK);
+
+  msg->u.claim_ack.shard = shard;
+  msg->u.claim_ack.epoch = dks_owner_view_shard (r, shard)->epoch;
+  msg->u.claim_ack.id = id;
+  msg->u.claim_ack.ok = ok;
+  if (!ok)
+    dks_count (&r->counters, DKS_COUNTER_CLAIMS_REJECTED);
+  dks_emit_peer (r, peer, msg);
+}
+
+void
+dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.claim.shard;
+  dks_claims_t *claims = r->shards[shard].claims;
+  const dks_claim_t *known = dks_claims_find (claims, msg->u.claim.item.key);
+  bool ok = accepts_owner (r, shard, peer);
+
+  if (ok && known != NULL && (known->answer != NULL || strcmp (known->runner, peer) != 0))
+    {
+      /* The owner lacks this claim: it must not start the key, and learns why first. */
+      dks_claim_item_t item;
+
+      dks_claim_to_item (known, &item);
+      dks_claim_ops_send_result (r, shard, peer, &item);
+      dks_answer_unref (item.answer);
+      ok = false;
+    }
+  if (ok)
+    dks_claims_put (claims, &msg->u.claim.item);
+  send_ack (r, peer, shard, msg->u.claim.id, ok);
+}
+
+void
+dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t shard = msg->u.confirm.shard;
+
+  send_ack (r, peer, shard, msg->u.confirm.id, accepts_owner (r, shard, peer));
+}
--- a/core/owner.c
+++ b/core/owner.c
@@ -24,8 +24,8 @@
   return strcmp (dks_owner_view_shard (r, shard)->owner, r->self) == 0;
 }
 
-static bool
-is_backup (const dks_reducer_t *r, uint32_t shard)
+bool
+dks_owner_is_backup (const dks_reducer_t *r, uint32_t shard)
 {
   return strcmp (dks_owner_view_shard (r, shard)->backup, r->self) == 0;
 }
@@ -49,204 +49,6 @@
   return st->sync_peer[0] != '\0';
 }
 
-static void
-send_result (dks_reducer_t *r, uint32_t shard, const char *peer, const dks_claim_item_t *item)
-{
-  dks_msg_t *msg;
-
-  if (peer[0] == '\0' || strcmp (peer, r->self) == 0)
-    return;
-  msg = dks_msg_create (DKS_MSG_RESULT);
-  msg->u.result.shard = shard;
-  msg->u.result.item = *item;
-  dks_answer_ref (item->answer);
-  dks_emit_peer (r, peer, msg);
-}
-
-static void
-job_item (const dks_reducer_t *r, const dks_job_t *job, dks_claim_item_t *item)
-{
-  memset (item, 0, sizeof (*item));
-  dks_strcpy (item->key, sizeof (item->key), job->submission->key);
-  dks_strcpy (item->runner, sizeof (item->runner), r->self);
-  item->issued_ms = job->submission->issued_ms;
-  item->digest = job->submission->digest;
-}
-
-/* Tells the owner and backup that a claim of ours was never started and never will be. */
-static void
-release_claim (dks_reducer_t *r, dks_job_t *job)
-{
-  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
-  dks_claim_item_t item;
-
-  job_item (r, job, &item);
-  item.answer = dks_answer_create (item.key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
-  send_result (r, job->shard, vs->owner, &item);
-  send_result (r, job->shard, vs->backup, &item);
-  if (strcmp (r->shards[job->shard].sync_peer, vs->backup) != 0)
-    send_result (r, job->shard, r->shards[job->shard].sync_peer, &item);
-  dks_answer_unref (item.answer);
-}
-
-void
-dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job)
-{
-  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
-  dks_shard_state_t *st = &r->shards[job->shard];
-  dks_claim_t *claim = dks_claims_find (st->claims, job->submission->key);
-  dks_claim_item_t item;
-
-  if (claim != NULL)
-    dks_claims_finish (st->claims, claim, job->answer);
-  job_item (r, job, &item);
-  item.answer = job->answer;
-  send_result (r, job->shard, vs->owner, &item);
-  send_result (r, job->shard, vs->backup, &item);
-  if (strcmp (st->sync_peer, vs->backup) != 0)
-    send_result (r, job->shard, st->sync_peer, &item);
-}
-
-static void
-forget_claim_id (dks_reducer_t *r, dks_job_t *job)
-{
-  if (job->claim_id != 0)
-    apr_hash_set (r->claims_under_way, &job->claim_id, sizeof (job->claim_id), NULL);
-  job->claim_id = 0;
-  dks_timer_cancel (r->timers, &job->claim_timer);
-}
-
-static void
-grant_claim (dks_reducer_t *r, dks_job_t *job)
-{
-  dks_shard_state_t *st = &r->shards[job->shard];
-  dks_claim_item_t item;
-
-  forget_claim_id (r, job);
-  job_item (r, job, &item);
-  dks_claims_put (st->claims, &item);
-  dks_job_activate (r, job);
-}
-
-static void
-send_claim (dks_reducer_t *r, dks_job_t *job, const char *peer)
-{
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM);
-
-  msg->u.claim.shard = job->shard;
-  msg->u.claim.epoch = dks_owner_view_shard (r, job->shard)->epoch;
-  msg->u.claim.id = job->claim_id;
-  job_item (r, job, &msg->u.claim.item);
-  dks_count (&r->counters, DKS_COUNTER_CLAIMS);
-  dks_emit_peer (r, peer, msg);
-}
-
-void
-dks_owner_claim (dks_reducer_t *r, dks_job_t *job)
-{
-  dks_shard_state_t *st = &r->shards[job->shard];
-  const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
-
-  forget_claim_id (r, job);
-  job->state = DKS_JOB_CLAIMING;
-  job->backup_acked = vs->backup[0] == '\0';
-  job->sync_acked = !dks_owner_needs_sync_ack (st);
-  if (st->closing)
-    {
-      dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + DKS_CLAIM_RETRY_US);
-      return;
-    }
-  if (job->backup_acked && job->sync_acked)
-    {
-      grant_claim (r, job);
-      return;
-    }
-  job->claim_id = dks_next_id (r);
-  apr_hash_set (r->claims_under_way, &job->claim_id, sizeof (job->claim_id), job);
-  if (!job->backup_acked)
-    send_claim (r, job, vs->backup);
-  if (!job->sync_acked)
-    send_claim (r, job, st->sync_peer);
-  dks_timer_set (r->timers, &job->claim_timer, r->now.mono_us + DKS_CLAIM_RETRY_US);
-}
-
-static bool
-accepts_owner (const dks_reducer_t *r, uint32_t shard, const char *peer)
-{
-  const dks_shard_state_t *st = &r->shards[shard];
-
-  return strcmp (dks_owner_view_shard (r, shard)->owner, peer) == 0 && !st->fenced
-         && (is_backup (r, shard) || strcmp (st->sync_from, peer) == 0);
-}
-
-static void
-send_ack (dks_reducer_t *r, const char *peer, uint32_t shard, uint64_t id, bool ok)
-{
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_CLAIM_ACK);
-
-  msg->u.claim_ack.shard = shard;
-  msg->u.claim_ack.epoch = dks_owner_view_shard (r, shard)->epoch;
-  msg->u.claim_ack.id = id;
-  msg->u.claim_ack.ok = ok;
-  if (!ok)
-    dks_count (&r->counters, DKS_COUNTER_CLAIMS_REJECTED);
-  dks_emit_peer (r, peer, msg);
-}
-
-void
-dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
-{
-  uint32_t shard = msg->u.claim.shard;
-  dks_claims_t *claims = r->shards[shard].claims;
-  const dks_claim_t *known = dks_claims_find (claims, msg->u.claim.item.key);
-  bool ok = accepts_owner (r, shard, peer);
-
-  if (ok && known != NULL && (known->answer != NULL || strcmp (known->runner, peer) != 0))
-    {
-      /* The owner lacks this claim: it must not start the key, and learns why first. */
-      dks_claim_item_t item;
-
-      dks_claim_to_item (known, &item);
-      send_result (r, shard, peer, &item);
-      dks_answer_unref (item.answer);
-      ok = false;
-    }
-  if (ok)
-    dks_claims_put (claims, &msg->u.claim.item);
-  send_ack (r, peer, shard, msg->u.claim.id, ok);
-}
-
-void
-dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
-{
-  uint32_t shard = msg->u.confirm.shard;
-
-  send_ack (r, peer, shard, msg->u.confirm.id, accepts_owner (r, shard, peer));
-}
-
-void
-dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
-{
-  uint32_t shard = msg->u.claim_ack.shard;
-  uint64_t id = msg->u.claim_ack.id;
-  dks_job_t *job;
-
-  if (id == r->shards[shard].confirm_id)
-    {
-      dks_confirm_handle_ack (r, peer, shard, msg->u.claim_ack.ok);
-      return;
-    }
-  job = apr_hash_get (r->claims_under_way, &id, sizeof (id));
-  if (job == NULL || !msg->u.claim_ack.ok)
-    return;
-  if (strcmp (peer, dks_owner_view_shard (r, job->shard)->backup) == 0)
-    job->backup_acked = true;
-  if (strcmp (peer, r->shards[job->shard].sync_peer) == 0)
-    job->sync_acked = true;
-  if (job->backup_acked && job->sync_acked)
-    grant_claim (r, job);
-}
-
 /* Confirmed like a refusal: a former owner could accept a key that was used for other content. */
 static void
 answer_accepted (dks_reducer_t *r, const dks_waiter_t *waiter, const dks_submission_t *s)
@@ -448,10 +250,10 @@
 
   dks_strcpy (key, sizeof (key), job->submission->key);
   if (job->state == DKS_JOB_CLAIMING)
-    release_claim (r, job);
+    dks_claim_ops_release (r, job);
   APR_RING_INIT (&waiters, dks_waiter_t, link);
   APR_RING_CONCAT (&waiters, &job->waiters, dks_waiter_t, link);
-  forget_claim_id (r, job);
+  dks_claim_ops_forget_id (r, job);
   /* The job must be gone before its callers are refused: a refusal is withdrawn if its key is
    * known. */
   dks_job_discard (r, job);
@@ -463,143 +265,6 @@
     }
 }
 
-static void
-finish_foreign_claim (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim,
-                      dks_answer_t *answer)
-{
-  dks_waiter_ring_t waiters;
-  bool is_void = answer->problem == DKS_PROBLEM_MOVED;
-
-  APR_RING_INIT (&waiters, dks_waiter_t, link);
-  APR_RING_CONCAT (&waiters, &claim->waiters, dks_waiter_t, link);
-  if (is_void)
-    dks_claims_remove (st->claims, claim);
-  else
-    dks_claims_finish (st->claims, claim, answer);
-  dks_reply_all (r, &waiters, answer);
-}
-
-static void
-finish_unknown (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim)
-{
-  dks_answer_t *answer =
-      dks_answer_create (claim->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_OWNER_LOST, 0);
-
-  dks_strcpy (answer->detail, sizeof (answer->detail),
-              "the instance that ran this work failed; the work may have run");
-  finish_foreign_claim (r, st, claim, answer);
-  dks_answer_unref (answer);
-}
-
-/* Our backup knows a claim that we lack: our own job for this key must not start. */
-static void
-adopt_claim (dks_reducer_t *r, const dks_claim_item_t *item)
-{
-  dks_job_t *job = dks_job_find (r, item->key);
-  dks_claim_t *claim;
-
-  if (job == NULL || (job->state != DKS_JOB_QUEUED && job->state != DKS_JOB_CLAIMING))
-    return;
-  claim = dks_claims_find (r->shards[job->shard].claims, item->key);
-  if (claim == NULL)
-    return;
-  if (claim->answer != NULL)
-    dks_reply_all (r, &job->waiters, claim->answer);
-  else
-    APR_RING_CONCAT (&claim->waiters, &job->waiters, dks_waiter_t, link);
-  if (job->state == DKS_JOB_QUEUED)
-    dks_queue_remove (r->queue, job);
-  forget_claim_id (r, job);
-  dks_job_discard (r, job);
-}
-
-void
-dks_owner_handle_result (dks_reducer_t *r, const char *peer, const dks_msg_t *msg)
-{
-  uint32_t shard = msg->u.result.shard;
-  const dks_claim_item_t *item = &msg->u.result.item;
-  dks_shard_state_t *st = &r->shards[shard];
-  dks_claim_t *claim = dks_claims_find (st->claims, item->key);
-
-  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && strcmp (st->sync_from, peer) != 0)
-    return;
-  if (item->answer != NULL && item->answer->problem == DKS_PROBLEM_MOVED)
-    {
-      if (claim != NULL && claim->answer == NULL && strcmp (claim->runner, peer) == 0)
-        finish_foreign_claim (r, st, claim, item->answer);
-      return;
-    }
-  if (claim != NULL && item->answer != NULL)
-    finish_foreign_claim (r, st, claim, item->answer);
-  else
-    dks_claims_put (st->claims, item);
-  if (dks_owner_is_self (r, shard))
-    adopt_claim (r, item);
-}
-
-void
-dks_owner_handle_runner_answer (dks_reducer_t *r, const char *key, dks_answer_t *answer)
-{
-  uint32_t shard = dks_key_shard (key);
-  dks_shard_state_t *st = &r->shards[shard];
-  dks_claim_t *claim = dks_claims_find (st->claims, key);
-
-  if (claim == NULL || claim->answer != NULL || !dks_owner_is_self (r, shard))
-    return;
-  if (answer->problem == DKS_PROBLEM_NOT_FOUND)
-    finish_unknown (r, st, claim);
-  else
-    finish_foreign_claim (r, st, claim, answer);
-}
-
-static void
-ask_for_claim (dks_reducer_t *r, dks_claim_t *claim)
-{
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_ASK);
-
-  dks_strcpy (msg->u.ask.key, sizeof (msg->u.ask.key), claim->key);
-  claim->asked = true;
-  dks_emit_peer (r, claim->runner, msg);
-}
-
-/* A claim of our own that came back with a copy, after the message with its answer was lost. */
-static void
-review_own_claim (dks_reducer_t *r, dks_shard_state_t *st, dks_claim_t *claim)
-{
-  const dks_job_t *job = dks_job_find (r, claim->key);
-
-  if (job == NULL)
-    finish_unknown (r, st, claim);
-  else if (job->state == DKS_JOB_DONE)
-    finish_foreign_claim (r, st, claim, job->answer);
-}
-
-/* Looks after unfinished claims that have no job here. */
-static void
-review_runners (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-  dks_claim_t *claim = APR_RING_FIRST (&st->claims->open);
-
-  while (claim != APR_RING_SENTINEL (&st->claims->open, dks_claim_t, open_link))
-    {
-      dks_claim_t *next = APR_RING_NEXT (claim, open_link);
-
-      if (strcmp (claim->runner, r->self) == 0)
-        review_own_claim (r, st, claim);
-      else
-        {
-          const dks_peer_t *peer = dks_peer_find (r, claim->runner);
-
-          if (!dks_member_is_alive (r, claim->runner))
-            finish_unknown (r, st, claim);
-          else if (!claim->asked && peer != NULL && peer->up)
-            ask_for_claim (r, claim);
-        }
-      claim = next;
-    }
-}
-
 static void
 send_snapshot_part (dks_reducer_t *r, uint32_t shard, const char *peer, uint64_t id,
                     int64_t floor_ms, dks_claim_t **cursor)
@@ -636,23 +301,6 @@
   while (cursor != APR_RING_SENTINEL (&st->claims->ring, dks_claim_t, link));
 }
 
-static void
-reclaim_all (dks_reducer_t *r, uint32_t shard)
-{
-  dks_shard_state_t *st = &r->shards[shard];
-  dks_job_t *job;
-  dks_job_t *next;
-
-  for (job = APR_RING_FIRST (&st->jobs);
-       job != APR_RING_SENTINEL (&st->jobs, dks_job_t, shard_link); job = next)
-    {
-      next = APR_RING_NEXT (job, shard_link);
-      if (job->state == DKS_JOB_CLAIMING)
-        dks_owner_claim (r, job);
-    }
-  dks_confirm_restart (r, shard);
-}
-
 /* From here on every claim also needs the acknowledgement of the next backup. */
 static void
 start_sync (dks_reducer_t *r, uint32_t shard, const char *peer)
@@ -665,7 +313,7 @@
   st->sync_acked = false;
   /* The floor of the view is not part of the copy: it may be lowered later. */
   send_snapshot (r, shard, peer, st->sync_id, dks_admission_table_floor_ms (r, shard));
-  reclaim_all (r, shard);
+  dks_claim_ops_claim_again (r, shard);
 }
 
 static void
@@ -678,7 +326,7 @@
   st->sync_peer[0] = '\0';
   st->sync_acked = false;
   if (dks_owner_is_self (r, shard))
-    reclaim_all (r, shard);
+    dks_claim_ops_claim_again (r, shard);
 }
 
 /* Claims are back: the floor may be lowered once the backup has them too. */
@@ -732,7 +380,7 @@
   dks_shard_state_t *st = &r->shards[shard];
 
   st->handback_to[0] = '\0';
-  if (!dks_owner_is_self (r, shard) && !is_backup (r, shard) && st->sync_from[0] == '\0')
+  if (!dks_owner_is_self (r, shard) && !dks_owner_is_backup (r, shard) && st->sync_from[0] == '\0')
     dks_claims_clear (st->claims);
 }
 
@@ -808,12 +456,12 @@
               dks_answer_create (job->submission->key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_MOVED, 0);
 
           if (job->state == DKS_JOB_CLAIMING)
-            release_claim (r, job);
+            dks_claim_ops_release (r, job);
           else
             dks_queue_remove (r->queue, job);
           dks_reply_all (r, &job->waiters, moved);
           dks_answer_unref (moved);
-          forget_claim_id (r, job);
+          dks_claim_ops_forget_id (r, job);
           dks_job_discard (r, job);
         }
       job = next;
@@ -853,7 +501,7 @@
     {
       claim->asked = false;
     }
-  review_runners (r, shard);
+  dks_runner_review (r, shard);
 }
 
 /* We had a part in the shard and have none now. */
@@ -901,15 +549,15 @@
   if (vs->epoch == before->epoch && strcmp (vs->owner, before->owner) == 0)
     {
       if (was_owner)
-        reclaim_all (r, shard);
+        dks_claim_ops_claim_again (r, shard);
       return;
     }
   end_transfers (st, vs);
   if (was_owner && !is_owner)
     lose_shard (r, shard);
-  if (is_backup (r, shard) || strcmp (st->sync_from, vs->owner) != 0)
+  if (dks_owner_is_backup (r, shard) || strcmp (st->sync_from, vs->owner) != 0)
     st->sync_from[0] = '\0';
-  if (!is_owner && !is_backup (r, shard))
+  if (!is_owner && !dks_owner_is_backup (r, shard))
     {
       leave_shard (r, shard, before);
       if (st->sync_from[0] == '\0' && st->handback_to[0] == '\0')
@@ -919,7 +567,7 @@
     return;
   if (!was_owner)
     gain_shard (r, shard, old, kept_claims);
-  reclaim_all (r, shard);
+  dks_claim_ops_claim_again (r, shard);
 }
 
 void
@@ -954,7 +602,7 @@
 review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
 {
   dks_confirm_review (r, shard);
-  review_runners (r, shard);
+  dks_runner_review (r, shard);
   review_sync (r, shard, inputs);
 }
 
@@ -968,7 +616,7 @@
     {
       if (dks_owner_is_self (r, i))
         review_own_shard (r, i, &inputs);
-      else if (is_backup (r, i))
+      else if (dks_owner_is_backup (r, i))
         r->shards[i].fenced = !dks_member_is_alive (r, dks_owner_view_shard (r, i)->owner)
                               || (r->shards[i].fenced && r->view_op != 0);
       review_handback (r, i);
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -51,9 +51,27 @@
 bool dks_admission_check_work (dks_reducer_t *r, dks_submission_t *s, uint32_t shard,
                                const dks_waiter_t *waiter);
 
+/* claim_ops.c: claims at the owner */
+/** Sends a claim, with its answer if it has one, to another instance. An empty `peer` or our own
+ * id is ignored. */
+void dks_claim_ops_send_result (dks_reducer_t *r, uint32_t shard, const char *peer,
+                                const dks_claim_item_t *item);
+/** Tells the owner and backup that a claim of ours was never started and never will be. */
+void dks_claim_ops_release (dks_reducer_t *r, dks_job_t *job);
+/** Ends the wait for the acknowledgement of a claim. Later acknowledgements are ignored. */
+void dks_claim_ops_forget_id (dks_reducer_t *r, dks_job_t *job);
+/** Repeats all claims and confirms under way with those who must agree now. */
+void dks_claim_ops_claim_again (dks_reducer_t *r, uint32_t shard);
+
+/* runner.c: results, and claims that another instance runs */
+/** Looks after unfinished claims that have no job here. */
+void dks_runner_review (dks_reducer_t *r, uint32_t shard);
+
 /* owner.c: shards, submissions, questions and cancels */
 /** Entry of the shard in the own view. */
 const dks_view_shard_t *dks_owner_view_shard (const dks_reducer_t *r, uint32_t shard);
+/** Whether this member is the backup of the shard. */
+bool dks_owner_is_backup (const dks_reducer_t *r, uint32_t shard);
 /** Whether claims also need the acknowledgement of the next backup. */
 bool dks_owner_needs_sync_ack (const dks_shard_state_t *st);
 /** Attaches a waiter to work that is known already; a query of work under way is answered at
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -267,23 +267,13 @@
 bool dks_owner_can_lower_floor (const dks_reducer_t *r, uint32_t shard);
 void dks_owner_submit (dks_reducer_t *r, dks_submission_t *submission, const dks_waiter_t *waiter);
 void dks_owner_ask (dks_reducer_t *r, const char *key, bool cancel, const dks_waiter_t *waiter);
-/** Sends or repeats the claim of a job in state CLAIMING, or activates it if no one must agree. */
-void dks_owner_claim (dks_reducer_t *r, dks_job_t *job);
 /** Gives a "not run" answer to all waiters of a job that was never started, and drops the job. */
 void dks_owner_refuse_job (dks_reducer_t *r, dks_job_t *job, dks_problem_t problem,
                            uint32_t retry_after_ms, const char *detail);
-/** Records the final answer of a job at the owner and backup of its shard. */
-void dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job);
 void dks_owner_handle_view (dks_reducer_t *r, const dks_view_t *old);
-void dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
-void dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
-void dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
-void dks_owner_handle_result (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
 void dks_owner_handle_snapshot (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
 void dks_owner_handle_snapshot_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
 void dks_owner_handle_peer_down (dks_reducer_t *r, const char *peer);
-/** Answer of another instance to our question about a claim that it runs. */
-void dks_owner_handle_runner_answer (dks_reducer_t *r, const char *key, dks_answer_t *answer);
 /** Fences failed owners, copies claims to new backups, looks after claims of failed runners. */
 void dks_owner_review (dks_reducer_t *r);
 /** Drops expired claims. */
@@ -292,6 +282,22 @@
 /* reply.c */
 void dks_waiter_answer (dks_reducer_t *r, const dks_waiter_t *waiter, dks_answer_t *answer);
 
+/* claim_ops.c */
+/** Sends or repeats the claim of a job in state CLAIMING, or activates it if no one must agree. */
+void dks_owner_claim (dks_reducer_t *r, dks_job_t *job);
+/** Records the final answer of a job at the owner and backup of its shard. */
+void dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job);
+void dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+
+/* backup.c */
+void dks_owner_handle_claim (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+void dks_owner_handle_confirm (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+
+/* runner.c */
+void dks_owner_handle_result (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
+/** Answer of another instance to our question about a claim that it runs. */
+void dks_owner_handle_runner_answer (dks_reducer_t *r, const char *key, dks_answer_t *answer);
+
 /* jobs.c */
 void dks_jobs_init (dks_reducer_t *r);
 void dks_jobs_clear (dks_reducer_t *r);
