core: status in a file of its own

Cause: reducer.c held the dispatch of events and the status in JSON. Ruled out: splitting the switches over messages and events, of 65 and 46 lines; each must name every type so that the compiler finds one that is missing.

--- /dev/null
+++ b/core/status.c
@@ -0,0 +1,74 @@
+#include "core/reducer.h"
+
+#include "core/state.h"
+
+#include <jansson.h>
+
+static json_t *
+status_peers (const dks_reducer_t *r)
+{
+  json_t *peers = json_array ();
+  const dks_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
+    {
+      json_array_append_new (peers, json_pack ("{s:s, s:s, s:b, s:b, s:I}", "id", peer->id,
+                                               "data_centre", peer->data_centre, "alive",
+                                               (int)dks_member_is_alive (r, peer->id), "draining",
+                                               (int)peer->draining, "settings_version",
+                                               (json_int_t)peer->settings_version));
+    }
+  return peers;
+}
+
+static json_t *
+status_targets (const dks_reducer_t *r)
+{
+  json_t *targets = json_array ();
+  const dks_target_t *target;
+
+  APR_RING_FOREACH (target, &r->targets->ring, dks_target_t, link)
+    {
+      json_array_append_new (
+          targets, json_pack ("{s:s, s:s, s:b, s:b, s:b, s:i, s:i}", "id", target->listed.id,
+                              "address", target->listed.address, "own", (int)target->is_mine,
+                              "leaving", (int)target->said_leaving, "ejected",
+                              (int)(target->ejected_until_us > r->now.mono_us), "slots",
+                              (int)target->listed.slots, "used", (int)target->used));
+    }
+  return targets;
+}
+
+static json_t *
+status_shards (const dks_reducer_t *r)
+{
+  json_t *shards = json_array ();
+
+  for (uint32_t i = 0; i < DKS_SHARDS; i++)
+    {
+      const dks_view_shard_t *vs = &dks_own_view (r)->shards[i];
+
+      json_array_append_new (
+          shards, json_pack ("{s:i, s:s, s:s, s:I, s:I, s:i}", "shard", (int)i, "owner", vs->owner,
+                             "backup", vs->backup, "epoch", (json_int_t)vs->epoch, "floor_ms",
+                             (json_int_t)vs->floor_ms, "claims", (int)r->shards[i].claims->count));
+    }
+  return shards;
+}
+
+char *
+dks_reducer_status (const dks_reducer_t *r)
+{
+  json_t *root =
+      json_pack ("{s:s, s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:o, s:o, s:o}", "id", r->self,
+                 "data_centre", r->config.data_centre, "draining", (int)r->draining,
+                 "settings_version", (json_int_t)dks_settings_version (r->settings), "view_version",
+                 (json_int_t)dks_own_view (r)->version, "open_requests", (int)r->request_count,
+                 "running_attempts", (int)r->attempt_count, "queued_tasks",
+                 (int)dks_jobs_backlog (r), "free_slots", (int)dks_lend_free (r), "peers",
+                 status_peers (r), "shards", status_shards (r), "targets", status_targets (r));
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  return text;
+}
