core: content check for claims of other instances, prompt end without a backup

Change: waiters with other content get KEY_REUSED; claims and confirmations that nobody acknowledges end as unknown after 6 s; a recovery ends when the floor is low for any reason; the pause before a new join counts from the last successful one; only failed tasks are named.

--- a/core/claim_ops.c
+++ b/core/claim_ops.c
@@ -103,6 +103,8 @@
   const dks_view_shard_t *vs = dks_owner_view_shard (r, job->shard);
 
   dks_claim_ops_forget_id (r, job);
+  if (job->state != DKS_JOB_CLAIMING)
+    job->claim_us = r->now.mono_us;
   job->state = DKS_JOB_CLAIMING;
   job->backup_acked = vs->backup[0] == '\0';
   job->sync_acked = !dks_owner_needs_sync_ack (st);
--- a/core/confirm.c
+++ b/core/confirm.c
@@ -5,6 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  GIVE_UP_US = 6000000 /* a takeover takes 2 s; longer means that the platform is down too */
+};
+
 static void
 deliver_refusals (dks_reducer_t *r, dks_shard_state_t *st, uint64_t confirm_id)
 {
@@ -94,11 +99,30 @@
   confirm_refusals (r, shard);
 }
 
+/* Without the backup's word nobody can tell whether the key was run elsewhere. */
+static void
+give_up_refusals (dks_reducer_t *r, dks_shard_state_t *st)
+{
+  while (!APR_RING_EMPTY (&st->refusals, dks_refusal_t, link))
+    {
+      dks_refusal_t *refusal = APR_RING_FIRST (&st->refusals);
+
+      if (r->now.mono_us - refusal->since_us < GIVE_UP_US)
+        return;
+      APR_RING_REMOVE (refusal, link);
+      dks_reply_now (r, &refusal->waiter, refusal->answer->key, DKS_OUTCOME_UNKNOWN,
+                     DKS_PROBLEM_NO_OWNER, "the backup of this key's owner cannot be reached");
+      dks_answer_unref (refusal->answer);
+      free (refusal);
+    }
+}
+
 void
 dks_confirm_review (dks_reducer_t *r, uint32_t shard)
 {
-  const dks_shard_state_t *st = &r->shards[shard];
+  dks_shard_state_t *st = &r->shards[shard];
 
+  give_up_refusals (r, st);
   if (st->confirm_id != 0 && r->now.mono_us - st->confirm_us > DKS_CLAIM_RETRY_US)
     dks_confirm_restart (r, shard);
 }
@@ -124,6 +148,7 @@
 
   refusal->waiter = *waiter;
   refusal->answer = answer;
+  refusal->since_us = r->now.mono_us;
   APR_RING_INSERT_TAIL (&r->shards[shard].refusals, refusal, dks_refusal_t, link);
   confirm_refusals (r, shard);
 }
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -7,12 +7,13 @@
 
 enum
 {
-  CLAIM_AHEAD_TASKS = 4,   /* claimed before a slot is free, so that no slot waits for a claim */
-  BORROW_AHEAD_TASKS = 64, /* claimed at most for slots that peers have been asked for */
-  FAST_RETRIES = 2,        /* refused attempts that go on to another target without a delay */
-  ATTEMPTS_MAX = 10,       /* attempts that were not started before a task fails */
-  REPEAT_ATTEMPTS_MAX = 3, /* attempts of repeatable work */
-  FORGET_US = 30000000,    /* an answer is kept for the new owner of its shard */
+  CLAIM_AHEAD_TASKS = 4,      /* claimed before a slot is free, so that no slot waits for a claim */
+  BORROW_AHEAD_TASKS = 64,    /* claimed at most for slots that peers have been asked for */
+  FAST_RETRIES = 2,           /* refused attempts that go on to another target without a delay */
+  ATTEMPTS_MAX = 10,          /* attempts that were not started before a task fails */
+  REPEAT_ATTEMPTS_MAX = 3,    /* attempts of repeatable work */
+  FORGET_US = 30000000,       /* an answer is kept for the new owner of its shard */
+  CLAIM_GIVE_UP_US = 6000000, /* a takeover takes 2 s; longer means that the platform is down too */
   RETRY_AFTER_MS = 1000
 };
 
@@ -43,7 +44,11 @@
 {
   dks_job_t *job = context;
 
-  if (job->state == DKS_JOB_CLAIMING)
+  if (job->state != DKS_JOB_CLAIMING)
+    return;
+  if (now_us - job->claim_us >= CLAIM_GIVE_UP_US)
+    dks_owner_give_up_job (job->reducer, job);
+  else
     dks_owner_claim (job->reducer, job);
 }
 
@@ -221,7 +226,8 @@
     {
       answer->tasks[i] = job->tasks[i].result;
       dks_blob_ref (answer->tasks[i].body);
-      if (!answer->tasks[i].ok && answer->tasks[i].problem == DKS_PROBLEM_NONE)
+      /* Unfinished tasks are only to blame when it was time that ran out. */
+      if (!answer->tasks[i].ok && problem == DKS_PROBLEM_DEADLINE)
         answer->tasks[i].problem = problem;
     }
   return answer;
--- a/core/owner.c
+++ b/core/owner.c
@@ -39,43 +39,25 @@
                         dks_answer_create (s->key, DKS_OUTCOME_ACCEPTED, DKS_PROBLEM_NONE, 0));
 }
 
-static void
-answer_reused (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key)
-{
-  dks_reply_now (r, waiter, key, DKS_OUTCOME_FAILED, DKS_PROBLEM_KEY_REUSED,
-                 "the key was used for other content");
-}
-
 /* Attaches a waiter to work that is known already. Returns false if the key is new. */
 static bool
 attach (dks_reducer_t *r, const char *key, uint32_t shard, const dks_waiter_t *waiter)
 {
-  uint64_t digest = waiter->digest;
   dks_claim_t *claim = dks_claims_find (r->shards[shard].claims, key);
   dks_job_t *job = dks_job_find (r, key);
 
+  if (claim == NULL && job == NULL)
+    return false;
+  if (dks_reply_refuses_content (r, waiter, key,
+                                 claim != NULL ? claim->digest : job->submission->digest))
+    return true;
   if (claim != NULL && claim->answer != NULL)
-    {
-      if (digest != 0 && claim->digest != 0 && claim->digest != digest)
-        answer_reused (r, waiter, key);
-      else
-        dks_waiter_answer (r, waiter, claim->answer);
-      return true;
-    }
-  if (job != NULL)
-    {
-      if (digest != 0 && job->submission->digest != 0 && job->submission->digest != digest)
-        answer_reused (r, waiter, key);
-      else
-        dks_job_add_waiter (job, waiter);
-      return true;
-    }
-  if (claim != NULL)
-    {
-      dks_waiters_add (&claim->waiters, waiter);
-      return true;
-    }
-  return false;
+    dks_waiter_answer (r, waiter, claim->answer);
+  else if (job != NULL)
+    dks_job_add_waiter (job, waiter);
+  else
+    dks_waiters_add (&claim->waiters, waiter);
+  return true;
 }
 
 static bool
@@ -246,6 +228,22 @@
     }
 }
 
+void
+dks_owner_give_up_job (dks_reducer_t *r, dks_job_t *job)
+{
+  dks_answer_t *answer =
+      dks_answer_create (job->submission->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_NO_OWNER, 0);
+
+  answer->retry_after_ms = DKS_RETRY_AFTER_MS;
+  dks_strcpy (answer->detail, sizeof (answer->detail),
+              "the backup of this key's owner cannot be reached");
+  dks_claim_ops_release (r, job);
+  dks_job_answer_waiters (r, job, answer);
+  dks_answer_unref (answer);
+  dks_claim_ops_forget_id (r, job);
+  dks_job_discard (r, job);
+}
+
 static void
 review_own_shard (dks_reducer_t *r, uint32_t shard, const dks_view_inputs_t *inputs)
 {
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -203,6 +203,9 @@
 
   if (st->sync_proposed)
     return;
+  /* The floor may have been lowered for another reason meanwhile. */
+  if (st->recover_ready && dks_owner_view_shard (r, shard)->floor_ms <= st->recover_floor_ms)
+    st->recover_ready = false;
   if (st->recover_ready && dks_owner_view_shard (r, shard)->backup[0] != '\0')
     backup = dks_owner_view_shard (r, shard)->backup;
   if (st->sync_peer[0] != '\0'
--- a/core/runner.c
+++ b/core/runner.c
@@ -10,6 +10,7 @@
                       dks_answer_t *answer)
 {
   dks_waiter_ring_t waiters;
+  uint64_t digest = claim->digest;
   bool is_void = answer->problem == DKS_PROBLEM_MOVED;
 
   APR_RING_INIT (&waiters, dks_waiter_t, link);
@@ -18,7 +19,7 @@
     dks_claims_remove (st->claims, claim);
   else
     dks_claims_finish (st->claims, claim, answer);
-  dks_reply_all (r, &waiters, answer);
+  dks_reply_content (r, &waiters, answer, digest);
 }
 
 static void
@@ -46,7 +47,7 @@
   if (claim == NULL)
     return;
   if (claim->answer != NULL)
-    dks_reply_all (r, &job->waiters, claim->answer);
+    dks_reply_content (r, &job->waiters, claim->answer, claim->digest);
   else
     APR_RING_CONCAT (&claim->waiters, &job->waiters, dks_waiter_t, link);
   if (job->state == DKS_JOB_QUEUED)
--- a/core/view_ops.c
+++ b/core/view_ops.c
@@ -107,10 +107,6 @@
       if (dks_owner_is_self (r, i) && r->view_proposed.shards[i].owner[0] == '\0')
         shard->closing = true;
     }
-  /* Two members that cannot reach each other would otherwise remove and add each other without a
-   * pause. */
-  if (dks_view_member (dks_own_view (r), r->self) == NULL)
-    r->joined_us = r->now.mono_us;
   dks_count (&r->counters, DKS_COUNTER_STORE_WRITES);
   effect = start_op (r, DKS_EFFECT_STORE_CAS);
   effect->u.store.version = dks_own_view (r)->version;
@@ -178,6 +174,10 @@
   keep_view (r, (size_t)r->own, view, value);
   r->view_known = true;
   clear_proposals (r);
+  /* Two members that cannot reach each other would otherwise remove and add each other without a
+   * pause. */
+  if (dks_view_member (view, r->self) != NULL && dks_view_member (&old, r->self) == NULL)
+    r->joined_us = r->now.mono_us;
   for (uint32_t i = 0; i < view->member_count; i++)
     dks_members_note (r, view->members[i].id);
   log_takeovers (r, &old, view);
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -46,6 +46,7 @@
   int64_t arrived_ms;  /**< Unix ms */
   int64_t deadline_us; /**< monotonic */
   uint64_t claim_id;   /**< of the claim that waits for acknowledgement */
+  int64_t claim_us;    /**< when the claim was first sent */
   bool backup_acked;
   bool sync_acked;
   uint32_t next_task;    /**< tasks from here on have never been started */
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -16,6 +16,14 @@
 /* reply.c: answers to waiters */
 /** Gives one answer to all waiters and empties the ring. */
 void dks_reply_all (dks_reducer_t *r, dks_waiter_ring_t *waiters, dks_answer_t *answer);
+/** Answers and removes all waiters, those that submitted other content with KEY_REUSED. `digest` is
+ * that of the content which was run, 0 if it is not known. */
+void dks_reply_content (dks_reducer_t *r, dks_waiter_ring_t *waiters, dks_answer_t *answer,
+                        uint64_t digest);
+/** Answers a waiter that submitted other content than `digest` with KEY_REUSED and returns true. */
+bool dks_reply_refuses_content (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key,
+                                uint64_t digest);
+void dks_reply_reused (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key);
 /** Gives an answer that needs no confirmation by the backup. */
 void dks_reply_now (dks_reducer_t *r, const dks_waiter_t *waiter, const char *key,
                     dks_outcome_t outcome, dks_problem_t problem, const char *detail);
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -83,6 +83,7 @@
   APR_RING_ENTRY (dks_refusal_t) link;
   dks_waiter_t waiter;
   dks_answer_t *answer;
+  int64_t since_us;    /**< when it was issued */
   uint64_t confirm_id; /**< 0: not covered by a confirm message yet */
 };
 
@@ -159,7 +160,7 @@
   bool view_op_is_cas;
   dks_view_t view_proposed;
   dks_timer_t view_timer;
-  int64_t joined_us; /**< when this member last tried to join the view, 0 for never */
+  int64_t joined_us; /**< when this member last joined the view, 0 for never */
   bool view_known;   /**< the own view has been read from the store or a peer */
 
   /* owner.c */
@@ -279,6 +280,8 @@
 /* claim_ops.c */
 /** Sends or repeats the claim of a job in state CLAIMING, or activates it if no one must agree. */
 void dks_owner_claim (dks_reducer_t *r, dks_job_t *job);
+/** Answers UNKNOWN to the callers of a job whose claim nobody acknowledges, and drops the job. */
+void dks_owner_give_up_job (dks_reducer_t *r, dks_job_t *job);
 /** Records the final answer of a job at the owner and backup of its shard. */
 void dks_owner_record_answer (dks_reducer_t *r, dks_job_t *job);
 void dks_owner_handle_ack (dks_reducer_t *r, const char *peer, const dks_msg_t *msg);
--- a/net/http_json.c
+++ b/net/http_json.c
@@ -550,7 +550,7 @@
     {
       json_t *task;
 
-      if (answer->tasks[i].ok)
+      if (answer->tasks[i].ok || answer->tasks[i].problem == DKS_PROBLEM_NONE)
         continue;
       task = json_object ();
       set_integer (task, "index", i);
