--- a/tests/test_view.cc
+++ b/tests/test_view.cc
@@ -186,6 +186,24 @@
   EXPECT_EQ (view.shards[0].floor_ms, now_ms + 1000);
 }
 
+// The claims leave with the last member: a later member must not start any of these keys again.
+TEST_F (ViewTest, LastMemberLeavesAFloorAboveItsClaims)
+{
+  dks_view_inputs_t a = inputs ("a#1");
+
+  plan (a);
+  a.draining = a.may_leave = true;
+  for (auto &floor_ms : a.next_floor_ms)
+    floor_ms = now_ms + 7;
+  plan (a);
+  EXPECT_EQ (view.member_count, 0u);
+  for (const auto &shard : view.shards)
+    {
+      EXPECT_STREQ (shard.owner, "");
+      EXPECT_EQ (shard.floor_ms, now_ms + 7);
+    }
+}
+
 TEST_F (ViewTest, RecordSurvivesARoundTripAndRejectsDamage)
 {
   dks_view_t parsed;
