core: fail a job whose results do not fit into one frame

Cause: an answer above 16 MiB was dropped by the transport with a log line, so its callers waited until their deadline and never got it (17 results of 1 MiB are enough). Ruled out: splitting answers over frames (callers would need 480 MB replies). Before: the new test saw COMPLETE with 10 MiB. After: it fails with the reason.

--- a/core/jobs.c
+++ b/core/jobs.c
@@ -457,14 +457,16 @@
            dks_blob_t *body)
 {
   dks_task_result_t *result = &job->tasks[index].result;
+  const char *detail = "a task failed";
 
+  if (problem == DKS_PROBLEM_TARGET_LOST)
+    detail = "a target stopped answering; the task may have run";
+  else if (problem == DKS_PROBLEM_RESULT_TOO_LARGE)
+    detail = "the results exceed 8 MiB in all";
   result->ok = false;
   result->problem = problem;
   result->body = dks_blob_ref (body);
-  dks_job_finish (r, job, DKS_OUTCOME_FAILED, problem,
-                  problem == DKS_PROBLEM_TARGET_LOST
-                      ? "a target stopped answering; the task may have run"
-                      : "a task failed");
+  dks_job_finish (r, job, DKS_OUTCOME_FAILED, problem, detail);
 }
 
 static void
@@ -492,6 +494,12 @@
     return;
   if (status == DKS_ATTEMPT_OK)
     {
+      job->result_bytes += body != NULL ? body->len : 0;
+      if (job->result_bytes > DKS_RESULTS_MAX)
+        {
+          fail_task (r, job, index, DKS_PROBLEM_RESULT_TOO_LARGE, NULL);
+          return;
+        }
       task->finished = true;
       task->result.ok = true;
       task->result.body = dks_blob_ref (body);
--- a/core/types.c
+++ b/core/types.c
@@ -20,6 +20,7 @@
     [DKS_PROBLEM_CANCELLED] = "cancelled",
     [DKS_PROBLEM_NOT_FOUND] = "not-found",
     [DKS_PROBLEM_NO_TARGET] = "no-target",
+    [DKS_PROBLEM_RESULT_TOO_LARGE] = "result-too-large",
     [DKS_PROBLEM_CANCELLED_NOT_RUN] = "cancelled-not-run",
     [DKS_PROBLEM_MOVED] = "moved",
   };
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -53,6 +53,7 @@
   uint32_t retry_count;  /**< entries in `retry` */
   uint16_t *retry;       /**< tasks that must be attempted again, room for all tasks */
   int64_t not_before_us; /**< backoff: no attempt before this */
+  size_t result_bytes;   /**< of all results so far */
   uint32_t finished;     /**< tasks with a result */
   bool on_ready;
   dks_answer_t *answer;
--- a/include/core/types.h
+++ b/include/core/types.h
@@ -16,11 +16,12 @@
   DKS_TEXT_SIZE = 160,   /**< bytes of a human-readable detail with NUL */
   DKS_TASKS_MAX = 480,   /**< tasks of one submission */
   DKS_DATA_CENTRES_MAX = 16,
-  DKS_MEMBERS_MAX = 64,        /**< instances of one data centre */
-  DKS_FORMER_MAX = 32,         /**< former members that a view keeps */
-  DKS_SHARDS = 16,             /**< shards of the keys of one data centre */
-  DKS_PAYLOAD_MAX = 1 << 20,   /**< bytes of one task's payload or result */
-  DKS_SUBMISSION_MAX = 8 << 20 /**< bytes of one submission's body */
+  DKS_MEMBERS_MAX = 64,         /**< instances of one data centre */
+  DKS_FORMER_MAX = 32,          /**< former members that a view keeps */
+  DKS_SHARDS = 16,              /**< shards of the keys of one data centre */
+  DKS_PAYLOAD_MAX = 1 << 20,    /**< bytes of one task's payload or result */
+  DKS_SUBMISSION_MAX = 8 << 20, /**< bytes of one submission's body */
+  DKS_RESULTS_MAX = 8 << 20 /**< bytes of all results of one submission; they travel in one frame */
 };
 
 /** A point in time as the host sees it. */
@@ -61,6 +62,7 @@
   DKS_PROBLEM_NOT_FOUND,
   DKS_PROBLEM_NO_TARGET,         /**< no usable target */
   DKS_PROBLEM_MOVED,             /**< internal: ask the new owner */
+  DKS_PROBLEM_RESULT_TOO_LARGE,  /**< the results exceed DKS_RESULTS_MAX */
   DKS_PROBLEM_CANCELLED_NOT_RUN, /**< cancelled, and no task was or will be started */
   DKS_PROBLEM_COUNT
 } dks_problem_t;
--- a/net/http_json.c
+++ b/net/http_json.c
@@ -526,6 +526,7 @@
     { "platform-unavailable", "The platform cannot be reached" },
     { "queue-full", "The queue is full" },
     { "quota-exceeded", "The quota of the team is used up" },
+    { "result-too-large", "The results are too large" },
     { "target-lost", "A target is lost" },
     { "task-failed", "A task failed" },
     { "timeout", "No answer in time" },
--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -301,6 +301,23 @@
   EXPECT_EQ (starts[key + "/0"], 1);
 }
 
+// A larger answer would not fit into one frame between instances and would never arrive.
+TEST_F (ReducerTest, ResultsThatAreTooLargeFailTheJob)
+{
+  std::string body (1 << 20, 'x');
+
+  submit (1, submission (fresh_key ("large"), 10));
+  while (!attempts.empty ())
+    {
+      uint64_t attempt = attempts.front ();
+      attempts.erase (attempts.begin ());
+      finish_attempt (attempt, DKS_ATTEMPT_OK, body.c_str ());
+    }
+  ASSERT_EQ (answers.count (1), 1u);
+  EXPECT_EQ (answers[1]->outcome, DKS_OUTCOME_FAILED);
+  EXPECT_EQ (answers[1]->problem, DKS_PROBLEM_RESULT_TOO_LARGE);
+}
+
 TEST_F (ReducerTest, RepeatableRequestIsTriedAgain)
 {
   std::string key = fresh_key ("again");
