damaskshore: read the audit trail under the name that the server gives it

Cause: GET /v1/audit returns "history", the tool looked for "changes" (found by a run of the tool against a real instance; the test's server answered with the wrong name). Change: the tool and the test use "history". Before: damaskshore audit ended with 'the answer has no list of changes'. After: test_cli passes.

--- a/damaskshore/commands/audit.c
+++ b/damaskshore/commands/audit.c
@@ -31,7 +31,7 @@
   else
     {
       body = dks_reply_json (cli, &reply);
-      changes = json_object_get (body, "changes");
+      changes = json_object_get (body, "history");
       if (json_is_array (changes))
         dks_changes_print (cli, changes, NULL);
       else
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -901,7 +901,7 @@
     if (request.url == "/v1/settings")
       return Reply{ 200, record };
     size_t at = record.find ('[');
-    return Reply{ 200, json ("{'version':2,'changes':")
+    return Reply{ 200, json ("{'version':2,'history':")
                            + record.substr (at, record.size () - 1 - at) + "}" };
   });
   const std::string first = "1 2025-12-03T22:13:20Z alice / team_weight - 3\n";
