tests: lost replies of edits and old settings at a new revision

Cause: scripts/mutations found that nothing noticed when the change id or the version check of the settings was left out; the schedule cannot see either, because the store's revision hides them. Change: two tests of the reducer. Before: both mechanisms could be removed unnoticed. After: each test fails without its mechanism (seen) and passes with it.

--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -110,10 +110,13 @@
         EXPECT_EQ (store[effect.u.store.key].first, effect.u.store.version);
         store[effect.u.store.key] = { ++revision,
                                       reinterpret_cast<const char *> (effect.u.store.value->data) };
-        reply.u.store_reply.status = DKS_STORE_OK;
-        reply.u.store_reply.version = revision;
+        reply.u.store_reply.status = lose_replies ? DKS_STORE_UNKNOWN : DKS_STORE_OK;
+        reply.u.store_reply.version = lose_replies ? 0 : revision;
         replies.push_back (reply);
         break;
+      case DKS_EFFECT_EDIT_REPLY:
+        edit_errors[effect.u.edit_reply.caller] = effect.u.edit_reply.error;
+        break;
       case DKS_EFFECT_EXIT:
         exited = true;
         break;
@@ -230,6 +233,8 @@
   int64_t mono_us = 1000000;
   int64_t revision = 0;
   bool exited = false;
+  bool lose_replies = false; /* of writes, after they took effect */
+  std::map<uint64_t, int> edit_errors;
   std::map<std::string, std::pair<int64_t, std::string>> store;
   std::map<uint64_t, dks_answer_t *> answers;
   std::map<std::string, int> starts;
@@ -359,6 +364,58 @@
   EXPECT_EQ (answers[2]->outcome, DKS_OUTCOME_REFUSED);
 }
 
+// Without the change id, a write whose reply was lost would be made and recorded a second time.
+TEST_F (ReducerTest, EditWithALostReplyIsMadeOnce)
+{
+  dks_event_t event = {};
+
+  event.type = DKS_EVENT_SETTINGS_EDIT;
+  event.u.settings_edit.caller = 1;
+  strcpy (event.u.settings_edit.edit.actor, "alice");
+  strcpy (event.u.settings_edit.edit.path, "/words");
+  strcpy (event.u.settings_edit.edit.name, "team_weight");
+  event.u.settings_edit.edit.value = 50;
+  lose_replies = true;
+  apply (event);
+  lose_replies = false;
+  advance (3000000);
+  ASSERT_EQ (edit_errors.count (1), 1u);
+  EXPECT_EQ (edit_errors[1], 0);
+  EXPECT_EQ (dks_settings_version (dks_reducer_settings (reducer)), 1);
+  EXPECT_EQ (dks_settings_change_count (dks_reducer_settings (reducer)), 1u);
+}
+
+// A store that was restored from an old copy writes old settings at a new revision.
+TEST_F (ReducerTest, OlderSettingsAreNeverPutInForce)
+{
+  const char *old = "{\"version\":0,\"overrides\":{},\"history\":[]}";
+  dks_settings_t *settings = dks_settings_create ();
+  dks_settings_t *newer = nullptr;
+  dks_settings_edit_t edit = {};
+  char detail[DKS_TEXT_SIZE];
+  dks_event_t event = {};
+
+  strcpy (edit.id, "1");
+  strcpy (edit.actor, "alice");
+  strcpy (edit.path, "/words");
+  strcpy (edit.name, "team_weight");
+  edit.value = 50;
+  ASSERT_EQ (dks_settings_apply (settings, &edit, start_ms, &newer, detail), 0) << detail;
+  event.type = DKS_EVENT_STORE_RECORD;
+  event.u.store_record.key = "settings";
+  event.u.store_record.version = 100;
+  event.u.store_record.value = dks_settings_format (newer);
+  apply (event);
+  dks_blob_unref (event.u.store_record.value);
+  event.u.store_record.version = 101;
+  event.u.store_record.value = dks_blob_create_text (old);
+  apply (event);
+  dks_blob_unref (event.u.store_record.value);
+  EXPECT_EQ (dks_settings_version (dks_reducer_settings (reducer)), 1);
+  dks_settings_unref (newer);
+  dks_settings_unref (settings);
+}
+
 TEST_F (ReducerTest, DrainFinishesRunningWorkBeforeExit)
 {
   dks_event_t event = {};
