--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -416,6 +416,18 @@
   dks_settings_unref (settings);
 }
 
+// A target may have left while this process was paused, and the first list may be from before.
+TEST_F (ReducerTest, AfterAPauseTheListIsReadTwiceBeforeWorkIsSent)
+{
+  mono_us += 5000000;
+  submit (1, submission (fresh_key ("resumed"), 1));
+  EXPECT_TRUE (attempts.empty ());
+  list_targets (1);
+  EXPECT_TRUE (attempts.empty ());
+  list_targets (1);
+  EXPECT_EQ (attempts.size (), 1u);
+}
+
 TEST_F (ReducerTest, DrainFinishesRunningWorkBeforeExit)
 {
   dks_event_t event = {};
