--- a/tests/test_view.cc
+++ b/tests/test_view.cc
@@ -7,6 +7,7 @@
 }
 
 #include <cstring>
+#include <random>
 #include <set>
 #include <string>
 
@@ -220,4 +221,32 @@
   dks_blob_unref (blob);
 }
 
+// The record comes from the platform: damage must be rejected, never crash an instance.
+TEST_F (ViewTest, DamagedRecordsNeverCrash)
+{
+  std::mt19937 random (1);
+  dks_view_t parsed;
+  int accepted = 0;
+
+  make_pair ();
+  dks_blob_t *blob = dks_view_format (&view);
+  std::string good (reinterpret_cast<const char *> (blob->data), blob->len);
+  dks_blob_unref (blob);
+  for (int i = 0; i < 5000; i++)
+    {
+      std::string bad = good;
+      for (unsigned n = 1 + random () % 4; n > 0; n--)
+        bad[random () % bad.size ()] = static_cast<char> (random () % 256);
+      if (random () % 4 == 0)
+        bad.resize (random () % bad.size ());
+      if (dks_view_parse (bad.data (), bad.size (), 1, &parsed) != DKS_OK)
+        continue;
+      accepted++;
+      ASSERT_LE (parsed.member_count, static_cast<uint32_t> (DKS_MEMBERS_MAX));
+      for (const auto &shard : parsed.shards)
+        ASSERT_LT (strlen (shard.owner), sizeof (shard.owner));
+    }
+  EXPECT_LT (accepted, 5000);
+}
+
 } // namespace
