tests: write the bench's data below out/

Cause: damaskshore-bench wrote its data to the current folder by default, and two data files were committed from there by mistake.

--- a/tests/sim/bench.c
+++ b/tests/sim/bench.c
@@ -10,6 +10,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define WARM_UP_US (5 * SIM_SECOND) /* the instances find each other */
 #define SETTLE_US (10 * SIM_SECOND) /* load before the measured window */
@@ -646,7 +647,7 @@
     { "calm", no_argument, NULL, 'c' },       { "micro", no_argument, NULL, 'm' },
     { "help", no_argument, NULL, 'h' },       { NULL, 0, NULL, 0 },
   };
-  const char *out = ".";
+  const char *out = "out";
   uint32_t only = 0;
   bool calm = false;
   int option;
@@ -686,6 +687,7 @@
       fprintf (stderr, "bad number of seconds\n");
       return 2;
     }
+  mkdir (out, 0777); /* may exist; open_data() reports any other failure */
   bench.response_data = open_data (out, "response.dat");
   bench.wasted_data = open_data (out, "wasted.dat");
   fprintf (stderr, "%-28s %-12s %-23s  %-23s  %6s %9s\n", "response time / ideal", "",
