core: remove state that nothing reads, send slot counts in one place

Cause: reading the change again: own_free_slots and is_probing were never read, and the messages GRANT and GRANT_RETURN were built twice. Change: both fields and a parameter are gone; send_count() serves both messages. Result: test_target, test_reducer, test_view, test_queue and test_claim pass.

--- a/core/jobs.c
+++ b/core/jobs.c
@@ -328,7 +328,7 @@
   dks_effect_t *effect = dks_effects_add (r->effects, DKS_EFFECT_TARGET_SEND);
 
   attempt->target = dks_target_ref (target);
-  dks_target_start (target, r->now.mono_us);
+  dks_target_start (target);
   dks_count (&r->counters, DKS_COUNTER_STARTS);
   effect->u.target_send.attempt = attempt->id;
   dks_strcpy (effect->u.target_send.address, sizeof (effect->u.target_send.address),
--- a/core/lend.c
+++ b/core/lend.c
@@ -77,6 +77,16 @@
   return true;
 }
 
+/* Sends a GRANT or GRANT_RETURN of `count` slots. */
+static void
+send_count (dks_reducer_t *r, const dks_peer_t *peer, dks_msg_type_t type, uint32_t count)
+{
+  dks_msg_t *msg = dks_msg_create (type);
+
+  msg->u.grant.count = count;
+  dks_emit_peer (r, peer->id, msg);
+}
+
 static void
 send_grants (dks_reducer_t *r)
 {
@@ -84,14 +94,10 @@
 
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
-      dks_msg_t *msg;
-
       if (peer->granting == 0)
         continue;
-      msg = dks_msg_create (DKS_MSG_GRANT);
-      msg->u.grant.count = peer->granting;
+      send_count (r, peer, DKS_MSG_GRANT, peer->granting);
       peer->granting = 0;
-      dks_emit_peer (r, peer->id, msg);
     }
 }
 
@@ -102,15 +108,11 @@
 
   APR_RING_FOREACH (peer, &r->peers, dks_peer_t, link)
     {
-      dks_msg_t *msg;
-
       if (peer->credits == 0)
         continue;
-      msg = dks_msg_create (DKS_MSG_GRANT_RETURN);
-      msg->u.grant.count = peer->credits;
+      send_count (r, peer, DKS_MSG_GRANT_RETURN, peer->credits);
       r->credits_total -= peer->credits;
       peer->credits = 0;
-      dks_emit_peer (r, peer->id, msg);
     }
 }
 
--- a/core/target.c
+++ b/core/target.c
@@ -257,10 +257,9 @@
 }
 
 void
-dks_target_start (dks_target_t *target, int64_t now_us)
+dks_target_start (dks_target_t *target)
 {
   target->used++;
-  target->is_probing = target->ejected_until_us > 0 && target->ejected_until_us <= now_us;
 }
 
 static bool
@@ -288,7 +287,6 @@
   bool was_ejected = target->ejected_until_us > 0;
 
   target->used--;
-  target->is_probing = false;
   if (status == DKS_ATTEMPT_OK)
     {
       target->failures = 0;
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -182,7 +182,6 @@
   int64_t queue_short_us; /**< when the wait in the queue was last within its target */
   double mean_run_us;     /**< moving average of a task's time at a target */
   dks_timer_t pump_timer;
-  uint32_t own_free_slots; /**< free slots of our targets, kept during a pump */
 
   /* lend.c */
   uint32_t granted_total;   /**< slots promised to peers and not used yet */
--- a/include/core/target.h
+++ b/include/core/target.h
@@ -25,7 +25,6 @@
   uint32_t failures;        /**< failed attempts in a row */
   int64_t ejected_until_us; /**< 0 while in rotation */
   int64_t backoff_us;       /**< length of the latest ejection */
-  bool is_probing;          /**< one attempt checks whether it works again */
   int64_t full_until_us;    /**< refused an attempt; it gets no work before this */
 };
 
@@ -68,7 +67,7 @@
 bool
 dks_targets_can_fit (const dks_targets_t *targets, const dks_task_spec_t *spec, const char **what);
 /** Records that an attempt starts. */
-void dks_target_start (dks_target_t *target, int64_t now_us);
+void dks_target_start (dks_target_t *target);
 /** Records the end of an attempt. Ejects after `eject_failures` failures in a row or one lost
  * attempt, unless that would leave fewer than half of our targets in rotation. `random` gives the
  * jitter. */
--- a/tests/test_target.cc
+++ b/tests/test_target.cc
@@ -60,7 +60,7 @@
   dks_target_change_t
   run (dks_target_t *target, dks_attempt_status_t status, int64_t now_us)
   {
-    dks_target_start (target, now_us);
+    dks_target_start (target);
     return dks_target_finish (targets, target, status, 5, now_us, 0);
   }
 
@@ -74,7 +74,7 @@
     {
       dks_target_t *target = pick (0);
       ASSERT_NE (target, nullptr);
-      dks_target_start (target, 0);
+      dks_target_start (target);
       EXPECT_LE (target->used, 2u);
     }
   EXPECT_EQ (pick (0), nullptr);
