--- /dev/null
+++ b/core/batch.c
@@ -0,0 +1,117 @@
+#include "core/batch.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+dks_batch_t *
+dks_batch_create (uint32_t step_count)
+{
+  dks_batch_t *batch = dks_alloc (sizeof (*batch) + step_count * sizeof (batch->steps[0]));
+
+  batch->refs = 1;
+  batch->step_count = step_count;
+  return batch;
+}
+
+dks_batch_t *
+dks_batch_ref (dks_batch_t *batch)
+{
+  batch->refs++;
+  return batch;
+}
+
+void
+dks_batch_unref (dks_batch_t *batch)
+{
+  if (batch == NULL || --batch->refs > 0)
+    return;
+  dks_blob_unref (batch->spec);
+  free (batch);
+}
+
+int
+dks_batch_complete (dks_batch_t *batch)
+{
+  uint64_t tasks = 0;
+
+  if (batch->step_count == 0)
+    return DKS_ERR_INVALID;
+  if (batch->step_count > DKS_BATCH_STEPS_MAX)
+    return DKS_ERR_TOO_LARGE;
+  for (uint32_t i = 0; i < batch->step_count; i++)
+    {
+      const dks_batch_step_t *step = &batch->steps[i];
+
+      if (step->count == 0 || (step->after >> i) != 0)
+        return DKS_ERR_INVALID;
+      tasks += step->count;
+    }
+  if (tasks > DKS_TASKS_MAX)
+    return DKS_ERR_TOO_LARGE;
+  batch->task_count = (uint32_t)tasks;
+  return DKS_OK;
+}
+
+uint32_t
+dks_batch_chain_ms (const dks_batch_t *batch)
+{
+  uint32_t ends[DKS_BATCH_STEPS_MAX] = { 0 };
+  uint32_t longest = 0;
+
+  for (uint32_t i = 0; i < batch->step_count; i++)
+    {
+      for (uint32_t j = 0; j < i; j++)
+        {
+          if ((batch->steps[i].after >> j & 1) != 0 && ends[j] > ends[i])
+            ends[i] = ends[j];
+        }
+      ends[i] += batch->steps[i].estimate_ms;
+      if (ends[i] > longest)
+        longest = ends[i];
+    }
+  return longest;
+}
+
+void
+dks_batch_task_name (const char *id, uint32_t step, uint32_t index, char name[DKS_TASK_NAME_SIZE])
+{
+  snprintf (name, DKS_TASK_NAME_SIZE, "%s.0.%" PRIu32 ".%" PRIu32, id, step, index);
+}
+
+static int
+parse_number (const char **text, uint32_t *number)
+{
+  char *end = NULL;
+  unsigned long value = strtoul (*text, &end, 10);
+
+  if (end == *text || value > UINT32_MAX || **text == '-' || **text == '+' || **text == ' ')
+    return DKS_ERR_INVALID;
+  *number = (uint32_t)value;
+  *text = end;
+  return DKS_OK;
+}
+
+int
+dks_batch_parse_task_name (const char *name, char id[DKS_BATCH_ID_SIZE], uint32_t *step,
+                           uint32_t *index)
+{
+  size_t len = strcspn (name, ".");
+  const char *rest = name + len;
+  uint32_t occurrence = 0;
+
+  if (len == 0 || len >= DKS_BATCH_ID_SIZE || *rest != '.')
+    return DKS_ERR_INVALID;
+  memcpy (id, name, len);
+  id[len] = '\0';
+  rest++;
+  if (parse_number (&rest, &occurrence) != DKS_OK || occurrence != 0 || *rest++ != '.'
+      || parse_number (&rest, step) != DKS_OK || *rest++ != '.'
+      || parse_number (&rest, index) != DKS_OK || *rest != '\0')
+    return DKS_ERR_INVALID;
+  return DKS_OK;
+}
--- /dev/null
+++ b/core/catalog.c
@@ -0,0 +1,202 @@
+#include "core/catalog.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+dks_catalog_t *
+dks_catalog_create (uint32_t queue_count, uint32_t service_count)
+{
+  dks_catalog_t *catalog = dks_alloc (sizeof (*catalog));
+
+  catalog->refs = 1;
+  catalog->queue_count = queue_count;
+  catalog->service_count = service_count;
+  catalog->queues = dks_alloc ((queue_count + 1) * sizeof (catalog->queues[0]));
+  catalog->services = dks_alloc ((service_count + 1) * sizeof (catalog->services[0]));
+  return catalog;
+}
+
+dks_catalog_t *
+dks_catalog_ref (dks_catalog_t *catalog)
+{
+  catalog->refs++;
+  return catalog;
+}
+
+void
+dks_catalog_unref (dks_catalog_t *catalog)
+{
+  if (catalog == NULL || --catalog->refs > 0)
+    return;
+  free (catalog->queues);
+  free (catalog->services);
+  free (catalog);
+}
+
+static bool
+host_matches (const char *entry, const char *host)
+{
+  size_t len = strcspn (host, ":");
+
+  return strlen (entry) == len && strncasecmp (entry, host, len) == 0;
+}
+
+const dks_queue_entry_t *
+dks_catalog_find (const dks_catalog_t *catalog, const char *host, const char *path,
+                  const char **rest)
+{
+  const dks_queue_entry_t *best = NULL;
+  size_t best_len = 0;
+
+  for (uint32_t i = 0; i < catalog->queue_count; i++)
+    {
+      const dks_queue_entry_t *queue = &catalog->queues[i];
+      size_t len = strlen (queue->prefix);
+
+      if ((best != NULL && len <= best_len) || strncmp (queue->prefix, path, len) != 0
+          || !host_matches (queue->host, host))
+        continue;
+      best = queue;
+      best_len = len;
+    }
+  if (best != NULL)
+    *rest = path + best_len;
+  return best;
+}
+
+const dks_service_entry_t *
+dks_catalog_service (const dks_catalog_t *catalog, const char *name)
+{
+  for (uint32_t i = 0; i < catalog->service_count; i++)
+    {
+      if (strcmp (catalog->services[i].name, name) == 0)
+        return &catalog->services[i];
+    }
+  return NULL;
+}
+
+/* The record passed between instances */
+
+static json_t *
+queue_to_json (const dks_queue_entry_t *queue)
+{
+  return json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "host", queue->host, "prefix",
+                    queue->prefix, "service", queue->service, "priority",
+                    (json_int_t)queue->priority, "max_attempts", (json_int_t)queue->max_attempts,
+                    "timeout_ms", (json_int_t)queue->timeout_ms, "factor_milli",
+                    (json_int_t)queue->objective_factor_milli, "extra_ms",
+                    (json_int_t)queue->objective_extra_ms, "advice", (int)queue->needs_advice);
+}
+
+dks_blob_t *
+dks_catalog_encode (const dks_catalog_t *catalog)
+{
+  json_t *queues = json_array ();
+  json_t *services = json_array ();
+  json_t *record;
+  dks_blob_t *blob;
+  char *text;
+
+  for (uint32_t i = 0; i < catalog->queue_count; i++)
+    json_array_append_new (queues, queue_to_json (&catalog->queues[i]));
+  for (uint32_t i = 0; i < catalog->service_count; i++)
+    json_array_append_new (services, json_pack ("{s:s,s:b,s:b}", "name", catalog->services[i].name,
+                                                "guards", (int)catalog->services[i].guards_room,
+                                                "standby", (int)catalog->services[i].standby));
+  record = json_pack ("{s:I,s:o,s:o}", "version", (json_int_t)catalog->version, "queues", queues,
+                      "services", services);
+  text = json_dumps (record, JSON_COMPACT);
+  DKS_INVARIANT (text != NULL);
+  blob = dks_blob_create_text (text);
+  free (text);
+  json_decref (record);
+  return blob;
+}
+
+static int
+queue_from_json (json_t *json, dks_queue_entry_t *queue)
+{
+  const char *host;
+  const char *prefix;
+  const char *service;
+  json_int_t priority;
+  json_int_t max_attempts;
+  json_int_t timeout_ms;
+  json_int_t factor_milli;
+  json_int_t extra_ms;
+  int advice;
+
+  if (json_unpack (json, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "host", &host, "prefix", &prefix,
+                   "service", &service, "priority", &priority, "max_attempts", &max_attempts,
+                   "timeout_ms", &timeout_ms, "factor_milli", &factor_milli, "extra_ms", &extra_ms,
+                   "advice", &advice)
+          != 0
+      || dks_strcpy (queue->host, sizeof (queue->host), host) != DKS_OK
+      || dks_strcpy (queue->prefix, sizeof (queue->prefix), prefix) != DKS_OK
+      || dks_strcpy (queue->service, sizeof (queue->service), service) != DKS_OK)
+    return DKS_ERR_INVALID;
+  queue->priority = (uint32_t)priority;
+  queue->max_attempts = (uint32_t)max_attempts;
+  queue->timeout_ms = (uint32_t)timeout_ms;
+  queue->objective_factor_milli = (uint32_t)factor_milli;
+  queue->objective_extra_ms = (uint32_t)extra_ms;
+  queue->needs_advice = advice != 0;
+  return DKS_OK;
+}
+
+static int
+service_from_json (json_t *json, dks_service_entry_t *service)
+{
+  const char *name;
+  int guards;
+  int standby;
+
+  if (json_unpack (json, "{s:s,s:b,s:b}", "name", &name, "guards", &guards, "standby", &standby)
+          != 0
+      || dks_strcpy (service->name, sizeof (service->name), name) != DKS_OK)
+    return DKS_ERR_INVALID;
+  service->guards_room = guards != 0;
+  service->standby = standby != 0;
+  return DKS_OK;
+}
+
+int
+dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog)
+{
+  json_t *json = json_loadb ((const char *)record->data, record->len, 0, NULL);
+  json_t *queues = json_object_get (json, "queues");
+  json_t *services = json_object_get (json, "services");
+  dks_catalog_t *created;
+  int error = DKS_OK;
+
+  *catalog = NULL;
+  if (!json_is_array (queues) || !json_is_array (services)
+      || json_array_size (queues) > DKS_CATALOG_ENTRIES_MAX
+      || json_array_size (services) > DKS_CATALOG_ENTRIES_MAX)
+    {
+      json_decref (json);
+      return DKS_ERR_INVALID;
+    }
+  created =
+      dks_catalog_create ((uint32_t)json_array_size (queues), (uint32_t)json_array_size (services));
+  created->version = json_integer_value (json_object_get (json, "version"));
+  if (created->version < 1)
+    error = DKS_ERR_INVALID;
+  for (uint32_t i = 0; i < created->queue_count && error == DKS_OK; i++)
+    error = queue_from_json (json_array_get (queues, i), &created->queues[i]);
+  for (uint32_t i = 0; i < created->service_count && error == DKS_OK; i++)
+    error = service_from_json (json_array_get (services, i), &created->services[i]);
+  json_decref (json);
+  if (error != DKS_OK)
+    {
+      dks_catalog_unref (created);
+      return error;
+    }
+  *catalog = created;
+  return DKS_OK;
+}
--- a/core/event.c
+++ b/core/event.c
@@ -38,6 +38,9 @@
     case DKS_EFFECT_STORE_CAS:
       dks_blob_unref (effect->u.store.value);
       break;
+    case DKS_EFFECT_LEASE_START:
+      dks_blob_unref (effect->u.lease.spec);
+      break;
     default:
       break;
     }
--- /dev/null
+++ b/core/leased.c
@@ -0,0 +1,182 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+dks_leased_t *
+dks_leased_create (dks_reducer_t *r)
+{
+  dks_leased_t *leased = dks_alloc (sizeof (*leased));
+
+  leased->r = r;
+  dks_lmembers_init (leased);
+  dks_ltargets_init (leased);
+  dks_ljobs_init (leased);
+  dks_lentry_init (leased);
+  dks_lfeed_init (leased);
+  return leased;
+}
+
+void
+dks_leased_destroy (dks_leased_t *leased)
+{
+  if (leased == NULL)
+    return;
+  dks_lentry_clear (leased);
+  dks_ljobs_clear (leased);
+  dks_ltargets_clear (leased);
+  dks_lfeed_clear (leased);
+  dks_lmembers_clear (leased);
+  free (leased);
+}
+
+static void
+handle_catalog_record (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
+{
+  dks_catalog_t *catalog = NULL;
+
+  if (dks_catalog_decode (msg->u.record.value, &catalog) != DKS_OK)
+    {
+      dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-unreadable source=%s", from);
+      return;
+    }
+  dks_lfeed_offer_catalog (leased, catalog, from);
+  dks_catalog_unref (catalog);
+}
+
+static void
+handle_peer_msg (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
+{
+  dks_lpeer_t *peer = dks_lpeer_find (leased, from);
+
+  if (peer == NULL || !peer->up)
+    return;
+  peer->heard_us = leased->r->now.mono_us;
+  switch (msg->type)
+    {
+    case DKS_MSG_LEASED_STATUS:
+      dks_lmembers_handle_status (leased, peer, msg);
+      break;
+    case DKS_MSG_ADDRESSES:
+      dks_lmembers_handle_addresses (leased, msg);
+      break;
+    case DKS_MSG_WORK:
+      dks_ljobs_handle_work (leased, from, msg);
+      break;
+    case DKS_MSG_WORK_DONE:
+      dks_lentry_handle_done (leased, from, msg);
+      break;
+    case DKS_MSG_WORK_CANCEL:
+      dks_ljobs_handle_cancel (leased, from, msg->u.work_cancel.request);
+      break;
+    case DKS_MSG_LENT_DONE:
+      dks_ljobs_handle_lent_done (leased, from, msg);
+      break;
+    case DKS_MSG_RECORD:
+      handle_catalog_record (leased, from, msg);
+      break;
+    default:
+      dks_emit_log (leased->r, DKS_LOG_WARNING, "event=unexpected-message peer=%s type=%s", from,
+                    dks_msg_name (msg->type));
+      break;
+    }
+}
+
+/* The product's own submissions carry a payload a task, which runs under leases do not take. */
+static void
+refuse_submission (dks_leased_t *leased, uint64_t caller, const char *key)
+{
+  dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_REPLY);
+  dks_answer_t *answer = dks_answer_create (key, DKS_OUTCOME_REFUSED, DKS_PROBLEM_NO_TARGET, 0);
+
+  dks_strcpy (answer->detail, sizeof (answer->detail),
+              "this instance serves batches for targets under lease only");
+  effect->u.reply.caller = caller;
+  effect->u.reply.answer = answer;
+}
+
+static void
+refuse_edit (dks_leased_t *leased, uint64_t caller)
+{
+  dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_EDIT_REPLY);
+
+  effect->u.edit_reply.caller = caller;
+  effect->u.edit_reply.error = DKS_ERR_UNAVAILABLE;
+  dks_strcpy (effect->u.edit_reply.detail, sizeof (effect->u.edit_reply.detail),
+              "the configuration is changed at the platform");
+}
+
+void
+dks_leased_handle_event (dks_leased_t *leased, const dks_event_t *event)
+{
+  switch (event->type)
+    {
+    case DKS_EVENT_BATCH:
+      dks_lentry_handle_batch (leased, event);
+      break;
+    case DKS_EVENT_CALLER_GONE:
+      dks_lentry_handle_caller_gone (leased, event->u.caller_gone.caller);
+      break;
+    case DKS_EVENT_FEED:
+      dks_lfeed_handle (leased, event);
+      break;
+    case DKS_EVENT_LEASE_REPLY:
+      dks_ltargets_handle_reply (leased, event);
+      break;
+    case DKS_EVENT_PEER_UP:
+      dks_lmembers_handle_up (leased, event->u.peer.peer, event->u.peer.data_centre);
+      break;
+    case DKS_EVENT_PEER_DOWN:
+      dks_lmembers_handle_down (leased, event->u.peer.peer);
+      break;
+    case DKS_EVENT_PEER_MSG:
+      handle_peer_msg (leased, event->u.peer_msg.peer, event->u.peer_msg.msg);
+      break;
+    case DKS_EVENT_DRAIN:
+      dks_lentry_handle_drain (leased);
+      break;
+    case DKS_EVENT_SUBMIT:
+      refuse_submission (leased, event->u.submit.caller, event->u.submit.submission->key);
+      break;
+    case DKS_EVENT_CANCEL:
+    case DKS_EVENT_QUERY:
+      refuse_submission (leased, event->u.key.caller, event->u.key.key);
+      break;
+    case DKS_EVENT_SETTINGS_EDIT:
+      refuse_edit (leased, event->u.settings_edit.caller);
+      break;
+    default:
+      break;
+    }
+}
+
+bool
+dks_leased_is_ready (const dks_leased_t *leased)
+{
+  return leased->drain_us == 0 && leased->catalog != NULL && dks_lmembers_leader (leased) != NULL;
+}
+
+char *
+dks_leased_status_json (const dks_leased_t *leased)
+{
+  const char *leader = dks_lmembers_leader (leased);
+  json_t *json;
+  char *text;
+
+  json = json_pack (
+      "{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:I}", "member", leased->r->self, "leader",
+      leader != NULL ? leader : "", "term", (json_int_t)leased->term, "catalog_version",
+      (json_int_t)(leased->catalog != NULL ? leased->catalog->version : 0), "ready",
+      (int)dks_leased_is_ready (leased), "requests", (json_int_t)leased->request_count, "jobs",
+      (json_int_t)leased->job_count, "waiting_tasks", (json_int_t)leased->waiting_tasks,
+      "free_tasks", (json_int_t)dks_ltargets_free_tasks (leased));
+  text = json_dumps (json, JSON_COMPACT);
+  DKS_INVARIANT (text != NULL);
+  json_decref (json);
+  return text;
+}
--- /dev/null
+++ b/core/leased_entry.c
@@ -0,0 +1,422 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  DEFAULT_BUDGET_MS = 30000, /* of callers that do not say how long they wait */
+  MAX_BUDGET_MS = 600000,
+  REFUSE_PART = 4,           /* a request that no leader has had is refused after this part of its
+                                objective */
+  NO_LEADER_RETRY_MS = 1000, /* an election takes less */
+  NO_CATALOG_RETRY_MS = 1000,
+  LEADER_SLACK_US = 50000,  /* the leader ends a request by itself before this is over */
+  DRAIN_MIN_US = 2500000,   /* the balancer needs two missed checks to look elsewhere */
+  DRAIN_CLOSE_US = 3800000, /* later requests could not be answered within the platform's grace */
+  DRAIN_MAX_US = 5500000    /* the platform's grace is 6 s */
+};
+
+static int64_t
+now_us (const dks_leased_t *leased)
+{
+  return leased->r->now.mono_us;
+}
+
+static void
+reply (dks_leased_t *leased, uint64_t caller, dks_batch_answer_t answer, uint32_t retry_after_ms,
+       const char *detail)
+{
+  dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_BATCH_REPLY);
+
+  effect->u.batch_reply.caller = caller;
+  effect->u.batch_reply.answer = answer;
+  effect->u.batch_reply.retry_after_ms = retry_after_ms;
+  dks_strcpy (effect->u.batch_reply.detail, sizeof (effect->u.batch_reply.detail), detail);
+}
+
+/* Requests */
+
+static void
+caller_free (dks_lcaller_t *caller)
+{
+  dks_leased_t *leased = caller->request->leased;
+
+  apr_hash_set (leased->callers_by_id, &caller->caller, sizeof (caller->caller), NULL);
+  APR_RING_REMOVE (caller, link);
+  free (caller);
+}
+
+static void
+request_free (dks_lrequest_t *request)
+{
+  dks_leased_t *leased = request->leased;
+
+  while (!APR_RING_EMPTY (&request->callers, dks_lcaller_t, link))
+    caller_free (APR_RING_FIRST (&request->callers));
+  dks_timer_cancel (leased->r->timers, &request->timer);
+  APR_RING_REMOVE (request, link);
+  leased->request_count--;
+  dks_batch_unref (request->batch);
+  free (request);
+}
+
+static void
+count_answer (dks_leased_t *leased, dks_batch_answer_t answer)
+{
+  static const dks_counter_t counters[] = {
+    [DKS_BATCH_COMPLETED] = DKS_COUNTER_ANSWERS_COMPLETE,
+    [DKS_BATCH_FAILED] = DKS_COUNTER_ANSWERS_FAILED,
+    [DKS_BATCH_CANCELLED] = DKS_COUNTER_ANSWERS_CANCELLED,
+    [DKS_BATCH_REFUSED] = DKS_COUNTER_ANSWERS_REFUSED,
+    [DKS_BATCH_LOST] = DKS_COUNTER_ANSWERS_UNKNOWN,
+  };
+
+  if ((size_t)answer < sizeof (counters) / sizeof (counters[0]))
+    dks_count (&leased->r->counters, counters[answer]);
+}
+
+static void
+request_answer (dks_lrequest_t *request, dks_batch_answer_t answer, uint32_t retry_after_ms,
+                const char *detail)
+{
+  dks_leased_t *leased = request->leased;
+  dks_lcaller_t *caller;
+
+  count_answer (leased, answer);
+  if (answer != DKS_BATCH_COMPLETED)
+    dks_emit_log (leased->r, DKS_LOG_INFO,
+                  "event=answer job=%s answer=%d age_ms=%" PRId64 " leader=%s catalog=%" PRId64
+                  " reason=\"%s\"",
+                  request->batch->id, (int)answer, (now_us (leased) - request->arrival_us) / 1000,
+                  request->leader, leased->catalog != NULL ? leased->catalog->version : 0, detail);
+  APR_RING_FOREACH (caller, &request->callers, dks_lcaller_t, link)
+    reply (leased, caller->caller, answer, retry_after_ms, detail);
+  request_free (request);
+}
+
+static void
+request_cancel (dks_lrequest_t *request)
+{
+  dks_leased_t *leased = request->leased;
+  dks_msg_t *msg;
+
+  if (strcmp (request->leader, leased->r->self) == 0)
+    dks_ljobs_handle_cancel (leased, leased->r->self, request->number);
+  else if (request->leader[0] != '\0')
+    {
+      msg = dks_msg_create (DKS_MSG_WORK_CANCEL);
+      msg->u.work_cancel.request = request->number;
+      dks_emit_peer (leased->r, request->leader, msg);
+    }
+}
+
+static void
+request_send (dks_lrequest_t *request, const char *leader)
+{
+  dks_leased_t *leased = request->leased;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+
+  msg->u.work.request = request->number;
+  msg->u.work.batch = dks_batch_ref (request->batch);
+  msg->u.work.age_us = now_us (leased) - request->arrival_us;
+  msg->u.work.objective_us = request->objective_us;
+  msg->u.work.budget_us = request->budget_us;
+  msg->u.work.resent = request->sent;
+  dks_strcpy (request->leader, sizeof (request->leader), leader);
+  request->sent = true;
+  dks_timer_set (leased->r->timers, &request->timer,
+                 request->arrival_us + request->budget_us + LEADER_SLACK_US);
+  dks_count (&leased->r->counters, DKS_COUNTER_FORWARDS);
+  if (strcmp (leader, leased->r->self) != 0)
+    {
+      dks_emit_peer (leased->r, leader, msg);
+      return;
+    }
+  /* May answer at once, and free the request. */
+  dks_ljobs_handle_work (leased, leader, msg);
+  dks_msg_unref (msg);
+}
+
+static void
+handle_request_timer (void *context, int64_t time_us)
+{
+  dks_lrequest_t *request = context;
+
+  if (!request->sent)
+    {
+      request_answer (request, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS,
+                      "no leader of the data centre is known");
+      return;
+    }
+  request_cancel (request);
+  request_answer (request, DKS_BATCH_LOST, 0, "no answer in time");
+}
+
+void
+dks_lentry_review (dks_leased_t *leased)
+{
+  const char *leader = dks_lmembers_leader (leased);
+  dks_lrequest_t *request;
+  dks_lrequest_t *next;
+
+  if (leader == NULL)
+    return;
+  APR_RING_FOREACH_SAFE (request, next, &leased->requests, dks_lrequest_t, link)
+    {
+      if (strcmp (request->leader, leader) == 0)
+        continue;
+      if (request->sent)
+        dks_emit_log (leased->r, DKS_LOG_INFO, "event=request-moved job=%s from=%s to=%s",
+                      request->batch->id, request->leader, leader);
+      request_send (request, leader);
+    }
+}
+
+static dks_lrequest_t *
+request_find (const dks_leased_t *leased, const char *id)
+{
+  dks_lrequest_t *request;
+
+  APR_RING_FOREACH (request, &leased->requests, dks_lrequest_t, link)
+    {
+      if (strcmp (request->batch->id, id) == 0)
+        return request;
+    }
+  return NULL;
+}
+
+static void
+request_add_caller (dks_lrequest_t *request, uint64_t id)
+{
+  dks_lcaller_t *caller = dks_alloc (sizeof (*caller));
+
+  caller->caller = id;
+  caller->request = request;
+  APR_RING_INSERT_TAIL (&request->callers, caller, dks_lcaller_t, link);
+  apr_hash_set (request->leased->callers_by_id, &caller->caller, sizeof (caller->caller), caller);
+}
+
+static int64_t
+budget_us (const dks_queue_entry_t *queue, int64_t caller_ms)
+{
+  int64_t budget_ms = caller_ms > 0 ? caller_ms : DEFAULT_BUDGET_MS;
+
+  if (queue->timeout_ms > 0 && queue->timeout_ms < budget_ms)
+    budget_ms = queue->timeout_ms;
+  return 1000 * (budget_ms < MAX_BUDGET_MS ? budget_ms : MAX_BUDGET_MS);
+}
+
+static void
+submit (dks_leased_t *leased, const dks_event_t *event, const dks_queue_entry_t *queue,
+        const char *id)
+{
+  dks_batch_t *batch = event->u.batch.batch;
+  dks_lrequest_t *request = request_find (leased, id);
+  const char *leader = dks_lmembers_leader (leased);
+
+  if (request != NULL)
+    {
+      request_add_caller (request, event->u.batch.caller);
+      return;
+    }
+  request = dks_alloc (sizeof (*request));
+  request->leased = leased;
+  request->number = dks_next_id (leased->r);
+  request->batch = dks_batch_ref (batch);
+  request->arrival_us = now_us (leased);
+  request->objective_us = INT64_C (1000) * queue->objective_extra_ms
+                          + (int64_t)dks_batch_chain_ms (batch) * queue->objective_factor_milli;
+  request->budget_us = budget_us (queue, event->u.batch.budget_ms);
+  dks_strcpy (request->queue, sizeof (request->queue), queue->prefix);
+  APR_RING_INIT (&request->callers, dks_lcaller_t, link);
+  dks_timer_init (&request->timer, handle_request_timer, request);
+  APR_RING_INSERT_TAIL (&leased->requests, request, dks_lrequest_t, link);
+  leased->request_count++;
+  request_add_caller (request, event->u.batch.caller);
+  dks_timer_set (leased->r->timers, &request->timer,
+                 request->arrival_us + request->objective_us / REFUSE_PART);
+  if (leader != NULL)
+    request_send (request, leader);
+}
+
+static void
+handle_submit (dks_leased_t *leased, const dks_event_t *event, const dks_queue_entry_t *queue,
+               const char *id)
+{
+  dks_batch_t *batch = event->u.batch.batch;
+  uint64_t caller = event->u.batch.caller;
+
+  dks_count (&leased->r->counters, DKS_COUNTER_SUBMISSIONS);
+  if (event->u.batch.refusal != NULL || queue->needs_advice)
+    {
+      const char *reason =
+          event->u.batch.refusal != NULL ? event->u.batch.refusal : "queues with advice";
+
+      dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%s answer=%d reason=\"%s\"", id,
+                    (int)DKS_BATCH_REFUSED, reason);
+      count_answer (leased, DKS_BATCH_REFUSED);
+      reply (leased, caller, DKS_BATCH_REFUSED, 0, reason);
+      return;
+    }
+  if (leased->drain_us > 0 && now_us (leased) - leased->drain_us > DRAIN_CLOSE_US)
+    {
+      count_answer (leased, DKS_BATCH_REFUSED);
+      reply (leased, caller, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS, "the instance shuts down");
+      return;
+    }
+  if (batch == NULL || dks_strcpy (batch->id, sizeof (batch->id), id) != DKS_OK)
+    {
+      reply (leased, caller, DKS_BATCH_INVALID, 0, "the job is malformed");
+      return;
+    }
+  dks_strcpy (batch->service, sizeof (batch->service), queue->service);
+  batch->priority = queue->priority;
+  batch->max_attempts = queue->max_attempts;
+  submit (leased, event, queue, id);
+}
+
+static void
+handle_cancel (dks_leased_t *leased, uint64_t caller, const char *id)
+{
+  dks_lrequest_t *request = request_find (leased, id);
+
+  if (request == NULL)
+    {
+      reply (leased, caller, DKS_BATCH_UNKNOWN_JOB, 0, "");
+      return;
+    }
+  request_cancel (request);
+  request_answer (request, DKS_BATCH_FAILED, 0, "cancelled");
+  reply (leased, caller, DKS_BATCH_CANCELLED, 0, "");
+}
+
+static void
+handle_query (dks_leased_t *leased, uint64_t caller, const dks_queue_entry_t *queue, const char *id)
+{
+  dks_effect_t *effect;
+
+  if (id[0] != '\0')
+    {
+      reply (leased, caller,
+             request_find (leased, id) != NULL ? DKS_BATCH_RUNNING : DKS_BATCH_UNKNOWN_JOB, 0, "");
+      return;
+    }
+  /* Only jobs that are kept count as pending, and none are. */
+  effect = dks_effects_add (leased->r->effects, DKS_EFFECT_BATCH_REPLY);
+  effect->u.batch_reply.caller = caller;
+  effect->u.batch_reply.answer = DKS_BATCH_PENDING;
+}
+
+void
+dks_lentry_handle_batch (dks_leased_t *leased, const dks_event_t *event)
+{
+  uint64_t caller = event->u.batch.caller;
+  const dks_queue_entry_t *queue;
+  const char *id = "";
+
+  if (leased->catalog == NULL)
+    {
+      reply (leased, caller, DKS_BATCH_REFUSED, NO_CATALOG_RETRY_MS,
+             "no configuration is known yet");
+      return;
+    }
+  queue = dks_catalog_find (leased->catalog, event->u.batch.host, event->u.batch.path, &id);
+  if (queue == NULL)
+    {
+      reply (leased, caller, DKS_BATCH_NO_QUEUE, 0, "no such queue");
+      return;
+    }
+  switch (event->u.batch.verb)
+    {
+    case DKS_BATCH_SUBMIT:
+      handle_submit (leased, event, queue, id);
+      break;
+    case DKS_BATCH_QUERY:
+      handle_query (leased, caller, queue, id);
+      break;
+    case DKS_BATCH_CANCEL:
+      handle_cancel (leased, caller, id);
+      break;
+    }
+}
+
+void
+dks_lentry_handle_caller_gone (dks_leased_t *leased, uint64_t id)
+{
+  dks_lcaller_t *caller = apr_hash_get (leased->callers_by_id, &id, sizeof (id));
+  dks_lrequest_t *request;
+
+  if (caller == NULL)
+    return;
+  request = caller->request;
+  caller_free (caller);
+  if (!APR_RING_EMPTY (&request->callers, dks_lcaller_t, link))
+    return;
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=caller-gone job=%s age_ms=%" PRId64,
+                request->batch->id, (now_us (leased) - request->arrival_us) / 1000);
+  request_cancel (request);
+  request_free (request);
+}
+
+void
+dks_lentry_handle_done (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
+{
+  dks_lrequest_t *request;
+
+  APR_RING_FOREACH (request, &leased->requests, dks_lrequest_t, link)
+    {
+      if (request->number == msg->u.work_done.request)
+        break;
+    }
+  /* An answer of an earlier leader may cross the submission to the next. */
+  if (request == APR_RING_SENTINEL (&leased->requests, dks_lrequest_t, link)
+      || (strcmp (request->leader, from) != 0 && msg->u.work_done.answer != DKS_BATCH_COMPLETED))
+    return;
+  if (strcmp (request->leader, from) != 0)
+    request_cancel (request);
+  request_answer (request, (dks_batch_answer_t)msg->u.work_done.answer,
+                  msg->u.work_done.retry_after_ms, msg->u.work_done.detail);
+}
+
+/* Shutdown */
+
+void
+dks_lentry_handle_drain (dks_leased_t *leased)
+{
+  if (leased->drain_us > 0)
+    return;
+  leased->drain_us = now_us (leased);
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=drain-start requests=%u", leased->request_count);
+  dks_lmembers_touch (leased);
+}
+
+bool
+dks_lentry_is_drained (const dks_leased_t *leased)
+{
+  int64_t since_us;
+
+  if (leased->drain_us == 0)
+    return false;
+  since_us = now_us (leased) - leased->drain_us;
+  return since_us >= DRAIN_MAX_US
+         || (since_us >= DRAIN_MIN_US && leased->request_count == 0 && leased->job_count == 0);
+}
+
+void
+dks_lentry_init (dks_leased_t *leased)
+{
+  APR_RING_INIT (&leased->requests, dks_lrequest_t, link);
+  leased->callers_by_id = apr_hash_make (leased->r->pool);
+}
+
+void
+dks_lentry_clear (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->requests, dks_lrequest_t, link))
+    request_free (APR_RING_FIRST (&leased->requests));
+}
--- /dev/null
+++ b/core/leased_feed.c
@@ -0,0 +1,224 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  WATCH_TIMEOUT_MS = 4000, /* a connection that fell silent is noticed within this time */
+  READ_TIMEOUT_MS = 1500,  /* answers take some ms, in a slow phase some hundred */
+  RETRY_MIN_US = 150000,
+  RETRY_MAX_US = 1200000
+};
+
+static const char *
+feed_name (dks_feed_t feed)
+{
+  return feed == DKS_FEED_CATALOG ? "catalog" : "targets";
+}
+
+static void
+send_op (dks_leased_t *leased, dks_feed_t which)
+{
+  dks_lfeed_t *feed = &leased->feeds[which];
+  dks_effect_t *effect = dks_effects_add (
+      leased->r->effects, feed->is_watch ? DKS_EFFECT_FEED_WATCH : DKS_EFFECT_FEED_READ);
+
+  feed->op = dks_next_id (leased->r);
+  effect->u.feed.op = feed->op;
+  effect->u.feed.feed = which;
+  effect->u.feed.revision = feed->revision;
+  effect->u.feed.timeout_ms = feed->is_watch ? WATCH_TIMEOUT_MS : READ_TIMEOUT_MS;
+  dks_strcpy (effect->u.feed.after, sizeof (effect->u.feed.after), feed->after);
+  dks_count (&leased->r->counters, DKS_COUNTER_STORE_READS);
+}
+
+static void
+begin_read (dks_leased_t *leased, dks_feed_t which)
+{
+  dks_lfeed_t *feed = &leased->feeds[which];
+
+  feed->is_watch = false;
+  feed->after[0] = '\0';
+  feed->generation++;
+  feed->revision = 0;
+  send_op (leased, which);
+}
+
+static void
+begin_watch (dks_leased_t *leased, dks_feed_t which)
+{
+  leased->feeds[which].is_watch = true;
+  send_op (leased, which);
+}
+
+static void
+retry (dks_leased_t *leased, dks_feed_t which)
+{
+  dks_lfeed_t *feed = &leased->feeds[which];
+  int64_t wait_us = RETRY_MIN_US << (feed->failures < 4 ? feed->failures : 4);
+
+  if (wait_us > RETRY_MAX_US)
+    wait_us = RETRY_MAX_US;
+  wait_us = wait_us / 2 + (int64_t)(dks_random (leased->r) % (uint64_t)wait_us) / 2;
+  feed->failures++;
+  dks_timer_set (leased->r->timers, &feed->timer, leased->r->now.mono_us + wait_us);
+}
+
+static void
+handle_retry (dks_leased_t *leased, dks_feed_t which)
+{
+  dks_lfeed_t *feed = &leased->feeds[which];
+
+  if (feed->is_watch)
+    begin_watch (leased, which);
+  else
+    begin_read (leased, which);
+}
+
+static void
+handle_catalog_timer (void *context, int64_t now_us)
+{
+  handle_retry (context, DKS_FEED_CATALOG);
+}
+
+static void
+handle_targets_timer (void *context, int64_t now_us)
+{
+  handle_retry (context, DKS_FEED_TARGETS);
+}
+
+/* Items */
+
+void
+dks_lfeed_offer_catalog (dks_leased_t *leased, dks_catalog_t *catalog, const char *source)
+{
+  if (leased->catalog != NULL && leased->catalog->version >= catalog->version)
+    return;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE,
+                "event=catalog-applied version=%" PRId64 " previous=%" PRId64
+                " queues=%u source=%s",
+                catalog->version, leased->catalog != NULL ? leased->catalog->version : 0,
+                catalog->queue_count, source);
+  dks_catalog_unref (leased->catalog);
+  dks_blob_unref (leased->catalog_record);
+  leased->catalog = dks_catalog_ref (catalog);
+  leased->catalog_record = dks_catalog_encode (catalog);
+  dks_count (&leased->r->counters, DKS_COUNTER_SETTINGS_APPLIED);
+  dks_lmembers_spread_catalog (leased);
+  dks_lmembers_touch (leased);
+}
+
+static void
+handle_item (dks_leased_t *leased, dks_feed_t which, const dks_feed_item_t *item)
+{
+  if (which == DKS_FEED_CATALOG)
+    {
+      if (item->catalog != NULL)
+        dks_lfeed_offer_catalog (leased, item->catalog, "platform");
+      else
+        dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-%s key=%s",
+                      item->deleted ? "deleted" : "unreadable", item->key);
+      return;
+    }
+  if (item->target != NULL)
+    dks_ltargets_put (leased, item->target);
+  else
+    dks_ltargets_remove (leased, item->key);
+}
+
+/* Targets that a complete read did not contain are gone. */
+static void
+remove_unseen (dks_leased_t *leased, uint32_t generation)
+{
+  dks_ltarget_t *target;
+  dks_ltarget_t *next;
+
+  APR_RING_FOREACH_SAFE (target, next, &leased->targets, dks_ltarget_t, link)
+    {
+      if (target->listed && target->generation != generation)
+        dks_ltargets_remove (leased, target->info.id);
+    }
+}
+
+static void
+handle_read (dks_leased_t *leased, dks_feed_t which, const dks_event_t *event)
+{
+  dks_lfeed_t *feed = &leased->feeds[which];
+
+  /* Changes between two parts are seen by the watch only from the first part's revision on. */
+  if (feed->revision == 0)
+    feed->revision = event->u.feed.revision;
+  if (event->u.feed.more && event->u.feed.count > 0)
+    {
+      dks_strcpy (feed->after, sizeof (feed->after),
+                  event->u.feed.items[event->u.feed.count - 1].key);
+      send_op (leased, which);
+      return;
+    }
+  feed->read = true;
+  if (which == DKS_FEED_TARGETS)
+    remove_unseen (leased, feed->generation);
+  begin_watch (leased, which);
+}
+
+void
+dks_lfeed_handle (dks_leased_t *leased, const dks_event_t *event)
+{
+  dks_feed_t which = DKS_FEED_CATALOG;
+  dks_lfeed_t *feed;
+
+  while (which < DKS_FEED_COUNT && leased->feeds[which].op != event->u.feed.op)
+    which++;
+  if (which == DKS_FEED_COUNT)
+    return;
+  feed = &leased->feeds[which];
+  feed->op = 0;
+  if (event->u.feed.status != DKS_FEED_OK)
+    {
+      if (feed->failures == 0 || event->u.feed.status == DKS_FEED_HISTORY_GONE)
+        dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=feed-%s feed=%s call=%s",
+                      event->u.feed.status == DKS_FEED_HISTORY_GONE ? "history-gone"
+                                                                    : "unavailable",
+                      feed_name (which), feed->is_watch ? "watch" : "read");
+      if (event->u.feed.status == DKS_FEED_HISTORY_GONE)
+        begin_read (leased, which);
+      else
+        retry (leased, which);
+      return;
+    }
+  if (feed->failures > 0)
+    dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=feed-back feed=%s", feed_name (which));
+  feed->failures = 0;
+  feed->read_us = leased->r->now.mono_us;
+  for (size_t i = 0; i < event->u.feed.count; i++)
+    handle_item (leased, which, &event->u.feed.items[i]);
+  if (!feed->is_watch)
+    {
+      handle_read (leased, which, event);
+      return;
+    }
+  if (event->u.feed.revision > feed->revision)
+    feed->revision = event->u.feed.revision;
+  begin_watch (leased, which);
+}
+
+void
+dks_lfeed_init (dks_leased_t *leased)
+{
+  dks_timer_init (&leased->feeds[DKS_FEED_CATALOG].timer, handle_catalog_timer, leased);
+  dks_timer_init (&leased->feeds[DKS_FEED_TARGETS].timer, handle_targets_timer, leased);
+  for (dks_feed_t which = DKS_FEED_CATALOG; which < DKS_FEED_COUNT; which++)
+    dks_timer_set (leased->r->timers, &leased->feeds[which].timer, leased->r->now.mono_us);
+}
+
+void
+dks_lfeed_clear (dks_leased_t *leased)
+{
+  for (dks_feed_t which = DKS_FEED_CATALOG; which < DKS_FEED_COUNT; which++)
+    dks_timer_cancel (leased->r->timers, &leased->feeds[which].timer);
+  dks_catalog_unref (leased->catalog);
+  dks_blob_unref (leased->catalog_record);
+}
--- /dev/null
+++ b/core/leased_jobs.c
@@ -0,0 +1,874 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  REFUSE_PART = 4,           /* a job of which nothing has started is refused after this part of its
+                                objective: its caller can still go elsewhere */
+  RETRY_AFTER_MIN_MS = 1000, /* the header has whole seconds */
+  RETRY_AFTER_MAX_MS = 30000,
+  RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
+  LEND_CALLS_MAX = 32,   /* messages about lent tasks of one job and one review */
+  /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
+   * Their lender stops them when it is told, or misses that leader: a silence and a lease. */
+  TOLD_WAIT_US = 300000,
+  MISSED_WAIT_US = 1100000,
+  SUCCESSOR_RUNS = 8 /* first run of a task that another leader had: above the numbers of
+                        runs that this one has not heard of */
+};
+
+static int64_t
+now_us (const dks_leased_t *leased)
+{
+  return leased->r->now.mono_us;
+}
+
+/* Answers */
+
+static void
+send_done (dks_leased_t *leased, const char *origin, uint64_t request, dks_batch_answer_t answer,
+           uint32_t retry_after_ms, const char *detail)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK_DONE);
+
+  msg->u.work_done.request = request;
+  msg->u.work_done.answer = (uint32_t)answer;
+  msg->u.work_done.retry_after_ms = retry_after_ms;
+  dks_strcpy (msg->u.work_done.detail, sizeof (msg->u.work_done.detail), detail);
+  if (strcmp (origin, leased->r->self) != 0)
+    {
+      dks_emit_peer (leased->r, origin, msg);
+      return;
+    }
+  dks_lentry_handle_done (leased, origin, msg);
+  dks_msg_unref (msg);
+}
+
+static void
+send_lent_done (dks_leased_t *leased, const char *peer, uint64_t request, uint32_t index,
+                dks_lent_result_t result)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_LENT_DONE);
+
+  msg->u.lent_done.request = request;
+  msg->u.lent_done.index = index;
+  msg->u.lent_done.result = (uint32_t)result;
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+static void
+send_cancel (dks_leased_t *leased, const char *peer, uint64_t request)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK_CANCEL);
+
+  msg->u.work_cancel.request = request;
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+/* Jobs */
+
+static dks_ljob_t *
+job_find (const dks_leased_t *leased, const char *origin, uint64_t request)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      if (job->request == request && strcmp (job->origin, origin) == 0)
+        return job;
+    }
+  return NULL;
+}
+
+static dks_ljob_t *
+job_find_id (const dks_leased_t *leased, const char *id)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      if (!job->lent && strcmp (job->batch->id, id) == 0)
+        return job;
+    }
+  return NULL;
+}
+
+static void
+job_free (dks_ljob_t *job)
+{
+  dks_leased_t *leased = job->leased;
+
+  dks_timer_cancel (leased->r->timers, &job->timer);
+  leased->waiting_tasks -= job->waiting;
+  leased->job_count--;
+  APR_RING_REMOVE (job, link);
+  dks_batch_unref (job->batch);
+  free (job);
+  leased->pump_wanted = true;
+}
+
+static void
+task_cancel_lent (dks_ljob_t *job, dks_ltask_t *task)
+{
+  if (task->peer[0] != '\0')
+    send_cancel (job->leased, task->peer, job->lend_id);
+  else
+    job->leased->lost_tasks--;
+}
+
+/* Stops whatever of the job still runs, here and at other leaders, and drops it. */
+static void
+job_stop (dks_ljob_t *job)
+{
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      dks_ltask_t *task = &job->tasks[i];
+
+      if (task->state == DKS_LTASK_PLACED)
+        dks_lrun_stop (task->current);
+      else if (task->state == DKS_LTASK_LENT)
+        task_cancel_lent (job, task);
+    }
+  job_free (job);
+}
+
+static void
+job_answer (dks_ljob_t *job, dks_batch_answer_t answer, uint32_t retry_after_ms, const char *detail)
+{
+  dks_leased_t *leased = job->leased;
+  char origin[DKS_NAME_SIZE];
+  uint64_t request = job->request;
+
+  if (answer != DKS_BATCH_COMPLETED)
+    dks_emit_log (leased->r, DKS_LOG_INFO,
+                  "event=job-%s job=%s age_ms=%" PRId64
+                  " tasks=%u done=%u waiting=%u backlog=%u reason=\"%s\"",
+                  answer == DKS_BATCH_REFUSED  ? "refused"
+                  : answer == DKS_BATCH_FAILED ? "failed"
+                                               : "lost",
+                  job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
+                  job->done, job->waiting, leased->waiting_tasks, detail);
+  dks_strcpy (origin, sizeof (origin), job->origin);
+  job_stop (job);
+  send_done (leased, origin, request, answer, retry_after_ms, detail);
+}
+
+/* Time until the tasks that wait now will have found room, ms. */
+static uint32_t
+backlog_ms (const dks_leased_t *leased, uint32_t tasks)
+{
+  uint32_t capacity = dks_ltargets_capacity (leased);
+
+  if (capacity == 0)
+    return RETRY_AFTER_MAX_MS;
+  return (uint32_t)(tasks * leased->run_mean_us / 1000 / capacity);
+}
+
+static uint32_t
+retry_after_ms (const dks_leased_t *leased)
+{
+  uint32_t wait_ms = backlog_ms (leased, leased->waiting_tasks);
+
+  if (wait_ms < RETRY_AFTER_MIN_MS)
+    return RETRY_AFTER_MIN_MS;
+  return wait_ms < RETRY_AFTER_MAX_MS ? wait_ms : RETRY_AFTER_MAX_MS;
+}
+
+static void
+job_refuse (dks_ljob_t *job, const char *detail)
+{
+  /* What another leader may have started is not known to be "not run". */
+  job_answer (job, job->resent ? DKS_BATCH_LOST : DKS_BATCH_REFUSED, retry_after_ms (job->leased),
+              detail);
+}
+
+static void
+job_plan_timer (dks_ljob_t *job)
+{
+  int64_t at_us = job->begun || job->lent ? job->give_up_us : job->wait_until_us;
+
+  dks_timer_set (job->leased->r->timers, &job->timer, at_us);
+}
+
+static void
+handle_job_timer (void *context, int64_t time_us)
+{
+  dks_ljob_t *job = context;
+
+  if (job->lent)
+    job_stop (job);
+  else if (!job->begun)
+    job_refuse (job, "no room in time");
+  else if (time_us >= job->give_up_us)
+    job_answer (job, DKS_BATCH_LOST, 0, "the caller's time is over");
+  else
+    job_plan_timer (job);
+}
+
+/* Keeps the jobs in the order of the latest moment at which they may start. */
+static void
+job_insert (dks_ljob_t *job)
+{
+  dks_leased_t *leased = job->leased;
+  dks_ljob_t *other;
+
+  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
+    {
+      if (other->latest_start_us > job->latest_start_us)
+        break;
+    }
+  if (other == APR_RING_SENTINEL (&leased->jobs, dks_ljob_t, link))
+    APR_RING_INSERT_TAIL (&leased->jobs, job, dks_ljob_t, link);
+  else
+    APR_RING_INSERT_BEFORE (other, job, link);
+}
+
+static dks_ljob_t *
+job_create (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
+{
+  dks_batch_t *batch = msg->u.work.batch;
+  bool lent = msg->u.work.lent_count > 0;
+  uint32_t count = lent ? msg->u.work.lent_count : batch->task_count;
+  dks_ljob_t *job = dks_alloc (sizeof (*job) + count * sizeof (job->tasks[0]));
+  int64_t chain_us = INT64_C (1000) * dks_batch_chain_ms (batch);
+
+  job->leased = leased;
+  job->batch = dks_batch_ref (batch);
+  job->lent = lent;
+  job->request = msg->u.work.request;
+  job->lend_id = dks_next_id (leased->r);
+  job->resent = msg->u.work.resent;
+  job->task_count = count;
+  job->waiting = count;
+  job->arrival_us = now_us (leased) - msg->u.work.age_us;
+  job->latest_start_us = job->arrival_us + msg->u.work.objective_us
+                         - (int64_t)((double)chain_us * leased->slowness_mean);
+  job->wait_until_us = job->arrival_us + msg->u.work.objective_us / REFUSE_PART;
+  job->give_up_us = job->arrival_us + msg->u.work.budget_us;
+  dks_strcpy (job->origin, sizeof (job->origin), origin);
+  dks_timer_init (&job->timer, handle_job_timer, job);
+  leased->waiting_tasks += count;
+  leased->job_count++;
+  job_insert (job);
+  return job;
+}
+
+static void
+job_fill_tasks (dks_ljob_t *job, const dks_msg_t *msg)
+{
+  uint32_t next = 0;
+
+  if (job->lent)
+    {
+      for (uint32_t i = 0; i < job->task_count; i++)
+        job->tasks[i] = (dks_ltask_t){ .step = msg->u.work.step,
+                                       .index = msg->u.work.lent[i],
+                                       .run = msg->u.work.runs[i],
+                                       .state = DKS_LTASK_WAITING };
+      job->step_left[0] = job->task_count;
+      return;
+    }
+  for (uint32_t step = 0; step < job->batch->step_count; step++)
+    {
+      job->step_left[step] = job->batch->steps[step].count;
+      for (uint32_t i = 0; i < job->batch->steps[step].count; i++)
+        job->tasks[next++] = (dks_ltask_t){
+          .step = step, .batch_step = step, .index = i, .state = DKS_LTASK_WAITING
+        };
+    }
+}
+
+/* Placing */
+
+static bool
+task_is_due (const dks_ljob_t *job, const dks_ltask_t *task)
+{
+  uint32_t after = job->batch->steps[task->batch_step].after;
+
+  if (task->state != DKS_LTASK_WAITING || task->not_before_us > now_us (job->leased))
+    return false;
+  for (uint32_t step = 0; after != 0 && !job->lent; step++, after >>= 1)
+    {
+      if ((after & 1) != 0 && job->step_left[step] > 0)
+        return false;
+    }
+  return true;
+}
+
+static void
+task_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state)
+{
+  task->state = state;
+  job->waiting--;
+  job->leased->waiting_tasks--;
+  if (job->begun)
+    return;
+  job->begun = true;
+  job_plan_timer (job);
+}
+
+static void
+task_wait_again (dks_ljob_t *job, dks_ltask_t *task)
+{
+  task->state = DKS_LTASK_WAITING;
+  task->current = NULL;
+  job->waiting++;
+  job->leased->waiting_tasks++;
+  job->leased->pump_wanted = true;
+}
+
+/* Takes over a run that an earlier leader started. */
+static bool
+task_claim_adopted (dks_ljob_t *job, uint32_t index)
+{
+  dks_ltask_t *task = &job->tasks[index];
+  const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
+  char name[DKS_TASK_NAME_SIZE];
+  dks_lrun_t *run;
+
+  dks_batch_task_name (job->batch->id, task->step, task->index, name);
+  run = dks_ltargets_find_adopted (job->leased, name);
+  if (run == NULL)
+    return false;
+  run->job = job;
+  run->task = index;
+  run->estimate_ms = step->estimate_ms;
+  task->current = run;
+  task->run = run->run;
+  task_leave_waiting (job, task, DKS_LTASK_PLACED);
+  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", name, run->run);
+  return true;
+}
+
+/* A task of a job that an earlier leader had. Returns true when nothing more is to be done now. */
+static bool
+task_resume (dks_ljob_t *job, uint32_t index)
+{
+  dks_leased_t *leased = job->leased;
+  dks_ltask_t *task = &job->tasks[index];
+  int64_t wait_us = leased->led_planned ? TOLD_WAIT_US : MISSED_WAIT_US;
+
+  if (task_claim_adopted (job, index))
+    return true;
+  if (job->lent)
+    {
+      /* The lists of all targets have been read, and late starts are fenced off. */
+      task_leave_waiting (job, task, DKS_LTASK_DONE);
+      job->done++;
+      send_lent_done (leased, job->origin, job->request, task->index, DKS_LENT_ENDED);
+      return true;
+    }
+  return now_us (leased) < leased->led_us + wait_us;
+}
+
+static bool
+task_place (dks_ljob_t *job, uint32_t index)
+{
+  dks_leased_t *leased = job->leased;
+  dks_ltask_t *task = &job->tasks[index];
+  dks_ltarget_t *target;
+
+  if (job->resent && !task->known && task_resume (job, index))
+    return true;
+  task->known = true;
+  target = dks_ltargets_choose (leased, job, task);
+  if (target == NULL)
+    return false;
+  /* Lent tasks carry the number of their run. */
+  if (!job->lent)
+    task->run += job->resent && task->run == 0 ? SUCCESSOR_RUNS : 1;
+  dks_ltargets_start (leased, target, job, index);
+  task_leave_waiting (job, task, DKS_LTASK_PLACED);
+  return true;
+}
+
+/* Lending */
+
+static dks_lpeer_t *
+choose_lender (dks_leased_t *leased)
+{
+  dks_lpeer_t *peer;
+  dks_lpeer_t *best = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term == 0 || peer->free_tasks == 0 || !dks_lpeer_is_alive (leased, peer)
+          || strcmp (peer->data_centre, leased->r->config.data_centre) == 0)
+        continue;
+      if (best == NULL || peer->free_tasks > best->free_tasks)
+        best = peer;
+    }
+  return best;
+}
+
+static dks_batch_t *
+single_step_batch (const dks_batch_t *batch, uint32_t step)
+{
+  dks_batch_t *single = dks_batch_create (1);
+
+  dks_strcpy (single->id, sizeof (single->id), batch->id);
+  dks_strcpy (single->service, sizeof (single->service), batch->service);
+  single->priority = batch->priority;
+  single->max_attempts = batch->max_attempts;
+  single->spec = dks_blob_ref (batch->spec);
+  single->steps[0] = batch->steps[step];
+  single->steps[0].after = 0;
+  dks_batch_complete (single);
+  return single;
+}
+
+/* Sends due tasks of one step, as many as fit at the peer. */
+static void
+lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first)
+{
+  dks_leased_t *leased = job->leased;
+  uint32_t step = job->tasks[first].batch_step;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+  uint32_t count = 0;
+
+  msg->u.work.lent = dks_alloc (job->task_count * sizeof (msg->u.work.lent[0]));
+  msg->u.work.runs = dks_alloc (job->task_count * sizeof (msg->u.work.runs[0]));
+  for (uint32_t i = first; i < job->task_count && peer->free_tasks > 0; i++)
+    {
+      dks_ltask_t *task = &job->tasks[i];
+
+      if (task->batch_step != step || !task_is_due (job, task))
+        continue;
+      task->run++;
+      msg->u.work.lent[count] = task->index;
+      msg->u.work.runs[count] = task->run;
+      count++;
+      peer->free_tasks--;
+      dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+      dks_strcpy (task->lender_dc, sizeof (task->lender_dc), peer->data_centre);
+      task_leave_waiting (job, task, DKS_LTASK_LENT);
+    }
+  msg->u.work.request = job->lend_id;
+  msg->u.work.batch = single_step_batch (job->batch, step);
+  msg->u.work.age_us = now_us (leased) - job->arrival_us;
+  msg->u.work.objective_us = job->wait_until_us - job->arrival_us;
+  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
+  msg->u.work.step = job->tasks[first].step;
+  msg->u.work.lent_count = count;
+  dks_emit_peer (leased->r, peer->id, msg);
+}
+
+static void
+lend_waiting (dks_ljob_t *job)
+{
+  dks_leased_t *leased = job->leased;
+  uint32_t calls = 0;
+
+  /* Runs of a job that another leader had may be anywhere here; it is not spread further. */
+  if (job->resent)
+    return;
+  for (uint32_t i = 0; i < job->task_count && calls < LEND_CALLS_MAX; i++)
+    {
+      dks_lpeer_t *peer;
+
+      if (!task_is_due (job, &job->tasks[i]))
+        continue;
+      peer = choose_lender (leased);
+      if (peer == NULL)
+        return;
+      lend_tasks (job, peer, i);
+      calls++;
+    }
+}
+
+/* The present leader of a data centre, not ourselves. */
+static dks_lpeer_t *
+find_leader (const dks_leased_t *leased, const char *data_centre)
+{
+  dks_lpeer_t *peer;
+  dks_lpeer_t *best = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
+          && strcmp (peer->data_centre, data_centre) == 0
+          && (best == NULL || peer->term > best->term))
+        best = peer;
+    }
+  return best;
+}
+
+/* Asks the successor of a lost lender for a task: whether it runs there. */
+static void
+task_ask_successor (dks_ljob_t *job, dks_ltask_t *task)
+{
+  dks_leased_t *leased = job->leased;
+  dks_lpeer_t *peer = find_leader (leased, task->lender_dc);
+  dks_msg_t *msg;
+
+  if (peer == NULL)
+    return;
+  leased->lost_tasks--;
+  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+  msg = dks_msg_create (DKS_MSG_WORK);
+  msg->u.work.lent = dks_alloc (sizeof (msg->u.work.lent[0]));
+  msg->u.work.runs = dks_alloc (sizeof (msg->u.work.runs[0]));
+  msg->u.work.lent[0] = task->index;
+  msg->u.work.runs[0] = task->run;
+  msg->u.work.lent_count = 1;
+  msg->u.work.request = job->lend_id;
+  msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
+  msg->u.work.age_us = now_us (leased) - job->arrival_us;
+  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
+  msg->u.work.step = task->step;
+  msg->u.work.resent = true;
+  dks_emit_peer (leased->r, peer->id, msg);
+}
+
+static void
+ask_successors (dks_leased_t *leased)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          if (job->tasks[i].state == DKS_LTASK_LENT && job->tasks[i].peer[0] == '\0')
+            task_ask_successor (job, &job->tasks[i]);
+        }
+    }
+}
+
+void
+dks_ljobs_handle_lender_lost (dks_leased_t *leased, const char *peer)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          dks_ltask_t *task = &job->tasks[i];
+
+          if (task->state != DKS_LTASK_LENT || strcmp (task->peer, peer) != 0)
+            continue;
+          task->peer[0] = '\0';
+          leased->lost_tasks++;
+        }
+    }
+}
+
+static void
+job_place (dks_ljob_t *job)
+{
+  bool left = false;
+
+  if (job->resent && !dks_ltargets_are_adopted (job->leased))
+    return;
+  for (uint32_t i = 0; i < job->task_count && job->waiting > 0; i++)
+    {
+      if (task_is_due (job, &job->tasks[i]) && !task_place (job, i))
+        left = true;
+    }
+  if (left && !job->lent)
+    lend_waiting (job);
+}
+
+void
+dks_ljobs_pump (dks_leased_t *leased)
+{
+  dks_ljob_t *job;
+  dks_ljob_t *next;
+
+  leased->pump_wanted = false;
+  if (leased->term > 0 && leased->lost_tasks > 0)
+    ask_successors (leased);
+  if (leased->term == 0 || leased->waiting_tasks == 0)
+    return;
+  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_ljob_t, link)
+    {
+      if (job->waiting == 0)
+        continue;
+      job_place (job);
+      if (job->lent && job->done == job->task_count)
+        job_free (job);
+    }
+}
+
+/* Admission */
+
+static uint32_t
+free_elsewhere (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
+          && strcmp (peer->data_centre, leased->r->config.data_centre) != 0)
+        count += peer->free_tasks;
+    }
+  return count;
+}
+
+/* Whether the job cannot start before it is refused anyway, by the tasks that come before it. */
+static bool
+wait_is_too_long (const dks_ljob_t *job)
+{
+  const dks_leased_t *leased = job->leased;
+  const dks_ljob_t *other;
+  uint32_t ahead = 0;
+  uint32_t room = dks_ltargets_free_tasks (leased) + free_elsewhere (leased);
+  int64_t wait_us;
+
+  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
+    {
+      if (other == job)
+        break;
+      ahead += other->waiting;
+    }
+  if (ahead + job->waiting <= room)
+    return false;
+  wait_us = INT64_C (1000) * backlog_ms (leased, ahead + job->waiting - room);
+  return now_us (leased) + wait_us > job->wait_until_us
+         && now_us (leased) + wait_us > job->latest_start_us;
+}
+
+static bool
+fits_nowhere (const dks_ljob_t *job)
+{
+  for (uint32_t i = 0; i < job->batch->step_count; i++)
+    {
+      if (!dks_ltargets_can_ever_run (job->leased, job->batch, &job->batch->steps[i]))
+        return true;
+    }
+  return false;
+}
+
+/* Tasks of another leader are placed now or not at all. */
+static void
+place_lent (dks_ljob_t *job)
+{
+  dks_leased_t *leased = job->leased;
+
+  job_place (job);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      dks_ltask_t *task = &job->tasks[i];
+
+      /* One that was lent by an earlier leader waits until the targets' lists have been read. */
+      if (task->state != DKS_LTASK_WAITING || job->resent)
+        continue;
+      task_leave_waiting (job, task, DKS_LTASK_DONE);
+      job->done++;
+      send_lent_done (leased, job->origin, job->request, task->index, DKS_LENT_REFUSED);
+    }
+  if (job->done == job->task_count)
+    job_free (job);
+  else
+    job_plan_timer (job);
+}
+
+/* The caller's request came again, by another instance: it takes the place of the earlier one. */
+static void
+job_change_origin (dks_ljob_t *job, const char *origin, const dks_msg_t *msg)
+{
+  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=job-joined job=%s from=%s to=%s",
+                job->batch->id, job->origin, origin);
+  if (strcmp (job->origin, origin) != 0 || job->request != msg->u.work.request)
+    send_done (job->leased, job->origin, job->request, DKS_BATCH_LOST, 0, "submitted again");
+  dks_strcpy (job->origin, sizeof (job->origin), origin);
+  job->request = msg->u.work.request;
+  job->give_up_us = now_us (job->leased) - msg->u.work.age_us + msg->u.work.budget_us;
+  job_plan_timer (job);
+}
+
+void
+dks_ljobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
+{
+  bool lent = msg->u.work.lent_count > 0;
+  dks_ljob_t *job = lent ? NULL : job_find_id (leased, msg->u.work.batch->id);
+
+  if (leased->term == 0)
+    {
+      /* The sender learns of the change and turns to the next leader; a borrower asks elsewhere. */
+      for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
+        send_lent_done (leased, origin, msg->u.work.request, msg->u.work.lent[i], DKS_LENT_REFUSED);
+      return;
+    }
+  if (job != NULL)
+    {
+      job_change_origin (job, origin, msg);
+      return;
+    }
+  job = job_create (leased, origin, msg);
+  job_fill_tasks (job, msg);
+  if (lent)
+    {
+      place_lent (job);
+      return;
+    }
+  if (fits_nowhere (job))
+    job_refuse (job, "no target can run it");
+  else if (!job->resent && wait_is_too_long (job))
+    job_refuse (job, "the wait would be too long");
+  else
+    {
+      job_plan_timer (job);
+      leased->pump_wanted = true;
+    }
+}
+
+void
+dks_ljobs_handle_cancel (dks_leased_t *leased, const char *origin, uint64_t request)
+{
+  dks_ljob_t *job = job_find (leased, origin, request);
+
+  if (job == NULL)
+    return;
+  if (!job->lent)
+    dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-cancelled job=%s done=%u tasks=%u",
+                  job->batch->id, job->done, job->task_count);
+  job_stop (job);
+}
+
+/* Outcomes */
+
+static void
+task_finish (dks_ljob_t *job, dks_ltask_t *task)
+{
+  task->state = DKS_LTASK_DONE;
+  task->current = NULL;
+  job->done++;
+  job->step_left[task->batch_step]--;
+  if (job->done == job->task_count)
+    job_answer (job, DKS_BATCH_COMPLETED, 0, "");
+  else
+    job->leased->pump_wanted = true;
+}
+
+/* The task ended without a result. It starts again unless it has failed too often. */
+static void
+task_retry (dks_ljob_t *job, dks_ltask_t *task, bool is_fault)
+{
+  dks_count (&job->leased->r->counters, DKS_COUNTER_RETRIES);
+  if (is_fault && ++task->attempts >= job->batch->max_attempts)
+    {
+      task->state = DKS_LTASK_DONE;
+      job_answer (job, DKS_BATCH_FAILED, 0, "a task failed as often as it may");
+      return;
+    }
+  task->not_before_us = is_fault ? now_us (job->leased) + RETRY_PAUSE_US : 0;
+  task_wait_again (job, task);
+}
+
+static void
+finish_lent (dks_ljob_t *job, dks_ltask_t *task, dks_lent_result_t result)
+{
+  task->state = DKS_LTASK_DONE;
+  task->current = NULL;
+  job->done++;
+  send_lent_done (job->leased, job->origin, job->request, task->index, result);
+  if (job->done == job->task_count)
+    job_free (job);
+}
+
+void
+dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault)
+{
+  dks_ljob_t *job = run->job;
+  dks_ltask_t *task = &job->tasks[run->task];
+
+  dks_strcpy (task->avoid, sizeof (task->avoid), ok ? "" : run->target->info.id);
+  if (job->lent)
+    finish_lent (job, task, ok ? DKS_LENT_OK : is_fault ? DKS_LENT_FAILED : DKS_LENT_ENDED);
+  else if (ok)
+    task_finish (job, task);
+  else
+    task_retry (job, task, is_fault);
+}
+
+void
+dks_ljobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg)
+{
+  dks_ljob_t *job;
+  dks_lpeer_t *lender = dks_lpeer_find (leased, peer);
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      if (job->lend_id == msg->u.lent_done.request)
+        break;
+    }
+  if (job == APR_RING_SENTINEL (&leased->jobs, dks_ljob_t, link))
+    return;
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      dks_ltask_t *task = &job->tasks[i];
+
+      if (task->state != DKS_LTASK_LENT || task->index != msg->u.lent_done.index
+          || strcmp (task->peer, peer) != 0)
+        continue;
+      if (msg->u.lent_done.result == DKS_LENT_REFUSED && lender != NULL)
+        lender->free_tasks = 0;
+      if (msg->u.lent_done.result == DKS_LENT_OK)
+        task_finish (job, task);
+      else if (msg->u.lent_done.result == DKS_LENT_REFUSED)
+        task_wait_again (job, task);
+      else
+        task_retry (job, task, msg->u.lent_done.result == DKS_LENT_FAILED);
+      return;
+    }
+}
+
+void
+dks_ljobs_handle_peer_gone (dks_leased_t *leased, const char *peer)
+{
+  dks_ljob_t *job;
+  dks_ljob_t *next;
+
+  dks_ljobs_handle_lender_lost (leased, peer);
+  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_ljob_t, link)
+    {
+      if (strcmp (job->origin, peer) != 0)
+        continue;
+      dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-orphaned job=%s lent=%d sender=%s",
+                    job->batch->id, job->lent, peer);
+      job_stop (job);
+    }
+}
+
+void
+dks_ljobs_drop_all (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->jobs, dks_ljob_t, link))
+    {
+      dks_ljob_t *job = APR_RING_FIRST (&leased->jobs);
+
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          dks_ltask_t *task = &job->tasks[i];
+
+          if (task->state == DKS_LTASK_PLACED)
+            task->current->job = NULL;
+          else if (task->state == DKS_LTASK_LENT)
+            task_cancel_lent (job, task);
+        }
+      job_free (job);
+    }
+}
+
+void
+dks_ljobs_init (dks_leased_t *leased)
+{
+  APR_RING_INIT (&leased->jobs, dks_ljob_t, link);
+}
+
+void
+dks_ljobs_clear (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->jobs, dks_ljob_t, link))
+    job_free (APR_RING_FIRST (&leased->jobs));
+}
--- /dev/null
+++ b/core/leased_members.c
@@ -0,0 +1,454 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  STATUS_INTERVAL_US = 100000, /* heartbeat; six are lost before SILENCE_US has passed */
+  STATUS_SOON_US = 5000,       /* least time between two messages about a change */
+  SILENCE_US = 600000,         /* an instance that is not heard for this long counts as lost; less
+                                  than a lease lasts, so that a successor can adopt runs */
+  START_WAIT_US = 700000,      /* time to hear of a present leader after the start */
+  FENCED_PAUSE_US = 500000,    /* before a fenced instance may lead again */
+  FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
+                                        that fenced it is at work there */
+  TERM_STEP = 5000,            /* ms of clock error that one attempt after a fence makes up for */
+  DIAL_INTERVAL_US = 10000000, /* between two attempts at addresses that were given up */
+  FORGET_US = 20000000         /* a lost member is dropped after this */
+};
+
+static bool
+peer_is_ours (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  return strcmp (peer->data_centre, leased->r->config.data_centre) == 0;
+}
+
+dks_lpeer_t *
+dks_lpeer_find (const dks_leased_t *leased, const char *id)
+{
+  dks_lpeer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (strcmp (peer->id, id) == 0)
+        return peer;
+    }
+  return NULL;
+}
+
+bool
+dks_lpeer_is_alive (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  return peer->up && peer->told && leased->r->now.mono_us - peer->heard_us < SILENCE_US;
+}
+
+/* The leader of our data centre among the others: the one with the highest term. */
+static const dks_lpeer_t *
+other_leader (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  const dks_lpeer_t *leader = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && peer_is_ours (leased, peer) && dks_lpeer_is_alive (leased, peer)
+          && (leader == NULL || peer->term > leader->term))
+        leader = peer;
+    }
+  return leader;
+}
+
+const char *
+dks_lmembers_leader (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *leader = other_leader (leased);
+
+  if (leased->term > 0 && (leader == NULL || leader->term < leased->term))
+    return leased->r->self;
+  return leader != NULL ? leader->id : NULL;
+}
+
+/* Status */
+
+static void
+send_status (dks_leased_t *leased, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_LEASED_STATUS);
+
+  msg->u.leased_status.term = leased->term;
+  msg->u.leased_status.started_ms = leased->started_ms;
+  msg->u.leased_status.catalog_version = leased->catalog != NULL ? leased->catalog->version : 0;
+  msg->u.leased_status.free_tasks = leased->term > 0 ? dks_ltargets_free_tasks (leased) : 0;
+  msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
+  msg->u.leased_status.draining = leased->drain_us > 0;
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+static void
+send_status_to_all (dks_leased_t *leased)
+{
+  dks_lpeer_t *peer;
+
+  leased->status_dirty = false;
+  leased->status_us = leased->r->now.mono_us;
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->up)
+        send_status (leased, peer->id);
+    }
+}
+
+static void
+plan_status (dks_leased_t *leased)
+{
+  int64_t wait_us = leased->status_dirty ? STATUS_SOON_US : STATUS_INTERVAL_US;
+
+  dks_timer_set (leased->r->timers, &leased->status_timer, leased->status_us + wait_us);
+}
+
+static void
+drop_forgotten (dks_leased_t *leased)
+{
+  dks_lpeer_t *peer;
+  dks_lpeer_t *next;
+
+  APR_RING_FOREACH_SAFE (peer, next, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->up || leased->r->now.mono_us - peer->heard_us < FORGET_US)
+        continue;
+      APR_RING_REMOVE (peer, link);
+      free (peer);
+    }
+}
+
+static void
+check_silent (dks_leased_t *leased)
+{
+  dks_lpeer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (!peer->up || !peer->told || dks_lpeer_is_alive (leased, peer))
+        continue;
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-silent peer=%s", peer->id);
+      peer->told = false;
+      peer->term = 0;
+      dks_ljobs_handle_peer_gone (leased, peer->id);
+    }
+}
+
+static void
+dial (dks_leased_t *leased, const char *address)
+{
+  dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_PEER_CONNECT);
+
+  dks_strcpy (effect->u.peer_connect.address, sizeof (effect->u.peer_connect.address), address);
+}
+
+/* Names all known addresses again, since the host gives up on those that do not answer. */
+static void
+dial_all (dks_leased_t *leased, int64_t now_us)
+{
+  if (leased->dialled_us > 0 && now_us - leased->dialled_us < DIAL_INTERVAL_US)
+    return;
+  leased->dialled_us = now_us;
+  for (uint32_t i = 0; i < leased->address_count && i < DKS_MEMBERS_MAX; i++)
+    dial (leased, leased->addresses[i]);
+}
+
+static void
+handle_status_timer (void *context, int64_t now_us)
+{
+  dks_leased_t *leased = context;
+
+  dial_all (leased, now_us);
+  check_silent (leased);
+  drop_forgotten (leased);
+  dks_lmembers_review (leased);
+  send_status_to_all (leased);
+  plan_status (leased);
+}
+
+void
+dks_lmembers_touch (dks_leased_t *leased)
+{
+  if (leased->status_dirty)
+    return;
+  leased->status_dirty = true;
+  plan_status (leased);
+}
+
+void
+dks_lmembers_spread_catalog (dks_leased_t *leased)
+{
+  dks_lpeer_t *peer;
+
+  if (leased->catalog == NULL)
+    return;
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      dks_msg_t *msg;
+
+      if (!peer->up || !peer->told || peer->catalog_version >= leased->catalog->version
+          || peer->catalog_sent >= leased->catalog->version)
+        continue;
+      peer->catalog_sent = leased->catalog->version;
+      msg = dks_msg_create (DKS_MSG_RECORD);
+      dks_strcpy (msg->u.record.key, sizeof (msg->u.record.key), "catalog");
+      msg->u.record.version = leased->catalog->version;
+      msg->u.record.value = dks_blob_ref (leased->catalog_record);
+      dks_emit_peer (leased->r, peer->id, msg);
+    }
+}
+
+/* Addresses */
+
+static bool
+add_address (dks_leased_t *leased, const char *address)
+{
+  if (strcmp (address, leased->r->config.address) == 0)
+    return false;
+  for (uint32_t i = 0; i < leased->address_count && i < DKS_MEMBERS_MAX; i++)
+    {
+      if (strcmp (leased->addresses[i], address) == 0)
+        return false;
+    }
+  /* When the list is full, the oldest entry gives way; a dial that fails ends by itself. */
+  dks_strcpy (leased->addresses[leased->address_count % DKS_MEMBERS_MAX], DKS_ADDRESS_SIZE,
+              address);
+  leased->address_count++;
+  dial (leased, address);
+  return true;
+}
+
+static void
+send_addresses (dks_leased_t *leased, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_ADDRESSES);
+  uint32_t count =
+      leased->address_count < DKS_MEMBERS_MAX ? leased->address_count : (uint32_t)DKS_MEMBERS_MAX;
+
+  msg->u.addresses.count = count + 1;
+  msg->u.addresses.items = dks_alloc ((count + 1) * sizeof (msg->u.addresses.items[0]));
+  dks_strcpy (msg->u.addresses.items[0], DKS_ADDRESS_SIZE, leased->r->config.address);
+  for (uint32_t i = 0; i < count; i++)
+    dks_strcpy (msg->u.addresses.items[i + 1], DKS_ADDRESS_SIZE, leased->addresses[i]);
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+void
+dks_lmembers_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg)
+{
+  bool added = false;
+  dks_lpeer_t *peer;
+
+  for (uint32_t i = 0; i < msg->u.addresses.count; i++)
+    added |= add_address (leased, msg->u.addresses.items[i]);
+  if (!added)
+    return;
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->up)
+        send_addresses (leased, peer->id);
+    }
+}
+
+/* Connections */
+
+void
+dks_lmembers_handle_up (dks_leased_t *leased, const char *id, const char *data_centre)
+{
+  dks_lpeer_t *peer = dks_lpeer_find (leased, id);
+
+  if (peer == NULL)
+    {
+      peer = dks_alloc (sizeof (*peer));
+      dks_strcpy (peer->id, sizeof (peer->id), id);
+      APR_RING_INSERT_TAIL (&leased->peers, peer, dks_lpeer_t, link);
+    }
+  dks_strcpy (peer->data_centre, sizeof (peer->data_centre), data_centre);
+  peer->up = true;
+  peer->told = false;
+  peer->term = 0;
+  peer->catalog_sent = 0;
+  peer->heard_us = leased->r->now.mono_us;
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
+  send_status (leased, id);
+  send_addresses (leased, id);
+}
+
+void
+dks_lmembers_handle_down (dks_leased_t *leased, const char *id)
+{
+  dks_lpeer_t *peer = dks_lpeer_find (leased, id);
+
+  if (peer == NULL)
+    return;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-down peer=%s", id);
+  peer->up = false;
+  peer->told = false;
+  peer->term = 0;
+  dks_ljobs_handle_peer_gone (leased, id);
+  dks_lmembers_review (leased);
+}
+
+void
+dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg)
+{
+  bool changed = !peer->told || peer->term != msg->u.leased_status.term
+                 || peer->draining != msg->u.leased_status.draining;
+
+  if (peer->term > 0 && msg->u.leased_status.term != peer->term)
+    dks_ljobs_handle_lender_lost (leased, peer->id);
+  peer->told = true;
+  peer->term = msg->u.leased_status.term;
+  peer->started_ms = msg->u.leased_status.started_ms;
+  peer->catalog_version = msg->u.leased_status.catalog_version;
+  peer->free_tasks = msg->u.leased_status.free_tasks;
+  peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
+  peer->draining = msg->u.leased_status.draining;
+  if (peer_is_ours (leased, peer) && peer->term > leased->highest_term)
+    leased->highest_term = peer->term;
+  if (changed)
+    dks_lmembers_review (leased);
+  dks_lmembers_spread_catalog (leased);
+  if ((peer->free_tasks > 0 && leased->waiting_tasks > 0) || leased->lost_tasks > 0)
+    leased->pump_wanted = true;
+}
+
+/* Leadership */
+
+static void
+lead (dks_leased_t *leased, bool planned)
+{
+  /* Targets remember the highest term after all instances have been restarted, so it follows the
+   * clock. */
+  uint64_t term = (uint64_t)leased->r->now.wall_ms;
+
+  if (term <= leased->highest_term)
+    term = leased->highest_term + 1;
+  leased->term = term;
+  leased->highest_term = term;
+  leased->led_us = leased->r->now.mono_us;
+  leased->led_planned = planned;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
+                leased->r->config.data_centre, term);
+  dks_ltargets_handle_leadership (leased);
+  dks_lmembers_touch (leased);
+}
+
+static void
+stop_leading (dks_leased_t *leased, const char *reason)
+{
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-stop term=%" PRIu64 " reason=%s",
+                leased->term, reason);
+  leased->term = 0;
+  dks_ljobs_drop_all (leased);
+  dks_ltargets_handle_leadership (leased);
+  dks_lmembers_touch (leased);
+}
+
+/* Whether another instance of our data centre is the better candidate: it is not draining, and has
+ * run longer. */
+static bool
+has_better_candidate (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (!peer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining)
+        continue;
+      if (leased->drain_us > 0 || peer->started_ms < leased->started_ms
+          || (peer->started_ms == leased->started_ms && strcmp (peer->id, leased->r->self) < 0))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_cut_off (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  bool others = false;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (!peer_is_ours (leased, peer))
+        continue;
+      if (dks_lpeer_is_alive (leased, peer))
+        return false;
+      others = true;
+    }
+  return others;
+}
+
+static bool
+may_lead (const dks_leased_t *leased)
+{
+  int64_t now_us = leased->r->now.mono_us;
+  int64_t pause_us = is_cut_off (leased) ? FENCED_CUT_OFF_PAUSE_US : FENCED_PAUSE_US;
+
+  if (now_us - leased->started_us < START_WAIT_US)
+    return false;
+  if (leased->fenced_us > 0 && now_us - leased->fenced_us < pause_us)
+    return false;
+  return !has_better_candidate (leased);
+}
+
+void
+dks_lmembers_review (dks_leased_t *leased)
+{
+  const dks_lpeer_t *leader = other_leader (leased);
+
+  if (leased->term > 0 && leader != NULL && leader->term > leased->term)
+    stop_leading (leased, "higher-term");
+  if (leased->term == 0 && (leader == NULL || (leader->draining && leased->drain_us == 0))
+      && may_lead (leased))
+    lead (leased, leader != NULL);
+  dks_lentry_review (leased);
+}
+
+void
+dks_lmembers_handle_fenced (dks_leased_t *leased)
+{
+  if (leased->term == 0)
+    return;
+  leased->fenced_us = leased->r->now.mono_us;
+  leased->highest_term = leased->term + TERM_STEP;
+  stop_leading (leased, "fenced");
+  dks_lentry_review (leased);
+}
+
+void
+dks_lmembers_init (dks_leased_t *leased)
+{
+  const dks_config_t *config = &leased->r->config;
+
+  APR_RING_INIT (&leased->peers, dks_lpeer_t, link);
+  leased->started_ms = leased->r->now.wall_ms;
+  leased->started_us = leased->r->now.mono_us;
+  dks_timer_init (&leased->status_timer, handle_status_timer, leased);
+  dks_timer_set (leased->r->timers, &leased->status_timer, leased->r->now.mono_us);
+  for (size_t i = 0; i < config->seed_address_count; i++)
+    if (strcmp (config->seed_addresses[i], config->address) != 0)
+      dks_strcpy (leased->addresses[leased->address_count++], DKS_ADDRESS_SIZE,
+                  config->seed_addresses[i]);
+}
+
+void
+dks_lmembers_clear (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->peers, dks_lpeer_t, link))
+    {
+      dks_lpeer_t *peer = APR_RING_FIRST (&leased->peers);
+
+      APR_RING_REMOVE (peer, link);
+      free (peer);
+    }
+  dks_timer_cancel (leased->r->timers, &leased->status_timer);
+}
--- /dev/null
+++ b/core/leased_targets.c
@@ -0,0 +1,1134 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LEASE_MS = 1000,         /* the platform's longest lease */
+  HOLD_WAIT_MS = 300,      /* a hold waits this long for an end; three fit into a lease */
+  ANSWER_TIMEOUT_MS = 200, /* an answer takes some ms; an instance may stand still for 100 ms */
+  START_TIMEOUT_MS = 150,  /* a start without an answer is looked into after this */
+  START_LEASE_MS = 700,    /* a start that arrives later than this is rejected */
+  CLOCK_JUMP_MS = 500,     /* a clock that is this much behind belongs to a new life */
+  LAPSE_MARGIN_US = 60000, /* network and rounding, beyond the error of the target's clock */
+  CLOCK_ERROR_PERCENT = 2, /* a target's clock may be slow by this much */
+  RETRY_US = 200000,       /* between two looks at a silent target */
+  SILENT_CALLS_MAX = 2,    /* after this many calls without an answer no call extends the lease */
+  FULL_PAUSE_US = 30000,   /* after a start was rejected for want of room */
+  UNLISTED_GRACE_US = 2500000, /* entries that lapsed while the store was away return within 2 s */
+  ORPHAN_US = 400000,          /* an adopted run that no job claims is stopped after this */
+  WATCH_INTERVAL_US = 50000,
+  SLOW_FLOOR_US = 120000,    /* a run is not looked at before this much over its estimate */
+  LOOK_INTERVAL_US = 250000, /* between two looks at a target because of slow runs */
+  STALLED_US = 400000,       /* a run without any progress for this long stands still */
+  EJECT_MIN_US = 1000000,
+  EJECT_MAX_US = 8000000,
+  EJECT_DOUBLINGS = 3,
+  MIN_SAMPLES = 3 /* ends before a target's speed counts */
+};
+
+#define SLOW_FACTOR 2.2        /* a run is looked at after this many times its expected time */
+#define SPEED_WEIGHT 0.15      /* of a new sample in a target's moving average */
+#define MEAN_WEIGHT 0.02       /* of a new sample in the moving averages of all targets */
+#define FAILURE_WEIGHT 0.3     /* of a new end in a target's failure rate */
+#define EJECT_RATE 0.5         /* failure rate above which a target is ejected */
+#define SLOWNESS_MAX 20.0      /* bound of one sample */
+#define FIRST_CPU_MILLI 4000.0 /* size of a task before the first is known */
+#define FIRST_RUN_US 200000.0  /* run time of a task before the first is known */
+
+static int64_t
+now_us (const dks_leased_t *leased)
+{
+  return leased->r->now.mono_us;
+}
+
+/* Runs */
+
+static void
+run_take_room (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+
+  target->run_count++;
+  target->cpu_used += run->cpu_milli;
+  target->memory_used += run->memory_mb;
+  target->accelerators_used += run->accelerators;
+}
+
+static dks_lrun_t *
+run_create (dks_ltarget_t *target, const char *name, uint32_t number)
+{
+  dks_lrun_t *run = dks_alloc (sizeof (*run));
+
+  run->leased = target->leased;
+  run->target = target;
+  run->run = number;
+  dks_strcpy (run->name, sizeof (run->name), name);
+  APR_RING_INSERT_TAIL (&target->runs, run, dks_lrun_t, link);
+  return run;
+}
+
+static void
+run_free (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+  dks_leased_t *leased = run->leased;
+
+  if (run->op != 0)
+    apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  target->run_count--;
+  target->cpu_used -= run->cpu_milli;
+  target->memory_used -= run->memory_mb;
+  target->accelerators_used -= run->accelerators;
+  APR_RING_REMOVE (run, link);
+  free (run);
+  leased->pump_wanted = true;
+  dks_lmembers_touch (leased);
+}
+
+/* Tells the job, and frees the room. */
+static void
+run_end (dks_lrun_t *run, bool ok, bool is_fault)
+{
+  if (run->job != NULL)
+    dks_ljobs_handle_run_end (run->leased, run, ok, is_fault);
+  run->job = NULL;
+  run_free (run);
+}
+
+static dks_lrun_t *
+target_find_run (dks_ltarget_t *target, const char *name, uint32_t number)
+{
+  dks_lrun_t *run;
+
+  APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
+    {
+      if (run->run == number && strcmp (run->name, name) == 0)
+        return run;
+    }
+  return NULL;
+}
+
+/* Calls */
+
+static dks_effect_t *
+lease_effect (dks_ltarget_t *target, dks_effect_type_t type, int64_t timeout_ms)
+{
+  dks_effect_t *effect = dks_effects_add (target->leased->r->effects, type);
+
+  effect->u.lease.op = dks_next_id (target->leased->r);
+  effect->u.lease.fence = (int64_t)target->fence;
+  effect->u.lease.timeout_ms = timeout_ms;
+  dks_strcpy (effect->u.lease.address, sizeof (effect->u.lease.address), target->info.address);
+  dks_strcpy (effect->u.lease.target, sizeof (effect->u.lease.target), target->info.id);
+  return effect;
+}
+
+/* Time on the target's clock, `ahead_ms` from now. */
+static int64_t
+target_deadline (const dks_ltarget_t *target, int64_t ahead_ms)
+{
+  return now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
+}
+
+/* Longest time after `extended_us` in which a run may last although nobody hears of it. */
+static int64_t
+target_lapse_us (const dks_ltarget_t *target)
+{
+  return target->extended_us + INT64_C (1000) * LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100
+         + LAPSE_MARGIN_US;
+}
+
+static bool
+may_extend (const dks_ltarget_t *target)
+{
+  return target->clock_known && target->adopted && target->silent_calls < SILENT_CALLS_MAX;
+}
+
+static void
+send_hold (dks_ltarget_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us)
+{
+  dks_leased_t *leased = target->leased;
+  dks_effect_t *effect = lease_effect (target, DKS_EFFECT_LEASE_HOLD, wait_ms + ANSWER_TIMEOUT_MS);
+
+  *op = effect->u.lease.op;
+  *sent_us = now_us (leased);
+  effect->u.lease.last_seen = target->last_seen;
+  effect->u.lease.wait_ms = wait_ms;
+  if (may_extend (target) && target->run_count > 0)
+    {
+      effect->u.lease.deadline_ms = target_deadline (target, LEASE_MS);
+      target->extended_us = now_us (leased);
+    }
+  apr_hash_set (leased->targets_by_op, op, sizeof (*op), target);
+}
+
+/* Keeps a hold waiting while anything runs there, and asks until the lists have been read. */
+static void
+target_hold (dks_ltarget_t *target)
+{
+  bool settled = target->adopted && target->silent_calls == 0;
+
+  if (!target->held || target->hold_op != 0 || dks_timer_is_armed (&target->hold_timer))
+    return;
+  if (settled && target->run_count == 0)
+    return;
+  send_hold (target, settled ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_us);
+}
+
+/* Reads the lists at once. */
+static void
+target_look (dks_ltarget_t *target)
+{
+  if (!target->held)
+    return;
+  if (target->look_op != 0)
+    {
+      target->look_again = true;
+      return;
+    }
+  target->look_again = false;
+  send_hold (target, 0, &target->look_op, &target->look_us);
+}
+
+static void
+target_forget_ops (dks_ltarget_t *target)
+{
+  apr_hash_t *by_op = target->leased->targets_by_op;
+
+  if (target->hold_op != 0)
+    apr_hash_set (by_op, &target->hold_op, sizeof (target->hold_op), NULL);
+  if (target->look_op != 0)
+    apr_hash_set (by_op, &target->look_op, sizeof (target->look_op), NULL);
+  target->hold_op = 0;
+  target->look_op = 0;
+}
+
+/* All runs have surely ended without a result. */
+static void
+target_end_all (dks_ltarget_t *target, const char *reason)
+{
+  if (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
+    dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=runs-lost target=%s runs=%u reason=%s",
+                  target->info.id, target->run_count, reason);
+  while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
+    run_end (APR_RING_FIRST (&target->runs), false, false);
+}
+
+static void
+target_release (dks_ltarget_t *target)
+{
+  dks_timers_t *timers = target->leased->r->timers;
+
+  target_forget_ops (target);
+  dks_timer_cancel (timers, &target->hold_timer);
+  dks_timer_cancel (timers, &target->lapse_timer);
+  target->held = false;
+  target->adopted = false;
+}
+
+static void
+handle_hold_timer (void *context, int64_t time_us)
+{
+  target_hold (context);
+}
+
+static void
+target_free (dks_ltarget_t *target)
+{
+  dks_leased_t *leased = target->leased;
+
+  while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
+    run_free (APR_RING_FIRST (&target->runs));
+  target_release (target);
+  apr_hash_set (leased->targets_by_id, target->info.id, APR_HASH_KEY_STRING, NULL);
+  APR_RING_REMOVE (target, link);
+  free (target);
+}
+
+static void
+handle_lapse_timer (void *context, int64_t time_us)
+{
+  dks_ltarget_t *target = context;
+
+  if (target->silent_calls >= SILENT_CALLS_MAX && time_us >= target_lapse_us (target))
+    target_end_all (target, "silent");
+  if (!target->listed && target->run_count == 0)
+    target_free (target);
+  else if (!target->listed)
+    dks_timer_set (target->leased->r->timers, &target->lapse_timer, time_us + RETRY_US);
+}
+
+/* The target has not answered. Its runs end at the latest when the lease does. */
+static void
+target_note_silence (dks_ltarget_t *target)
+{
+  dks_timers_t *timers = target->leased->r->timers;
+
+  target->silent_calls++;
+  if (target->silent_calls == SILENT_CALLS_MAX)
+    dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-silent target=%s runs=%u",
+                  target->info.id, target->run_count);
+  if (target->silent_calls >= SILENT_CALLS_MAX && !dks_timer_is_armed (&target->lapse_timer))
+    dks_timer_set (timers, &target->lapse_timer, target_lapse_us (target));
+  if (target->silent_calls > 1)
+    dks_timer_set (timers, &target->hold_timer, now_us (target->leased) + RETRY_US);
+}
+
+static void
+target_note_answer (dks_ltarget_t *target, int64_t clock_ms)
+{
+  int64_t idle_ms = (now_us (target->leased) - target->heard_us) / 1000;
+  int64_t offset_ms;
+
+  if (target->silent_calls >= SILENT_CALLS_MAX)
+    dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-back target=%s",
+                  target->info.id);
+  target->silent_calls = 0;
+  target->heard_us = now_us (target->leased);
+  if (target->listed)
+    dks_timer_cancel (target->leased->r->timers, &target->lapse_timer);
+  if (clock_ms == 0)
+    return;
+  /* The answer was written before now, so this never gives a later time than the target's. */
+  offset_ms = clock_ms - now_us (target->leased) / 1000 - 1;
+  /* A target that has started anew counts its ends from 1 again. */
+  if (target->clock_known && target->clock_offset_ms - offset_ms > CLOCK_JUMP_MS + idle_ms / 20)
+    target->last_seen = 0;
+  target->clock_offset_ms = offset_ms;
+  target->clock_known = true;
+}
+
+/* The target has begun a new life: nothing of before is left, nor any fence. */
+static void
+target_reborn (dks_ltarget_t *target, int64_t born_ms)
+{
+  target_end_all (target, "restarted");
+  target->born_ms = born_ms;
+  target->last_seen = 0;
+  target->clock_known = false;
+  target->adopted = false;
+  target->slowness = 0;
+  target->samples = 0;
+  target->failure_rate = 0;
+  target->ejected_until_us = 0;
+  target->ejections = 0;
+}
+
+/* Health */
+
+static uint32_t
+count_ejected (const dks_leased_t *leased, uint32_t *held)
+{
+  const dks_ltarget_t *target;
+  uint32_t ejected = 0;
+
+  *held = 0;
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (!target->held || !target->listed)
+        continue;
+      (*held)++;
+      ejected += target->ejected_until_us > now_us (leased);
+    }
+  return ejected;
+}
+
+static void
+target_eject (dks_ltarget_t *target, const char *reason)
+{
+  dks_leased_t *leased = target->leased;
+  int64_t wait_us = (int64_t)EJECT_MIN_US
+                    << (target->ejections < EJECT_DOUBLINGS ? target->ejections : EJECT_DOUBLINGS);
+  uint32_t held;
+
+  if (target->ejected_until_us > now_us (leased) || 2 * (count_ejected (leased, &held) + 1) > held)
+    return;
+  if (wait_us > EJECT_MAX_US)
+    wait_us = EJECT_MAX_US;
+  target->ejections++;
+  target->ejected_until_us = now_us (leased) + wait_us;
+  dks_count (&leased->r->counters, DKS_COUNTER_EJECTIONS);
+  dks_emit_log (
+      leased->r, DKS_LOG_NOTICE,
+      "event=target-ejected target=%s reason=%s failure_rate=%.2f slowness=%.2f for_ms=%" PRId64,
+      target->info.id, reason, target->failure_rate, target->slowness, wait_us / 1000);
+}
+
+static void
+target_note_end (dks_ltarget_t *target, bool failed)
+{
+  target->failure_rate =
+      (1 - FAILURE_WEIGHT) * target->failure_rate + (failed ? FAILURE_WEIGHT : 0);
+  if (!failed)
+    target->ejections = 0;
+  else if (target->failure_rate > EJECT_RATE)
+    target_eject (target, "failures");
+}
+
+static void
+average (double *mean, double sample, double weight)
+{
+  *mean += weight * (sample - *mean);
+}
+
+static void
+target_note_speed (dks_ltarget_t *target, double slowness)
+{
+  dks_leased_t *leased = target->leased;
+
+  if (slowness > SLOWNESS_MAX)
+    slowness = SLOWNESS_MAX;
+  if (target->samples++ == 0)
+    target->slowness = slowness;
+  else
+    average (&target->slowness, slowness, SPEED_WEIGHT);
+  average (&leased->slowness_mean, slowness, MEAN_WEIGHT);
+}
+
+static double
+target_slowness (const dks_ltarget_t *target)
+{
+  return target->samples >= MIN_SAMPLES ? target->slowness : target->leased->slowness_mean;
+}
+
+static double
+run_expected_us (const dks_lrun_t *run)
+{
+  return run->estimate_ms * 1000.0 * run->leased->slowness_mean;
+}
+
+static void
+run_note_done (dks_lrun_t *run)
+{
+  dks_leased_t *leased = run->leased;
+  double time_us = (double)(now_us (leased) - run->started_us);
+
+  if (run->adopted_us > 0 || run->estimate_ms == 0)
+    return;
+  target_note_speed (run->target, time_us / (run->estimate_ms * 1000.0));
+  average (&leased->run_mean_us, time_us, MEAN_WEIGHT);
+}
+
+/* Lists of runs */
+
+static void
+run_handle_end (dks_lrun_t *run, dks_run_end_t end)
+{
+  bool fault = end == DKS_RUN_FAILED;
+
+  if (end == DKS_RUN_DONE)
+    run_note_done (run);
+  if (end == DKS_RUN_DONE || fault)
+    target_note_end (run->target, fault);
+  if (end != DKS_RUN_DONE && run->job != NULL)
+    {
+      dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_FAILED);
+      dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                    "event=run-ended task=%s run=%u target=%s end=%s ran_ms=%" PRId64, run->name,
+                    run->run, run->target->info.id, dks_run_end_name (end),
+                    (now_us (run->leased) - run->started_us) / 1000);
+    }
+  run_end (run, end == DKS_RUN_DONE, fault);
+}
+
+static void
+adopt_run (dks_ltarget_t *target, const dks_running_t *row)
+{
+  dks_leased_t *leased = target->leased;
+  dks_lrun_t *run = run_create (target, row->task, row->run);
+
+  run->state = DKS_LRUN_RUNNING;
+  run->cpu_milli = (uint32_t)leased->cpu_mean;
+  run->started_us = now_us (leased);
+  run->acked_us = now_us (leased);
+  run->adopted_us = now_us (leased);
+  run->progress_us = now_us (leased);
+  run->percent = row->percent;
+  run_take_room (run);
+}
+
+/* Brings what we know of the runs in line with the list of a call sent at `sent_us`. */
+static void
+handle_running (dks_ltarget_t *target, const dks_lease_lists_t *lists, int64_t sent_us)
+{
+  dks_lrun_t *run;
+  dks_lrun_t *next;
+
+  for (size_t i = 0; i < lists->running_count; i++)
+    {
+      const dks_running_t *row = &lists->running[i];
+
+      run = target_find_run (target, row->task, row->run);
+      if (run == NULL)
+        {
+          adopt_run (target, row);
+          continue;
+        }
+      if (run->state == DKS_LRUN_UNSURE)
+        run->state = DKS_LRUN_RUNNING;
+      if (run->acked_us == 0)
+        run->acked_us = now_us (target->leased);
+      if (row->percent > run->percent)
+        run->progress_us = now_us (target->leased);
+      run->percent = row->percent;
+      run->seen_us = sent_us;
+    }
+  APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
+    {
+      if (run->seen_us == sent_us || run->adopted_us == now_us (target->leased))
+        continue;
+      /* Not in the list although the start was answered before the list was asked for; or the
+       * stop was, which fences the run off. */
+      if ((run->state == DKS_LRUN_RUNNING || run->state == DKS_LRUN_STOPPING) && run->acked_us > 0
+          && run->acked_us < sent_us)
+        run_end (run, false, false);
+      else if (run->state == DKS_LRUN_UNSURE && run->op == 0 && run->started_us < sent_us)
+        dks_lrun_fence (run);
+    }
+}
+
+static void
+handle_lists (dks_ltarget_t *target, const dks_lease_lists_t *lists, int64_t sent_us)
+{
+  if (lists->born_ms != 0 && target->born_ms != 0 && lists->born_ms != target->born_ms)
+    target_reborn (target, lists->born_ms);
+  if (lists->born_ms != 0)
+    target->born_ms = lists->born_ms;
+  for (size_t i = 0; i < lists->ended_count; i++)
+    {
+      const dks_ended_t *row = &lists->ended[i];
+      dks_lrun_t *run;
+
+      if (row->number <= target->last_seen)
+        continue;
+      target->last_seen = row->number;
+      run = target_find_run (target, row->task, row->run);
+      if (run != NULL)
+        run_handle_end (run, row->end);
+    }
+  handle_running (target, lists, sent_us);
+}
+
+static void
+handle_hold_reply (dks_ltarget_t *target, const dks_event_t *event, bool is_look)
+{
+  dks_leased_t *leased = target->leased;
+  int64_t sent_us = is_look ? target->look_us : target->hold_us;
+  bool was_adopted = target->adopted;
+
+  if (is_look)
+    target->look_op = 0;
+  else
+    target->hold_op = 0;
+  switch (event->u.lease_reply.status)
+    {
+    case DKS_LEASE_OK:
+      target_note_answer (target, event->u.lease_reply.clock_ms);
+      handle_lists (target, event->u.lease_reply.lists, sent_us);
+      target->adopted = true;
+      if (!was_adopted)
+        leased->pump_wanted = true;
+      break;
+    case DKS_LEASE_FENCED:
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
+                    target->info.id, target->fence);
+      dks_lmembers_handle_fenced (leased);
+      return;
+    case DKS_LEASE_OTHER_LIFE:
+      target_reborn (target, 0);
+      dks_timer_set (leased->r->timers, &target->hold_timer, now_us (leased) + RETRY_US);
+      break;
+    case DKS_LEASE_NOT_SENT:
+    case DKS_LEASE_UNANSWERED:
+      target_note_silence (target);
+      break;
+    default:
+      dks_emit_log (leased->r, DKS_LOG_WARNING, "event=hold-rejected target=%s status=%s",
+                    target->info.id, dks_lease_status_name (event->u.lease_reply.status));
+      dks_timer_set (leased->r->timers, &target->hold_timer, now_us (leased) + RETRY_US);
+      break;
+    }
+  if (target->look_again && target->look_op == 0)
+    target_look (target);
+  target_hold (target);
+}
+
+/* Starts and stops */
+
+void
+dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task)
+{
+  dks_ltask_t *entry = &job->tasks[task];
+  const dks_batch_step_t *step = &job->batch->steps[entry->batch_step];
+  dks_effect_t *effect = lease_effect (target, DKS_EFFECT_LEASE_START, START_TIMEOUT_MS);
+  char name[DKS_TASK_NAME_SIZE];
+  dks_lrun_t *run;
+
+  dks_batch_task_name (job->batch->id, entry->step, entry->index, name);
+  run = run_create (target, name, entry->run);
+  run->state = DKS_LRUN_STARTING;
+  run->job = job;
+  run->task = task;
+  run->cpu_milli = step->cpu_milli;
+  run->memory_mb = step->memory_mb;
+  run->accelerators = step->accelerators;
+  run->estimate_ms = step->estimate_ms;
+  run->started_us = now_us (leased);
+  run->progress_us = now_us (leased);
+  run->op = effect->u.lease.op;
+  run_take_room (run);
+  entry->current = run;
+  apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), run);
+  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), name);
+  effect->u.lease.run = run->run;
+  effect->u.lease.spec = dks_blob_ref (job->batch->spec);
+  effect->u.lease.deadline_ms = target_deadline (target, START_LEASE_MS);
+  target->extended_us = now_us (leased);
+  average (&leased->cpu_mean, step->cpu_milli, MEAN_WEIGHT);
+  dks_count (&leased->r->counters, DKS_COUNTER_STARTS);
+  dks_lmembers_touch (leased);
+}
+
+static void
+send_stop (dks_lrun_t *run)
+{
+  dks_effect_t *effect = lease_effect (run->target, DKS_EFFECT_LEASE_STOP, ANSWER_TIMEOUT_MS);
+
+  if (run->op != 0)
+    apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  run->state = DKS_LRUN_STOPPING;
+  run->acked_us = 0;
+  run->op = effect->u.lease.op;
+  apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
+  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), run->name);
+  effect->u.lease.run = run->run;
+}
+
+void
+dks_lrun_stop (dks_lrun_t *run)
+{
+  run->job = NULL;
+  if (run->state != DKS_LRUN_STOPPING)
+    send_stop (run);
+}
+
+void
+dks_lrun_fence (dks_lrun_t *run)
+{
+  if (run->state != DKS_LRUN_STOPPING)
+    send_stop (run);
+}
+
+/* The run was certainly not started; its task may start elsewhere. */
+static void
+run_not_started (dks_lrun_t *run, dks_lease_status_t status)
+{
+  dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_REFUSED);
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=start-rejected task=%s run=%u target=%s reason=%s", run->name, run->run,
+                run->target->info.id, dks_lease_status_name (status));
+  run_end (run, false, status == DKS_LEASE_INVALID);
+}
+
+static void
+handle_start_reply (dks_lrun_t *run, const dks_event_t *event)
+{
+  dks_ltarget_t *target = run->target;
+  dks_leased_t *leased = run->leased;
+  dks_lease_status_t status = event->u.lease_reply.status;
+
+  switch (status)
+    {
+    case DKS_LEASE_OK:
+      target_note_answer (target, event->u.lease_reply.clock_ms);
+      if (run->state == DKS_LRUN_STARTING)
+        run->state = DKS_LRUN_RUNNING;
+      run->acked_us = now_us (leased);
+      target_hold (target);
+      return;
+    case DKS_LEASE_FENCED:
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
+                    target->info.id, target->fence);
+      dks_lmembers_handle_fenced (leased);
+      return;
+    case DKS_LEASE_UNANSWERED:
+      dks_emit_log (leased->r, DKS_LOG_INFO, "event=start-unanswered task=%s run=%u target=%s",
+                    run->name, run->run, target->info.id);
+      /* A list may have shown it already. */
+      run->state = run->acked_us > 0 ? DKS_LRUN_RUNNING : DKS_LRUN_UNSURE;
+      target_look (target);
+      return;
+    case DKS_LEASE_NOT_SENT:
+      target_note_silence (target);
+      target_hold (target);
+      break;
+    case DKS_LEASE_OTHER_LIFE:
+      run_not_started (run, status);
+      target_reborn (target, 0);
+      target_hold (target);
+      return;
+    case DKS_LEASE_NO_ROOM:
+      target->full_until_us = now_us (leased) + FULL_PAUSE_US;
+      target_look (target);
+      break;
+    case DKS_LEASE_BUSY:
+      target_note_end (target, true);
+      target_eject (target, "unhealthy");
+      break;
+    case DKS_LEASE_LATE:
+      target->clock_known = false;
+      target_look (target);
+      break;
+    case DKS_LEASE_OLD_RUN:
+    case DKS_LEASE_INVALID:
+      break;
+    }
+  run_not_started (run, status);
+}
+
+static void
+handle_stop_reply (dks_lrun_t *run, const dks_event_t *event)
+{
+  dks_ltarget_t *target = run->target;
+
+  switch (event->u.lease_reply.status)
+    {
+    case DKS_LEASE_FENCED:
+      dks_lmembers_handle_fenced (run->leased);
+      return;
+    case DKS_LEASE_NOT_SENT:
+    case DKS_LEASE_UNANSWERED:
+      /* Sent again with the next round of handle_watch_timer(). */
+      run->state = DKS_LRUN_UNSURE;
+      if (run->job == NULL)
+        run->adopted_us = run->adopted_us > 0 ? run->adopted_us : 1;
+      target_look (target);
+      return;
+    case DKS_LEASE_OTHER_LIFE:
+      target_reborn (target, 0);
+      return;
+    default:
+      run->acked_us = now_us (run->leased);
+      target_note_answer (target, event->u.lease_reply.clock_ms);
+      /* A run that was there is listed when it has ended, another one is missing in the list. */
+      if (target->hold_op == 0)
+        target_hold (target);
+      target_look (target);
+      return;
+    }
+}
+
+void
+dks_ltargets_handle_reply (dks_leased_t *leased, const dks_event_t *event)
+{
+  uint64_t op = event->u.lease_reply.op;
+  dks_ltarget_t *target = apr_hash_get (leased->targets_by_op, &op, sizeof (op));
+  dks_lrun_t *run = apr_hash_get (leased->runs_by_op, &op, sizeof (op));
+
+  if (target != NULL)
+    {
+      apr_hash_set (leased->targets_by_op,
+                    op == target->hold_op ? &target->hold_op : &target->look_op, sizeof (op), NULL);
+      handle_hold_reply (target, event, op == target->look_op);
+    }
+  else if (run != NULL)
+    {
+      apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+      run->op = 0;
+      if (run->state == DKS_LRUN_STOPPING)
+        handle_stop_reply (run, event);
+      else
+        handle_start_reply (run, event);
+    }
+}
+
+/* Slow and orphaned runs */
+
+static bool
+has_better_place (dks_lrun_t *run)
+{
+  dks_ltask_t *task = &run->job->tasks[run->task];
+  dks_ltarget_t *other;
+
+  dks_strcpy (task->avoid, sizeof (task->avoid), run->target->info.id);
+  other = dks_ltargets_choose (run->leased, run->job, task);
+  return other != NULL && other != run->target;
+}
+
+/* Whether starting anew elsewhere would end sooner than this run. */
+static bool
+run_is_hopeless (const dks_lrun_t *run)
+{
+  int64_t ran_us = now_us (run->leased) - run->started_us;
+  double left_us;
+
+  if (run->percent == 0)
+    return now_us (run->leased) - run->progress_us > STALLED_US;
+  if (now_us (run->leased) - run->progress_us > STALLED_US)
+    return true;
+  left_us = (double)ran_us * (100 - run->percent) / run->percent;
+  return left_us > 1.3 * run_expected_us (run);
+}
+
+static void
+watch_run (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+  int64_t ran_us = now_us (run->leased) - run->started_us;
+
+  if (run->job == NULL)
+    {
+      if (run->state != DKS_LRUN_STOPPING && run->adopted_us > 0
+          && now_us (run->leased) - run->adopted_us > ORPHAN_US)
+        {
+          dks_emit_log (run->leased->r, DKS_LOG_INFO, "event=orphan-stopped task=%s run=%u",
+                        run->name, run->run);
+          dks_lrun_stop (run);
+        }
+      return;
+    }
+  if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0
+      || ran_us < (int64_t)(SLOW_FACTOR * run_expected_us (run)) + SLOW_FLOOR_US)
+    return;
+  if (run->seen_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
+      && has_better_place (run))
+    {
+      dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                    "event=run-moved task=%s run=%u target=%s percent=%u ran_ms=%" PRId64,
+                    run->name, run->run, target->info.id, run->percent, ran_us / 1000);
+      if (!run->was_restarted)
+        target_note_speed (target, (double)ran_us / (run->estimate_ms * 1000.0 + 1)
+                                       * (run->percent > 0 ? 100.0 / run->percent : 2));
+      run->was_restarted = true;
+      if (run->percent == 0)
+        target_eject (target, "stalled");
+      dks_lrun_fence (run);
+      return;
+    }
+  if (now_us (run->leased) - target->look_us > LOOK_INTERVAL_US)
+    target_look (target);
+}
+
+static void
+handle_watch_timer (void *context, int64_t time_us)
+{
+  dks_leased_t *leased = context;
+  dks_ltarget_t *target;
+
+  dks_timer_set (leased->r->timers, &leased->watch_timer, time_us + WATCH_INTERVAL_US);
+  if (leased->term == 0)
+    return;
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      dks_lrun_t *run;
+      dks_lrun_t *next;
+
+      if (!target->held || target->silent_calls >= SILENT_CALLS_MAX)
+        continue;
+      APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
+        watch_run (run);
+    }
+  leased->pump_wanted = true;
+}
+
+/* The list of targets */
+
+static bool
+is_ours (const dks_leased_t *leased, const dks_ltarget_t *target)
+{
+  return strcmp (target->info.data_centre, leased->r->config.data_centre) == 0;
+}
+
+static void
+target_take (dks_ltarget_t *target)
+{
+  dks_leased_t *leased = target->leased;
+
+  target->held = true;
+  target->adopted = false;
+  target->fence = leased->term;
+  target->last_seen = 0;
+  target->silent_calls = 0;
+  target->hold_op = 0;
+  target->look_op = 0;
+  /* Until the lists have been read, whatever ran there may have been extended just now. */
+  target->extended_us = now_us (leased);
+  target_hold (target);
+}
+
+static dks_ltarget_t *
+target_create (dks_leased_t *leased, const dks_target_info_t *info)
+{
+  dks_ltarget_t *target = dks_alloc (sizeof (*target));
+
+  target->leased = leased;
+  target->info = *info;
+  APR_RING_INIT (&target->runs, dks_lrun_t, link);
+  dks_timer_init (&target->hold_timer, handle_hold_timer, target);
+  dks_timer_init (&target->lapse_timer, handle_lapse_timer, target);
+  APR_RING_INSERT_TAIL (&leased->targets, target, dks_ltarget_t, link);
+  apr_hash_set (leased->targets_by_id, target->info.id, APR_HASH_KEY_STRING, target);
+  return target;
+}
+
+void
+dks_ltargets_put (dks_leased_t *leased, const dks_target_info_t *info)
+{
+  dks_ltarget_t *target = apr_hash_get (leased->targets_by_id, info->id, APR_HASH_KEY_STRING);
+
+  if (target == NULL)
+    target = target_create (leased, info);
+  else
+    {
+      if (info->leaving && !target->info.leaving)
+        dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-leaving target=%s", info->id);
+      if (info->born_ms != 0 && target->born_ms != 0 && info->born_ms > target->born_ms)
+        target_reborn (target, info->born_ms);
+      target->info = *info;
+    }
+  target->listed = true;
+  target->generation = leased->feeds[DKS_FEED_TARGETS].generation;
+  if (!target->held && leased->term > 0 && is_ours (leased, target))
+    target_take (target);
+  leased->pump_wanted = true;
+}
+
+void
+dks_ltargets_remove (dks_leased_t *leased, const char *id)
+{
+  dks_ltarget_t *target = apr_hash_get (leased->targets_by_id, id, APR_HASH_KEY_STRING);
+
+  if (target == NULL || !target->listed)
+    return;
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-unlisted target=%s runs=%u", id,
+                target->run_count);
+  target->listed = false;
+  target->unlisted_us = now_us (leased);
+  if (!target->held)
+    target_free (target);
+  else if (!dks_timer_is_armed (&target->lapse_timer))
+    dks_timer_set (leased->r->timers, &target->lapse_timer, now_us (leased) + UNLISTED_GRACE_US);
+}
+
+void
+dks_ltargets_handle_leadership (dks_leased_t *leased)
+{
+  dks_ltarget_t *target;
+  dks_ltarget_t *next;
+
+  APR_RING_FOREACH_SAFE (target, next, &leased->targets, dks_ltarget_t, link)
+    {
+      if (leased->term > 0 && !target->held && is_ours (leased, target))
+        target_take (target);
+      else if (leased->term == 0 && target->held)
+        {
+          while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
+            run_free (APR_RING_FIRST (&target->runs));
+          target_release (target);
+          if (!target->listed)
+            target_free (target);
+        }
+    }
+}
+
+bool
+dks_ltargets_are_adopted (const dks_leased_t *leased)
+{
+  const dks_ltarget_t *target;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (target->held && !target->adopted && now_us (leased) < target_lapse_us (target))
+        return false;
+    }
+  return leased->term > 0;
+}
+
+dks_lrun_t *
+dks_ltargets_find_adopted (dks_leased_t *leased, const char *name)
+{
+  dks_ltarget_t *target;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      dks_lrun_t *run;
+
+      APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
+        {
+          if (run->job == NULL && run->state == DKS_LRUN_RUNNING && strcmp (run->name, name) == 0)
+            return run;
+        }
+    }
+  return NULL;
+}
+
+/* Choice of a target */
+
+static bool
+is_usable (const dks_ltarget_t *target)
+{
+  const dks_leased_t *leased = target->leased;
+  int64_t time_us = now_us (leased);
+
+  return target->held && target->adopted && target->clock_known && !target->info.leaving
+         && target->silent_calls == 0
+         && (target->listed || time_us - target->unlisted_us < UNLISTED_GRACE_US)
+         && target->ejected_until_us <= time_us && target->full_until_us <= time_us;
+}
+
+static bool
+has_label (const dks_ltarget_t *target, const char *label)
+{
+  for (uint32_t i = 0; i < target->info.label_count; i++)
+    {
+      if (strcmp (target->info.labels[i], label) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Whether the step fits on the idle target. */
+static bool
+could_run (const dks_ltarget_t *target, const dks_batch_t *batch, const dks_batch_step_t *step)
+{
+  return strcmp (target->info.service, batch->service) == 0
+         && step->cpu_milli <= target->info.cpu_milli && step->memory_mb <= target->info.memory_mb
+         && step->accelerators <= target->info.accelerators
+         && (step->required_label[0] == '\0' || has_label (target, step->required_label));
+}
+
+static bool
+has_room (const dks_ltarget_t *target, const dks_batch_step_t *step)
+{
+  return target->cpu_used + step->cpu_milli <= target->info.cpu_milli
+         && target->memory_used + step->memory_mb <= target->info.memory_mb
+         && target->accelerators_used + step->accelerators <= target->info.accelerators;
+}
+
+static uint32_t
+count_step_runs (const dks_ltarget_t *target, const dks_ljob_t *job, uint32_t batch_step)
+{
+  const dks_lrun_t *run;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
+    count += run->job == job && job->tasks[run->task].batch_step == batch_step;
+  return count;
+}
+
+/* Expected relative run time; ties go to the target on which the least room is left over. */
+static double
+placement_cost (const dks_ltarget_t *target, const dks_ltask_t *task, const dks_batch_step_t *step)
+{
+  double cost = target_slowness (target);
+  uint32_t left = target->info.cpu_milli - target->cpu_used - step->cpu_milli;
+
+  if (step->near_label[0] != '\0' && !has_label (target, step->near_label))
+    cost *= target->leased->r->config.remote_factor;
+  if (strcmp (task->avoid, target->info.id) == 0)
+    cost += SLOWNESS_MAX;
+  cost += target->failure_rate;
+  return cost + 0.1 * left / (target->info.cpu_milli + 1.0);
+}
+
+dks_ltarget_t *
+dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job, const dks_ltask_t *task)
+{
+  const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
+  dks_ltarget_t *target;
+  dks_ltarget_t *best = NULL;
+  double best_cost = 0;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      double cost;
+
+      if (!is_usable (target) || !could_run (target, job->batch, step) || !has_room (target, step))
+        continue;
+      if (step->max_per_target > 0
+          && count_step_runs (target, job, task->batch_step) >= step->max_per_target)
+        continue;
+      cost = placement_cost (target, task, step);
+      if (best != NULL && cost >= best_cost)
+        continue;
+      best = target;
+      best_cost = cost;
+    }
+  return best;
+}
+
+bool
+dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
+                           const dks_batch_step_t *step)
+{
+  const dks_ltarget_t *target;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (!target->info.leaving && could_run (target, batch, step))
+        return true;
+    }
+  return false;
+}
+
+static uint32_t
+tasks_in (uint32_t cpu_milli, const dks_leased_t *leased)
+{
+  return (uint32_t)(cpu_milli / leased->cpu_mean);
+}
+
+uint32_t
+dks_ltargets_free_tasks (const dks_leased_t *leased)
+{
+  const dks_ltarget_t *target;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (is_usable (target) && target->info.cpu_milli > target->cpu_used)
+        count += tasks_in (target->info.cpu_milli - target->cpu_used, leased);
+    }
+  return count;
+}
+
+uint32_t
+dks_ltargets_capacity (const dks_leased_t *leased)
+{
+  const dks_ltarget_t *target;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (is_usable (target))
+        count += tasks_in (target->info.cpu_milli, leased);
+    }
+  return count;
+}
+
+void
+dks_ltargets_init (dks_leased_t *leased)
+{
+  APR_RING_INIT (&leased->targets, dks_ltarget_t, link);
+  leased->targets_by_id = apr_hash_make (leased->r->pool);
+  leased->targets_by_op = apr_hash_make (leased->r->pool);
+  leased->runs_by_op = apr_hash_make (leased->r->pool);
+  leased->cpu_mean = FIRST_CPU_MILLI;
+  leased->run_mean_us = FIRST_RUN_US;
+  leased->slowness_mean = 1;
+  dks_timer_init (&leased->watch_timer, handle_watch_timer, leased);
+  dks_timer_set (leased->r->timers, &leased->watch_timer, now_us (leased) + WATCH_INTERVAL_US);
+}
+
+void
+dks_ltargets_clear (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->targets, dks_ltarget_t, link))
+    target_free (APR_RING_FIRST (&leased->targets));
+  dks_timer_cancel (leased->r->timers, &leased->watch_timer);
+}
--- a/core/msg.c
+++ b/core/msg.c
@@ -52,6 +52,14 @@
     case DKS_MSG_RECORD:
       dks_blob_unref (msg->u.record.value);
       break;
+    case DKS_MSG_ADDRESSES:
+      free (msg->u.addresses.items);
+      break;
+    case DKS_MSG_WORK:
+      dks_batch_unref (msg->u.work.batch);
+      free (msg->u.work.lent);
+      free (msg->u.work.runs);
+      break;
     default:
       break;
     }
@@ -91,6 +99,12 @@
     [DKS_MSG_RUN_ABORT] = "run_abort",
     [DKS_MSG_RECORD] = "record",
     [DKS_MSG_RECORD_ASK] = "record_ask",
+    [DKS_MSG_LEASED_STATUS] = "leased_status",
+    [DKS_MSG_ADDRESSES] = "addresses",
+    [DKS_MSG_WORK] = "work",
+    [DKS_MSG_WORK_DONE] = "work_done",
+    [DKS_MSG_WORK_CANCEL] = "work_cancel",
+    [DKS_MSG_LENT_DONE] = "lent_done",
   };
 
   return (unsigned)type < DKS_MSG_TYPE_COUNT && names[type] != NULL ? names[type] : "invalid";
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -2,6 +2,7 @@
 
 #include "common/alloc.h"
 #include "common/hash.h"
+#include "core/leased.h"
 #include "core/state.h"
 
 #include <apr_general.h>
@@ -180,6 +181,13 @@
     case DKS_MSG_RECORD_ASK:
       dks_members_send_records (r, from);
       break;
+    case DKS_MSG_LEASED_STATUS:
+    case DKS_MSG_ADDRESSES:
+    case DKS_MSG_WORK:
+    case DKS_MSG_WORK_DONE:
+    case DKS_MSG_WORK_CANCEL:
+    case DKS_MSG_LENT_DONE:
+      /* Sent only by instances whose targets run tasks under leases. */
     case DKS_MSG_TYPE_COUNT:
       break;
     }
@@ -276,15 +284,40 @@
     case DKS_EVENT_DRAIN:
       handle_drain (r);
       break;
+    case DKS_EVENT_BATCH:
+    case DKS_EVENT_FEED:
+    case DKS_EVENT_LEASE_REPLY:
+      /* Only hosts of leased targets send these. */
+      break;
     }
 }
 
+static void
+handle_leased_event (dks_reducer_t *r, const dks_event_t *event)
+{
+  dks_leased_handle_event (r->leased, event);
+  dks_timers_run (r->timers, r->now.mono_us);
+  if (r->leased->pump_wanted)
+    dks_ljobs_pump (r->leased);
+  if (r->exit_sent || !dks_lentry_is_drained (r->leased))
+    return;
+  r->exit_sent = true;
+  dks_emit_log (r, DKS_LOG_NOTICE, "event=drain-end requests=%u", r->leased->request_count);
+  dks_effects_add (r->effects, DKS_EFFECT_EXIT);
+}
+
 void
 dks_reducer_apply (dks_reducer_t *r, const dks_event_t *event, dks_effects_t *effects)
 {
   r->effects = effects;
   r->now = event->now;
   dks_count (&r->counters, DKS_COUNTER_EVENTS);
+  if (r->leased != NULL)
+    {
+      handle_leased_event (r, event);
+      r->effects = NULL;
+      return;
+    }
   /* A gap this long means that this process was paused: the others were not silent. */
   if (r->now.mono_us - r->event_us > r->config.failure_timeout_us / 2)
     dks_members_forgive (r);
@@ -326,6 +359,14 @@
         r->own = (int)i;
     }
   r->timers = dks_timers_create ();
+  if (config->leased_targets)
+    {
+      r->leased = dks_leased_create (r);
+      r->settings = dks_settings_create ();
+      dks_effects_destroy (&effects);
+      r->effects = NULL;
+      return r;
+    }
   dks_settings_ops_init (r);
   dks_entry_init (r);
   dks_owner_init (r);
@@ -343,17 +384,31 @@
 {
   if (r == NULL)
     return;
-  dks_entry_clear (r);
-  dks_jobs_clear (r);
-  dks_owner_clear (r);
-  dks_members_clear (r);
-  dks_settings_ops_clear (r);
+  if (r->leased != NULL)
+    {
+      dks_leased_destroy (r->leased);
+      dks_settings_unref (r->settings);
+    }
+  else
+    {
+      dks_entry_clear (r);
+      dks_jobs_clear (r);
+      dks_owner_clear (r);
+      dks_members_clear (r);
+      dks_settings_ops_clear (r);
+    }
   dks_timers_destroy (r->timers);
   apr_pool_destroy (r->pool);
   free (r);
   apr_terminate ();
 }
 
+bool
+dks_reducer_is_ready (const dks_reducer_t *r)
+{
+  return r->leased != NULL && dks_leased_is_ready (r->leased);
+}
+
 const char *
 dks_reducer_member_id (const dks_reducer_t *r)
 {
--- a/core/status.c
+++ b/core/status.c
@@ -1,5 +1,6 @@
 #include "core/reducer.h"
 
+#include "core/leased.h"
 #include "core/state.h"
 
 #include <jansson.h>
@@ -56,8 +57,8 @@
   return shards;
 }
 
-char *
-dks_reducer_status (const dks_reducer_t *r)
+static char *
+status_http_targets (const dks_reducer_t *r)
 {
   json_t *root =
       json_pack ("{s:s, s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:o, s:o, s:o}", "id", r->self,
@@ -72,3 +73,9 @@
   json_decref (root);
   return text;
 }
+
+char *
+dks_reducer_status (const dks_reducer_t *r)
+{
+  return r->leased != NULL ? dks_leased_status_json (r->leased) : status_http_targets (r);
+}
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -8,6 +8,9 @@
 #include "net/peer.h"
 #include "net/store_client.h"
 #include "net/target_client.h"
+#include "platform/executor.h"
+#include "platform/front.h"
+#include "platform/store.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -25,9 +28,15 @@
   STORE_LIST_INTERVAL_MS = 1000,
   /* Callers that do not read their answer hold up the exit at most this long. */
   EXIT_WAIT_US = 30 * 1000000,
-  OTHER_DESCRIPTORS = 512 /* excess callers, peers, platform, some targets */
+  OTHER_DESCRIPTORS = 512, /* excess callers, peers, platform, some targets */
+  READY_CONNECTIONS = 64,  /* of the readiness check */
+  /* Leased targets: a waiting hold, a look, and starts that are answered within milliseconds. */
+  LEASED_CONNECTIONS = 6
 };
 
+/* Each server of callers has its own range of caller ids. */
+#define FRONT_FIRST_CALLER (UINT64_C (1) << 62)
+
 struct dks_host_t
 {
   dks_loop_t *loop;
@@ -37,6 +46,10 @@
   dks_http_client_t *target_http;
   dks_target_client_t *targets;
   dks_http_server_t *server;
+  dks_http_server_t *front; /* leased targets only, as are the three below */
+  dks_http_server_t *readiness;
+  dks_http_client_t *leased_http;
+  char platform_url[DKS_URL_SIZE];
   dks_timer_t tick;
   dks_effects_t effects;
   bool carrying_out; /* effects are being carried out; new ones are appended to the same list */
@@ -46,11 +59,25 @@
   int status;         /* exit status */
 };
 
+static void handle_leased_event (void *context, dks_event_t *event);
+
 static void
 carry_out (dks_host_t *host, const dks_effect_t *effect)
 {
   switch (effect->type)
     {
+    case DKS_EFFECT_BATCH_REPLY:
+      dks_http_server_reply (host->front, effect);
+      break;
+    case DKS_EFFECT_FEED_READ:
+    case DKS_EFFECT_FEED_WATCH:
+      dks_platform_feed (host->leased_http, host->platform_url, effect, handle_leased_event, host);
+      break;
+    case DKS_EFFECT_LEASE_START:
+    case DKS_EFFECT_LEASE_STOP:
+    case DKS_EFFECT_LEASE_HOLD:
+      dks_executor_call (host->leased_http, effect, handle_leased_event, host);
+      break;
     case DKS_EFFECT_REPLY:
     case DKS_EFFECT_EDIT_REPLY:
       dks_http_server_reply (host->server, effect);
@@ -103,6 +130,12 @@
   host->carrying_out = false;
 }
 
+static void
+handle_leased_event (void *context, dks_event_t *event)
+{
+  apply (context, event);
+}
+
 static void
 drain (dks_host_t *host)
 {
@@ -113,6 +146,8 @@
   host->draining = true;
   dks_log (DKS_LOG_NOTICE, "event=drain");
   dks_http_server_set_draining (host->server);
+  if (host->front != NULL)
+    dks_http_server_set_draining (host->front);
   apply (host, &event);
 }
 
@@ -225,6 +260,11 @@
 
   while (read (fd, &info, sizeof (info)) == sizeof (info))
     {
+      if (info.ssi_signo == SIGHUP)
+        {
+          dks_log (DKS_LOG_NOTICE, "event=reload result=unchanged reason=\"settings are flags\"");
+          continue;
+        }
       if (host->draining)
         {
           dks_log (DKS_LOG_WARNING, "event=exit reason=second-signal open_requests=%u",
@@ -259,6 +299,8 @@
   if (host->exit_at_us == 0)
     return;
   open_requests = dks_http_server_open_requests (host->server);
+  if (host->front != NULL)
+    open_requests += dks_http_server_open_requests (host->front);
   if (open_requests > 0 && dks_loop_now ().mono_us < host->exit_at_us)
     return;
   dks_log (DKS_LOG_NOTICE, "event=exit reason=drained open_requests=%u", open_requests);
@@ -267,14 +309,21 @@
 
 /* One descriptor is needed per caller, target connection and peer. */
 static int
-raise_descriptor_limit (const dks_options_t *options)
+raise_descriptor_limit (dks_options_t *options)
 {
   struct rlimit limit;
   rlim_t wanted = (rlim_t)options->http_connections + OTHER_DESCRIPTORS;
 
   if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
     return DKS_ERR_IO;
-  if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < wanted)
+  if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < wanted && options->config.leased_targets
+      && limit.rlim_max > 2 * (rlim_t)OTHER_DESCRIPTORS)
+    {
+      options->http_connections = (uint32_t)limit.rlim_max - OTHER_DESCRIPTORS;
+      dks_log (DKS_LOG_NOTICE, "event=connections-limited connections=%u descriptors=%" PRIu64,
+               options->http_connections, (uint64_t)limit.rlim_max);
+    }
+  else if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < wanted)
     {
       dks_log (DKS_LOG_ERROR,
                "event=start-failed reason=\"--http-connections %u needs %" PRIu64
@@ -294,6 +343,7 @@
   sigemptyset (&set);
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
   host->signal_fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
   if (host->signal_fd < 0)
     return DKS_ERR_IO;
@@ -347,6 +397,48 @@
   return error;
 }
 
+static int
+open_platform_server (dks_host_t *host, const dks_options_t *options, const char *address,
+                      const dks_http_interface_t *interface, dks_http_server_t **server)
+{
+  bool is_front = interface == &dks_platform_front;
+  const dks_http_server_config_t config = {
+    .address = address,
+    .connections = is_front ? options->http_connections : (uint32_t)READY_CONNECTIONS,
+    .idle_timeout_s = options->http_idle_timeout_s,
+    .data_centre = options->config.data_centre,
+    .first_caller = is_front ? FRONT_FIRST_CALLER : 0,
+    .interface = interface,
+  };
+  const dks_http_server_callbacks_t callbacks = {
+    .event = handle_http_event,
+    .reducer = handle_http_reducer,
+    .context = host,
+  };
+  int error = dks_http_server_create (host->loop, &config, &callbacks, server);
+
+  if (error != DKS_OK)
+    dks_log (DKS_LOG_ERROR, "event=start-failed part=platform address=%s reason=\"%s\"", address,
+             dks_strerror (error));
+  return error;
+}
+
+/* What serves callers of batches and orders leased targets. */
+static int
+open_leased (dks_host_t *host, const dks_options_t *options)
+{
+  int error;
+
+  dks_strcpy (host->platform_url, sizeof (host->platform_url), options->platform_url);
+  host->leased_http = dks_http_client_create (host->loop, LEASED_CONNECTIONS);
+  error = open_platform_server (host, options, options->front_address, &dks_platform_front,
+                                &host->front);
+  if (error != DKS_OK)
+    return error;
+  return open_platform_server (host, options, options->ready_address, &dks_platform_readiness,
+                               &host->readiness);
+}
+
 static void
 open_clients (dks_host_t *host, const dks_options_t *options)
 {
@@ -371,10 +463,12 @@
 }
 
 int
-dks_host_create (const dks_options_t *options, dks_host_t **host_out)
+dks_host_create (const dks_options_t *given, dks_host_t **host_out)
 {
   dks_host_t *host = dks_alloc (sizeof (*host));
-  int error = raise_descriptor_limit (options);
+  dks_options_t adapted = *given;
+  const dks_options_t *options = &adapted;
+  int error = raise_descriptor_limit (&adapted);
 
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
@@ -386,12 +480,15 @@
     error = open_peers (host, options);
   if (error == DKS_OK)
     error = open_server (host, options);
+  if (error == DKS_OK && options->config.leased_targets)
+    error = open_leased (host, options);
   if (error != DKS_OK)
     {
       dks_host_destroy (host);
       return error;
     }
-  open_clients (host, options);
+  if (!options->config.leased_targets)
+    open_clients (host, options);
   dks_loop_set_turn_end (host->loop, handle_turn_end, host);
   schedule_tick (host);
   dks_log (DKS_LOG_NOTICE, "event=start version=%s member=%s data_centre=%s http=%s peer=%s",
@@ -406,8 +503,10 @@
 {
   if (host == NULL)
     return;
-  if (host->server != NULL)
-    dks_http_server_destroy (host->server);
+  dks_http_server_destroy (host->server);
+  dks_http_server_destroy (host->front);
+  dks_http_server_destroy (host->readiness);
+  dks_http_client_destroy (host->leased_http);
   if (host->store != NULL)
     dks_store_client_destroy (host->store);
   if (host->targets != NULL)
--- a/damaskshored/main.c
+++ b/damaskshored/main.c
@@ -28,6 +28,7 @@
   sigemptyset (&set);
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
   sigprocmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
 }
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -183,6 +183,31 @@
   return ok;
 }
 
+static bool
+set_text (const option_t *option, const char *value, dks_options_t *options)
+{
+  return dks_strcpy (option_text_field (option, options), option->size, value) == DKS_OK;
+}
+
+static bool
+set_factor (const option_t *option, const char *value, dks_options_t *options)
+{
+  char *end = NULL;
+  double factor = strtod (value, &end);
+
+  if (end == value || *end != '\0' || !(factor >= 1 && factor <= 100))
+    return false;
+  options->config.remote_factor = factor;
+  return true;
+}
+
+static bool
+set_targets (const option_t *option, const char *value, dks_options_t *options)
+{
+  options->config.leased_targets = strcmp (value, "leased") == 0;
+  return options->config.leased_targets || strcmp (value, "http") == 0;
+}
+
 static bool
 set_log_level (const option_t *option, const char *value, dks_options_t *options)
 {
@@ -231,6 +256,9 @@
     FIELD (deadline_default_ms), NULL, "deadline of submissions that give none" },
   { "failure-timeout-ms", "MS", set_number, NULL, false, 30, 60000, 1000,
     FIELD (config.failure_timeout_us), NULL, "silence after which another instance has failed" },
+  { "front-address", "IP:PORT", set_listen_address, "", false, 0, 0, 0, FIELD (front_address),
+    "a numeric IP address and a port from 1 to 65535",
+    "address for callers' batches; required with --targets leased" },
   { "heartbeat-ms", "MS", set_number, NULL, false, 10, 10000, 1000, FIELD (config.heartbeat_us),
     NULL, "interval of heartbeats within the data centre" },
   { "http-address", "IP:PORT", set_listen_address, "127.0.0.1:8080", false, 0, 0, 0,
@@ -253,12 +281,23 @@
   { "platform-url", "URL", set_url, NULL, true, 0, 0, 0, FIELD (platform_url),
     "http://IP[:PORT] with a numeric IP address, no path and at most 255 characters",
     "base URL of the platform" },
+  { "ready-address", "IP:PORT", set_listen_address, "", false, 0, 0, 0, FIELD (ready_address),
+    "a numeric IP address and a port from 1 to 65535",
+    "address of the readiness check; required with --targets leased" },
+  { "remote-factor", "F", set_factor, "1", false, 0, 0, 0, FIELD (config.remote_factor),
+    "a number from 1 to 100",
+    "run time of a task on a rack without its data, relative to one on the rack with it" },
   { "retention-ms", "MS", set_number, NULL, false, 10000, 86400000, 1, FIELD (config.retention_ms),
     NULL, "how long after its issue time the record of a key is kept" },
   { "seed", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.seed), NULL,
     "seed of random choices; 0: take one from the system" },
+  { "seeds", "IP[:PORT],...", set_text, "", false, 0, 0, 0, FIELD (seeds),
+    "up to 8 numeric IP addresses",
+    "instances to connect to at the start, at the port of --peer-address; for --targets leased" },
   { "target-connections", "N", set_number, "60", false, 1, 1024, 1, FIELD (target_connections),
     NULL, "connections to one target held at once" },
+  { "targets", "KIND", set_targets, "http", false, 0, 0, 0, FIELD (config.leased_targets),
+    "http or leased", "how targets get their tasks: as HTTP requests, or as runs under leases" },
 };
 
 enum
@@ -411,6 +450,58 @@
   return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
+/* Splits --seeds; all instances use the same peer port. */
+static int
+split_seeds (dks_options_t *options)
+{
+  dks_config_t *config = &options->config;
+  const char *port = strrchr (config->address, ':');
+  const char *seed = options->seeds;
+
+  while (*seed != '\0')
+    {
+      size_t len = strcspn (seed, ",");
+      size_t host_len = strcspn (seed, ":,");
+      dks_address_t address;
+      char *to = config->seed_addresses[config->seed_address_count];
+
+      if (config->seed_address_count == DKS_SEEDS_MAX || port == NULL
+          || host_len + strlen (port) >= DKS_ADDRESS_SIZE)
+        return DKS_ERR_INVALID;
+      memcpy (to, seed, host_len);
+      dks_strcpy (to + host_len, DKS_ADDRESS_SIZE - host_len, port);
+      if (dks_address_parse (to, &address) != DKS_OK)
+        return DKS_ERR_INVALID;
+      config->seed_address_count++;
+      seed += len;
+      seed += *seed == ',';
+    }
+  return DKS_OK;
+}
+
+static int
+check_leased (dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  const char *missing = options->front_address[0] == '\0'   ? "front-address"
+                        : options->ready_address[0] == '\0' ? "ready-address"
+                                                            : NULL;
+
+  if (missing != NULL)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+                "--%s: no value given; required with --targets "
+                "leased",
+                missing);
+      return DKS_ERR_INVALID;
+    }
+  if (split_seeds (options) == DKS_OK)
+    return DKS_OK;
+  snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+            "--seeds: value \"%.100s\" is not allowed; allowed: up to 8 numeric IP addresses",
+            options->seeds);
+  return DKS_ERR_INVALID;
+}
+
 /* Values that depend on other options. */
 static int
 options_complete (dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
@@ -449,6 +540,8 @@
                 config->failure_timeout_us / 1000, 3 * config->heartbeat_us / 1000);
       return DKS_ERR_INVALID;
     }
+  if (config->leased_targets && check_leased (options, error) != DKS_OK)
+    return DKS_ERR_INVALID;
   if (config->incarnation == 0)
     config->incarnation = start_time_us ();
   if (config->seed == 0)
--- /dev/null
+++ b/include/core/batch.h
@@ -0,0 +1,62 @@
+/**
+ * A job for targets under lease: steps of equal tasks that share one specification. Nothing of it
+ * is kept beyond the connection of its caller. Reference-counted and immutable once shared.
+ */
+#ifndef DKS_CORE_BATCH_H
+#define DKS_CORE_BATCH_H
+
+#include "common/blob.h"
+#include "core/types.h"
+
+enum
+{
+  DKS_BATCH_ID_SIZE = 40,     /**< bytes of a job's id with NUL */
+  DKS_BATCH_SPEC_MAX = 16384, /**< bytes of a specification */
+  DKS_BATCH_STEPS_MAX = 32,   /**< steps of one job; a step names earlier ones in a bit mask */
+  DKS_LABEL_SIZE = 32,        /**< bytes of a label with NUL */
+  DKS_TASK_NAME_SIZE = DKS_BATCH_ID_SIZE + 40 /**< "ID.OCCURRENCE.STEP.INDEX" with NUL */
+};
+
+typedef struct
+{
+  uint32_t count;                      /**< tasks, 1 or more */
+  uint32_t cpu_milli;                  /**< thousandths of a processor, each task */
+  uint32_t memory_mb;                  /**< each task */
+  uint32_t accelerators;               /**< each task */
+  uint32_t estimate_ms;                /**< declared run time; a rough figure */
+  uint32_t after;                      /**< bit mask of earlier steps that must have ended */
+  uint32_t max_per_target;             /**< 0: no bound */
+  char required_label[DKS_LABEL_SIZE]; /**< label that the target must have, or empty */
+  char near_label[DKS_LABEL_SIZE];     /**< rack of the data, or empty */
+} dks_batch_step_t;
+
+typedef struct
+{
+  uint32_t refs;
+  char id[DKS_BATCH_ID_SIZE];
+  char service[DKS_NAME_SIZE];
+  uint32_t priority;     /**< of its queue; 0 comes first */
+  uint32_t max_attempts; /**< starts of one task at most */
+  dks_blob_t *spec;      /**< passed to the targets as it is */
+  uint32_t task_count;   /**< of all steps */
+  uint32_t step_count;
+  dks_batch_step_t steps[];
+} dks_batch_t;
+
+/** New job with `step_count` empty steps and one reference. */
+dks_batch_t *dks_batch_create (uint32_t step_count);
+dks_batch_t *dks_batch_ref (dks_batch_t *batch);
+/** Drops a reference; accepts NULL. */
+void dks_batch_unref (dks_batch_t *batch);
+/** Checks bounds and sums up `task_count`; DKS_ERR_INVALID or DKS_ERR_TOO_LARGE. */
+int dks_batch_complete (dks_batch_t *batch);
+/** Declared length of the longest chain of steps, ms. */
+uint32_t dks_batch_chain_ms (const dks_batch_t *batch);
+/** Name of a task, "ID.0.STEP.INDEX". */
+void
+dks_batch_task_name (const char *id, uint32_t step, uint32_t index, char name[DKS_TASK_NAME_SIZE]);
+/** Splits a task's name; DKS_ERR_INVALID when it has another form or another occurrence than 0. */
+int dks_batch_parse_task_name (const char *name, char id[DKS_BATCH_ID_SIZE], uint32_t *step,
+                               uint32_t *index);
+
+#endif
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -6,6 +6,8 @@
 #define DKS_CORE_EVENT_H
 
 #include "common/log.h"
+#include "core/catalog.h"
+#include "core/lease.h"
 #include "core/msg.h"
 #include "core/settings.h"
 
@@ -18,6 +20,55 @@
   DKS_STORE_UNKNOWN,   /**< no reply: a write may have taken effect */
 } dks_store_status_t;
 
+/** Lists that the platform keeps and that instances follow. */
+typedef enum
+{
+  DKS_FEED_CATALOG = 1, /**< the operator's configuration: at most one item */
+  DKS_FEED_TARGETS,     /**< targets under lease */
+  DKS_FEED_COUNT
+} dks_feed_t;
+
+typedef enum
+{
+  DKS_FEED_OK = 1,
+  DKS_FEED_HISTORY_GONE, /**< watch only: changes may have been missed */
+  DKS_FEED_UNAVAILABLE,  /**< refused, or no answer */
+} dks_feed_status_t;
+
+/** One item of a feed. */
+typedef struct
+{
+  const char *key; /**< identifies the item within its feed */
+  bool deleted;
+  /** Catalog only; NULL when deleted or not readable. */
+  dks_catalog_t *catalog;
+  /** Target only; NULL when deleted or not readable. */
+  const dks_target_info_t *target;
+} dks_feed_item_t;
+
+/** What a caller of a batch asks for. */
+typedef enum
+{
+  DKS_BATCH_SUBMIT = 1,
+  DKS_BATCH_QUERY, /**< state of a job, or of a queue when no id is given */
+  DKS_BATCH_CANCEL,
+} dks_batch_verb_t;
+
+/** Answer to the caller of a batch. */
+typedef enum
+{
+  DKS_BATCH_COMPLETED = 1, /**< all tasks have ended well */
+  DKS_BATCH_FAILED,        /**< a task failed as often as it may */
+  DKS_BATCH_RUNNING,       /**< query only */
+  DKS_BATCH_CANCELLED,     /**< as asked for by this caller */
+  DKS_BATCH_UNKNOWN_JOB,   /**< query or cancel: no such job is known */
+  DKS_BATCH_PENDING,       /**< query of a queue */
+  DKS_BATCH_NO_QUEUE,      /**< the configuration has no such queue */
+  DKS_BATCH_INVALID,       /**< malformed */
+  DKS_BATCH_REFUSED,       /**< not run and never will be */
+  DKS_BATCH_LOST,          /**< tasks may have run; the caller may submit the job again */
+} dks_batch_answer_t;
+
 /** One row of the platform's list of instances. */
 typedef struct
 {
@@ -49,6 +100,9 @@
   DKS_EVENT_INSTANCE_LIST, /**< the platform's list was read */
   DKS_EVENT_SETTINGS_EDIT, /**< an operator edits the settings tree */
   DKS_EVENT_DRAIN,         /**< shut down gracefully */
+  DKS_EVENT_BATCH,         /**< a caller's request about a batch */
+  DKS_EVENT_FEED,          /**< outcome of a FEED_READ or FEED_WATCH */
+  DKS_EVENT_LEASE_REPLY,   /**< outcome of a LEASE_START, LEASE_STOP or LEASE_HOLD */
 } dks_event_type_t;
 
 /** The reducer takes its own references; the caller of dks_reducer_apply keeps the event's. */
@@ -113,6 +167,32 @@
       uint64_t caller;
       dks_settings_edit_t edit; /**< `edit.id` may be empty; the reducer then makes one */
     } settings_edit;
+    struct
+    {
+      uint64_t caller;
+      dks_batch_verb_t verb;
+      const char *host;    /**< of the request, may have a port */
+      const char *path;    /**< prefix of the queue and id of the job */
+      dks_batch_t *batch;  /**< SUBMIT only: steps and specification; NULL when malformed */
+      const char *refusal; /**< SUBMIT only: what the job needs and this product lacks, or NULL */
+      int64_t budget_ms;   /**< how long the caller waits, 0 when not told */
+    } batch;
+    struct
+    {
+      uint64_t op;
+      dks_feed_status_t status;
+      int64_t revision; /**< watch from here */
+      bool more;        /**< read only: further items come after the last key */
+      size_t count;
+      const dks_feed_item_t *items;
+    } feed;
+    struct
+    {
+      uint64_t op;
+      dks_lease_status_t status;
+      int64_t clock_ms;               /**< target's clock, 0: not told */
+      const dks_lease_lists_t *lists; /**< LEASE_HOLD with status OK, else NULL */
+    } lease_reply;
   } u;
 } dks_event_t;
 
@@ -127,7 +207,13 @@
   DKS_EFFECT_STORE_GET,
   DKS_EFFECT_STORE_CAS,
   DKS_EFFECT_LOG,
-  DKS_EFFECT_EXIT, /**< drained: nothing is left to do */
+  DKS_EFFECT_EXIT,        /**< drained: nothing is left to do */
+  DKS_EFFECT_BATCH_REPLY, /**< answer to a BATCH event; exactly one a caller id */
+  DKS_EFFECT_FEED_READ,   /**< reads a part of a feed */
+  DKS_EFFECT_FEED_WATCH,  /**< waits for changes of a feed */
+  DKS_EFFECT_LEASE_START, /**< starts a run at a target */
+  DKS_EFFECT_LEASE_STOP,  /**< stops a run; one that has not arrived yet is rejected later */
+  DKS_EFFECT_LEASE_HOLD,  /**< reads a target's lists of runs and may extend its lease */
 } dks_effect_type_t;
 
 /** Everything in an effect lives until the effects are cleared. */
@@ -187,6 +273,36 @@
       dks_log_level_t level;
       char text[256];
     } log;
+    struct
+    {
+      uint64_t caller;
+      dks_batch_answer_t answer;
+      uint32_t retry_after_ms;    /**< 0: no advice */
+      uint32_t pending;           /**< PENDING only */
+      char detail[DKS_TEXT_SIZE]; /**< for people */
+    } batch_reply;
+    struct
+    {
+      uint64_t op; /**< never reused */
+      dks_feed_t feed;
+      int64_t revision;         /**< FEED_WATCH: changes after this */
+      char after[DKS_KEY_SIZE]; /**< FEED_READ: items after this key, empty: from the start */
+      int64_t timeout_ms;       /**< FEED_WATCH answers within this less a margin */
+    } feed;
+    struct
+    {
+      uint64_t op; /**< never reused */
+      char address[DKS_ADDRESS_SIZE];
+      char target[DKS_NAME_SIZE];    /**< id; another one at this address does nothing */
+      char task[DKS_TASK_NAME_SIZE]; /**< START and STOP */
+      uint32_t run;                  /**< START and STOP */
+      dks_blob_t *spec;              /**< START */
+      int64_t fence;                 /**< a target ignores orders with a lower one */
+      int64_t deadline_ms; /**< target's clock: end of the lease; HOLD: 0 leaves it as it is */
+      int64_t last_seen;   /**< HOLD: ends up to this number are known */
+      int64_t wait_ms;     /**< HOLD: the answer may wait this long for an end */
+      int64_t timeout_ms;  /**< without an answer the call counts as UNANSWERED */
+    } lease;
   } u;
 } dks_effect_t;
 
--- /dev/null
+++ b/include/core/leased.h
@@ -0,0 +1,358 @@
+/**
+ * Dispatch to targets that run tasks under leases. Internal to the reducer: hosts use
+ * core/reducer.h.
+ *
+ * Every instance takes requests of callers (leased_entry.c) and passes them to the leader of its
+ * data centre (leased_members.c). The leader orders the targets of its data centre
+ * (leased_targets.c), places the tasks of jobs on them (leased_jobs.c) and lends room to the
+ * leaders of other data centres. What the platform lists is followed in leased_feed.c.
+ *
+ * Hash tables serve look-ups only. Whatever is iterated stands in a ring, which keeps a run
+ * repeatable.
+ */
+#ifndef DKS_CORE_LEASED_H
+#define DKS_CORE_LEASED_H
+
+#include "core/state.h"
+
+typedef struct dks_leased_t dks_leased_t;
+typedef struct dks_lpeer_t dks_lpeer_t;
+typedef struct dks_ltarget_t dks_ltarget_t;
+typedef struct dks_lrun_t dks_lrun_t;
+typedef struct dks_ljob_t dks_ljob_t;
+typedef struct dks_lcaller_t dks_lcaller_t;
+typedef struct dks_lrequest_t dks_lrequest_t;
+
+/** Another instance. */
+struct dks_lpeer_t
+{
+  APR_RING_ENTRY (dks_lpeer_t) link;
+  char id[DKS_NAME_SIZE]; /**< member id */
+  char data_centre[DKS_NAME_SIZE];
+  bool up;          /**< there is a connection */
+  bool told;        /**< its state has been received on this connection */
+  int64_t heard_us; /**< latest message */
+  uint64_t term;    /**< as leader of its data centre, 0: it does not lead */
+  int64_t started_ms;
+  int64_t catalog_version;
+  int64_t catalog_sent; /**< version that was sent to it on this connection */
+  bool draining;
+  uint32_t free_tasks; /**< as last told, less what was lent since */
+  uint32_t waiting_tasks;
+};
+APR_RING_HEAD (dks_lpeer_ring_t, dks_lpeer_t);
+
+typedef enum
+{
+  DKS_LRUN_STARTING = 1, /**< the start has no answer yet */
+  DKS_LRUN_UNSURE,       /**< the start got no answer; the target's lists or a stop will tell */
+  DKS_LRUN_RUNNING,
+  DKS_LRUN_STOPPING, /**< takes room until the target lists its end */
+} dks_lrun_state_t;
+
+/** A run on one of our targets. */
+struct dks_lrun_t
+{
+  APR_RING_ENTRY (dks_lrun_t) link; /**< in the target's list */
+  dks_leased_t *leased;
+  dks_ltarget_t *target;
+  char name[DKS_TASK_NAME_SIZE];
+  uint32_t run;
+  dks_lrun_state_t state;
+  dks_ljob_t *job; /**< NULL: nobody waits for it (adopted, or stopped) */
+  uint32_t task;   /**< index in the job's tasks */
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  uint32_t estimate_ms;
+  int64_t started_us;  /**< when the start was sent */
+  int64_t acked_us;    /**< when the start or the stop was answered, 0 before */
+  int64_t seen_us;     /**< sending time of the latest call whose list had it */
+  uint32_t percent;    /**< of its work, as last seen */
+  int64_t progress_us; /**< when `percent` last rose */
+  int64_t adopted_us;  /**< when it was found in a target's list, 0: started here */
+  int64_t stop_us;     /**< when the stop was last sent */
+  uint64_t op;         /**< start or stop under way, 0 for none */
+  bool was_restarted;  /**< stop ordered because it makes too little progress */
+};
+APR_RING_HEAD (dks_lrun_ring_t, dks_lrun_t);
+
+/** A target of any data centre, and the orders to it when we hold it. */
+struct dks_ltarget_t
+{
+  APR_RING_ENTRY (dks_ltarget_t) link;
+  dks_leased_t *leased;
+  dks_target_info_t info;
+  bool listed;             /**< in the platform's list; else it ends with its runs */
+  int64_t unlisted_us;     /**< when it left the list */
+  uint32_t generation;     /**< read of the list that contained it last */
+  bool held;               /**< we order it */
+  bool adopted;            /**< its lists have been read under our fence */
+  uint64_t fence;          /**< of our orders */
+  int64_t born_ms;         /**< life that our knowledge is about */
+  int64_t last_seen;       /**< number of the last end that was handled */
+  int64_t clock_offset_ms; /**< target's clock less our monotonic clock, rounded down */
+  bool clock_known;
+  uint64_t hold_op;      /**< waiting hold under way, 0 for none */
+  int64_t hold_us;       /**< when it was sent */
+  uint64_t look_op;      /**< hold that does not wait, 0 for none */
+  int64_t look_us;       /**< when it was sent */
+  bool look_again;       /**< another look is wanted after the present one */
+  int64_t heard_us;      /**< latest answer */
+  int64_t extended_us;   /**< latest call that may have extended the lease */
+  uint32_t silent_calls; /**< calls without an answer since the latest one */
+  dks_timer_t hold_timer;
+  dks_timer_t lapse_timer; /**< armed while the target is silent */
+  struct dks_lrun_ring_t runs;
+  uint32_t run_count;
+  uint32_t cpu_used;
+  uint32_t memory_used;
+  uint32_t accelerators_used;
+  double slowness; /**< run time over estimate, moving average */
+  uint32_t samples;
+  double failure_rate;      /**< moving average of failed ends, 0 to 1 */
+  int64_t ejected_until_us; /**< gets no work before this */
+  uint32_t ejections;
+  int64_t full_until_us; /**< rejected a start for want of room */
+};
+APR_RING_HEAD (dks_ltarget_ring_t, dks_ltarget_t);
+
+typedef enum
+{
+  DKS_LTASK_WAITING = 1,
+  DKS_LTASK_PLACED, /**< has a run on one of our targets */
+  DKS_LTASK_LENT,   /**< runs at another leader */
+  DKS_LTASK_DONE,
+} dks_ltask_state_t;
+
+typedef struct
+{
+  uint32_t step;       /**< in the whole job */
+  uint32_t index;      /**< in its step */
+  uint32_t batch_step; /**< position of its step in the batch at hand */
+  dks_ltask_state_t state;
+  uint32_t attempts;             /**< that failed */
+  bool known;                    /**< nothing that an earlier leader started is at work */
+  uint32_t run;                  /**< number of the latest run */
+  dks_lrun_t *current;           /**< PLACED */
+  char peer[DKS_NAME_SIZE];      /**< LENT: the lender; empty when it is lost */
+  char lender_dc[DKS_NAME_SIZE]; /**< LENT: data centre of the targets that run it */
+  int64_t not_before_us;
+  char avoid[DKS_NAME_SIZE]; /**< target on which it failed last */
+} dks_ltask_t;
+
+/** A job that we place: of an entry instance, or tasks that another leader lent us. */
+struct dks_ljob_t
+{
+  APR_RING_ENTRY (dks_ljob_t) link; /**< in the order of service */
+  dks_leased_t *leased;
+  char origin[DKS_NAME_SIZE]; /**< member id of the sender */
+  uint64_t request;           /**< its number there */
+  uint64_t lend_id;           /**< number of our own WORK messages for it */
+  bool lent;                  /**< tasks that another leader lent us: placed at once or refused */
+  dks_batch_t *batch;
+  int64_t arrival_us;      /**< of the caller's request */
+  int64_t latest_start_us; /**< a start after this misses the objective */
+  int64_t wait_until_us;   /**< refused if nothing of it has started by then */
+  int64_t give_up_us;      /**< no answer is wanted after this */
+  bool resent;
+  bool begun; /**< a task was started or lent */
+  uint32_t task_count;
+  uint32_t waiting;
+  uint32_t done;
+  uint32_t step_left[DKS_BATCH_STEPS_MAX]; /**< tasks that have not ended, by step of the batch */
+  dks_timer_t timer;
+  dks_ltask_t tasks[];
+};
+APR_RING_HEAD (dks_ljob_ring_t, dks_ljob_t);
+
+/** One caller that waits for a request. */
+struct dks_lcaller_t
+{
+  APR_RING_ENTRY (dks_lcaller_t) link;
+  uint64_t caller;
+  dks_lrequest_t *request;
+};
+APR_RING_HEAD (dks_lcaller_ring_t, dks_lcaller_t);
+
+/** A job that callers of this instance wait for. */
+struct dks_lrequest_t
+{
+  APR_RING_ENTRY (dks_lrequest_t) link;
+  dks_leased_t *leased;
+  uint64_t number;
+  char queue[DKS_PREFIX_SIZE]; /**< prefix of its queue */
+  dks_batch_t *batch;
+  struct dks_lcaller_ring_t callers;
+  int64_t arrival_us;
+  int64_t objective_us;
+  int64_t budget_us;
+  char leader[DKS_NAME_SIZE]; /**< member that has it, empty for none */
+  bool sent;                  /**< some leader has had it */
+  dks_timer_t timer;
+};
+APR_RING_HEAD (dks_lrequest_ring_t, dks_lrequest_t);
+
+typedef struct
+{
+  uint64_t op; /**< under way, 0 for none */
+  bool is_watch;
+  int64_t revision;
+  bool read;                /**< the whole feed has been read */
+  char after[DKS_KEY_SIZE]; /**< position of a read in parts */
+  uint32_t generation;      /**< of the read under way; items not seen in it are gone */
+  int64_t read_us;          /**< when it was last known to be complete */
+  uint32_t failures;
+  dks_timer_t timer;
+} dks_lfeed_t;
+
+struct dks_leased_t
+{
+  dks_reducer_t *r;
+
+  /* leased_members.c */
+  struct dks_lpeer_ring_t peers;
+  int64_t started_ms;
+  int64_t started_us;
+  uint64_t term; /**< of our leadership, 0: we do not lead */
+  uint64_t highest_term;
+  int64_t fenced_us; /**< when a target last rejected our fence, 0 for never */
+  bool status_dirty; /**< peers have to be told soon */
+  int64_t status_us; /**< when peers were last told */
+  dks_timer_t status_timer;
+  char addresses[DKS_MEMBERS_MAX][DKS_ADDRESS_SIZE]; /**< peer addresses that we dial */
+  uint32_t address_count;
+  int64_t dialled_us; /**< when all of them were last named to the host */
+
+  /* leased_feed.c */
+  dks_lfeed_t feeds[DKS_FEED_COUNT];
+  dks_catalog_t *catalog; /**< in force, NULL before the first */
+  dks_blob_t *catalog_record;
+
+  /* leased_targets.c */
+  struct dks_ltarget_ring_t targets;
+  apr_hash_t *targets_by_id;
+  apr_hash_t *targets_by_op; /**< hold or look under way -> target */
+  apr_hash_t *runs_by_op;    /**< start or stop under way -> run */
+  int64_t led_us;            /**< when our leadership began */
+  bool led_planned;          /**< the leader before us was shutting down, and still alive */
+  double cpu_mean;           /**< processors of a task, thousandths, moving average */
+  double run_mean_us;        /**< run time of a task, moving average */
+  double slowness_mean;      /**< run time over estimate, moving average of all targets */
+  dks_timer_t watch_timer;   /**< looks after slow and orphaned runs */
+
+  /* leased_jobs.c */
+  struct dks_ljob_ring_t jobs; /**< in the order of service */
+  uint32_t job_count;
+  uint32_t waiting_tasks;
+  uint32_t lost_tasks; /**< lent tasks whose lender is lost */
+  bool pump_wanted;
+
+  /* leased_entry.c */
+  struct dks_lrequest_ring_t requests;
+  uint32_t request_count;
+  apr_hash_t *callers_by_id;
+  int64_t drain_us; /**< when the drain began, 0 before */
+};
+
+/* leased.c */
+dks_leased_t *dks_leased_create (dks_reducer_t *r);
+void dks_leased_destroy (dks_leased_t *leased);
+void dks_leased_handle_event (dks_leased_t *leased, const dks_event_t *event);
+/** Whether callers can be served here: a configuration is known and a leader is reachable. */
+bool dks_leased_is_ready (const dks_leased_t *leased);
+/** State for operators, a JSON object; malloc'ed. */
+char *dks_leased_status_json (const dks_leased_t *leased);
+
+/* leased_members.c */
+void dks_lmembers_init (dks_leased_t *leased);
+void dks_lmembers_clear (dks_leased_t *leased);
+dks_lpeer_t *dks_lpeer_find (const dks_leased_t *leased, const char *id);
+/** Connected and heard from lately. */
+bool dks_lpeer_is_alive (const dks_leased_t *leased, const dks_lpeer_t *peer);
+void dks_lmembers_handle_up (dks_leased_t *leased, const char *id, const char *data_centre);
+void dks_lmembers_handle_down (dks_leased_t *leased, const char *id);
+void dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg);
+void dks_lmembers_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg);
+/** Member id of the leader of our data centre, ourselves included; NULL when there is none. */
+const char *dks_lmembers_leader (const dks_leased_t *leased);
+/** A target has been ordered with a higher fence than ours. */
+void dks_lmembers_handle_fenced (dks_leased_t *leased);
+/** Elects, or stops to lead, as what is known of the others demands. */
+void dks_lmembers_review (dks_leased_t *leased);
+/** Tells all peers about our state soon. */
+void dks_lmembers_touch (dks_leased_t *leased);
+/** Sends the configuration in force to peers that have an older one. */
+void dks_lmembers_spread_catalog (dks_leased_t *leased);
+
+/* leased_feed.c */
+void dks_lfeed_init (dks_leased_t *leased);
+void dks_lfeed_clear (dks_leased_t *leased);
+void dks_lfeed_handle (dks_leased_t *leased, const dks_event_t *event);
+/** Puts a catalog in force unless a newer one is. */
+void dks_lfeed_offer_catalog (dks_leased_t *leased, dks_catalog_t *catalog, const char *source);
+
+/* leased_targets.c */
+void dks_ltargets_init (dks_leased_t *leased);
+void dks_ltargets_clear (dks_leased_t *leased);
+/** A target was listed or has changed. */
+void dks_ltargets_put (dks_leased_t *leased, const dks_target_info_t *info);
+/** A target is not listed any more. */
+void dks_ltargets_remove (dks_leased_t *leased, const char *id);
+/** Begins to order the targets of our data centre, or stops, after a change of leadership. */
+void dks_ltargets_handle_leadership (dks_leased_t *leased);
+void dks_ltargets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
+/** Whether the lists of all reachable targets have been read since our leadership began. */
+bool dks_ltargets_are_adopted (const dks_leased_t *leased);
+/** Best target for a task now, or NULL. */
+dks_ltarget_t *
+dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job, const dks_ltask_t *task);
+/** Whether any held target could ever run the step. */
+bool dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
+                                const dks_batch_step_t *step);
+/** Starts a run of the task. */
+void
+dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task);
+/** Stops a run whose result nobody needs; it keeps its room until the target lists its end. */
+void dks_lrun_stop (dks_lrun_t *run);
+/** Stops a run, but keeps its job: the task starts elsewhere once the run has surely ended. */
+void dks_lrun_fence (dks_lrun_t *run);
+/** Run of a task that was found on a target and that no job has claimed; NULL if there is none. */
+dks_lrun_t *dks_ltargets_find_adopted (dks_leased_t *leased, const char *name);
+/** Tasks of the usual size that fit now. */
+uint32_t dks_ltargets_free_tasks (const dks_leased_t *leased);
+/** Tasks of the usual size that fit on idle targets. */
+uint32_t dks_ltargets_capacity (const dks_leased_t *leased);
+
+/* leased_jobs.c */
+void dks_ljobs_init (dks_leased_t *leased);
+void dks_ljobs_clear (dks_leased_t *leased);
+/** Takes a job of an entry instance (ourselves included) or lent tasks. */
+void dks_ljobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg);
+void dks_ljobs_handle_cancel (dks_leased_t *leased, const char *origin, uint64_t request);
+void dks_ljobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg);
+/** The sender of jobs, or the borrower or lender of tasks, is gone. */
+void dks_ljobs_handle_peer_gone (dks_leased_t *leased, const char *peer);
+/** The peer does not lead any more: the next leader of its data centre is asked for lent tasks. */
+void dks_ljobs_handle_lender_lost (dks_leased_t *leased, const char *peer);
+/** We stopped leading: all jobs go, their senders submit them to the next leader. */
+void dks_ljobs_drop_all (dks_leased_t *leased);
+/** Places waiting tasks. */
+void dks_ljobs_pump (dks_leased_t *leased);
+/** Outcome of a run of a job's task. `is_fault`: the task failed by itself. */
+void dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault);
+
+/* leased_entry.c */
+void dks_lentry_init (dks_leased_t *leased);
+void dks_lentry_clear (dks_leased_t *leased);
+void dks_lentry_handle_batch (dks_leased_t *leased, const dks_event_t *event);
+void dks_lentry_handle_caller_gone (dks_leased_t *leased, uint64_t caller);
+/** Answer of a leader, or of ourselves as leader. */
+void dks_lentry_handle_done (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
+/** Submits requests again whose leader is gone or has changed. */
+void dks_lentry_review (dks_leased_t *leased);
+void dks_lentry_handle_drain (dks_leased_t *leased);
+/** Whether a draining instance has nothing left to answer, or may wait no longer. */
+bool dks_lentry_is_drained (const dks_leased_t *leased);
+
+#endif
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -5,31 +5,47 @@
 #ifndef DKS_CORE_MSG_H
 #define DKS_CORE_MSG_H
 
+#include "core/batch.h"
 #include "core/submission.h"
 
 typedef enum
 {
   DKS_MSG_HEARTBEAT = 1,
-  DKS_MSG_FORWARD,      /**< entry -> owner: a submission */
-  DKS_MSG_ASK,          /**< entry -> owner: cancel or query a key */
-  DKS_MSG_ANSWER,       /**< owner -> entry: answer to FORWARD or ASK */
-  DKS_MSG_CLAIM,        /**< owner -> backup: permission to start a key */
-  DKS_MSG_CONFIRM,      /**< owner -> backup: am I still the owner? needed before "not run" */
-  DKS_MSG_CLAIM_ACK,    /**< backup -> owner: verdict on CLAIM or CONFIRM */
-  DKS_MSG_RESULT,       /**< runner -> owner and backup: final answer of a claimed key */
-  DKS_MSG_SNAPSHOT,     /**< owner -> next backup, or former owner -> owner: part of the claims */
-  DKS_MSG_SNAPSHOT_ACK, /**< answer to SNAPSHOT: all parts have been stored */
-  DKS_MSG_DEMAND,       /**< borrower -> lender: wanted slots */
-  DKS_MSG_GRANT,        /**< lender -> borrower: reserved slots */
-  DKS_MSG_GRANT_RETURN, /**< borrower -> lender: slots that are not needed */
-  DKS_MSG_RUN,          /**< borrower -> lender: one task for a granted slot */
-  DKS_MSG_RUN_DONE,     /**< lender -> borrower: outcome of RUN */
-  DKS_MSG_RUN_ABORT,    /**< borrower -> lender: the result is not needed any more */
-  DKS_MSG_RECORD,       /**< a platform record (settings or a view) with its version */
-  DKS_MSG_RECORD_ASK,   /**< asks a peer for all its records */
+  DKS_MSG_FORWARD,       /**< entry -> owner: a submission */
+  DKS_MSG_ASK,           /**< entry -> owner: cancel or query a key */
+  DKS_MSG_ANSWER,        /**< owner -> entry: answer to FORWARD or ASK */
+  DKS_MSG_CLAIM,         /**< owner -> backup: permission to start a key */
+  DKS_MSG_CONFIRM,       /**< owner -> backup: am I still the owner? needed before "not run" */
+  DKS_MSG_CLAIM_ACK,     /**< backup -> owner: verdict on CLAIM or CONFIRM */
+  DKS_MSG_RESULT,        /**< runner -> owner and backup: final answer of a claimed key */
+  DKS_MSG_SNAPSHOT,      /**< owner -> next backup, or former owner -> owner: part of the claims */
+  DKS_MSG_SNAPSHOT_ACK,  /**< answer to SNAPSHOT: all parts have been stored */
+  DKS_MSG_DEMAND,        /**< borrower -> lender: wanted slots */
+  DKS_MSG_GRANT,         /**< lender -> borrower: reserved slots */
+  DKS_MSG_GRANT_RETURN,  /**< borrower -> lender: slots that are not needed */
+  DKS_MSG_RUN,           /**< borrower -> lender: one task for a granted slot */
+  DKS_MSG_RUN_DONE,      /**< lender -> borrower: outcome of RUN */
+  DKS_MSG_RUN_ABORT,     /**< borrower -> lender: the result is not needed any more */
+  DKS_MSG_RECORD,        /**< a platform record (settings or a view) with its version */
+  DKS_MSG_RECORD_ASK,    /**< asks a peer for all its records */
+  DKS_MSG_LEASED_STATUS, /**< heartbeat of instances whose targets run under leases */
+  DKS_MSG_ADDRESSES,     /**< peer addresses of other instances that the sender knows */
+  DKS_MSG_WORK,          /**< entry -> leader: a batch; leader -> leader: tasks to run at once */
+  DKS_MSG_WORK_DONE,     /**< answer to WORK; none follows for lent tasks */
+  DKS_MSG_WORK_CANCEL,   /**< nobody waits for this WORK any more */
+  DKS_MSG_LENT_DONE,     /**< outcome of one lent task */
   DKS_MSG_TYPE_COUNT
 } dks_msg_type_t;
 
+/** Outcome of a lent task. */
+typedef enum
+{
+  DKS_LENT_OK = 1,
+  DKS_LENT_FAILED,  /**< the task ended badly */
+  DKS_LENT_REFUSED, /**< no room; it was not started */
+  DKS_LENT_ENDED,   /**< it ended without a result by no fault of its own; nothing of it runs */
+} dks_lent_result_t;
+
 /** Outcome of one attempt to run a task at a target. */
 typedef enum
 {
@@ -156,6 +172,50 @@
       int64_t version;             /**< store revision */
       dks_blob_t *value;
     } record;
+    struct
+    {
+      uint64_t term;      /**< of the sender as leader of its data centre, 0: it does not lead */
+      int64_t started_ms; /**< start of the sender's process, Unix ms */
+      int64_t catalog_version; /**< in force, 0 for none */
+      uint32_t free_tasks;     /**< leader: how many tasks of the usual size fit now */
+      uint32_t waiting_tasks;  /**< leader: tasks that found no room */
+      bool draining;           /**< shutting down; is no candidate for leader */
+    } leased_status;
+    struct
+    {
+      uint32_t count;
+      char (*items)[DKS_ADDRESS_SIZE];
+    } addresses;
+    struct
+    {
+      uint64_t request; /**< chosen by the sender, never reused by one instance */
+      dks_batch_t *batch;
+      int64_t age_us;       /**< time since the caller's request arrived */
+      int64_t objective_us; /**< a good answer is that long after the arrival at most */
+      int64_t budget_us;    /**< no answer is wanted later than this after the arrival */
+      bool resent;          /**< another leader has had it; runs of its tasks may exist */
+      uint32_t step;        /**< lent tasks: their step; the batch has just this one */
+      uint32_t lent_count;  /**< 0: the whole batch */
+      uint32_t *lent;       /**< indices of lent tasks */
+      uint32_t *runs;       /**< numbers of their runs */
+    } work;
+    struct
+    {
+      uint64_t request;
+      uint32_t answer;         /**< dks_batch_answer_t */
+      uint32_t retry_after_ms; /**< 0: no advice */
+      char detail[DKS_TEXT_SIZE];
+    } work_done;
+    struct
+    {
+      uint64_t request;
+    } work_cancel;
+    struct
+    {
+      uint64_t request;
+      uint32_t index;  /**< of the task in its step */
+      uint32_t result; /**< dks_lent_result_t */
+    } lent_done;
   } u;
 } dks_msg_t;
 
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -10,6 +10,11 @@
 
 typedef struct dks_reducer_t dks_reducer_t;
 
+enum
+{
+  DKS_SEEDS_MAX = 8
+};
+
 /** Fixed settings of one instance. */
 typedef struct
 {
@@ -26,6 +31,10 @@
   int64_t retention_ms;       /**< how long after its issue time a key's record is kept */
   int64_t clock_skew_ms;      /**< largest assumed difference between clocks */
   uint32_t claims_max;        /**< claims kept per shard */
+  bool leased_targets;        /**< targets run tasks under leases, see docs/platform.md */
+  double remote_factor; /**< leased targets: run time away from a task's data over that near it */
+  size_t seed_address_count; /**< leased targets: instances to connect to at the start */
+  char seed_addresses[DKS_SEEDS_MAX][DKS_ADDRESS_SIZE]; /**< their peer ports, IP:port */
 } dks_config_t;
 
 /** Fills `config` with the defaults of the design page. */
@@ -41,6 +50,8 @@
 /** Monotonic time in microseconds at which the host must send the next DKS_EVENT_TICK. */
 int64_t dks_reducer_next_us (const dks_reducer_t *reducer);
 
+/** Whether callers of batches can be served; false unless targets run tasks under leases. */
+bool dks_reducer_is_ready (const dks_reducer_t *reducer);
 /** Member id "ID#INCARNATION" of this instance. */
 const char *dks_reducer_member_id (const dks_reducer_t *reducer);
 const dks_counters_t *dks_reducer_counters (const dks_reducer_t *reducer);
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -206,6 +206,8 @@
 
   bool draining;
   bool exit_sent;
+
+  struct dks_leased_t *leased; /**< targets run tasks under leases; NULL: by HTTP requests */
 };
 
 /* reducer.c */
--- a/include/damaskshored/options.h
+++ b/include/damaskshored/options.h
@@ -31,7 +31,10 @@
   uint32_t target_connections;         /**< connections to one target at most */
   uint32_t http_connections;           /**< connections of callers at most */
   uint32_t http_idle_timeout_s;
-  int64_t deadline_default_ms; /**< of submissions that give no deadline */
+  int64_t deadline_default_ms;          /**< of submissions that give no deadline */
+  char front_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port for callers' batches */
+  char ready_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port of the readiness check */
+  char seeds[DKS_URL_SIZE]; /**< leased targets: addresses of instances, separated by commas */
   dks_log_level_t log_level;
 } dks_options_t;
 
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -22,6 +22,16 @@
   bool submits;    /**< takes or generates an idempotency key */
 } dks_http_route_t;
 
+/** What a server speaks: its paths, and the form of answers of the reducer. */
+struct dks_http_interface_t
+{
+  /** Route of a request; see dks_http_route_find(). */
+  const dks_http_route_t *(*find) (const char *method, const char *path, const char **rest,
+                                   char allow[64]);
+  /** Prepares the reply for an effect that answers a caller. */
+  void (*answer) (dks_http_exchange_t *exchange, const dks_effect_t *effect);
+};
+
 struct dks_http_server_t
 {
   dks_loop_t *loop;
@@ -68,10 +78,19 @@
   unsigned status;
 };
 
-/** Route for a request; NULL when the path is unknown, or when the method is not allowed, in which
- * case `allow` lists the allowed methods. `rest` is the path below the route. */
+/** Route of `routes` for a request; NULL when the path is unknown, or when the method is not
+ * allowed, in which case `allow` lists the allowed methods. `rest` is the path below the route. */
+const dks_http_route_t *dks_http_route_find (const dks_http_route_t *routes, size_t count,
+                                             const char *method, const char *path,
+                                             const char **rest, char allow[64]);
+/** Paths of the product's own interface. */
 const dks_http_route_t *
-dks_http_route_find (const char *method, const char *path, const char **rest, char allow[64]);
+dks_http_own_route_find (const char *method, const char *path, const char **rest, char allow[64]);
+/** Adds a header to the prepared reply. */
+void
+dks_http_exchange_add_header (dks_http_exchange_t *exchange, const char *name, const char *value);
+/** Adds Retry-After, rounded up to seconds; no effect for 0. */
+void dks_http_exchange_retry_after (dks_http_exchange_t *exchange, uint32_t retry_after_ms);
 
 /** Prepares the reply; takes the malloc'ed `body`. Only the first reply counts. */
 void
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -10,11 +10,12 @@
 #include "net/loop.h"
 
 typedef struct dks_http_server_t dks_http_server_t;
+typedef struct dks_http_interface_t dks_http_interface_t; /**< see net/http_exchange.h */
 
 typedef struct
 {
   /** A decoded request as an event without `now`: SUBMIT, CANCEL, QUERY, CALLER_GONE,
-   * SETTINGS_EDIT or DRAIN. */
+   * SETTINGS_EDIT, DRAIN or BATCH. */
   void (*event) (void *context, dks_event_t *event);
   /** State for GET requests that the server answers itself. */
   const dks_reducer_t *(*reducer) (void *context);
@@ -29,14 +30,16 @@
   const char *data_centre;     /**< own data centre, for generated keys */
   int64_t deadline_default_ms; /**< used when a submission gives no deadline */
   uint64_t seed;               /**< of generated keys */
+  uint64_t first_caller;       /**< caller ids follow this; several servers of a host need ranges */
+  const dks_http_interface_t *interface; /**< NULL: the product's own, docs/design.md section 7 */
 } dks_http_server_config_t;
 
 int dks_http_server_create (dks_loop_t *loop, const dks_http_server_config_t *config,
                             const dks_http_server_callbacks_t *callbacks,
                             dks_http_server_t **server);
 void dks_http_server_destroy (dks_http_server_t *server);
-/** Sends the reply of a DKS_EFFECT_REPLY or DKS_EFFECT_EDIT_REPLY; ignored when the caller is gone.
- */
+/** Sends the reply of a DKS_EFFECT_REPLY, EDIT_REPLY or BATCH_REPLY; ignored when the caller is
+ * gone. */
 void dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect);
 /** From now on every reply closes its connection and /healthz reports that the instance drains. */
 void dks_http_server_set_draining (dks_http_server_t *server);
--- /dev/null
+++ b/include/platform/store.h
@@ -0,0 +1,15 @@
+/**
+ * Reads and watches of the platform's store, in its form. Keeps nothing but calls under way.
+ */
+#ifndef DKS_PLATFORM_STORE_H
+#define DKS_PLATFORM_STORE_H
+
+#include "core/event.h"
+#include "net/http_client.h"
+
+/** Makes the call of an effect FEED_READ or FEED_WATCH. `base_url` has no trailing slash. `event`
+ * is called once with the FEED event, without `now`, never from within this function. */
+void dks_platform_feed (dks_http_client_t *client, const char *base_url, const dks_effect_t *effect,
+                        void (*event) (void *context, dks_event_t *event), void *context);
+
+#endif
--- a/net/codec.c
+++ b/net/codec.c
@@ -1,9 +1,9 @@
 #include "net/codec.h"
 
+#include "codec_leased.h"
 #include "common/alloc.h"
 #include "common/error.h"
 #include "core/key.h"
-#include "peer.pb-c.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -34,8 +34,8 @@
   frame[3] = (uint8_t)len;
 }
 
-static void
-pack (const Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+void
+dks_codec_pack (const Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
 {
   size_t size = dks__peer_message__get_packed_size (wire);
 
@@ -156,7 +156,7 @@
   body.want = msg->u.heartbeat.want;
   body.oldest_ms = msg->u.heartbeat.oldest_ms;
   wire->heartbeat = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -169,7 +169,7 @@
   body.request = msg->u.forward.request;
   body.submission = &submission;
   wire->forward = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
   free (submission.tasks);
 }
 
@@ -182,7 +182,7 @@
   body.key = (char *)msg->u.ask.key;
   body.cancel = msg->u.ask.cancel;
   wire->ask = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -195,7 +195,7 @@
   body.request = msg->u.answer.request;
   body.answer = &answer;
   wire->answer = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
   free (answer.tasks);
 }
 
@@ -211,7 +211,7 @@
   body.id = msg->u.claim.id;
   body.item = &item.item;
   wire->claim = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
   wire_item_release (&item);
 }
 
@@ -224,7 +224,7 @@
   body.epoch = msg->u.confirm.epoch;
   body.id = msg->u.confirm.id;
   wire->confirm = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -237,7 +237,7 @@
   body.id = msg->u.claim_ack.id;
   body.ok = msg->u.claim_ack.ok;
   wire->claim_ack = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -250,7 +250,7 @@
   body.shard = msg->u.result.shard;
   body.item = &item.item;
   wire->result = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
   wire_item_release (&item);
 }
 
@@ -272,7 +272,7 @@
   body.n_items = count;
   body.items = (Dks__ClaimItem **)items; /* `item` is the first member of wire_item_t */
   wire->snapshot = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
   for (uint32_t i = 0; i < count; i++)
     wire_item_release (items[i]);
   free (items);
@@ -286,7 +286,7 @@
   body.shard = msg->u.snapshot_ack.shard;
   body.id = msg->u.snapshot_ack.id;
   wire->snapshot_ack = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -297,7 +297,7 @@
   body.want = msg->u.demand.want;
   body.oldest_ms = msg->u.demand.oldest_ms;
   wire->demand = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -310,7 +310,7 @@
     wire->grant = &body;
   else
     wire->grant_return = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -328,7 +328,7 @@
   body.deadline_ms = msg->u.run.deadline_ms;
   body.spec = &spec;
   wire->run = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -345,7 +345,7 @@
     }
   else
     wire->run_abort = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -357,7 +357,7 @@
   body.version = msg->u.record.version;
   body.value = wire_blob (msg->u.record.value);
   wire->record = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 static void
@@ -366,13 +366,13 @@
   Dks__RecordAsk body = DKS__RECORD_ASK__INIT;
 
   wire->record_ask = &body;
-  pack (wire, frame, len);
+  dks_codec_pack (wire, frame, len);
 }
 
 /* Decoding */
 
-static int
-copy_text (char *to, size_t size, const char *from)
+int
+dks_codec_copy_text (char *to, size_t size, const char *from)
 {
   for (const char *c = from; *c != '\0'; c++)
     {
@@ -462,8 +462,8 @@
   to->respond_async = from->respond_async;
   to->digest = from->digest;
   if ((error = copy_key (to->key, from->key, from->issued_ms)) != DKS_OK
-      || (error = copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
-      || (error = copy_text (to->team, sizeof (to->team), from->team)) != DKS_OK
+      || (error = dks_codec_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
+      || (error = dks_codec_copy_text (to->team, sizeof (to->team), from->team)) != DKS_OK
       || (error = check_time (from->deadline_ms)) != DKS_OK)
     return error;
   for (uint32_t i = 0; i < to->task_count && error == DKS_OK; i++)
@@ -507,7 +507,7 @@
                           (uint32_t)from->n_tasks);
   *out = to;
   to->retry_after_ms = from->retry_after_ms;
-  error = copy_text (to->detail, sizeof (to->detail), from->detail);
+  error = dks_codec_copy_text (to->detail, sizeof (to->detail), from->detail);
   for (uint32_t i = 0; i < to->task_count && error == DKS_OK; i++)
     error = read_result (&to->tasks[i], from->tasks[i]);
   return error;
@@ -523,7 +523,7 @@
   to->issued_ms = from->issued_ms;
   to->digest = from->digest;
   if ((error = copy_key (to->key, from->key, from->issued_ms)) != DKS_OK
-      || (error = copy_text (to->runner, sizeof (to->runner), from->runner)) != DKS_OK)
+      || (error = dks_codec_copy_text (to->runner, sizeof (to->runner), from->runner)) != DKS_OK)
     return error;
   if (from->answer == NULL)
     return DKS_OK;
@@ -675,7 +675,8 @@
   if (body->index >= DKS_TASKS_MAX || body->number == 0 || body->spec == NULL)
     return DKS_ERR_INVALID;
   if ((error = copy_key_only (msg->u.run.key, body->key)) != DKS_OK
-      || (error = copy_text (msg->u.run.service, sizeof (msg->u.run.service), body->service))
+      || (error =
+              dks_codec_copy_text (msg->u.run.service, sizeof (msg->u.run.service), body->service))
              != DKS_OK
       || (error = check_time (body->deadline_ms)) != DKS_OK)
     return error;
@@ -705,7 +706,8 @@
   int error;
 
   msg->u.record.version = body->version;
-  if ((error = copy_text (msg->u.record.key, sizeof (msg->u.record.key), body->key)) != DKS_OK
+  if ((error = dks_codec_copy_text (msg->u.record.key, sizeof (msg->u.record.key), body->key))
+          != DKS_OK
       || (error = check_version (body->version)) != DKS_OK)
     return error;
   return msg->u.record.key[0] != '\0' ? read_blob (&msg->u.record.value, &body->value)
@@ -718,16 +720,12 @@
   return DKS_OK;
 }
 
-typedef void (*encode_func_t) (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame,
-                               size_t *len);
-typedef int (*decode_func_t) (const Dks__PeerMessage *wire, dks_msg_t *msg);
-
 /* Indexed by dks_msg_type_t. */
 static const struct
 {
   Dks__PeerMessage__BodyCase body_case;
-  encode_func_t encode;
-  decode_func_t decode;
+  dks_encode_func_t encode;
+  dks_decode_func_t decode;
 } codecs[DKS_MSG_TYPE_COUNT] = {
   [DKS_MSG_HEARTBEAT] = { DKS__PEER_MESSAGE__BODY_HEARTBEAT, encode_heartbeat, decode_heartbeat },
   [DKS_MSG_FORWARD] = { DKS__PEER_MESSAGE__BODY_FORWARD, encode_forward, decode_forward },
@@ -749,6 +747,17 @@
   [DKS_MSG_RECORD] = { DKS__PEER_MESSAGE__BODY_RECORD, encode_record, decode_record },
   [DKS_MSG_RECORD_ASK] = { DKS__PEER_MESSAGE__BODY_RECORD_ASK, encode_record_ask,
                            decode_record_ask },
+  [DKS_MSG_LEASED_STATUS] = { DKS__PEER_MESSAGE__BODY_LEASED_STATUS, dks_encode_leased_status,
+                              dks_decode_leased_status },
+  [DKS_MSG_ADDRESSES] = { DKS__PEER_MESSAGE__BODY_ADDRESSES, dks_encode_addresses,
+                          dks_decode_addresses },
+  [DKS_MSG_WORK] = { DKS__PEER_MESSAGE__BODY_WORK, dks_encode_work, dks_decode_work },
+  [DKS_MSG_WORK_DONE] = { DKS__PEER_MESSAGE__BODY_WORK_DONE, dks_encode_work_done,
+                          dks_decode_work_done },
+  [DKS_MSG_WORK_CANCEL] = { DKS__PEER_MESSAGE__BODY_WORK_CANCEL, dks_encode_work_cancel,
+                            dks_decode_work_cancel },
+  [DKS_MSG_LENT_DONE] = { DKS__PEER_MESSAGE__BODY_LENT_DONE, dks_encode_lent_done,
+                          dks_decode_lent_done },
 };
 
 void
@@ -834,7 +843,7 @@
   body.duplicate = duplicate;
   wire.body_case = DKS__PEER_MESSAGE__BODY_HELLO;
   wire.hello = &body;
-  pack (&wire, frame, len);
+  dks_codec_pack (&wire, frame, len);
 }
 
 int
@@ -848,8 +857,8 @@
     return DKS_ERR_INVALID;
   if (wire->body_case == DKS__PEER_MESSAGE__BODY_HELLO && wire->hello->protocol == PROTOCOL
       && wire->hello->member[0] != '\0' && wire->hello->data_centre[0] != '\0'
-      && copy_text (member, DKS_NAME_SIZE, wire->hello->member) == DKS_OK
-      && copy_text (data_centre, DKS_NAME_SIZE, wire->hello->data_centre) == DKS_OK)
+      && dks_codec_copy_text (member, DKS_NAME_SIZE, wire->hello->member) == DKS_OK
+      && dks_codec_copy_text (data_centre, DKS_NAME_SIZE, wire->hello->data_centre) == DKS_OK)
     error = DKS_OK;
   if (error == DKS_OK)
     *duplicate = wire->hello->duplicate;
--- /dev/null
+++ b/net/codec_leased.c
@@ -0,0 +1,281 @@
+#include "codec_leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+#include "core/event.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  ADDRESSES_MAX = 4096 /* entries of one message */
+};
+
+/* Bound of a time in a message, one day in us: sums of a few of them cannot overflow. */
+#define SPAN_MAX_US (INT64_C (86400) * 1000000)
+
+/* Encoding */
+
+void
+dks_encode_leased_status (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame,
+                          size_t *len)
+{
+  Dks__LeasedStatus body = DKS__LEASED_STATUS__INIT;
+
+  body.term = msg->u.leased_status.term;
+  body.started_ms = msg->u.leased_status.started_ms;
+  body.catalog_version = msg->u.leased_status.catalog_version;
+  body.free_tasks = msg->u.leased_status.free_tasks;
+  body.waiting_tasks = msg->u.leased_status.waiting_tasks;
+  body.draining = msg->u.leased_status.draining;
+  wire->leased_status = &body;
+  dks_codec_pack (wire, frame, len);
+}
+
+void
+dks_encode_addresses (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__Addresses body = DKS__ADDRESSES__INIT;
+  uint32_t count = msg->u.addresses.count;
+
+  body.n_items = count;
+  body.items = dks_alloc ((count + 1) * sizeof (body.items[0]));
+  for (uint32_t i = 0; i < count; i++)
+    body.items[i] = msg->u.addresses.items[i];
+  wire->addresses = &body;
+  dks_codec_pack (wire, frame, len);
+  free (body.items);
+}
+
+static void
+wire_step (Dks__BatchStep *to, const dks_batch_step_t *from)
+{
+  dks__batch_step__init (to);
+  to->count = from->count;
+  to->cpu_milli = from->cpu_milli;
+  to->memory_mb = from->memory_mb;
+  to->accelerators = from->accelerators;
+  to->estimate_ms = from->estimate_ms;
+  to->after = from->after;
+  to->max_per_target = from->max_per_target;
+  to->required_label = (char *)from->required_label;
+  to->near_label = (char *)from->near_label;
+}
+
+void
+dks_encode_work (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__Work body = DKS__WORK__INIT;
+  const dks_batch_t *batch = msg->u.work.batch;
+  Dks__BatchStep steps[DKS_BATCH_STEPS_MAX];
+  Dks__BatchStep *list[DKS_BATCH_STEPS_MAX];
+
+  for (uint32_t i = 0; i < batch->step_count; i++)
+    {
+      wire_step (&steps[i], &batch->steps[i]);
+      list[i] = &steps[i];
+    }
+  body.request = msg->u.work.request;
+  body.id = (char *)batch->id;
+  body.service = (char *)batch->service;
+  body.priority = batch->priority;
+  body.max_attempts = batch->max_attempts;
+  body.spec.len = batch->spec->len;
+  body.spec.data = batch->spec->data;
+  body.n_steps = batch->step_count;
+  body.steps = list;
+  body.age_us = msg->u.work.age_us;
+  body.objective_us = msg->u.work.objective_us;
+  body.budget_us = msg->u.work.budget_us;
+  body.resent = msg->u.work.resent;
+  body.step = msg->u.work.step;
+  body.n_lent = msg->u.work.lent_count;
+  body.lent = msg->u.work.lent;
+  body.n_runs = msg->u.work.lent_count;
+  body.runs = msg->u.work.runs;
+  wire->work = &body;
+  dks_codec_pack (wire, frame, len);
+}
+
+void
+dks_encode_work_done (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__WorkDone body = DKS__WORK_DONE__INIT;
+
+  body.request = msg->u.work_done.request;
+  body.answer = msg->u.work_done.answer;
+  body.retry_after_ms = msg->u.work_done.retry_after_ms;
+  body.detail = (char *)msg->u.work_done.detail;
+  wire->work_done = &body;
+  dks_codec_pack (wire, frame, len);
+}
+
+void
+dks_encode_work_cancel (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__WorkCancel body = DKS__WORK_CANCEL__INIT;
+
+  body.request = msg->u.work_cancel.request;
+  wire->work_cancel = &body;
+  dks_codec_pack (wire, frame, len);
+}
+
+void
+dks_encode_lent_done (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__LentDone body = DKS__LENT_DONE__INIT;
+
+  body.request = msg->u.lent_done.request;
+  body.index = msg->u.lent_done.index;
+  body.result = msg->u.lent_done.result;
+  wire->lent_done = &body;
+  dks_codec_pack (wire, frame, len);
+}
+
+/* Decoding */
+
+int
+dks_decode_leased_status (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__LeasedStatus *body = wire->leased_status;
+
+  msg->u.leased_status.term = body->term;
+  msg->u.leased_status.started_ms = body->started_ms;
+  msg->u.leased_status.catalog_version = body->catalog_version;
+  msg->u.leased_status.free_tasks = body->free_tasks;
+  msg->u.leased_status.waiting_tasks = body->waiting_tasks;
+  msg->u.leased_status.draining = body->draining;
+  return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
+}
+
+int
+dks_decode_addresses (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__Addresses *body = wire->addresses;
+  int error = DKS_OK;
+
+  if (body->n_items > ADDRESSES_MAX)
+    return DKS_ERR_TOO_LARGE;
+  msg->u.addresses.count = (uint32_t)body->n_items;
+  msg->u.addresses.items = dks_alloc ((body->n_items + 1) * sizeof (msg->u.addresses.items[0]));
+  for (size_t i = 0; i < body->n_items && error == DKS_OK; i++)
+    error = dks_codec_copy_text (msg->u.addresses.items[i], DKS_ADDRESS_SIZE, body->items[i]);
+  return error;
+}
+
+static int
+read_step (dks_batch_step_t *to, const Dks__BatchStep *from)
+{
+  to->count = from->count;
+  to->cpu_milli = from->cpu_milli;
+  to->memory_mb = from->memory_mb;
+  to->accelerators = from->accelerators;
+  to->estimate_ms = from->estimate_ms;
+  to->after = from->after;
+  to->max_per_target = from->max_per_target;
+  if (dks_codec_copy_text (to->required_label, sizeof (to->required_label), from->required_label)
+      != DKS_OK)
+    return DKS_ERR_INVALID;
+  return dks_codec_copy_text (to->near_label, sizeof (to->near_label), from->near_label);
+}
+
+static int
+read_batch (dks_batch_t **batch, const Dks__Work *body)
+{
+  dks_batch_t *created;
+  int error;
+
+  if (body->n_steps == 0 || body->n_steps > DKS_BATCH_STEPS_MAX
+      || body->spec.len > DKS_BATCH_SPEC_MAX)
+    return DKS_ERR_INVALID;
+  created = dks_batch_create ((uint32_t)body->n_steps);
+  *batch = created; /* released with the message */
+  created->priority = body->priority;
+  created->max_attempts = body->max_attempts;
+  created->spec = dks_blob_create (body->spec.data, body->spec.len);
+  for (size_t i = 0; i < body->n_steps; i++)
+    {
+      if ((error = read_step (&created->steps[i], body->steps[i])) != DKS_OK)
+        return error;
+    }
+  if ((error = dks_codec_copy_text (created->id, sizeof (created->id), body->id)) != DKS_OK
+      || (error = dks_codec_copy_text (created->service, sizeof (created->service), body->service))
+             != DKS_OK)
+    return error;
+  return dks_batch_complete (created);
+}
+
+static int
+check_span (int64_t us)
+{
+  return us >= 0 && us <= SPAN_MAX_US ? DKS_OK : DKS_ERR_INVALID;
+}
+
+static uint32_t *
+copy_numbers (const uint32_t *from, size_t count)
+{
+  uint32_t *to = dks_alloc ((count + 1) * sizeof (*to));
+
+  if (count > 0)
+    memcpy (to, from, count * sizeof (*to));
+  return to;
+}
+
+int
+dks_decode_work (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__Work *body = wire->work;
+  int error = read_batch (&msg->u.work.batch, body);
+
+  if (error != DKS_OK)
+    return error;
+  if (check_span (body->age_us) != DKS_OK || check_span (body->objective_us) != DKS_OK
+      || check_span (body->budget_us) != DKS_OK || body->n_lent != body->n_runs
+      || body->n_lent > DKS_TASKS_MAX)
+    return DKS_ERR_INVALID;
+  if (body->n_lent > 0 && body->n_steps != 1)
+    return DKS_ERR_INVALID;
+  msg->u.work.request = body->request;
+  msg->u.work.age_us = body->age_us;
+  msg->u.work.objective_us = body->objective_us;
+  msg->u.work.budget_us = body->budget_us;
+  msg->u.work.resent = body->resent;
+  msg->u.work.step = body->step;
+  msg->u.work.lent_count = (uint32_t)body->n_lent;
+  msg->u.work.lent = copy_numbers (body->lent, body->n_lent);
+  msg->u.work.runs = copy_numbers (body->runs, body->n_runs);
+  return DKS_OK;
+}
+
+int
+dks_decode_work_done (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__WorkDone *body = wire->work_done;
+
+  if (body->answer < DKS_BATCH_COMPLETED || body->answer > DKS_BATCH_LOST)
+    return DKS_ERR_INVALID;
+  msg->u.work_done.request = body->request;
+  msg->u.work_done.answer = body->answer;
+  msg->u.work_done.retry_after_ms = body->retry_after_ms;
+  return dks_codec_copy_text (msg->u.work_done.detail, sizeof (msg->u.work_done.detail),
+                              body->detail);
+}
+
+int
+dks_decode_work_cancel (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  msg->u.work_cancel.request = wire->work_cancel->request;
+  return DKS_OK;
+}
+
+int
+dks_decode_lent_done (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__LentDone *body = wire->lent_done;
+
+  msg->u.lent_done.request = body->request;
+  msg->u.lent_done.index = body->index;
+  msg->u.lent_done.result = body->result;
+  return body->result >= DKS_LENT_OK && body->result <= DKS_LENT_ENDED ? DKS_OK : DKS_ERR_INVALID;
+}
--- /dev/null
+++ b/net/codec_leased.h
@@ -0,0 +1,37 @@
+/**
+ * Codec of the messages between instances whose targets run under leases. Part of net/codec.c.
+ */
+#ifndef DKS_NET_CODEC_LEASED_H
+#define DKS_NET_CODEC_LEASED_H
+
+#include "core/msg.h"
+#include "peer.pb-c.h"
+
+typedef void (*dks_encode_func_t) (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame,
+                                   size_t *len);
+typedef int (*dks_decode_func_t) (const Dks__PeerMessage *wire, dks_msg_t *msg);
+
+/** Packs `wire` as a frame with its length. */
+void dks_codec_pack (const Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+/** Copies text without control characters. */
+int dks_codec_copy_text (char *to, size_t size, const char *from);
+
+void dks_encode_leased_status (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame,
+                               size_t *len);
+void
+dks_encode_addresses (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+void dks_encode_work (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+void
+dks_encode_work_done (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+void
+dks_encode_work_cancel (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+void
+dks_encode_lent_done (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+int dks_decode_leased_status (const Dks__PeerMessage *wire, dks_msg_t *msg);
+int dks_decode_addresses (const Dks__PeerMessage *wire, dks_msg_t *msg);
+int dks_decode_work (const Dks__PeerMessage *wire, dks_msg_t *msg);
+int dks_decode_work_done (const Dks__PeerMessage *wire, dks_msg_t *msg);
+int dks_decode_work_cancel (const Dks__PeerMessage *wire, dks_msg_t *msg);
+int dks_decode_lent_done (const Dks__PeerMessage *wire, dks_msg_t *msg);
+
+#endif
--- a/net/http_routes.c
+++ b/net/http_routes.c
@@ -379,21 +379,28 @@
 }
 
 const dks_http_route_t *
-dks_http_route_find (const char *method, const char *path, const char **rest, char allow[64])
+dks_http_route_find (const dks_http_route_t *table, size_t count, const char *method,
+                     const char *path, const char **rest, char allow[64])
 {
   size_t len = 0;
 
   allow[0] = '\0';
   if (strcmp (method, MHD_HTTP_METHOD_HEAD) == 0)
     method = MHD_HTTP_METHOD_GET;
-  for (size_t i = 0; i < sizeof (routes) / sizeof (routes[0]); i++)
+  for (size_t i = 0; i < count; i++)
     {
-      if (!route_matches (&routes[i], path, rest))
+      if (!route_matches (&table[i], path, rest))
         continue;
-      if (strcmp (routes[i].method, method) == 0)
-        return &routes[i];
-      len +=
-          (size_t)snprintf (allow + len, 64 - len, "%s%s", len > 0 ? ", " : "", routes[i].method);
+      if (strcmp (table[i].method, method) == 0)
+        return &table[i];
+      len += (size_t)snprintf (allow + len, 64 - len, "%s%s", len > 0 ? ", " : "", table[i].method);
     }
   return NULL;
 }
+
+const dks_http_route_t *
+dks_http_own_route_find (const char *method, const char *path, const char **rest, char allow[64])
+{
+  return dks_http_route_find (routes, sizeof (routes) / sizeof (routes[0]), method, path, rest,
+                              allow);
+}
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -39,8 +39,8 @@
   return MHD_lookup_connection_value (exchange->connection, MHD_HEADER_KIND, name);
 }
 
-static void
-exchange_add_header (dks_http_exchange_t *exchange, const char *name, const char *value)
+void
+dks_http_exchange_add_header (dks_http_exchange_t *exchange, const char *name, const char *value)
 {
   MHD_add_response_header (exchange->response, name, value);
 }
@@ -56,27 +56,33 @@
   exchange->status = (unsigned)status;
   exchange->response = MHD_create_response_from_buffer (strlen (body), body, MHD_RESPMEM_MUST_FREE);
   DKS_INVARIANT (exchange->response != NULL);
-  exchange_add_header (exchange, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+  dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_CONTENT_TYPE, type);
   if (exchange->key[0] != '\0')
-    exchange_add_header (exchange, "Idempotency-Key", exchange->key);
+    dks_http_exchange_add_header (exchange, "Idempotency-Key", exchange->key);
   if (exchange->server->draining || exchange->excess)
-    exchange_add_header (exchange, MHD_HTTP_HEADER_CONNECTION, "close");
+    dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
 void
-dks_http_exchange_problem (dks_http_exchange_t *exchange, const dks_http_problem_t *problem)
+dks_http_exchange_retry_after (dks_http_exchange_t *exchange, uint32_t retry_after_ms)
 {
   char seconds[16];
 
+  if (retry_after_ms == 0)
+    return;
+  snprintf (seconds, sizeof (seconds), "%" PRIu32,
+            retry_after_ms / MS_PER_S + (retry_after_ms % MS_PER_S != 0));
+  dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+}
+
+void
+dks_http_exchange_problem (dks_http_exchange_t *exchange, const dks_http_problem_t *problem)
+{
   if (exchange->response != NULL)
     return;
   dks_http_exchange_reply (exchange, problem->status, "application/problem+json",
                            dks_http_json_problem (problem));
-  if (problem->retry_after_ms == 0)
-    return;
-  snprintf (seconds, sizeof (seconds), "%" PRIu32,
-            problem->retry_after_ms / MS_PER_S + (problem->retry_after_ms % MS_PER_S != 0));
-  exchange_add_header (exchange, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+  dks_http_exchange_retry_after (exchange, problem->retry_after_ms);
 }
 
 /* An error found before the reducer knows of the request. Nothing is known of an earlier submission
@@ -163,7 +169,7 @@
       if (status == 202)
         {
           snprintf (location, sizeof (location), "/v1/jobs/%s", exchange->key);
-          exchange_add_header (exchange, MHD_HTTP_HEADER_LOCATION, location);
+          dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_LOCATION, location);
         }
       return;
     }
@@ -307,20 +313,41 @@
                   handle_caller_readable, exchange);
 }
 
+static uint64_t
+effect_caller (const dks_effect_t *effect)
+{
+  switch (effect->type)
+    {
+    case DKS_EFFECT_EDIT_REPLY:
+      return effect->u.edit_reply.caller;
+    case DKS_EFFECT_BATCH_REPLY:
+      return effect->u.batch_reply.caller;
+    default:
+      return effect->u.reply.caller;
+    }
+}
+
+static void
+own_answer (dks_http_exchange_t *exchange, const dks_effect_t *effect)
+{
+  if (effect->type == DKS_EFFECT_EDIT_REPLY)
+    dks_http_exchange_edit_reply (exchange, effect);
+  else
+    dks_http_exchange_answer (exchange, effect->u.reply.answer);
+}
+
+static const dks_http_interface_t own_interface = { dks_http_own_route_find, own_answer };
+
 void
 dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect)
 {
-  bool is_edit = effect->type == DKS_EFFECT_EDIT_REPLY;
-  uint64_t caller = is_edit ? effect->u.edit_reply.caller : effect->u.reply.caller;
+  uint64_t caller = effect_caller (effect);
   dks_http_exchange_t *exchange = apr_hash_get (server->callers, &caller, sizeof (caller));
 
   if (exchange == NULL)
     return;
   exchange_forget (exchange);
-  if (is_edit)
-    dks_http_exchange_edit_reply (exchange, effect);
-  else
-    dks_http_exchange_answer (exchange, effect->u.reply.answer);
+  server->config.interface->answer (exchange, effect);
   exchange_resume (exchange);
 }
 
@@ -409,7 +436,7 @@
   const char *rest = "";
   char allow[64];
 
-  exchange->route = dks_http_route_find (method, url, &rest, allow);
+  exchange->route = exchange->server->config.interface->find (method, url, &rest, allow);
   if (exchange->route != NULL)
     {
       exchange->rest = dks_strdup (rest);
@@ -419,7 +446,7 @@
   else if (allow[0] != '\0')
     {
       dks_http_exchange_reject (exchange, 405, "method-not-allowed", allow);
-      exchange_add_header (exchange, MHD_HTTP_HEADER_ALLOW, allow);
+      dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_ALLOW, allow);
     }
   else
     dks_http_exchange_reject (exchange, 404, "not-found", "there is nothing at this path");
@@ -647,6 +674,9 @@
   created->config = *config;
   created->callbacks = *callbacks;
   created->random = config->seed;
+  created->last_caller = config->first_caller;
+  if (config->interface == NULL)
+    created->config.interface = &own_interface;
   dks_strcpy (created->data_centre, sizeof (created->data_centre), config->data_centre);
   created->daemon = start_daemon (created, &address);
   if (created->daemon == NULL)
