--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -997,6 +997,321 @@
   assert(message->base.descriptor == &dks__record_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dks__leased_status__init
+                     (Dks__LeasedStatus         *message)
+{
+  static const Dks__LeasedStatus init_value = DKS__LEASED_STATUS__INIT;
+  *message = init_value;
+}
+size_t dks__leased_status__get_packed_size
+                     (const Dks__LeasedStatus *message)
+{
+  assert(message->base.descriptor == &dks__leased_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__leased_status__pack
+                     (const Dks__LeasedStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__leased_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__leased_status__pack_to_buffer
+                     (const Dks__LeasedStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__leased_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__LeasedStatus *
+       dks__leased_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__LeasedStatus *)
+     protobuf_c_message_unpack (&dks__leased_status__descriptor,
+                                allocator, len, data);
+}
+void   dks__leased_status__free_unpacked
+                     (Dks__LeasedStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__leased_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__addresses__init
+                     (Dks__Addresses         *message)
+{
+  static const Dks__Addresses init_value = DKS__ADDRESSES__INIT;
+  *message = init_value;
+}
+size_t dks__addresses__get_packed_size
+                     (const Dks__Addresses *message)
+{
+  assert(message->base.descriptor == &dks__addresses__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__addresses__pack
+                     (const Dks__Addresses *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__addresses__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__addresses__pack_to_buffer
+                     (const Dks__Addresses *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__addresses__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__Addresses *
+       dks__addresses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__Addresses *)
+     protobuf_c_message_unpack (&dks__addresses__descriptor,
+                                allocator, len, data);
+}
+void   dks__addresses__free_unpacked
+                     (Dks__Addresses *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__addresses__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__batch_step__init
+                     (Dks__BatchStep         *message)
+{
+  static const Dks__BatchStep init_value = DKS__BATCH_STEP__INIT;
+  *message = init_value;
+}
+size_t dks__batch_step__get_packed_size
+                     (const Dks__BatchStep *message)
+{
+  assert(message->base.descriptor == &dks__batch_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__batch_step__pack
+                     (const Dks__BatchStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__batch_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__batch_step__pack_to_buffer
+                     (const Dks__BatchStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__batch_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__BatchStep *
+       dks__batch_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__BatchStep *)
+     protobuf_c_message_unpack (&dks__batch_step__descriptor,
+                                allocator, len, data);
+}
+void   dks__batch_step__free_unpacked
+                     (Dks__BatchStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__batch_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__work__init
+                     (Dks__Work         *message)
+{
+  static const Dks__Work init_value = DKS__WORK__INIT;
+  *message = init_value;
+}
+size_t dks__work__get_packed_size
+                     (const Dks__Work *message)
+{
+  assert(message->base.descriptor == &dks__work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__work__pack
+                     (const Dks__Work *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__work__pack_to_buffer
+                     (const Dks__Work *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__Work *
+       dks__work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__Work *)
+     protobuf_c_message_unpack (&dks__work__descriptor,
+                                allocator, len, data);
+}
+void   dks__work__free_unpacked
+                     (Dks__Work *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__work_done__init
+                     (Dks__WorkDone         *message)
+{
+  static const Dks__WorkDone init_value = DKS__WORK_DONE__INIT;
+  *message = init_value;
+}
+size_t dks__work_done__get_packed_size
+                     (const Dks__WorkDone *message)
+{
+  assert(message->base.descriptor == &dks__work_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__work_done__pack
+                     (const Dks__WorkDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__work_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__work_done__pack_to_buffer
+                     (const Dks__WorkDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__work_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__WorkDone *
+       dks__work_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__WorkDone *)
+     protobuf_c_message_unpack (&dks__work_done__descriptor,
+                                allocator, len, data);
+}
+void   dks__work_done__free_unpacked
+                     (Dks__WorkDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__work_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__work_cancel__init
+                     (Dks__WorkCancel         *message)
+{
+  static const Dks__WorkCancel init_value = DKS__WORK_CANCEL__INIT;
+  *message = init_value;
+}
+size_t dks__work_cancel__get_packed_size
+                     (const Dks__WorkCancel *message)
+{
+  assert(message->base.descriptor == &dks__work_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__work_cancel__pack
+                     (const Dks__WorkCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__work_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__work_cancel__pack_to_buffer
+                     (const Dks__WorkCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__work_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__WorkCancel *
+       dks__work_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__WorkCancel *)
+     protobuf_c_message_unpack (&dks__work_cancel__descriptor,
+                                allocator, len, data);
+}
+void   dks__work_cancel__free_unpacked
+                     (Dks__WorkCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__work_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__lent_done__init
+                     (Dks__LentDone         *message)
+{
+  static const Dks__LentDone init_value = DKS__LENT_DONE__INIT;
+  *message = init_value;
+}
+size_t dks__lent_done__get_packed_size
+                     (const Dks__LentDone *message)
+{
+  assert(message->base.descriptor == &dks__lent_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__lent_done__pack
+                     (const Dks__LentDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__lent_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__lent_done__pack_to_buffer
+                     (const Dks__LentDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__lent_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__LentDone *
+       dks__lent_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__LentDone *)
+     protobuf_c_message_unpack (&dks__lent_done__descriptor,
+                                allocator, len, data);
+}
+void   dks__lent_done__free_unpacked
+                     (Dks__LentDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__lent_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dks__peer_message__init
                      (Dks__PeerMessage         *message)
 {
@@ -2716,95 +3031,764 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[19] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[6] =
 {
   {
-    "hello",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, hello),
-    &dks__hello__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, term),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "started_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, heartbeat),
-    &dks__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, started_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward",
+    "catalog_version",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, forward),
-    &dks__forward__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, catalog_version),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ask",
+    "free_tasks",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, ask),
-    &dks__ask__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, free_tasks),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
+    "waiting_tasks",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, answer),
-    &dks__answer_to__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, waiting_tasks),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
+    "draining",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, claim),
-    &dks__claim__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, draining),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "confirm",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__PeerMessage, body_case),
-    offsetof(Dks__PeerMessage, confirm),
-    &dks__confirm__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "claim_ack",
-    8,
+};
+static const unsigned dks__leased_status__field_indices_by_name[] = {
+  2,   /* field[2] = catalog_version */
+  5,   /* field[5] = draining */
+  3,   /* field[3] = free_tasks */
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = term */
+  4,   /* field[4] = waiting_tasks */
+};
+static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dks__leased_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.LeasedStatus",
+  "LeasedStatus",
+  "Dks__LeasedStatus",
+  "dks",
+  sizeof(Dks__LeasedStatus),
+  6,
+  dks__leased_status__field_descriptors,
+  dks__leased_status__field_indices_by_name,
+  1,  dks__leased_status__number_ranges,
+  (ProtobufCMessageInit) dks__leased_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__addresses__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Dks__Addresses, n_items),
+    offsetof(Dks__Addresses, items),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__addresses__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange dks__addresses__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dks__addresses__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.Addresses",
+  "Addresses",
+  "Dks__Addresses",
+  "dks",
+  sizeof(Dks__Addresses),
+  1,
+  dks__addresses__field_descriptors,
+  dks__addresses__field_indices_by_name,
+  1,  dks__addresses__number_ranges,
+  (ProtobufCMessageInit) dks__addresses__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__batch_step__field_descriptors[9] =
+{
+  {
+    "count",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "estimate_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, estimate_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_per_target",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, max_per_target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "required_label",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, required_label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "near_label",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__BatchStep, near_label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__batch_step__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu_milli */
+  4,   /* field[4] = estimate_ms */
+  6,   /* field[6] = max_per_target */
+  2,   /* field[2] = memory_mb */
+  8,   /* field[8] = near_label */
+  7,   /* field[7] = required_label */
+};
+static const ProtobufCIntRange dks__batch_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor dks__batch_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.BatchStep",
+  "BatchStep",
+  "Dks__BatchStep",
+  "dks",
+  sizeof(Dks__BatchStep),
+  9,
+  dks__batch_step__field_descriptors,
+  dks__batch_step__field_indices_by_name,
+  1,  dks__batch_step__number_ranges,
+  (ProtobufCMessageInit) dks__batch_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__work__field_descriptors[14] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__Work, n_steps),
+    offsetof(Dks__Work, steps),
+    &dks__batch_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, objective_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "budget_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, budget_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resent",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, resent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lent",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dks__Work, n_lent),
+    offsetof(Dks__Work, lent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dks__Work, n_runs),
+    offsetof(Dks__Work, runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__work__field_indices_by_name[] = {
+  7,   /* field[7] = age_us */
+  9,   /* field[9] = budget_us */
+  1,   /* field[1] = id */
+  12,   /* field[12] = lent */
+  4,   /* field[4] = max_attempts */
+  8,   /* field[8] = objective_us */
+  3,   /* field[3] = priority */
+  0,   /* field[0] = request */
+  10,   /* field[10] = resent */
+  13,   /* field[13] = runs */
+  2,   /* field[2] = service */
+  5,   /* field[5] = spec */
+  11,   /* field[11] = step */
+  6,   /* field[6] = steps */
+};
+static const ProtobufCIntRange dks__work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor dks__work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.Work",
+  "Work",
+  "Dks__Work",
+  "dks",
+  sizeof(Dks__Work),
+  14,
+  dks__work__field_descriptors,
+  dks__work__field_indices_by_name,
+  1,  dks__work__number_ranges,
+  (ProtobufCMessageInit) dks__work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__work_done__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__WorkDone, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__WorkDone, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__WorkDone, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detail",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__WorkDone, detail),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__work_done__field_indices_by_name[] = {
+  1,   /* field[1] = answer */
+  3,   /* field[3] = detail */
+  0,   /* field[0] = request */
+  2,   /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange dks__work_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dks__work_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.WorkDone",
+  "WorkDone",
+  "Dks__WorkDone",
+  "dks",
+  sizeof(Dks__WorkDone),
+  4,
+  dks__work_done__field_descriptors,
+  dks__work_done__field_indices_by_name,
+  1,  dks__work_done__number_ranges,
+  (ProtobufCMessageInit) dks__work_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__work_cancel__field_descriptors[1] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__WorkCancel, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__work_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange dks__work_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dks__work_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.WorkCancel",
+  "WorkCancel",
+  "Dks__WorkCancel",
+  "dks",
+  sizeof(Dks__WorkCancel),
+  1,
+  dks__work_cancel__field_descriptors,
+  dks__work_cancel__field_indices_by_name,
+  1,  dks__work_cancel__number_ranges,
+  (ProtobufCMessageInit) dks__work_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__lent_done__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LentDone, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LentDone, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LentDone, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__lent_done__field_indices_by_name[] = {
+  1,   /* field[1] = index */
+  0,   /* field[0] = request */
+  2,   /* field[2] = result */
+};
+static const ProtobufCIntRange dks__lent_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dks__lent_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.LentDone",
+  "LentDone",
+  "Dks__LentDone",
+  "dks",
+  sizeof(Dks__LentDone),
+  3,
+  dks__lent_done__field_descriptors,
+  dks__lent_done__field_indices_by_name,
+  1,  dks__lent_done__number_ranges,
+  (ProtobufCMessageInit) dks__lent_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[25] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, hello),
+    &dks__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, heartbeat),
+    &dks__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, forward),
+    &dks__forward__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, ask),
+    &dks__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, answer),
+    &dks__answer_to__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, claim),
+    &dks__claim__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirm",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, confirm),
+    &dks__confirm__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_ack",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Dks__PeerMessage, body_case),
@@ -2946,8 +3930,81 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leased_status",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, leased_status),
+    &dks__leased_status__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addresses",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, addresses),
+    &dks__addresses__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, work),
+    &dks__work__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_done",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, work_done),
+    &dks__work_done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_cancel",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, work_cancel),
+    &dks__work_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lent_done",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, lent_done),
+    &dks__lent_done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__peer_message__field_indices_by_name[] = {
+  20,   /* field[20] = addresses */
   4,   /* field[4] = answer */
   3,   /* field[3] = ask */
   5,   /* field[5] = claim */
@@ -2959,6 +4016,8 @@
   13,   /* field[13] = grant_return */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  19,   /* field[19] = leased_status */
+  24,   /* field[24] = lent_done */
   17,   /* field[17] = record */
   18,   /* field[18] = record_ask */
   8,   /* field[8] = result */
@@ -2967,11 +4026,14 @@
   15,   /* field[15] = run_done */
   9,   /* field[9] = snapshot */
   10,   /* field[10] = snapshot_ack */
+  21,   /* field[21] = work */
+  23,   /* field[23] = work_cancel */
+  22,   /* field[22] = work_done */
 };
 static const ProtobufCIntRange dks__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor dks__peer_message__descriptor =
 {
@@ -2981,7 +4043,7 @@
   "Dks__PeerMessage",
   "dks",
   sizeof(Dks__PeerMessage),
-  19,
+  25,
   dks__peer_message__field_descriptors,
   dks__peer_message__field_indices_by_name,
   1,  dks__peer_message__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -37,6 +37,13 @@
 typedef struct Dks__RunDone Dks__RunDone;
 typedef struct Dks__Record Dks__Record;
 typedef struct Dks__RecordAsk Dks__RecordAsk;
+typedef struct Dks__LeasedStatus Dks__LeasedStatus;
+typedef struct Dks__Addresses Dks__Addresses;
+typedef struct Dks__BatchStep Dks__BatchStep;
+typedef struct Dks__Work Dks__Work;
+typedef struct Dks__WorkDone Dks__WorkDone;
+typedef struct Dks__WorkCancel Dks__WorkCancel;
+typedef struct Dks__LentDone Dks__LentDone;
 typedef struct Dks__PeerMessage Dks__PeerMessage;
 
 
@@ -339,6 +346,111 @@
      }
 
 
+struct  Dks__LeasedStatus
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  int64_t started_ms;
+  int64_t catalog_version;
+  uint32_t free_tasks;
+  uint32_t waiting_tasks;
+  protobuf_c_boolean draining;
+};
+#define DKS__LEASED_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Dks__Addresses
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  char **items;
+};
+#define DKS__ADDRESSES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__addresses__descriptor) \
+    , 0,NULL }
+
+
+struct  Dks__BatchStep
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  uint32_t estimate_ms;
+  uint32_t after;
+  uint32_t max_per_target;
+  char *required_label;
+  char *near_label;
+};
+#define DKS__BATCH_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__batch_step__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Dks__Work
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  char *id;
+  char *service;
+  uint32_t priority;
+  uint32_t max_attempts;
+  ProtobufCBinaryData spec;
+  size_t n_steps;
+  Dks__BatchStep **steps;
+  int64_t age_us;
+  int64_t objective_us;
+  int64_t budget_us;
+  protobuf_c_boolean resent;
+  uint32_t step;
+  size_t n_lent;
+  uint32_t *lent;
+  size_t n_runs;
+  uint32_t *runs;
+};
+#define DKS__WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__work__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Dks__WorkDone
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint32_t answer;
+  uint32_t retry_after_ms;
+  char *detail;
+};
+#define DKS__WORK_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__work_done__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Dks__WorkCancel
+{
+  ProtobufCMessage base;
+  uint64_t request;
+};
+#define DKS__WORK_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__work_cancel__descriptor) \
+    , 0 }
+
+
+struct  Dks__LentDone
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint32_t index;
+  uint32_t result;
+};
+#define DKS__LENT_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__lent_done__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   DKS__PEER_MESSAGE__BODY__NOT_SET = 0,
   DKS__PEER_MESSAGE__BODY_HELLO = 1,
@@ -359,7 +471,13 @@
   DKS__PEER_MESSAGE__BODY_RUN_DONE = 16,
   DKS__PEER_MESSAGE__BODY_RUN_ABORT = 17,
   DKS__PEER_MESSAGE__BODY_RECORD = 18,
-  DKS__PEER_MESSAGE__BODY_RECORD_ASK = 19
+  DKS__PEER_MESSAGE__BODY_RECORD_ASK = 19,
+  DKS__PEER_MESSAGE__BODY_LEASED_STATUS = 20,
+  DKS__PEER_MESSAGE__BODY_ADDRESSES = 21,
+  DKS__PEER_MESSAGE__BODY_WORK = 22,
+  DKS__PEER_MESSAGE__BODY_WORK_DONE = 23,
+  DKS__PEER_MESSAGE__BODY_WORK_CANCEL = 24,
+  DKS__PEER_MESSAGE__BODY_LENT_DONE = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DKS__PEER_MESSAGE__BODY__CASE)
 } Dks__PeerMessage__BodyCase;
 
@@ -387,6 +505,12 @@
     Dks__RunDone *run_abort;
     Dks__Record *record;
     Dks__RecordAsk *record_ask;
+    Dks__LeasedStatus *leased_status;
+    Dks__Addresses *addresses;
+    Dks__Work *work;
+    Dks__WorkDone *work_done;
+    Dks__WorkCancel *work_cancel;
+    Dks__LentDone *lent_done;
   };
 };
 #define DKS__PEER_MESSAGE__INIT \
@@ -812,6 +936,139 @@
 void   dks__record_ask__free_unpacked
                      (Dks__RecordAsk *message,
                       ProtobufCAllocator *allocator);
+/* Dks__LeasedStatus methods */
+void   dks__leased_status__init
+                     (Dks__LeasedStatus         *message);
+size_t dks__leased_status__get_packed_size
+                     (const Dks__LeasedStatus   *message);
+size_t dks__leased_status__pack
+                     (const Dks__LeasedStatus   *message,
+                      uint8_t             *out);
+size_t dks__leased_status__pack_to_buffer
+                     (const Dks__LeasedStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__LeasedStatus *
+       dks__leased_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__leased_status__free_unpacked
+                     (Dks__LeasedStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__Addresses methods */
+void   dks__addresses__init
+                     (Dks__Addresses         *message);
+size_t dks__addresses__get_packed_size
+                     (const Dks__Addresses   *message);
+size_t dks__addresses__pack
+                     (const Dks__Addresses   *message,
+                      uint8_t             *out);
+size_t dks__addresses__pack_to_buffer
+                     (const Dks__Addresses   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__Addresses *
+       dks__addresses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__addresses__free_unpacked
+                     (Dks__Addresses *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__BatchStep methods */
+void   dks__batch_step__init
+                     (Dks__BatchStep         *message);
+size_t dks__batch_step__get_packed_size
+                     (const Dks__BatchStep   *message);
+size_t dks__batch_step__pack
+                     (const Dks__BatchStep   *message,
+                      uint8_t             *out);
+size_t dks__batch_step__pack_to_buffer
+                     (const Dks__BatchStep   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__BatchStep *
+       dks__batch_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__batch_step__free_unpacked
+                     (Dks__BatchStep *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__Work methods */
+void   dks__work__init
+                     (Dks__Work         *message);
+size_t dks__work__get_packed_size
+                     (const Dks__Work   *message);
+size_t dks__work__pack
+                     (const Dks__Work   *message,
+                      uint8_t             *out);
+size_t dks__work__pack_to_buffer
+                     (const Dks__Work   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__Work *
+       dks__work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__work__free_unpacked
+                     (Dks__Work *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__WorkDone methods */
+void   dks__work_done__init
+                     (Dks__WorkDone         *message);
+size_t dks__work_done__get_packed_size
+                     (const Dks__WorkDone   *message);
+size_t dks__work_done__pack
+                     (const Dks__WorkDone   *message,
+                      uint8_t             *out);
+size_t dks__work_done__pack_to_buffer
+                     (const Dks__WorkDone   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__WorkDone *
+       dks__work_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__work_done__free_unpacked
+                     (Dks__WorkDone *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__WorkCancel methods */
+void   dks__work_cancel__init
+                     (Dks__WorkCancel         *message);
+size_t dks__work_cancel__get_packed_size
+                     (const Dks__WorkCancel   *message);
+size_t dks__work_cancel__pack
+                     (const Dks__WorkCancel   *message,
+                      uint8_t             *out);
+size_t dks__work_cancel__pack_to_buffer
+                     (const Dks__WorkCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__WorkCancel *
+       dks__work_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__work_cancel__free_unpacked
+                     (Dks__WorkCancel *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__LentDone methods */
+void   dks__lent_done__init
+                     (Dks__LentDone         *message);
+size_t dks__lent_done__get_packed_size
+                     (const Dks__LentDone   *message);
+size_t dks__lent_done__pack
+                     (const Dks__LentDone   *message,
+                      uint8_t             *out);
+size_t dks__lent_done__pack_to_buffer
+                     (const Dks__LentDone   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__LentDone *
+       dks__lent_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__lent_done__free_unpacked
+                     (Dks__LentDone *message,
+                      ProtobufCAllocator *allocator);
 /* Dks__PeerMessage methods */
 void   dks__peer_message__init
                      (Dks__PeerMessage         *message);
@@ -899,6 +1156,27 @@
 typedef void (*Dks__RecordAsk_Closure)
                  (const Dks__RecordAsk *message,
                   void *closure_data);
+typedef void (*Dks__LeasedStatus_Closure)
+                 (const Dks__LeasedStatus *message,
+                  void *closure_data);
+typedef void (*Dks__Addresses_Closure)
+                 (const Dks__Addresses *message,
+                  void *closure_data);
+typedef void (*Dks__BatchStep_Closure)
+                 (const Dks__BatchStep *message,
+                  void *closure_data);
+typedef void (*Dks__Work_Closure)
+                 (const Dks__Work *message,
+                  void *closure_data);
+typedef void (*Dks__WorkDone_Closure)
+                 (const Dks__WorkDone *message,
+                  void *closure_data);
+typedef void (*Dks__WorkCancel_Closure)
+                 (const Dks__WorkCancel *message,
+                  void *closure_data);
+typedef void (*Dks__LentDone_Closure)
+                 (const Dks__LentDone *message,
+                  void *closure_data);
 typedef void (*Dks__PeerMessage_Closure)
                  (const Dks__PeerMessage *message,
                   void *closure_data);
@@ -930,6 +1208,13 @@
 extern const ProtobufCMessageDescriptor dks__run_done__descriptor;
 extern const ProtobufCMessageDescriptor dks__record__descriptor;
 extern const ProtobufCMessageDescriptor dks__record_ask__descriptor;
+extern const ProtobufCMessageDescriptor dks__leased_status__descriptor;
+extern const ProtobufCMessageDescriptor dks__addresses__descriptor;
+extern const ProtobufCMessageDescriptor dks__batch_step__descriptor;
+extern const ProtobufCMessageDescriptor dks__work__descriptor;
+extern const ProtobufCMessageDescriptor dks__work_done__descriptor;
+extern const ProtobufCMessageDescriptor dks__work_cancel__descriptor;
+extern const ProtobufCMessageDescriptor dks__lent_done__descriptor;
 extern const ProtobufCMessageDescriptor dks__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/target/meson-private/sanitycheckc.c
@@ -0,0 +1,6 @@
+int
+main (void)
+{
+  int class = 0;
+  return class;
+}
--- /dev/null
+++ b/target/meson-private/sanitycheckcpp.cc
@@ -0,0 +1,6 @@
+class breakCCompiler;
+int
+main (void)
+{
+  return 0;
+}
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -297,6 +297,65 @@
       add (msg->u.claim_ack.id);
       add (msg->u.claim_ack.ok);
       break;
+    case DKS_MSG_LEASED_STATUS:
+      add (msg->u.leased_status.term);
+      add (msg->u.leased_status.started_ms);
+      add (msg->u.leased_status.catalog_version);
+      add (msg->u.leased_status.free_tasks);
+      add (msg->u.leased_status.waiting_tasks);
+      add (msg->u.leased_status.draining);
+      break;
+    case DKS_MSG_ADDRESSES:
+      for (uint32_t i = 0; i < msg->u.addresses.count; i++)
+        text += std::string (",") + msg->u.addresses.items[i];
+      break;
+    case DKS_MSG_WORK:
+      {
+        const dks_batch_t *batch = msg->u.work.batch;
+        add (msg->u.work.request);
+        text += std::string (batch->id) + "," + batch->service + ",";
+        text += text_of (batch->spec);
+        add (batch->priority);
+        add (batch->max_attempts);
+        add (batch->task_count);
+        for (uint32_t i = 0; i < batch->step_count; i++)
+          {
+            const dks_batch_step_t *step = &batch->steps[i];
+            add (step->count);
+            add (step->cpu_milli);
+            add (step->memory_mb);
+            add (step->accelerators);
+            add (step->estimate_ms);
+            add (step->after);
+            add (step->max_per_target);
+            text += std::string (step->required_label) + "," + step->near_label;
+          }
+        add (msg->u.work.age_us);
+        add (msg->u.work.objective_us);
+        add (msg->u.work.budget_us);
+        add (msg->u.work.resent);
+        add (msg->u.work.step);
+        for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
+          {
+            add (msg->u.work.lent[i]);
+            add (msg->u.work.runs[i]);
+          }
+        break;
+      }
+    case DKS_MSG_WORK_DONE:
+      add (msg->u.work_done.request);
+      add (msg->u.work_done.answer);
+      add (msg->u.work_done.retry_after_ms);
+      text += msg->u.work_done.detail;
+      break;
+    case DKS_MSG_WORK_CANCEL:
+      add (msg->u.work_cancel.request);
+      break;
+    case DKS_MSG_LENT_DONE:
+      add (msg->u.lent_done.request);
+      add (msg->u.lent_done.index);
+      add (msg->u.lent_done.result);
+      break;
     case DKS_MSG_SNAPSHOT_ACK:
       add (msg->u.snapshot_ack.shard);
       add (msg->u.snapshot_ack.id);
