--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -145,15 +145,21 @@
   char origin[DKS_NAME_SIZE];
   uint64_t request = job->request;
 
-  if (answer != DKS_BATCH_COMPLETED)
+  if (answer == DKS_BATCH_COMPLETED)
+    dks_emit_log (leased->r, DKS_LOG_DEBUG,
+                  "event=job-completed job=%s age_ms=%" PRId64 " tasks=%u estimate_ms=%u",
+                  job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
+                  dks_batch_chain_ms (job->batch));
+  else
     dks_emit_log (leased->r, DKS_LOG_INFO,
                   "event=job-%s job=%s age_ms=%" PRId64
-                  " tasks=%u done=%u waiting=%u backlog=%u reason=\"%s\"",
+                  " tasks=%u done=%u waiting=%u backlog=%u estimate_ms=%u reason=\"%s\"",
                   answer == DKS_BATCH_REFUSED  ? "refused"
                   : answer == DKS_BATCH_FAILED ? "failed"
                                                : "lost",
                   job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
-                  job->done, job->waiting, leased->waiting_tasks, detail);
+                  job->done, job->waiting, leased->waiting_tasks, dks_batch_chain_ms (job->batch),
+                  detail);
   dks_strcpy (origin, sizeof (origin), job->origin);
   job_stop (job);
   send_done (leased, origin, request, answer, retry_after_ms, detail);
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -3,6 +3,7 @@
 extern "C"
 {
 #include "common/error.h"
+#include "core/event.h"
 #include "net/codec.h"
 }
 
@@ -79,6 +80,22 @@
   return submission;
 }
 
+dks_batch_t *
+make_batch ()
+{
+  dks_batch_t *batch = dks_batch_create (1);
+  dks_batch_step_t *step = &batch->steps[0];
+
+  set_text (batch->id, sizeof (batch->id), "416ebc495da185d0");
+  set_text (batch->service, sizeof (batch->service), "lexicon");
+  batch->priority = 2;
+  batch->max_attempts = 3;
+  batch->spec = dks_blob_create ("spec", 4);
+  *step = { 480, 6800, 64, 1, 900, 0, 2, "a", "r1-3" };
+  EXPECT_EQ (dks_batch_complete (batch), DKS_OK);
+  return batch;
+}
+
 // A message of `type` with every field set.
 dks_msg_t *
 make_msg (dks_msg_type_t type)
@@ -159,6 +176,36 @@
       msg->u.record.version = 99;
       msg->u.record.value = dks_blob_create_text ("{}");
       break;
+    case DKS_MSG_LEASED_STATUS:
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 3, true };
+      break;
+    case DKS_MSG_ADDRESSES:
+      msg->u.addresses.count = 2;
+      msg->u.addresses.items =
+          static_cast<char (*)[DKS_ADDRESS_SIZE]> (calloc (2, DKS_ADDRESS_SIZE));
+      set_text (msg->u.addresses.items[0], DKS_ADDRESS_SIZE, "10.0.0.1:7000");
+      set_text (msg->u.addresses.items[1], DKS_ADDRESS_SIZE, "10.0.0.2:7000");
+      break;
+    case DKS_MSG_WORK:
+      msg->u.work = { 7, make_batch (), 1500, 60000, 1500000, true, 3, 2, nullptr, nullptr };
+      msg->u.work.lent = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
+      msg->u.work.runs = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
+      msg->u.work.lent[1] = 479;
+      msg->u.work.runs[0] = 1;
+      msg->u.work.runs[1] = 9;
+      break;
+    case DKS_MSG_WORK_DONE:
+      msg->u.work_done.request = 7;
+      msg->u.work_done.answer = DKS_BATCH_REFUSED;
+      msg->u.work_done.retry_after_ms = 1000;
+      set_text (msg->u.work_done.detail, sizeof (msg->u.work_done.detail), "no room in time");
+      break;
+    case DKS_MSG_WORK_CANCEL:
+      msg->u.work_cancel.request = 7;
+      break;
+    case DKS_MSG_LENT_DONE:
+      msg->u.lent_done = { 7, 479, DKS_LENT_ENDED };
+      break;
     default:
       break;
     }
