leased: pause between watches of the targets

Ruled out: the watch of the configuration (21 changes in all). Change: the next watch of the targets begins 400 ms after an answer.

--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -8,6 +8,9 @@
 enum
 {
   WATCH_TIMEOUT_MS = 4000, /* a connection that fell silent is noticed within this time */
+  /* Targets report every 1.5 s each, so a watch of them is answered at once. With this pause an
+   * answer brings many reports; a leaving target may get work for 2 s. */
+  TARGETS_PAUSE_US = 400000,
   READ_TIMEOUT_MS = 1500,  /* answers take some ms, in a slow phase some hundred */
   RETRY_MIN_US = 150000,
   RETRY_MAX_US = 1200000
@@ -202,7 +205,10 @@
     }
   if (event->u.feed.revision > feed->revision)
     feed->revision = event->u.feed.revision;
-  begin_watch (leased, which);
+  if (which == DKS_FEED_TARGETS && event->u.feed.count > 0)
+    dks_timer_set (leased->r->timers, &feed->timer, leased->r->now.mono_us + TARGETS_PAUSE_US);
+  else
+    begin_watch (leased, which);
 }
 
 void
