--- a/core/leased.c
+++ b/core/leased.c
@@ -77,6 +77,9 @@
     case DKS_MSG_LENT_DONE:
       dks_ljobs_handle_lent_done (leased, from, msg);
       break;
+    case DKS_MSG_TARGETS:
+      dks_lfeed_handle_targets (leased, from, msg);
+      break;
     case DKS_MSG_RECORD:
       handle_catalog_record (leased, from, msg);
       break;
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -11,7 +11,7 @@
   /* Targets report every 1.5 s each, so a watch of them is answered at once. With this pause an
    * answer brings many reports; a leaving target may get work for 2 s. */
   TARGETS_PAUSE_US = 400000,
-  READ_TIMEOUT_MS = 1500,  /* answers take some ms, in a slow phase some hundred */
+  READ_TIMEOUT_MS = 1500, /* answers take some ms, in a slow phase some hundred */
   RETRY_MIN_US = 150000,
   RETRY_MAX_US = 1200000
 };
@@ -114,6 +114,27 @@
   dks_lmembers_touch (leased);
 }
 
+bool
+dks_lfeed_knows_targets (const dks_leased_t *leased)
+{
+  return leased->feeds[DKS_FEED_TARGETS].read;
+}
+
+void
+dks_lfeed_handle_targets (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
+{
+  dks_lfeed_t *feed = &leased->feeds[DKS_FEED_TARGETS];
+
+  if (feed->read)
+    return;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=targets-from-peer peer=%s targets=%u", from,
+                msg->u.targets.count);
+  for (uint32_t i = 0; i < msg->u.targets.count; i++)
+    dks_ltargets_put (leased, &msg->u.targets.items[i]);
+  feed->read = true;
+  dks_lmembers_review (leased);
+}
+
 static void
 handle_item (dks_leased_t *leased, dks_feed_t which, const dks_feed_item_t *item)
 {
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -250,6 +250,7 @@
   job->request = msg->u.work.request;
   job->lend_id = dks_next_id (leased->r);
   job->resent = msg->u.work.resent;
+  job->begun = job->resent;
   job->task_count = count;
   job->waiting = count;
   job->arrival_us = now_us (leased) - msg->u.work.age_us;
@@ -330,38 +331,41 @@
 }
 
 /* Takes over a run that an earlier leader started. */
-static bool
-task_claim_adopted (dks_ljob_t *job, uint32_t index)
+static void
+task_claim_run (dks_ljob_t *job, uint32_t index, dks_lrun_t *run)
 {
   dks_ltask_t *task = &job->tasks[index];
   const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
-  char name[DKS_TASK_NAME_SIZE];
-  dks_lrun_t *run;
 
-  dks_batch_task_name (job->batch->id, task->step, task->index, name);
-  run = dks_ltargets_find_adopted (job->leased, name);
-  if (run == NULL)
-    return false;
   run->job = job;
   run->task = index;
   run->estimate_ms = step->estimate_ms;
   task->current = run;
   task->run = run->run;
   task_leave_waiting (job, task, DKS_LTASK_PLACED);
-  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", name, run->run);
-  return true;
+  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", run->name,
+                run->run);
 }
 
-/* A task of a job that an earlier leader had. Returns true when nothing more is to be done now. */
+/* Whether something that an earlier sender or leader started may be at work for the task. Claims it
+ * when it can be claimed. */
 static bool
-task_resume (dks_ljob_t *job, uint32_t index)
+task_is_taken (dks_ljob_t *job, uint32_t index)
 {
   dks_leased_t *leased = job->leased;
   dks_ltask_t *task = &job->tasks[index];
   int64_t wait_us = leased->led_planned ? TOLD_WAIT_US : MISSED_WAIT_US;
+  char name[DKS_TASK_NAME_SIZE];
+  dks_lrun_t *run;
 
-  if (task_claim_adopted (job, index))
-    return true;
+  dks_batch_task_name (job->batch->id, task->step, task->index, name);
+  run = dks_ltargets_find_run (leased, name);
+  if (run != NULL && run->job == NULL && run->state == DKS_LRUN_RUNNING)
+    task_claim_run (job, index, run);
+  if (run != NULL)
+    return true; /* one that is being stopped has to end first */
+  if (!job->resent)
+    return false;
   if (job->lent)
     {
       /* The lists of all targets have been read, and late starts are fenced off. */
@@ -380,7 +384,7 @@
   dks_ltask_t *task = &job->tasks[index];
   dks_ltarget_t *target;
 
-  if (job->resent && !task->known && task_resume (job, index))
+  if (!task->known && task_is_taken (job, index))
     return true;
   task->known = true;
   target = dks_ltargets_choose (leased, job, task);
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -85,6 +85,7 @@
   msg->u.leased_status.free_tasks = leased->term > 0 ? dks_ltargets_free_tasks (leased) : 0;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.draining = leased->drain_us > 0;
+  msg->u.leased_status.knows_targets = dks_lfeed_knows_targets (leased);
   dks_emit_peer (leased->r, peer, msg);
 }
 
@@ -275,6 +276,7 @@
   peer->told = false;
   peer->term = 0;
   peer->catalog_sent = 0;
+  peer->targets_sent = false;
   peer->heard_us = leased->r->now.mono_us;
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
   send_status (leased, id);
@@ -300,7 +302,8 @@
 dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg)
 {
   bool changed = !peer->told || peer->term != msg->u.leased_status.term
-                 || peer->draining != msg->u.leased_status.draining;
+                 || peer->draining != msg->u.leased_status.draining
+                 || peer->knows_targets != msg->u.leased_status.knows_targets;
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
     dks_ljobs_handle_lender_lost (leased, peer->id);
@@ -311,6 +314,12 @@
   peer->free_tasks = msg->u.leased_status.free_tasks;
   peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
   peer->draining = msg->u.leased_status.draining;
+  peer->knows_targets = msg->u.leased_status.knows_targets;
+  if (!peer->knows_targets && !peer->targets_sent && dks_lfeed_knows_targets (leased))
+    {
+      peer->targets_sent = true;
+      dks_ltargets_send (leased, peer->id);
+    }
   if (peer_is_ours (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
   if (changed)
@@ -361,7 +370,8 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
-      if (!peer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining)
+      if (!peer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining
+          || !peer->knows_targets)
         continue;
       if (leased->drain_us > 0 || peer->started_ms < leased->started_ms
           || (peer->started_ms == leased->started_ms && strcmp (peer->id, leased->r->self) < 0))
@@ -393,7 +403,7 @@
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_cut_off (leased) ? FENCED_CUT_OFF_PAUSE_US : FENCED_PAUSE_US;
 
-  if (now_us - leased->started_us < START_WAIT_US)
+  if (now_us - leased->started_us < START_WAIT_US || !dks_lfeed_knows_targets (leased))
     return false;
   if (leased->fenced_us > 0 && now_us - leased->fenced_us < pause_us)
     return false;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -29,7 +29,8 @@
   EJECT_MIN_US = 1000000,
   EJECT_MAX_US = 8000000,
   EJECT_DOUBLINGS = 3,
-  MIN_SAMPLES = 3 /* ends before a target's speed counts */
+  OLD_RUN_SKIP = 8, /* run numbers that are passed over when one turns out to be used */
+  MIN_SAMPLES = 3   /* ends before a target's speed counts */
 };
 
 #define SLOW_FACTOR 2.2        /* a run is looked at after this many times its expected time */
@@ -70,6 +71,9 @@
   run->run = number;
   dks_strcpy (run->name, sizeof (run->name), name);
   APR_RING_INSERT_TAIL (&target->runs, run, dks_lrun_t, link);
+  /* Removed first, since the table keeps the key of the run that it holds. */
+  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
+  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, run);
   return run;
 }
 
@@ -81,6 +85,8 @@
 
   if (run->op != 0)
     apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  if (apr_hash_get (leased->runs_by_name, run->name, APR_HASH_KEY_STRING) == run)
+    apr_hash_set (leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
   target->run_count--;
   target->cpu_used -= run->cpu_milli;
   target->memory_used -= run->memory_mb;
@@ -486,7 +492,7 @@
       /* Not in the list although the start was answered before the list was asked for; or the
        * stop was, which fences the run off. */
       if ((run->state == DKS_LRUN_RUNNING || run->state == DKS_LRUN_STOPPING) && run->acked_us > 0
-          && run->acked_us < sent_us)
+          && run->acked_us <= sent_us)
         run_end (run, false, false);
       else if (run->state == DKS_LRUN_UNSURE && run->op == 0 && run->started_us < sent_us)
         dks_lrun_fence (run);
@@ -686,6 +692,10 @@
       target_look (target);
       break;
     case DKS_LEASE_OLD_RUN:
+      /* An earlier sender of the job has had runs there. */
+      if (run->job != NULL)
+        run->job->tasks[run->task].run += OLD_RUN_SKIP;
+      break;
     case DKS_LEASE_INVALID:
       break;
     }
@@ -947,25 +957,31 @@
       if (target->held && !target->adopted && now_us (leased) < target_lapse_us (target))
         return false;
     }
-  return leased->term > 0;
+  return leased->term > 0 && dks_lfeed_knows_targets (leased);
 }
 
-dks_lrun_t *
-dks_ltargets_find_adopted (dks_leased_t *leased, const char *name)
+void
+dks_ltargets_send (dks_leased_t *leased, const char *peer)
 {
-  dks_ltarget_t *target;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_TARGETS);
+  const dks_ltarget_t *target;
+  uint32_t count = 0;
 
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    count += target->listed;
+  msg->u.targets.items = dks_alloc ((count + 1) * sizeof (msg->u.targets.items[0]));
   APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
     {
-      dks_lrun_t *run;
-
-      APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
-        {
-          if (run->job == NULL && run->state == DKS_LRUN_RUNNING && strcmp (run->name, name) == 0)
-            return run;
-        }
+      if (target->listed)
+        msg->u.targets.items[msg->u.targets.count++] = target->info;
     }
-  return NULL;
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+dks_lrun_t *
+dks_ltargets_find_run (dks_leased_t *leased, const char *name)
+{
+  return apr_hash_get (leased->runs_by_name, name, APR_HASH_KEY_STRING);
 }
 
 /* Choice of a target */
@@ -1118,6 +1134,7 @@
   leased->targets_by_id = apr_hash_make (leased->r->pool);
   leased->targets_by_op = apr_hash_make (leased->r->pool);
   leased->runs_by_op = apr_hash_make (leased->r->pool);
+  leased->runs_by_name = apr_hash_make (leased->r->pool);
   leased->cpu_mean = FIRST_CPU_MILLI;
   leased->run_mean_us = FIRST_RUN_US;
   leased->slowness_mean = 1;
--- a/core/msg.c
+++ b/core/msg.c
@@ -55,6 +55,9 @@
     case DKS_MSG_ADDRESSES:
       free (msg->u.addresses.items);
       break;
+    case DKS_MSG_TARGETS:
+      free (msg->u.targets.items);
+      break;
     case DKS_MSG_WORK:
       dks_batch_unref (msg->u.work.batch);
       free (msg->u.work.lent);
@@ -105,6 +108,7 @@
     [DKS_MSG_WORK_DONE] = "work_done",
     [DKS_MSG_WORK_CANCEL] = "work_cancel",
     [DKS_MSG_LENT_DONE] = "lent_done",
+    [DKS_MSG_TARGETS] = "targets",
   };
 
   return (unsigned)type < DKS_MSG_TYPE_COUNT && names[type] != NULL ? names[type] : "invalid";
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -37,6 +37,8 @@
   int64_t catalog_version;
   int64_t catalog_sent; /**< version that was sent to it on this connection */
   bool draining;
+  bool knows_targets;
+  bool targets_sent;   /**< on this connection */
   uint32_t free_tasks; /**< as last told, less what was lent since */
   uint32_t waiting_tasks;
 };
@@ -198,7 +200,7 @@
   uint64_t op; /**< under way, 0 for none */
   bool is_watch;
   int64_t revision;
-  bool read;                /**< the whole feed has been read */
+  bool read;                /**< the whole feed has been read, or a peer has sent it */
   char after[DKS_KEY_SIZE]; /**< position of a read in parts */
   uint32_t generation;      /**< of the read under way; items not seen in it are gone */
   int64_t read_us;          /**< when it was last known to be complete */
@@ -234,6 +236,7 @@
   apr_hash_t *targets_by_id;
   apr_hash_t *targets_by_op; /**< hold or look under way -> target */
   apr_hash_t *runs_by_op;    /**< start or stop under way -> run */
+  apr_hash_t *runs_by_name;  /**< task -> its latest run here */
   int64_t led_us;            /**< when our leadership began */
   bool led_planned;          /**< the leader before us was shutting down, and still alive */
   double cpu_mean;           /**< processors of a task, thousandths, moving average */
@@ -284,11 +287,17 @@
 void dks_lmembers_touch (dks_leased_t *leased);
 /** Sends the configuration in force to peers that have an older one. */
 void dks_lmembers_spread_catalog (dks_leased_t *leased);
+/** Sends the list of targets to a peer that cannot read it. */
+void dks_ltargets_send (dks_leased_t *leased, const char *peer);
 
 /* leased_feed.c */
 void dks_lfeed_init (dks_leased_t *leased);
 void dks_lfeed_clear (dks_leased_t *leased);
 void dks_lfeed_handle (dks_leased_t *leased, const dks_event_t *event);
+/** Whether the list of targets is known, be it from a peer. */
+bool dks_lfeed_knows_targets (const dks_leased_t *leased);
+/** Takes over the list of a peer while the platform's cannot be read. */
+void dks_lfeed_handle_targets (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Puts a catalog in force unless a newer one is. */
 void dks_lfeed_offer_catalog (dks_leased_t *leased, dks_catalog_t *catalog, const char *source);
 
@@ -317,8 +326,8 @@
 void dks_lrun_stop (dks_lrun_t *run);
 /** Stops a run, but keeps its job: the task starts elsewhere once the run has surely ended. */
 void dks_lrun_fence (dks_lrun_t *run);
-/** Run of a task that was found on a target and that no job has claimed; NULL if there is none. */
-dks_lrun_t *dks_ltargets_find_adopted (dks_leased_t *leased, const char *name);
+/** Latest run of a task on our targets that has not surely ended; NULL if there is none. */
+dks_lrun_t *dks_ltargets_find_run (dks_leased_t *leased, const char *name);
 /** Tasks of the usual size that fit now. */
 uint32_t dks_ltargets_free_tasks (const dks_leased_t *leased);
 /** Tasks of the usual size that fit on idle targets. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -5,7 +5,7 @@
 #ifndef DKS_CORE_MSG_H
 #define DKS_CORE_MSG_H
 
-#include "core/batch.h"
+#include "core/lease.h"
 #include "core/submission.h"
 
 typedef enum
@@ -34,6 +34,7 @@
   DKS_MSG_WORK_DONE,     /**< answer to WORK; none follows for lent tasks */
   DKS_MSG_WORK_CANCEL,   /**< nobody waits for this WORK any more */
   DKS_MSG_LENT_DONE,     /**< outcome of one lent task */
+  DKS_MSG_TARGETS, /**< all targets that the sender knows, for one that cannot read the list */
   DKS_MSG_TYPE_COUNT
 } dks_msg_type_t;
 
@@ -180,6 +181,7 @@
       uint32_t free_tasks;     /**< leader: how many tasks of the usual size fit now */
       uint32_t waiting_tasks;  /**< leader: tasks that found no room */
       bool draining;           /**< shutting down; is no candidate for leader */
+      bool knows_targets;      /**< without it, it is no candidate either */
     } leased_status;
     struct
     {
@@ -187,6 +189,11 @@
       char (*items)[DKS_ADDRESS_SIZE];
     } addresses;
     struct
+    {
+      uint32_t count;
+      dks_target_info_t *items;
+    } targets;
+    struct
     {
       uint64_t request; /**< chosen by the sender, never reused by one instance */
       dks_batch_t *batch;
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  ADDRESSES_MAX = 4096 /* entries of one message */
+  ADDRESSES_MAX = 4096, /* entries of one message */
+  TARGETS_MAX = 8192    /* the same */
 };
 
 /* Bound of a time in a message, one day in us: sums of a few of them cannot overflow. */
@@ -29,6 +30,7 @@
   body.free_tasks = msg->u.leased_status.free_tasks;
   body.waiting_tasks = msg->u.leased_status.waiting_tasks;
   body.draining = msg->u.leased_status.draining;
+  body.knows_targets = msg->u.leased_status.knows_targets;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -48,6 +50,48 @@
   free (body.items);
 }
 
+static void
+wire_target (Dks__TargetInfo *to, char **labels, const dks_target_info_t *from)
+{
+  dks__target_info__init (to);
+  to->id = (char *)from->id;
+  to->service = (char *)from->service;
+  to->address = (char *)from->address;
+  to->data_centre = (char *)from->data_centre;
+  to->leaving = from->leaving;
+  to->cpu_milli = from->cpu_milli;
+  to->memory_mb = from->memory_mb;
+  to->accelerators = from->accelerators;
+  to->born_ms = from->born_ms;
+  for (uint32_t i = 0; i < from->label_count; i++)
+    labels[i] = (char *)from->labels[i];
+  to->n_labels = from->label_count;
+  to->labels = labels;
+}
+
+void
+dks_encode_targets (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__Targets body = DKS__TARGETS__INIT;
+  uint32_t count = msg->u.targets.count;
+  Dks__TargetInfo *infos = dks_alloc ((count + 1) * sizeof (*infos));
+  Dks__TargetInfo **list = dks_alloc ((count + 1) * sizeof (Dks__TargetInfo *));
+  char **labels = dks_alloc ((count + 1) * DKS_LABELS_MAX * sizeof (char *));
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      wire_target (&infos[i], labels + (size_t)i * DKS_LABELS_MAX, &msg->u.targets.items[i]);
+      list[i] = &infos[i];
+    }
+  body.n_items = count;
+  body.items = list;
+  wire->targets = &body;
+  dks_codec_pack (wire, frame, len);
+  free (labels);
+  free (list);
+  free (infos);
+}
+
 static void
 wire_step (Dks__BatchStep *to, const dks_batch_step_t *from)
 {
@@ -146,6 +190,7 @@
   msg->u.leased_status.free_tasks = body->free_tasks;
   msg->u.leased_status.waiting_tasks = body->waiting_tasks;
   msg->u.leased_status.draining = body->draining;
+  msg->u.leased_status.knows_targets = body->knows_targets;
   return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
 }
 
@@ -164,6 +209,47 @@
   return error;
 }
 
+static int
+read_target (dks_target_info_t *to, const Dks__TargetInfo *from)
+{
+  int error;
+
+  to->leaving = from->leaving;
+  to->cpu_milli = from->cpu_milli;
+  to->memory_mb = from->memory_mb;
+  to->accelerators = from->accelerators;
+  to->born_ms = from->born_ms;
+  if (from->n_labels > DKS_LABELS_MAX || from->id[0] == '\0')
+    return DKS_ERR_INVALID;
+  to->label_count = (uint32_t)from->n_labels;
+  for (size_t i = 0; i < from->n_labels; i++)
+    {
+      error = dks_codec_copy_text (to->labels[i], sizeof (to->labels[i]), from->labels[i]);
+      if (error != DKS_OK)
+        return error;
+    }
+  if ((error = dks_codec_copy_text (to->id, sizeof (to->id), from->id)) != DKS_OK
+      || (error = dks_codec_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
+      || (error = dks_codec_copy_text (to->address, sizeof (to->address), from->address)) != DKS_OK)
+    return error;
+  return dks_codec_copy_text (to->data_centre, sizeof (to->data_centre), from->data_centre);
+}
+
+int
+dks_decode_targets (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__Targets *body = wire->targets;
+  int error = DKS_OK;
+
+  if (body->n_items > TARGETS_MAX)
+    return DKS_ERR_TOO_LARGE;
+  msg->u.targets.count = (uint32_t)body->n_items;
+  msg->u.targets.items = dks_alloc ((body->n_items + 1) * sizeof (msg->u.targets.items[0]));
+  for (size_t i = 0; i < body->n_items && error == DKS_OK; i++)
+    error = read_target (&msg->u.targets.items[i], body->items[i]);
+  return error;
+}
+
 static int
 read_step (dks_batch_step_t *to, const Dks__BatchStep *from)
 {
--- a/net/codec_leased.h
+++ b/net/codec_leased.h
@@ -27,6 +27,9 @@
 dks_encode_work_cancel (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
 void
 dks_encode_lent_done (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+void
+dks_encode_targets (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+int dks_decode_targets (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_leased_status (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_addresses (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_work (const Dks__PeerMessage *wire, dks_msg_t *msg);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &dks__leased_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dks__target_info__init
+                     (Dks__TargetInfo         *message)
+{
+  static const Dks__TargetInfo init_value = DKS__TARGET_INFO__INIT;
+  *message = init_value;
+}
+size_t dks__target_info__get_packed_size
+                     (const Dks__TargetInfo *message)
+{
+  assert(message->base.descriptor == &dks__target_info__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__target_info__pack
+                     (const Dks__TargetInfo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__target_info__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__target_info__pack_to_buffer
+                     (const Dks__TargetInfo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__target_info__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__TargetInfo *
+       dks__target_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__TargetInfo *)
+     protobuf_c_message_unpack (&dks__target_info__descriptor,
+                                allocator, len, data);
+}
+void   dks__target_info__free_unpacked
+                     (Dks__TargetInfo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__target_info__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__targets__init
+                     (Dks__Targets         *message)
+{
+  static const Dks__Targets init_value = DKS__TARGETS__INIT;
+  *message = init_value;
+}
+size_t dks__targets__get_packed_size
+                     (const Dks__Targets *message)
+{
+  assert(message->base.descriptor == &dks__targets__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__targets__pack
+                     (const Dks__Targets *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__targets__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__targets__pack_to_buffer
+                     (const Dks__Targets *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__targets__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__Targets *
+       dks__targets__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__Targets *)
+     protobuf_c_message_unpack (&dks__targets__descriptor,
+                                allocator, len, data);
+}
+void   dks__targets__free_unpacked
+                     (Dks__Targets *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__targets__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dks__addresses__init
                      (Dks__Addresses         *message)
 {
@@ -3031,7 +3121,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[7] =
 {
   {
     "term",
@@ -3105,11 +3195,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "knows_targets",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, knows_targets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   2,   /* field[2] = catalog_version */
   5,   /* field[5] = draining */
   3,   /* field[3] = free_tasks */
+  6,   /* field[6] = knows_targets */
   1,   /* field[1] = started_ms */
   0,   /* field[0] = term */
   4,   /* field[4] = waiting_tasks */
@@ -3117,7 +3220,7 @@
 static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3127,13 +3230,206 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  6,
+  7,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   1,  dks__leased_status__number_ranges,
   (ProtobufCMessageInit) dks__leased_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dks__target_info__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Dks__TargetInfo, n_labels),
+    offsetof(Dks__TargetInfo, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetInfo, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__target_info__field_indices_by_name[] = {
+  7,   /* field[7] = accelerators */
+  2,   /* field[2] = address */
+  9,   /* field[9] = born_ms */
+  5,   /* field[5] = cpu_milli */
+  3,   /* field[3] = data_centre */
+  0,   /* field[0] = id */
+  8,   /* field[8] = labels */
+  4,   /* field[4] = leaving */
+  6,   /* field[6] = memory_mb */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange dks__target_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor dks__target_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.TargetInfo",
+  "TargetInfo",
+  "Dks__TargetInfo",
+  "dks",
+  sizeof(Dks__TargetInfo),
+  10,
+  dks__target_info__field_descriptors,
+  dks__target_info__field_indices_by_name,
+  1,  dks__target_info__number_ranges,
+  (ProtobufCMessageInit) dks__target_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__targets__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__Targets, n_items),
+    offsetof(Dks__Targets, items),
+    &dks__target_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__targets__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange dks__targets__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dks__targets__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.Targets",
+  "Targets",
+  "Dks__Targets",
+  "dks",
+  sizeof(Dks__Targets),
+  1,
+  dks__targets__field_descriptors,
+  dks__targets__field_indices_by_name,
+  1,  dks__targets__number_ranges,
+  (ProtobufCMessageInit) dks__targets__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dks__addresses__field_descriptors[1] =
 {
   {
@@ -3700,7 +3996,7 @@
   (ProtobufCMessageInit) dks__lent_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[25] =
+static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[26] =
 {
   {
     "hello",
@@ -4002,6 +4298,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, targets),
+    &dks__targets__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__peer_message__field_indices_by_name[] = {
   20,   /* field[20] = addresses */
@@ -4026,6 +4334,7 @@
   15,   /* field[15] = run_done */
   9,   /* field[9] = snapshot */
   10,   /* field[10] = snapshot_ack */
+  25,   /* field[25] = targets */
   21,   /* field[21] = work */
   23,   /* field[23] = work_cancel */
   22,   /* field[22] = work_done */
@@ -4033,7 +4342,7 @@
 static const ProtobufCIntRange dks__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor dks__peer_message__descriptor =
 {
@@ -4043,7 +4352,7 @@
   "Dks__PeerMessage",
   "dks",
   sizeof(Dks__PeerMessage),
-  25,
+  26,
   dks__peer_message__field_descriptors,
   dks__peer_message__field_indices_by_name,
   1,  dks__peer_message__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Dks__Record Dks__Record;
 typedef struct Dks__RecordAsk Dks__RecordAsk;
 typedef struct Dks__LeasedStatus Dks__LeasedStatus;
+typedef struct Dks__TargetInfo Dks__TargetInfo;
+typedef struct Dks__Targets Dks__Targets;
 typedef struct Dks__Addresses Dks__Addresses;
 typedef struct Dks__BatchStep Dks__BatchStep;
 typedef struct Dks__Work Dks__Work;
@@ -355,10 +357,42 @@
   uint32_t free_tasks;
   uint32_t waiting_tasks;
   protobuf_c_boolean draining;
+  protobuf_c_boolean knows_targets;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Dks__TargetInfo
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *data_centre;
+  protobuf_c_boolean leaving;
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  size_t n_labels;
+  char **labels;
+  int64_t born_ms;
+};
+#define DKS__TARGET_INFO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__target_info__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
+
+
+struct  Dks__Targets
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Dks__TargetInfo **items;
+};
+#define DKS__TARGETS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__targets__descriptor) \
+    , 0,NULL }
 
 
 struct  Dks__Addresses
@@ -477,7 +511,8 @@
   DKS__PEER_MESSAGE__BODY_WORK = 22,
   DKS__PEER_MESSAGE__BODY_WORK_DONE = 23,
   DKS__PEER_MESSAGE__BODY_WORK_CANCEL = 24,
-  DKS__PEER_MESSAGE__BODY_LENT_DONE = 25
+  DKS__PEER_MESSAGE__BODY_LENT_DONE = 25,
+  DKS__PEER_MESSAGE__BODY_TARGETS = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DKS__PEER_MESSAGE__BODY__CASE)
 } Dks__PeerMessage__BodyCase;
 
@@ -511,6 +546,7 @@
     Dks__WorkDone *work_done;
     Dks__WorkCancel *work_cancel;
     Dks__LentDone *lent_done;
+    Dks__Targets *targets;
   };
 };
 #define DKS__PEER_MESSAGE__INIT \
@@ -955,6 +991,44 @@
 void   dks__leased_status__free_unpacked
                      (Dks__LeasedStatus *message,
                       ProtobufCAllocator *allocator);
+/* Dks__TargetInfo methods */
+void   dks__target_info__init
+                     (Dks__TargetInfo         *message);
+size_t dks__target_info__get_packed_size
+                     (const Dks__TargetInfo   *message);
+size_t dks__target_info__pack
+                     (const Dks__TargetInfo   *message,
+                      uint8_t             *out);
+size_t dks__target_info__pack_to_buffer
+                     (const Dks__TargetInfo   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__TargetInfo *
+       dks__target_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__target_info__free_unpacked
+                     (Dks__TargetInfo *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__Targets methods */
+void   dks__targets__init
+                     (Dks__Targets         *message);
+size_t dks__targets__get_packed_size
+                     (const Dks__Targets   *message);
+size_t dks__targets__pack
+                     (const Dks__Targets   *message,
+                      uint8_t             *out);
+size_t dks__targets__pack_to_buffer
+                     (const Dks__Targets   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__Targets *
+       dks__targets__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__targets__free_unpacked
+                     (Dks__Targets *message,
+                      ProtobufCAllocator *allocator);
 /* Dks__Addresses methods */
 void   dks__addresses__init
                      (Dks__Addresses         *message);
@@ -1159,6 +1233,12 @@
 typedef void (*Dks__LeasedStatus_Closure)
                  (const Dks__LeasedStatus *message,
                   void *closure_data);
+typedef void (*Dks__TargetInfo_Closure)
+                 (const Dks__TargetInfo *message,
+                  void *closure_data);
+typedef void (*Dks__Targets_Closure)
+                 (const Dks__Targets *message,
+                  void *closure_data);
 typedef void (*Dks__Addresses_Closure)
                  (const Dks__Addresses *message,
                   void *closure_data);
@@ -1209,6 +1289,8 @@
 extern const ProtobufCMessageDescriptor dks__record__descriptor;
 extern const ProtobufCMessageDescriptor dks__record_ask__descriptor;
 extern const ProtobufCMessageDescriptor dks__leased_status__descriptor;
+extern const ProtobufCMessageDescriptor dks__target_info__descriptor;
+extern const ProtobufCMessageDescriptor dks__targets__descriptor;
 extern const ProtobufCMessageDescriptor dks__addresses__descriptor;
 extern const ProtobufCMessageDescriptor dks__batch_step__descriptor;
 extern const ProtobufCMessageDescriptor dks__work__descriptor;
--- /dev/null
+++ b/tests/leased_world.cc
@@ -0,0 +1,650 @@
+#include "leased_world.h"
+
+extern "C"
+{
+#include "common/error.h"
+}
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+
+namespace leased
+{
+
+constexpr int64_t peer_delay_us = 1 * ms;
+constexpr int64_t call_delay_us = 300; // one way to a target or the platform
+constexpr int64_t lease_us = 1000 * ms;
+
+static void
+set_text (char *to, size_t size, const std::string &text)
+{
+  snprintf (to, size, "%s", text.c_str ());
+}
+
+World::~World ()
+{
+  for (auto &instance : instances)
+    {
+      if (instance->up)
+        dks_reducer_destroy (instance->reducer);
+    }
+}
+
+dks_time_t
+World::time () const
+{
+  return { now_us, 1700000000000 + now_us / 1000 };
+}
+
+void
+World::at (int64_t us, std::function<void ()> func)
+{
+  queue.push ({ us, order++, std::move (func) });
+}
+
+size_t
+World::add_instance (const std::string &data_centre, bool feed_down)
+{
+  auto instance = std::make_unique<Instance> ();
+  size_t count = 1;
+
+  for (auto &other : instances)
+    count += other->data_centre == data_centre;
+  instance->id = data_centre + "-" + std::to_string (count);
+  instance->data_centre = data_centre;
+  instance->feed_down = feed_down;
+  instances.push_back (std::move (instance));
+  return instances.size () - 1;
+}
+
+size_t
+World::add_target (const std::string &data_centre, uint32_t cpu_milli)
+{
+  auto target = std::make_unique<Target> ();
+  std::string id = data_centre + "-t" + std::to_string (targets.size () + 1);
+
+  target->info = {};
+  set_text (target->info.id, sizeof (target->info.id), id);
+  set_text (target->info.service, sizeof (target->info.service), "words");
+  set_text (target->info.address, sizeof (target->info.address), id);
+  set_text (target->info.data_centre, sizeof (target->info.data_centre), data_centre);
+  target->info.cpu_milli = cpu_milli;
+  target->info.memory_mb = 32768;
+  target->info.born_ms = 1;
+  targets.push_back (std::move (target));
+  return targets.size () - 1;
+}
+
+size_t
+World::find (const std::string &id) const
+{
+  for (size_t i = 0; i < instances.size (); i++)
+    {
+      if (instances[i]->id == id)
+        return i;
+    }
+  abort ();
+}
+
+void
+World::boot (size_t index)
+{
+  Instance &instance = *instances[index];
+  dks_config_t config;
+
+  dks_config_init (&config);
+  set_text (config.id, sizeof (config.id), instance.id);
+  set_text (config.address, sizeof (config.address), instance.id);
+  set_text (config.data_centre, sizeof (config.data_centre), instance.data_centre);
+  set_text (config.data_centres[0], sizeof (config.data_centres[0]), instance.data_centre);
+  config.data_centre_count = 1;
+  config.incarnation = static_cast<uint64_t> (++boots[instance.id]);
+  config.seed = index + 1;
+  config.leased_targets = true;
+  config.remote_factor = 1;
+  instance.reducer = dks_reducer_create (&config, time ());
+  instance.member = dks_reducer_member_id (instance.reducer);
+  instance.up = true;
+  instance.exited = false;
+  ticks[index] = INT64_MAX;
+  schedule_tick (index);
+  for (size_t other = 0; other < instances.size (); other++)
+    {
+      if (other != index && instances[other]->up && cuts.count (std::minmax (index, other)) == 0)
+        link (index, other);
+    }
+}
+
+void
+World::start_all ()
+{
+  for (size_t i = 0; i < instances.size (); i++)
+    boot (i);
+}
+
+void
+World::kill (size_t index)
+{
+  Instance &instance = *instances[index];
+
+  instance.up = false;
+  dks_reducer_destroy (instance.reducer);
+  instance.reducer = nullptr;
+  for (size_t other = 0; other < instances.size (); other++)
+    unlink (index, other);
+  for (auto &target : targets)
+    {
+      auto &waiting = target->waiting;
+      waiting.erase (std::remove_if (waiting.begin (), waiting.end (),
+                                     [&] (const Call &call) { return call.instance == index; }),
+                     waiting.end ());
+    }
+}
+
+void
+World::restart (size_t index)
+{
+  boot (index);
+}
+
+void
+World::drain (size_t index)
+{
+  dks_event_t event = {};
+
+  event.type = DKS_EVENT_DRAIN;
+  apply (index, &event);
+}
+
+void
+World::link (size_t a, size_t b)
+{
+  for (auto [self, peer] : { std::pair (a, b), std::pair (b, a) })
+    {
+      dks_event_t event = {};
+      std::string member = instances[peer]->member;
+
+      links.insert (std::minmax (a, b));
+      event.type = DKS_EVENT_PEER_UP;
+      event.u.peer.peer = member.c_str ();
+      event.u.peer.data_centre = instances[peer]->data_centre.c_str ();
+      apply (self, &event);
+    }
+}
+
+void
+World::unlink (size_t a, size_t b)
+{
+  if (links.erase (std::minmax (a, b)) == 0)
+    return;
+  for (auto [self, peer] : { std::pair (a, b), std::pair (b, a) })
+    {
+      dks_event_t event = {};
+      std::string member = instances[peer]->member;
+
+      event.type = DKS_EVENT_PEER_DOWN;
+      event.u.peer.peer = member.c_str ();
+      if (instances[self]->up)
+        apply (self, &event);
+    }
+}
+
+void
+World::cut (size_t a, size_t b, bool is_cut)
+{
+  if (is_cut)
+    {
+      cuts.insert (std::minmax (a, b));
+      unlink (a, b);
+      return;
+    }
+  cuts.erase (std::minmax (a, b));
+  if (instances[a]->up && instances[b]->up)
+    link (a, b);
+}
+
+void
+World::schedule_tick (size_t index)
+{
+  int64_t next = dks_reducer_next_us (instances[index]->reducer);
+  dks_reducer_t *reducer = instances[index]->reducer;
+
+  if (next == INT64_MAX || next >= ticks[index])
+    return;
+  next = std::max (next, now_us);
+  ticks[index] = next;
+  at (next, [this, index, reducer] {
+    dks_event_t event = {};
+
+    if (instances[index]->reducer != reducer)
+      return;
+    ticks[index] = INT64_MAX;
+    event.type = DKS_EVENT_TICK;
+    apply (index, &event);
+  });
+}
+
+void
+World::apply (size_t index, dks_event_t *event)
+{
+  dks_effects_t effects = {};
+
+  if (!instances[index]->up)
+    return;
+  event->now = time ();
+  dks_reducer_apply (instances[index]->reducer, event, &effects);
+  for (size_t i = 0; i < effects.count; i++)
+    carry_out (index, effects.items[i]);
+  dks_effects_destroy (&effects);
+  if (instances[index]->up)
+    schedule_tick (index);
+}
+
+void
+World::carry_out (size_t index, const dks_effect_t &effect)
+{
+  switch (effect.type)
+    {
+    case DKS_EFFECT_BATCH_REPLY:
+      answers[effect.u.batch_reply.caller] = { effect.u.batch_reply.answer,
+                                               effect.u.batch_reply.retry_after_ms, now_us };
+      break;
+    case DKS_EFFECT_PEER_SEND:
+      for (size_t other = 0; other < instances.size (); other++)
+        {
+          if (!instances[other]->up || instances[other]->member != effect.u.peer_send.peer
+              || !is_linked (index, other))
+            continue;
+          dks_msg_t *msg = dks_msg_ref (effect.u.peer_send.msg);
+          std::string from = instances[index]->member;
+          std::string to = instances[other]->member;
+          at (now_us + peer_delay_us, [this, index, other, msg, from, to] {
+            dks_event_t event = {};
+
+            event.type = DKS_EVENT_PEER_MSG;
+            event.u.peer_msg.peer = from.c_str ();
+            event.u.peer_msg.msg = msg;
+            if (is_linked (index, other) && instances[other]->member == to
+                && instances[index]->member == from)
+              apply (other, &event);
+            dks_msg_unref (msg);
+          });
+        }
+      break;
+    case DKS_EFFECT_FEED_READ:
+    case DKS_EFFECT_FEED_WATCH:
+      send_feed (index, effect);
+      break;
+    case DKS_EFFECT_LEASE_START:
+    case DKS_EFFECT_LEASE_STOP:
+    case DKS_EFFECT_LEASE_HOLD:
+      lease_call (index, effect);
+      break;
+    case DKS_EFFECT_LOG:
+      log.push_back (instances[index]->id + " " + effect.u.log.text);
+      if (trace)
+        printf ("%9.3f %s %s\n", static_cast<double> (now_us) / 1e6, instances[index]->id.c_str (),
+                effect.u.log.text);
+      break;
+    case DKS_EFFECT_EXIT:
+      instances[index]->exited = true;
+      break;
+    default:
+      break;
+    }
+}
+
+void
+World::send_feed (size_t index, const dks_effect_t &effect)
+{
+  uint64_t op = effect.u.feed.op;
+  dks_feed_t feed = effect.u.feed.feed;
+  bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
+  int64_t timeout_us = 1000 * effect.u.feed.timeout_ms;
+  dks_reducer_t *reducer = instances[index]->reducer;
+  bool down = instances[index]->feed_down;
+
+  at (now_us + (is_watch || down ? timeout_us : 2 * call_delay_us), [=, this] {
+    dks_event_t event = {};
+    std::vector<dks_feed_item_t> items;
+    dks_catalog_t *catalog = nullptr;
+
+    if (!instances[index]->up || instances[index]->reducer != reducer)
+      return;
+    event.type = DKS_EVENT_FEED;
+    event.u.feed.op = op;
+    event.u.feed.status = down ? DKS_FEED_UNAVAILABLE : DKS_FEED_OK;
+    event.u.feed.revision = 1;
+    if (!down && !is_watch && feed == DKS_FEED_CATALOG)
+      {
+        catalog = dks_catalog_create (1, 1);
+        catalog->version = 1;
+        set_text (catalog->queues[0].host, DKS_HOST_SIZE, "host");
+        set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
+        set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
+        catalog->queues[0].max_attempts = 3;
+        catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
+        catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
+        set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
+        items.push_back ({ "catalog", false, catalog, nullptr });
+      }
+    if (!down && !is_watch && feed == DKS_FEED_TARGETS)
+      {
+        for (auto &target : targets)
+          items.push_back ({ target->info.id, false, nullptr, &target->info });
+      }
+    event.u.feed.count = items.size ();
+    event.u.feed.items = items.data ();
+    apply (index, &event);
+    dks_catalog_unref (catalog);
+  });
+}
+
+// Targets
+
+int64_t
+World::task_ms (const std::string &task) const
+{
+  auto found = real_ms.find (task.substr (0, task.rfind ('.')));
+
+  return found != real_ms.end () ? found->second : 100;
+}
+
+void
+World::check_double (const std::string &task)
+{
+  int count = 0;
+
+  for (auto &target : targets)
+    {
+      update (*target);
+      for (auto &run : target->runs)
+        count += run.task == task;
+    }
+  double_runs += count > 1;
+}
+
+void
+World::end_run (Target &target, size_t i, dks_run_end_t end)
+{
+  Run run = target.runs[i];
+
+  target.runs.erase (target.runs.begin () + static_cast<long> (i));
+  target.ended.push_back ({ target.next_number++, run.task, run.run, end });
+  target.ended_runs[run.task] = std::max (target.ended_runs[run.task], run.run);
+}
+
+// Ends the runs whose time has come.
+void
+World::update (Target &target)
+{
+  for (size_t i = target.runs.size (); i-- > 0;)
+    {
+      Run &run = target.runs[i];
+
+      if (target.deadline_us <= now_us)
+        end_run (target, i, DKS_RUN_LAPSED);
+      else if (run.ends_us <= now_us)
+        end_run (target, i,
+                 run.stopping   ? DKS_RUN_STOPPED
+                 : target.fails ? DKS_RUN_FAILED
+                                : DKS_RUN_DONE);
+    }
+}
+
+void
+World::wake (Target &target)
+{
+  update (target);
+  for (size_t i = 0; i < target.waiting.size ();)
+    {
+      Call call = target.waiting[i];
+      bool news =
+          !target.ended.empty () && target.ended.back ().number > call.effect.u.lease.last_seen;
+
+      if (!news && call.expires_us > now_us)
+        {
+          i++;
+          continue;
+        }
+      target.waiting.erase (target.waiting.begin () + static_cast<long> (i));
+      lease_reply (call.instance, call.effect.u.lease.op, DKS_LEASE_OK, &target, &call);
+    }
+}
+
+dks_lease_status_t
+World::start_run (Target &target, const dks_effect_t &effect)
+{
+  std::string task = effect.u.lease.task;
+  uint32_t run = effect.u.lease.run;
+  int64_t length_us = static_cast<int64_t> (static_cast<double> (task_ms (task)) * target.slowness
+                                            * static_cast<double> (ms));
+
+  for (auto &other : target.runs)
+    {
+      if (other.task == task && other.run == run)
+        return DKS_LEASE_OK;
+    }
+  if (1000 * effect.u.lease.deadline_ms <= now_us)
+    return DKS_LEASE_LATE;
+  if (target.ended_runs.count (task) > 0 && run <= target.ended_runs[task])
+    return DKS_LEASE_OLD_RUN;
+  if ((target.runs.size () + 1) * 6800 > target.info.cpu_milli)
+    {
+      target.rejected++;
+      return DKS_LEASE_NO_ROOM;
+    }
+  target.deadline_us = std::max (target.deadline_us,
+                                 std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_us));
+  target.starts++;
+  target.runs.push_back (
+      { task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us, false });
+  check_double (task);
+  if (!target.stalled)
+    at (now_us + length_us, [this, &target] { wake (target); });
+  return DKS_LEASE_OK;
+}
+
+void
+World::lease_call (size_t index, const dks_effect_t &effect)
+{
+  for (auto &target : targets)
+    {
+      if (strcmp (target->info.address, effect.u.lease.address) != 0)
+        continue;
+      Call call = { index, effect, 0 };
+      dks_reducer_t *reducer = instances[index]->reducer;
+      Target *at_target = target.get ();
+      bool lost = false;
+
+      call.effect.u.lease.spec = nullptr;
+      if (effect.type == DKS_EFFECT_LEASE_START && target->lose_starts > 0)
+        {
+          target->lose_starts--;
+          lost = true;
+        }
+      if (!target->silent)
+        at (now_us + (lost ? target->late_us : call_delay_us),
+            [=, this] { lease_arrive (*at_target, call, !lost); });
+      // Answered calls are unknown to the reducer by then.
+      at (now_us + 1000 * effect.u.lease.timeout_ms, [=, this] {
+        if (instances[index]->reducer == reducer)
+          lease_reply (index, call.effect.u.lease.op, DKS_LEASE_UNANSWERED, nullptr, nullptr);
+      });
+      return;
+    }
+}
+
+void
+World::lease_arrive (Target &target, const Call &given, bool answer)
+{
+  Call call = given;
+  const dks_effect_t &effect = call.effect;
+  dks_lease_status_t status = DKS_LEASE_OK;
+
+  if (target.silent)
+    return;
+  update (target);
+  if (effect.u.lease.fence < target.fence)
+    status = DKS_LEASE_FENCED;
+  else
+    {
+      target.fence = effect.u.lease.fence;
+      if (effect.type == DKS_EFFECT_LEASE_START)
+        status = start_run (target, effect);
+      else if (effect.type == DKS_EFFECT_LEASE_STOP)
+        {
+          target.ended_runs[effect.u.lease.task] =
+              std::max (target.ended_runs[effect.u.lease.task], effect.u.lease.run);
+          for (auto &run : target.runs)
+            {
+              if (run.task != effect.u.lease.task || run.run != effect.u.lease.run)
+                continue;
+              run.stopping = true;
+              run.ends_us = std::min (run.ends_us, now_us + target.stop_us);
+              at (now_us + target.stop_us, [this, &target] { wake (target); });
+            }
+        }
+      else if (effect.u.lease.deadline_ms > 0)
+        target.deadline_us = std::max (
+            target.deadline_us, std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_us));
+    }
+  if (effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK && effect.u.lease.wait_ms > 0)
+    {
+      call.expires_us = now_us + 1000 * effect.u.lease.wait_ms;
+      target.waiting.push_back (call);
+      at (call.expires_us, [this, &target] { wake (target); });
+      wake (target);
+      return;
+    }
+  if (answer)
+    lease_reply (call.instance, effect.u.lease.op, status, &target, &call);
+}
+
+void
+World::lease_reply (size_t index, uint64_t op, dks_lease_status_t status, const Target *target,
+                    const Call *call)
+{
+  struct Lists
+  {
+    std::vector<dks_running_t> running;
+    std::vector<dks_ended_t> ended;
+  };
+  auto lists = std::make_shared<Lists> ();
+  bool with_lists =
+      call != nullptr && call->effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK;
+  int64_t clock_ms = now_us / 1000;
+  dks_reducer_t *reducer = instances[index]->reducer;
+
+  if (target != nullptr && target->silent)
+    return;
+  if (with_lists)
+    {
+      for (auto &run : target->runs)
+        {
+          dks_running_t row = {};
+          int64_t length = run.ends_us == INT64_MAX ? INT64_MAX : run.ends_us - run.started_us;
+
+          set_text (row.task, sizeof (row.task), run.task);
+          row.run = run.run;
+          row.percent =
+              length == INT64_MAX
+                  ? 0
+                  : static_cast<uint32_t> (100 * (now_us - run.started_us) / (length + 1));
+          lists->running.push_back (row);
+        }
+      for (auto &end : target->ended)
+        {
+          dks_ended_t row = {};
+
+          if (end.number <= call->effect.u.lease.last_seen)
+            continue;
+          row.number = end.number;
+          set_text (row.task, sizeof (row.task), end.task);
+          row.run = end.run;
+          row.end = end.end;
+          lists->ended.push_back (row);
+        }
+    }
+  at (now_us + (target != nullptr ? call_delay_us : 0), [=, this] {
+    dks_event_t event = {};
+    dks_lease_lists_t view = {};
+
+    if (!instances[index]->up || instances[index]->reducer != reducer)
+      return;
+    event.type = DKS_EVENT_LEASE_REPLY;
+    event.u.lease_reply.op = op;
+    event.u.lease_reply.status = status;
+    event.u.lease_reply.clock_ms = status == DKS_LEASE_UNANSWERED ? 0 : clock_ms;
+    view.born_ms = 1;
+    view.running_count = lists->running.size ();
+    view.running = lists->running.data ();
+    view.ended_count = lists->ended.size ();
+    view.ended = lists->ended.data ();
+    event.u.lease_reply.lists = with_lists ? &view : nullptr;
+    apply (index, &event);
+  });
+}
+
+// Callers
+
+uint64_t
+World::submit (size_t index, const std::string &id, const std::vector<Step> &steps,
+               int64_t budget_ms)
+{
+  dks_batch_t *batch = dks_batch_create (static_cast<uint32_t> (steps.size ()));
+  dks_event_t event = {};
+  std::string path = "/q/" + id;
+  uint64_t caller = next_caller++;
+
+  batch->spec = dks_blob_create ("spec", 4);
+  for (size_t i = 0; i < steps.size (); i++)
+    {
+      batch->steps[i].count = steps[i].count;
+      batch->steps[i].cpu_milli = steps[i].cpu_milli;
+      batch->steps[i].memory_mb = 64;
+      batch->steps[i].estimate_ms = steps[i].estimate_ms;
+      batch->steps[i].after = steps[i].after;
+      real_ms[id + ".0." + std::to_string (i)] = steps[i].real_ms;
+    }
+  dks_batch_complete (batch);
+  event.type = DKS_EVENT_BATCH;
+  event.u.batch.caller = caller;
+  event.u.batch.verb = DKS_BATCH_SUBMIT;
+  event.u.batch.host = "host";
+  event.u.batch.path = path.c_str ();
+  event.u.batch.batch = batch;
+  event.u.batch.budget_ms = budget_ms;
+  apply (index, &event);
+  dks_batch_unref (batch);
+  return caller;
+}
+
+void
+World::leave (size_t index, uint64_t caller)
+{
+  dks_event_t event = {};
+
+  event.type = DKS_EVENT_CALLER_GONE;
+  event.u.caller_gone.caller = caller;
+  apply (index, &event);
+}
+
+void
+World::run_for (int64_t us)
+{
+  int64_t until_us = now_us + us;
+
+  while (!queue.empty () && queue.top ().at_us <= until_us)
+    {
+      Item item = queue.top ();
+
+      queue.pop ();
+      now_us = std::max (now_us, item.at_us);
+      item.func ();
+    }
+  now_us = until_us;
+}
+
+}
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -177,7 +177,16 @@
       msg->u.record.value = dks_blob_create_text ("{}");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 3, true };
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 3, true, true };
+      break;
+    case DKS_MSG_TARGETS:
+      msg->u.targets.count = 2;
+      msg->u.targets.items =
+          static_cast<dks_target_info_t *> (calloc (2, sizeof (dks_target_info_t)));
+      msg->u.targets.items[0] = { "i-1", "lexicon", "10.0.0.1:1",    "dc1",    true, 16000, 32768,
+                                  1,     2,         { "a", "r1-2" }, issued_ms };
+      msg->u.targets.items[1] = { "i-2", "lexicon", "10.0.0.2:1", "dc2", false, 24000, 1,
+                                  0,     0,         {},           0 };
       break;
     case DKS_MSG_ADDRESSES:
       msg->u.addresses.count = 2;
@@ -351,6 +360,22 @@
       add (msg->u.leased_status.free_tasks);
       add (msg->u.leased_status.waiting_tasks);
       add (msg->u.leased_status.draining);
+      add (msg->u.leased_status.knows_targets);
+      break;
+    case DKS_MSG_TARGETS:
+      for (uint32_t i = 0; i < msg->u.targets.count; i++)
+        {
+          const dks_target_info_t *info = &msg->u.targets.items[i];
+          text += std::string (",") + info->id + "," + info->service + "," + info->address + ","
+                  + info->data_centre;
+          add (info->leaving);
+          add (info->cpu_milli);
+          add (info->memory_mb);
+          add (info->accelerators);
+          add (info->born_ms);
+          for (uint32_t j = 0; j < info->label_count; j++)
+            text += std::string (",") + info->labels[j];
+        }
       break;
     case DKS_MSG_ADDRESSES:
       for (uint32_t i = 0; i < msg->u.addresses.count; i++)
--- /dev/null
+++ b/tests/test_leased.cc
@@ -0,0 +1,267 @@
+// Dispatch to targets under lease: what callers get, and that no task ever has two runs at once.
+
+#include "leased_world.h"
+
+#include <gtest/gtest.h>
+
+using leased::ms;
+using leased::World;
+
+namespace
+{
+
+// One data centre with two instances and `targets` targets of 16 processors.
+void
+make_data_centre (World &world, const std::string &name, int targets, int instances = 2)
+{
+  for (int i = 0; i < instances; i++)
+    world.add_instance (name);
+  for (int i = 0; i < targets; i++)
+    world.add_target (name);
+}
+
+std::string
+leader_of (const World &world, const std::string &data_centre)
+{
+  std::string leader;
+
+  for (auto &line : world.log)
+    {
+      if (line.find ("event=leader-start data_centre=" + data_centre) != std::string::npos)
+        leader = line.substr (0, line.find (' '));
+    }
+  return leader;
+}
+
+size_t
+other_of (const World &world, const std::string &data_centre, const std::string &leader)
+{
+  return world.find (leader == data_centre + "-1" ? data_centre + "-2" : data_centre + "-1");
+}
+
+}
+
+TEST (Leased, JobEndsOnceAllTasksHaveEnded)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 8, 6800, 100, 100 } });
+  world.run_for (90 * ms);
+  EXPECT_FALSE (world.answered (caller));
+  world.run_for (30 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+  for (auto &target : world.targets)
+    EXPECT_EQ (target->rejected, 0U);
+}
+
+// Guards against a step that starts before the steps it depends on have ended.
+TEST (Leased, StepsWaitForThoseBefore)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller =
+      world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 }, { 2, 6800, 100, 100, 1 } });
+  world.run_for (150 * ms);
+  EXPECT_FALSE (world.answered (caller));
+  world.run_for (100 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
+
+// Room lent by other data centres: a wide job that does not fit into its own.
+TEST (Leased, WideJobUsesRoomOfOtherDataCentres)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t first = world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.run_for (200 * ms);
+  uint64_t caller = world.submit (0, "0000000000000002", { { 10, 6800, 100, 100 } });
+  world.run_for (130 * ms);
+  EXPECT_TRUE (world.answered (first));
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Overload: more than the room allows is refused at once, with a time to return, and not run.
+TEST (Leased, JobThatWouldWaitTooLongIsRefusedAtOnce)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } });
+  world.submit (0, "0000000000000002", { { 8, 6800, 100, 100 } });
+  world.run_for (5 * ms);
+  uint64_t caller = world.submit (0, "0000000000000003", { { 8, 6800, 100, 100 } });
+  world.run_for (5 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_REFUSED);
+  EXPECT_GE (world.answers[caller].retry_after_ms, 1000U);
+}
+
+// A leader that dies: its successor adopts what runs and the callers of other instances are served.
+TEST (Leased, SuccessorAdoptsRunsOfALeaderThatDied)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  std::string leader = leader_of (world, "a");
+  size_t entry = other_of (world, "a", leader);
+  uint64_t caller = world.submit (entry, "0000000000000001", { { 4, 6800, 900, 900 } });
+  world.run_for (100 * ms);
+  world.kill (world.find (leader));
+  world.run_for (1000 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+  uint32_t starts = 0;
+  for (auto &target : world.targets)
+    starts += target->starts;
+  EXPECT_EQ (starts, 4U);
+}
+
+// The rule broken on the bench's day fresh-6568 (mplo-damask): a leader drained while the other
+// instance of its data centre had just started and could not read the list of targets. It led
+// without any target, and told borrowers that nothing of their tasks ran.
+TEST (Leased, InstanceThatCannotReadTheTargetsGetsThemFromItsPeers)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t leader = world.find (leader_of (world, "b"));
+  size_t other = other_of (world, "b", leader_of (world, "b"));
+  world.kill (other);
+  world.instances[other]->feed_down = true;
+  world.restart (other);
+  world.run_for (1000 * ms);
+  world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.run_for (200 * ms);
+  uint64_t lent = world.submit (0, "0000000000000002", { { 10, 6800, 300, 300 } });
+  uint64_t own = world.submit (other, "0000000000000003", { { 2, 6800, 300, 300 } });
+  world.run_for (50 * ms);
+  world.drain (leader);
+  world.run_for (1200 * ms);
+  EXPECT_EQ (leader_of (world, "b"), world.instances[other]->id);
+  ASSERT_TRUE (world.answered (lent));
+  EXPECT_EQ (world.answers[lent].answer, DKS_BATCH_COMPLETED);
+  ASSERT_TRUE (world.answered (own));
+  EXPECT_EQ (world.answers[own].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// A job whose caller left is submitted again while its runs are still being stopped.
+TEST (Leased, RunThatIsBeingStoppedEndsBeforeTheTaskStartsAgain)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (auto &target : world.targets)
+    target->stop_us = 50 * ms;
+
+  uint64_t first = world.submit (0, "0000000000000001", { { 2, 6800, 300, 300 } });
+  world.run_for (50 * ms);
+  world.leave (0, first);
+  uint64_t second = world.submit (1, "0000000000000001", { { 2, 6800, 300, 300 } });
+  world.run_for (600 * ms);
+  ASSERT_TRUE (world.answered (second));
+  EXPECT_EQ (world.answers[second].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// A start that gets no answer and is carried out seconds later.
+TEST (Leased, LateStartNeverMakesASecondRun)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.targets[0]->lose_starts = 2;
+  world.targets[0]->late_us = 500 * ms;
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 300, 300 } });
+  world.run_for (600 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// A target that falls silent: its tasks start elsewhere only when its lease has surely ended.
+TEST (Leased, TasksOfASilentTargetWaitForTheEndOfItsLease)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } }, 10000);
+  world.run_for (50 * ms);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        {
+          target->silent = true;
+          break;
+        }
+    }
+  world.run_for (4000 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Targets that hang while they answer calls: the task moves to another one.
+TEST (Leased, TaskLeavesATargetOnWhichItStandsStill)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.targets[0]->stalled = true;
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 7, 6800, 100, 100 } });
+  world.run_for (1400 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// An instance that shuts down answers what it has before it ends.
+TEST (Leased, DrainingInstanceAnswersItsCallersFirst)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t leader = world.find (leader_of (world, "a"));
+  uint64_t caller = world.submit (leader, "0000000000000001", { { 4, 6800, 900, 900 } });
+  world.run_for (20 * ms);
+  world.drain (leader);
+  world.run_for (1100 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_FALSE (world.instances[leader]->exited);
+  world.run_for (2000 * ms);
+  EXPECT_TRUE (world.instances[leader]->exited);
+  EXPECT_EQ (world.double_runs, 0);
+}
