leased: order of service by the smaller of objective and the caller's time

Cause: a long job's caller leaves after 1.5 s, before 1.6 times its run time, so its slack was taken for larger than it is. Change: its latest start follows from the smaller of both.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -29,6 +29,12 @@
   return leased->r->now.mono_us;
 }
 
+static int64_t
+min_us (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
 /* Answers */
 
 static void
@@ -254,7 +260,8 @@
   job->task_count = count;
   job->waiting = count;
   job->arrival_us = now_us (leased) - msg->u.work.age_us;
-  job->latest_start_us = job->arrival_us + msg->u.work.objective_us
+  /* A long job's caller leaves before its objective is reached. */
+  job->latest_start_us = job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us)
                          - (int64_t)((double)chain_us * leased->slowness_mean);
   job->wait_until_us = job->arrival_us + msg->u.work.objective_us / REFUSE_PART;
   job->give_up_us = job->arrival_us + msg->u.work.budget_us;
