leased: give up a job early when it cannot end before its caller leaves

Ruled out: an end by the declared run time alone, which is off by 40% either way. Change: when 40% of the caller's time is over, the targets' lists tell the progress of the job's runs; if the projected end is later than the caller waits, the job is answered (504) and its runs are stopped. Test: JobThatCannotEndBeforeItsCallerLeavesIsGivenUpEarly.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -223,6 +223,12 @@
     job_plan_timer (job);
 }
 
+void
+dks_ljobs_give_up (dks_ljob_t *job)
+{
+  job_answer (job, DKS_BATCH_LOST, 0, "it cannot end before the caller leaves");
+}
+
 /* Keeps the jobs in the order of the latest moment at which they may start. */
 static void
 job_insert (dks_ljob_t *job)
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -29,13 +29,15 @@
   EJECT_MIN_US = 1000000,
   EJECT_MAX_US = 8000000,
   EJECT_DOUBLINGS = 3,
+  MIN_PERCENT = 8,  /* progress below this says little, since it comes in whole percent */
   OLD_RUN_SKIP = 8, /* run numbers that are passed over when one turns out to be used */
   MIN_SAMPLES = 3   /* ends before a target's speed counts */
 };
 
-#define SLOW_FACTOR 2.2        /* a run is looked at after this many times its expected time */
-#define SPEED_WEIGHT 0.15      /* of a new sample in a target's moving average */
-#define MEAN_WEIGHT 0.02       /* of a new sample in the moving averages of all targets */
+#define REVIEW_PART 0.6   /* of the caller's time: how much is left when a job's end is projected */
+#define SLOW_FACTOR 2.2   /* a run is looked at after this many times its expected time */
+#define SPEED_WEIGHT 0.15 /* of a new sample in a target's moving average */
+#define MEAN_WEIGHT 0.02  /* of a new sample in the moving averages of all targets */
 #define FAILURE_WEIGHT 0.3     /* of a new end in a target's failure rate */
 #define EJECT_RATE 0.5         /* failure rate above which a target is ejected */
 #define SLOWNESS_MAX 20.0      /* bound of one sample */
@@ -786,11 +788,26 @@
   return left_us > 1.3 * run_expected_us (run);
 }
 
+/* Whether the run cannot end before its caller leaves, by the progress that the target reported at
+ * or after `since_us`. */
+static bool
+run_ends_too_late (const dks_lrun_t *run, int64_t since_us)
+{
+  int64_t ran_us = run->seen_us - run->started_us;
+  double left_us;
+
+  if (run->seen_us < since_us || run->percent < MIN_PERCENT)
+    return false;
+  left_us = (double)ran_us * (100 - run->percent - 1) / (run->percent + 1);
+  return run->seen_us + (int64_t)left_us > run->job->give_up_us;
+}
+
 static void
 watch_run (dks_lrun_t *run)
 {
   dks_ltarget_t *target = run->target;
   int64_t ran_us = now_us (run->leased) - run->started_us;
+  int64_t review_us;
 
   if (run->job == NULL)
     {
@@ -803,8 +820,21 @@
         }
       return;
     }
-  if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0
-      || ran_us < (int64_t)(SLOW_FACTOR * run_expected_us (run)) + SLOW_FLOOR_US)
+  if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0)
+    return;
+  review_us = run->job->give_up_us
+              - (int64_t)(REVIEW_PART * (double)(run->job->give_up_us - run->job->arrival_us));
+  if (now_us (run->leased) >= review_us && !run->job->lent)
+    {
+      if (run_ends_too_late (run, review_us))
+        {
+          dks_ljobs_give_up (run->job);
+          return;
+        }
+      if (run->seen_us < review_us && target->look_us < review_us)
+        target_look (target);
+    }
+  if (ran_us < (int64_t)(SLOW_FACTOR * run_expected_us (run)) + SLOW_FLOOR_US)
     return;
   if (run->seen_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
       && has_better_place (run))
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -348,6 +348,8 @@
 void dks_ljobs_drop_all (dks_leased_t *leased);
 /** Places waiting tasks. */
 void dks_ljobs_pump (dks_leased_t *leased);
+/** Ends a job that cannot be done before its caller leaves. */
+void dks_ljobs_give_up (dks_ljob_t *job);
 /** Outcome of a run of a job's task. `is_fault`: the task failed by itself. */
 void dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault);
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -265,3 +265,30 @@
   EXPECT_TRUE (world.instances[leader]->exited);
   EXPECT_EQ (world.double_runs, 0);
 }
+
+// Long jobs (a sixth of the long kind of request on quiet-1 takes longer than its caller waits):
+// the progress of the runs shows early that nobody will wait for the end, and the room serves
+// others.
+TEST (Leased, JobThatCannotEndBeforeItsCallerLeavesIsGivenUpEarly)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t hopeless = world.submit (0, "0000000000000001", { { 4, 6800, 900, 2500 } });
+  uint64_t possible = world.submit (0, "0000000000000002", { { 4, 6800, 900, 1350 } });
+  world.run_for (750 * ms);
+  ASSERT_TRUE (world.answered (hopeless));
+  EXPECT_EQ (world.answers[hopeless].answer, DKS_BATCH_LOST);
+  EXPECT_FALSE (world.answered (possible));
+  world.run_for (100 * ms);
+  for (auto &target : world.targets)
+    {
+      for (auto &run : target->runs)
+        EXPECT_EQ (run.task.rfind ("0000000000000002", 0), 0U) << run.task;
+    }
+  world.run_for (600 * ms);
+  ASSERT_TRUE (world.answered (possible));
+  EXPECT_EQ (world.answers[possible].answer, DKS_BATCH_COMPLETED);
+}
