leased: expected run times per queue; progress counts from its report

And the progress of a run was dated by the sending of a call that waits up to 300 ms for its answer: the projection of the end used old figures. Change: core/leased_estimate.c keeps the run times of each queue; the expected time is the middle of its average and the declared time, by logarithm. Reports carry their own time.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -85,8 +85,8 @@
 static json_t *
 queue_to_json (const dks_queue_entry_t *queue)
 {
-  return json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "host", queue->host, "prefix",
-                    queue->prefix, "service", queue->service, "priority",
+  return json_pack ("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "name", queue->name, "host",
+                    queue->host, "prefix", queue->prefix, "service", queue->service, "priority",
                     (json_int_t)queue->priority, "max_attempts", (json_int_t)queue->max_attempts,
                     "timeout_ms", (json_int_t)queue->timeout_ms, "factor_milli",
                     (json_int_t)queue->objective_factor_milli, "extra_ms",
@@ -121,6 +121,7 @@
 static int
 queue_from_json (json_t *json, dks_queue_entry_t *queue)
 {
+  const char *name;
   const char *host;
   const char *prefix;
   const char *service;
@@ -131,11 +132,12 @@
   json_int_t extra_ms;
   int advice;
 
-  if (json_unpack (json, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "host", &host, "prefix", &prefix,
-                   "service", &service, "priority", &priority, "max_attempts", &max_attempts,
-                   "timeout_ms", &timeout_ms, "factor_milli", &factor_milli, "extra_ms", &extra_ms,
-                   "advice", &advice)
+  if (json_unpack (json, "{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "name", &name, "host", &host,
+                   "prefix", &prefix, "service", &service, "priority", &priority, "max_attempts",
+                   &max_attempts, "timeout_ms", &timeout_ms, "factor_milli", &factor_milli,
+                   "extra_ms", &extra_ms, "advice", &advice)
           != 0
+      || dks_strcpy (queue->name, sizeof (queue->name), name) != DKS_OK
       || dks_strcpy (queue->host, sizeof (queue->host), host) != DKS_OK
       || dks_strcpy (queue->prefix, sizeof (queue->prefix), prefix) != DKS_OK
       || dks_strcpy (queue->service, sizeof (queue->service), service) != DKS_OK)
--- a/core/leased.c
+++ b/core/leased.c
@@ -15,6 +15,7 @@
 
   leased->r = r;
   dks_lmembers_init (leased);
+  dks_lestimate_init (leased);
   dks_ltargets_init (leased);
   dks_ljobs_init (leased);
   dks_lentry_init (leased);
@@ -30,6 +31,7 @@
   dks_lentry_clear (leased);
   dks_ljobs_clear (leased);
   dks_ltargets_clear (leased);
+  dks_lestimate_clear (leased);
   dks_lfeed_clear (leased);
   dks_lmembers_clear (leased);
   free (leased);
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -275,6 +275,7 @@
       return;
     }
   dks_strcpy (batch->service, sizeof (batch->service), queue->service);
+  dks_strcpy (batch->queue, sizeof (batch->queue), queue->name);
   batch->priority = queue->priority;
   batch->max_attempts = queue->max_attempts;
   submit (leased, event, queue, id);
--- /dev/null
+++ b/core/leased_estimate.c
@@ -0,0 +1,103 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MIN_SAMPLES = 5,  /* ends before a queue's run times count */
+  QUEUES_MAX = 4096 /* of the configuration; later ones are estimated as declared */
+};
+
+#define QUEUE_WEIGHT 0.03 /* of a new run time in the average of its queue */
+/* Weight of the declared run time against the average of the queue. Declared times are about as far
+ * off as the run times of a queue differ, which makes the middle of both the best estimate. */
+#define DECLARED_WEIGHT 0.5
+
+static dks_lqueue_t *
+queue_find (const dks_leased_t *leased, const char *name)
+{
+  dks_lqueue_t *queue;
+
+  APR_RING_FOREACH (queue, &leased->queues, dks_lqueue_t, link)
+    {
+      if (strcmp (queue->name, name) == 0)
+        return queue;
+    }
+  return NULL;
+}
+
+double
+dks_lestimate_run_us (const dks_leased_t *leased, const dks_batch_t *batch, uint32_t step)
+{
+  const dks_lqueue_t *queue = queue_find (leased, batch->queue);
+  double declared_us = 1000.0 * batch->steps[step].estimate_ms;
+
+  if (queue == NULL || queue->samples < MIN_SAMPLES)
+    return declared_us > 0 ? declared_us : leased->run_mean_us;
+  if (declared_us <= 0)
+    return exp (queue->log_mean);
+  return exp (DECLARED_WEIGHT * log (declared_us) + (1 - DECLARED_WEIGHT) * queue->log_mean);
+}
+
+double
+dks_lestimate_chain_us (const dks_leased_t *leased, const dks_batch_t *batch)
+{
+  double ends[DKS_BATCH_STEPS_MAX] = { 0 };
+  double longest = 0;
+
+  for (uint32_t i = 0; i < batch->step_count; i++)
+    {
+      for (uint32_t j = 0; j < i; j++)
+        {
+          if ((batch->steps[i].after >> j & 1) != 0 && ends[j] > ends[i])
+            ends[i] = ends[j];
+        }
+      ends[i] += dks_lestimate_run_us (leased, batch, i);
+      if (ends[i] > longest)
+        longest = ends[i];
+    }
+  return longest;
+}
+
+void
+dks_lestimate_note (dks_leased_t *leased, const dks_batch_t *batch, double run_us)
+{
+  dks_lqueue_t *queue = queue_find (leased, batch->queue);
+  double value = log (run_us > 1 ? run_us : 1);
+
+  if (queue == NULL && leased->queue_count < QUEUES_MAX)
+    {
+      queue = dks_alloc (sizeof (*queue));
+      dks_strcpy (queue->name, sizeof (queue->name), batch->queue);
+      APR_RING_INSERT_TAIL (&leased->queues, queue, dks_lqueue_t, link);
+      leased->queue_count++;
+    }
+  if (queue == NULL)
+    return;
+  queue->samples++;
+  /* The first samples count alike. */
+  queue->log_mean += (value - queue->log_mean)
+                     * (queue->samples * QUEUE_WEIGHT < 1 ? 1.0 / queue->samples : QUEUE_WEIGHT);
+}
+
+void
+dks_lestimate_init (dks_leased_t *leased)
+{
+  APR_RING_INIT (&leased->queues, dks_lqueue_t, link);
+}
+
+void
+dks_lestimate_clear (dks_leased_t *leased)
+{
+  while (!APR_RING_EMPTY (&leased->queues, dks_lqueue_t, link))
+    {
+      dks_lqueue_t *queue = APR_RING_FIRST (&leased->queues);
+
+      APR_RING_REMOVE (queue, link);
+      free (queue);
+    }
+}
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -254,7 +254,7 @@
   bool lent = msg->u.work.lent_count > 0;
   uint32_t count = lent ? msg->u.work.lent_count : batch->task_count;
   dks_ljob_t *job = dks_alloc (sizeof (*job) + count * sizeof (job->tasks[0]));
-  int64_t chain_us = INT64_C (1000) * dks_batch_chain_ms (batch);
+  int64_t chain_us = (int64_t)dks_lestimate_chain_us (leased, batch);
 
   job->leased = leased;
   job->batch = dks_batch_ref (batch);
@@ -267,8 +267,8 @@
   job->waiting = count;
   job->arrival_us = now_us (leased) - msg->u.work.age_us;
   /* A long job's caller leaves before its objective is reached. */
-  job->latest_start_us = job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us)
-                         - (int64_t)((double)chain_us * leased->slowness_mean);
+  job->latest_start_us =
+      job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us) - chain_us;
   job->wait_until_us = job->arrival_us + msg->u.work.objective_us / REFUSE_PART;
   job->give_up_us = job->arrival_us + msg->u.work.budget_us;
   dks_strcpy (job->origin, sizeof (job->origin), origin);
@@ -348,11 +348,10 @@
 task_claim_run (dks_ljob_t *job, uint32_t index, dks_lrun_t *run)
 {
   dks_ltask_t *task = &job->tasks[index];
-  const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
 
   run->job = job;
   run->task = index;
-  run->estimate_ms = step->estimate_ms;
+  run->expected_us = dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
   task->current = run;
   task->run = run->run;
   task_leave_waiting (job, task, DKS_LTASK_PLACED);
@@ -437,6 +436,7 @@
 
   dks_strcpy (single->id, sizeof (single->id), batch->id);
   dks_strcpy (single->service, sizeof (single->service), batch->service);
+  dks_strcpy (single->queue, sizeof (single->queue), batch->queue);
   single->priority = batch->priority;
   single->max_attempts = batch->max_attempts;
   single->spec = dks_blob_ref (batch->spec);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -405,21 +405,17 @@
   return target->samples >= MIN_SAMPLES ? target->slowness : target->leased->slowness_mean;
 }
 
-static double
-run_expected_us (const dks_lrun_t *run)
-{
-  return run->estimate_ms * 1000.0 * run->leased->slowness_mean;
-}
-
 static void
 run_note_done (dks_lrun_t *run)
 {
   dks_leased_t *leased = run->leased;
   double time_us = (double)(now_us (leased) - run->started_us);
 
-  if (run->adopted_us > 0 || run->estimate_ms == 0)
+  if (run->adopted_us > 0 || run->expected_us <= 0 || run->job == NULL)
     return;
-  target_note_speed (run->target, time_us / (run->estimate_ms * 1000.0));
+  target_note_speed (run->target, time_us / run->expected_us);
+  dks_lestimate_note (leased, run->job->batch,
+                      time_us * leased->slowness_mean / target_slowness (run->target));
   average (&leased->run_mean_us, time_us, MEAN_WEIGHT);
 }
 
@@ -485,6 +481,7 @@
       if (row->percent > run->percent)
         run->progress_us = now_us (target->leased);
       run->percent = row->percent;
+      run->reported_us = now_us (target->leased);
       run->seen_us = sent_us;
     }
   APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
@@ -586,7 +583,7 @@
   run->cpu_milli = step->cpu_milli;
   run->memory_mb = step->memory_mb;
   run->accelerators = step->accelerators;
-  run->estimate_ms = step->estimate_ms;
+  run->expected_us = dks_lestimate_run_us (leased, job->batch, entry->batch_step);
   run->started_us = now_us (leased);
   run->progress_us = now_us (leased);
   run->op = effect->u.lease.op;
@@ -785,7 +782,7 @@
   if (now_us (run->leased) - run->progress_us > STALLED_US)
     return true;
   left_us = (double)ran_us * (100 - run->percent) / run->percent;
-  return left_us > 1.3 * run_expected_us (run);
+  return left_us > 1.3 * run->expected_us;
 }
 
 /* Whether the run cannot end before its caller leaves, by the progress that the target reported at
@@ -793,13 +790,13 @@
 static bool
 run_ends_too_late (const dks_lrun_t *run, int64_t since_us)
 {
-  int64_t ran_us = run->seen_us - run->started_us;
+  int64_t ran_us = run->reported_us - run->started_us;
   double left_us;
 
-  if (run->seen_us < since_us || run->percent < MIN_PERCENT)
+  if (run->reported_us < since_us || run->percent < MIN_PERCENT)
     return false;
   left_us = (double)ran_us * (100 - run->percent - 1) / (run->percent + 1);
-  return run->seen_us + (int64_t)left_us > run->job->give_up_us;
+  return run->reported_us + (int64_t)left_us > run->job->give_up_us;
 }
 
 static void
@@ -831,19 +828,19 @@
           dks_ljobs_give_up (run->job);
           return;
         }
-      if (run->seen_us < review_us && target->look_us < review_us)
+      if (run->reported_us < review_us && target->look_us < review_us)
         target_look (target);
     }
-  if (ran_us < (int64_t)(SLOW_FACTOR * run_expected_us (run)) + SLOW_FLOOR_US)
+  if (ran_us < (int64_t)(SLOW_FACTOR * run->expected_us) + SLOW_FLOOR_US)
     return;
-  if (run->seen_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
+  if (run->reported_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
       && has_better_place (run))
     {
       dks_emit_log (run->leased->r, DKS_LOG_INFO,
                     "event=run-moved task=%s run=%u target=%s percent=%u ran_ms=%" PRId64,
                     run->name, run->run, target->info.id, run->percent, ran_us / 1000);
       if (!run->was_restarted)
-        target_note_speed (target, (double)ran_us / (run->estimate_ms * 1000.0 + 1)
+        target_note_speed (target, (double)ran_us / (run->expected_us + 1)
                                        * (run->percent > 0 ? 100.0 / run->percent : 2));
       run->was_restarted = true;
       if (run->percent == 0)
--- a/include/core/batch.h
+++ b/include/core/batch.h
@@ -35,10 +35,11 @@
   uint32_t refs;
   char id[DKS_BATCH_ID_SIZE];
   char service[DKS_NAME_SIZE];
-  uint32_t priority;     /**< of its queue; 0 comes first */
-  uint32_t max_attempts; /**< starts of one task at most */
-  dks_blob_t *spec;      /**< passed to the targets as it is */
-  uint32_t task_count;   /**< of all steps */
+  char queue[DKS_NAME_SIZE]; /**< its jobs resemble each other */
+  uint32_t priority;         /**< of its queue; 0 comes first */
+  uint32_t max_attempts;     /**< starts of one task at most */
+  dks_blob_t *spec;          /**< passed to the targets as it is */
+  uint32_t task_count;       /**< of all steps */
   uint32_t step_count;
   dks_batch_step_t steps[];
 } dks_batch_t;
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -18,6 +18,7 @@
 
 typedef struct
 {
+  char name[DKS_NAME_SIZE];
   char host[DKS_HOST_SIZE];     /**< of the request's Host header */
   char prefix[DKS_PREFIX_SIZE]; /**< of the request's path; the longest one that fits counts */
   char service[DKS_NAME_SIZE];  /**< whose targets run the tasks */
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -66,11 +66,12 @@
   uint32_t cpu_milli;
   uint32_t memory_mb;
   uint32_t accelerators;
-  uint32_t estimate_ms;
+  double expected_us;  /**< on an average target, 0: not known */
   int64_t started_us;  /**< when the start was sent */
   int64_t acked_us;    /**< when the start or the stop was answered, 0 before */
   int64_t seen_us;     /**< sending time of the latest call whose list had it */
-  uint32_t percent;    /**< of its work, as last seen */
+  uint32_t percent;    /**< of its work, as last reported */
+  int64_t reported_us; /**< when the target last reported it, 0: never */
   int64_t progress_us; /**< when `percent` last rose */
   int64_t adopted_us;  /**< when it was found in a target's list, 0: started here */
   int64_t stop_us;     /**< when the stop was last sent */
@@ -195,6 +196,18 @@
 };
 APR_RING_HEAD (dks_lrequest_ring_t, dks_lrequest_t);
 
+/** Run times of the tasks of one queue. */
+typedef struct dks_lqueue_t dks_lqueue_t;
+
+struct dks_lqueue_t
+{
+  APR_RING_ENTRY (dks_lqueue_t) link;
+  char name[DKS_NAME_SIZE];
+  uint32_t samples;
+  double log_mean; /**< moving average of the logarithm of the run time in us */
+};
+APR_RING_HEAD (dks_lqueue_ring_t, dks_lqueue_t);
+
 typedef struct
 {
   uint64_t op; /**< under way, 0 for none */
@@ -244,6 +257,10 @@
   double slowness_mean;      /**< run time over estimate, moving average of all targets */
   dks_timer_t watch_timer;   /**< looks after slow and orphaned runs */
 
+  /* leased_estimate.c */
+  struct dks_lqueue_ring_t queues;
+  uint32_t queue_count;
+
   /* leased_jobs.c */
   struct dks_ljob_ring_t jobs; /**< in the order of service */
   uint32_t job_count;
@@ -353,6 +370,16 @@
 /** Outcome of a run of a job's task. `is_fault`: the task failed by itself. */
 void dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault);
 
+/* leased_estimate.c */
+void dks_lestimate_init (dks_leased_t *leased);
+void dks_lestimate_clear (dks_leased_t *leased);
+/** Expected run time of a task of the step on an average target, us. */
+double dks_lestimate_run_us (const dks_leased_t *leased, const dks_batch_t *batch, uint32_t step);
+/** The same for the longest chain of steps. */
+double dks_lestimate_chain_us (const dks_leased_t *leased, const dks_batch_t *batch);
+/** A task of the batch took `run_us`, converted to an average target. */
+void dks_lestimate_note (dks_leased_t *leased, const dks_batch_t *batch, double run_us);
+
 /* leased_entry.c */
 void dks_lentry_init (dks_leased_t *leased);
 void dks_lentry_clear (dks_leased_t *leased);
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -123,6 +123,7 @@
   body.request = msg->u.work.request;
   body.id = (char *)batch->id;
   body.service = (char *)batch->service;
+  body.queue = (char *)batch->queue;
   body.priority = batch->priority;
   body.max_attempts = batch->max_attempts;
   body.spec.len = batch->spec->len;
@@ -287,6 +288,8 @@
     }
   if ((error = dks_codec_copy_text (created->id, sizeof (created->id), body->id)) != DKS_OK
       || (error = dks_codec_copy_text (created->service, sizeof (created->service), body->service))
+             != DKS_OK
+      || (error = dks_codec_copy_text (created->queue, sizeof (created->queue), body->queue))
              != DKS_OK)
     return error;
   return dks_batch_complete (created);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3610,7 +3610,7 @@
   (ProtobufCMessageInit) dks__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__work__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dks__work__field_descriptors[15] =
 {
   {
     "request",
@@ -3780,6 +3780,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__work__field_indices_by_name[] = {
   7,   /* field[7] = age_us */
@@ -3789,6 +3801,7 @@
   4,   /* field[4] = max_attempts */
   8,   /* field[8] = objective_us */
   3,   /* field[3] = priority */
+  14,   /* field[14] = queue */
   0,   /* field[0] = request */
   10,   /* field[10] = resent */
   13,   /* field[13] = runs */
@@ -3800,7 +3813,7 @@
 static const ProtobufCIntRange dks__work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dks__work__descriptor =
 {
@@ -3810,7 +3823,7 @@
   "Dks__Work",
   "dks",
   sizeof(Dks__Work),
-  14,
+  15,
   dks__work__field_descriptors,
   dks__work__field_indices_by_name,
   1,  dks__work__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -444,10 +444,11 @@
   uint32_t *lent;
   size_t n_runs;
   uint32_t *runs;
+  char *queue;
 };
 #define DKS__WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__work__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Dks__WorkDone
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -320,6 +320,7 @@
       {
         catalog = dks_catalog_create (1, 1);
         catalog->version = 1;
+        set_text (catalog->queues[0].name, DKS_NAME_SIZE, "queue");
         set_text (catalog->queues[0].host, DKS_HOST_SIZE, "host");
         set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
         set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -88,6 +88,7 @@
 
   set_text (batch->id, sizeof (batch->id), "416ebc495da185d0");
   set_text (batch->service, sizeof (batch->service), "lexicon");
+  set_text (batch->queue, sizeof (batch->queue), "word-check");
   batch->priority = 2;
   batch->max_attempts = 3;
   batch->spec = dks_blob_create ("spec", 4);
@@ -385,7 +386,7 @@
       {
         const dks_batch_t *batch = msg->u.work.batch;
         add (msg->u.work.request);
-        text += std::string (batch->id) + "," + batch->service + ",";
+        text += std::string (batch->id) + "," + batch->service + "," + batch->queue + ",";
         text += text_of (batch->spec);
         add (batch->priority);
         add (batch->max_attempts);
