leased: keep fast targets for tasks that need them

Cause: targets differ in speed by 0.8 to 1.25, and the long kind of request has little time beyond its run time, but every task took the fastest free target, so the fast ones were busy with short tasks. Change: a task whose caller's time allows it goes to the slowest sound target; a tight one to the fastest.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -29,6 +29,9 @@
   return leased->r->now.mono_us;
 }
 
+#define TIGHT_FACTOR                                                                               \
+  1.75 /* time that is left, over the expected run time, below which speed counts */
+
 static int64_t
 min_us (int64_t a, int64_t b)
 {
@@ -267,8 +270,8 @@
   job->waiting = count;
   job->arrival_us = now_us (leased) - msg->u.work.age_us;
   /* A long job's caller leaves before its objective is reached. */
-  job->latest_start_us =
-      job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us) - chain_us;
+  job->latest_end_us = job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us);
+  job->latest_start_us = job->latest_end_us - chain_us;
   job->wait_until_us = job->arrival_us + msg->u.work.objective_us / REFUSE_PART;
   job->give_up_us = job->arrival_us + msg->u.work.budget_us;
   dks_strcpy (job->origin, sizeof (job->origin), origin);
@@ -389,6 +392,16 @@
   return now_us (leased) < leased->led_us + wait_us;
 }
 
+/* Whether a slow target would make the job late. */
+static bool
+task_is_tight (const dks_ljob_t *job, const dks_ltask_t *task)
+{
+  double expected_us = dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
+  double left_us = (double)(job->latest_end_us - now_us (job->leased));
+
+  return left_us < TIGHT_FACTOR * expected_us;
+}
+
 static bool
 task_place (dks_ljob_t *job, uint32_t index)
 {
@@ -399,6 +412,7 @@
   if (!task->known && task_is_taken (job, index))
     return true;
   task->known = true;
+  task->is_tight = task_is_tight (job, task);
   target = dks_ltargets_choose (leased, job, task);
   if (target == NULL)
     return false;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -36,6 +36,8 @@
 
 #define REVIEW_PART 0.6   /* of the caller's time: how much is left when a job's end is projected */
 #define SLOW_FACTOR 2.2   /* a run is looked at after this many times its expected time */
+#define SOUND_FACTOR 1.7  /* a target that is slower than the average by this much is not sound */
+#define SPARE_WEIGHT 0.5  /* of a target's speed for tasks that do not need it */
 #define SPEED_WEIGHT 0.15 /* of a new sample in a target's moving average */
 #define MEAN_WEIGHT 0.02  /* of a new sample in the moving averages of all targets */
 #define FAILURE_WEIGHT 0.3     /* of a new end in a target's failure rate */
@@ -1069,11 +1071,17 @@
 static double
 placement_cost (const dks_ltarget_t *target, const dks_ltask_t *task, const dks_batch_step_t *step)
 {
-  double cost = target_slowness (target);
+  const dks_leased_t *leased = target->leased;
+  double slowness = target_slowness (target);
+  double cost = slowness;
   uint32_t left = target->info.cpu_milli - target->cpu_used - step->cpu_milli;
 
+  /* Fast targets are kept for tasks that need them: others go to the slowest one that is sound and
+   * serves them in time. */
+  if (!task->is_tight && slowness < SOUND_FACTOR * leased->slowness_mean)
+    cost = SPARE_WEIGHT * (SOUND_FACTOR * leased->slowness_mean - slowness);
   if (step->near_label[0] != '\0' && !has_label (target, step->near_label))
-    cost *= target->leased->r->config.remote_factor;
+    cost *= leased->r->config.remote_factor;
   if (strcmp (task->avoid, target->info.id) == 0)
     cost += SLOWNESS_MAX;
   cost += target->failure_rate;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -135,6 +135,7 @@
   uint32_t batch_step; /**< position of its step in the batch at hand */
   dks_ltask_state_t state;
   uint32_t attempts;             /**< that failed */
+  bool is_tight;                 /**< little of its caller's time is left beyond its run time */
   bool known;                    /**< nothing that an earlier leader started is at work */
   uint32_t run;                  /**< number of the latest run */
   dks_lrun_t *current;           /**< PLACED */
@@ -155,6 +156,7 @@
   bool lent;                  /**< tasks that another leader lent us: placed at once or refused */
   dks_batch_t *batch;
   int64_t arrival_us;      /**< of the caller's request */
+  int64_t latest_end_us;   /**< of a good answer */
   int64_t latest_start_us; /**< a start after this misses the objective */
   int64_t wait_until_us;   /**< refused if nothing of it has started by then */
   int64_t give_up_us;      /**< no answer is wanted after this */
