leased: tight tasks go to fast targets of other data centres

Change: leaders tell how many tasks fit on their fast targets; a tight task that finds none free is lent there before it takes a slow one. The log of a run that ends too late has the figures.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -162,12 +162,14 @@
   else
     dks_emit_log (leased->r, DKS_LOG_INFO,
                   "event=job-%s job=%s age_ms=%" PRId64
-                  " tasks=%u done=%u waiting=%u backlog=%u estimate_ms=%u reason=\"%s\"",
+                  " tasks=%u done=%u waiting=%u backlog=%u estimate_ms=%u last_start_ms=%" PRId64
+                  " reason=\"%s\"",
                   answer == DKS_BATCH_REFUSED  ? "refused"
                   : answer == DKS_BATCH_FAILED ? "failed"
                                                : "lost",
                   job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
                   job->done, job->waiting, leased->waiting_tasks, dks_batch_chain_ms (job->batch),
+                  job->last_start_us > 0 ? (job->last_start_us - job->arrival_us) / 1000 : -1,
                   detail);
   dks_strcpy (origin, sizeof (origin), job->origin);
   job_stop (job);
@@ -330,6 +332,7 @@
   task->state = state;
   job->waiting--;
   job->leased->waiting_tasks--;
+  job->last_start_us = now_us (job->leased);
   if (job->begun)
     return;
   job->begun = true;
@@ -402,8 +405,10 @@
   return left_us < TIGHT_FACTOR * expected_us;
 }
 
+/* With `for_speed`, a task that needs a fast target is left for another data centre's if none is
+ * free here. */
 static bool
-task_place (dks_ljob_t *job, uint32_t index)
+task_place (dks_ljob_t *job, uint32_t index, bool for_speed)
 {
   dks_leased_t *leased = job->leased;
   dks_ltask_t *task = &job->tasks[index];
@@ -414,7 +419,8 @@
   task->known = true;
   task->is_tight = task_is_tight (job, task);
   target = dks_ltargets_choose (leased, job, task);
-  if (target == NULL)
+  task->wants_speed = task->is_tight && (target == NULL || !dks_ltarget_is_fast (target));
+  if (target == NULL || (for_speed && task->wants_speed && !job->resent))
     return false;
   /* Lent tasks carry the number of their run. */
   if (!job->lent)
@@ -426,18 +432,24 @@
 
 /* Lending */
 
+static uint32_t
+lender_room (const dks_lpeer_t *peer, bool fast)
+{
+  return fast ? peer->free_fast_tasks : peer->free_tasks;
+}
+
 static dks_lpeer_t *
-choose_lender (dks_leased_t *leased)
+choose_lender (dks_leased_t *leased, bool fast)
 {
   dks_lpeer_t *peer;
   dks_lpeer_t *best = NULL;
 
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
-      if (peer->term == 0 || peer->free_tasks == 0 || !dks_lpeer_is_alive (leased, peer)
+      if (peer->term == 0 || lender_room (peer, fast) == 0 || !dks_lpeer_is_alive (leased, peer)
           || strcmp (peer->data_centre, leased->r->config.data_centre) == 0)
         continue;
-      if (best == NULL || peer->free_tasks > best->free_tasks)
+      if (best == NULL || lender_room (peer, fast) > lender_room (best, fast))
         best = peer;
     }
   return best;
@@ -462,7 +474,7 @@
 
 /* Sends due tasks of one step, as many as fit at the peer. */
 static void
-lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first)
+lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first, bool fast)
 {
   dks_leased_t *leased = job->leased;
   uint32_t step = job->tasks[first].batch_step;
@@ -471,17 +483,18 @@
 
   msg->u.work.lent = dks_alloc (job->task_count * sizeof (msg->u.work.lent[0]));
   msg->u.work.runs = dks_alloc (job->task_count * sizeof (msg->u.work.runs[0]));
-  for (uint32_t i = first; i < job->task_count && peer->free_tasks > 0; i++)
+  for (uint32_t i = first; i < job->task_count && lender_room (peer, fast) > 0; i++)
     {
       dks_ltask_t *task = &job->tasks[i];
 
-      if (task->batch_step != step || !task_is_due (job, task))
+      if (task->batch_step != step || !task_is_due (job, task) || (fast && !task->wants_speed))
         continue;
       task->run++;
       msg->u.work.lent[count] = task->index;
       msg->u.work.runs[count] = task->run;
       count++;
-      peer->free_tasks--;
+      peer->free_tasks -= peer->free_tasks > 0;
+      peer->free_fast_tasks -= peer->free_fast_tasks > 0;
       dks_strcpy (task->peer, sizeof (task->peer), peer->id);
       dks_strcpy (task->lender_dc, sizeof (task->lender_dc), peer->data_centre);
       task_leave_waiting (job, task, DKS_LTASK_LENT);
@@ -489,7 +502,7 @@
   msg->u.work.request = job->lend_id;
   msg->u.work.batch = single_step_batch (job->batch, step);
   msg->u.work.age_us = now_us (leased) - job->arrival_us;
-  msg->u.work.objective_us = job->wait_until_us - job->arrival_us;
+  msg->u.work.objective_us = job->latest_end_us - job->arrival_us;
   msg->u.work.budget_us = job->give_up_us - job->arrival_us;
   msg->u.work.step = job->tasks[first].step;
   msg->u.work.lent_count = count;
@@ -497,7 +510,7 @@
 }
 
 static void
-lend_waiting (dks_ljob_t *job)
+lend_waiting (dks_ljob_t *job, bool fast)
 {
   dks_leased_t *leased = job->leased;
   uint32_t calls = 0;
@@ -509,12 +522,12 @@
     {
       dks_lpeer_t *peer;
 
-      if (!task_is_due (job, &job->tasks[i]))
+      if (!task_is_due (job, &job->tasks[i]) || (fast && !job->tasks[i].wants_speed))
         continue;
-      peer = choose_lender (leased);
+      peer = choose_lender (leased, fast);
       if (peer == NULL)
         return;
-      lend_tasks (job, peer, i);
+      lend_tasks (job, peer, i, fast);
       calls++;
     }
 }
@@ -606,11 +619,19 @@
     return;
   for (uint32_t i = 0; i < job->task_count && job->waiting > 0; i++)
     {
-      if (task_is_due (job, &job->tasks[i]) && !task_place (job, i))
+      if (task_is_due (job, &job->tasks[i]) && !task_place (job, i, !job->lent))
         left = true;
     }
-  if (left && !job->lent)
-    lend_waiting (job);
+  if (!left || job->lent)
+    return;
+  lend_waiting (job, true);
+  for (uint32_t i = 0; i < job->task_count && job->waiting > 0; i++)
+    {
+      if (job->tasks[i].wants_speed && task_is_due (job, &job->tasks[i]))
+        task_place (job, i, false);
+    }
+  if (job->waiting > 0)
+    lend_waiting (job, false);
 }
 
 void
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -83,6 +83,8 @@
   msg->u.leased_status.started_ms = leased->started_ms;
   msg->u.leased_status.catalog_version = leased->catalog != NULL ? leased->catalog->version : 0;
   msg->u.leased_status.free_tasks = leased->term > 0 ? dks_ltargets_free_tasks (leased) : 0;
+  msg->u.leased_status.free_fast_tasks =
+      leased->term > 0 ? dks_ltargets_free_fast_tasks (leased) : 0;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.draining = leased->drain_us > 0;
   msg->u.leased_status.knows_targets = dks_lfeed_knows_targets (leased);
@@ -312,6 +314,7 @@
   peer->started_ms = msg->u.leased_status.started_ms;
   peer->catalog_version = msg->u.leased_status.catalog_version;
   peer->free_tasks = msg->u.leased_status.free_tasks;
+  peer->free_fast_tasks = msg->u.leased_status.free_fast_tasks;
   peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
   peer->draining = msg->u.leased_status.draining;
   peer->knows_targets = msg->u.leased_status.knows_targets;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -37,6 +37,7 @@
 #define REVIEW_PART 0.6   /* of the caller's time: how much is left when a job's end is projected */
 #define SLOW_FACTOR 2.2   /* a run is looked at after this many times its expected time */
 #define SOUND_FACTOR 1.7  /* a target that is slower than the average by this much is not sound */
+#define FAST_FACTOR 1.0   /* a target is fast up to this part of the average slowness */
 #define SPARE_WEIGHT 0.5  /* of a target's speed for tasks that do not need it */
 #define SPEED_WEIGHT 0.15 /* of a new sample in a target's moving average */
 #define MEAN_WEIGHT 0.02  /* of a new sample in the moving averages of all targets */
@@ -827,6 +828,13 @@
     {
       if (run_ends_too_late (run, review_us))
         {
+          dks_emit_log (
+              run->leased->r, DKS_LOG_INFO,
+              "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
+              " expected_ms=%.0f left_ms=%" PRId64,
+              run->name, target->info.id, target->slowness, run->percent,
+              (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
+              (run->job->give_up_us - run->reported_us) / 1000);
           dks_ljobs_give_up (run->job);
           return;
         }
@@ -1134,20 +1142,39 @@
   return (uint32_t)(cpu_milli / leased->cpu_mean);
 }
 
-uint32_t
-dks_ltargets_free_tasks (const dks_leased_t *leased)
+bool
+dks_ltarget_is_fast (const dks_ltarget_t *target)
+{
+  return target_slowness (target) <= FAST_FACTOR * target->leased->slowness_mean;
+}
+
+static uint32_t
+count_free (const dks_leased_t *leased, bool fast_only)
 {
   const dks_ltarget_t *target;
   uint32_t count = 0;
 
   APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
     {
-      if (is_usable (target) && target->info.cpu_milli > target->cpu_used)
+      if (is_usable (target) && target->info.cpu_milli > target->cpu_used
+          && (!fast_only || dks_ltarget_is_fast (target)))
         count += tasks_in (target->info.cpu_milli - target->cpu_used, leased);
     }
   return count;
 }
 
+uint32_t
+dks_ltargets_free_tasks (const dks_leased_t *leased)
+{
+  return count_free (leased, false);
+}
+
+uint32_t
+dks_ltargets_free_fast_tasks (const dks_leased_t *leased)
+{
+  return count_free (leased, true);
+}
+
 uint32_t
 dks_ltargets_capacity (const dks_leased_t *leased)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -38,8 +38,9 @@
   int64_t catalog_sent; /**< version that was sent to it on this connection */
   bool draining;
   bool knows_targets;
-  bool targets_sent;   /**< on this connection */
-  uint32_t free_tasks; /**< as last told, less what was lent since */
+  bool targets_sent;        /**< on this connection */
+  uint32_t free_tasks;      /**< as last told, less what was lent since */
+  uint32_t free_fast_tasks; /**< the same */
   uint32_t waiting_tasks;
 };
 APR_RING_HEAD (dks_lpeer_ring_t, dks_lpeer_t);
@@ -136,6 +137,7 @@
   dks_ltask_state_t state;
   uint32_t attempts;             /**< that failed */
   bool is_tight;                 /**< little of its caller's time is left beyond its run time */
+  bool wants_speed;              /**< tight, and no fast target is free here */
   bool known;                    /**< nothing that an earlier leader started is at work */
   uint32_t run;                  /**< number of the latest run */
   dks_lrun_t *current;           /**< PLACED */
@@ -161,7 +163,8 @@
   int64_t wait_until_us;   /**< refused if nothing of it has started by then */
   int64_t give_up_us;      /**< no answer is wanted after this */
   bool resent;
-  bool begun; /**< a task was started or lent */
+  bool begun;            /**< a task was started or lent */
+  int64_t last_start_us; /**< when a task was last started or lent, 0 for never */
   uint32_t task_count;
   uint32_t waiting;
   uint32_t done;
@@ -349,6 +352,10 @@
 dks_lrun_t *dks_ltargets_find_run (dks_leased_t *leased, const char *name);
 /** Tasks of the usual size that fit now. */
 uint32_t dks_ltargets_free_tasks (const dks_leased_t *leased);
+/** The same on targets of more than average speed. */
+uint32_t dks_ltargets_free_fast_tasks (const dks_leased_t *leased);
+/** Whether the target is of more than average speed. */
+bool dks_ltarget_is_fast (const dks_ltarget_t *target);
 /** Tasks of the usual size that fit on idle targets. */
 uint32_t dks_ltargets_capacity (const dks_leased_t *leased);
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -179,9 +179,11 @@
       int64_t started_ms; /**< start of the sender's process, Unix ms */
       int64_t catalog_version; /**< in force, 0 for none */
       uint32_t free_tasks;     /**< leader: how many tasks of the usual size fit now */
-      uint32_t waiting_tasks;  /**< leader: tasks that found no room */
-      bool draining;           /**< shutting down; is no candidate for leader */
-      bool knows_targets;      /**< without it, it is no candidate either */
+      uint32_t
+          free_fast_tasks; /**< leader: how many of these on targets of more than average speed */
+      uint32_t waiting_tasks; /**< leader: tasks that found no room */
+      bool draining;          /**< shutting down; is no candidate for leader */
+      bool knows_targets;     /**< without it, it is no candidate either */
     } leased_status;
     struct
     {
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3121,7 +3121,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[8] =
 {
   {
     "term",
@@ -3207,10 +3207,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "free_fast_tasks",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, free_fast_tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   2,   /* field[2] = catalog_version */
   5,   /* field[5] = draining */
+  7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
   6,   /* field[6] = knows_targets */
   1,   /* field[1] = started_ms */
@@ -3220,7 +3233,7 @@
 static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3230,7 +3243,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  7,
+  8,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   1,  dks__leased_status__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -358,10 +358,11 @@
   uint32_t waiting_tasks;
   protobuf_c_boolean draining;
   protobuf_c_boolean knows_targets;
+  uint32_t free_fast_tasks;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetInfo
