leased: terms of leaders differ, and a tie is broken

Change: a term is the clock in ms times 4096 plus a hash of the member; of equal terms the smaller id wins. Test: OneOfTwoLeadersThatBeginTogetherGivesWay, failed before.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -1,6 +1,7 @@
 #include "core/leased.h"
 
 #include "common/alloc.h"
+#include "common/hash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -16,9 +17,10 @@
   FENCED_PAUSE_US = 500000,    /* before a fenced instance may lead again */
   FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
                                         that fenced it is at work there */
-  TERM_STEP = 5000,            /* ms of clock error that one attempt after a fence makes up for */
-  DIAL_INTERVAL_US = 10000000, /* between two attempts at addresses that were given up */
-  FORGET_US = 20000000         /* a lost member is dropped after this */
+  TERMS_PER_MS = 4096,               /* a term stays below 2^53, which JSON numbers keep exactly */
+  FENCED_STEP_MS = 5000,             /* clock error that one attempt after a fence makes up for */
+  DIAL_INTERVAL_US = 10000000,       /* between two attempts at addresses that were given up */
+  FORGET_US = 20000000               /* a lost member is dropped after this */
 };
 
 static bool
@@ -46,6 +48,13 @@
   return peer->up && peer->told && leased->r->now.mono_us - peer->heard_us < SILENCE_US;
 }
 
+/* Whether leadership A goes before leadership B. */
+static bool
+precedes (uint64_t term_a, const char *id_a, uint64_t term_b, const char *id_b)
+{
+  return term_a != term_b ? term_a > term_b : strcmp (id_a, id_b) < 0;
+}
+
 /* The leader of our data centre among the others: the one with the highest term. */
 static const dks_lpeer_t *
 other_leader (const dks_leased_t *leased)
@@ -56,7 +65,7 @@
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
       if (peer->term > 0 && peer_is_ours (leased, peer) && dks_lpeer_is_alive (leased, peer)
-          && (leader == NULL || peer->term > leader->term))
+          && (leader == NULL || precedes (peer->term, peer->id, leader->term, leader->id)))
         leader = peer;
     }
   return leader;
@@ -67,7 +76,8 @@
 {
   const dks_lpeer_t *leader = other_leader (leased);
 
-  if (leased->term > 0 && (leader == NULL || leader->term < leased->term))
+  if (leased->term > 0
+      && (leader == NULL || precedes (leased->term, leased->r->self, leader->term, leader->id)))
     return leased->r->self;
   return leader != NULL ? leader->id : NULL;
 }
@@ -338,11 +348,12 @@
 lead (dks_leased_t *leased, bool planned)
 {
   /* Targets remember the highest term after all instances have been restarted, so it follows the
-   * clock. */
-  uint64_t term = (uint64_t)leased->r->now.wall_ms;
+   * clock. Instances that begin in the same millisecond get different terms. */
+  uint64_t unique = dks_hash_text (leased->r->self, 0) % TERMS_PER_MS;
+  uint64_t term = (uint64_t)leased->r->now.wall_ms * TERMS_PER_MS + unique;
 
   if (term <= leased->highest_term)
-    term = leased->highest_term + 1;
+    term = (leased->highest_term / TERMS_PER_MS + 1) * TERMS_PER_MS + unique;
   leased->term = term;
   leased->highest_term = term;
   leased->led_us = leased->r->now.mono_us;
@@ -418,7 +429,8 @@
 {
   const dks_lpeer_t *leader = other_leader (leased);
 
-  if (leased->term > 0 && leader != NULL && leader->term > leased->term)
+  if (leased->term > 0 && leader != NULL
+      && precedes (leader->term, leader->id, leased->term, leased->r->self))
     stop_leading (leased, "higher-term");
   if (leased->term == 0 && (leader == NULL || (leader->draining && leased->drain_us == 0))
       && may_lead (leased))
@@ -432,7 +444,7 @@
   if (leased->term == 0)
     return;
   leased->fenced_us = leased->r->now.mono_us;
-  leased->highest_term = leased->term + TERM_STEP;
+  leased->highest_term = leased->term + (uint64_t)FENCED_STEP_MS * TERMS_PER_MS;
   stop_leading (leased, "fenced");
   dks_lentry_review (leased);
 }
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -292,3 +292,31 @@
   ASSERT_TRUE (world.answered (possible));
   EXPECT_EQ (world.answers[possible].answer, DKS_BATCH_COMPLETED);
 }
+
+// The rule broken on trouble-2 of brandnoot-orders: both instances of a data centre began to lead
+// in the same millisecond, with the same term, and neither gave way.
+TEST (Leased, OneOfTwoLeadersThatBeginTogetherGivesWay)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.cut (0, 1, true);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.cut (0, 1, false);
+  world.run_for (200 * ms);
+
+  int leaders = 0;
+  for (auto &line : world.log)
+    {
+      leaders += line.find ("event=leader-start") != std::string::npos;
+      leaders -= line.find ("event=leader-stop") != std::string::npos;
+    }
+  EXPECT_EQ (leaders, 1);
+  uint64_t first = world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  uint64_t second = world.submit (1, "0000000000000002", { { 2, 6800, 100, 100 } });
+  world.run_for (300 * ms);
+  ASSERT_TRUE (world.answered (first));
+  ASSERT_TRUE (world.answered (second));
+  EXPECT_EQ (world.answers[first].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.answers[second].answer, DKS_BATCH_COMPLETED);
+}
