--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -13,7 +13,7 @@
   STATUS_SOON_US = 5000,       /* least time between two messages about a change */
   SILENCE_US = 600000,         /* an instance that is not heard for this long counts as lost; less
                                   than a lease lasts, so that a successor can adopt runs */
-  START_WAIT_US = 700000,      /* time to hear of a present leader after the start */
+  START_WAIT_US = 250000,      /* time to hear of a present leader after the start */
   FENCED_PAUSE_US = 500000,    /* before a fenced instance may lead again */
   FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
                                         that fenced it is at work there */
