--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -243,7 +243,9 @@
 
   APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
     {
-      if (other->latest_start_us > job->latest_start_us)
+      if (other->batch->priority > job->batch->priority
+          || (other->batch->priority == job->batch->priority
+              && other->latest_start_us > job->latest_start_us))
         break;
     }
   if (other == APR_RING_SENTINEL (&leased->jobs, dks_ljob_t, link))
