leased: learn a target's speed from more runs, and quickly when it changes

Cause: with a weight of 0.15 the learned speed of a target was off by a tenth, as single run times differ by a third from what is expected; tight tasks went to targets that only seemed fast. Change: weight 0.04, the first samples alike, 0.3 for a sample of 2.5 times the average.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -39,7 +39,9 @@
 #define SOUND_FACTOR 1.7  /* a target that is slower than the average by this much is not sound */
 #define FAST_FACTOR 1.0   /* a target is fast up to this part of the average slowness */
 #define SPARE_WEIGHT 0.5  /* of a target's speed for tasks that do not need it */
-#define SPEED_WEIGHT 0.15 /* of a new sample in a target's moving average */
+#define SPEED_WEIGHT 0.04 /* of a new sample in a target's moving average */
+#define CHANGE_FACTOR 2.5 /* a sample this many times the average shows a change */
+#define CHANGE_WEIGHT 0.3 /* of such a sample */
 #define MEAN_WEIGHT 0.02  /* of a new sample in the moving averages of all targets */
 #define FAILURE_WEIGHT 0.3     /* of a new end in a target's failure rate */
 #define EJECT_RATE 0.5         /* failure rate above which a target is ejected */
@@ -392,13 +394,16 @@
 target_note_speed (dks_ltarget_t *target, double slowness)
 {
   dks_leased_t *leased = target->leased;
+  double weight;
 
   if (slowness > SLOWNESS_MAX)
     slowness = SLOWNESS_MAX;
-  if (target->samples++ == 0)
-    target->slowness = slowness;
-  else
-    average (&target->slowness, slowness, SPEED_WEIGHT);
+  /* Run times differ by a third from what is expected, so single ones say little, unless they are
+   * far off: then the target has just changed. */
+  weight = target->samples++ * SPEED_WEIGHT < 1 ? 1.0 / target->samples : SPEED_WEIGHT;
+  if (slowness > CHANGE_FACTOR * target->slowness && weight < CHANGE_WEIGHT)
+    weight = CHANGE_WEIGHT;
+  average (&target->slowness, slowness, weight);
   average (&leased->slowness_mean, slowness, MEAN_WEIGHT);
 }
 
