--- a/core/batch.c
+++ b/core/batch.c
@@ -82,36 +82,3 @@
 {
   snprintf (name, DKS_TASK_NAME_SIZE, "%s.0.%" PRIu32 ".%" PRIu32, id, step, index);
 }
-
-static int
-parse_number (const char **text, uint32_t *number)
-{
-  char *end = NULL;
-  unsigned long value = strtoul (*text, &end, 10);
-
-  if (end == *text || value > UINT32_MAX || **text == '-' || **text == '+' || **text == ' ')
-    return DKS_ERR_INVALID;
-  *number = (uint32_t)value;
-  *text = end;
-  return DKS_OK;
-}
-
-int
-dks_batch_parse_task_name (const char *name, char id[DKS_BATCH_ID_SIZE], uint32_t *step,
-                           uint32_t *index)
-{
-  size_t len = strcspn (name, ".");
-  const char *rest = name + len;
-  uint32_t occurrence = 0;
-
-  if (len == 0 || len >= DKS_BATCH_ID_SIZE || *rest != '.')
-    return DKS_ERR_INVALID;
-  memcpy (id, name, len);
-  id[len] = '\0';
-  rest++;
-  if (parse_number (&rest, &occurrence) != DKS_OK || occurrence != 0 || *rest++ != '.'
-      || parse_number (&rest, step) != DKS_OK || *rest++ != '.'
-      || parse_number (&rest, index) != DKS_OK || *rest != '\0')
-    return DKS_ERR_INVALID;
-  return DKS_OK;
-}
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -463,13 +463,14 @@
 }
 
 int
-dks_host_create (const dks_options_t *given, dks_host_t **host_out)
+dks_host_create (const dks_options_t *options, dks_host_t **host_out)
 {
   dks_host_t *host = dks_alloc (sizeof (*host));
-  dks_options_t adapted = *given;
-  const dks_options_t *options = &adapted;
+  dks_options_t adapted = *options;
   int error = raise_descriptor_limit (&adapted);
 
+  options = &adapted;
+
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
   dks_timer_init (&host->tick, handle_tick, host);
--- a/include/core/batch.h
+++ b/include/core/batch.h
@@ -56,8 +56,5 @@
 /** Name of a task, "ID.0.STEP.INDEX". */
 void
 dks_batch_task_name (const char *id, uint32_t step, uint32_t index, char name[DKS_TASK_NAME_SIZE]);
-/** Splits a task's name; DKS_ERR_INVALID when it has another form or another occurrence than 0. */
-int dks_batch_parse_task_name (const char *name, char id[DKS_BATCH_ID_SIZE], uint32_t *step,
-                               uint32_t *index);
 
 #endif
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -393,7 +393,7 @@
 void dks_lentry_init (dks_leased_t *leased);
 void dks_lentry_clear (dks_leased_t *leased);
 void dks_lentry_handle_batch (dks_leased_t *leased, const dks_event_t *event);
-void dks_lentry_handle_caller_gone (dks_leased_t *leased, uint64_t caller);
+void dks_lentry_handle_caller_gone (dks_leased_t *leased, uint64_t id);
 /** Answer of a leader, or of ourselves as leader. */
 void dks_lentry_handle_done (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Submits requests again whose leader is gone or has changed. */
--- a/include/damaskshored/host.h
+++ b/include/damaskshored/host.h
@@ -10,7 +10,7 @@
 typedef struct dks_host_t dks_host_t;
 
 /** Opens the listening sockets. Returns 0 or a negative error number after logging the reason. */
-int dks_host_create (const dks_options_t *options, dks_host_t **host);
+int dks_host_create (const dks_options_t *options, dks_host_t **host_out);
 void dks_host_destroy (dks_host_t *host);
 /** Runs until the instance has drained (returns 0) or a second signal asks for an immediate exit
  * (returns 1). SIGTERM and SIGINT must be blocked by the caller. */
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -78,9 +78,9 @@
   unsigned status;
 };
 
-/** Route of `routes` for a request; NULL when the path is unknown, or when the method is not
+/** Route of `table` for a request; NULL when the path is unknown, or when the method is not
  * allowed, in which case `allow` lists the allowed methods. `rest` is the path below the route. */
-const dks_http_route_t *dks_http_route_find (const dks_http_route_t *routes, size_t count,
+const dks_http_route_t *dks_http_route_find (const dks_http_route_t *table, size_t count,
                                              const char *method, const char *path,
                                              const char **rest, char allow[64]);
 /** Paths of the product's own interface. */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -77,7 +77,7 @@
   uint32_t count = msg->u.targets.count;
   Dks__TargetInfo *infos = dks_alloc ((count + 1) * sizeof (*infos));
   Dks__TargetInfo **list = dks_alloc ((count + 1) * sizeof (Dks__TargetInfo *));
-  char **labels = dks_alloc ((count + 1) * DKS_LABELS_MAX * sizeof (char *));
+  char **labels = dks_alloc (((size_t)count + 1) * DKS_LABELS_MAX * sizeof (char *));
 
   for (uint32_t i = 0; i < count; i++)
     {
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -373,7 +373,7 @@
 
   target.runs.erase (target.runs.begin () + static_cast<long> (i));
   target.ended.push_back ({ target.next_number++, run.task, run.run, end });
-  target.ended_runs[run.task] = std::max (target.ended_runs[run.task], run.run);
+  target.highest_ended[run.task] = std::max (target.highest_ended[run.task], run.run);
 }
 
 // Ends the runs whose time has come.
@@ -429,7 +429,7 @@
     }
   if (1000 * effect.u.lease.deadline_ms <= now_us)
     return DKS_LEASE_LATE;
-  if (target.ended_runs.count (task) > 0 && run <= target.ended_runs[task])
+  if (target.highest_ended.count (task) > 0 && run <= target.highest_ended[task])
     return DKS_LEASE_OLD_RUN;
   if ((target.runs.size () + 1) * 6800 > target.info.cpu_milli)
     {
@@ -496,8 +496,8 @@
         status = start_run (target, effect);
       else if (effect.type == DKS_EFFECT_LEASE_STOP)
         {
-          target.ended_runs[effect.u.lease.task] =
-              std::max (target.ended_runs[effect.u.lease.task], effect.u.lease.run);
+          target.highest_ended[effect.u.lease.task] =
+              std::max (target.highest_ended[effect.u.lease.task], effect.u.lease.run);
           for (auto &run : target.runs)
             {
               if (run.task != effect.u.lease.task || run.run != effect.u.lease.run)
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -64,7 +64,7 @@
   int64_t stop_us = 20 * ms; // time that a stop takes
   std::vector<Run> runs;
   std::vector<Ended> ended;
-  std::map<std::string, uint32_t> ended_runs;
+  std::map<std::string, uint32_t> highest_ended;
   std::vector<Call> waiting;
   uint32_t starts = 0;
   uint32_t rejected = 0;
--- /dev/null
+++ b/tests/platform/test_platform.cc
@@ -0,0 +1,441 @@
+// The platform's names and formats: what is sent to it, and what its answers are decoded to. The
+// platform is played by a server on loopback with fixed answers.
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/error.h"
+#include "net/loop.h"
+#include "platform/executor.h"
+#include "platform/front.h"
+#include "platform/store.h"
+#include "platform/wire.h"
+}
+
+#include "../net_server.h"
+
+#include <deque>
+
+namespace
+{
+
+// Answers requests in turn with fixed bodies, and keeps the requests.
+class Platform
+{
+public:
+  Platform () : server ([this] (int fd, int number) { serve (fd); })
+  {
+  }
+
+  void
+  answer (int status, const std::string &body)
+  {
+    std::lock_guard<std::mutex> lock (mutex);
+    answers.push_back (http_reply (status, body));
+  }
+
+  std::string
+  request ()
+  {
+    std::lock_guard<std::mutex> lock (mutex);
+    if (requests.empty ())
+      return "";
+    std::string first = requests.front ();
+    requests.pop_front ();
+    return first;
+  }
+
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (server.port ());
+  }
+
+private:
+  void
+  serve (int fd)
+  {
+    HttpRequest request;
+
+    while (http_read (fd, &request))
+      {
+        std::lock_guard<std::mutex> lock (mutex);
+
+        requests.push_back (request.head + request.body);
+        if (answers.empty ())
+          return;
+        net_write (fd, answers.front ());
+        answers.pop_front ();
+      }
+  }
+
+  std::mutex mutex;
+  std::deque<std::string> answers;
+  std::deque<std::string> requests;
+  NetServer server; // last: its threads use the others
+};
+
+class Adapter : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    loop = dks_loop_create ();
+    client = dks_http_client_create (loop, 2);
+  }
+
+  void
+  TearDown () override
+  {
+    dks_http_client_destroy (client);
+    dks_loop_destroy (loop);
+  }
+
+  static void
+  handle_event (void *context, dks_event_t *event)
+  {
+    auto *self = static_cast<Adapter *> (context);
+
+    self->events++;
+    self->status = event->u.lease_reply.status;
+    if (event->type == DKS_EVENT_LEASE_REPLY)
+      {
+        const dks_lease_lists_t *lists = event->u.lease_reply.lists;
+
+        self->op = event->u.lease_reply.op;
+        self->clock_ms = event->u.lease_reply.clock_ms;
+        if (lists != nullptr)
+          {
+            self->running.assign (lists->running, lists->running + lists->running_count);
+            self->ended.assign (lists->ended, lists->ended + lists->ended_count);
+            self->born_ms = lists->born_ms;
+          }
+        return;
+      }
+    self->op = event->u.feed.op;
+    self->feed_status = event->u.feed.status;
+    self->revision = event->u.feed.revision;
+    self->more = event->u.feed.more;
+    for (size_t i = 0; i < event->u.feed.count; i++)
+      {
+        const dks_feed_item_t &item = event->u.feed.items[i];
+
+        self->keys.push_back (item.key);
+        self->deleted.push_back (item.deleted);
+        if (item.target != nullptr)
+          self->targets.push_back (*item.target);
+        if (item.catalog != nullptr)
+          self->versions.push_back (item.catalog->version);
+      }
+  }
+
+  void
+  wait ()
+  {
+    int before = events;
+
+    for (int i = 0; i < 500 && events == before; i++)
+      dks_loop_turn (loop, 10000);
+    ASSERT_EQ (events, before + 1);
+  }
+
+  dks_effect_t
+  lease_effect (dks_effect_type_t type)
+  {
+    dks_effect_t effect = {};
+
+    effect.type = type;
+    effect.u.lease.op = 7;
+    snprintf (effect.u.lease.address, sizeof (effect.u.lease.address), "%s",
+              platform.address ().c_str ());
+    snprintf (effect.u.lease.target, sizeof (effect.u.lease.target), "i-7f3a91c2");
+    snprintf (effect.u.lease.task, sizeof (effect.u.lease.task), "5c0e7a21d94b36f8.0.1.17");
+    effect.u.lease.run = 2;
+    effect.u.lease.fence = 7256700000000123;
+    effect.u.lease.deadline_ms = 486000;
+    effect.u.lease.timeout_ms = 2000;
+    return effect;
+  }
+
+  dks_loop_t *loop;
+  dks_http_client_t *client;
+  Platform platform;
+  int events = 0;
+  uint64_t op = 0;
+  dks_lease_status_t status = DKS_LEASE_OK;
+  int64_t clock_ms = 0;
+  int64_t born_ms = 0;
+  std::vector<dks_running_t> running;
+  std::vector<dks_ended_t> ended;
+  dks_feed_status_t feed_status = DKS_FEED_OK;
+  int64_t revision = 0;
+  bool more = false;
+  std::vector<std::string> keys;
+  std::vector<bool> deleted;
+  std::vector<dks_target_info_t> targets;
+  std::vector<int64_t> versions;
+};
+
+std::string
+body_of (const std::string &request)
+{
+  return request.substr (request.find ("\r\n\r\n") + 4);
+}
+
+dks_batch_t *
+decode_batch (const std::string &body, const char **refusal)
+{
+  dks_batch_t *batch = nullptr;
+
+  dks_wire_batch (body.data (), body.size (), &batch, refusal);
+  return batch;
+}
+
+}
+
+TEST_F (Adapter, StartNamesTheTaskTheFenceAndTheIntendedTarget)
+{
+  dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_START);
+
+  effect.u.lease.spec = dks_blob_create ("a\"b", 3);
+  platform.answer (200, R"({"clock_ms":482113})");
+  dks_executor_call (client, &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (op, 7U);
+  EXPECT_EQ (status, DKS_LEASE_OK);
+  EXPECT_EQ (clock_ms, 482113);
+  std::string request = platform.request ();
+  EXPECT_EQ (request.rfind ("POST /api/run-start HTTP/1.1\r\n", 0), 0U) << request;
+  EXPECT_NE (request.find ("Expect-Instance: i-7f3a91c2\r\n"), std::string::npos) << request;
+  EXPECT_EQ (body_of (request),
+             R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"a\"b","deadline_ms":486000,)"
+             R"("fence":7256700000000123})");
+  dks_blob_unref (effect.u.lease.spec);
+}
+
+// Guards against a rejection that is taken for another one: each leads to another decision.
+TEST_F (Adapter, RejectionsAreToldApart)
+{
+  const struct
+  {
+    int status;
+    const char *body;
+    dks_lease_status_t expected;
+  } rows[] = {
+    { 409, R"({"clock_ms":1,"reason":"fence"})", DKS_LEASE_FENCED },
+    { 409, R"({"clock_ms":1,"reason":"old"})", DKS_LEASE_OLD_RUN },
+    { 409, R"({"clock_ms":1,"reason":"late"})", DKS_LEASE_LATE },
+    { 409, R"({"clock_ms":1,"reason":"room"})", DKS_LEASE_NO_ROOM },
+    { 409, R"({"clock_ms":1,"reason":"new one"})", DKS_LEASE_INVALID },
+    { 400, "", DKS_LEASE_INVALID },
+    { 421, "", DKS_LEASE_OTHER_LIFE },
+    { 429, "", DKS_LEASE_BUSY },
+    { 503, "", DKS_LEASE_BUSY },
+  };
+
+  for (auto &row : rows)
+    {
+      dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_STOP);
+
+      platform.answer (row.status, row.body);
+      dks_executor_call (client, &effect, handle_event, this);
+      wait ();
+      EXPECT_EQ (status, row.expected) << row.status << " " << row.body;
+      EXPECT_EQ (platform.request ().rfind ("POST /api/run-stop ", 0), 0U);
+    }
+}
+
+TEST_F (Adapter, HoldReadsBothLists)
+{
+  dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
+
+  effect.u.lease.last_seen = 57;
+  effect.u.lease.wait_ms = 300;
+  platform.answer (200, R"({"born":1700000000123,"clock_ms":482113,)"
+                        R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,0.5]],)"
+                        R"("ended_runs":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+                        R"([59,"5c0e7a21d94b36f8.0.1.8",3,"lapsed",""]]})");
+  dks_executor_call (client, &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (body_of (platform.request ()),
+             R"({"fence":7256700000000123,"last_seen":57,"deadline_ms":486000,"wait_ms":300})");
+  EXPECT_EQ (born_ms, 1700000000123);
+  ASSERT_EQ (running.size (), 1U);
+  EXPECT_STREQ (running[0].task, "5c0e7a21d94b36f8.0.1.17");
+  EXPECT_EQ (running[0].run, 2U);
+  EXPECT_EQ (running[0].percent, 41U);
+  ASSERT_EQ (ended.size (), 2U);
+  EXPECT_EQ (ended[0].number, 58);
+  EXPECT_EQ (ended[0].end, DKS_RUN_DONE);
+  EXPECT_EQ (ended[1].end, DKS_RUN_LAPSED);
+
+  // Without a deadline the lease stays as it is.
+  effect.u.lease.deadline_ms = 0;
+  effect.u.lease.wait_ms = 0;
+  platform.answer (200, R"({"clock_ms":1,"running":[["x"]],"ended_runs":[]})");
+  dks_executor_call (client, &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (body_of (platform.request ()), R"({"fence":7256700000000123,"last_seen":57})");
+  EXPECT_EQ (status, DKS_LEASE_OK);
+
+  platform.answer (200, R"({"clock_ms":1,"running":[[7]],"ended_runs":[]})");
+  dks_executor_call (client, &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (status, DKS_LEASE_UNANSWERED) << "lists that cannot be read say nothing";
+}
+
+TEST_F (Adapter, TargetsThatCannotBeReadAreNoTargets)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.op = 9;
+  effect.u.feed.feed = DKS_FEED_TARGETS;
+  effect.u.feed.timeout_ms = 2000;
+  snprintf (effect.u.feed.after, sizeof (effect.u.feed.after), "i-0");
+  // {"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"draining",
+  //  "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":5,"seq":4}
+  platform.answer (
+      200,
+      R"({"items":[{"key":"servers/i-1","rev":3,"value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJ6IiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjgsInN0YXRlIjoiZHJhaW5pbmciLCJjYXBhY2l0eSI6eyJjcHUiOjE2MDAwLCJtZW1fbWIiOjMyNzY4LCJncHUiOjB9LCJsYWJlbHMiOlsiYSIsInIxLTMiXSwiYm9ybiI6NSwic2VxIjo0fQ=="},)"
+      R"({"key":"servers/i-2","rev":4,"value":"bm9uZQ=="}],"has_more":true,"store_revision":530})");
+  dks_platform_feed (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                     this);
+  wait ();
+  EXPECT_EQ (
+      platform.request ().rfind ("GET /api/kv-range?prefix=servers/&after=servers/i-0 HTTP/1.1", 0),
+      0U);
+  EXPECT_EQ (feed_status, DKS_FEED_OK);
+  EXPECT_EQ (revision, 530);
+  EXPECT_TRUE (more);
+  ASSERT_EQ (keys.size (), 2U);
+  EXPECT_EQ (keys[1], "i-2");
+  ASSERT_EQ (targets.size (), 1U);
+  EXPECT_STREQ (targets[0].id, "i-1");
+  EXPECT_STREQ (targets[0].address, "10.0.0.9:80");
+  EXPECT_TRUE (targets[0].leaving);
+  EXPECT_EQ (targets[0].cpu_milli, 16000U);
+  EXPECT_EQ (targets[0].memory_mb, 32768U);
+  EXPECT_EQ (targets[0].born_ms, 5);
+  ASSERT_EQ (targets[0].label_count, 2U);
+  EXPECT_STREQ (targets[0].labels[1], "r1-3");
+}
+
+TEST_F (Adapter, WatchTellsLostHistoryFromAnOutage)
+{
+  dks_effect_t effect = {};
+  std::string url = "http://" + platform.address ();
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_TARGETS;
+  effect.u.feed.revision = 411;
+  effect.u.feed.timeout_ms = 4000;
+  platform.answer (200, R"({"events":[{"key":"servers/i-1","rev":413,"deleted":true}],)"
+                        R"("store_revision":413})");
+  dks_platform_feed (client, url.c_str (), &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (platform.request ().rfind (
+                 "GET /api/kv-watch?prefix=servers/&after=411&wait_ms=3000 HTTP/1.1", 0),
+             0U);
+  ASSERT_EQ (deleted.size (), 1U);
+  EXPECT_TRUE (deleted[0]);
+  EXPECT_EQ (revision, 413);
+  platform.answer (410, "{}");
+  dks_platform_feed (client, url.c_str (), &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (feed_status, DKS_FEED_HISTORY_GONE);
+  for (int code : { 429, 503, 500 })
+    {
+      platform.answer (code, "{}");
+      dks_platform_feed (client, url.c_str (), &effect, handle_event, this);
+      wait ();
+      EXPECT_EQ (feed_status, DKS_FEED_UNAVAILABLE);
+    }
+  platform.answer (200, "not JSON");
+  dks_platform_feed (client, url.c_str (), &effect, handle_event, this);
+  wait ();
+  EXPECT_EQ (feed_status, DKS_FEED_UNAVAILABLE);
+}
+
+TEST (Wire, CatalogDecodesQueuesAndServices)
+{
+  json_t *json = json_loads (
+      R"({"version":7,"routes":[{"name":"r-1","host":"h.example","prefix":"/l/","kind":"unsafe",)"
+      R"("timeout_ms":1500,"target_latency_ms":60,"priority":2,"service":"s","max_attempts":3,)"
+      R"("target_factor":1.6}],"services":[{"name":"s","enforces_capacity":true}],"limits":{}})",
+      0, nullptr);
+  dks_catalog_t *catalog = nullptr;
+  const char *rest = nullptr;
+
+  ASSERT_EQ (dks_wire_catalog (json, &catalog), DKS_OK);
+  EXPECT_EQ (catalog->version, 7);
+  const dks_queue_entry_t *queue = dks_catalog_find (catalog, "H.example:80", "/l/ab", &rest);
+  ASSERT_NE (queue, nullptr);
+  EXPECT_STREQ (rest, "ab");
+  EXPECT_EQ (queue->objective_factor_milli, 1600U);
+  EXPECT_EQ (queue->objective_extra_ms, 60U);
+  EXPECT_EQ (queue->priority, 2U);
+  EXPECT_TRUE (dks_catalog_service (catalog, "s")->guards_room);
+  EXPECT_EQ (dks_catalog_find (catalog, "other", "/l/ab", &rest), nullptr);
+
+  // What other instances get is the same.
+  dks_blob_t *record = dks_catalog_encode (catalog);
+  dks_catalog_t *copy = nullptr;
+  ASSERT_EQ (dks_catalog_decode (record, &copy), DKS_OK);
+  EXPECT_EQ (memcmp (copy->queues, catalog->queues, sizeof (catalog->queues[0])), 0);
+  EXPECT_EQ (copy->version, 7);
+  dks_blob_unref (record);
+  dks_catalog_unref (copy);
+  dks_catalog_unref (catalog);
+  json_object_del (json, "version");
+  EXPECT_EQ (dks_wire_catalog (json, &catalog), DKS_ERR_INVALID);
+  json_decref (json);
+}
+
+// Guards against a job that is run without a property that it needs.
+TEST (Wire, JobsThatNeedWhatIsMissingAreNamed)
+{
+  const char *refusal = nullptr;
+  dks_batch_t *batch =
+      decode_batch (R"({"spec":"x","best_effort":true,"steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+                    R"("estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"after":[0]}]})",
+                    &refusal);
+
+  ASSERT_NE (batch, nullptr);
+  EXPECT_EQ (refusal, nullptr);
+  EXPECT_EQ (batch->task_count, 24U);
+  EXPECT_EQ (batch->steps[0].cpu_milli, 500U);
+  EXPECT_STREQ (batch->steps[0].near_label, "r1-3");
+  EXPECT_EQ (batch->steps[1].after, 1U);
+  dks_batch_unref (batch);
+
+  const char *unsupported[] = {
+    R"({"spec":"x","steps":[{"count":1}]})",
+    R"({"spec":"x","best_effort":true,"times":3,"steps":[{"count":1}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":1,"gang":true}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":1,"persistent":true}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":1,"fills":true}]})",
+  };
+  for (const char *body : unsupported)
+    {
+      batch = decode_batch (body, &refusal);
+      EXPECT_NE (batch, nullptr) << body;
+      EXPECT_NE (refusal, nullptr) << body;
+      dks_batch_unref (batch);
+    }
+  const char *malformed[] = {
+    "",
+    "[]",
+    R"({"spec":"x","best_effort":true})",
+    R"({"spec":"x","best_effort":true,"steps":[]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":0}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":481}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":1,"after":[0]}]})",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":-1}]})",
+    R"({"spec":5,"best_effort":true,"steps":[{"count":1}]})",
+  };
+  for (const char *body : malformed)
+    EXPECT_EQ (decode_batch (body, &refusal), nullptr) << body;
+}
