common, damaskshore: logs that never block, damaskshore explain

Cause: when a caller complains, the engineers have only the logs, whose lines had no time and no instance, and a reader that stopped would have stopped the process. Change: lines go to standard output with time and instance; one that cannot be written at once is dropped and counted. 'damaskshore explain ID FILE...' prints the deciding line and the story of a job. 12 tests find an injected fault from the lines of a job's id alone; an election that never ends cannot be told from a slow one by these lines, only with the event 'fenced'.

--- a/common/log.c
+++ b/common/log.c
@@ -1,12 +1,28 @@
 #include "common/log.h"
 
+#include "common/alloc.h"
 #include "common/error.h"
 
+#include <inttypes.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  TEXT_SIZE = 1024,
+  LINE_SIZE = TEXT_SIZE + 128 /* prefix, time and name; below PIPE_BUF, so that a write is whole */
+};
 
 static dks_log_level_t max_level = DKS_LOG_INFO;
+static int output = STDERR_FILENO;
+static char instance_name[48];
+static uint64_t dropped;
+static uint64_t reported; /* dropped lines that a line has told of */
 
 void
 dks_log_set_level (dks_log_level_t level)
@@ -37,17 +53,71 @@
   return DKS_ERR_INVALID;
 }
 
+void
+dks_log_set_output (int fd, const char *instance)
+{
+  output = fd;
+  dks_strcpy (instance_name, sizeof (instance_name), instance);
+}
+
+uint64_t
+dks_log_dropped (void)
+{
+  return dropped;
+}
+
+/* Whether a line can be written at once. A pipe that is ready takes PIPE_BUF bytes. */
+static bool
+is_writable (void)
+{
+  struct pollfd pollfd = { .fd = output, .events = POLLOUT };
+
+  return poll (&pollfd, 1, 0) == 1 && (pollfd.revents & (POLLERR | POLLHUP | POLLNVAL)) == 0;
+}
+
+static void
+write_line (dks_log_level_t level, const char *text)
+{
+  char line[LINE_SIZE];
+  struct timespec now;
+  int len;
+
+  if (!is_writable ())
+    {
+      dropped++;
+      return;
+    }
+  clock_gettime (CLOCK_REALTIME, &now);
+  len = snprintf (line, sizeof (line), "<%d>damaskshore: time=%lld.%06ld %s%s%s%s\n", (int)level,
+                  (long long)now.tv_sec, now.tv_nsec / 1000,
+                  instance_name[0] != '\0' ? "instance=" : "", instance_name,
+                  instance_name[0] != '\0' ? " " : "", text);
+  if (len >= (int)sizeof (line))
+    {
+      len = sizeof (line) - 1;
+      line[len - 1] = '\n';
+    }
+  /* One write per line, so that lines of several processes on one terminal do not mix. */
+  if (write (output, line, (size_t)len) != len)
+    dropped++;
+}
+
 void
 dks_log (dks_log_level_t level, const char *format, ...)
 {
-  char line[1024];
+  char text[TEXT_SIZE];
   va_list args;
 
   if (level > max_level)
     return;
+  if (dropped > reported && is_writable ())
+    {
+      snprintf (text, sizeof (text), "event=log-dropped lines=%" PRIu64, dropped - reported);
+      reported = dropped;
+      write_line (DKS_LOG_WARNING, text);
+    }
   va_start (args, format);
-  vsnprintf (line, sizeof (line), format, args);
+  vsnprintf (text, sizeof (text), format, args);
   va_end (args);
-  /* One write per line, so that lines of several processes on one terminal do not mix. */
-  fprintf (stderr, "<%d>damaskshore: %s\n", (int)level, line);
+  write_line (level, text);
 }
--- a/damaskshore/commands/table.c
+++ b/damaskshore/commands/table.c
@@ -9,6 +9,7 @@
   { "cancel", "cancel a submission", dks_command_cancel },
   { "counters", "show the counters of an instance", dks_command_counters },
   { "drain", "shut an instance down gracefully", dks_command_drain },
+  { "explain", "tell from logs what became of a job and why", dks_command_explain },
   { "settings diff", "compare a record file with the server or another file",
     dks_command_settings_diff },
   { "settings get", "show the settings of a path, or the whole record", dks_command_settings_get },
--- a/damaskshored/main.c
+++ b/damaskshored/main.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
+#include <unistd.h>
 
 enum
 {
@@ -60,6 +61,7 @@
       break;
     }
   dks_log_set_level (options.log_level);
+  dks_log_set_output (STDOUT_FILENO, options.config.id);
   block_signals ();
   if (dks_host_create (&options, &host) != DKS_OK)
     return EXIT_FAILURE;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -1,9 +1,12 @@
 /**
- * Log lines on standard error with a syslog-style level prefix ("<6>") and key=value fields.
+ * Log lines with a syslog-style level prefix ("<6>") and key=value fields. Writing never blocks: a
+ * line that the reader has no room for is dropped and counted.
  */
 #ifndef DKS_COMMON_LOG_H
 #define DKS_COMMON_LOG_H
 
+#include <stdint.h>
+
 typedef enum
 {
   DKS_LOG_ERROR = 3,
@@ -17,7 +20,13 @@
 void dks_log_set_level (dks_log_level_t level);
 /** Parses "error", "warning", "notice", "info" or "debug"; returns DKS_ERR_INVALID otherwise. */
 int dks_log_parse_level (const char *text, dks_log_level_t *level);
-/** Writes one line: "<LEVEL>damaskshore: " and the formatted text, e.g. `event=start port=80`. */
+/** Writes to descriptor `fd` instead of standard error, and adds "instance=NAME" to each line
+ * unless `instance` is empty. */
+void dks_log_set_output (int fd, const char *instance);
+/** Number of lines that were dropped because the reader was slow or gone. */
+uint64_t dks_log_dropped (void);
+/** Writes one line: "<LEVEL>damaskshore: time=UNIX_SECONDS " and the formatted text, e.g.
+ * `event=start port=80`. */
 void dks_log (dks_log_level_t level, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
--- a/include/damaskshore/commands.h
+++ b/include/damaskshore/commands.h
@@ -18,6 +18,7 @@
 dks_exit_t dks_command_cancel (dks_cli_t *cli, int argc, char **argv);
 dks_exit_t dks_command_counters (dks_cli_t *cli, int argc, char **argv);
 dks_exit_t dks_command_drain (dks_cli_t *cli, int argc, char **argv);
+dks_exit_t dks_command_explain (dks_cli_t *cli, int argc, char **argv);
 dks_exit_t dks_command_settings_diff (dks_cli_t *cli, int argc, char **argv);
 dks_exit_t dks_command_settings_get (dks_cli_t *cli, int argc, char **argv);
 dks_exit_t dks_command_settings_history (dks_cli_t *cli, int argc, char **argv);
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -122,6 +122,7 @@
     return answers.count (caller) > 0;
   }
   size_t find (const std::string &instance) const;
+  void apply (size_t instance, dks_event_t *event);
 
   int64_t now_us = 1000 * ms;
   std::vector<std::unique_ptr<Instance>> instances;
@@ -152,7 +153,6 @@
 
   void at (int64_t us, std::function<void ()> func);
   void boot (size_t instance);
-  void apply (size_t instance, dks_event_t *event);
   void carry_out (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
   void link (size_t a, size_t b);
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -249,8 +249,8 @@
         }
       EXPECT_EQ (dks_command_find (commands[i].name), &commands[i]);
     }
-  for (const char *name : { "audit", "cancel", "counters", "drain", "settings diff", "settings get",
-                            "settings history", "settings set", "settings unset",
+  for (const char *name : { "audit", "cancel", "counters", "drain", "explain", "settings diff",
+                            "settings get", "settings history", "settings set", "settings unset",
                             "settings validate", "status", "submit", "version" })
     EXPECT_NE (dks_command_find (name), nullptr) << name;
   EXPECT_EQ (dks_command_find ("settings"), nullptr);
@@ -913,3 +913,25 @@
 }
 
 } // namespace
+
+// The decision that ended a job comes first, then its lines of all logs in the order of time.
+TEST (Cli, ExplainTellsTheDecisionAndTheStory)
+{
+  File entry ("<6>damaskshore: time=5.200000 instance=a-1 event=answer job=77aa answer=9\n"
+              "<6>damaskshore: time=5.300000 instance=a-1 event=answer job=99cc answer=9\n");
+  File leader ("<5>damaskshore: time=5.000000 instance=a-2 event=start-rejected task=77aa.0.0.1\n"
+               "<6>damaskshore: time=5.100000 instance=a-2 event=job-refused job=77aa "
+               "reason=\"no room in time\"\n");
+  Output result = run ({ "explain", "77aa", entry.name (), leader.name () });
+
+  EXPECT_EQ (result.exit_code, DKS_EXIT_OK);
+  EXPECT_EQ (result.out.rfind ("decision: <6>damaskshore: time=5.100000 instance=a-2 "
+                               "event=job-refused",
+                               0),
+             0U)
+      << result.out;
+  EXPECT_LT (result.out.find ("event=start-rejected"), result.out.find ("event=answer"));
+  EXPECT_EQ (result.out.find ("99cc"), std::string::npos);
+  EXPECT_EQ (run ({ "explain", "1234", entry.name () }).exit_code, DKS_EXIT_NOT_FOUND);
+  EXPECT_NE (run ({ "explain", "1234", "/nonexistent" }).exit_code, DKS_EXIT_OK);
+}
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -320,3 +320,178 @@
   EXPECT_EQ (world.answers[first].answer, DKS_BATCH_COMPLETED);
   EXPECT_EQ (world.answers[second].answer, DKS_BATCH_COMPLETED);
 }
+
+// The logs alone tell why a job ended as it did: each injected fault leaves a line of its own that
+// names the job, or names the target or peer that a line of the job names.
+class LeasedCause : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    make_data_centre (world, "a", 4);
+    world.start_all ();
+    world.run_for (2000 * ms);
+    leader = world.find (leader_of (world, "a"));
+    entry = 1 - leader;
+  }
+
+  uint64_t
+  submit (uint32_t tasks, uint32_t declared_ms, uint32_t real_ms)
+  {
+    return world.submit (entry, id, { { tasks, 6800, declared_ms, real_ms } });
+  }
+
+  // Whether a line about the job has all of `parts`.
+  bool
+  log_tells (const std::vector<std::string> &parts) const
+  {
+    for (auto &line : world.log)
+      {
+        bool all = line.find (id) != std::string::npos;
+
+        for (auto &part : parts)
+          all = all && line.find (part) != std::string::npos;
+        if (all)
+          return true;
+      }
+    return false;
+  }
+
+  World world;
+  size_t leader = 0;
+  size_t entry = 0;
+  const std::string id = "00000000000000aa";
+};
+
+TEST_F (LeasedCause, Overload)
+{
+  world.submit (0, "0000000000000001", { { 8, 6800, 900, 900 } });
+  world.submit (0, "0000000000000002", { { 8, 6800, 900, 900 } });
+  world.run_for (5 * ms);
+  submit (8, 100, 100);
+  world.run_for (100 * ms);
+  EXPECT_TRUE (log_tells ({ "event=job-refused", "backlog=", "wait would be too long" }));
+}
+
+TEST_F (LeasedCause, TooLargeForAnyTarget)
+{
+  world.submit (entry, id, { { 1, 64000, 100, 100 } });
+  world.run_for (20 * ms);
+  EXPECT_TRUE (log_tells ({ "event=job-refused", "no target can run it" }));
+}
+
+TEST_F (LeasedCause, WorkThatTakesTooLong)
+{
+  submit (2, 900, 4000);
+  world.run_for (1000 * ms);
+  EXPECT_TRUE (log_tells ({ "event=run-too-late", "percent=", "target=" }));
+  EXPECT_TRUE (log_tells ({ "event=job-lost", "cannot end before the caller leaves" }));
+}
+
+TEST_F (LeasedCause, FailingTargets)
+{
+  for (auto &target : world.targets)
+    target->fails = true;
+  submit (1, 100, 100);
+  world.run_for (1400 * ms);
+  EXPECT_TRUE (log_tells ({ "event=run-ended", "end=failed", "target=" }));
+  EXPECT_TRUE (log_tells ({ "event=job-failed" }));
+}
+
+TEST_F (LeasedCause, StandingStill)
+{
+  for (auto &target : world.targets)
+    target->stalled = true;
+  submit (1, 100, 100);
+  world.run_for (1600 * ms);
+  EXPECT_TRUE (log_tells ({ "event=run-moved", "percent=0" }));
+}
+
+TEST_F (LeasedCause, SilentTarget)
+{
+  submit (2, 900, 900);
+  world.run_for (20 * ms);
+  for (auto &target : world.targets)
+    target->silent = true;
+  world.run_for (2500 * ms);
+  EXPECT_TRUE (log_tells ({ "event=job-lost" }));
+  bool silent = false;
+  for (auto &line : world.log)
+    silent = silent || line.find ("event=target-silent target=a-t") != std::string::npos;
+  EXPECT_TRUE (silent);
+}
+
+TEST_F (LeasedCause, UnansweredStart)
+{
+  for (auto &target : world.targets)
+    {
+      target->lose_starts = 1;
+      target->late_us = 3000 * ms;
+    }
+  submit (1, 100, 100);
+  world.run_for (1000 * ms);
+  EXPECT_TRUE (log_tells ({ "event=start-unanswered", "target=" }));
+}
+
+TEST_F (LeasedCause, CallerThatLeft)
+{
+  uint64_t caller = submit (1, 900, 900);
+  world.run_for (100 * ms);
+  world.leave (entry, caller);
+  world.run_for (100 * ms);
+  EXPECT_TRUE (log_tells ({ "event=caller-gone", "age_ms=100" }));
+  EXPECT_TRUE (log_tells ({ "event=job-cancelled" }));
+}
+
+TEST_F (LeasedCause, EntryThatDied)
+{
+  submit (1, 900, 900);
+  world.run_for (100 * ms);
+  world.kill (entry);
+  world.run_for (100 * ms);
+  EXPECT_TRUE (log_tells ({ "event=job-orphaned", "sender=" }));
+}
+
+TEST_F (LeasedCause, LeaderThatDied)
+{
+  submit (1, 900, 900);
+  world.run_for (100 * ms);
+  world.kill (leader);
+  world.run_for (300 * ms);
+  EXPECT_TRUE (log_tells ({ "event=request-moved", "from=", "to=" }));
+  EXPECT_TRUE (log_tells ({ "event=run-adopted" }));
+}
+
+TEST_F (LeasedCause, NoLeader)
+{
+  for (auto &target : world.targets)
+    target->fence = INT64_MAX;
+  submit (1, 100, 100);
+  world.run_for (1700 * ms);
+  EXPECT_TRUE (log_tells ({ "event=answer", "no answer in time" }));
+  bool fenced = false;
+  for (auto &line : world.log)
+    fenced = fenced || line.find ("event=fenced target=") != std::string::npos;
+  EXPECT_TRUE (fenced);
+}
+
+TEST_F (LeasedCause, UnsupportedJob)
+{
+  dks_event_t event = {};
+  dks_batch_t *batch = dks_batch_create (1);
+  std::string path = "/q/" + id;
+
+  batch->steps[0].count = 1;
+  event.type = DKS_EVENT_BATCH;
+  event.u.batch.caller = 999;
+  event.u.batch.verb = DKS_BATCH_SUBMIT;
+  event.u.batch.host = "host";
+  event.u.batch.path = path.c_str ();
+  event.u.batch.batch = batch;
+  event.u.batch.refusal = "jobs that must be kept are not supported";
+  world.apply (entry, &event);
+  dks_batch_unref (batch);
+  EXPECT_EQ (world.answers[999].answer, DKS_BATCH_REFUSED);
+  EXPECT_TRUE (log_tells ({ "event=answer", "must be kept" }));
+}
