leased: a leader that was paused steps down until it hears the others

Ruled out: a second answer for a lent task (mended before). Test: LeaderThatWasPausedDoesNotOrderBeforeItHearsTheOthers; it also passes without the change, because the fence of its own targets stops the old leader first there, so it guards the whole, not this gap.

--- a/core/leased.c
+++ b/core/leased.c
@@ -8,6 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  PAUSE_US = 500000 /* between two events; the status timer makes one every 100 ms */
+};
+
 dks_leased_t *
 dks_leased_create (dks_reducer_t *r)
 {
@@ -119,6 +124,11 @@
 void
 dks_leased_handle_event (dks_leased_t *leased, const dks_event_t *event)
 {
+  int64_t pause_us = event->now.mono_us - leased->event_us;
+
+  if (leased->event_us > 0 && pause_us > PAUSE_US)
+    dks_lmembers_handle_pause (leased, pause_us);
+  leased->event_us = event->now.mono_us;
   switch (event->type)
     {
     case DKS_EVENT_BATCH:
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -16,7 +16,8 @@
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
   LEND_CALLS_MAX = 32,   /* messages about lent tasks of one job and one review */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
-   * Their lender stops them when it is told, or misses that leader: a silence and a lease. */
+   * Their lender stops them when it is told, or misses that leader: a silence and a lease. A leader
+   * that was paused may have lent them just before it heard of the present one. */
   TOLD_WAIT_US = 300000,
   MISSED_WAIT_US = 1100000,
   SUCCESSOR_RUNS = 8 /* first run of a task that another leader had: above the numbers of
@@ -38,6 +39,12 @@
   return a < b ? a : b;
 }
 
+static int64_t
+max_us (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
 /* Answers */
 
 static void
@@ -274,6 +281,7 @@
   job->task_count = count;
   job->waiting = count;
   job->arrival_us = now_us (leased) - msg->u.work.age_us;
+  job->received_us = now_us (leased);
   /* A long job's caller leaves before its objective is reached. */
   job->latest_end_us = job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us);
   job->latest_start_us = job->latest_end_us - chain_us;
@@ -377,6 +385,7 @@
   dks_leased_t *leased = job->leased;
   dks_ltask_t *task = &job->tasks[index];
   int64_t wait_us = leased->led_planned ? TOLD_WAIT_US : MISSED_WAIT_US;
+  int64_t until_us = max_us (leased->led_us + wait_us, job->received_us + TOLD_WAIT_US);
   char name[DKS_TASK_NAME_SIZE];
   dks_lrun_t *run;
 
@@ -397,7 +406,7 @@
                       DKS_LENT_ENDED);
       return true;
     }
-  return now_us (leased) < leased->led_us + wait_us;
+  return now_us (leased) < until_us;
 }
 
 /* Whether a slow target would make the job late. */
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -438,6 +438,16 @@
   dks_lentry_review (leased);
 }
 
+void
+dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us)
+{
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=paused for_ms=%" PRId64, pause_us / 1000);
+  /* Another leader may have begun meanwhile. It is heard of within START_WAIT_US. */
+  leased->started_us = leased->r->now.mono_us;
+  if (leased->term > 0)
+    stop_leading (leased, "paused");
+}
+
 void
 dks_lmembers_handle_fenced (dks_leased_t *leased)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -159,6 +159,7 @@
   bool lent;                  /**< tasks that another leader lent us: placed at once or refused */
   dks_batch_t *batch;
   int64_t arrival_us;      /**< of the caller's request */
+  int64_t received_us;     /**< when it came to us */
   int64_t latest_end_us;   /**< of a good answer */
   int64_t latest_start_us; /**< a start after this misses the objective */
   int64_t wait_until_us;   /**< refused if nothing of it has started by then */
@@ -235,7 +236,8 @@
   struct dks_lpeer_ring_t peers;
   int64_t started_ms;
   int64_t started_us;
-  uint64_t term; /**< of our leadership, 0: we do not lead */
+  int64_t event_us; /**< time of the latest event */
+  uint64_t term;    /**< of our leadership, 0: we do not lead */
   uint64_t highest_term;
   int64_t fenced_us; /**< when a target last rejected our fence, 0 for never */
   bool status_dirty; /**< peers have to be told soon */
@@ -302,6 +304,8 @@
 void dks_lmembers_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg);
 /** Member id of the leader of our data centre, ourselves included; NULL when there is none. */
 const char *dks_lmembers_leader (const dks_leased_t *leased);
+/** This process has stood still: what it knows of the others is old. */
+void dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us);
 /** A target has been ordered with a higher fence than ours. */
 void dks_lmembers_handle_fenced (dks_leased_t *leased);
 /** Elects, or stops to lead, as what is known of the others demands. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -88,6 +88,17 @@
   abort ();
 }
 
+void
+World::deliver (int64_t us, size_t index, std::function<void ()> func)
+{
+  at (us, [this, index, func] {
+    if (instances[index]->frozen)
+      instances[index]->held.push_back (func);
+    else
+      func ();
+  });
+}
+
 void
 World::boot (size_t index)
 {
@@ -205,6 +216,18 @@
     link (a, b);
 }
 
+void
+World::freeze (size_t index, bool is_frozen)
+{
+  Instance &instance = *instances[index];
+  auto held = std::move (instance.held);
+
+  instance.frozen = is_frozen;
+  instance.held.clear ();
+  for (auto &func : held)
+    at (now_us + ms, func);
+}
+
 void
 World::schedule_tick (size_t index)
 {
@@ -222,7 +245,10 @@
       return;
     ticks[index] = INT64_MAX;
     event.type = DKS_EVENT_TICK;
-    apply (index, &event);
+    if (instances[index]->frozen)
+      instances[index]->held.push_back ([this, index] { schedule_tick (index); });
+    else
+      apply (index, &event);
   });
 }
 
@@ -266,7 +292,7 @@
           dks_msg_t *msg = dks_msg_ref (effect.u.peer_send.msg);
           std::string from = instances[index]->member;
           std::string to = instances[other]->member;
-          at (now_us + peer_delay_us, [this, index, other, msg, from, to] {
+          deliver (now_us + peer_delay_us, other, [this, index, other, msg, from, to] {
             dks_event_t event = {};
 
             event.type = DKS_EVENT_PEER_MSG;
@@ -312,7 +338,7 @@
   dks_reducer_t *reducer = instances[index]->reducer;
   bool down = instances[index]->feed_down;
 
-  at (now_us + (is_watch || down ? timeout_us : 2 * call_delay_us), [=, this] {
+  deliver (now_us + (is_watch || down ? timeout_us : 2 * call_delay_us), index, [=, this] {
     dks_event_t event = {};
     std::vector<dks_feed_item_t> items;
     dks_catalog_t *catalog = nullptr;
@@ -575,7 +601,7 @@
           lists->ended.push_back (row);
         }
     }
-  at (now_us + (target != nullptr ? call_delay_us : 0), [=, this] {
+  deliver (now_us + (target != nullptr ? call_delay_us : 0), index, [=, this] {
     dks_event_t event = {};
     dks_lease_lists_t view = {};
 
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -77,6 +77,7 @@
   dks_reducer_t *reducer = nullptr;
   bool up = false;
   bool frozen = false;
+  std::vector<std::function<void ()>> held; // events of a frozen instance
   bool feed_down = false;
   uint64_t watch_op[DKS_FEED_COUNT] = {};
   std::string member;
@@ -111,6 +112,8 @@
   void restart (size_t instance);
   void drain (size_t instance);
   void cut (size_t a, size_t b, bool is_cut);
+  // A frozen instance handles nothing; what was sent to it waits.
+  void freeze (size_t instance, bool is_frozen);
   void run_for (int64_t us);
   // Submits a job and returns the number of the caller.
   uint64_t submit (size_t instance, const std::string &id, const std::vector<Step> &steps,
@@ -153,6 +156,7 @@
   };
 
   void at (int64_t us, std::function<void ()> func);
+  void deliver (int64_t us, size_t instance, std::function<void ()> func);
   void boot (size_t instance);
   void carry_out (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -529,3 +529,31 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// The rule broken on the own day late-orders: a leader that had been frozen took a request before
+// it heard of its successor, and lent its tasks; the successor started them as well.
+TEST (Leased, LeaderThatWasPausedDoesNotOrderBeforeItHearsTheOthers)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t leader = world.find (leader_of (world, "a"));
+  world.freeze (leader, true);
+  world.run_for (3000 * ms);
+  EXPECT_NE (leader_of (world, "a"), world.instances[leader]->id);
+  // It hears the other data centre before it hears of its successor.
+  size_t successor = world.find (leader_of (world, "a"));
+  world.cut (leader, successor, true);
+  world.freeze (leader, false);
+  world.run_for (5 * ms);
+  uint64_t caller = world.submit (leader, "0000000000000001", { { 10, 6800, 200, 200 } });
+  world.run_for (5 * ms);
+  world.cut (leader, successor, false);
+  world.run_for (1200 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
