leased: a leader that drains without a successor lends no more

Change: a draining leader tells of no free room and refuses to lend. Test: LeaderThatDrainsAloneLendsNoMore fails without the change.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -767,7 +767,7 @@
   bool lent = msg->u.work.lent_count > 0;
   dks_ljob_t *job = lent ? NULL : job_find_id (leased, msg->u.work.batch->id);
 
-  if (leased->term == 0)
+  if (leased->term == 0 || (lent && leased->drain_us > 0 && !msg->u.work.resent))
     {
       /* The sender learns of the change and turns to the next leader; a borrower asks elsewhere. */
       for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -92,9 +92,12 @@
   msg->u.leased_status.term = leased->term;
   msg->u.leased_status.started_ms = leased->started_ms;
   msg->u.leased_status.catalog_version = leased->catalog != NULL ? leased->catalog->version : 0;
-  msg->u.leased_status.free_tasks = leased->term > 0 ? dks_ltargets_free_tasks (leased) : 0;
-  msg->u.leased_status.free_fast_tasks =
-      leased->term > 0 ? dks_ltargets_free_fast_tasks (leased) : 0;
+  /* A leader that shuts down without a successor lends no more, so that it comes to its end. */
+  if (leased->term > 0 && leased->drain_us == 0)
+    {
+      msg->u.leased_status.free_tasks = dks_ltargets_free_tasks (leased);
+      msg->u.leased_status.free_fast_tasks = dks_ltargets_free_fast_tasks (leased);
+    }
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.draining = leased->drain_us > 0;
   msg->u.leased_status.knows_targets = dks_lfeed_knows_targets (leased);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -557,3 +557,23 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// On brandnoot-orders the only instance of a data centre took 5.5 s to shut down, because others
+// went on borrowing its room, and then left lent tasks behind.
+TEST (Leased, LeaderThatDrainsAloneLendsNoMore)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  make_data_centre (world, "b", 4, 1);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t alone = world.find ("b-1");
+  world.drain (alone);
+  for (int i = 0; i < 80; i++)
+    {
+      world.submit (0, "00000000000001" + std::to_string (10 + i), { { 6, 6800, 200, 200 } });
+      world.run_for (50 * ms);
+    }
+  EXPECT_TRUE (world.instances[alone]->exited);
+}
