--- a/core/event.c
+++ b/core/event.c
@@ -61,3 +61,19 @@
   free (effects->items);
   *effects = (dks_effects_t){ 0 };
 }
+
+const char *
+dks_batch_answer_name (dks_batch_answer_t answer)
+{
+  static const char *const names[] = {
+    [DKS_BATCH_COMPLETED] = "completed",     [DKS_BATCH_FAILED] = "failed",
+    [DKS_BATCH_RUNNING] = "running",         [DKS_BATCH_CANCELLED] = "cancelled",
+    [DKS_BATCH_UNKNOWN_JOB] = "unknown-job", [DKS_BATCH_PENDING] = "pending",
+    [DKS_BATCH_NO_QUEUE] = "no-queue",       [DKS_BATCH_INVALID] = "invalid",
+    [DKS_BATCH_REFUSED] = "refused",         [DKS_BATCH_LOST] = "lost",
+  };
+
+  return (unsigned)answer < sizeof (names) / sizeof (names[0]) && names[answer] != NULL
+             ? names[answer]
+             : "invalid";
+}
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -90,10 +90,11 @@
   count_answer (leased, answer);
   if (answer != DKS_BATCH_COMPLETED)
     dks_emit_log (leased->r, DKS_LOG_INFO,
-                  "event=answer job=%s answer=%d age_ms=%" PRId64 " leader=%s catalog=%" PRId64
+                  "event=answer job=%s answer=%s age_ms=%" PRId64 " leader=%s catalog=%" PRId64
                   " reason=\"%s\"",
-                  request->batch->id, (int)answer, (now_us (leased) - request->arrival_us) / 1000,
-                  request->leader, leased->catalog != NULL ? leased->catalog->version : 0, detail);
+                  request->batch->id, dks_batch_answer_name (answer),
+                  (now_us (leased) - request->arrival_us) / 1000, request->leader,
+                  leased->catalog != NULL ? leased->catalog->version : 0, detail);
   APR_RING_FOREACH (caller, &request->callers, dks_lcaller_t, link)
     reply (leased, caller->caller, answer, retry_after_ms, detail);
   request_free (request);
@@ -257,8 +258,8 @@
       const char *reason =
           event->u.batch.refusal != NULL ? event->u.batch.refusal : "queues with advice";
 
-      dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%s answer=%d reason=\"%s\"", id,
-                    (int)DKS_BATCH_REFUSED, reason);
+      dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%s answer=%s reason=\"%s\"", id,
+                    dks_batch_answer_name (DKS_BATCH_REFUSED), reason);
       count_answer (leased, DKS_BATCH_REFUSED);
       reply (leased, caller, DKS_BATCH_REFUSED, 0, reason);
       return;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -172,11 +172,9 @@
                   "event=job-%s job=%s age_ms=%" PRId64
                   " tasks=%u done=%u waiting=%u backlog=%u estimate_ms=%u last_start_ms=%" PRId64
                   " reason=\"%s\"",
-                  answer == DKS_BATCH_REFUSED  ? "refused"
-                  : answer == DKS_BATCH_FAILED ? "failed"
-                                               : "lost",
-                  job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
-                  job->done, job->waiting, leased->waiting_tasks, dks_batch_chain_ms (job->batch),
+                  dks_batch_answer_name (answer), job->batch->id,
+                  (now_us (leased) - job->arrival_us) / 1000, job->task_count, job->done,
+                  job->waiting, leased->waiting_tasks, dks_batch_chain_ms (job->batch),
                   job->last_start_us > 0 ? (job->last_start_us - job->arrival_us) / 1000 : -1,
                   detail);
   dks_strcpy (origin, sizeof (origin), job->origin);
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -69,6 +69,9 @@
   DKS_BATCH_LOST,          /**< tasks may have run; the caller may submit the job again */
 } dks_batch_answer_t;
 
+/** Stable name of an answer, for logs. */
+const char *dks_batch_answer_name (dks_batch_answer_t answer);
+
 /** One row of the platform's list of instances. */
 typedef struct
 {
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -315,7 +315,7 @@
 // Operators look up these names.
 TEST (Cli, OperationsPageHasEveryProblemSettingAndCounter)
 {
-  std::string page = read_source ("docs/operations.md");
+  std::string page = read_source ("docs/OPERATIONS.md");
 
   for (int i = DKS_PROBLEM_NONE + 1; i < DKS_PROBLEM_COUNT; i++)
     EXPECT_NE (
