core: a draining instance takes new requests for 5 s only

Change: 5 s after the drain began a new submission is answered unknown with the problem 'draining' and a time to ask another instance; 'not run' would be a guess, because an earlier submission of the key may have run. Test: DrainingInstanceTakesNewRequestsForALimitedTime fails without the change.

--- a/core/entry.c
+++ b/core/entry.c
@@ -8,6 +8,9 @@
 
 enum
 {
+  /* Balancers need some seconds to turn callers to another instance; later requests would keep a
+   * draining instance open as long as callers send. */
+  DRAIN_ACCEPT_US = 5000000,
   ROUTE_TIMEOUT_US =
       6000000,        /* a request without a reachable owner is given up; a takeover takes 2 s */
   REROUTE_US = 50000, /* pause before a request is sent to an owner that has moved */
@@ -246,6 +249,13 @@
   dks_request_t *request;
 
   dks_count (&r->counters, DKS_COUNTER_SUBMISSIONS);
+  if (r->draining && r->now.mono_us - r->drain_us >= DRAIN_ACCEPT_US)
+    {
+      /* An earlier submission of the key may have run, so "not run" would be a guess. */
+      reply_new (r, caller, submission->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_DRAINING,
+                 "the instance shuts down; ask another one");
+      return;
+    }
   request = request_create (r, DKS_REQUEST_SUBMIT, caller, submission->key, submission);
   if (request != NULL)
     route (r, request);
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -205,6 +205,7 @@
   dks_timer_t settings_timer;
 
   bool draining;
+  int64_t drain_us; /**< when the drain began */
   bool exit_sent;
 
   struct dks_leased_t *leased; /**< targets run tasks under leases; NULL: by HTTP requests */
--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -444,4 +444,29 @@
   EXPECT_TRUE (exited);
 }
 
+// Guards against callers that keep a draining instance open for ever by sending new requests
+// (scripts/demo, "the drained instance has not ended").
+TEST_F (ReducerTest, DrainingInstanceTakesNewRequestsForALimitedTime)
+{
+  dks_event_t event = {};
+
+  submit (1, submission (fresh_key ("first"), 3));
+  event.type = DKS_EVENT_DRAIN;
+  apply (event);
+  advance (2000000);
+  submit (2, submission (fresh_key ("second"), 1));
+  EXPECT_EQ (answers.count (2), 0u);
+  advance (3100000);
+  submit (3, submission (fresh_key ("third"), 1));
+  ASSERT_EQ (answers.count (3), 1u);
+  EXPECT_EQ (answers[3]->outcome, DKS_OUTCOME_UNKNOWN);
+  EXPECT_EQ (answers[3]->problem, DKS_PROBLEM_DRAINING);
+  EXPECT_GT (answers[3]->retry_after_ms, 0u);
+  finish_all ();
+  advance (3000000);
+  finish_all ();
+  advance (3000000);
+  EXPECT_TRUE (exited);
+}
+
 } // namespace
