--- a/core/leased.c
+++ b/core/leased.c
@@ -22,6 +22,7 @@
   dks_lmembers_init (leased);
   dks_lestimate_init (leased);
   dks_ltargets_init (leased);
+  dks_lwatch_init (leased);
   dks_ljobs_init (leased);
   dks_lentry_init (leased);
   dks_lfeed_init (leased);
@@ -35,6 +36,7 @@
     return;
   dks_lentry_clear (leased);
   dks_ljobs_clear (leased);
+  dks_lwatch_clear (leased);
   dks_ltargets_clear (leased);
   dks_lestimate_clear (leased);
   dks_lfeed_clear (leased);
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -21,12 +21,6 @@
   DRAIN_MAX_US = 5500000    /* the platform's grace is 6 s */
 };
 
-static int64_t
-now_us (const dks_leased_t *leased)
-{
-  return leased->r->now.mono_us;
-}
-
 static void
 reply (dks_leased_t *leased, uint64_t caller, dks_batch_answer_t answer, uint32_t retry_after_ms,
        const char *detail)
@@ -93,7 +87,7 @@
                   "event=answer job=%s answer=%s age_ms=%" PRId64 " leader=%s catalog=%" PRId64
                   " reason=\"%s\"",
                   request->batch->id, dks_batch_answer_name (answer),
-                  (now_us (leased) - request->arrival_us) / 1000, request->leader,
+                  (dks_lnow_us (leased) - request->arrival_us) / 1000, request->leader,
                   leased->catalog != NULL ? leased->catalog->version : 0, detail);
   APR_RING_FOREACH (caller, &request->callers, dks_lcaller_t, link)
     reply (leased, caller->caller, answer, retry_after_ms, detail);
@@ -124,7 +118,7 @@
 
   msg->u.work.request = request->number;
   msg->u.work.batch = dks_batch_ref (request->batch);
-  msg->u.work.age_us = now_us (leased) - request->arrival_us;
+  msg->u.work.age_us = dks_lnow_us (leased) - request->arrival_us;
   msg->u.work.objective_us = request->objective_us;
   msg->u.work.budget_us = request->budget_us;
   msg->u.work.resent = request->sent;
@@ -229,7 +223,7 @@
   request->leased = leased;
   request->number = dks_next_id (leased->r);
   request->batch = dks_batch_ref (batch);
-  request->arrival_us = now_us (leased);
+  request->arrival_us = dks_lnow_us (leased);
   request->objective_us = INT64_C (1000) * queue->objective_extra_ms
                           + (int64_t)dks_batch_chain_ms (batch) * queue->objective_factor_milli;
   request->budget_us = budget_us (queue, event->u.batch.budget_ms);
@@ -264,7 +258,7 @@
       reply (leased, caller, DKS_BATCH_REFUSED, 0, reason);
       return;
     }
-  if (leased->drain_us > 0 && now_us (leased) - leased->drain_us > DRAIN_CLOSE_US)
+  if (leased->drain_us > 0 && dks_lnow_us (leased) - leased->drain_us > DRAIN_CLOSE_US)
     {
       count_answer (leased, DKS_BATCH_REFUSED);
       reply (leased, caller, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS, "the instance shuts down");
@@ -360,7 +354,7 @@
   if (!APR_RING_EMPTY (&request->callers, dks_lcaller_t, link))
     return;
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=caller-gone job=%s age_ms=%" PRId64,
-                request->batch->id, (now_us (leased) - request->arrival_us) / 1000);
+                request->batch->id, (dks_lnow_us (leased) - request->arrival_us) / 1000);
   request_cancel (request);
   request_free (request);
 }
@@ -392,7 +386,7 @@
 {
   if (leased->drain_us > 0)
     return;
-  leased->drain_us = now_us (leased);
+  leased->drain_us = dks_lnow_us (leased);
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=drain-start requests=%u", leased->request_count);
   dks_lmembers_touch (leased);
 }
@@ -404,7 +398,7 @@
 
   if (leased->drain_us == 0)
     return false;
-  since_us = now_us (leased) - leased->drain_us;
+  since_us = dks_lnow_us (leased) - leased->drain_us;
   return since_us >= DRAIN_MAX_US
          || (since_us >= DRAIN_MIN_US && leased->request_count == 0 && leased->job_count == 0);
 }
--- /dev/null
+++ b/core/leased_health.c
@@ -0,0 +1,100 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  EJECT_MIN_US = 1000000,
+  EJECT_MAX_US = 8000000,
+  EJECT_DOUBLINGS = 3,
+  MIN_SAMPLES = 3 /* ends before a target's speed counts */
+};
+
+#define SPEED_WEIGHT 0.04  /* of a new sample in a target's moving average */
+#define CHANGE_FACTOR 2.5  /* a sample this many times the average shows a change */
+#define CHANGE_WEIGHT 0.3  /* of such a sample */
+#define FAILURE_WEIGHT 0.3 /* of a new end in a target's failure rate */
+#define EJECT_RATE 0.5     /* failure rate above which a target is ejected */
+
+static uint32_t
+count_ejected (const dks_leased_t *leased, uint32_t *held)
+{
+  const dks_ltarget_t *target;
+  uint32_t ejected = 0;
+
+  *held = 0;
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (!target->held || !target->listed)
+        continue;
+      (*held)++;
+      ejected += target->ejected_until_us > dks_lnow_us (leased);
+    }
+  return ejected;
+}
+
+double
+dks_ltarget_slowness (const dks_ltarget_t *target)
+{
+  return target->samples >= MIN_SAMPLES ? target->slowness : target->leased->slowness_mean;
+}
+
+void
+dks_ltarget_eject (dks_ltarget_t *target, const char *reason)
+{
+  dks_leased_t *leased = target->leased;
+  int64_t wait_us = (int64_t)EJECT_MIN_US
+                    << (target->ejections < EJECT_DOUBLINGS ? target->ejections : EJECT_DOUBLINGS);
+  uint32_t held;
+
+  if (target->ejected_until_us > dks_lnow_us (leased)
+      || 2 * (count_ejected (leased, &held) + 1) > held)
+    return;
+  if (wait_us > EJECT_MAX_US)
+    wait_us = EJECT_MAX_US;
+  target->ejections++;
+  target->ejected_until_us = dks_lnow_us (leased) + wait_us;
+  dks_count (&leased->r->counters, DKS_COUNTER_EJECTIONS);
+  dks_emit_log (
+      leased->r, DKS_LOG_NOTICE,
+      "event=target-ejected target=%s reason=%s failure_rate=%.2f slowness=%.2f for_ms=%" PRId64,
+      target->info.id, reason, target->failure_rate, target->slowness, wait_us / 1000);
+}
+
+void
+dks_ltarget_note_end (dks_ltarget_t *target, bool failed)
+{
+  target->failure_rate =
+      (1 - FAILURE_WEIGHT) * target->failure_rate + (failed ? FAILURE_WEIGHT : 0);
+  if (!failed)
+    target->ejections = 0;
+  else if (target->failure_rate > EJECT_RATE)
+    dks_ltarget_eject (target, "failures");
+}
+
+void
+dks_laverage (double *mean, double sample, double weight)
+{
+  *mean += weight * (sample - *mean);
+}
+
+void
+dks_ltarget_note_speed (dks_ltarget_t *target, double slowness)
+{
+  dks_leased_t *leased = target->leased;
+  double weight;
+
+  if (slowness > DKS_LSLOWNESS_MAX)
+    slowness = DKS_LSLOWNESS_MAX;
+  /* Run times differ by a third from what is expected, so single ones say little, unless they are
+   * far off: then the target has just changed. */
+  weight = target->samples++ * SPEED_WEIGHT < 1 ? 1.0 / target->samples : SPEED_WEIGHT;
+  if (slowness > CHANGE_FACTOR * target->slowness && weight < CHANGE_WEIGHT)
+    weight = CHANGE_WEIGHT;
+  dks_laverage (&target->slowness, slowness, weight);
+  dks_laverage (&leased->slowness_mean, slowness, DKS_LMEAN_WEIGHT);
+}
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -14,7 +14,6 @@
   RETRY_AFTER_MIN_MS = 1000, /* the header has whole seconds */
   RETRY_AFTER_MAX_MS = 30000,
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
-  LEND_CALLS_MAX = 32,   /* messages about lent tasks of one job and one review */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
    * Their lender stops them when it is told, or misses that leader: a silence and a lease. A leader
    * that was paused may have lent them just before it heard of the present one. */
@@ -24,12 +23,6 @@
                         runs that this one has not heard of */
 };
 
-static int64_t
-now_us (const dks_leased_t *leased)
-{
-  return leased->r->now.mono_us;
-}
-
 #define TIGHT_FACTOR                                                                               \
   1.75 /* time that is left, over the expected run time, below which speed counts */
 
@@ -165,7 +158,7 @@
   if (answer == DKS_BATCH_COMPLETED)
     dks_emit_log (leased->r, DKS_LOG_DEBUG,
                   "event=job-completed job=%s age_ms=%" PRId64 " tasks=%u estimate_ms=%u",
-                  job->batch->id, (now_us (leased) - job->arrival_us) / 1000, job->task_count,
+                  job->batch->id, (dks_lnow_us (leased) - job->arrival_us) / 1000, job->task_count,
                   dks_batch_chain_ms (job->batch));
   else
     dks_emit_log (leased->r, DKS_LOG_INFO,
@@ -173,7 +166,7 @@
                   " tasks=%u done=%u waiting=%u backlog=%u estimate_ms=%u last_start_ms=%" PRId64
                   " reason=\"%s\"",
                   dks_batch_answer_name (answer), job->batch->id,
-                  (now_us (leased) - job->arrival_us) / 1000, job->task_count, job->done,
+                  (dks_lnow_us (leased) - job->arrival_us) / 1000, job->task_count, job->done,
                   job->waiting, leased->waiting_tasks, dks_batch_chain_ms (job->batch),
                   job->last_start_us > 0 ? (job->last_start_us - job->arrival_us) / 1000 : -1,
                   detail);
@@ -278,8 +271,8 @@
   job->begun = job->resent;
   job->task_count = count;
   job->waiting = count;
-  job->arrival_us = now_us (leased) - msg->u.work.age_us;
-  job->received_us = now_us (leased);
+  job->arrival_us = dks_lnow_us (leased) - msg->u.work.age_us;
+  job->received_us = dks_lnow_us (leased);
   /* A long job's caller leaves before its objective is reached. */
   job->latest_end_us = job->arrival_us + min_us (msg->u.work.objective_us, msg->u.work.budget_us);
   job->latest_start_us = job->latest_end_us - chain_us;
@@ -321,12 +314,12 @@
 
 /* Placing */
 
-static bool
-task_is_due (const dks_ljob_t *job, const dks_ltask_t *task)
+bool
+dks_ltask_is_due (const dks_ljob_t *job, const dks_ltask_t *task)
 {
   uint32_t after = job->batch->steps[task->batch_step].after;
 
-  if (task->state != DKS_LTASK_WAITING || task->not_before_us > now_us (job->leased))
+  if (task->state != DKS_LTASK_WAITING || task->not_before_us > dks_lnow_us (job->leased))
     return false;
   for (uint32_t step = 0; after != 0 && !job->lent; step++, after >>= 1)
     {
@@ -336,13 +329,13 @@
   return true;
 }
 
-static void
-task_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state)
+void
+dks_ltask_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state)
 {
   task->state = state;
   job->waiting--;
   job->leased->waiting_tasks--;
-  job->last_start_us = now_us (job->leased);
+  job->last_start_us = dks_lnow_us (job->leased);
   if (job->begun)
     return;
   job->begun = true;
@@ -370,7 +363,7 @@
   run->expected_us = dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
   task->current = run;
   task->run = run->run;
-  task_leave_waiting (job, task, DKS_LTASK_PLACED);
+  dks_ltask_leave_waiting (job, task, DKS_LTASK_PLACED);
   dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", run->name,
                 run->run);
 }
@@ -398,13 +391,13 @@
   if (job->lent)
     {
       /* The lists of all targets have been read, and late starts are fenced off. */
-      task_leave_waiting (job, task, DKS_LTASK_DONE);
+      dks_ltask_leave_waiting (job, task, DKS_LTASK_DONE);
       job->done++;
       send_lent_done (leased, job->origin, job->request, task->index, task->lent_run,
                       DKS_LENT_ENDED);
       return true;
     }
-  return now_us (leased) < until_us;
+  return dks_lnow_us (leased) < until_us;
 }
 
 /* Whether a slow target would make the job late. */
@@ -412,7 +405,7 @@
 task_is_tight (const dks_ljob_t *job, const dks_ltask_t *task)
 {
   double expected_us = dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
-  double left_us = (double)(job->latest_end_us - now_us (job->leased));
+  double left_us = (double)(job->latest_end_us - dks_lnow_us (job->leased));
 
   return left_us < TIGHT_FACTOR * expected_us;
 }
@@ -438,192 +431,10 @@
   if (!job->lent)
     task->run += job->resent && task->run == 0 ? SUCCESSOR_RUNS : 1;
   dks_ltargets_start (leased, target, job, index);
-  task_leave_waiting (job, task, DKS_LTASK_PLACED);
+  dks_ltask_leave_waiting (job, task, DKS_LTASK_PLACED);
   return true;
 }
 
-/* Lending */
-
-static uint32_t
-lender_room (const dks_lpeer_t *peer, bool fast)
-{
-  return fast ? peer->free_fast_tasks : peer->free_tasks;
-}
-
-static dks_lpeer_t *
-choose_lender (dks_leased_t *leased, bool fast)
-{
-  dks_lpeer_t *peer;
-  dks_lpeer_t *best = NULL;
-
-  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
-    {
-      if (peer->term == 0 || lender_room (peer, fast) == 0 || !dks_lpeer_is_alive (leased, peer)
-          || strcmp (peer->data_centre, leased->r->config.data_centre) == 0)
-        continue;
-      if (best == NULL || lender_room (peer, fast) > lender_room (best, fast))
-        best = peer;
-    }
-  return best;
-}
-
-static dks_batch_t *
-single_step_batch (const dks_batch_t *batch, uint32_t step)
-{
-  dks_batch_t *single = dks_batch_create (1);
-
-  dks_strcpy (single->id, sizeof (single->id), batch->id);
-  dks_strcpy (single->service, sizeof (single->service), batch->service);
-  dks_strcpy (single->queue, sizeof (single->queue), batch->queue);
-  single->priority = batch->priority;
-  single->max_attempts = batch->max_attempts;
-  single->spec = dks_blob_ref (batch->spec);
-  single->steps[0] = batch->steps[step];
-  single->steps[0].after = 0;
-  dks_batch_complete (single);
-  return single;
-}
-
-/* Sends due tasks of one step, as many as fit at the peer. */
-static void
-lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first, bool fast)
-{
-  dks_leased_t *leased = job->leased;
-  uint32_t step = job->tasks[first].batch_step;
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
-  uint32_t count = 0;
-
-  msg->u.work.lent = dks_alloc (job->task_count * sizeof (msg->u.work.lent[0]));
-  msg->u.work.runs = dks_alloc (job->task_count * sizeof (msg->u.work.runs[0]));
-  for (uint32_t i = first; i < job->task_count && lender_room (peer, fast) > 0; i++)
-    {
-      dks_ltask_t *task = &job->tasks[i];
-
-      if (task->batch_step != step || !task_is_due (job, task) || (fast && !task->wants_speed))
-        continue;
-      task->run++;
-      msg->u.work.lent[count] = task->index;
-      msg->u.work.runs[count] = task->run;
-      count++;
-      peer->free_tasks -= peer->free_tasks > 0;
-      peer->free_fast_tasks -= peer->free_fast_tasks > 0;
-      dks_strcpy (task->peer, sizeof (task->peer), peer->id);
-      dks_strcpy (task->lender_dc, sizeof (task->lender_dc), peer->data_centre);
-      task_leave_waiting (job, task, DKS_LTASK_LENT);
-    }
-  msg->u.work.request = job->lend_id;
-  msg->u.work.batch = single_step_batch (job->batch, step);
-  msg->u.work.age_us = now_us (leased) - job->arrival_us;
-  msg->u.work.objective_us = job->latest_end_us - job->arrival_us;
-  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
-  msg->u.work.step = job->tasks[first].step;
-  msg->u.work.lent_count = count;
-  dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=tasks-lent job=%s step=%u tasks=%u to=%s fast=%d",
-                job->batch->id, msg->u.work.step, count, peer->id, fast);
-  dks_emit_peer (leased->r, peer->id, msg);
-}
-
-static void
-lend_waiting (dks_ljob_t *job, bool fast)
-{
-  dks_leased_t *leased = job->leased;
-  uint32_t calls = 0;
-
-  /* Runs of a job that another leader had may be anywhere here; it is not spread further. */
-  if (job->resent)
-    return;
-  for (uint32_t i = 0; i < job->task_count && calls < LEND_CALLS_MAX; i++)
-    {
-      dks_lpeer_t *peer;
-
-      if (!task_is_due (job, &job->tasks[i]) || (fast && !job->tasks[i].wants_speed))
-        continue;
-      peer = choose_lender (leased, fast);
-      if (peer == NULL)
-        return;
-      lend_tasks (job, peer, i, fast);
-      calls++;
-    }
-}
-
-/* The present leader of a data centre, not ourselves. */
-static dks_lpeer_t *
-find_leader (const dks_leased_t *leased, const char *data_centre)
-{
-  dks_lpeer_t *peer;
-  dks_lpeer_t *best = NULL;
-
-  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
-    {
-      if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
-          && strcmp (peer->data_centre, data_centre) == 0
-          && (best == NULL || peer->term > best->term))
-        best = peer;
-    }
-  return best;
-}
-
-/* Asks the successor of a lost lender for a task: whether it runs there. */
-static void
-task_ask_successor (dks_ljob_t *job, dks_ltask_t *task)
-{
-  dks_leased_t *leased = job->leased;
-  dks_lpeer_t *peer = find_leader (leased, task->lender_dc);
-  dks_msg_t *msg;
-
-  if (peer == NULL)
-    return;
-  leased->lost_tasks--;
-  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
-  msg = dks_msg_create (DKS_MSG_WORK);
-  msg->u.work.lent = dks_alloc (sizeof (msg->u.work.lent[0]));
-  msg->u.work.runs = dks_alloc (sizeof (msg->u.work.runs[0]));
-  msg->u.work.lent[0] = task->index;
-  msg->u.work.runs[0] = task->run;
-  msg->u.work.lent_count = 1;
-  msg->u.work.request = job->lend_id;
-  msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
-  msg->u.work.age_us = now_us (leased) - job->arrival_us;
-  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
-  msg->u.work.step = task->step;
-  msg->u.work.resent = true;
-  dks_emit_peer (leased->r, peer->id, msg);
-}
-
-static void
-ask_successors (dks_leased_t *leased)
-{
-  dks_ljob_t *job;
-
-  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
-    {
-      for (uint32_t i = 0; i < job->task_count; i++)
-        {
-          if (job->tasks[i].state == DKS_LTASK_LENT && job->tasks[i].peer[0] == '\0')
-            task_ask_successor (job, &job->tasks[i]);
-        }
-    }
-}
-
-void
-dks_ljobs_handle_lender_lost (dks_leased_t *leased, const char *peer)
-{
-  dks_ljob_t *job;
-
-  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
-    {
-      for (uint32_t i = 0; i < job->task_count; i++)
-        {
-          dks_ltask_t *task = &job->tasks[i];
-
-          if (task->state != DKS_LTASK_LENT || strcmp (task->peer, peer) != 0)
-            continue;
-          task->peer[0] = '\0';
-          leased->lost_tasks++;
-        }
-    }
-}
-
 static void
 job_place (dks_ljob_t *job)
 {
@@ -633,19 +444,19 @@
     return;
   for (uint32_t i = 0; i < job->task_count && job->waiting > 0; i++)
     {
-      if (task_is_due (job, &job->tasks[i]) && !task_place (job, i, !job->lent))
+      if (dks_ltask_is_due (job, &job->tasks[i]) && !task_place (job, i, !job->lent))
         left = true;
     }
   if (!left || job->lent)
     return;
-  lend_waiting (job, true);
+  dks_llend_waiting (job, true);
   for (uint32_t i = 0; i < job->task_count && job->waiting > 0; i++)
     {
-      if (job->tasks[i].wants_speed && task_is_due (job, &job->tasks[i]))
+      if (job->tasks[i].wants_speed && dks_ltask_is_due (job, &job->tasks[i]))
         task_place (job, i, false);
     }
   if (job->waiting > 0)
-    lend_waiting (job, false);
+    dks_llend_waiting (job, false);
 }
 
 void
@@ -656,7 +467,7 @@
 
   leased->pump_wanted = false;
   if (leased->term > 0 && leased->lost_tasks > 0)
-    ask_successors (leased);
+    dks_llend_ask_successors (leased);
   if (leased->term == 0 || leased->waiting_tasks == 0)
     return;
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_ljob_t, link)
@@ -705,8 +516,8 @@
   if (ahead + job->waiting <= room)
     return false;
   wait_us = INT64_C (1000) * backlog_ms (leased, ahead + job->waiting - room);
-  return now_us (leased) + wait_us > job->wait_until_us
-         && now_us (leased) + wait_us > job->latest_start_us;
+  return dks_lnow_us (leased) + wait_us > job->wait_until_us
+         && dks_lnow_us (leased) + wait_us > job->latest_start_us;
 }
 
 static bool
@@ -734,7 +545,7 @@
       /* One that was lent by an earlier leader waits until the targets' lists have been read. */
       if (task->state != DKS_LTASK_WAITING || job->resent)
         continue;
-      task_leave_waiting (job, task, DKS_LTASK_DONE);
+      dks_ltask_leave_waiting (job, task, DKS_LTASK_DONE);
       job->done++;
       send_lent_done (leased, job->origin, job->request, task->index, task->lent_run,
                       DKS_LENT_REFUSED);
@@ -755,7 +566,7 @@
     send_done (job->leased, job->origin, job->request, DKS_BATCH_LOST, 0, "submitted again");
   dks_strcpy (job->origin, sizeof (job->origin), origin);
   job->request = msg->u.work.request;
-  job->give_up_us = now_us (job->leased) - msg->u.work.age_us + msg->u.work.budget_us;
+  job->give_up_us = dks_lnow_us (job->leased) - msg->u.work.age_us + msg->u.work.budget_us;
   job_plan_timer (job);
 }
 
@@ -839,7 +650,7 @@
       job_answer (job, DKS_BATCH_FAILED, 0, "a task failed as often as it may");
       return;
     }
-  task->not_before_us = is_fault ? now_us (job->leased) + RETRY_PAUSE_US : 0;
+  task->not_before_us = is_fault ? dks_lnow_us (job->leased) + RETRY_PAUSE_US : 0;
   task_wait_again (job, task);
 }
 
@@ -907,7 +718,7 @@
   dks_ljob_t *job;
   dks_ljob_t *next;
 
-  dks_ljobs_handle_lender_lost (leased, peer);
+  dks_llend_handle_lender_lost (leased, peer);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_ljob_t, link)
     {
       if (strcmp (job->origin, peer) != 0)
--- /dev/null
+++ b/core/leased_lend.c
@@ -0,0 +1,192 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  LEND_CALLS_MAX = 32, /* messages about lent tasks of one job and one review */
+};
+
+static uint32_t
+lender_room (const dks_lpeer_t *peer, bool fast)
+{
+  return fast ? peer->free_fast_tasks : peer->free_tasks;
+}
+
+static dks_lpeer_t *
+choose_lender (dks_leased_t *leased, bool fast)
+{
+  dks_lpeer_t *peer;
+  dks_lpeer_t *best = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term == 0 || lender_room (peer, fast) == 0 || !dks_lpeer_is_alive (leased, peer)
+          || strcmp (peer->data_centre, leased->r->config.data_centre) == 0)
+        continue;
+      if (best == NULL || lender_room (peer, fast) > lender_room (best, fast))
+        best = peer;
+    }
+  return best;
+}
+
+static dks_batch_t *
+single_step_batch (const dks_batch_t *batch, uint32_t step)
+{
+  dks_batch_t *single = dks_batch_create (1);
+
+  dks_strcpy (single->id, sizeof (single->id), batch->id);
+  dks_strcpy (single->service, sizeof (single->service), batch->service);
+  dks_strcpy (single->queue, sizeof (single->queue), batch->queue);
+  single->priority = batch->priority;
+  single->max_attempts = batch->max_attempts;
+  single->spec = dks_blob_ref (batch->spec);
+  single->steps[0] = batch->steps[step];
+  single->steps[0].after = 0;
+  dks_batch_complete (single);
+  return single;
+}
+
+/* Sends due tasks of one step, as many as fit at the peer. */
+static void
+lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first, bool fast)
+{
+  dks_leased_t *leased = job->leased;
+  uint32_t step = job->tasks[first].batch_step;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+  uint32_t count = 0;
+
+  msg->u.work.lent = dks_alloc (job->task_count * sizeof (msg->u.work.lent[0]));
+  msg->u.work.runs = dks_alloc (job->task_count * sizeof (msg->u.work.runs[0]));
+  for (uint32_t i = first; i < job->task_count && lender_room (peer, fast) > 0; i++)
+    {
+      dks_ltask_t *task = &job->tasks[i];
+
+      if (task->batch_step != step || !dks_ltask_is_due (job, task) || (fast && !task->wants_speed))
+        continue;
+      task->run++;
+      msg->u.work.lent[count] = task->index;
+      msg->u.work.runs[count] = task->run;
+      count++;
+      peer->free_tasks -= peer->free_tasks > 0;
+      peer->free_fast_tasks -= peer->free_fast_tasks > 0;
+      dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+      dks_strcpy (task->lender_dc, sizeof (task->lender_dc), peer->data_centre);
+      dks_ltask_leave_waiting (job, task, DKS_LTASK_LENT);
+    }
+  msg->u.work.request = job->lend_id;
+  msg->u.work.batch = single_step_batch (job->batch, step);
+  msg->u.work.age_us = dks_lnow_us (leased) - job->arrival_us;
+  msg->u.work.objective_us = job->latest_end_us - job->arrival_us;
+  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
+  msg->u.work.step = job->tasks[first].step;
+  msg->u.work.lent_count = count;
+  dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=tasks-lent job=%s step=%u tasks=%u to=%s fast=%d",
+                job->batch->id, msg->u.work.step, count, peer->id, fast);
+  dks_emit_peer (leased->r, peer->id, msg);
+}
+
+void
+dks_llend_waiting (dks_ljob_t *job, bool fast)
+{
+  dks_leased_t *leased = job->leased;
+  uint32_t calls = 0;
+
+  /* Runs of a job that another leader had may be anywhere here; it is not spread further. */
+  if (job->resent)
+    return;
+  for (uint32_t i = 0; i < job->task_count && calls < LEND_CALLS_MAX; i++)
+    {
+      dks_lpeer_t *peer;
+
+      if (!dks_ltask_is_due (job, &job->tasks[i]) || (fast && !job->tasks[i].wants_speed))
+        continue;
+      peer = choose_lender (leased, fast);
+      if (peer == NULL)
+        return;
+      lend_tasks (job, peer, i, fast);
+      calls++;
+    }
+}
+
+/* The present leader of a data centre, not ourselves. */
+static dks_lpeer_t *
+find_leader (const dks_leased_t *leased, const char *data_centre)
+{
+  dks_lpeer_t *peer;
+  dks_lpeer_t *best = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
+          && strcmp (peer->data_centre, data_centre) == 0
+          && (best == NULL || peer->term > best->term))
+        best = peer;
+    }
+  return best;
+}
+
+/* Asks the successor of a lost lender for a task: whether it runs there. */
+static void
+task_ask_successor (dks_ljob_t *job, dks_ltask_t *task)
+{
+  dks_leased_t *leased = job->leased;
+  dks_lpeer_t *peer = find_leader (leased, task->lender_dc);
+  dks_msg_t *msg;
+
+  if (peer == NULL)
+    return;
+  leased->lost_tasks--;
+  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+  msg = dks_msg_create (DKS_MSG_WORK);
+  msg->u.work.lent = dks_alloc (sizeof (msg->u.work.lent[0]));
+  msg->u.work.runs = dks_alloc (sizeof (msg->u.work.runs[0]));
+  msg->u.work.lent[0] = task->index;
+  msg->u.work.runs[0] = task->run;
+  msg->u.work.lent_count = 1;
+  msg->u.work.request = job->lend_id;
+  msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
+  msg->u.work.age_us = dks_lnow_us (leased) - job->arrival_us;
+  msg->u.work.budget_us = job->give_up_us - job->arrival_us;
+  msg->u.work.step = task->step;
+  msg->u.work.resent = true;
+  dks_emit_peer (leased->r, peer->id, msg);
+}
+
+void
+dks_llend_ask_successors (dks_leased_t *leased)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          if (job->tasks[i].state == DKS_LTASK_LENT && job->tasks[i].peer[0] == '\0')
+            task_ask_successor (job, &job->tasks[i]);
+        }
+    }
+}
+
+void
+dks_llend_handle_lender_lost (dks_leased_t *leased, const char *peer)
+{
+  dks_ljob_t *job;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
+    {
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          dks_ltask_t *task = &job->tasks[i];
+
+          if (task->state != DKS_LTASK_LENT || strcmp (task->peer, peer) != 0)
+            continue;
+          task->peer[0] = '\0';
+          leased->lost_tasks++;
+        }
+    }
+}
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -321,7 +321,7 @@
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
-    dks_ljobs_handle_lender_lost (leased, peer->id);
+    dks_llend_handle_lender_lost (leased, peer->id);
   peer->told = true;
   peer->term = msg->u.leased_status.term;
   peer->started_ms = msg->u.leased_status.started_ms;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -18,43 +18,13 @@
   LAPSE_MARGIN_US = 60000, /* network and rounding, beyond the error of the target's clock */
   CLOCK_ERROR_PERCENT = 2, /* a target's clock may be slow by this much */
   RETRY_US = 200000,       /* between two looks at a silent target */
-  SILENT_CALLS_MAX = 2,    /* after this many calls without an answer no call extends the lease */
   FULL_PAUSE_US = 30000,   /* after a start was rejected for want of room */
-  UNLISTED_GRACE_US = 2500000, /* entries that lapsed while the store was away return within 2 s */
-  ORPHAN_US = 400000,          /* an adopted run that no job claims is stopped after this */
-  WATCH_INTERVAL_US = 50000,
-  SLOW_FLOOR_US = 120000,    /* a run is not looked at before this much over its estimate */
-  LOOK_INTERVAL_US = 250000, /* between two looks at a target because of slow runs */
-  STALLED_US = 400000,       /* a run without any progress for this long stands still */
-  EJECT_MIN_US = 1000000,
-  EJECT_MAX_US = 8000000,
-  EJECT_DOUBLINGS = 3,
-  MIN_PERCENT = 8,  /* progress below this says little, since it comes in whole percent */
-  OLD_RUN_SKIP = 8, /* run numbers that are passed over when one turns out to be used */
-  MIN_SAMPLES = 3   /* ends before a target's speed counts */
+  OLD_RUN_SKIP = 8,        /* run numbers that are passed over when one turns out to be used */
 };
 
-#define REVIEW_PART 0.6   /* of the caller's time: how much is left when a job's end is projected */
-#define SLOW_FACTOR 2.2   /* a run is looked at after this many times its expected time */
-#define SOUND_FACTOR 1.7  /* a target that is slower than the average by this much is not sound */
-#define FAST_FACTOR 1.0   /* a target is fast up to this part of the average slowness */
-#define SPARE_WEIGHT 0.5  /* of a target's speed for tasks that do not need it */
-#define SPEED_WEIGHT 0.04 /* of a new sample in a target's moving average */
-#define CHANGE_FACTOR 2.5 /* a sample this many times the average shows a change */
-#define CHANGE_WEIGHT 0.3 /* of such a sample */
-#define MEAN_WEIGHT 0.02  /* of a new sample in the moving averages of all targets */
-#define FAILURE_WEIGHT 0.3     /* of a new end in a target's failure rate */
-#define EJECT_RATE 0.5         /* failure rate above which a target is ejected */
-#define SLOWNESS_MAX 20.0      /* bound of one sample */
 #define FIRST_CPU_MILLI 4000.0 /* size of a task before the first is known */
 #define FIRST_RUN_US 200000.0  /* run time of a task before the first is known */
 
-static int64_t
-now_us (const dks_leased_t *leased)
-{
-  return leased->r->now.mono_us;
-}
-
 /* Runs */
 
 static void
@@ -146,7 +116,7 @@
 static int64_t
 target_deadline (const dks_ltarget_t *target, int64_t ahead_ms)
 {
-  return now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
+  return dks_lnow_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
 }
 
 /* Longest time after `extended_us` in which a run may last although nobody hears of it. */
@@ -160,7 +130,7 @@
 static bool
 may_extend (const dks_ltarget_t *target)
 {
-  return target->clock_known && target->adopted && target->silent_calls < SILENT_CALLS_MAX;
+  return target->clock_known && target->adopted && target->silent_calls < DKS_LSILENT_CALLS_MAX;
 }
 
 static void
@@ -170,13 +140,13 @@
   dks_effect_t *effect = lease_effect (target, DKS_EFFECT_LEASE_HOLD, wait_ms + ANSWER_TIMEOUT_MS);
 
   *op = effect->u.lease.op;
-  *sent_us = now_us (leased);
+  *sent_us = dks_lnow_us (leased);
   effect->u.lease.last_seen = target->last_seen;
   effect->u.lease.wait_ms = wait_ms;
   if (may_extend (target) && target->run_count > 0)
     {
       effect->u.lease.deadline_ms = target_deadline (target, LEASE_MS);
-      target->extended_us = now_us (leased);
+      target->extended_us = dks_lnow_us (leased);
     }
   apr_hash_set (leased->targets_by_op, op, sizeof (*op), target);
 }
@@ -195,8 +165,8 @@
 }
 
 /* Reads the lists at once. */
-static void
-target_look (dks_ltarget_t *target)
+void
+dks_ltarget_look (dks_ltarget_t *target)
 {
   if (!target->held)
     return;
@@ -269,7 +239,7 @@
 {
   dks_ltarget_t *target = context;
 
-  if (target->silent_calls >= SILENT_CALLS_MAX && time_us >= target_lapse_us (target))
+  if (target->silent_calls >= DKS_LSILENT_CALLS_MAX && time_us >= target_lapse_us (target))
     target_end_all (target, "silent");
   if (!target->listed && target->run_count == 0)
     target_free (target);
@@ -284,32 +254,32 @@
   dks_timers_t *timers = target->leased->r->timers;
 
   target->silent_calls++;
-  if (target->silent_calls == SILENT_CALLS_MAX)
+  if (target->silent_calls == DKS_LSILENT_CALLS_MAX)
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-silent target=%s runs=%u",
                   target->info.id, target->run_count);
-  if (target->silent_calls >= SILENT_CALLS_MAX && !dks_timer_is_armed (&target->lapse_timer))
+  if (target->silent_calls >= DKS_LSILENT_CALLS_MAX && !dks_timer_is_armed (&target->lapse_timer))
     dks_timer_set (timers, &target->lapse_timer, target_lapse_us (target));
   if (target->silent_calls > 1)
-    dks_timer_set (timers, &target->hold_timer, now_us (target->leased) + RETRY_US);
+    dks_timer_set (timers, &target->hold_timer, dks_lnow_us (target->leased) + RETRY_US);
 }
 
 static void
 target_note_answer (dks_ltarget_t *target, int64_t clock_ms)
 {
-  int64_t idle_ms = (now_us (target->leased) - target->heard_us) / 1000;
+  int64_t idle_ms = (dks_lnow_us (target->leased) - target->heard_us) / 1000;
   int64_t offset_ms;
 
-  if (target->silent_calls >= SILENT_CALLS_MAX)
+  if (target->silent_calls >= DKS_LSILENT_CALLS_MAX)
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-back target=%s",
                   target->info.id);
   target->silent_calls = 0;
-  target->heard_us = now_us (target->leased);
+  target->heard_us = dks_lnow_us (target->leased);
   if (target->listed)
     dks_timer_cancel (target->leased->r->timers, &target->lapse_timer);
   if (clock_ms == 0)
     return;
   /* The answer was written before now, so this never gives a later time than the target's. */
-  offset_ms = clock_ms - now_us (target->leased) / 1000 - 1;
+  offset_ms = clock_ms - dks_lnow_us (target->leased) / 1000 - 1;
   /* A target that has started anew counts its ends from 1 again. */
   if (target->clock_known && target->clock_offset_ms - offset_ms > CLOCK_JUMP_MS + idle_ms / 20)
     target->last_seen = 0;
@@ -333,98 +303,18 @@
   target->ejections = 0;
 }
 
-/* Health */
-
-static uint32_t
-count_ejected (const dks_leased_t *leased, uint32_t *held)
-{
-  const dks_ltarget_t *target;
-  uint32_t ejected = 0;
-
-  *held = 0;
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      if (!target->held || !target->listed)
-        continue;
-      (*held)++;
-      ejected += target->ejected_until_us > now_us (leased);
-    }
-  return ejected;
-}
-
-static void
-target_eject (dks_ltarget_t *target, const char *reason)
-{
-  dks_leased_t *leased = target->leased;
-  int64_t wait_us = (int64_t)EJECT_MIN_US
-                    << (target->ejections < EJECT_DOUBLINGS ? target->ejections : EJECT_DOUBLINGS);
-  uint32_t held;
-
-  if (target->ejected_until_us > now_us (leased) || 2 * (count_ejected (leased, &held) + 1) > held)
-    return;
-  if (wait_us > EJECT_MAX_US)
-    wait_us = EJECT_MAX_US;
-  target->ejections++;
-  target->ejected_until_us = now_us (leased) + wait_us;
-  dks_count (&leased->r->counters, DKS_COUNTER_EJECTIONS);
-  dks_emit_log (
-      leased->r, DKS_LOG_NOTICE,
-      "event=target-ejected target=%s reason=%s failure_rate=%.2f slowness=%.2f for_ms=%" PRId64,
-      target->info.id, reason, target->failure_rate, target->slowness, wait_us / 1000);
-}
-
-static void
-target_note_end (dks_ltarget_t *target, bool failed)
-{
-  target->failure_rate =
-      (1 - FAILURE_WEIGHT) * target->failure_rate + (failed ? FAILURE_WEIGHT : 0);
-  if (!failed)
-    target->ejections = 0;
-  else if (target->failure_rate > EJECT_RATE)
-    target_eject (target, "failures");
-}
-
-static void
-average (double *mean, double sample, double weight)
-{
-  *mean += weight * (sample - *mean);
-}
-
-static void
-target_note_speed (dks_ltarget_t *target, double slowness)
-{
-  dks_leased_t *leased = target->leased;
-  double weight;
-
-  if (slowness > SLOWNESS_MAX)
-    slowness = SLOWNESS_MAX;
-  /* Run times differ by a third from what is expected, so single ones say little, unless they are
-   * far off: then the target has just changed. */
-  weight = target->samples++ * SPEED_WEIGHT < 1 ? 1.0 / target->samples : SPEED_WEIGHT;
-  if (slowness > CHANGE_FACTOR * target->slowness && weight < CHANGE_WEIGHT)
-    weight = CHANGE_WEIGHT;
-  average (&target->slowness, slowness, weight);
-  average (&leased->slowness_mean, slowness, MEAN_WEIGHT);
-}
-
-static double
-target_slowness (const dks_ltarget_t *target)
-{
-  return target->samples >= MIN_SAMPLES ? target->slowness : target->leased->slowness_mean;
-}
-
 static void
 run_note_done (dks_lrun_t *run)
 {
   dks_leased_t *leased = run->leased;
-  double time_us = (double)(now_us (leased) - run->started_us);
+  double time_us = (double)(dks_lnow_us (leased) - run->started_us);
 
   if (run->adopted_us > 0 || run->expected_us <= 0 || run->job == NULL)
     return;
-  target_note_speed (run->target, time_us / run->expected_us);
+  dks_ltarget_note_speed (run->target, time_us / run->expected_us);
   dks_lestimate_note (leased, run->job->batch,
-                      time_us * leased->slowness_mean / target_slowness (run->target));
-  average (&leased->run_mean_us, time_us, MEAN_WEIGHT);
+                      time_us * leased->slowness_mean / dks_ltarget_slowness (run->target));
+  dks_laverage (&leased->run_mean_us, time_us, DKS_LMEAN_WEIGHT);
 }
 
 /* Lists of runs */
@@ -437,14 +327,14 @@
   if (end == DKS_RUN_DONE)
     run_note_done (run);
   if (end == DKS_RUN_DONE || fault)
-    target_note_end (run->target, fault);
+    dks_ltarget_note_end (run->target, fault);
   if (end != DKS_RUN_DONE && run->job != NULL)
     {
       dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_FAILED);
       dks_emit_log (run->leased->r, DKS_LOG_INFO,
                     "event=run-ended task=%s run=%u target=%s end=%s ran_ms=%" PRId64, run->name,
                     run->run, run->target->info.id, dks_run_end_name (end),
-                    (now_us (run->leased) - run->started_us) / 1000);
+                    (dks_lnow_us (run->leased) - run->started_us) / 1000);
     }
   run_end (run, end == DKS_RUN_DONE, fault);
 }
@@ -457,10 +347,10 @@
 
   run->state = DKS_LRUN_RUNNING;
   run->cpu_milli = (uint32_t)leased->cpu_mean;
-  run->started_us = now_us (leased);
-  run->acked_us = now_us (leased);
-  run->adopted_us = now_us (leased);
-  run->progress_us = now_us (leased);
+  run->started_us = dks_lnow_us (leased);
+  run->acked_us = dks_lnow_us (leased);
+  run->adopted_us = dks_lnow_us (leased);
+  run->progress_us = dks_lnow_us (leased);
   run->percent = row->percent;
   run_take_room (run);
 }
@@ -485,16 +375,16 @@
       if (run->state == DKS_LRUN_UNSURE)
         run->state = DKS_LRUN_RUNNING;
       if (run->acked_us == 0)
-        run->acked_us = now_us (target->leased);
+        run->acked_us = dks_lnow_us (target->leased);
       if (row->percent > run->percent)
-        run->progress_us = now_us (target->leased);
+        run->progress_us = dks_lnow_us (target->leased);
       run->percent = row->percent;
-      run->reported_us = now_us (target->leased);
+      run->reported_us = dks_lnow_us (target->leased);
       run->seen_us = sent_us;
     }
   APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
     {
-      if (run->seen_us == sent_us || run->adopted_us == now_us (target->leased))
+      if (run->seen_us == sent_us || run->adopted_us == dks_lnow_us (target->leased))
         continue;
       /* Not in the list although the start was answered before the list was asked for; or the
        * stop was, which fences the run off. */
@@ -555,7 +445,7 @@
       return;
     case DKS_LEASE_OTHER_LIFE:
       target_reborn (target, 0);
-      dks_timer_set (leased->r->timers, &target->hold_timer, now_us (leased) + RETRY_US);
+      dks_timer_set (leased->r->timers, &target->hold_timer, dks_lnow_us (leased) + RETRY_US);
       break;
     case DKS_LEASE_NOT_SENT:
     case DKS_LEASE_UNANSWERED:
@@ -564,11 +454,11 @@
     default:
       dks_emit_log (leased->r, DKS_LOG_WARNING, "event=hold-rejected target=%s status=%s",
                     target->info.id, dks_lease_status_name (event->u.lease_reply.status));
-      dks_timer_set (leased->r->timers, &target->hold_timer, now_us (leased) + RETRY_US);
+      dks_timer_set (leased->r->timers, &target->hold_timer, dks_lnow_us (leased) + RETRY_US);
       break;
     }
   if (target->look_again && target->look_op == 0)
-    target_look (target);
+    dks_ltarget_look (target);
   target_hold (target);
 }
 
@@ -592,8 +482,8 @@
   run->memory_mb = step->memory_mb;
   run->accelerators = step->accelerators;
   run->expected_us = dks_lestimate_run_us (leased, job->batch, entry->batch_step);
-  run->started_us = now_us (leased);
-  run->progress_us = now_us (leased);
+  run->started_us = dks_lnow_us (leased);
+  run->progress_us = dks_lnow_us (leased);
   run->op = effect->u.lease.op;
   run_take_room (run);
   entry->current = run;
@@ -602,8 +492,8 @@
   effect->u.lease.run = run->run;
   effect->u.lease.spec = dks_blob_ref (job->batch->spec);
   effect->u.lease.deadline_ms = target_deadline (target, START_LEASE_MS);
-  target->extended_us = now_us (leased);
-  average (&leased->cpu_mean, step->cpu_milli, MEAN_WEIGHT);
+  target->extended_us = dks_lnow_us (leased);
+  dks_laverage (&leased->cpu_mean, step->cpu_milli, DKS_LMEAN_WEIGHT);
   dks_count (&leased->r->counters, DKS_COUNTER_STARTS);
   dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=run-sent task=%s run=%u target=%s", name, run->run,
                 target->info.id);
@@ -664,7 +554,7 @@
       target_note_answer (target, event->u.lease_reply.clock_ms);
       if (run->state == DKS_LRUN_STARTING)
         run->state = DKS_LRUN_RUNNING;
-      run->acked_us = now_us (leased);
+      run->acked_us = dks_lnow_us (leased);
       target_hold (target);
       return;
     case DKS_LEASE_FENCED:
@@ -677,7 +567,7 @@
                     run->name, run->run, target->info.id);
       /* A list may have shown it already. */
       run->state = run->acked_us > 0 ? DKS_LRUN_RUNNING : DKS_LRUN_UNSURE;
-      target_look (target);
+      dks_ltarget_look (target);
       return;
     case DKS_LEASE_NOT_SENT:
       target_note_silence (target);
@@ -689,16 +579,16 @@
       target_hold (target);
       return;
     case DKS_LEASE_NO_ROOM:
-      target->full_until_us = now_us (leased) + FULL_PAUSE_US;
-      target_look (target);
+      target->full_until_us = dks_lnow_us (leased) + FULL_PAUSE_US;
+      dks_ltarget_look (target);
       break;
     case DKS_LEASE_BUSY:
-      target_note_end (target, true);
-      target_eject (target, "unhealthy");
+      dks_ltarget_note_end (target, true);
+      dks_ltarget_eject (target, "unhealthy");
       break;
     case DKS_LEASE_LATE:
       target->clock_known = false;
-      target_look (target);
+      dks_ltarget_look (target);
       break;
     case DKS_LEASE_OLD_RUN:
       /* An earlier sender of the job has had runs there. */
@@ -727,18 +617,18 @@
       run->state = DKS_LRUN_UNSURE;
       if (run->job == NULL)
         run->adopted_us = run->adopted_us > 0 ? run->adopted_us : 1;
-      target_look (target);
+      dks_ltarget_look (target);
       return;
     case DKS_LEASE_OTHER_LIFE:
       target_reborn (target, 0);
       return;
     default:
-      run->acked_us = now_us (run->leased);
+      run->acked_us = dks_lnow_us (run->leased);
       target_note_answer (target, event->u.lease_reply.clock_ms);
       /* A run that was there is listed when it has ended, another one is missing in the list. */
       if (target->hold_op == 0)
         target_hold (target);
-      target_look (target);
+      dks_ltarget_look (target);
       return;
     }
 }
@@ -767,130 +657,6 @@
     }
 }
 
-/* Slow and orphaned runs */
-
-static bool
-has_better_place (dks_lrun_t *run)
-{
-  dks_ltask_t *task = &run->job->tasks[run->task];
-  dks_ltarget_t *other;
-
-  dks_strcpy (task->avoid, sizeof (task->avoid), run->target->info.id);
-  other = dks_ltargets_choose (run->leased, run->job, task);
-  return other != NULL && other != run->target;
-}
-
-/* Whether starting anew elsewhere would end sooner than this run. */
-static bool
-run_is_hopeless (const dks_lrun_t *run)
-{
-  int64_t ran_us = now_us (run->leased) - run->started_us;
-  double left_us;
-
-  if (run->percent == 0)
-    return now_us (run->leased) - run->progress_us > STALLED_US;
-  if (now_us (run->leased) - run->progress_us > STALLED_US)
-    return true;
-  left_us = (double)ran_us * (100 - run->percent) / run->percent;
-  return left_us > 1.3 * run->expected_us;
-}
-
-/* Whether the run cannot end before its caller leaves, by the progress that the target reported at
- * or after `since_us`. */
-static bool
-run_ends_too_late (const dks_lrun_t *run, int64_t since_us)
-{
-  int64_t ran_us = run->reported_us - run->started_us;
-  double left_us;
-
-  if (run->reported_us < since_us || run->percent < MIN_PERCENT)
-    return false;
-  left_us = (double)ran_us * (100 - run->percent - 1) / (run->percent + 1);
-  return run->reported_us + (int64_t)left_us > run->job->give_up_us;
-}
-
-static void
-watch_run (dks_lrun_t *run)
-{
-  dks_ltarget_t *target = run->target;
-  int64_t ran_us = now_us (run->leased) - run->started_us;
-  int64_t review_us;
-
-  if (run->job == NULL)
-    {
-      if (run->state != DKS_LRUN_STOPPING && run->adopted_us > 0
-          && now_us (run->leased) - run->adopted_us > ORPHAN_US)
-        {
-          dks_emit_log (run->leased->r, DKS_LOG_INFO, "event=orphan-stopped task=%s run=%u",
-                        run->name, run->run);
-          dks_lrun_stop (run);
-        }
-      return;
-    }
-  if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0)
-    return;
-  review_us = run->job->give_up_us
-              - (int64_t)(REVIEW_PART * (double)(run->job->give_up_us - run->job->arrival_us));
-  if (now_us (run->leased) >= review_us && !run->job->lent)
-    {
-      if (run_ends_too_late (run, review_us))
-        {
-          dks_emit_log (
-              run->leased->r, DKS_LOG_INFO,
-              "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
-              " expected_ms=%.0f left_ms=%" PRId64,
-              run->name, target->info.id, target->slowness, run->percent,
-              (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
-              (run->job->give_up_us - run->reported_us) / 1000);
-          dks_ljobs_give_up (run->job);
-          return;
-        }
-      if (run->reported_us < review_us && target->look_us < review_us)
-        target_look (target);
-    }
-  if (ran_us < (int64_t)(SLOW_FACTOR * run->expected_us) + SLOW_FLOOR_US)
-    return;
-  if (run->reported_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
-      && has_better_place (run))
-    {
-      dks_emit_log (run->leased->r, DKS_LOG_INFO,
-                    "event=run-moved task=%s run=%u target=%s percent=%u ran_ms=%" PRId64,
-                    run->name, run->run, target->info.id, run->percent, ran_us / 1000);
-      if (!run->was_restarted)
-        target_note_speed (target, (double)ran_us / (run->expected_us + 1)
-                                       * (run->percent > 0 ? 100.0 / run->percent : 2));
-      run->was_restarted = true;
-      if (run->percent == 0)
-        target_eject (target, "stalled");
-      dks_lrun_fence (run);
-      return;
-    }
-  if (now_us (run->leased) - target->look_us > LOOK_INTERVAL_US)
-    target_look (target);
-}
-
-static void
-handle_watch_timer (void *context, int64_t time_us)
-{
-  dks_leased_t *leased = context;
-  dks_ltarget_t *target;
-
-  dks_timer_set (leased->r->timers, &leased->watch_timer, time_us + WATCH_INTERVAL_US);
-  if (leased->term == 0)
-    return;
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      dks_lrun_t *run;
-      dks_lrun_t *next;
-
-      if (!target->held || target->silent_calls >= SILENT_CALLS_MAX)
-        continue;
-      APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
-        watch_run (run);
-    }
-  leased->pump_wanted = true;
-}
-
 /* The list of targets */
 
 static bool
@@ -912,7 +678,7 @@
   target->hold_op = 0;
   target->look_op = 0;
   /* Until the lists have been read, whatever ran there may have been extended just now. */
-  target->extended_us = now_us (leased);
+  target->extended_us = dks_lnow_us (leased);
   target_hold (target);
 }
 
@@ -963,11 +729,12 @@
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-unlisted target=%s runs=%u", id,
                 target->run_count);
   target->listed = false;
-  target->unlisted_us = now_us (leased);
+  target->unlisted_us = dks_lnow_us (leased);
   if (!target->held)
     target_free (target);
   else if (!dks_timer_is_armed (&target->lapse_timer))
-    dks_timer_set (leased->r->timers, &target->lapse_timer, now_us (leased) + UNLISTED_GRACE_US);
+    dks_timer_set (leased->r->timers, &target->lapse_timer,
+                   dks_lnow_us (leased) + DKS_LUNLISTED_GRACE_US);
 }
 
 void
@@ -998,7 +765,7 @@
 
   APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
     {
-      if (target->held && !target->adopted && now_us (leased) < target_lapse_us (target))
+      if (target->held && !target->adopted && dks_lnow_us (leased) < target_lapse_us (target))
         return false;
     }
   return leased->term > 0 && dks_lfeed_knows_targets (leased);
@@ -1028,174 +795,6 @@
   return apr_hash_get (leased->runs_by_name, name, APR_HASH_KEY_STRING);
 }
 
-/* Choice of a target */
-
-static bool
-is_usable (const dks_ltarget_t *target)
-{
-  const dks_leased_t *leased = target->leased;
-  int64_t time_us = now_us (leased);
-
-  return target->held && target->adopted && target->clock_known && !target->info.leaving
-         && target->silent_calls == 0
-         && (target->listed || time_us - target->unlisted_us < UNLISTED_GRACE_US)
-         && target->ejected_until_us <= time_us && target->full_until_us <= time_us;
-}
-
-static bool
-has_label (const dks_ltarget_t *target, const char *label)
-{
-  for (uint32_t i = 0; i < target->info.label_count; i++)
-    {
-      if (strcmp (target->info.labels[i], label) == 0)
-        return true;
-    }
-  return false;
-}
-
-/* Whether the step fits on the idle target. */
-static bool
-could_run (const dks_ltarget_t *target, const dks_batch_t *batch, const dks_batch_step_t *step)
-{
-  return strcmp (target->info.service, batch->service) == 0
-         && step->cpu_milli <= target->info.cpu_milli && step->memory_mb <= target->info.memory_mb
-         && step->accelerators <= target->info.accelerators
-         && (step->required_label[0] == '\0' || has_label (target, step->required_label));
-}
-
-static bool
-has_room (const dks_ltarget_t *target, const dks_batch_step_t *step)
-{
-  return target->cpu_used + step->cpu_milli <= target->info.cpu_milli
-         && target->memory_used + step->memory_mb <= target->info.memory_mb
-         && target->accelerators_used + step->accelerators <= target->info.accelerators;
-}
-
-static uint32_t
-count_step_runs (const dks_ltarget_t *target, const dks_ljob_t *job, uint32_t batch_step)
-{
-  const dks_lrun_t *run;
-  uint32_t count = 0;
-
-  APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
-    count += run->job == job && job->tasks[run->task].batch_step == batch_step;
-  return count;
-}
-
-/* Expected relative run time; ties go to the target on which the least room is left over. */
-static double
-placement_cost (const dks_ltarget_t *target, const dks_ltask_t *task, const dks_batch_step_t *step)
-{
-  const dks_leased_t *leased = target->leased;
-  double slowness = target_slowness (target);
-  double cost = slowness;
-  uint32_t left = target->info.cpu_milli - target->cpu_used - step->cpu_milli;
-
-  /* Fast targets are kept for tasks that need them: others go to the slowest one that is sound and
-   * serves them in time. */
-  if (!task->is_tight && slowness < SOUND_FACTOR * leased->slowness_mean)
-    cost = SPARE_WEIGHT * (SOUND_FACTOR * leased->slowness_mean - slowness);
-  if (step->near_label[0] != '\0' && !has_label (target, step->near_label))
-    cost *= leased->r->config.remote_factor;
-  if (strcmp (task->avoid, target->info.id) == 0)
-    cost += SLOWNESS_MAX;
-  cost += target->failure_rate;
-  return cost + 0.1 * left / (target->info.cpu_milli + 1.0);
-}
-
-dks_ltarget_t *
-dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job, const dks_ltask_t *task)
-{
-  const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
-  dks_ltarget_t *target;
-  dks_ltarget_t *best = NULL;
-  double best_cost = 0;
-
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      double cost;
-
-      if (!is_usable (target) || !could_run (target, job->batch, step) || !has_room (target, step))
-        continue;
-      if (step->max_per_target > 0
-          && count_step_runs (target, job, task->batch_step) >= step->max_per_target)
-        continue;
-      cost = placement_cost (target, task, step);
-      if (best != NULL && cost >= best_cost)
-        continue;
-      best = target;
-      best_cost = cost;
-    }
-  return best;
-}
-
-bool
-dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
-                           const dks_batch_step_t *step)
-{
-  const dks_ltarget_t *target;
-
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      if (!target->info.leaving && could_run (target, batch, step))
-        return true;
-    }
-  return false;
-}
-
-static uint32_t
-tasks_in (uint32_t cpu_milli, const dks_leased_t *leased)
-{
-  return (uint32_t)(cpu_milli / leased->cpu_mean);
-}
-
-bool
-dks_ltarget_is_fast (const dks_ltarget_t *target)
-{
-  return target_slowness (target) <= FAST_FACTOR * target->leased->slowness_mean;
-}
-
-static uint32_t
-count_free (const dks_leased_t *leased, bool fast_only)
-{
-  const dks_ltarget_t *target;
-  uint32_t count = 0;
-
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      if (is_usable (target) && target->info.cpu_milli > target->cpu_used
-          && (!fast_only || dks_ltarget_is_fast (target)))
-        count += tasks_in (target->info.cpu_milli - target->cpu_used, leased);
-    }
-  return count;
-}
-
-uint32_t
-dks_ltargets_free_tasks (const dks_leased_t *leased)
-{
-  return count_free (leased, false);
-}
-
-uint32_t
-dks_ltargets_free_fast_tasks (const dks_leased_t *leased)
-{
-  return count_free (leased, true);
-}
-
-uint32_t
-dks_ltargets_capacity (const dks_leased_t *leased)
-{
-  const dks_ltarget_t *target;
-  uint32_t count = 0;
-
-  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
-    {
-      if (is_usable (target))
-        count += tasks_in (target->info.cpu_milli, leased);
-    }
-  return count;
-}
-
 void
 dks_ltargets_init (dks_leased_t *leased)
 {
@@ -1207,8 +806,6 @@
   leased->cpu_mean = FIRST_CPU_MILLI;
   leased->run_mean_us = FIRST_RUN_US;
   leased->slowness_mean = 1;
-  dks_timer_init (&leased->watch_timer, handle_watch_timer, leased);
-  dks_timer_set (leased->r->timers, &leased->watch_timer, now_us (leased) + WATCH_INTERVAL_US);
 }
 
 void
@@ -1216,5 +813,4 @@
 {
   while (!APR_RING_EMPTY (&leased->targets, dks_ltarget_t, link))
     target_free (APR_RING_FIRST (&leased->targets));
-  dks_timer_cancel (leased->r->timers, &leased->watch_timer);
 }
--- /dev/null
+++ b/core/leased_watch.c
@@ -0,0 +1,155 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  ORPHAN_US = 400000, /* an adopted run that no job claims is stopped after this */
+  WATCH_INTERVAL_US = 50000,
+  SLOW_FLOOR_US = 120000,    /* a run is not looked at before this much over its estimate */
+  LOOK_INTERVAL_US = 250000, /* between two looks at a target because of slow runs */
+  STALLED_US = 400000,       /* a run without any progress for this long stands still */
+  MIN_PERCENT = 8,           /* progress below this says little, since it comes in whole percent */
+};
+
+#define REVIEW_PART 0.6 /* of the caller's time: how much is left when a job's end is projected */
+#define SLOW_FACTOR 2.2 /* a run is looked at after this many times its expected time */
+
+static bool
+has_better_place (dks_lrun_t *run)
+{
+  dks_ltask_t *task = &run->job->tasks[run->task];
+  dks_ltarget_t *other;
+
+  dks_strcpy (task->avoid, sizeof (task->avoid), run->target->info.id);
+  other = dks_ltargets_choose (run->leased, run->job, task);
+  return other != NULL && other != run->target;
+}
+
+/* Whether starting anew elsewhere would end sooner than this run. */
+static bool
+run_is_hopeless (const dks_lrun_t *run)
+{
+  int64_t ran_us = dks_lnow_us (run->leased) - run->started_us;
+  double left_us;
+
+  if (run->percent == 0)
+    return dks_lnow_us (run->leased) - run->progress_us > STALLED_US;
+  if (dks_lnow_us (run->leased) - run->progress_us > STALLED_US)
+    return true;
+  left_us = (double)ran_us * (100 - run->percent) / run->percent;
+  return left_us > 1.3 * run->expected_us;
+}
+
+/* Whether the run cannot end before its caller leaves, by the progress that the target reported at
+ * or after `since_us`. */
+static bool
+run_ends_too_late (const dks_lrun_t *run, int64_t since_us)
+{
+  int64_t ran_us = run->reported_us - run->started_us;
+  double left_us;
+
+  if (run->reported_us < since_us || run->percent < MIN_PERCENT)
+    return false;
+  left_us = (double)ran_us * (100 - run->percent - 1) / (run->percent + 1);
+  return run->reported_us + (int64_t)left_us > run->job->give_up_us;
+}
+
+static void
+watch_run (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+  int64_t ran_us = dks_lnow_us (run->leased) - run->started_us;
+  int64_t review_us;
+
+  if (run->job == NULL)
+    {
+      if (run->state != DKS_LRUN_STOPPING && run->adopted_us > 0
+          && dks_lnow_us (run->leased) - run->adopted_us > ORPHAN_US)
+        {
+          dks_emit_log (run->leased->r, DKS_LOG_INFO, "event=orphan-stopped task=%s run=%u",
+                        run->name, run->run);
+          dks_lrun_stop (run);
+        }
+      return;
+    }
+  if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0)
+    return;
+  review_us = run->job->give_up_us
+              - (int64_t)(REVIEW_PART * (double)(run->job->give_up_us - run->job->arrival_us));
+  if (dks_lnow_us (run->leased) >= review_us && !run->job->lent)
+    {
+      if (run_ends_too_late (run, review_us))
+        {
+          dks_emit_log (
+              run->leased->r, DKS_LOG_INFO,
+              "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
+              " expected_ms=%.0f left_ms=%" PRId64,
+              run->name, target->info.id, target->slowness, run->percent,
+              (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
+              (run->job->give_up_us - run->reported_us) / 1000);
+          dks_ljobs_give_up (run->job);
+          return;
+        }
+      if (run->reported_us < review_us && target->look_us < review_us)
+        dks_ltarget_look (target);
+    }
+  if (ran_us < (int64_t)(SLOW_FACTOR * run->expected_us) + SLOW_FLOOR_US)
+    return;
+  if (run->reported_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
+      && has_better_place (run))
+    {
+      dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                    "event=run-moved task=%s run=%u target=%s percent=%u ran_ms=%" PRId64,
+                    run->name, run->run, target->info.id, run->percent, ran_us / 1000);
+      if (!run->was_restarted)
+        dks_ltarget_note_speed (target, (double)ran_us / (run->expected_us + 1)
+                                            * (run->percent > 0 ? 100.0 / run->percent : 2));
+      run->was_restarted = true;
+      if (run->percent == 0)
+        dks_ltarget_eject (target, "stalled");
+      dks_lrun_fence (run);
+      return;
+    }
+  if (dks_lnow_us (run->leased) - target->look_us > LOOK_INTERVAL_US)
+    dks_ltarget_look (target);
+}
+
+static void
+handle_watch_timer (void *context, int64_t time_us)
+{
+  dks_leased_t *leased = context;
+  dks_ltarget_t *target;
+
+  dks_timer_set (leased->r->timers, &leased->watch_timer, time_us + WATCH_INTERVAL_US);
+  if (leased->term == 0)
+    return;
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      dks_lrun_t *run;
+      dks_lrun_t *next;
+
+      if (!target->held || target->silent_calls >= DKS_LSILENT_CALLS_MAX)
+        continue;
+      APR_RING_FOREACH_SAFE (run, next, &target->runs, dks_lrun_t, link)
+        watch_run (run);
+    }
+  leased->pump_wanted = true;
+}
+
+void
+dks_lwatch_init (dks_leased_t *leased)
+{
+  dks_timer_init (&leased->watch_timer, handle_watch_timer, leased);
+  dks_timer_set (leased->r->timers, &leased->watch_timer, dks_lnow_us (leased) + WATCH_INTERVAL_US);
+}
+
+void
+dks_lwatch_clear (dks_leased_t *leased)
+{
+  dks_timer_cancel (leased->r->timers, &leased->watch_timer);
+}
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -15,6 +15,17 @@
 
 #include "core/state.h"
 
+enum
+{
+  /** Calls without an answer after which no call extends a target's lease any more. */
+  DKS_LSILENT_CALLS_MAX = 2,
+  /** Entries that lapsed while the platform's store was away return within 2 s. */
+  DKS_LUNLISTED_GRACE_US = 2500000
+};
+
+#define DKS_LMEAN_WEIGHT 0.02  /**< of a new sample in the moving averages of all targets */
+#define DKS_LSLOWNESS_MAX 20.0 /**< bound of one sample of a target's slowness */
+
 typedef struct dks_leased_t dks_leased_t;
 typedef struct dks_lpeer_t dks_lpeer_t;
 typedef struct dks_ltarget_t dks_ltarget_t;
@@ -283,6 +294,12 @@
   int64_t drain_us; /**< when the drain began, 0 before */
 };
 
+static inline int64_t
+dks_lnow_us (const dks_leased_t *leased)
+{
+  return leased->r->now.mono_us;
+}
+
 /* leased.c */
 dks_leased_t *dks_leased_create (dks_reducer_t *r);
 void dks_leased_destroy (dks_leased_t *leased);
@@ -340,12 +357,6 @@
 void dks_ltargets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
 /** Whether the lists of all reachable targets have been read since our leadership began. */
 bool dks_ltargets_are_adopted (const dks_leased_t *leased);
-/** Best target for a task now, or NULL. */
-dks_ltarget_t *
-dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job, const dks_ltask_t *task);
-/** Whether any held target could ever run the step. */
-bool dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
-                                const dks_batch_step_t *step);
 /** Starts a run of the task. */
 void
 dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task);
@@ -355,6 +366,17 @@
 void dks_lrun_fence (dks_lrun_t *run);
 /** Latest run of a task on our targets that has not surely ended; NULL if there is none. */
 dks_lrun_t *dks_ltargets_find_run (dks_leased_t *leased, const char *name);
+
+/** Reads a target's lists at once. */
+void dks_ltarget_look (dks_ltarget_t *target);
+
+/* leased_place.c */
+/** Best target for a task now, or NULL. */
+dks_ltarget_t *
+dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job, const dks_ltask_t *task);
+/** Whether any target could ever run the step. */
+bool dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
+                                const dks_batch_step_t *step);
 /** Tasks of the usual size that fit now. */
 uint32_t dks_ltargets_free_tasks (const dks_leased_t *leased);
 /** The same on targets of more than average speed. */
@@ -364,7 +386,36 @@
 /** Tasks of the usual size that fit on idle targets. */
 uint32_t dks_ltargets_capacity (const dks_leased_t *leased);
 
+/* leased_health.c */
+/** Gives the target no work for a while, unless half of the targets are ejected already. */
+void dks_ltarget_eject (dks_ltarget_t *target, const char *reason);
+/** A run on the target ended by itself. */
+void dks_ltarget_note_end (dks_ltarget_t *target, bool failed);
+/** A run took `slowness` times as long as expected. */
+void dks_ltarget_note_speed (dks_ltarget_t *target, double slowness);
+/** Run time over the expected one; that of all targets while too few runs are known. */
+double dks_ltarget_slowness (const dks_ltarget_t *target);
+/** Moves `mean` towards `sample` by the part `weight` of their difference. */
+void dks_laverage (double *mean, double sample, double weight);
+
+/* leased_watch.c */
+void dks_lwatch_init (dks_leased_t *leased);
+void dks_lwatch_clear (dks_leased_t *leased);
+
+/* leased_lend.c */
+/** Lends due tasks to leaders of other data centres that told of room; with `fast`, only those that
+ * need a fast target, to those that have one free. */
+void dks_llend_waiting (dks_ljob_t *job, bool fast);
+/** Asks the successors of lost lenders for lent tasks. */
+void dks_llend_ask_successors (dks_leased_t *leased);
+/** The peer does not lead any more: the next leader of its data centre is asked for lent tasks. */
+void dks_llend_handle_lender_lost (dks_leased_t *leased, const char *peer);
+
 /* leased_jobs.c */
+/** Whether the task may start now: it waits, and the steps before it have ended. */
+bool dks_ltask_is_due (const dks_ljob_t *job, const dks_ltask_t *task);
+/** The task was started, lent or ended. */
+void dks_ltask_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state);
 void dks_ljobs_init (dks_leased_t *leased);
 void dks_ljobs_clear (dks_leased_t *leased);
 /** Takes a job of an entry instance (ourselves included) or lent tasks. */
@@ -373,8 +424,6 @@
 void dks_ljobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg);
 /** The sender of jobs, or the borrower or lender of tasks, is gone. */
 void dks_ljobs_handle_peer_gone (dks_leased_t *leased, const char *peer);
-/** The peer does not lead any more: the next leader of its data centre is asked for lent tasks. */
-void dks_ljobs_handle_lender_lost (dks_leased_t *leased, const char *peer);
 /** We stopped leading: all jobs go, their senders submit them to the next leader. */
 void dks_ljobs_drop_all (dks_leased_t *leased);
 /** Places waiting tasks. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -289,7 +289,7 @@
           if (!instances[other]->up || instances[other]->member != effect.u.peer_send.peer
               || !is_linked (index, other))
             continue;
-          dks_msg_t *msg = dks_msg_ref (effect.u.peer_send.msg);
+          std::shared_ptr<dks_msg_t> msg (dks_msg_ref (effect.u.peer_send.msg), dks_msg_unref);
           std::string from = instances[index]->member;
           std::string to = instances[other]->member;
           deliver (now_us + peer_delay_us, other, [this, index, other, msg, from, to] {
@@ -297,11 +297,10 @@
 
             event.type = DKS_EVENT_PEER_MSG;
             event.u.peer_msg.peer = from.c_str ();
-            event.u.peer_msg.msg = msg;
+            event.u.peer_msg.msg = msg.get ();
             if (is_linked (index, other) && instances[other]->member == to
                 && instances[index]->member == from)
               apply (other, &event);
-            dks_msg_unref (msg);
           });
         }
       break;
