leased: tell only leaders of the room between heartbeats

Cause: each change of the room sent a status message to all instances, up to 200 a second; with 37 instances of 0.12 cores that alone is more than they have. Change: between two heartbeats of 100 ms only leaders are told; a change of leadership, of the configuration or a shutdown goes to all at once.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -388,7 +388,7 @@
     return;
   leased->drain_us = dks_lnow_us (leased);
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=drain-start requests=%u", leased->request_count);
-  dks_lmembers_touch (leased);
+  dks_lmembers_announce (leased);
 }
 
 bool
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -111,7 +111,7 @@
   leased->catalog_record = dks_catalog_encode (catalog);
   dks_count (&leased->r->counters, DKS_COUNTER_SETTINGS_APPLIED);
   dks_lmembers_spread_catalog (leased);
-  dks_lmembers_touch (leased);
+  dks_lmembers_announce (leased);
 }
 
 bool
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -104,16 +104,22 @@
   dks_emit_peer (leased->r, peer, msg);
 }
 
+/* Between two heartbeats only leaders are told of changes of the room. */
 static void
-send_status_to_all (dks_leased_t *leased)
+send_status_to_peers (dks_leased_t *leased)
 {
+  int64_t time_us = leased->r->now.mono_us;
+  bool to_all = leased->status_changed || time_us - leased->heartbeat_us >= STATUS_INTERVAL_US;
   dks_lpeer_t *peer;
 
   leased->status_dirty = false;
-  leased->status_us = leased->r->now.mono_us;
+  leased->status_changed = false;
+  leased->status_us = time_us;
+  if (to_all)
+    leased->heartbeat_us = time_us;
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
-      if (peer->up)
+      if (peer->up && (to_all || peer->term > 0))
         send_status (leased, peer->id);
     }
 }
@@ -121,9 +127,12 @@
 static void
 plan_status (dks_leased_t *leased)
 {
-  int64_t wait_us = leased->status_dirty ? STATUS_SOON_US : STATUS_INTERVAL_US;
+  int64_t at_us = leased->heartbeat_us + STATUS_INTERVAL_US;
 
-  dks_timer_set (leased->r->timers, &leased->status_timer, leased->status_us + wait_us);
+  if ((leased->status_dirty || leased->status_changed)
+      && leased->status_us + STATUS_SOON_US < at_us)
+    at_us = leased->status_us + STATUS_SOON_US;
+  dks_timer_set (leased->r->timers, &leased->status_timer, at_us);
 }
 
 static void
@@ -185,7 +194,7 @@
   check_silent (leased);
   drop_forgotten (leased);
   dks_lmembers_review (leased);
-  send_status_to_all (leased);
+  send_status_to_peers (leased);
   plan_status (leased);
 }
 
@@ -198,6 +207,13 @@
   plan_status (leased);
 }
 
+void
+dks_lmembers_announce (dks_leased_t *leased)
+{
+  leased->status_changed = true;
+  plan_status (leased);
+}
+
 void
 dks_lmembers_spread_catalog (dks_leased_t *leased)
 {
@@ -364,7 +380,7 @@
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
                 leased->r->config.data_centre, term);
   dks_ltargets_handle_leadership (leased);
-  dks_lmembers_touch (leased);
+  dks_lmembers_announce (leased);
 }
 
 static void
@@ -375,7 +391,7 @@
   leased->term = 0;
   dks_ljobs_drop_all (leased);
   dks_ltargets_handle_leadership (leased);
-  dks_lmembers_touch (leased);
+  dks_lmembers_announce (leased);
 }
 
 /* Whether another instance of our data centre is the better candidate: it is not draining, and has
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -250,9 +250,11 @@
   int64_t event_us; /**< time of the latest event */
   uint64_t term;    /**< of our leadership, 0: we do not lead */
   uint64_t highest_term;
-  int64_t fenced_us; /**< when a target last rejected our fence, 0 for never */
-  bool status_dirty; /**< peers have to be told soon */
-  int64_t status_us; /**< when peers were last told */
+  int64_t fenced_us;    /**< when a target last rejected our fence, 0 for never */
+  bool status_dirty;    /**< other leaders have to be told of the room soon */
+  bool status_changed;  /**< all peers have to be told soon */
+  int64_t status_us;    /**< when any peer was last told */
+  int64_t heartbeat_us; /**< when all were */
   dks_timer_t status_timer;
   char addresses[DKS_MEMBERS_MAX][DKS_ADDRESS_SIZE]; /**< peer addresses that we dial */
   uint32_t address_count;
@@ -327,8 +329,10 @@
 void dks_lmembers_handle_fenced (dks_leased_t *leased);
 /** Elects, or stops to lead, as what is known of the others demands. */
 void dks_lmembers_review (dks_leased_t *leased);
-/** Tells all peers about our state soon. */
+/** Tells the other leaders about our room soon. */
 void dks_lmembers_touch (dks_leased_t *leased);
+/** Tells all peers soon that we lead, do not lead any more, or shut down. */
+void dks_lmembers_announce (dks_leased_t *leased);
 /** Sends the configuration in force to peers that have an older one. */
 void dks_lmembers_spread_catalog (dks_leased_t *leased);
 /** Sends the list of targets to a peer that cannot read it. */
