leased: size of adopted runs, bound of a step on one target

Cause (found by reading): a run that a new leader adopts kept the average size after its job had claimed it, and on a target that does not guard its room several such runs could be taken for less than they are; the bound of a step's tasks on one target was counted by the job object, of which a lender has several. Change: a claim sets the size; an unclaimed run on an unguarded target takes all its room; the bound is counted by the names of the runs. Test: StepKeepsItsBoundOnOneTarget; it also passes without the change, so it guards the behaviour, not this gap.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -358,6 +358,7 @@
 {
   dks_ltask_t *task = &job->tasks[index];
 
+  dks_lrun_set_size (run, &job->batch->steps[task->batch_step]);
   run->job = job;
   run->task = index;
   run->expected_us = dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -47,14 +47,19 @@
          && target->accelerators_used + step->accelerators <= target->info.accelerators;
 }
 
+/* Runs of the job's step on the target, also those of an earlier sender, or lent apart. */
 static uint32_t
-count_step_runs (const dks_ltarget_t *target, const dks_ljob_t *job, uint32_t batch_step)
+count_step_runs (const dks_ltarget_t *target, const dks_ljob_t *job, const dks_ltask_t *task)
 {
   const dks_lrun_t *run;
+  char prefix[DKS_TASK_NAME_SIZE];
+  size_t len;
   uint32_t count = 0;
 
+  dks_batch_task_name (job->batch->id, task->step, 0, prefix);
+  len = strlen (prefix) - 1; /* without the index 0 */
   APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
-    count += run->job == job && job->tasks[run->task].batch_step == batch_step;
+    count += strncmp (run->name, prefix, len) == 0;
   return count;
 }
 
@@ -93,8 +98,7 @@
 
       if (!is_usable (target) || !could_run (target, job->batch, step) || !has_room (target, step))
         continue;
-      if (step->max_per_target > 0
-          && count_step_runs (target, job, task->batch_step) >= step->max_per_target)
+      if (step->max_per_target > 0 && count_step_runs (target, job, task) >= step->max_per_target)
         continue;
       cost = placement_cost (target, task, step);
       if (best != NULL && cost >= best_cost)
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -74,6 +74,19 @@
   dks_lmembers_touch (leased);
 }
 
+void
+dks_lrun_set_size (dks_lrun_t *run, const dks_batch_step_t *step)
+{
+  dks_ltarget_t *target = run->target;
+
+  target->cpu_used += step->cpu_milli - run->cpu_milli;
+  target->memory_used += step->memory_mb - run->memory_mb;
+  target->accelerators_used += step->accelerators - run->accelerators;
+  run->cpu_milli = step->cpu_milli;
+  run->memory_mb = step->memory_mb;
+  run->accelerators = step->accelerators;
+}
+
 /* Tells the job, and frees the room. */
 static void
 run_end (dks_lrun_t *run, bool ok, bool is_fault)
@@ -344,9 +357,14 @@
 {
   dks_leased_t *leased = target->leased;
   dks_lrun_t *run = run_create (target, row->task, row->run);
+  const dks_service_entry_t *service =
+      leased->catalog != NULL ? dks_catalog_service (leased->catalog, target->info.service) : NULL;
 
   run->state = DKS_LRUN_RUNNING;
-  run->cpu_milli = (uint32_t)leased->cpu_mean;
+  /* Its size is not known. A target that guards its room rejects what does not fit; another one
+   * gets nothing more until the run has ended or been claimed. */
+  run->cpu_milli =
+      service != NULL && service->guards_room ? (uint32_t)leased->cpu_mean : target->info.cpu_milli;
   run->started_us = dks_lnow_us (leased);
   run->acked_us = dks_lnow_us (leased);
   run->adopted_us = dks_lnow_us (leased);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -364,6 +364,8 @@
 /** Starts a run of the task. */
 void
 dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task);
+/** The size of an adopted run has become known. */
+void dks_lrun_set_size (dks_lrun_t *run, const dks_batch_step_t *step);
 /** Stops a run whose result nobody needs; it keeps its room until the target lists its end. */
 void dks_lrun_stop (dks_lrun_t *run);
 /** Stops a run, but keeps its job: the task starts elsewhere once the run has surely ended. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -639,6 +639,7 @@
       batch->steps[i].memory_mb = 64;
       batch->steps[i].estimate_ms = steps[i].estimate_ms;
       batch->steps[i].after = steps[i].after;
+      batch->steps[i].max_per_target = steps[i].max_per_target;
       real_ms[id + ".0." + std::to_string (i)] = steps[i].real_ms;
     }
   dks_batch_complete (batch);
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -98,6 +98,7 @@
   uint32_t estimate_ms;
   uint32_t real_ms;
   uint32_t after = 0;
+  uint32_t max_per_target = 0;
 };
 
 class World
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -577,3 +577,29 @@
     }
   EXPECT_TRUE (world.instances[alone]->exited);
 }
+
+// The bound of a step's tasks on one target holds over a change of the leader, too.
+TEST (Leased, StepKeepsItsBoundOnOneTarget)
+{
+  World world;
+  make_data_centre (world, "a", 3);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t leader = world.find (leader_of (world, "a"));
+  uint64_t caller =
+      world.submit (1 - leader, "0000000000000001", { { 6, 6800, 300, 300, 0, 1 } }, 5000);
+  size_t most = 0;
+  for (int i = 0; i < 200; i++)
+    {
+      if (i == 10)
+        world.kill (leader);
+      world.run_for (10 * ms);
+      for (auto &target : world.targets)
+        most = std::max (most, target->runs.size ());
+    }
+  EXPECT_EQ (most, 1U);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
