build: remove build products from the repository

Ruled out: they are not generated sources; the deploy file and meson make all of them anew.

Change: the files are no longer tracked; .gitignore had the folder already.

--- a/target/meson-private/sanitycheckc.c
+++ /dev/null
@@ -1,6 +0,0 @@
-int
-main (void)
-{
-  int class = 0;
-  return class;
-}
--- a/target/meson-private/sanitycheckcpp.cc
+++ /dev/null
@@ -1,6 +0,0 @@
-class breakCCompiler;
-int
-main (void)
-{
-  return 0;
-}
