leased: review runs early, lent ones too, and move what would end too late

Ruled out: the job that the operator's time-out ended at 1283 ms (the queue's time-out changes with a configuration and is kept); long waits (all tasks had started at once).

Change: progress is read at 20% and 40% of the caller's time. A run that ends too late even by the upper bound of its progress moves once when it would end in time on a free target; else the job is given up. A lender tells the borrower that a run is late, and the borrower decides. A task that failed does not start again when even the least time that it may take is more than is left. A run over 2.2 times its expected time is taken for a slow target, not for a long task.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -23,6 +23,11 @@
                         runs that this one has not heard of */
 };
 
+/* Part of a task's observed run time on an average target that it takes on the fastest one. */
+#define LEAST_OBSERVED 0.7
+/* The same of the expected run time, which may be wrong by 40%. */
+#define LEAST_EXPECTED 0.45
+
 static int64_t
 min_us (int64_t a, int64_t b)
 {
@@ -225,9 +230,19 @@
 }
 
 void
-dks_ljobs_give_up (dks_ljob_t *job)
+dks_ljobs_give_up (dks_ljob_t *job, uint32_t task)
 {
-  job_answer (job, DKS_BATCH_LOST, 0, "it cannot end before the caller leaves");
+  dks_ltask_t *entry = &job->tasks[task];
+
+  if (!job->lent)
+    job_answer (job, DKS_BATCH_LOST, 0, "it cannot end before the caller leaves");
+  else if (!entry->told_late)
+    {
+      /* The borrower decides, and cancels what it does not want any more. */
+      entry->told_late = true;
+      send_lent_done (job->leased, job->origin, job->request, entry->index, entry->lent_run,
+                      DKS_LENT_LATE);
+    }
 }
 
 /* Keeps the jobs in the order of the latest moment at which they may start. */
@@ -645,18 +660,39 @@
     job->leased->pump_wanted = true;
 }
 
-/* The task ended without a result. It starts again unless it has failed too often. */
+/* Whether the task cannot end in time any more, even where it takes the least time. */
+static bool
+has_no_time_left (const dks_ljob_t *job, const dks_ltask_t *task)
+{
+  double least_us =
+      task->observed_us > 0
+          ? LEAST_OBSERVED * task->observed_us
+          : LEAST_EXPECTED * dks_lestimate_run_us (job->leased, job->batch, task->batch_step);
+
+  return dks_lnow_us (job->leased) + (int64_t)least_us > job->give_up_us;
+}
+
+/* The task ended without a result. It starts again unless it has failed too often, or would end too
+ * late. */
 static void
 task_retry (dks_ljob_t *job, dks_ltask_t *task, bool is_fault)
 {
   dks_count (&job->leased->r->counters, DKS_COUNTER_RETRIES);
+
   if (is_fault && ++task->attempts >= job->batch->max_attempts)
     {
       task->state = DKS_LTASK_DONE;
       job_answer (job, DKS_BATCH_FAILED, 0, "a task failed as often as it may");
       return;
     }
+  if (has_no_time_left (job, task))
+    {
+      task->state = DKS_LTASK_DONE;
+      job_answer (job, DKS_BATCH_LOST, 0, "a task cannot run again before the caller leaves");
+      return;
+    }
   task->not_before_us = is_fault ? dks_lnow_us (job->leased) + RETRY_PAUSE_US : 0;
+
   task_wait_again (job, task);
 }
 
@@ -708,7 +744,9 @@
         continue;
       if (msg->u.lent_done.result == DKS_LENT_REFUSED && lender != NULL)
         lender->free_tasks = 0;
-      if (msg->u.lent_done.result == DKS_LENT_OK)
+      if (msg->u.lent_done.result == DKS_LENT_LATE)
+        dks_ljobs_give_up (job, i);
+      else if (msg->u.lent_done.result == DKS_LENT_OK)
         task_finish (job, task);
       else if (msg->u.lent_done.result == DKS_LENT_REFUSED)
         task_wait_again (job, task);
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -4,6 +4,7 @@
 #include "common/error.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 enum
@@ -50,6 +51,22 @@
   return best;
 }
 
+double
+dks_llend_fastest (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  double slowness = HUGE_VAL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && peer->free_fast_tasks > 0 && dks_lpeer_is_alive (leased, peer)
+          && strcmp (peer->data_centre, leased->r->config.data_centre) != 0
+          && peer->fast_slowness < slowness)
+        slowness = peer->fast_slowness;
+    }
+  return slowness;
+}
+
 static dks_batch_t *
 single_step_batch (const dks_batch_t *batch, uint32_t step)
 {
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -76,9 +76,12 @@
 slowness_limit (const dks_ljob_t *job, const dks_ltask_t *task)
 {
   const dks_leased_t *leased = job->leased;
-  double expected_us = dks_lestimate_run_us (leased, job->batch, task->batch_step);
+  bool observed = task->observed_us > 0;
+  double expected_us =
+      observed ? task->observed_us : dks_lestimate_run_us (leased, job->batch, task->batch_step);
+  double margin = observed ? OBJECTIVE_MARGIN : CALLER_MARGIN;
   int64_t end_us = dks_lnow_us (leased) + job->step_tail_us[task->batch_step];
-  double by_caller = (double)(job->give_up_us - end_us) / (CALLER_MARGIN * expected_us);
+  double by_caller = (double)(job->give_up_us - end_us) / (margin * expected_us);
   double by_objective = (double)(job->objective_end_us - end_us) / (OBJECTIVE_MARGIN * expected_us);
   double sound = SOUND_FACTOR * leased->slowness_mean;
   double limit = by_caller < sound ? by_caller : sound;
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -14,9 +14,14 @@
   LOOK_INTERVAL_US = 250000, /* between two looks at a target because of slow runs */
   STALLED_US = 400000,       /* a run without any progress for this long stands still */
   MIN_PERCENT = 8,           /* progress below this says little, since it comes in whole percent */
+  MOVE_US = 60000,           /* a stop takes 50 ms at most, a start some more */
 };
 
-#define REVIEW_PART 0.6 /* of the caller's time: how much is left when a job's end is projected */
+/* Parts of the caller's time after which the ends of a job's runs are projected: soon enough to
+ * start anew on a faster target, and once more when the progress tells more exactly. */
+static const double review_parts[] = { 0.2, 0.4 };
+
+#define WRONG_MAX 2.2   /* an expected run time is not wrong by more than this factor */
 #define SLOW_FACTOR 2.2 /* a run is looked at after this many times its expected time */
 
 static bool
@@ -46,18 +51,87 @@
   return left_us > 1.3 * run->expected_us;
 }
 
-/* Whether the run cannot end before its caller leaves, by the progress that the target reported at
- * or after `since_us`. */
+/* The least run time on its target by the progress that the target reported, 0: not known. */
+static double
+run_least_us (const dks_lrun_t *run)
+{
+  if (run->reported_us == 0 || run->percent < MIN_PERCENT)
+    return 0;
+  return (double)(run->reported_us - run->started_us) * 100 / (run->percent + 1);
+}
+
+/* Whether the run cannot end before its caller leaves. */
 static bool
-run_ends_too_late (const dks_lrun_t *run, int64_t since_us)
+run_ends_too_late (const dks_lrun_t *run)
 {
-  int64_t ran_us = run->reported_us - run->started_us;
-  double left_us;
+  return run->started_us + (int64_t)run_least_us (run) > run->job->give_up_us;
+}
+
+/* Whether the progress has to be read now: a moment of review has passed since it was last read. */
+static bool
+run_needs_review (const dks_lrun_t *run)
+{
+  int64_t budget_us = run->job->give_up_us - run->job->arrival_us;
+
+  for (size_t i = 0; i < sizeof (review_parts) / sizeof (review_parts[0]); i++)
+    {
+      int64_t at_us = run->job->arrival_us + (int64_t)(review_parts[i] * (double)budget_us);
+
+      if (dks_lnow_us (run->leased) >= at_us && run->reported_us < at_us
+          && run->target->look_us < at_us)
+        return true;
+    }
+  return false;
+}
+
+/* Whether a task would end in time if it started anew on the best target that is free. */
+static bool
+task_has_time (dks_ljob_t *job, const dks_ltask_t *task, double on_average_us)
+{
+  double elsewhere = dks_llend_fastest (job->leased);
+  dks_lchoice_t choice;
 
-  if (run->reported_us < since_us || run->percent < MIN_PERCENT)
-    return false;
-  left_us = (double)ran_us * (100 - run->percent - 1) / (run->percent + 1);
-  return run->reported_us + (int64_t)left_us > run->job->give_up_us;
+  dks_ltargets_choose (job->leased, job, task, &choice);
+  if (elsewhere < choice.slowness)
+    choice.slowness = elsewhere;
+  return dks_lnow_us (job->leased) + MOVE_US + (int64_t)(choice.slowness * on_average_us)
+         < job->give_up_us;
+}
+
+/* The run goes on elsewhere, or nobody waits for its job any more. */
+static void
+run_handle_too_late (dks_lrun_t *run)
+{
+  dks_ltask_t *task = &run->job->tasks[run->task];
+  double least_us = run_least_us (run);
+  double on_average_us = least_us / dks_ltarget_slowness (run->target);
+  bool by_target = on_average_us > WRONG_MAX * run->expected_us;
+  bool move;
+
+  /* No declaration is that wrong: it is the target that has become slow. */
+  if (by_target)
+    {
+      dks_ltarget_note_speed (run->target, least_us / run->expected_us);
+      on_average_us = run->expected_us;
+    }
+  else
+    task->observed_us = on_average_us;
+  dks_strcpy (task->avoid, sizeof (task->avoid), run->target->info.id);
+  move = !run->job->lent && !task->was_moved && task_has_time (run->job, task, on_average_us);
+
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
+                " expected_ms=%.0f left_ms=%" PRId64 " action=%s",
+                run->name, run->target->info.id, run->target->slowness, run->percent,
+                (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
+                (run->job->give_up_us - run->reported_us) / 1000, move ? "move" : "give-up");
+  if (!move)
+    {
+      dks_ljobs_give_up (run->job, run->task);
+      return;
+    }
+  task->was_moved = true;
+  dks_lrun_fence (run);
 }
 
 static void
@@ -65,7 +139,6 @@
 {
   dks_ltarget_t *target = run->target;
   int64_t ran_us = dks_lnow_us (run->leased) - run->started_us;
-  int64_t review_us;
 
   if (run->job == NULL)
     {
@@ -80,25 +153,14 @@
     }
   if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0)
     return;
-  review_us = run->job->give_up_us
-              - (int64_t)(REVIEW_PART * (double)(run->job->give_up_us - run->job->arrival_us));
-  if (dks_lnow_us (run->leased) >= review_us && !run->job->lent)
+  if (run_ends_too_late (run))
     {
-      if (run_ends_too_late (run, review_us))
-        {
-          dks_emit_log (
-              run->leased->r, DKS_LOG_INFO,
-              "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
-              " expected_ms=%.0f left_ms=%" PRId64,
-              run->name, target->info.id, target->slowness, run->percent,
-              (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
-              (run->job->give_up_us - run->reported_us) / 1000);
-          dks_ljobs_give_up (run->job);
-          return;
-        }
-      if (run->reported_us < review_us && target->look_us < review_us)
-        dks_ltarget_look (target);
+      run_handle_too_late (run);
+      return;
     }
+  if (run_needs_review (run))
+    dks_ltarget_look (target);
+
   if (ran_us < (int64_t)(SLOW_FACTOR * run->expected_us) + SLOW_FLOOR_US)
     return;
   if (run->reported_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -151,6 +151,9 @@
   uint32_t attempts;    /**< that failed */
   bool wants_speed;     /**< ends late on every target that is free here */
   double best_slowness; /**< of the best of these, HUGE_VAL: none */
+  double observed_us;   /**< run time on an average target by its progress, 0: not known */
+  bool was_moved;       /**< to another target, because it would have ended too late */
+  bool told_late;       /**< the borrower knows that it ends too late */
 
   bool known;                    /**< nothing that an earlier leader started is at work */
   uint32_t run;                  /**< number of the latest run */
@@ -424,6 +427,9 @@
 /** Lends due tasks to leaders of other data centres that told of room; with `fast`, only those that
  * end late here, to those that have a faster target free. */
 void dks_llend_waiting (dks_ljob_t *job, bool fast);
+/** Slowness of the fastest free targets that leaders of other data centres told of; HUGE_VAL: none.
+ */
+double dks_llend_fastest (const dks_leased_t *leased);
 /** Asks the successors of lost lenders for lent tasks. */
 void dks_llend_ask_successors (dks_leased_t *leased);
 /** The peer does not lead any more: the next leader of its data centre is asked for lent tasks. */
@@ -447,7 +453,7 @@
 /** Places waiting tasks. */
 void dks_ljobs_pump (dks_leased_t *leased);
 /** Ends a job that cannot be done before its caller leaves. */
-void dks_ljobs_give_up (dks_ljob_t *job);
+void dks_ljobs_give_up (dks_ljob_t *job, uint32_t task);
 /** Outcome of a run of a job's task. `is_fault`: the task failed by itself. */
 void dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault);
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -45,6 +45,8 @@
   DKS_LENT_FAILED,  /**< the task ended badly */
   DKS_LENT_REFUSED, /**< no room; it was not started */
   DKS_LENT_ENDED,   /**< it ended without a result by no fault of its own; nothing of it runs */
+  DKS_LENT_LATE,    /**< it runs, and will end after the caller's time */
+
 } dks_lent_result_t;
 
 /** Outcome of one attempt to run a task at a target. */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -372,5 +372,5 @@
   msg->u.lent_done.index = body->index;
   msg->u.lent_done.result = body->result;
   msg->u.lent_done.run = body->run;
-  return body->result >= DKS_LENT_OK && body->result <= DKS_LENT_ENDED ? DKS_OK : DKS_ERR_INVALID;
+  return body->result >= DKS_LENT_OK && body->result <= DKS_LENT_LATE ? DKS_OK : DKS_ERR_INVALID;
 }
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -654,3 +654,60 @@
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
   EXPECT_EQ (world.double_runs, 0);
 }
+
+// On quiet-1 (mplo-damask) a job whose tasks were lent was held until its caller left: only runs of
+// own jobs were checked for their end.
+TEST (Leased, LentTaskThatCannotEndInTimeEndsItsJobEarly)
+{
+  World world;
+  make_data_centre (world, "a", 1);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  warm_up (world, 0, 4, 100);
+
+  world.submit (0, "0000000000000001", { { 2, 6800, 700, 700 } });
+  uint64_t caller = world.submit (0, "0000000000000002", { { 4, 6800, 900, 2500 } });
+  world.run_for (750 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  world.run_for (200 * ms);
+  for (auto &target : world.targets)
+    EXPECT_TRUE (target->runs.empty ());
+}
+
+// A long task on a slow target, while the fast ones are taken: its progress shows early that it
+// would end too late there, and a fast target has become free.
+TEST (Leased, LongTaskLeavesASlowTargetWhileThereIsTime)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  world.targets[0]->slowness = 1.7;
+  world.start_all ();
+  world.run_for (2000 * ms);
+  warm_up (world, 0, 4, 500);
+
+  world.submit (0, "0000000000000001", { { 2, 6800, 200, 200 } });
+  uint64_t caller = world.submit (0, "0000000000000002", { { 1, 6800, 500, 1000 } });
+  world.run_for (1490 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// On quiet-1 (mplo-damask) a task failed after 838 ms and started again although its caller would
+// leave long before its end.
+TEST (Leased, TaskThatFailsTooLateEndsItsJobAtOnce)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (auto &target : world.targets)
+    target->fails = true;
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 1200, 1200 } });
+  world.run_for (1300 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+}
