leased: begin to lead once all instances have told that they do not

Ruled out: the configuration (known 20 ms after the start), the list of targets (passed on by the first instance that reads it).

Change: an instance begins before its waiting time is over when every instance that is known of has told its state and no older instance of its data centre could become leader. No job is refused for its wait before the lists of all targets have been read.

One test, seen to fail with the old code.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -528,6 +528,9 @@
   uint32_t room = dks_ltargets_free_tasks (leased) + free_elsewhere (leased);
   int64_t wait_us;
 
+  /* A leader that has just begun does not know the room of its targets yet. */
+  if (!dks_ltargets_are_adopted (leased))
+    return false;
   APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
     {
       if (other == job)
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -399,16 +399,16 @@
 }
 
 /* Whether another instance of our data centre is the better candidate: it is not draining, and has
- * run longer. */
+ * run longer. With `informed`, only those that know the list of targets count. */
 static bool
-has_better_candidate (const dks_leased_t *leased)
+has_better_candidate (const dks_leased_t *leased, bool informed)
 {
   const dks_lpeer_t *peer;
 
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
       if (!peer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining
-          || !peer->knows_targets)
+          || (informed && !peer->knows_targets))
         continue;
       if (leased->drain_us > 0 || peer->started_ms < leased->started_ms
           || (peer->started_ms == leased->started_ms && strcmp (peer->id, leased->r->self) < 0))
@@ -434,17 +434,33 @@
   return others;
 }
 
+/* Whether every instance that is known of has told its state. */
+static bool
+has_heard_all (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    count += dks_lpeer_is_alive (leased, peer);
+  return leased->address_count > 0 && count >= leased->address_count;
+}
+
 static bool
 may_lead (const dks_leased_t *leased)
 {
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_cut_off (leased) ? FENCED_CUT_OFF_PAUSE_US : FENCED_PAUSE_US;
 
-  if (now_us - leased->started_us < START_WAIT_US || !dks_lfeed_knows_targets (leased))
+  if (!dks_lfeed_knows_targets (leased))
+    return false;
+  /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
+  if (now_us - leased->started_us < START_WAIT_US
+      && (!has_heard_all (leased) || has_better_candidate (leased, false)))
     return false;
   if (leased->fenced_us > 0 && now_us - leased->fenced_us < pause_us)
     return false;
-  return !has_better_candidate (leased);
+  return !has_better_candidate (leased, true);
 }
 
 void
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -115,6 +115,12 @@
   config.seed = index + 1;
   config.leased_targets = true;
   config.remote_factor = 1;
+  for (size_t other = 0; other < instances.size (); other++)
+    {
+      if (other != index)
+        set_text (config.seed_addresses[config.seed_address_count++],
+                  sizeof (config.seed_addresses[0]), instances[other]->id);
+    }
   instance.reducer = dks_reducer_create (&config, time ());
   instance.member = dks_reducer_member_id (instance.reducer);
   instance.up = true;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -711,3 +711,33 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
 }
+
+// The final fault of several days: all instances are killed at once. Callers that came in the first
+// quarter of a second after the restart were refused, although every instance had told that it does
+// not lead, and then because no target's room was known yet.
+TEST (Leased, ServiceReturnsOnceAllInstancesHaveHeardOfEachOther)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.kill (i);
+  world.run_for (1200 * ms);
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.restart (i);
+  world.run_for (20 * ms);
+
+  std::vector<uint64_t> callers;
+  for (size_t i = 0; i < world.instances.size (); i++)
+    callers.push_back (
+        world.submit (i, "000000000000000" + std::to_string (i), { { 2, 6800, 100, 100 } }));
+  world.run_for (200 * ms);
+  for (uint64_t caller : callers)
+    {
+      ASSERT_TRUE (world.answered (caller));
+      EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+    }
+  EXPECT_EQ (world.double_runs, 0);
+}
