leased: leaders tell their data centre the speeds of targets and run times

Cause: a new leader knew nothing of the speeds of its targets and of the run times of the queues.

Ruled out: reading it from the targets (they list progress, not speed); keeping it at the platform (a write a second for a value that may be lost).

Change: a leader sends its data centre once a second what has changed by 5%, or is known from twice as many runs, since it was last told; everything when an instance is new. The other instances take it over, and keep it when they begin to lead. A target's new life still begins without a speed.

One test, seen to fail with the old code; SPEEDS is in the codec's round trip.

--- a/core/leased.c
+++ b/core/leased.c
@@ -21,6 +21,7 @@
   leased->r = r;
   dks_lmembers_init (leased);
   dks_lestimate_init (leased);
+  dks_lspeeds_init (leased);
   dks_ltargets_init (leased);
   dks_lwatch_init (leased);
   dks_ljobs_init (leased);
@@ -38,6 +39,7 @@
   dks_ljobs_clear (leased);
   dks_lwatch_clear (leased);
   dks_ltargets_clear (leased);
+  dks_lspeeds_clear (leased);
   dks_lestimate_clear (leased);
   dks_lfeed_clear (leased);
   dks_lmembers_clear (leased);
@@ -89,6 +91,9 @@
     case DKS_MSG_TARGETS:
       dks_lfeed_handle_targets (leased, from, msg);
       break;
+    case DKS_MSG_SPEEDS:
+      dks_lspeeds_handle_msg (leased, msg);
+      break;
     case DKS_MSG_RECORD:
       handle_catalog_record (leased, from, msg);
       break;
--- a/core/leased_estimate.c
+++ b/core/leased_estimate.c
@@ -80,19 +80,38 @@
     }
 }
 
+/* The queue's entry, made when there is none; NULL when there are too many. */
+static dks_lqueue_t *
+queue_obtain (dks_leased_t *leased, const char *name)
+{
+  dks_lqueue_t *queue = queue_find (leased, name);
+
+  if (queue != NULL || leased->queue_count >= QUEUES_MAX)
+    return queue;
+  queue = dks_alloc (sizeof (*queue));
+  dks_strcpy (queue->name, sizeof (queue->name), name);
+  APR_RING_INSERT_TAIL (&leased->queues, queue, dks_lqueue_t, link);
+  leased->queue_count++;
+  return queue;
+}
+
+void
+dks_lestimate_put (dks_leased_t *leased, const char *name, double log_mean, uint32_t samples)
+{
+  dks_lqueue_t *queue = queue_obtain (leased, name);
+
+  if (queue == NULL)
+    return;
+  queue->log_mean = log_mean;
+  queue->samples = samples;
+}
+
 void
 dks_lestimate_note (dks_leased_t *leased, const dks_batch_t *batch, double run_us)
 {
-  dks_lqueue_t *queue = queue_find (leased, batch->queue);
+  dks_lqueue_t *queue = queue_obtain (leased, batch->queue);
   double value = log (run_us > 1 ? run_us : 1);
 
-  if (queue == NULL && leased->queue_count < QUEUES_MAX)
-    {
-      queue = dks_alloc (sizeof (*queue));
-      dks_strcpy (queue->name, sizeof (queue->name), batch->queue);
-      APR_RING_INSERT_TAIL (&leased->queues, queue, dks_lqueue_t, link);
-      leased->queue_count++;
-    }
   if (queue == NULL)
     return;
   queue->samples++;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -335,7 +335,8 @@
 void
 dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg)
 {
-  bool changed = !peer->told || peer->term != msg->u.leased_status.term
+  bool is_new = !peer->told;
+  bool changed = is_new || peer->term != msg->u.leased_status.term
                  || peer->draining != msg->u.leased_status.draining
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
 
@@ -358,6 +359,8 @@
     }
   if (peer_is_ours (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
+  if (is_new && peer_is_ours (leased, peer))
+    dks_lspeeds_tell_all (leased);
   if (changed)
     dks_lmembers_review (leased);
   dks_lmembers_spread_catalog (leased);
--- /dev/null
+++ b/core/leased_speeds.c
@@ -0,0 +1,142 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TELL_INTERVAL_US = 1000000, /* of a leader to its data centre; a successor misses that much */
+  TOLD_ENTRIES_MAX = 512,     /* of one message; the rest follows with the next */
+};
+
+#define TOLD_CHANGE 0.05 /* a relative change that is told */
+
+/* Whether a learned value differs enough from what was last told. */
+static bool
+is_news (double value, uint32_t samples, const dks_ltold_t *told)
+{
+  if (samples == 0)
+    return false;
+  return samples >= 2 * told->samples || fabs (value - told->value) > TOLD_CHANGE * told->value;
+}
+
+static void
+add_targets (dks_leased_t *leased, dks_msg_t *msg)
+{
+  dks_ltarget_t *target;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      dks_told_speed_t *to = &msg->u.speeds.targets[msg->u.speeds.target_count];
+
+      if (msg->u.speeds.target_count == TOLD_ENTRIES_MAX)
+        return;
+      if (!target->held || !is_news (target->slowness, target->samples, &target->told))
+        continue;
+      target->told = (dks_ltold_t){ .value = target->slowness, .samples = target->samples };
+      dks_strcpy (to->id, sizeof (to->id), target->info.id);
+      to->born_ms = target->born_ms;
+      to->slowness_milli = (uint32_t)(1000 * target->slowness);
+      to->samples = target->samples;
+      msg->u.speeds.target_count++;
+    }
+}
+
+static void
+add_queues (dks_leased_t *leased, dks_msg_t *msg)
+{
+  dks_lqueue_t *queue;
+
+  APR_RING_FOREACH (queue, &leased->queues, dks_lqueue_t, link)
+    {
+      dks_told_run_time_t *to = &msg->u.speeds.queues[msg->u.speeds.queue_count];
+      double run_us = exp (queue->log_mean);
+
+      if (msg->u.speeds.queue_count == TOLD_ENTRIES_MAX)
+        return;
+      if (!is_news (run_us, queue->samples, &queue->told))
+        continue;
+      queue->told = (dks_ltold_t){ .value = run_us, .samples = queue->samples };
+      dks_strcpy (to->name, sizeof (to->name), queue->name);
+      to->run_us = (int64_t)run_us;
+      to->samples = queue->samples;
+      msg->u.speeds.queue_count++;
+    }
+}
+
+static void
+handle_tell_timer (void *context, int64_t time_us)
+{
+  dks_leased_t *leased = context;
+  dks_lpeer_t *peer;
+  dks_msg_t *msg;
+
+  dks_timer_set (leased->r->timers, &leased->tell_timer, time_us + TELL_INTERVAL_US);
+  if (leased->term == 0)
+    return;
+  msg = dks_msg_create (DKS_MSG_SPEEDS);
+  msg->u.speeds.targets = dks_alloc ((TOLD_ENTRIES_MAX + 1) * sizeof (msg->u.speeds.targets[0]));
+  msg->u.speeds.queues = dks_alloc ((TOLD_ENTRIES_MAX + 1) * sizeof (msg->u.speeds.queues[0]));
+  add_targets (leased, msg);
+  add_queues (leased, msg);
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (msg->u.speeds.target_count + msg->u.speeds.queue_count > 0
+          && strcmp (peer->data_centre, leased->r->config.data_centre) == 0
+          && dks_lpeer_is_alive (leased, peer))
+        dks_emit_peer (leased->r, peer->id, dks_msg_ref (msg));
+    }
+  dks_msg_unref (msg);
+}
+
+void
+dks_lspeeds_tell_all (dks_leased_t *leased)
+{
+  dks_ltarget_t *target;
+  dks_lqueue_t *queue;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    target->told.samples = 0;
+  APR_RING_FOREACH (queue, &leased->queues, dks_lqueue_t, link)
+    queue->told.samples = 0;
+}
+
+void
+dks_lspeeds_handle_msg (dks_leased_t *leased, const dks_msg_t *msg)
+{
+  if (leased->term > 0)
+    return;
+  for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
+    {
+      const dks_told_speed_t *from = &msg->u.speeds.targets[i];
+      dks_ltarget_t *target = apr_hash_get (leased->targets_by_id, from->id, APR_HASH_KEY_STRING);
+
+      if (target == NULL)
+        continue;
+      target->born_ms = from->born_ms;
+      target->slowness = from->slowness_milli / 1000.0;
+      target->samples = from->samples;
+    }
+  for (uint32_t i = 0; i < msg->u.speeds.queue_count; i++)
+    {
+      const dks_told_run_time_t *from = &msg->u.speeds.queues[i];
+
+      dks_lestimate_put (leased, from->name, log ((double)from->run_us), from->samples);
+    }
+}
+
+void
+dks_lspeeds_init (dks_leased_t *leased)
+{
+  dks_timer_init (&leased->tell_timer, handle_tell_timer, leased);
+  dks_timer_set (leased->r->timers, &leased->tell_timer, dks_lnow_us (leased) + TELL_INTERVAL_US);
+}
+
+void
+dks_lspeeds_clear (dks_leased_t *leased)
+{
+  dks_timer_cancel (leased->r->timers, &leased->tell_timer);
+}
--- a/core/msg.c
+++ b/core/msg.c
@@ -58,6 +58,10 @@
     case DKS_MSG_TARGETS:
       free (msg->u.targets.items);
       break;
+    case DKS_MSG_SPEEDS:
+      free (msg->u.speeds.targets);
+      free (msg->u.speeds.queues);
+      break;
     case DKS_MSG_WORK:
       dks_batch_unref (msg->u.work.batch);
       free (msg->u.work.lent);
@@ -109,6 +113,7 @@
     [DKS_MSG_WORK_CANCEL] = "work_cancel",
     [DKS_MSG_LENT_DONE] = "lent_done",
     [DKS_MSG_TARGETS] = "targets",
+    [DKS_MSG_SPEEDS] = "speeds",
   };
 
   return (unsigned)type < DKS_MSG_TYPE_COUNT && names[type] != NULL ? names[type] : "invalid";
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -188,6 +188,7 @@
     case DKS_MSG_WORK_CANCEL:
     case DKS_MSG_LENT_DONE:
     case DKS_MSG_TARGETS:
+    case DKS_MSG_SPEEDS:
       /* Sent only by instances whose targets run tasks under leases. */
     case DKS_MSG_TYPE_COUNT:
       break;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -94,6 +94,13 @@
 };
 APR_RING_HEAD (dks_lrun_ring_t, dks_lrun_t);
 
+/** A learned value as it was last told to the other instances of the data centre. */
+typedef struct
+{
+  double value;
+  uint32_t samples; /**< that it was learned from then, 0: not told yet */
+} dks_ltold_t;
+
 /** A target of any data centre, and the orders to it when we hold it. */
 struct dks_ltarget_t
 {
@@ -127,6 +134,7 @@
   uint32_t accelerators_used;
   double slowness; /**< run time over estimate, moving average */
   uint32_t samples;
+  dks_ltold_t told;         /**< slowness */
   double failure_rate;      /**< moving average of failed ends, 0 to 1 */
   int64_t ejected_until_us; /**< gets no work before this */
   uint32_t ejections;
@@ -231,7 +239,8 @@
   APR_RING_ENTRY (dks_lqueue_t) link;
   char name[DKS_NAME_SIZE];
   uint32_t samples;
-  double log_mean; /**< moving average of the logarithm of the run time in us */
+  double log_mean;  /**< moving average of the logarithm of the run time in us */
+  dks_ltold_t told; /**< run time, us */
 };
 APR_RING_HEAD (dks_lqueue_ring_t, dks_lqueue_t);
 
@@ -287,6 +296,9 @@
   double slowness_mean;      /**< run time over estimate, moving average of all targets */
   dks_timer_t watch_timer;   /**< looks after slow and orphaned runs */
 
+  /* leased_speeds.c */
+  dks_timer_t tell_timer;
+
   /* leased_estimate.c */
   struct dks_lqueue_ring_t queues;
   uint32_t queue_count;
@@ -419,6 +431,14 @@
 /** Moves `mean` towards `sample` by the part `weight` of their difference. */
 void dks_laverage (double *mean, double sample, double weight);
 
+/* leased_speeds.c */
+void dks_lspeeds_init (dks_leased_t *leased);
+void dks_lspeeds_clear (dks_leased_t *leased);
+/** Takes over what the leader of our data centre has learned of its targets and queues. */
+void dks_lspeeds_handle_msg (dks_leased_t *leased, const dks_msg_t *msg);
+/** Tells everything again, since an instance of our data centre is new. */
+void dks_lspeeds_tell_all (dks_leased_t *leased);
+
 /* leased_watch.c */
 void dks_lwatch_init (dks_leased_t *leased);
 void dks_lwatch_clear (dks_leased_t *leased);
@@ -467,6 +487,8 @@
 /** Expected time of the longest chain of steps that follow each step. */
 void dks_lestimate_tails_us (const dks_leased_t *leased, const dks_batch_t *batch,
                              int64_t tails_us[DKS_BATCH_STEPS_MAX]);
+/** Takes over the logarithm of a queue's run time in us, learned from `samples` runs. */
+void dks_lestimate_put (dks_leased_t *leased, const char *name, double log_mean, uint32_t samples);
 /** A task of the batch took `run_us`, converted to an average target. */
 void dks_lestimate_note (dks_leased_t *leased, const dks_batch_t *batch, double run_us);
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -35,6 +35,8 @@
   DKS_MSG_WORK_CANCEL,   /**< nobody waits for this WORK any more */
   DKS_MSG_LENT_DONE,     /**< outcome of one lent task */
   DKS_MSG_TARGETS, /**< all targets that the sender knows, for one that cannot read the list */
+  DKS_MSG_SPEEDS,  /**< leader -> its data centre: what it has learned of targets and queues */
+
   DKS_MSG_TYPE_COUNT
 } dks_msg_type_t;
 
@@ -49,6 +51,23 @@
 
 } dks_lent_result_t;
 
+/** What a leader has learned of a target. */
+typedef struct
+{
+  char id[DKS_NAME_SIZE];
+  int64_t born_ms;         /**< life of the target that it is about, Unix ms, 0: not known */
+  uint32_t slowness_milli; /**< run time over the expected one, thousandths */
+  uint32_t samples;        /**< runs that it was learned from */
+} dks_told_speed_t;
+
+/** What a leader has learned of a queue's tasks. */
+typedef struct
+{
+  char name[DKS_NAME_SIZE];
+  int64_t run_us;   /**< run time on an average target, geometric mean */
+  uint32_t samples; /**< runs that it was learned from */
+} dks_told_run_time_t;
+
 /** Outcome of one attempt to run a task at a target. */
 typedef enum
 {
@@ -199,6 +218,13 @@
       dks_target_info_t *items;
     } targets;
     struct
+    {
+      uint32_t target_count;
+      dks_told_speed_t *targets;
+      uint32_t queue_count;
+      dks_told_run_time_t *queues;
+    } speeds;
+    struct
     {
       uint64_t request; /**< chosen by the sender, never reused by one instance */
       dks_batch_t *batch;
--- a/net/codec.c
+++ b/net/codec.c
@@ -759,6 +759,7 @@
   [DKS_MSG_LENT_DONE] = { DKS__PEER_MESSAGE__BODY_LENT_DONE, dks_encode_lent_done,
                           dks_decode_lent_done },
   [DKS_MSG_TARGETS] = { DKS__PEER_MESSAGE__BODY_TARGETS, dks_encode_targets, dks_decode_targets },
+  [DKS_MSG_SPEEDS] = { DKS__PEER_MESSAGE__BODY_SPEEDS, dks_encode_speeds, dks_decode_speeds },
 };
 
 void
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -94,6 +94,46 @@
   free (infos);
 }
 
+void
+dks_encode_speeds (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len)
+{
+  Dks__Speeds body = DKS__SPEEDS__INIT;
+  uint32_t target_count = msg->u.speeds.target_count;
+  uint32_t queue_count = msg->u.speeds.queue_count;
+  Dks__TargetSpeed *targets = dks_alloc ((target_count + 1) * sizeof (*targets));
+  Dks__TargetSpeed **target_list = dks_alloc ((target_count + 1) * sizeof (Dks__TargetSpeed *));
+  Dks__QueueRunTime *queues = dks_alloc ((queue_count + 1) * sizeof (*queues));
+  Dks__QueueRunTime **queue_list = dks_alloc ((queue_count + 1) * sizeof (Dks__QueueRunTime *));
+
+  for (uint32_t i = 0; i < target_count; i++)
+    {
+      dks__target_speed__init (&targets[i]);
+      targets[i].id = msg->u.speeds.targets[i].id;
+      targets[i].born_ms = msg->u.speeds.targets[i].born_ms;
+      targets[i].slowness_milli = msg->u.speeds.targets[i].slowness_milli;
+      targets[i].samples = msg->u.speeds.targets[i].samples;
+      target_list[i] = &targets[i];
+    }
+  for (uint32_t i = 0; i < queue_count; i++)
+    {
+      dks__queue_run_time__init (&queues[i]);
+      queues[i].name = msg->u.speeds.queues[i].name;
+      queues[i].run_us = msg->u.speeds.queues[i].run_us;
+      queues[i].samples = msg->u.speeds.queues[i].samples;
+      queue_list[i] = &queues[i];
+    }
+  body.n_targets = target_count;
+  body.targets = target_list;
+  body.n_queues = queue_count;
+  body.queues = queue_list;
+  wire->speeds = &body;
+  dks_codec_pack (wire, frame, len);
+  free (queue_list);
+  free (queues);
+  free (target_list);
+  free (targets);
+}
+
 static void
 wire_step (Dks__BatchStep *to, const dks_batch_step_t *from)
 {
@@ -256,6 +296,40 @@
   return error;
 }
 
+int
+dks_decode_speeds (const Dks__PeerMessage *wire, dks_msg_t *msg)
+{
+  const Dks__Speeds *body = wire->speeds;
+  int error = DKS_OK;
+
+  if (body->n_targets > TARGETS_MAX || body->n_queues > TARGETS_MAX)
+    return DKS_ERR_TOO_LARGE;
+  msg->u.speeds.target_count = (uint32_t)body->n_targets;
+  msg->u.speeds.queue_count = (uint32_t)body->n_queues;
+  msg->u.speeds.targets = dks_alloc ((body->n_targets + 1) * sizeof (msg->u.speeds.targets[0]));
+  msg->u.speeds.queues = dks_alloc ((body->n_queues + 1) * sizeof (msg->u.speeds.queues[0]));
+  for (size_t i = 0; i < body->n_targets && error == DKS_OK; i++)
+    {
+      dks_told_speed_t *to = &msg->u.speeds.targets[i];
+
+      to->born_ms = body->targets[i]->born_ms;
+      to->slowness_milli = body->targets[i]->slowness_milli;
+      to->samples = body->targets[i]->samples;
+      error = dks_codec_copy_text (to->id, sizeof (to->id), body->targets[i]->id);
+    }
+  for (size_t i = 0; i < body->n_queues && error == DKS_OK; i++)
+    {
+      dks_told_run_time_t *to = &msg->u.speeds.queues[i];
+
+      to->run_us = body->queues[i]->run_us;
+      to->samples = body->queues[i]->samples;
+      error = to->run_us > 0
+                  ? dks_codec_copy_text (to->name, sizeof (to->name), body->queues[i]->name)
+                  : DKS_ERR_INVALID;
+    }
+  return error;
+}
+
 static int
 read_step (dks_batch_step_t *to, const Dks__BatchStep *from)
 {
--- a/net/codec_leased.h
+++ b/net/codec_leased.h
@@ -30,6 +30,8 @@
 void
 dks_encode_targets (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
 int dks_decode_targets (const Dks__PeerMessage *wire, dks_msg_t *msg);
+void dks_encode_speeds (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
+int dks_decode_speeds (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_leased_status (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_addresses (const Dks__PeerMessage *wire, dks_msg_t *msg);
 int dks_decode_work (const Dks__PeerMessage *wire, dks_msg_t *msg);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1042,6 +1042,141 @@
   assert(message->base.descriptor == &dks__leased_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dks__target_speed__init
+                     (Dks__TargetSpeed         *message)
+{
+  static const Dks__TargetSpeed init_value = DKS__TARGET_SPEED__INIT;
+  *message = init_value;
+}
+size_t dks__target_speed__get_packed_size
+                     (const Dks__TargetSpeed *message)
+{
+  assert(message->base.descriptor == &dks__target_speed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__target_speed__pack
+                     (const Dks__TargetSpeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__target_speed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__target_speed__pack_to_buffer
+                     (const Dks__TargetSpeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__target_speed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__TargetSpeed *
+       dks__target_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__TargetSpeed *)
+     protobuf_c_message_unpack (&dks__target_speed__descriptor,
+                                allocator, len, data);
+}
+void   dks__target_speed__free_unpacked
+                     (Dks__TargetSpeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__target_speed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__queue_run_time__init
+                     (Dks__QueueRunTime         *message)
+{
+  static const Dks__QueueRunTime init_value = DKS__QUEUE_RUN_TIME__INIT;
+  *message = init_value;
+}
+size_t dks__queue_run_time__get_packed_size
+                     (const Dks__QueueRunTime *message)
+{
+  assert(message->base.descriptor == &dks__queue_run_time__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__queue_run_time__pack
+                     (const Dks__QueueRunTime *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__queue_run_time__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__queue_run_time__pack_to_buffer
+                     (const Dks__QueueRunTime *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__queue_run_time__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__QueueRunTime *
+       dks__queue_run_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__QueueRunTime *)
+     protobuf_c_message_unpack (&dks__queue_run_time__descriptor,
+                                allocator, len, data);
+}
+void   dks__queue_run_time__free_unpacked
+                     (Dks__QueueRunTime *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__queue_run_time__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dks__speeds__init
+                     (Dks__Speeds         *message)
+{
+  static const Dks__Speeds init_value = DKS__SPEEDS__INIT;
+  *message = init_value;
+}
+size_t dks__speeds__get_packed_size
+                     (const Dks__Speeds *message)
+{
+  assert(message->base.descriptor == &dks__speeds__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dks__speeds__pack
+                     (const Dks__Speeds *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dks__speeds__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dks__speeds__pack_to_buffer
+                     (const Dks__Speeds *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dks__speeds__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dks__Speeds *
+       dks__speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dks__Speeds *)
+     protobuf_c_message_unpack (&dks__speeds__descriptor,
+                                allocator, len, data);
+}
+void   dks__speeds__free_unpacked
+                     (Dks__Speeds *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dks__speeds__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dks__target_info__init
                      (Dks__TargetInfo         *message)
 {
@@ -3263,6 +3398,198 @@
   (ProtobufCMessageInit) dks__leased_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dks__target_speed__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetSpeed, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetSpeed, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowness_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetSpeed, slowness_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TargetSpeed, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__target_speed__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+  3,   /* field[3] = samples */
+  2,   /* field[2] = slowness_milli */
+};
+static const ProtobufCIntRange dks__target_speed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dks__target_speed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.TargetSpeed",
+  "TargetSpeed",
+  "Dks__TargetSpeed",
+  "dks",
+  sizeof(Dks__TargetSpeed),
+  4,
+  dks__target_speed__field_descriptors,
+  dks__target_speed__field_indices_by_name,
+  1,  dks__target_speed__number_ranges,
+  (ProtobufCMessageInit) dks__target_speed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__queue_run_time__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__QueueRunTime, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__QueueRunTime, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__QueueRunTime, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__queue_run_time__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = run_us */
+  2,   /* field[2] = samples */
+};
+static const ProtobufCIntRange dks__queue_run_time__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dks__queue_run_time__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.QueueRunTime",
+  "QueueRunTime",
+  "Dks__QueueRunTime",
+  "dks",
+  sizeof(Dks__QueueRunTime),
+  3,
+  dks__queue_run_time__field_descriptors,
+  dks__queue_run_time__field_indices_by_name,
+  1,  dks__queue_run_time__number_ranges,
+  (ProtobufCMessageInit) dks__queue_run_time__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dks__speeds__field_descriptors[2] =
+{
+  {
+    "targets",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__Speeds, n_targets),
+    offsetof(Dks__Speeds, targets),
+    &dks__target_speed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__Speeds, n_queues),
+    offsetof(Dks__Speeds, queues),
+    &dks__queue_run_time__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__speeds__field_indices_by_name[] = {
+  1,   /* field[1] = queues */
+  0,   /* field[0] = targets */
+};
+static const ProtobufCIntRange dks__speeds__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dks__speeds__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dks.Speeds",
+  "Speeds",
+  "Dks__Speeds",
+  "dks",
+  sizeof(Dks__Speeds),
+  2,
+  dks__speeds__field_descriptors,
+  dks__speeds__field_indices_by_name,
+  1,  dks__speeds__number_ranges,
+  (ProtobufCMessageInit) dks__speeds__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dks__target_info__field_descriptors[10] =
 {
   {
@@ -4048,7 +4375,7 @@
   (ProtobufCMessageInit) dks__lent_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[26] =
+static const ProtobufCFieldDescriptor dks__peer_message__field_descriptors[27] =
 {
   {
     "hello",
@@ -4362,6 +4689,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speeds",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dks__PeerMessage, body_case),
+    offsetof(Dks__PeerMessage, speeds),
+    &dks__speeds__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__peer_message__field_indices_by_name[] = {
   20,   /* field[20] = addresses */
@@ -4386,6 +4725,7 @@
   15,   /* field[15] = run_done */
   9,   /* field[9] = snapshot */
   10,   /* field[10] = snapshot_ack */
+  26,   /* field[26] = speeds */
   25,   /* field[25] = targets */
   21,   /* field[21] = work */
   23,   /* field[23] = work_cancel */
@@ -4394,7 +4734,7 @@
 static const ProtobufCIntRange dks__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor dks__peer_message__descriptor =
 {
@@ -4404,7 +4744,7 @@
   "Dks__PeerMessage",
   "dks",
   sizeof(Dks__PeerMessage),
-  26,
+  27,
   dks__peer_message__field_descriptors,
   dks__peer_message__field_indices_by_name,
   1,  dks__peer_message__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -38,6 +38,9 @@
 typedef struct Dks__Record Dks__Record;
 typedef struct Dks__RecordAsk Dks__RecordAsk;
 typedef struct Dks__LeasedStatus Dks__LeasedStatus;
+typedef struct Dks__TargetSpeed Dks__TargetSpeed;
+typedef struct Dks__QueueRunTime Dks__QueueRunTime;
+typedef struct Dks__Speeds Dks__Speeds;
 typedef struct Dks__TargetInfo Dks__TargetInfo;
 typedef struct Dks__Targets Dks__Targets;
 typedef struct Dks__Addresses Dks__Addresses;
@@ -366,6 +369,44 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+struct  Dks__TargetSpeed
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t born_ms;
+  uint32_t slowness_milli;
+  uint32_t samples;
+};
+#define DKS__TARGET_SPEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__target_speed__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Dks__QueueRunTime
+{
+  ProtobufCMessage base;
+  char *name;
+  int64_t run_us;
+  uint32_t samples;
+};
+#define DKS__QUEUE_RUN_TIME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__queue_run_time__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Dks__Speeds
+{
+  ProtobufCMessage base;
+  size_t n_targets;
+  Dks__TargetSpeed **targets;
+  size_t n_queues;
+  Dks__QueueRunTime **queues;
+};
+#define DKS__SPEEDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__speeds__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 struct  Dks__TargetInfo
 {
   ProtobufCMessage base;
@@ -516,7 +557,8 @@
   DKS__PEER_MESSAGE__BODY_WORK_DONE = 23,
   DKS__PEER_MESSAGE__BODY_WORK_CANCEL = 24,
   DKS__PEER_MESSAGE__BODY_LENT_DONE = 25,
-  DKS__PEER_MESSAGE__BODY_TARGETS = 26
+  DKS__PEER_MESSAGE__BODY_TARGETS = 26,
+  DKS__PEER_MESSAGE__BODY_SPEEDS = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DKS__PEER_MESSAGE__BODY__CASE)
 } Dks__PeerMessage__BodyCase;
 
@@ -551,6 +593,7 @@
     Dks__WorkCancel *work_cancel;
     Dks__LentDone *lent_done;
     Dks__Targets *targets;
+    Dks__Speeds *speeds;
   };
 };
 #define DKS__PEER_MESSAGE__INIT \
@@ -995,6 +1038,63 @@
 void   dks__leased_status__free_unpacked
                      (Dks__LeasedStatus *message,
                       ProtobufCAllocator *allocator);
+/* Dks__TargetSpeed methods */
+void   dks__target_speed__init
+                     (Dks__TargetSpeed         *message);
+size_t dks__target_speed__get_packed_size
+                     (const Dks__TargetSpeed   *message);
+size_t dks__target_speed__pack
+                     (const Dks__TargetSpeed   *message,
+                      uint8_t             *out);
+size_t dks__target_speed__pack_to_buffer
+                     (const Dks__TargetSpeed   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__TargetSpeed *
+       dks__target_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__target_speed__free_unpacked
+                     (Dks__TargetSpeed *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__QueueRunTime methods */
+void   dks__queue_run_time__init
+                     (Dks__QueueRunTime         *message);
+size_t dks__queue_run_time__get_packed_size
+                     (const Dks__QueueRunTime   *message);
+size_t dks__queue_run_time__pack
+                     (const Dks__QueueRunTime   *message,
+                      uint8_t             *out);
+size_t dks__queue_run_time__pack_to_buffer
+                     (const Dks__QueueRunTime   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__QueueRunTime *
+       dks__queue_run_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__queue_run_time__free_unpacked
+                     (Dks__QueueRunTime *message,
+                      ProtobufCAllocator *allocator);
+/* Dks__Speeds methods */
+void   dks__speeds__init
+                     (Dks__Speeds         *message);
+size_t dks__speeds__get_packed_size
+                     (const Dks__Speeds   *message);
+size_t dks__speeds__pack
+                     (const Dks__Speeds   *message,
+                      uint8_t             *out);
+size_t dks__speeds__pack_to_buffer
+                     (const Dks__Speeds   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__Speeds *
+       dks__speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__speeds__free_unpacked
+                     (Dks__Speeds *message,
+                      ProtobufCAllocator *allocator);
 /* Dks__TargetInfo methods */
 void   dks__target_info__init
                      (Dks__TargetInfo         *message);
@@ -1237,6 +1337,15 @@
 typedef void (*Dks__LeasedStatus_Closure)
                  (const Dks__LeasedStatus *message,
                   void *closure_data);
+typedef void (*Dks__TargetSpeed_Closure)
+                 (const Dks__TargetSpeed *message,
+                  void *closure_data);
+typedef void (*Dks__QueueRunTime_Closure)
+                 (const Dks__QueueRunTime *message,
+                  void *closure_data);
+typedef void (*Dks__Speeds_Closure)
+                 (const Dks__Speeds *message,
+                  void *closure_data);
 typedef void (*Dks__TargetInfo_Closure)
                  (const Dks__TargetInfo *message,
                   void *closure_data);
@@ -1293,6 +1402,9 @@
 extern const ProtobufCMessageDescriptor dks__record__descriptor;
 extern const ProtobufCMessageDescriptor dks__record_ask__descriptor;
 extern const ProtobufCMessageDescriptor dks__leased_status__descriptor;
+extern const ProtobufCMessageDescriptor dks__target_speed__descriptor;
+extern const ProtobufCMessageDescriptor dks__queue_run_time__descriptor;
+extern const ProtobufCMessageDescriptor dks__speeds__descriptor;
 extern const ProtobufCMessageDescriptor dks__target_info__descriptor;
 extern const ProtobufCMessageDescriptor dks__targets__descriptor;
 extern const ProtobufCMessageDescriptor dks__addresses__descriptor;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -189,6 +189,17 @@
       msg->u.targets.items[1] = { "i-2", "lexicon", "10.0.0.2:1", "dc2", false, 24000, 1,
                                   0,     0,         {},           0 };
       break;
+    case DKS_MSG_SPEEDS:
+      msg->u.speeds.target_count = 1;
+      msg->u.speeds.targets =
+          static_cast<dks_told_speed_t *> (calloc (1, sizeof (dks_told_speed_t)));
+      msg->u.speeds.targets[0] = { "i-1", issued_ms, 870, 31 };
+      msg->u.speeds.queue_count = 2;
+      msg->u.speeds.queues =
+          static_cast<dks_told_run_time_t *> (calloc (2, sizeof (dks_told_run_time_t)));
+      msg->u.speeds.queues[0] = { "words", 60000, 400 };
+      msg->u.speeds.queues[1] = { "rulings", 900000, 7 };
+      break;
     case DKS_MSG_ADDRESSES:
       msg->u.addresses.count = 2;
       msg->u.addresses.items =
@@ -365,6 +376,21 @@
       add (msg->u.leased_status.draining);
       add (msg->u.leased_status.knows_targets);
       break;
+    case DKS_MSG_SPEEDS:
+      for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
+        {
+          text += std::string (",") + msg->u.speeds.targets[i].id;
+          add (msg->u.speeds.targets[i].born_ms);
+          add (msg->u.speeds.targets[i].slowness_milli);
+          add (msg->u.speeds.targets[i].samples);
+        }
+      for (uint32_t i = 0; i < msg->u.speeds.queue_count; i++)
+        {
+          text += std::string (",") + msg->u.speeds.queues[i].name;
+          add (msg->u.speeds.queues[i].run_us);
+          add (msg->u.speeds.queues[i].samples);
+        }
+      break;
     case DKS_MSG_TARGETS:
       for (uint32_t i = 0; i < msg->u.targets.count; i++)
         {
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -741,3 +741,23 @@
     }
   EXPECT_EQ (world.double_runs, 0);
 }
+
+// Days with killed leaders: a successor knew nothing of the speeds and placed long tasks anywhere.
+TEST (Leased, SuccessorKnowsTheSpeedsOfTheTargets)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.targets[0]->slowness = 1.4;
+  world.targets[1]->slowness = 1.4;
+  world.start_all ();
+  world.run_for (2000 * ms);
+  warm_up (world, 0, 8, 600);
+
+  size_t leader = world.find (leader_of (world, "a"));
+  world.kill (leader);
+  world.run_for (1000 * ms);
+  uint64_t caller = world.submit (1 - leader, "0000000000000001", { { 4, 6800, 1000, 1200 } });
+  world.run_for (1300 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
