damaskshored: a settings file that is read again

Cause: the platform may change an instance's settings with SIGHUP or without any signal; the options were flags and variables only, so a signal was logged and nothing else happened. When a seed is replaced, an instance that had lost all others kept dialling the old addresses.

Ruled out: watching the file by notification (not available on the platform's machines); reading the platform's own layout (its names would leave the adapter).

It stands below the command line and the variables, is checked as a whole with the same code, and is read again with SIGHUP and when its inode, size or time has changed. A bad file changes nothing and is logged. Log level, remote factor and seeds change at once; another option that differs is named.

--- a/core/leased.c
+++ b/core/leased.c
@@ -162,6 +162,10 @@
     case DKS_EVENT_DRAIN:
       dks_lentry_handle_drain (leased);
       break;
+    case DKS_EVENT_CONFIG:
+      leased->r->config.remote_factor = event->u.config.config->remote_factor;
+      dks_lmembers_add_seeds (leased, event->u.config.config);
+      break;
     case DKS_EVENT_SUBMIT:
       refuse_submission (leased, event->u.submit.caller, event->u.submit.submission->key);
       break;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -292,6 +292,13 @@
     }
 }
 
+void
+dks_lmembers_add_seeds (dks_leased_t *leased, const dks_config_t *config)
+{
+  for (size_t i = 0; i < config->seed_address_count; i++)
+    add_address (leased, config->seed_addresses[i]);
+}
+
 /* Connections */
 
 void
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -287,6 +287,7 @@
     case DKS_EVENT_DRAIN:
       handle_drain (r);
       break;
+    case DKS_EVENT_CONFIG: /* only leased targets have settings that may change */
     case DKS_EVENT_BATCH:
     case DKS_EVENT_FEED:
     case DKS_EVENT_LEASE_REPLY:
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -18,6 +18,7 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 enum
@@ -28,8 +29,9 @@
   STORE_LIST_INTERVAL_MS = 1000,
   /* Callers that do not read their answer hold up the exit at most this long. */
   EXIT_WAIT_US = 30 * 1000000,
-  OTHER_DESCRIPTORS = 512, /* excess callers, peers, platform, some targets */
-  READY_CONNECTIONS = 64,  /* of the readiness check */
+  OTHER_DESCRIPTORS = 512,     /* excess callers, peers, platform, some targets */
+  READY_CONNECTIONS = 64,      /* of the readiness check */
+  SETTINGS_CHECK_US = 2000000, /* between two looks at the settings file */
   /* Leased targets: a waiting hold, a look, and starts that are answered within milliseconds. */
   LEASED_CONNECTIONS = 6
 };
@@ -57,6 +59,11 @@
   bool draining;
   int64_t exit_at_us; /* latest exit after DKS_EFFECT_EXIT; 0 before */
   int status;         /* exit status */
+  dks_options_t options;
+  dks_host_reload_t reload; /* NULL: options are fixed */
+  void *reload_context;
+  struct stat settings_stat; /* of the settings file when it was last read */
+  dks_timer_t settings_timer;
 };
 
 static void handle_leased_event (void *context, dks_event_t *event);
@@ -252,6 +259,74 @@
   apply (context, &event);
 }
 
+/* Settings that change while the instance runs */
+
+/* Whether the settings file has changed since this was last asked. */
+static bool
+settings_changed (dks_host_t *host)
+{
+  struct stat now = { 0 };
+  bool changed;
+
+  if (host->options.settings_path[0] == '\0')
+    return false;
+  /* A file that is being replaced is looked at again with the next check. */
+  if (stat (host->options.settings_path, &now) != 0)
+    return false;
+  changed = now.st_ino != host->settings_stat.st_ino || now.st_size != host->settings_stat.st_size
+            || now.st_mtim.tv_sec != host->settings_stat.st_mtim.tv_sec
+            || now.st_mtim.tv_nsec != host->settings_stat.st_mtim.tv_nsec;
+  host->settings_stat = now;
+  return changed;
+}
+
+static void
+reload (dks_host_t *host, const char *cause)
+{
+  dks_event_t event = { .type = DKS_EVENT_CONFIG };
+  dks_options_t options;
+  char error[DKS_OPTIONS_ERROR_SIZE] = "";
+  const char *fixed;
+
+  if (host->reload == NULL)
+    return;
+  if (host->reload (host->reload_context, &options, error) != DKS_OK)
+    {
+      dks_log (DKS_LOG_ERROR, "event=reload cause=%s result=rejected reason=\"%s\"", cause, error);
+      return;
+    }
+  fixed = dks_options_fixed_change (&host->options, &options);
+  dks_log (fixed != NULL ? DKS_LOG_WARNING : DKS_LOG_NOTICE,
+           "event=reload cause=%s result=applied needs_restart=%s", cause,
+           fixed != NULL ? fixed : "");
+  host->options.log_level = options.log_level;
+  dks_log_set_level (options.log_level);
+  event.u.config.config = &options.config;
+  apply (host, &event);
+}
+
+static void
+handle_settings_timer (void *context, int64_t now_us)
+{
+  dks_host_t *host = context;
+
+  dks_timer_set (dks_loop_timers (host->loop), &host->settings_timer, now_us + SETTINGS_CHECK_US);
+  if (settings_changed (host))
+    reload (host, "file");
+}
+
+void
+dks_host_set_reload (dks_host_t *host, dks_host_reload_t func, void *context)
+{
+  host->reload = func;
+  host->reload_context = context;
+  if (host->options.settings_path[0] == '\0')
+    return;
+  settings_changed (host);
+  dks_timer_set (dks_loop_timers (host->loop), &host->settings_timer,
+                 dks_loop_now ().mono_us + SETTINGS_CHECK_US);
+}
+
 static void
 handle_signal (void *context, int fd, int events)
 {
@@ -262,7 +337,8 @@
     {
       if (info.ssi_signo == SIGHUP)
         {
-          dks_log (DKS_LOG_NOTICE, "event=reload result=unchanged reason=\"settings are flags\"");
+          settings_changed (host);
+          reload (host, "signal");
           continue;
         }
       if (host->draining)
@@ -469,11 +545,14 @@
   dks_options_t adapted = *options;
   int error = raise_descriptor_limit (&adapted);
 
+    host->options = *options;
   options = &adapted;
 
+
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
   dks_timer_init (&host->tick, handle_tick, host);
+  dks_timer_init (&host->settings_timer, handle_settings_timer, host);
   host->reducer = dks_reducer_create (&options->config, dks_loop_now ());
   if (error == DKS_OK)
     error = open_signals (host);
@@ -522,6 +601,7 @@
       close (host->signal_fd);
     }
   dks_timer_cancel (dks_loop_timers (host->loop), &host->tick);
+  dks_timer_cancel (dks_loop_timers (host->loop), &host->settings_timer);
   dks_effects_destroy (&host->effects);
   dks_reducer_destroy (host->reducer);
   dks_loop_destroy (host->loop);
--- a/damaskshored/main.c
+++ b/damaskshored/main.c
@@ -19,6 +19,20 @@
   return getenv (name);
 }
 
+typedef struct
+{
+  int argc;
+  char **argv;
+} command_line_t;
+
+static int
+parse_again (void *context, dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  const command_line_t *line = context;
+
+  return dks_options_parse (line->argc, line->argv, read_env, options, error);
+}
+
 /* Signals are read from a descriptor in the event loop. A closed connection is reported by
  * write(), not by SIGPIPE. */
 static void
@@ -37,6 +51,7 @@
 int
 main (int argc, char **argv)
 {
+  command_line_t line = { argc, argv };
   dks_options_t options;
   dks_host_t *host = NULL;
   char error[DKS_OPTIONS_ERROR_SIZE];
@@ -65,6 +80,7 @@
   block_signals ();
   if (dks_host_create (&options, &host) != DKS_OK)
     return EXIT_FAILURE;
+  dks_host_set_reload (host, parse_again, &line);
   status = dks_host_run (host);
   dks_host_destroy (host);
   return status;
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -3,6 +3,7 @@
 #include "common/alloc.h"
 #include "common/error.h"
 #include "core/key.h"
+#include "damaskshored/settings_file.h"
 #include "net/address.h"
 
 #include <argtable2.h>
@@ -42,6 +43,7 @@
   size_t size;         /* of the field */
   const char *allowed; /* allowed values of options that are not numbers */
   const char *help;
+  bool live; /* a reload puts a new value in force; the others need a restart */
 };
 
 #define NAME_ALLOWED "1 to 30 letters, digits, '-', '_' or '.'"
@@ -273,7 +275,7 @@
   { "incarnation", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.incarnation), NULL,
     "number that differs at every start; 0: take the time of the start" },
   { "log-level", "LEVEL", set_log_level, "info", false, 0, 0, 0, FIELD (log_level),
-    "error, warning, notice, info or debug", "least important log lines to write" },
+    "error, warning, notice, info or debug", "least important log lines to write", true },
   { "peer-address", "IP:PORT", set_peer_address, "127.0.0.1:8081", false, 0, 0, 0,
     FIELD (config.address),
     "a numeric IP address that is not a wildcard, and a port from 1 to 65535",
@@ -286,14 +288,18 @@
     "address of the readiness check; required with --targets leased" },
   { "remote-factor", "F", set_factor, "1", false, 0, 0, 0, FIELD (config.remote_factor),
     "a number from 1 to 100",
-    "run time of a task on a rack without its data, relative to one on the rack with it" },
+    "run time of a task on a rack without its data, relative to one on the rack with it", true },
   { "retention-ms", "MS", set_number, NULL, false, 10000, 86400000, 1, FIELD (config.retention_ms),
     NULL, "how long after its issue time the record of a key is kept" },
   { "seed", "N", set_number, "0", false, 0, INT64_MAX, 1, FIELD (config.seed), NULL,
     "seed of random choices; 0: take one from the system" },
   { "seeds", "IP[:PORT],...", set_text, NULL, false, 0, 0, 0, FIELD (seeds),
     "up to 8 numeric IP addresses",
-    "instances to connect to at the start, at the port of --peer-address; for --targets leased" },
+    "instances to connect to at the start, at the port of --peer-address; for --targets leased",
+    true },
+  { "settings", "FILE", set_text, NULL, false, 0, 0, 0, FIELD (settings_path),
+    "at most 255 characters",
+    "file with \"option = value\" lines; read again when it changes and with SIGHUP" },
   { "target-connections", "N", set_number, "60", false, 1, 1024, 1, FIELD (target_connections),
     NULL, "connections to one target held at once" },
   { "targets", "KIND", set_targets, "http", false, 0, 0, 0, FIELD (config.leased_targets),
@@ -412,10 +418,11 @@
 
 static int
 option_apply (const option_t *option, const struct arg_str *arg, dks_options_getenv_t getenv_func,
-              dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE])
+              const dks_settings_file_t *file, dks_options_t *options,
+              char error[DKS_OPTIONS_ERROR_SIZE])
 {
   char env_name[FLAG_SIZE + sizeof (ENV_PREFIX)];
-  char source[sizeof (env_name) + 16] = "";
+  char source[sizeof (env_name) + 32] = "";
   const char *value = option->fallback;
 
   option_env_name (option, env_name);
@@ -426,12 +433,56 @@
       value = getenv_func (env_name);
       snprintf (source, sizeof (source), " (from %s)", env_name);
     }
+  else if (dks_settings_file_value (file, option->flag) != NULL)
+    {
+      value = dks_settings_file_value (file, option->flag);
+      snprintf (source, sizeof (source), " (from the settings file)");
+    }
+
   if (value == NULL)
     return option->required ? option_error (option, source, NULL, error) : DKS_OK;
   return option->set (option, value, options) ? DKS_OK
                                               : option_error (option, source, value, error);
 }
 
+static const option_t *
+find_option (const char *flag)
+{
+  for (int i = 0; i < OPTION_COUNT; i++)
+    {
+      if (strcmp (option_table[i].flag, flag) == 0)
+        return &option_table[i];
+    }
+  return NULL;
+}
+
+/* Reads the file that --settings names; `file` stays NULL without the option. */
+static int
+read_settings (const char *path, dks_settings_file_t **file, char error[DKS_OPTIONS_ERROR_SIZE])
+{
+  char detail[DKS_SETTINGS_ERROR_SIZE] = "";
+
+  if (path[0] == '\0')
+    return DKS_OK;
+  if (dks_settings_file_read (path, file, detail) != DKS_OK)
+    {
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE, "--settings: %s", detail);
+      return DKS_ERR_INVALID;
+    }
+  for (size_t i = 0; i < dks_settings_file_count (*file); i++)
+    {
+      const char *name = dks_settings_file_name (*file, i);
+
+      if (find_option (name) != NULL && strcmp (name, "settings") != 0)
+        continue;
+      snprintf (error, DKS_OPTIONS_ERROR_SIZE,
+                "--settings: \"%.40s\" is not allowed; allowed: the options of --help but settings",
+                name);
+      return DKS_ERR_INVALID;
+    }
+  return DKS_OK;
+}
+
 static uint64_t
 random_seed (void)
 {
@@ -603,7 +654,10 @@
                    char error[DKS_OPTIONS_ERROR_SIZE])
 {
   arguments_t *arguments = dks_alloc (sizeof (*arguments));
+  dks_settings_file_t *file = NULL;
+  const option_t *settings;
   int syntax_errors;
+
   int result = DKS_OK;
 
   memset (options, 0, sizeof (*options));
@@ -630,17 +684,46 @@
       result = syntax_error (arguments, argc, argv, error);
       goto out;
     }
+  settings = find_option ("settings");
+  result = option_apply (settings, arguments_value (arguments, (int)(settings - option_table)),
+                         getenv_func, NULL, options, error);
+  if (result == DKS_OK)
+    result = read_settings (options->settings_path, &file, error);
   for (int i = 0; i < OPTION_COUNT && result == DKS_OK; i++)
-    result = option_apply (&option_table[i], arguments_value (arguments, i), getenv_func, options,
-                           error);
+    result = option_apply (&option_table[i], arguments_value (arguments, i), getenv_func, file,
+                           options, error);
   if (result == DKS_OK)
     result = options_complete (options, error);
 out:
+  dks_settings_file_destroy (file);
   arg_freetable (arguments->args, ARG_COUNT);
   free (arguments);
   return result;
 }
 
+const char *
+dks_options_fixed_change (const dks_options_t *a, const dks_options_t *b)
+{
+  for (int i = 0; i < OPTION_COUNT; i++)
+    {
+      const option_t *option = &option_table[i];
+      bool chosen = option->offset == offsetof (dks_options_t, config.incarnation)
+                    || option->offset == offsetof (dks_options_t, config.seed);
+
+      /* Those two are chosen at every start when they are not given. */
+      if (!option->live && !chosen
+          && memcmp ((const char *)a + option->offset, (const char *)b + option->offset,
+                     option->size)
+                 != 0)
+        return option->flag;
+    }
+  if (a->config.data_centre_count != b->config.data_centre_count
+      || memcmp (a->config.data_centres, b->config.data_centres, sizeof (a->config.data_centres))
+             != 0)
+    return "data-centres";
+  return NULL;
+}
+
 void
 dks_options_print_help (const char *program)
 {
@@ -651,8 +734,10 @@
   arg_print_syntax (stdout, arguments->args, "\n");
   printf ("Dispatches short tasks to targets.\n\n");
   arg_print_glossary (stdout, arguments->args, "  %-28s %s\n");
-  printf ("\nEach option NAME can also be given as the environment variable " ENV_PREFIX
-          "NAME,\nin upper case and with underscores; the option overrides it.\n");
+  printf (
+      "\nEach option NAME can also be given as the environment variable " ENV_PREFIX
+      "NAME,\nin upper case and with underscores, or in the file of --settings; the command line"
+      "\noverrides the variable, and that the file.\n");
   arg_freetable (arguments->args, ARG_COUNT);
   free (arguments);
 }
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -103,6 +103,7 @@
   DKS_EVENT_INSTANCE_LIST, /**< the platform's list was read */
   DKS_EVENT_SETTINGS_EDIT, /**< an operator edits the settings tree */
   DKS_EVENT_DRAIN,         /**< shut down gracefully */
+  DKS_EVENT_CONFIG,        /**< settings of the instance were read again */
   DKS_EVENT_BATCH,         /**< a caller's request about a batch */
   DKS_EVENT_FEED,          /**< outcome of a FEED_READ or FEED_WATCH */
   DKS_EVENT_LEASE_REPLY,   /**< outcome of a LEASE_START, LEASE_STOP or LEASE_HOLD */
@@ -115,6 +116,10 @@
   dks_time_t now;
   union
   {
+    struct
+    {
+      const struct dks_config_t *config; /**< its remote factor and seeds are put in force */
+    } config;
     struct
     {
       uint64_t caller; /**< chosen by the host, never reused */
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -353,6 +353,8 @@
 const char *dks_lmembers_leader (const dks_leased_t *leased);
 /** This process has stood still: what it knows of the others is old. */
 void dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us);
+/** Connects to seeds that were not known yet. */
+void dks_lmembers_add_seeds (dks_leased_t *leased, const dks_config_t *config);
 /** A target has been ordered with a higher fence than ours. */
 void dks_lmembers_handle_fenced (dks_leased_t *leased);
 /** Elects, or stops to lead, as what is known of the others demands. */
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -15,8 +15,8 @@
   DKS_SEEDS_MAX = 8
 };
 
-/** Fixed settings of one instance. */
-typedef struct
+/** Settings of one instance. */
+typedef struct dks_config_t
 {
   char id[DKS_NAME_SIZE];         /**< instance id, e.g. "e1" */
   uint64_t incarnation;           /**< differs at every start of the process */
--- a/include/damaskshored/options.h
+++ b/include/damaskshored/options.h
@@ -1,6 +1,7 @@
 /**
- * Options of the daemon: command-line flags and environment variables. The flag --data-centre has
- * the variable DAMASKSHORE_DATA_CENTRE, and so on; a flag overrides its variable.
+ * Options of the daemon: command-line flags, environment variables and the settings file. The flag
+ * --data-centre has the variable DAMASKSHORE_DATA_CENTRE, and so on. A flag overrides its variable,
+ * and that the file.
  */
 #ifndef DKS_DAMASKSHORED_OPTIONS_H
 #define DKS_DAMASKSHORED_OPTIONS_H
@@ -36,6 +37,7 @@
   char ready_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port of the readiness check */
   char seeds[DKS_URL_SIZE]; /**< leased targets: addresses of instances, separated by commas */
   dks_log_level_t log_level;
+  char settings_path[DKS_URL_SIZE]; /**< file with further options, empty for none */
 } dks_options_t;
 
 /** Reads one environment variable; NULL when it is not set. */
@@ -47,6 +49,9 @@
  * they are not given. */
 int dks_options_parse (int argc, char **argv, dks_options_getenv_t getenv_func,
                        dks_options_t *options, char error[DKS_OPTIONS_ERROR_SIZE]);
+/** Flag of an option whose value differs between `a` and `b` and that only a restart puts in force;
+ * NULL when there is none. */
+const char *dks_options_fixed_change (const dks_options_t *a, const dks_options_t *b);
 /** Prints the help text on standard output. */
 void dks_options_print_help (const char *program);
 
--- a/tests/test_host.cc
+++ b/tests/test_host.cc
@@ -3,6 +3,7 @@
 extern "C"
 {
 #include "common/error.h"
+#include "common/log.h"
 #include "damaskshored/host.h"
 #include "net/loop.h"
 }
@@ -10,6 +11,8 @@
 #include "net_server.h"
 
 #include <csignal>
+#include <fcntl.h>
+#include <functional>
 #include <jansson.h>
 #include <map>
 #include <sys/time.h>
@@ -103,12 +106,14 @@
     sigemptyset (&set);
     sigaddset (&set, SIGTERM);
     sigaddset (&set, SIGINT);
+    sigaddset (&set, SIGHUP);
     pthread_sigmask (SIG_BLOCK, &set, nullptr);
     signal (SIGPIPE, SIG_IGN);
   }
 
   void
-  start (const std::string &platform_url)
+  start (
+      const std::string &platform_url, const std::function<void ()> &before_run = [] {})
   {
     char error[DKS_OPTIONS_ERROR_SIZE];
 
@@ -136,6 +141,7 @@
                DKS_OK)
         << error;
     ASSERT_EQ (dks_host_create (&options, &host), DKS_OK);
+    before_run ();
     thread = std::thread ([this] {
       status = dks_host_run (host);
       finished = true;
@@ -166,6 +172,7 @@
     sigemptyset (&set);
     sigaddset (&set, SIGTERM);
     sigaddset (&set, SIGINT);
+    sigaddset (&set, SIGHUP);
     while (sigtimedwait (&set, nullptr, &now) > 0)
       continue;
   }
@@ -274,6 +281,60 @@
   caller.join ();
 }
 
+// Guards against settings that only a restart puts in force, and against a bad file that does.
+TEST_F (Host, SignalReadsTheSettingsAgain)
+{
+  int ends[2];
+  struct Reload
+  {
+    int result;
+    dks_options_t options;
+  } next;
+
+  ASSERT_EQ (pipe2 (ends, O_CLOEXEC | O_NONBLOCK), 0);
+  dks_log_set_output (ends[1], "");
+  start ("http://127.0.0.1:1", [&] {
+    dks_host_set_reload (
+        host,
+        [] (void *context, dks_options_t *to, char *message) -> int {
+          auto *from = static_cast<Reload *> (context);
+
+          *to = from->options;
+          strcpy (message, "--log-level: value \"loud\" is not allowed");
+          return from->result;
+        },
+        &next);
+  });
+  auto wait_for = [&] (const std::string &part) {
+    std::string text;
+    char buffer[4096];
+
+    for (int i = 0; i < 2000 && text.find (part) == std::string::npos; i++)
+      {
+        ssize_t len = read (ends[0], buffer, sizeof (buffer));
+
+        if (len > 0)
+          text.append (buffer, static_cast<size_t> (len));
+        else
+          usleep (1000);
+      }
+    return text.find (part) != std::string::npos;
+  };
+  next.options = options;
+  next.options.log_level = DKS_LOG_DEBUG;
+  next.result = DKS_ERR_INVALID;
+  kill (getpid (), SIGHUP);
+  EXPECT_TRUE (wait_for ("event=reload cause=signal result=rejected"));
+  next.result = DKS_OK;
+  kill (getpid (), SIGHUP);
+  EXPECT_TRUE (wait_for ("event=reload cause=signal result=applied needs_restart=\n"));
+  strcpy (next.options.http_address, "127.0.0.1:9");
+  kill (getpid (), SIGHUP);
+  EXPECT_TRUE (wait_for ("result=applied needs_restart=http-address\n"));
+  dks_log_set_output (STDERR_FILENO, "");
+  dks_log_set_level (DKS_LOG_INFO);
+}
+
 TEST_F (Host, ReportsAnAddressInUse)
 {
   dks_host_t *second = nullptr;
--- a/tests/test_options.cc
+++ b/tests/test_options.cc
@@ -287,6 +287,67 @@
   EXPECT_NE (options.config.seed, seed);
 }
 
+class OptionsFile : public Options
+{
+protected:
+  void
+  TearDown () override
+  {
+    unlink (path.c_str ());
+  }
+
+  int
+  parse_file (const std::string &text, std::vector<std::string> more = {})
+  {
+    FILE *stream = fopen (path.c_str (), "w");
+
+    fputs (text.c_str (), stream);
+    fclose (stream);
+    more.push_back ("--settings=" + path);
+    return parse_with (more);
+  }
+
+  const std::string path = "options-file-" + std::to_string (getpid ());
+};
+
+TEST_F (OptionsFile, CommandLineGoesBeforeVariableBeforeFile)
+{
+  environment["DAMASKSHORE_HEARTBEAT_MS"] = "21";
+  environment["DAMASKSHORE_CEILING_MS"] = "70001";
+  ASSERT_EQ (parse_file ("heartbeat-ms = 22\nceiling-ms = 70002\nlog-level = debug\n",
+                         { "--heartbeat-ms", "20" }),
+             DKS_OK)
+      << error;
+  EXPECT_EQ (options.config.heartbeat_us, 20000);
+  EXPECT_EQ (options.config.ceiling_ms, 70001);
+  EXPECT_EQ (options.log_level, DKS_LOG_DEBUG);
+}
+
+TEST_F (OptionsFile, FileIsCheckedAsAWhole)
+{
+  EXPECT_EQ (parse_file ("log-level = loud\n"), DKS_ERR_INVALID);
+  EXPECT_NE (std::string (error).find ("--log-level (from the settings file)"), std::string::npos)
+      << error;
+  EXPECT_EQ (parse_file ("log-level = debug\nno-such = 1\n"), DKS_ERR_INVALID);
+  EXPECT_NE (std::string (error).find ("\"no-such\""), std::string::npos) << error;
+  EXPECT_EQ (parse_file ("settings = other\n"), DKS_ERR_INVALID);
+  EXPECT_EQ (parse_with ({ "--settings", "no-such-file" }), DKS_ERR_INVALID);
+  EXPECT_NE (std::string (error).find ("no-such-file"), std::string::npos) << error;
+}
+
+// Guards against a reload that reports an option in force although only a restart changes it.
+TEST_F (OptionsFile, NamesAChangeThatNeedsARestart)
+{
+  ASSERT_EQ (parse_file ("log-level = info\n"), DKS_OK) << error;
+  dks_options_t before = options;
+  ASSERT_EQ (parse_file ("log-level = debug\nremote-factor = 2\n"), DKS_OK) << error;
+  EXPECT_EQ (dks_options_fixed_change (&before, &options), nullptr);
+  ASSERT_EQ (parse_file ("http-address = 127.0.0.1:9\n"), DKS_OK) << error;
+  EXPECT_STREQ (dks_options_fixed_change (&before, &options), "http-address");
+  ASSERT_EQ (parse_file ("data-centres = dc1,dc2\n"), DKS_OK) << error;
+  EXPECT_STREQ (dks_options_fixed_change (&before, &options), "data-centres");
+}
+
 TEST (Address, ParsesNumericAddressesOnly)
 {
   dks_address_t address;
