common, core: metrics with labels and histograms

Cause: an incident on the platform is looked into with logs and metrics alone.

Ruled out: a library; Debian's registry has none in C for histograms or the Prometheus format (apt-cache search for hdr, histogram and prometheus shows Go, Java, Perl and Python only).

A field of a feed that nothing read is now the age of the last answer.

--- a/core/leased.c
+++ b/core/leased.c
@@ -19,6 +19,7 @@
   dks_leased_t *leased = dks_alloc (sizeof (*leased));
 
   leased->r = r;
+  leased->metrics = dks_metrics_create ();
   dks_lmembers_init (leased);
   dks_lestimate_init (leased);
   dks_lspeeds_init (leased);
@@ -43,6 +44,7 @@
   dks_lestimate_clear (leased);
   dks_lfeed_clear (leased);
   dks_lmembers_clear (leased);
+  dks_metrics_destroy (leased->metrics);
   free (leased);
 }
 
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -60,7 +60,8 @@
 }
 
 static void
-count_answer (dks_leased_t *leased, dks_batch_answer_t answer)
+count_answer (dks_leased_t *leased, const char *queue, dks_batch_answer_t answer,
+              const char *detail)
 {
   static const dks_counter_t counters[] = {
     [DKS_BATCH_COMPLETED] = DKS_COUNTER_ANSWERS_COMPLETE,
@@ -70,6 +71,9 @@
     [DKS_BATCH_LOST] = DKS_COUNTER_ANSWERS_UNKNOWN,
   };
 
+  dks_metrics_count (leased->metrics, DKS_LABELLED_JOBS, queue, dks_batch_answer_name (answer));
+  if (answer == DKS_BATCH_REFUSED)
+    dks_metrics_count (leased->metrics, DKS_LABELLED_REFUSALS, detail, "");
   if ((size_t)answer < sizeof (counters) / sizeof (counters[0]))
     dks_count (&leased->r->counters, counters[answer]);
 }
@@ -81,7 +85,9 @@
   dks_leased_t *leased = request->leased;
   dks_lcaller_t *caller;
 
-  count_answer (leased, answer);
+  count_answer (leased, request->batch->queue, answer, detail);
+  dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_ANSWER, request->batch->queue,
+                       dks_lnow_us (leased) - request->arrival_us);
   if (answer != DKS_BATCH_COMPLETED)
     dks_emit_log (leased->r, DKS_LOG_INFO,
                   "event=answer job=%s answer=%s age_ms=%" PRId64 " leader=%s catalog=%" PRId64
@@ -254,18 +260,19 @@
 
       dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%s answer=%s reason=\"%s\"", id,
                     dks_batch_answer_name (DKS_BATCH_REFUSED), reason);
-      count_answer (leased, DKS_BATCH_REFUSED);
+      count_answer (leased, queue->name, DKS_BATCH_REFUSED, reason);
       reply (leased, caller, DKS_BATCH_REFUSED, 0, reason);
       return;
     }
   if (leased->drain_us > 0 && dks_lnow_us (leased) - leased->drain_us > DRAIN_CLOSE_US)
     {
-      count_answer (leased, DKS_BATCH_REFUSED);
+      count_answer (leased, queue->name, DKS_BATCH_REFUSED, "the instance shuts down");
       reply (leased, caller, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS, "the instance shuts down");
       return;
     }
   if (batch == NULL || dks_strcpy (batch->id, sizeof (batch->id), id) != DKS_OK)
     {
+      count_answer (leased, queue->name, DKS_BATCH_INVALID, "");
       reply (leased, caller, DKS_BATCH_INVALID, 0, "the job is malformed");
       return;
     }
@@ -317,6 +324,7 @@
 
   if (leased->catalog == NULL)
     {
+      count_answer (leased, "", DKS_BATCH_REFUSED, "no configuration is known yet");
       reply (leased, caller, DKS_BATCH_REFUSED, NO_CATALOG_RETRY_MS,
              "no configuration is known yet");
       return;
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -22,6 +22,20 @@
   return feed == DKS_FEED_CATALOG ? "catalog" : "targets";
 }
 
+static const char *
+status_name (dks_feed_status_t status)
+{
+  switch (status)
+    {
+    case DKS_FEED_OK:
+      return "ok";
+    case DKS_FEED_HISTORY_GONE:
+      return "history_gone";
+    default:
+      return "unavailable";
+    }
+}
+
 static void
 send_op (dks_leased_t *leased, dks_feed_t which)
 {
@@ -200,6 +214,9 @@
     return;
   feed = &leased->feeds[which];
   feed->op = 0;
+  dks_metrics_count (leased->metrics, DKS_LABELLED_FEED_CALLS, feed_name (which),
+                     status_name (event->u.feed.status));
+
   if (event->u.feed.status != DKS_FEED_OK)
     {
       if (feed->failures == 0 || event->u.feed.status == DKS_FEED_HISTORY_GONE)
@@ -216,7 +233,7 @@
   if (feed->failures > 0)
     dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=feed-back feed=%s", feed_name (which));
   feed->failures = 0;
-  feed->read_us = leased->r->now.mono_us;
+  feed->heard_us = leased->r->now.mono_us;
   for (size_t i = 0; i < event->u.feed.count; i++)
     handle_item (leased, which, &event->u.feed.items[i]);
   if (!feed->is_watch)
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -367,6 +367,9 @@
   job->last_start_us = dks_lnow_us (job->leased);
   if (job->begun)
     return;
+  if (!job->lent)
+    dks_metrics_observe (job->leased->metrics, DKS_HISTOGRAM_QUEUE_WAIT, job->batch->queue,
+                         dks_lnow_us (job->leased) - job->arrival_us);
   job->begun = true;
   job_plan_timer (job);
 }
@@ -745,6 +748,8 @@
       if (task->state != DKS_LTASK_LENT || task->index != msg->u.lent_done.index
           || task->run != msg->u.lent_done.run || strcmp (task->peer, peer) != 0)
         continue;
+      dks_metrics_count (leased->metrics, DKS_LABELLED_TASKS_LENT, task->lender_dc,
+                         dks_lent_result_name ((dks_lent_result_t)msg->u.lent_done.result));
       if (msg->u.lent_done.result == DKS_LENT_REFUSED && lender != NULL)
         lender->free_tasks = 0;
       if (msg->u.lent_done.result == DKS_LENT_LATE)
--- /dev/null
+++ b/core/leased_metrics.c
@@ -0,0 +1,93 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+typedef struct
+{
+  const char *name;
+  const char *help;
+  double value;
+} gauge_t;
+
+static double
+age_s (const dks_leased_t *leased, int64_t since_us)
+{
+  return since_us > 0 ? (double)(dks_lnow_us (leased) - since_us) / 1e6 : -1;
+}
+
+static uint32_t
+count_peers (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    count += dks_lpeer_is_alive (leased, peer);
+  return count;
+}
+
+static void
+count_targets (const dks_leased_t *leased, uint32_t *held, uint32_t *runs, uint32_t *ejected)
+{
+  const dks_ltarget_t *target;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      *held += target->held;
+      *runs += target->run_count;
+      *ejected += target->held && target->ejected_until_us > dks_lnow_us (leased);
+    }
+}
+
+static void
+write_gauges (FILE *stream, const dks_leased_t *leased)
+{
+  uint32_t held = 0;
+  uint32_t runs = 0;
+  uint32_t ejected = 0;
+
+  count_targets (leased, &held, &runs, &ejected);
+  const gauge_t gauges[] = {
+    { "leading", "Whether this instance leads its data centre.", leased->term > 0 },
+    { "peers_alive", "Other instances that were heard of lately.", count_peers (leased) },
+    { "catalog_version", "Version of the configuration in force, 0 for none.",
+      leased->catalog != NULL ? (double)leased->catalog->version : 0 },
+    { "catalog_heard_seconds", "Time since the store last answered about the configuration.",
+      age_s (leased, leased->feeds[DKS_FEED_CATALOG].heard_us) },
+    { "targets_heard_seconds", "Time since the store last answered about the list of targets.",
+      age_s (leased, leased->feeds[DKS_FEED_TARGETS].heard_us) },
+    { "requests", "Jobs that callers of this instance wait for.", leased->request_count },
+    { "jobs", "Jobs and lent tasks that this instance places.", leased->job_count },
+    { "waiting_tasks", "Tasks that found no room yet.", leased->waiting_tasks },
+    { "targets_held", "Targets that this instance orders.", held },
+    { "targets_ejected", "Held targets that get no work for a while.", ejected },
+    { "runs", "Runs on held targets.", runs },
+    { "free_tasks", "Tasks of the usual size that fit on held targets now.",
+      dks_ltargets_free_tasks (leased) },
+  };
+
+  for (size_t i = 0; i < sizeof (gauges) / sizeof (gauges[0]); i++)
+    fprintf (stream,
+             "# HELP damaskshore_%s %s\n# TYPE damaskshore_%s gauge\ndamaskshore_%s %.15g\n",
+             gauges[i].name, gauges[i].help, gauges[i].name, gauges[i].name, gauges[i].value);
+}
+
+char *
+dks_lmetrics_format (const dks_leased_t *leased)
+{
+  char *labelled = dks_metrics_format (leased->metrics);
+  char *text = NULL;
+  size_t size = 0;
+  FILE *stream = open_memstream (&text, &size);
+
+  DKS_INVARIANT (stream != NULL);
+  write_gauges (stream, leased);
+  fputs (labelled, stream);
+  DKS_INVARIANT (fclose (stream) == 0);
+  free (labelled);
+  return text;
+}
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -213,7 +213,10 @@
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=runs-lost target=%s runs=%u reason=%s",
                   target->info.id, target->run_count, reason);
   while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
-    run_end (APR_RING_FIRST (&target->runs), false, false);
+    {
+      dks_metrics_count (target->leased->metrics, DKS_LABELLED_RUNS_LOST, reason, "");
+      run_end (APR_RING_FIRST (&target->runs), false, false);
+    }
 }
 
 static void
@@ -325,6 +328,8 @@
   if (run->adopted_us > 0 || run->expected_us <= 0 || run->job == NULL)
     return;
   dks_ltarget_note_speed (run->target, time_us / run->expected_us);
+  dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_RUN, run->job->batch->queue,
+                       (int64_t)time_us);
   dks_lestimate_note (leased, run->job->batch,
                       time_us * leased->slowness_mean / dks_ltarget_slowness (run->target));
   dks_laverage (&leased->run_mean_us, time_us, DKS_LMEAN_WEIGHT);
@@ -337,6 +342,10 @@
 {
   bool fault = end == DKS_RUN_FAILED;
 
+  if (run->job != NULL)
+    dks_metrics_count (run->leased->metrics, DKS_LABELLED_RUN_ENDS, run->job->batch->queue,
+                       dks_run_end_name (end));
+
   if (end == DKS_RUN_DONE)
     run_note_done (run);
   if (end == DKS_RUN_DONE || fault)
@@ -443,6 +452,8 @@
   int64_t sent_us = is_look ? target->look_us : target->hold_us;
   bool was_adopted = target->adopted;
 
+  dks_metrics_count (leased->metrics, DKS_LABELLED_HOLDS,
+                     dks_lease_status_name (event->u.lease_reply.status), "");
   if (is_look)
     target->look_op = 0;
   else
@@ -566,6 +577,8 @@
   dks_leased_t *leased = run->leased;
   dks_lease_status_t status = event->u.lease_reply.status;
 
+  dks_metrics_count (leased->metrics, DKS_LABELLED_LEASED_STARTS, dks_lease_status_name (status),
+                     "");
   switch (status)
     {
     case DKS_LEASE_OK:
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -131,6 +131,7 @@
       return;
     }
   task->was_moved = true;
+  dks_metrics_count (run->leased->metrics, DKS_LABELLED_RUNS_MOVED, "too late", "");
   dks_lrun_fence (run);
 }
 
@@ -173,6 +174,8 @@
         dks_ltarget_note_speed (target, (double)ran_us / (run->expected_us + 1)
                                             * (run->percent > 0 ? 100.0 / run->percent : 2));
       run->was_restarted = true;
+      dks_metrics_count (run->leased->metrics, DKS_LABELLED_RUNS_MOVED,
+                         run->percent == 0 ? "stalled" : "slow", "");
       if (run->percent == 0)
         dks_ltarget_eject (target, "stalled");
       dks_lrun_fence (run);
--- a/core/msg.c
+++ b/core/msg.c
@@ -118,3 +118,16 @@
 
   return (unsigned)type < DKS_MSG_TYPE_COUNT && names[type] != NULL ? names[type] : "invalid";
 }
+
+const char *
+dks_lent_result_name (dks_lent_result_t result)
+{
+  static const char *const names[] = {
+    [DKS_LENT_OK] = "ok",       [DKS_LENT_FAILED] = "failed", [DKS_LENT_REFUSED] = "refused",
+    [DKS_LENT_ENDED] = "ended", [DKS_LENT_LATE] = "late",
+  };
+
+  return (size_t)result < sizeof (names) / sizeof (names[0]) && names[result] != NULL
+             ? names[result]
+             : "invalid";
+}
--- a/core/status.c
+++ b/core/status.c
@@ -74,6 +74,12 @@
   return text;
 }
 
+char *
+dks_reducer_metrics (const dks_reducer_t *r)
+{
+  return r->leased != NULL ? dks_lmetrics_format (r->leased) : NULL;
+}
+
 char *
 dks_reducer_status (const dks_reducer_t *r)
 {
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -545,10 +545,9 @@
   dks_options_t adapted = *options;
   int error = raise_descriptor_limit (&adapted);
 
-    host->options = *options;
+  host->options = *options;
   options = &adapted;
 
-
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
   dks_timer_init (&host->tick, handle_tick, host);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -13,6 +13,7 @@
 #ifndef DKS_CORE_LEASED_H
 #define DKS_CORE_LEASED_H
 
+#include "common/metrics.h"
 #include "core/state.h"
 
 enum
@@ -252,7 +253,7 @@
   bool read;                /**< the whole feed has been read, or a peer has sent it */
   char after[DKS_KEY_SIZE]; /**< position of a read in parts */
   uint32_t generation;      /**< of the read under way; items not seen in it are gone */
-  int64_t read_us;          /**< when it was last known to be complete */
+  int64_t heard_us;         /**< latest answer of the store, 0: none yet */
   uint32_t failures;
   dks_timer_t timer;
 } dks_lfeed_t;
@@ -260,6 +261,7 @@
 struct dks_leased_t
 {
   dks_reducer_t *r;
+  dks_metrics_t *metrics;
 
   /* leased_members.c */
   struct dks_lpeer_ring_t peers;
@@ -339,6 +341,10 @@
 /** State for operators, a JSON object; malloc'ed. */
 char *dks_leased_status_json (const dks_leased_t *leased);
 
+/* leased_metrics.c */
+/** Counters, histograms and gauges in the Prometheus text format; malloc'ed. */
+char *dks_lmetrics_format (const dks_leased_t *leased);
+
 /* leased_members.c */
 void dks_lmembers_init (dks_leased_t *leased);
 void dks_lmembers_clear (dks_leased_t *leased);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -68,6 +68,8 @@
   uint32_t samples; /**< runs that it was learned from */
 } dks_told_run_time_t;
 
+const char *dks_lent_result_name (dks_lent_result_t result);
+
 /** Outcome of one attempt to run a task at a target. */
 typedef enum
 {
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -57,6 +57,9 @@
 const dks_counters_t *dks_reducer_counters (const dks_reducer_t *reducer);
 /** Settings tree in force; never NULL. */
 const dks_settings_t *dks_reducer_settings (const dks_reducer_t *reducer);
+/** Metrics of leased targets in the Prometheus text format; malloc'ed, NULL when targets are not
+ * leased. */
+char *dks_reducer_metrics (const dks_reducer_t *reducer);
 /** State for operators as a JSON object: members, shards, targets, queue; malloc'ed. */
 char *dks_reducer_status (const dks_reducer_t *reducer);
 
--- a/net/http_routes.c
+++ b/net/http_routes.c
@@ -325,8 +325,12 @@
       "damaskshore_http_connections %" PRIu32 "\n"
       "# HELP damaskshore_http_open_requests Requests without a complete reply.\n"
       "# TYPE damaskshore_http_open_requests gauge\n"
-      "damaskshore_http_open_requests %" PRIu32 "\n";
+      "damaskshore_http_open_requests %" PRIu32 "\n"
+      "# HELP damaskshore_log_lines_dropped_total Log lines that the reader had no room for.\n"
+      "# TYPE damaskshore_log_lines_dropped_total counter\n"
+      "damaskshore_log_lines_dropped_total %" PRIu64 "\n";
   const dks_http_server_t *server = exchange->server;
+  char *more = dks_reducer_metrics (exchange_reducer (exchange));
   dks_counters_t counters = *dks_reducer_counters (exchange_reducer (exchange));
   char *text;
   size_t len;
@@ -335,9 +339,14 @@
   counters.values[DKS_COUNTER_BAD_INPUT] += server->bad_input;
   text = dks_counters_format (&counters);
   len = strlen (text);
-  size = len + sizeof (gauges) + 32;
+  size = len + sizeof (gauges) + 64 + (more != NULL ? strlen (more) : 0);
   text = dks_realloc (text, size);
-  snprintf (text + len, size - len, gauges, server->connections, server->open_requests);
+  len += (size_t)snprintf (text + len, size - len, gauges, server->connections,
+                           server->open_requests, dks_log_dropped ());
+  if (more != NULL)
+    dks_strcpy (text + len, size - len, more);
+  free (more);
+
   dks_http_exchange_reply (exchange, 200, TEXT_TYPE, text);
 }
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -761,3 +761,29 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// Guards against a refusal that the metrics do not show, or not by its reason.
+TEST (Leased, MetricsTellAnswersAndReasons)
+{
+  World world;
+  make_data_centre (world, "a", 2, 1);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.submit (0, "0000000000000002", { { 1, 64000, 100, 100 } });
+  world.run_for (300 * ms);
+
+  char *text = dks_reducer_metrics (world.instances[0]->reducer);
+  std::string metrics = text;
+  free (text);
+  for (const char *line :
+       { "damaskshore_leading 1\n", "damaskshore_targets_held 2\n",
+         "damaskshore_jobs_total{queue=\"queue\",answer=\"completed\"} 1\n",
+         "damaskshore_jobs_total{queue=\"queue\",answer=\"refused\"} 1\n",
+         "damaskshore_refusals_total{reason=\"no target can run it\"} 1\n",
+         "damaskshore_leased_starts_total{result=\"ok\"} 2\n",
+         "damaskshore_run_ends_total{queue=\"queue\",end=\"done\"} 2\n",
+         "damaskshore_run_seconds_count{queue=\"queue\"} 2\n",
+         "damaskshore_queue_wait_seconds_bucket{queue=\"queue\",le=\"0.001\"} 1\n" })
+    EXPECT_NE (metrics.find (line), std::string::npos) << line;
+}
