leased: look into a start after 40 ms without an answer

Ruled out: a shorter time-out of the call, since an instance that has used up its share of the processor may stand still for 90 ms and would drop answers that have arrived.

Change: every 20 ms the lists of targets that owe an answer for 40 ms are read, while the start waits on. A run that the list lacks is fenced off with a stop, as after the time-out, and its task starts elsewhere.

One test, seen to fail with the old code.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -18,8 +18,10 @@
   LAPSE_MARGIN_US = 60000, /* network and rounding, beyond the error of the target's clock */
   CLOCK_ERROR_PERCENT = 2, /* a target's clock may be slow by this much */
   RETRY_US = 200000,       /* between two looks at a silent target */
-  FULL_PAUSE_US = 30000,   /* after a start was rejected for want of room */
-  OLD_RUN_SKIP = 8,        /* run numbers that are passed over when one turns out to be used */
+  OVERDUE_US =
+      20000, /* a start sent this long before a list that lacks its run is taken for lost */
+  FULL_PAUSE_US = 30000, /* after a start was rejected for want of room */
+  OLD_RUN_SKIP = 8,      /* run numbers that are passed over when one turns out to be used */
 };
 
 #define FIRST_CPU_MILLI 4000.0 /* size of a task before the first is known */
@@ -337,6 +339,15 @@
 
 /* Lists of runs */
 
+static void
+log_unanswered (const dks_lrun_t *run)
+{
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=start-unanswered task=%s run=%u target=%s waited_ms=%" PRId64, run->name,
+                run->run, run->target->info.id,
+                (dks_lnow_us (run->leased) - run->started_us) / 1000);
+}
+
 static void
 run_handle_end (dks_lrun_t *run, dks_run_end_t end)
 {
@@ -418,6 +429,11 @@
       if ((run->state == DKS_LRUN_RUNNING || run->state == DKS_LRUN_STOPPING) && run->acked_us > 0
           && run->acked_us <= sent_us)
         run_end (run, false, false);
+      else if (run->state == DKS_LRUN_STARTING && sent_us - run->started_us >= OVERDUE_US)
+        {
+          log_unanswered (run);
+          dks_lrun_fence (run);
+        }
       else if (run->state == DKS_LRUN_UNSURE && run->op == 0 && run->started_us < sent_us)
         dks_lrun_fence (run);
     }
@@ -594,8 +610,7 @@
       dks_lmembers_handle_fenced (leased);
       return;
     case DKS_LEASE_UNANSWERED:
-      dks_emit_log (leased->r, DKS_LOG_INFO, "event=start-unanswered task=%s run=%u target=%s",
-                    run->name, run->run, target->info.id);
+      log_unanswered (run);
       /* A list may have shown it already. */
       run->state = run->acked_us > 0 ? DKS_LRUN_RUNNING : DKS_LRUN_UNSURE;
       dks_ltarget_look (target);
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -10,6 +10,8 @@
 {
   ORPHAN_US = 400000, /* an adopted run that no job claims is stopped after this */
   WATCH_INTERVAL_US = 50000,
+  START_CHECK_INTERVAL_US = 20000,
+  START_OVERDUE_US = 40000,  /* a start is answered within a few ms */
   SLOW_FLOOR_US = 120000,    /* a run is not looked at before this much over its estimate */
   LOOK_INTERVAL_US = 250000, /* between two looks at a target because of slow runs */
   STALLED_US = 400000,       /* a run without any progress for this long stands still */
@@ -185,6 +187,35 @@
     dks_ltarget_look (target);
 }
 
+/* Reads the lists of targets that owe the answer to a start. When the list does not have the run,
+ * its number is fenced off with a stop, and the task starts elsewhere. The start itself waits on:
+ * an answer that was only slow still counts. */
+static void
+handle_start_timer (void *context, int64_t time_us)
+{
+  dks_leased_t *leased = context;
+  dks_ltarget_t *target;
+
+  dks_timer_set (leased->r->timers, &leased->start_timer, time_us + START_CHECK_INTERVAL_US);
+  if (leased->term == 0)
+    return;
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      const dks_lrun_t *run;
+
+      if (!target->held || target->silent_calls > 0)
+        continue;
+      APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
+        {
+          if (run->state != DKS_LRUN_STARTING || time_us - run->started_us < START_OVERDUE_US
+              || target->look_us > run->started_us)
+            continue;
+          dks_ltarget_look (target);
+          break;
+        }
+    }
+}
+
 static void
 handle_watch_timer (void *context, int64_t time_us)
 {
@@ -212,10 +243,14 @@
 {
   dks_timer_init (&leased->watch_timer, handle_watch_timer, leased);
   dks_timer_set (leased->r->timers, &leased->watch_timer, dks_lnow_us (leased) + WATCH_INTERVAL_US);
+  dks_timer_init (&leased->start_timer, handle_start_timer, leased);
+  dks_timer_set (leased->r->timers, &leased->start_timer,
+                 dks_lnow_us (leased) + START_CHECK_INTERVAL_US);
 }
 
 void
 dks_lwatch_clear (dks_leased_t *leased)
 {
   dks_timer_cancel (leased->r->timers, &leased->watch_timer);
+  dks_timer_cancel (leased->r->timers, &leased->start_timer);
 }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -297,6 +297,7 @@
   double run_mean_us;        /**< run time of a task, moving average */
   double slowness_mean;      /**< run time over estimate, moving average of all targets */
   dks_timer_t watch_timer;   /**< looks after slow and orphaned runs */
+  dks_timer_t start_timer;   /**< looks after starts without an answer */
 
   /* leased_speeds.c */
   dks_timer_t tell_timer;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -787,3 +787,25 @@
          "damaskshore_queue_wait_seconds_bucket{queue=\"queue\",le=\"0.001\"} 1\n" })
     EXPECT_NE (metrics.find (line), std::string::npos) << line;
 }
+
+// Pattern of the applied_late days: starts without an answer, carried out seconds later. The task
+// waited 150 ms for the answer before its start was settled, which made every short job late.
+TEST (Leased, ShortJobMeetsItsObjectiveAlthoughAStartGetsNoAnswer)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (size_t i = 0; i < 3; i++)
+    {
+      world.targets[i]->lose_starts = 1;
+      world.targets[i]->late_us = 3000 * ms;
+    }
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 6, 6800, 60, 60 } });
+  world.run_for (156 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  world.run_for (4000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
