leased: the largest instance leads its data centre

Cause: on the grown sites instances have 0.12 or 0.5 of a processor, and the one that had run longest led; after a rolling restart the leaders had 0.12, answered late, and were taken for lost.

Ruled out: dividing the targets among several leaders of a data centre (larger change, see docs/CAPACITY.md); choosing by measured load, which follows from being the leader.

Of the candidates the one with more goes first, then the one that has run longest. A leader gives way to an instance with twice as much that has been connected for 2 s, as it does when it drains.

Test: the module.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -20,7 +20,11 @@
   TERMS_PER_MS = 4096,               /* a term stays below 2^53, which JSON numbers keep exactly */
   FENCED_STEP_MS = 5000,             /* clock error that one attempt after a fence makes up for */
   DIAL_INTERVAL_US = 10000000,       /* between two attempts at addresses that were given up */
-  FORGET_US = 20000000               /* a lost member is dropped after this */
+  FORGET_US = 20000000,              /* a lost member is dropped after this */
+
+  YIELD_AFTER_US =
+      2000000,     /* a change of the leader costs running jobs some ms: not twice in a row */
+  YIELD_FACTOR = 2 /* so much more processor time makes up for it */
 };
 
 static bool
@@ -102,7 +106,9 @@
         msg->u.leased_status.fast_slowness_milli = (uint32_t)(1000 * slowness);
     }
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
+  msg->u.leased_status.processor_milli = leased->r->config.processor_milli;
   msg->u.leased_status.draining = leased->drain_us > 0;
+  msg->u.leased_status.yields = leased->term > 0 && leased->yields;
   msg->u.leased_status.knows_targets = dks_lfeed_knows_targets (leased);
   dks_emit_peer (leased->r, peer, msg);
 }
@@ -319,6 +325,7 @@
   peer->catalog_sent = 0;
   peer->targets_sent = false;
   peer->heard_us = leased->r->now.mono_us;
+  peer->up_us = leased->r->now.mono_us;
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
   send_status (leased, id);
   send_addresses (leased, id);
@@ -345,6 +352,7 @@
   bool is_new = !peer->told;
   bool changed = is_new || peer->term != msg->u.leased_status.term
                  || peer->draining != msg->u.leased_status.draining
+                 || peer->yields != msg->u.leased_status.yields
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
@@ -357,7 +365,9 @@
   peer->free_fast_tasks = msg->u.leased_status.free_fast_tasks;
   peer->fast_slowness = msg->u.leased_status.fast_slowness_milli / 1000.0;
   peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
+  peer->processor_milli = msg->u.leased_status.processor_milli;
   peer->draining = msg->u.leased_status.draining;
+  peer->yields = msg->u.leased_status.yields;
   peer->knows_targets = msg->u.leased_status.knows_targets;
   if (!peer->knows_targets && !peer->targets_sent && dks_lfeed_knows_targets (leased))
     {
@@ -409,8 +419,22 @@
   dks_lmembers_announce (leased);
 }
 
-/* Whether another instance of our data centre is the better candidate: it is not draining, and has
- * run longer. With `informed`, only those that know the list of targets count. */
+/* Whether the peer leads rather than we do: the instance with more processor time goes first, then
+ * the one that has run longer. */
+static bool
+peer_goes_first (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  uint32_t own = leased->r->config.processor_milli;
+
+  if (peer->processor_milli != own)
+    return peer->processor_milli > own;
+  if (peer->started_ms != leased->started_ms)
+    return peer->started_ms < leased->started_ms;
+  return strcmp (peer->id, leased->r->self) < 0;
+}
+
+/* Whether another instance of our data centre is the better candidate: it is not draining, and goes
+ * first. With `informed`, only those that know the list of targets count. */
 static bool
 has_better_candidate (const dks_leased_t *leased, bool informed)
 {
@@ -421,8 +445,7 @@
       if (!peer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining
           || (informed && !peer->knows_targets))
         continue;
-      if (leased->drain_us > 0 || peer->started_ms < leased->started_ms
-          || (peer->started_ms == leased->started_ms && strcmp (peer->id, leased->r->self) < 0))
+      if (leased->drain_us > 0 || peer_goes_first (leased, peer))
         return true;
     }
   return false;
@@ -466,6 +489,7 @@
   if (!dks_lfeed_knows_targets (leased))
     return false;
   /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
+
   if (now_us - leased->started_us < START_WAIT_US
       && (!has_heard_all (leased) || has_better_candidate (leased, false)))
     return false;
@@ -474,6 +498,40 @@
   return !has_better_candidate (leased, true);
 }
 
+/* A leader on a small instance gives way to one that is clearly larger and has settled. */
+static void
+review_yielding (dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  bool yields = false;
+
+  if (leased->term > 0 && leased->r->now.mono_us - leased->led_us >= YIELD_AFTER_US)
+    {
+      APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+        yields =
+            yields
+            || (peer_is_ours (leased, peer) && dks_lpeer_is_alive (leased, peer) && !peer->draining
+                && peer->knows_targets && leased->r->now.mono_us - peer->up_us >= YIELD_AFTER_US
+                && peer->processor_milli >= YIELD_FACTOR * leased->r->config.processor_milli);
+    }
+  if (yields == leased->yields)
+    return;
+  leased->yields = yields;
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=leader-yields yields=%d", yields);
+  dks_lmembers_announce (leased);
+}
+
+/* Whether we may take over from a leader that lives. */
+static bool
+gives_way (const dks_leased_t *leased, const dks_lpeer_t *leader)
+{
+  if (leased->drain_us > 0)
+    return false;
+  return leader->draining
+         || (leader->yields
+             && leased->r->config.processor_milli >= YIELD_FACTOR * leader->processor_milli);
+}
+
 void
 dks_lmembers_review (dks_leased_t *leased)
 {
@@ -482,8 +540,8 @@
   if (leased->term > 0 && leader != NULL
       && precedes (leader->term, leader->id, leased->term, leased->r->self))
     stop_leading (leased, "higher-term");
-  if (leased->term == 0 && (leader == NULL || (leader->draining && leased->drain_us == 0))
-      && may_lead (leased))
+  review_yielding (leased);
+  if (leased->term == 0 && (leader == NULL || gives_way (leased, leader)) && may_lead (leased))
     lead (leased, leader != NULL);
   dks_lentry_review (leased);
 }
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -432,7 +432,8 @@
   const dks_peer_config_t config = {
     .member = dks_reducer_member_id (host->reducer),
     .data_centre = options->config.data_centre,
-    .address = options->config.address,
+    .address = options->peer_listen_address[0] != '\0' ? options->peer_listen_address
+                                                       : options->config.address,
   };
   const dks_peer_callbacks_t callbacks = {
     .up = handle_peer_up,
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -203,6 +203,18 @@
   return true;
 }
 
+static bool
+set_processors (const option_t *option, const char *value, dks_options_t *options)
+{
+  char *end = NULL;
+  double processors = strtod (value, &end);
+
+  if (end == value || *end != '\0' || !(processors > 0 && processors <= 1024))
+    return false;
+  options->config.processor_milli = (uint32_t)(1000 * processors + 0.5);
+  return true;
+}
+
 static bool
 set_targets (const option_t *option, const char *value, dks_options_t *options)
 {
@@ -280,9 +292,16 @@
     FIELD (config.address),
     "a numeric IP address that is not a wildcard, and a port from 1 to 65535",
     "address for connections from other instances" },
+  { "peer-listen-address", "IP:PORT", set_listen_address, NULL, false, 0, 0, 0,
+    FIELD (peer_listen_address), "a numeric IP address and a port from 1 to 65535",
+    "address to listen on when the other instances reach it at --peer-address by way of a "
+    "forwarder" },
   { "platform-url", "URL", set_url, NULL, true, 0, 0, 0, FIELD (platform_url),
     "http://IP[:PORT] with a numeric IP address, no path and at most 255 characters",
     "base URL of the platform" },
+  { "processors", "P", set_processors, "1", false, 0, 0, 0, FIELD (config.processor_milli),
+    "a number above 0, up to 1024",
+    "processors that this instance may use; with --targets leased the largest instance leads" },
   { "ready-address", "IP:PORT", set_listen_address, NULL, false, 0, 0, 0, FIELD (ready_address),
     "a numeric IP address and a port from 1 to 65535",
     "address of the readiness check; required with --targets leased" },
@@ -295,8 +314,7 @@
     "seed of random choices; 0: take one from the system" },
   { "seeds", "IP[:PORT],...", set_text, NULL, false, 0, 0, 0, FIELD (seeds),
     "up to 8 numeric IP addresses",
-    "instances to connect to at the start, at the port of --peer-address; for --targets leased",
-    true },
+    "instances to connect to at the start; the port is by default that of --peer-address", true },
   { "settings", "FILE", set_text, NULL, false, 0, 0, 0, FIELD (settings_path),
     "at most 255 characters",
     "file with \"option = value\" lines; read again when it changes and with SIGHUP" },
@@ -501,7 +519,7 @@
   return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
-/* Splits --seeds; all instances use the same peer port. */
+/* Splits --seeds; a seed without a port gets that of --peer-address. */
 static int
 split_seeds (dks_options_t *options)
 {
@@ -513,14 +531,15 @@
     {
       size_t len = strcspn (seed, ",");
       size_t host_len = strcspn (seed, ":,");
+      bool has_port = host_len < len;
+      size_t to_len = has_port ? len : host_len + (port != NULL ? strlen (port) : 0);
       dks_address_t address;
       char *to = config->seed_addresses[config->seed_address_count];
 
-      if (config->seed_address_count == DKS_SEEDS_MAX || port == NULL
-          || host_len + strlen (port) >= DKS_ADDRESS_SIZE)
+      if (config->seed_address_count == DKS_SEEDS_MAX || port == NULL || to_len >= DKS_ADDRESS_SIZE)
         return DKS_ERR_INVALID;
-      memcpy (to, seed, host_len);
-      dks_strcpy (to + host_len, DKS_ADDRESS_SIZE - host_len, port);
+      snprintf (to, DKS_ADDRESS_SIZE, "%.*s%s", (int)len, seed, has_port ? "" : port);
+
       if (dks_address_parse (to, &address) != DKS_OK)
         return DKS_ERR_INVALID;
       config->seed_address_count++;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -47,8 +47,11 @@
   uint64_t term;    /**< as leader of its data centre, 0: it does not lead */
   int64_t started_ms;
   int64_t catalog_version;
-  int64_t catalog_sent; /**< version that was sent to it on this connection */
+  int64_t catalog_sent;     /**< version that was sent to it on this connection */
+  uint32_t processor_milli; /**< processor time that it may use, thousandths of a processor */
+  int64_t up_us;            /**< when the connection began */
   bool draining;
+  bool yields; /**< leads, and gives way to a larger instance */
   bool knows_targets;
   bool targets_sent;        /**< on this connection */
   uint32_t free_tasks;      /**< as last told, less what was lent since */
@@ -269,6 +272,7 @@
   int64_t started_us;
   int64_t event_us; /**< time of the latest event */
   uint64_t term;    /**< of our leadership, 0: we do not lead */
+  bool yields;      /**< we lead, and give way to a larger instance */
   uint64_t highest_term;
   int64_t fenced_us;    /**< when a target last rejected our fence, 0 for never */
   bool status_dirty;    /**< other leaders have to be told of the room soon */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -205,9 +205,11 @@
       uint32_t free_fast_tasks;     /**< leader: how many of these on about its fastest targets */
       uint32_t fast_slowness_milli; /**< slowness of the fastest target with room, thousandths */
 
-      uint32_t waiting_tasks; /**< leader: tasks that found no room */
-      bool draining;          /**< shutting down; is no candidate for leader */
-      bool knows_targets;     /**< without it, it is no candidate either */
+      uint32_t waiting_tasks;   /**< leader: tasks that found no room */
+      uint32_t processor_milli; /**< processor time of the sender, thousandths of a processor */
+      bool draining;            /**< shutting down; is no candidate for leader */
+      bool knows_targets;       /**< without it, it is no candidate either */
+      bool yields;              /**< leader: gives way to a clearly larger instance */
     } leased_status;
     struct
     {
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -32,6 +32,8 @@
   int64_t clock_skew_ms;      /**< largest assumed difference between clocks */
   uint32_t claims_max;        /**< claims kept per shard */
   bool leased_targets;        /**< targets run tasks under leases, see docs/platform.md */
+  uint32_t processor_milli;   /**< leased targets: processor time that the instance may use, in
+                               thousandths of a processor; the largest instance leads */
   double remote_factor; /**< leased targets: run time away from a task's data over that near it */
   size_t seed_address_count; /**< leased targets: instances to connect to at the start */
   char seed_addresses[DKS_SEEDS_MAX][DKS_ADDRESS_SIZE]; /**< their peer ports, IP:port */
--- a/include/damaskshored/options.h
+++ b/include/damaskshored/options.h
@@ -27,10 +27,11 @@
 {
   dks_mode_t mode;
   dks_config_t config;
-  char http_address[DKS_ADDRESS_SIZE]; /**< IP:port of the HTTP server */
-  char platform_url[DKS_URL_SIZE];     /**< without a trailing slash */
-  uint32_t target_connections;         /**< connections to one target at most */
-  uint32_t http_connections;           /**< connections of callers at most */
+  char http_address[DKS_ADDRESS_SIZE];        /**< IP:port of the HTTP server */
+  char peer_listen_address[DKS_ADDRESS_SIZE]; /**< IP:port; empty: that of the configuration */
+  char platform_url[DKS_URL_SIZE];            /**< without a trailing slash */
+  uint32_t target_connections;                /**< connections to one target at most */
+  uint32_t http_connections;                  /**< connections of callers at most */
   uint32_t http_idle_timeout_s;
   int64_t deadline_default_ms;          /**< of submissions that give no deadline */
   char front_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port for callers' batches */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -31,8 +31,10 @@
   body.free_fast_tasks = msg->u.leased_status.free_fast_tasks;
   body.fast_slowness_milli = msg->u.leased_status.fast_slowness_milli;
   body.waiting_tasks = msg->u.leased_status.waiting_tasks;
+  body.processor_milli = msg->u.leased_status.processor_milli;
   body.draining = msg->u.leased_status.draining;
   body.knows_targets = msg->u.leased_status.knows_targets;
+  body.yields = msg->u.leased_status.yields;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -235,8 +237,10 @@
   msg->u.leased_status.free_fast_tasks = body->free_fast_tasks;
   msg->u.leased_status.fast_slowness_milli = body->fast_slowness_milli;
   msg->u.leased_status.waiting_tasks = body->waiting_tasks;
+  msg->u.leased_status.processor_milli = body->processor_milli;
   msg->u.leased_status.draining = body->draining;
   msg->u.leased_status.knows_targets = body->knows_targets;
+  msg->u.leased_status.yields = body->yields;
   return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
 }
 
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3256,7 +3256,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[9] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[11] =
 {
   {
     "term",
@@ -3366,6 +3366,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "processor_milli",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, processor_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "yields",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, yields),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   2,   /* field[2] = catalog_version */
@@ -3374,14 +3398,16 @@
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
   6,   /* field[6] = knows_targets */
+  9,   /* field[9] = processor_milli */
   1,   /* field[1] = started_ms */
   0,   /* field[0] = term */
   4,   /* field[4] = waiting_tasks */
+  10,   /* field[10] = yields */
 };
 static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3391,7 +3417,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  9,
+  11,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   1,  dks__leased_status__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -363,10 +363,12 @@
   protobuf_c_boolean knows_targets;
   uint32_t free_fast_tasks;
   uint32_t fast_slowness_milli;
+  uint32_t processor_milli;
+  protobuf_c_boolean yields;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -45,7 +45,7 @@
 }
 
 size_t
-World::add_instance (const std::string &data_centre, bool feed_down)
+World::add_instance (const std::string &data_centre, bool feed_down, uint32_t processor_milli)
 {
   auto instance = std::make_unique<Instance> ();
   size_t count = 1;
@@ -55,6 +55,8 @@
   instance->id = data_centre + "-" + std::to_string (count);
   instance->data_centre = data_centre;
   instance->feed_down = feed_down;
+  instance->processor_milli = processor_milli;
+
   instances.push_back (std::move (instance));
   return instances.size () - 1;
 }
@@ -115,6 +117,8 @@
   config.seed = index + 1;
   config.leased_targets = true;
   config.remote_factor = 1;
+  config.processor_milli = instance.processor_milli;
+
   for (size_t other = 0; other < instances.size (); other++)
     {
       if (other != index)
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -79,6 +79,7 @@
   bool frozen = false;
   std::vector<std::function<void ()>> held; // events of a frozen instance
   bool feed_down = false;
+  uint32_t processor_milli = 1000;
   uint64_t watch_op[DKS_FEED_COUNT] = {};
   std::string member;
   bool exited = false;
@@ -106,7 +107,8 @@
 public:
   ~World ();
   // Instances of a data centre are named "DC-1", ...; targets "DC-t1", ...
-  size_t add_instance (const std::string &data_centre, bool feed_down = false);
+  size_t add_instance (const std::string &data_centre, bool feed_down = false,
+                       uint32_t processor_milli = 1000);
   size_t add_target (const std::string &data_centre, uint32_t cpu_milli = 16000);
   void start_all ();
   void kill (size_t instance);
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -178,7 +178,7 @@
       msg->u.record.value = dks_blob_create_text ("{}");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 11, 870, 3, true, true };
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 11, 870, 3, 120, true, true, true };
       break;
     case DKS_MSG_TARGETS:
       msg->u.targets.count = 2;
@@ -373,8 +373,10 @@
       add (msg->u.leased_status.free_fast_tasks);
       add (msg->u.leased_status.fast_slowness_milli);
       add (msg->u.leased_status.waiting_tasks);
+      add (msg->u.leased_status.processor_milli);
       add (msg->u.leased_status.draining);
       add (msg->u.leased_status.knows_targets);
+      add (msg->u.leased_status.yields);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -809,3 +809,30 @@
   world.run_for (4000 * ms);
   EXPECT_EQ (world.double_runs, 0);
 }
+
+// On the grown site leaders ran on instances with an eighth of a processor while others had half of
+// one: calls were answered late, leases lapsed, and the worst seconds served nothing.
+TEST (Leased, TheLargestInstanceLeads)
+{
+  World world;
+  for (uint32_t size : { 120U, 120U, 500U })
+    world.add_instance ("a", false, size);
+  for (int i = 0; i < 4; i++)
+    world.add_target ("a");
+  world.start_all ();
+  world.run_for (1000 * ms);
+  EXPECT_EQ (leader_of (world, "a"), "a-3");
+  world.kill (2);
+  world.run_for (1000 * ms);
+  EXPECT_NE (leader_of (world, "a"), "a-3");
+
+  // It leads again once it has settled, and what runs meanwhile goes on.
+  world.restart (2);
+  world.run_for (1500 * ms);
+  uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } });
+  world.run_for (1300 * ms);
+  EXPECT_EQ (leader_of (world, "a"), "a-3");
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
--- a/tests/test_options.cc
+++ b/tests/test_options.cc
@@ -275,6 +275,22 @@
   EXPECT_EQ (options.mode, DKS_MODE_VERSION);
 }
 
+TEST_F (Options, SeedsHaveTheirOwnPortOrThatOfThePeerAddress)
+{
+  const std::vector<std::string> leased = { "--targets=leased", "--front-address=127.0.0.1:1",
+                                            "--ready-address=127.0.0.1:2",
+                                            "--peer-address=127.0.0.1:3" };
+  std::vector<std::string> args = leased;
+
+  args.push_back ("--seeds=127.0.0.2,127.0.0.3:4");
+  ASSERT_EQ (parse_with (args), DKS_OK) << error;
+  ASSERT_EQ (options.config.seed_address_count, 2U);
+  EXPECT_STREQ (options.config.seed_addresses[0], "127.0.0.2:3");
+  EXPECT_STREQ (options.config.seed_addresses[1], "127.0.0.3:4");
+  args.back () = "--seeds=127.0.0.2,host:4";
+  EXPECT_EQ (parse_with (args), DKS_ERR_INVALID);
+}
+
 // Two starts must not share an incarnation: claims of the earlier one would be taken for own ones.
 TEST_F (Options, IncarnationAndSeedDifferBetweenStarts)
 {
