leased: lent tasks that waited too long on the way are not started

A job that was given up meanwhile is sent anew by its client after 1.3 s, while the start and the cancellation of the first still wait at the lender.

Change: heartbeats and jobs carry the sender's monotonic time. The least difference seen on a connection stands for a message that did not wait, which tells how long another one has. Lent tasks that waited 200 ms are refused, a job of an entry instance is refused as not run, and the age of all others includes their wait. A job whose smallest task fits nowhere is passed over by the pump.

Measured: one test, seen to fail with the bound taken out.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -124,6 +124,7 @@
 
   msg->u.work.request = request->number;
   msg->u.work.batch = dks_batch_ref (request->batch);
+  msg->u.work.sent_us = dks_lnow_us (leased);
   msg->u.work.age_us = dks_lnow_us (leased) - request->arrival_us;
   msg->u.work.objective_us = request->objective_us;
   msg->u.work.budget_us = request->budget_us;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -13,6 +13,7 @@
                                 objective: its caller can still go elsewhere */
   RETRY_AFTER_MIN_MS = 1000, /* the header has whole seconds */
   RETRY_AFTER_MAX_MS = 30000,
+  STALE_US = 200000, /* a message waits some ms, on an instance at its limit of the processor 100 */
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
    * Their lender stops them when it is told, or misses that leader: a silence and a lease. A leader
@@ -280,7 +281,7 @@
 }
 
 static dks_ljob_t *
-job_create (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
+job_create (dks_leased_t *leased, const char *origin, const dks_msg_t *msg, int64_t lag_us)
 {
   dks_batch_t *batch = msg->u.work.batch;
   bool lent = msg->u.work.lent_count > 0;
@@ -297,7 +298,7 @@
   job->begun = job->resent;
   job->task_count = count;
   job->waiting = count;
-  job->arrival_us = dks_lnow_us (leased) - msg->u.work.age_us;
+  job->arrival_us = dks_lnow_us (leased) - msg->u.work.age_us - lag_us;
   job->received_us = dks_lnow_us (leased);
   job->objective_end_us =
       job->arrival_us + (lent ? msg->u.work.objective_us : objective_us (leased, msg, chain_us));
@@ -307,6 +308,10 @@
   job->wait_until_us = job->arrival_us + (job->objective_end_us - job->arrival_us) / REFUSE_PART;
   dks_lestimate_tails_us (leased, batch, job->step_tail_us);
 
+  job->cpu_min = UINT32_MAX;
+  for (uint32_t i = 0; i < batch->step_count; i++)
+    job->cpu_min =
+        batch->steps[i].cpu_milli < job->cpu_min ? batch->steps[i].cpu_milli : job->cpu_min;
   dks_strcpy (job->origin, sizeof (job->origin), origin);
   dks_timer_init (&job->timer, handle_job_timer, job);
   leased->waiting_tasks += count;
@@ -502,8 +507,9 @@
   dks_ltargets_measure_room (leased);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_ljob_t, link)
     {
-      if (job->waiting == 0)
+      if (job->waiting == 0 || (job->looked && !lenders && job->cpu_min > leased->free_cpu_max))
         continue;
+      job->looked = !job->resent;
       job_place (job, lenders);
       if (job->lent && job->done == job->task_count)
         job_free (job);
@@ -609,8 +615,14 @@
 {
   bool lent = msg->u.work.lent_count > 0;
   dks_ljob_t *job = lent ? NULL : job_find_id (leased, msg->u.work.batch->id);
-
-  if (leased->term == 0 || (lent && leased->drain_us > 0 && !msg->u.work.resent))
+  const dks_lpeer_t *peer = dks_lpeer_find (leased, origin);
+  int64_t lag_us = peer != NULL ? dks_lpeer_lag_us (leased, peer, msg->u.work.sent_us) : 0;
+  bool stale;
+
+  /* A message that waited that long has a leader behind it that cannot keep up. Its borrower may
+   * have given the tasks up, and its cancellation waits behind it. */
+  stale = lent && !msg->u.work.resent && lag_us > STALE_US;
+  if (leased->term == 0 || stale || (lent && leased->drain_us > 0 && !msg->u.work.resent))
     {
       /* The sender learns of the change and turns to the next leader; a borrower asks elsewhere. */
       for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
@@ -626,15 +638,17 @@
   dks_emit_log (leased->r, DKS_LOG_DEBUG,
                 "event=work job=%s from=%s lent=%u resent=%d age_ms=%" PRId64,
                 msg->u.work.batch->id, origin, msg->u.work.lent_count, msg->u.work.resent,
-                msg->u.work.age_us / 1000);
-  job = job_create (leased, origin, msg);
+                (msg->u.work.age_us + lag_us) / 1000);
+  job = job_create (leased, origin, msg, lag_us);
   job_fill_tasks (job, msg);
   if (lent)
     {
       place_lent (job);
       return;
     }
-  if (fits_nowhere (job))
+  if (!job->resent && lag_us > STALE_US)
+    job_refuse (job, "the leader cannot keep up");
+  else if (fits_nowhere (job))
     job_refuse (job, "no target can run it");
   else if (!job->resent && wait_is_too_long (job))
     job_refuse (job, "the wait would be too long");
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -127,6 +127,7 @@
     }
   msg->u.work.request = job->lend_id;
   msg->u.work.batch = single_step_batch (job->batch, step);
+  msg->u.work.sent_us = dks_lnow_us (leased);
   msg->u.work.age_us = dks_lnow_us (leased) - job->arrival_us;
   msg->u.work.objective_us = job->objective_end_us - job->step_tail_us[step] - job->arrival_us;
   msg->u.work.budget_us = job->give_up_us - job->arrival_us;
@@ -197,6 +198,7 @@
   msg->u.work.lent_count = 1;
   msg->u.work.request = job->lend_id;
   msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
+  msg->u.work.sent_us = dks_lnow_us (leased);
   msg->u.work.age_us = dks_lnow_us (leased) - job->arrival_us;
   msg->u.work.budget_us = job->give_up_us - job->arrival_us;
   msg->u.work.step = task->step;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -105,6 +105,7 @@
       if (msg->u.leased_status.free_fast_tasks > 0)
         msg->u.leased_status.fast_slowness_milli = (uint32_t)(1000 * slowness);
     }
+  msg->u.leased_status.sent_us = leased->r->now.mono_us;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.processor_milli = leased->r->config.processor_milli;
   msg->u.leased_status.draining = leased->drain_us > 0;
@@ -346,6 +347,25 @@
   dks_lmembers_review (leased);
 }
 
+/* The least difference of the clocks seen on a connection stands for a message that did not wait.
+ */
+static void
+note_way (dks_leased_t *leased, dks_lpeer_t *peer, int64_t sent_us)
+{
+  int64_t way_us = leased->r->now.mono_us - sent_us;
+
+  if (!peer->told || way_us < peer->way_us)
+    peer->way_us = way_us;
+}
+
+int64_t
+dks_lpeer_lag_us (const dks_leased_t *leased, const dks_lpeer_t *peer, int64_t sent_us)
+{
+  int64_t lag_us = leased->r->now.mono_us - sent_us - peer->way_us;
+
+  return peer->told && lag_us > 0 ? lag_us : 0;
+}
+
 void
 dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg)
 {
@@ -357,6 +377,7 @@
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
     dks_llend_handle_lender_lost (leased, peer->id);
+  note_way (leased, peer, msg->u.leased_status.sent_us);
   peer->told = true;
   peer->term = msg->u.leased_status.term;
   peer->started_ms = msg->u.leased_status.started_ms;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -50,6 +50,7 @@
   int64_t catalog_sent;     /**< version that was sent to it on this connection */
   uint32_t processor_milli; /**< processor time that it may use, thousandths of a processor */
   int64_t up_us;            /**< when the connection began */
+  int64_t way_us;           /**< least difference between our clock and its sending times */
   bool draining;
   bool yields; /**< leads, and gives way to a larger instance */
   bool knows_targets;
@@ -194,6 +195,8 @@
   int64_t latest_start_us; /**< a start after this misses the objective */
   int64_t wait_until_us;   /**< refused if nothing of it has started by then */
   int64_t give_up_us;      /**< no answer is wanted after this */
+  uint32_t cpu_min;        /**< least processor time that one of its tasks takes */
+  bool looked;             /**< what earlier leaders may have started of it has been looked for */
   bool resent;
   bool begun;            /**< a task was started or lent */
   int64_t last_start_us; /**< when a task was last started or lent, 0 for never */
@@ -358,6 +361,8 @@
 dks_lpeer_t *dks_lpeer_find (const dks_leased_t *leased, const char *id);
 /** Connected and heard from lately. */
 bool dks_lpeer_is_alive (const dks_leased_t *leased, const dks_lpeer_t *peer);
+/** How long a message that the peer sent at `sent_us` has waited on the way and in our queue. */
+int64_t dks_lpeer_lag_us (const dks_leased_t *leased, const dks_lpeer_t *peer, int64_t sent_us);
 void dks_lmembers_handle_up (dks_leased_t *leased, const char *id, const char *data_centre);
 void dks_lmembers_handle_down (dks_leased_t *leased, const char *id);
 void dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -210,6 +210,7 @@
       bool draining;            /**< shutting down; is no candidate for leader */
       bool knows_targets;       /**< without it, it is no candidate either */
       bool yields;              /**< leader: gives way to a clearly larger instance */
+      int64_t sent_us;          /**< monotonic time of the sender */
     } leased_status;
     struct
     {
@@ -240,6 +241,7 @@
       uint32_t lent_count;  /**< 0: the whole batch */
       uint32_t *lent;       /**< indices of lent tasks */
       uint32_t *runs;       /**< numbers of their runs */
+      int64_t sent_us;      /**< monotonic time of the sender */
     } work;
     struct
     {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -35,6 +35,7 @@
   body.draining = msg->u.leased_status.draining;
   body.knows_targets = msg->u.leased_status.knows_targets;
   body.yields = msg->u.leased_status.yields;
+  body.sent_us = msg->u.leased_status.sent_us;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -176,6 +177,7 @@
   body.steps = list;
   body.age_us = msg->u.work.age_us;
   body.objective_us = msg->u.work.objective_us;
+  body.sent_us = msg->u.work.sent_us;
   body.budget_us = msg->u.work.budget_us;
   body.resent = msg->u.work.resent;
   body.step = msg->u.work.step;
@@ -241,6 +243,7 @@
   msg->u.leased_status.draining = body->draining;
   msg->u.leased_status.knows_targets = body->knows_targets;
   msg->u.leased_status.yields = body->yields;
+  msg->u.leased_status.sent_us = body->sent_us;
   return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
 }
 
@@ -411,6 +414,7 @@
   msg->u.work.request = body->request;
   msg->u.work.age_us = body->age_us;
   msg->u.work.objective_us = body->objective_us;
+  msg->u.work.sent_us = body->sent_us;
   msg->u.work.budget_us = body->budget_us;
   msg->u.work.resent = body->resent;
   msg->u.work.step = body->step;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3256,7 +3256,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[12] =
 {
   {
     "term",
@@ -3390,6 +3390,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   2,   /* field[2] = catalog_version */
@@ -3399,6 +3411,7 @@
   3,   /* field[3] = free_tasks */
   6,   /* field[6] = knows_targets */
   9,   /* field[9] = processor_milli */
+  11,   /* field[11] = sent_us */
   1,   /* field[1] = started_ms */
   0,   /* field[0] = term */
   4,   /* field[4] = waiting_tasks */
@@ -3407,7 +3420,7 @@
 static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3417,7 +3430,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  11,
+  12,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   1,  dks__leased_status__number_ranges,
@@ -3989,7 +4002,7 @@
   (ProtobufCMessageInit) dks__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__work__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dks__work__field_descriptors[16] =
 {
   {
     "request",
@@ -4171,6 +4184,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__work__field_indices_by_name[] = {
   7,   /* field[7] = age_us */
@@ -4184,6 +4209,7 @@
   0,   /* field[0] = request */
   10,   /* field[10] = resent */
   13,   /* field[13] = runs */
+  15,   /* field[15] = sent_us */
   2,   /* field[2] = service */
   5,   /* field[5] = spec */
   11,   /* field[11] = step */
@@ -4192,7 +4218,7 @@
 static const ProtobufCIntRange dks__work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dks__work__descriptor =
 {
@@ -4202,7 +4228,7 @@
   "Dks__Work",
   "dks",
   sizeof(Dks__Work),
-  15,
+  16,
   dks__work__field_descriptors,
   dks__work__field_indices_by_name,
   1,  dks__work__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -365,10 +365,11 @@
   uint32_t fast_slowness_milli;
   uint32_t processor_milli;
   protobuf_c_boolean yields;
+  int64_t sent_us;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
@@ -490,10 +491,11 @@
   size_t n_runs;
   uint32_t *runs;
   char *queue;
+  int64_t sent_us;
 };
 #define DKS__WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__work__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dks__WorkDone
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -178,7 +178,9 @@
       msg->u.record.value = dks_blob_create_text ("{}");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17, 40, 11, 870, 3, 120, true, true, true };
+      msg->u.leased_status = {
+        INT64_MAX, issued_ms, 17, 40, 11, 870, 3, 120, true, true, true, 77
+      };
       break;
     case DKS_MSG_TARGETS:
       msg->u.targets.count = 2;
@@ -208,7 +210,7 @@
       set_text (msg->u.addresses.items[1], DKS_ADDRESS_SIZE, "10.0.0.2:7000");
       break;
     case DKS_MSG_WORK:
-      msg->u.work = { 7, make_batch (), 1500, 60000, 1500000, true, 3, 2, nullptr, nullptr };
+      msg->u.work = { 7, make_batch (), 1500, 60000, 1500000, true, 3, 2, nullptr, nullptr, 78 };
       msg->u.work.lent = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.runs = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.lent[1] = 479;
@@ -377,6 +379,7 @@
       add (msg->u.leased_status.draining);
       add (msg->u.leased_status.knows_targets);
       add (msg->u.leased_status.yields);
+      add (msg->u.leased_status.sent_us);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -435,6 +438,7 @@
           }
         add (msg->u.work.age_us);
         add (msg->u.work.objective_us);
+        add (msg->u.work.sent_us);
         add (msg->u.work.budget_us);
         add (msg->u.work.resent);
         add (msg->u.work.step);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -859,3 +859,54 @@
   for (auto &answer : world.answers)
     EXPECT_EQ (answer.second.answer, DKS_BATCH_COMPLETED);
 }
+
+// Pattern of the grown site's worst seconds (TWICE on fresh-3f4b): a leader at its limit handled
+// lent tasks more than a second after they were sent, when their job had been given up and sent
+// anew.
+TEST (Leased, LentTaskThatWaitedTooLongOnTheWayIsNotStarted)
+{
+  World world;
+  make_data_centre (world, "a", 1);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  size_t lender = world.find (leader_of (world, "b"));
+  size_t borrower = world.find (leader_of (world, "a"));
+
+  auto lend = [&] (const char *id, int64_t sent_us) {
+    dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+    dks_event_t event = {};
+    dks_batch_t *batch = dks_batch_create (1);
+
+    batch->steps[0].count = 1;
+    batch->steps[0].cpu_milli = 6800;
+    batch->steps[0].estimate_ms = 100;
+    batch->max_attempts = 1;
+    batch->spec = dks_blob_create_text ("x");
+    strcpy (batch->id, id);
+    strcpy (batch->service, "words");
+    dks_batch_complete (batch);
+    msg->u.work.batch = batch;
+    msg->u.work.request = 1000;
+    msg->u.work.budget_us = 1500 * ms;
+    msg->u.work.objective_us = 1500 * ms;
+    msg->u.work.sent_us = sent_us;
+    msg->u.work.lent_count = 1;
+    msg->u.work.lent = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
+    msg->u.work.runs = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
+    msg->u.work.runs[0] = 1;
+    event.type = DKS_EVENT_PEER_MSG;
+    event.u.peer_msg.peer = world.instances[borrower]->member.c_str ();
+    event.u.peer_msg.msg = msg;
+    world.apply (lender, &event);
+    dks_msg_unref (msg);
+    world.run_for (10 * ms);
+    uint32_t starts = 0;
+    for (auto &target : world.targets)
+      starts += target->starts;
+    return starts;
+  };
+
+  EXPECT_EQ (lend ("0000000000000001", world.now_us - 500 * ms), 0U);
+  EXPECT_EQ (lend ("0000000000000002", world.now_us), 1U);
+}
