leased, peer: reach each other sooner after a power loss

An opening packet to a machine without power is lost, and the kernel repeats it after 1 s; each instance was alone, and began after 250 ms.

Ruled out: the store (the lists were read 20 ms after the starts); the term (it rose as it should).

Change: an attempt to connect ends after 300 ms, growing with the backoff, and a new one begins. An instance that knows of others and has heard none waits 700 ms before it leads. A connection over which nothing came for 1.5 s is closed and opened anew, since connections may go silent while new ones work; an instance that was paused counts its peers as not heard rather than as silent.

The time-out of an attempt has no test of its own.

One test, seen to fail with the old code.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -13,8 +13,11 @@
   STATUS_SOON_US = 5000,       /* least time between two messages about a change */
   SILENCE_US = 600000,         /* an instance that is not heard for this long counts as lost; less
                                   than a lease lasts, so that a successor can adopt runs */
+  CLOSE_SILENT_US = 1500000,   /* a connection may fall silent for good while new ones work */
   START_WAIT_US = 250000,      /* time to hear of a present leader after the start */
-  FENCED_PAUSE_US = 500000,    /* before a fenced instance may lead again */
+  ALONE_WAIT_US = 700000,   /* the same as long as no other instance can be reached; after a power
+                               loss they come back one by one */
+  FENCED_PAUSE_US = 500000, /* before a fenced instance may lead again */
   FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
                                         that fenced it is at work there */
   TERMS_PER_MS = 4096,               /* a term stays below 2^53, which JSON numbers keep exactly */
@@ -167,6 +170,12 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
+      if (peer->up && leased->r->now.mono_us - peer->heard_us >= CLOSE_SILENT_US)
+        {
+          dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_PEER_CLOSE);
+
+          dks_strcpy (effect->u.peer_close.peer, sizeof (effect->u.peer_close.peer), peer->id);
+        }
       if (!peer->up || !peer->told || dks_lpeer_is_alive (leased, peer))
         continue;
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-silent peer=%s", peer->id);
@@ -501,6 +510,20 @@
   return leased->address_count > 0 && count >= leased->address_count;
 }
 
+/* Whether others are known of, and none has told its state. */
+static bool
+is_alone (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (dks_lpeer_is_alive (leased, peer))
+        return false;
+    }
+  return leased->address_count > 0;
+}
+
 static bool
 may_lead (const dks_leased_t *leased)
 {
@@ -511,6 +534,8 @@
     return false;
   /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
 
+  if (now_us - leased->started_us < ALONE_WAIT_US && is_alone (leased))
+    return false;
   if (now_us - leased->started_us < START_WAIT_US
       && (!has_heard_all (leased) || has_better_candidate (leased, false)))
     return false;
@@ -570,9 +595,17 @@
 void
 dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us)
 {
+  dks_lpeer_t *peer;
+
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=paused for_ms=%" PRId64, pause_us / 1000);
   /* Another leader may have begun meanwhile. It is heard of within START_WAIT_US. */
   leased->started_us = leased->r->now.mono_us;
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      /* It is we who were silent. */
+      peer->told = false;
+      peer->heard_us = leased->r->now.mono_us;
+    }
   if (leased->term > 0)
     stop_leading (leased, "paused");
 }
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -95,6 +95,9 @@
     case DKS_EFFECT_PEER_CONNECT:
       dks_peers_connect (host->peers, effect->u.peer_connect.address);
       break;
+    case DKS_EFFECT_PEER_CLOSE:
+      dks_peers_close (host->peers, effect->u.peer_close.peer);
+      break;
     case DKS_EFFECT_TARGET_SEND:
       dks_target_client_send (host->targets, effect, dks_loop_now ().wall_ms);
       break;
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -210,6 +210,7 @@
   DKS_EFFECT_EDIT_REPLY, /**< outcome of SETTINGS_EDIT */
   DKS_EFFECT_PEER_SEND,
   DKS_EFFECT_PEER_CONNECT, /**< an instance exists at this address; keep a connection to it */
+  DKS_EFFECT_PEER_CLOSE,   /**< nothing comes over the connection to an instance; open a new one */
   DKS_EFFECT_TARGET_SEND,  /**< run one task at a target */
   DKS_EFFECT_TARGET_ABORT, /**< drop an attempt; a reply event for it may still follow */
   DKS_EFFECT_STORE_GET,
@@ -251,6 +252,10 @@
       dks_msg_t *msg;
     } peer_send;
     struct
+    {
+      char peer[DKS_NAME_SIZE]; /**< member id */
+    } peer_close;
+    struct
     {
       char address[DKS_ADDRESS_SIZE];
       char id[DKS_NAME_SIZE]; /**< instance id without incarnation */
--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -40,6 +40,9 @@
  * Repeated calls with the same address have no effect. A refused connection is given up after 60 s
  * unless the address is named again. */
 void dks_peers_connect (dks_peers_t *peers, const char *address);
+/** Closes the connection to a member in the next turn, since nothing comes over it. An address that
+ * is kept gets a new one. */
+void dks_peers_close (dks_peers_t *peers, const char *member);
 /** Queues a message; dropped when there is no connection to `member`. All messages of one turn are
  * written together by dks_peers_flush(). */
 void dks_peers_send (dks_peers_t *peers, const char *member, const dks_msg_t *msg);
--- a/net/peer.c
+++ b/net/peer.c
@@ -22,6 +22,9 @@
   LENGTH_SIZE = 4,
   HELLO_MAX = 512, /* bytes of a hello frame; a larger first frame is no hello */
   HELLO_TIMEOUT_US = 5000000,
+  /* An opening packet to a machine without power is lost, and the kernel sends the next one only
+   * after 1 s, when the machine may long be back. A new attempt is sooner. */
+  CONNECT_TIMEOUT_US = 300000,
   BACKOFF_MIN_US = 100000,
   BACKOFF_MAX_US = 2000000,
   STABLE_US = 2000000, /* a connection that lasted this long resets the backoff */
@@ -288,6 +291,15 @@
   return dks_loop_watch (link->peers->loop, link->fd, events, handle_link, link);
 }
 
+/* Grows with the backoff, for ways that are longer than usual. */
+static int64_t
+dial_timeout_us (const dial_t *dial)
+{
+  int64_t timeout_us = CONNECT_TIMEOUT_US + 2 * dial->backoff_us;
+
+  return timeout_us < HELLO_TIMEOUT_US ? timeout_us : HELLO_TIMEOUT_US;
+}
+
 /* Takes over `socket` of `pool`. Returns NULL, with the pool destroyed, if it cannot be used. */
 static link_t *
 link_create (dks_peers_t *peers, apr_pool_t *pool, apr_socket_t *socket, dial_t *dial,
@@ -323,7 +335,8 @@
   else
     peers->strangers++;
   dks_timer_set (dks_loop_timers (peers->loop), &link->timer,
-                 dks_loop_now ().mono_us + HELLO_TIMEOUT_US);
+                 dks_loop_now ().mono_us
+                     + (dial != NULL ? dial_timeout_us (dial) : (int64_t)HELLO_TIMEOUT_US));
   return link;
 }
 
@@ -686,6 +699,15 @@
   dks_timer_set (dks_loop_timers (peers->loop), &dial->timer, dks_loop_now ().mono_us);
 }
 
+void
+dks_peers_close (dks_peers_t *peers, const char *member)
+{
+  link_t *link = members_find (peers, member);
+
+  if (link != NULL)
+    link_close_later (link, "silent");
+}
+
 /* Listening */
 
 static void
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -40,6 +40,7 @@
 QUIET_S = 4.0  # without faults before the end, in which callers must be served
 SETTLE_S = 3.0  # after which nothing runs any more: a lease and its stop
 CONFIG_S = 2.0  # in which a change of the configuration must be in force
+TIMED = ("SILENT", "RECOVER", "CONFIG")  # checks that count on the machine being fast enough
 SERVED_AT_LEAST = 0.9  # of the callers in the quiet time; targets fail 2 of 1000 runs
 
 
@@ -86,6 +87,7 @@
         self.leaving = 0  # how often SIGTERM was sent
         self.killed = False
         self.runs_since = 0.0
+        self.resumed = 0.0  # after SIGSTOP
         self.settings = os.path.join(soak.folder, self.name + ".conf")
         self.starts = 0
 
@@ -131,7 +133,8 @@
     def is_sound(self, since):
         """Runs undisturbed by signals since then."""
         return (not self.stopped and not self.leaving and not self.killed
-                and self.runs_since < since and self.process.returncode is None)
+                and max(self.runs_since, self.resumed) < since
+                and self.process.returncode is None)
 
 
 class Soak:
@@ -167,6 +170,8 @@
 
     def violate(self, rule, text):
         self.note("VIOLATED %s: %s" % (rule, text))
+        if self.options.rules_only and rule in TIMED:
+            return
         self.violations.append("%s: %s" % (rule, text))
 
     # What executors report
@@ -337,8 +342,8 @@
         await asyncio.sleep(rng.choice([0.15, 0.7, 1.5, 3]))
         if instance.process is process:
             instance.send(signal.SIGCONT)
-            await asyncio.sleep(0.5)
             instance.stopped = False
+            instance.resumed = time.monotonic()
 
     async def fault_hup(self, rng):
         for instance in self.instances:
@@ -557,6 +562,9 @@
     parser.add_argument("--instances", type=int, default=5)
     parser.add_argument("--executors", type=int, default=10)
     parser.add_argument("--keep", help="folder for the logs of each seed")
+    parser.add_argument("--rules-only", action="store_true",
+                        help="leave out the checks that a slow machine can fail: %s"
+                        % ", ".join(TIMED))
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     bad = 0
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -910,3 +910,31 @@
   EXPECT_EQ (lend ("0000000000000001", world.now_us - 500 * ms), 0U);
   EXPECT_EQ (lend ("0000000000000002", world.now_us), 1U);
 }
+
+// Incident inc-00c4: after a power loss the instances came back one by one and did not reach each
+// other at first. Three of one data centre led at the same time and fenced each other off for a
+// second.
+TEST (Leased, InstanceThatReachesNobodyYetWaitsLongerBeforeItLeads)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  make_data_centre (world, "b", 4, 1);
+  world.cut (0, 1, true);
+  world.cut (0, 2, true);
+  world.cut (1, 2, true);
+  world.start_all ();
+  world.run_for (450 * ms);
+  world.cut (0, 1, false);
+  world.cut (0, 2, false);
+  world.cut (1, 2, false);
+  world.run_for (300 * ms);
+
+  int starts = 0;
+  for (auto &line : world.log)
+    starts += line.find ("event=leader-start data_centre=a") != std::string::npos;
+  EXPECT_EQ (starts, 1);
+  uint64_t caller = world.submit (1, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.run_for (200 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
