--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -13,6 +13,7 @@
   STATUS_SOON_US = 5000,       /* least time between two messages about a change */
   SILENCE_US = 600000,         /* an instance that is not heard for this long counts as lost; less
                                   than a lease lasts, so that a successor can adopt runs */
+  LAG_MAX_US = 400000,         /* less than SILENCE_US */
   CLOSE_SILENT_US = 1500000,   /* a connection may fall silent for good while new ones work */
   START_WAIT_US = 250000,      /* time to hear of a present leader after the start */
   ALONE_WAIT_US = 700000,   /* the same as long as no other instance can be reached; after a power
@@ -30,6 +31,8 @@
   YIELD_FACTOR = 2 /* so much more processor time makes up for it */
 };
 
+static void stop_leading (dks_leased_t *leased, const char *reason);
+
 static bool
 peer_is_ours (const dks_leased_t *leased, const dks_lpeer_t *peer)
 {
@@ -89,6 +92,21 @@
   return leader != NULL ? leader->id : NULL;
 }
 
+bool
+dks_lmembers_leads (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  const dks_lpeer_t *other;
+
+  if (peer == NULL || peer->term == 0)
+    return false;
+  APR_RING_FOREACH (other, &leased->peers, dks_lpeer_t, link)
+    {
+      if (other->term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0)
+        return false;
+    }
+  return true;
+}
+
 /* Status */
 
 static void
@@ -204,6 +222,26 @@
     dial (leased, leased->addresses[i]);
 }
 
+/* A leader that handles all messages so late is taken for lost by the others, and does not hear in
+ * time of the one that they choose. */
+static void
+check_lag (dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  int64_t least_us = INT64_MAX;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (dks_lpeer_is_alive (leased, peer) && peer->lag_us < least_us)
+        least_us = peer->lag_us;
+    }
+  if (leased->term > 0 && least_us != INT64_MAX && least_us > LAG_MAX_US)
+    {
+      leased->started_us = leased->r->now.mono_us;
+      stop_leading (leased, "lagging");
+    }
+}
+
 static void
 handle_status_timer (void *context, int64_t now_us)
 {
@@ -211,6 +249,7 @@
 
   dial_all (leased, now_us);
   check_silent (leased);
+  check_lag (leased);
   drop_forgotten (leased);
   dks_lmembers_review (leased);
   send_status_to_peers (leased);
@@ -365,6 +404,7 @@
 
   if (!peer->told || way_us < peer->way_us)
     peer->way_us = way_us;
+  peer->lag_us = way_us - peer->way_us;
 }
 
 int64_t
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -51,6 +51,7 @@
   uint32_t processor_milli; /**< processor time that it may use, thousandths of a processor */
   int64_t up_us;            /**< when the connection began */
   int64_t way_us;           /**< least difference between our clock and its sending times */
+  int64_t lag_us;           /**< how long its latest state waited on the way and in our queue */
   bool draining;
   bool yields; /**< leads, and gives way to a larger instance */
   bool knows_targets;
@@ -369,6 +370,8 @@
 void dks_lmembers_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg);
 /** Member id of the leader of our data centre, ourselves included; NULL when there is none. */
 const char *dks_lmembers_leader (const dks_leased_t *leased);
+/** Whether the peer leads its data centre, as far as is known: nobody there has a higher term. */
+bool dks_lmembers_leads (const dks_leased_t *leased, const dks_lpeer_t *peer);
 /** This process has stood still: what it knows of the others is old. */
 void dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us);
 /** Connects to seeds that were not known yet. */
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -166,7 +166,7 @@
     case DKS_EFFECT_FEED_WATCH:
     case DKS_EFFECT_LEASE_START:
     case DKS_EFFECT_LEASE_STOP:
-        case DKS_EFFECT_LEASE_HOLD:
+    case DKS_EFFECT_LEASE_HOLD:
     case DKS_EFFECT_PEER_CLOSE:
       DKS_INVARIANT (!"an effect for leased targets in a world without them");
       break;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -860,6 +860,44 @@
     EXPECT_EQ (answer.second.answer, DKS_BATCH_COMPLETED);
 }
 
+// Sends a lent task to `lender` as the instance `borrower` does; returns how many runs have
+// started.
+uint32_t
+lend (World &world, size_t lender, size_t borrower, const char *id, int64_t sent_us)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+  dks_event_t event = {};
+  dks_batch_t *batch = dks_batch_create (1);
+  uint32_t starts = 0;
+
+  batch->steps[0].count = 1;
+  batch->steps[0].cpu_milli = 6800;
+  batch->steps[0].estimate_ms = 100;
+  batch->max_attempts = 1;
+  batch->spec = dks_blob_create_text ("x");
+  strcpy (batch->id, id);
+  strcpy (batch->service, "words");
+  dks_batch_complete (batch);
+  msg->u.work.batch = batch;
+  msg->u.work.request = 1000;
+  msg->u.work.budget_us = 1500 * ms;
+  msg->u.work.objective_us = 1500 * ms;
+  msg->u.work.sent_us = sent_us;
+  msg->u.work.lent_count = 1;
+  msg->u.work.lent = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
+  msg->u.work.runs = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
+  msg->u.work.runs[0] = 1;
+  event.type = DKS_EVENT_PEER_MSG;
+  event.u.peer_msg.peer = world.instances[borrower]->member.c_str ();
+  event.u.peer_msg.msg = msg;
+  world.apply (lender, &event);
+  dks_msg_unref (msg);
+  world.run_for (10 * ms);
+  for (auto &target : world.targets)
+    starts += target->starts;
+  return starts;
+}
+
 // Pattern of the grown site's worst seconds (TWICE on fresh-3f4b): a leader at its limit handled
 // lent tasks more than a second after they were sent, when their job had been given up and sent
 // anew.
@@ -873,42 +911,8 @@
   size_t lender = world.find (leader_of (world, "b"));
   size_t borrower = world.find (leader_of (world, "a"));
 
-  auto lend = [&] (const char *id, int64_t sent_us) {
-    dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
-    dks_event_t event = {};
-    dks_batch_t *batch = dks_batch_create (1);
-
-    batch->steps[0].count = 1;
-    batch->steps[0].cpu_milli = 6800;
-    batch->steps[0].estimate_ms = 100;
-    batch->max_attempts = 1;
-    batch->spec = dks_blob_create_text ("x");
-    strcpy (batch->id, id);
-    strcpy (batch->service, "words");
-    dks_batch_complete (batch);
-    msg->u.work.batch = batch;
-    msg->u.work.request = 1000;
-    msg->u.work.budget_us = 1500 * ms;
-    msg->u.work.objective_us = 1500 * ms;
-    msg->u.work.sent_us = sent_us;
-    msg->u.work.lent_count = 1;
-    msg->u.work.lent = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
-    msg->u.work.runs = static_cast<uint32_t *> (calloc (1, sizeof (uint32_t)));
-    msg->u.work.runs[0] = 1;
-    event.type = DKS_EVENT_PEER_MSG;
-    event.u.peer_msg.peer = world.instances[borrower]->member.c_str ();
-    event.u.peer_msg.msg = msg;
-    world.apply (lender, &event);
-    dks_msg_unref (msg);
-    world.run_for (10 * ms);
-    uint32_t starts = 0;
-    for (auto &target : world.targets)
-      starts += target->starts;
-    return starts;
-  };
-
-  EXPECT_EQ (lend ("0000000000000001", world.now_us - 500 * ms), 0U);
-  EXPECT_EQ (lend ("0000000000000002", world.now_us), 1U);
+  EXPECT_EQ (lend (world, lender, borrower, "0000000000000001", world.now_us - 500 * ms), 0U);
+  EXPECT_EQ (lend (world, lender, borrower, "0000000000000002", world.now_us), 1U);
 }
 
 // Incident inc-00c4: after a power loss the instances came back one by one and did not reach each
@@ -938,3 +942,57 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// TWICE on the drawn day fresh-d3ce of the grown Lexicon Office: a leader that had been superseded
+// went on lending tasks of its jobs, while its successor started them.
+TEST (Leased, TaskLentByALeaderThatWasSupersededIsNotStarted)
+{
+  World world;
+  make_data_centre (world, "a", 1);
+  make_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  size_t lender = world.find (leader_of (world, "b"));
+  size_t former = world.find (leader_of (world, "a"));
+  size_t successor = 1 - former;
+  // The former leader is cut off from its data centre, and does not hear of its successor.
+  world.cut (former, successor, true);
+  world.run_for (1000 * ms);
+  ASSERT_EQ (leader_of (world, "a"), world.instances[successor]->id);
+
+  EXPECT_EQ (lend (world, lender, former, "0000000000000001", world.now_us), 0U);
+  EXPECT_EQ (lend (world, lender, successor, "0000000000000002", world.now_us), 1U);
+}
+
+// The same day: leaders handled their messages up to a second late, and did not hear that they had
+// been superseded.
+TEST (Leased, LeaderThatHandlesMessagesTooLateStepsDown)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  size_t leader = world.find (leader_of (world, "a"));
+  size_t other = 1 - leader;
+
+  for (int i = 0; i < 3; i++)
+    {
+      dks_msg_t *msg = dks_msg_create (DKS_MSG_LEASED_STATUS);
+      dks_event_t event = {};
+
+      msg->u.leased_status.knows_targets = true;
+      msg->u.leased_status.started_ms = INT64_MAX;
+      msg->u.leased_status.sent_us = world.now_us - 700 * ms;
+      event.type = DKS_EVENT_PEER_MSG;
+      event.u.peer_msg.peer = world.instances[other]->member.c_str ();
+      event.u.peer_msg.msg = msg;
+      world.freeze (other, true);
+      world.apply (leader, &event);
+      dks_msg_unref (msg);
+      world.run_for (100 * ms);
+    }
+  bool stopped = false;
+  for (auto &line : world.log)
+    stopped = stopped || line.find ("reason=lagging") != std::string::npos;
+  EXPECT_TRUE (stopped);
+}
