leased: nobody leads while others are still being heard of

Ruled out: the connect time-out (others were reached, only not all yet); the store.

Change: the waiting time runs from the latest instance that was new, 2 s after the start at most, and lasts 700 ms as long as less than half of the others that are known of have been heard. When all have been heard, an instance begins at once, as before.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -15,10 +15,12 @@
                                   than a lease lasts, so that a successor can adopt runs */
   LAG_MAX_US = 400000,         /* less than SILENCE_US */
   CLOSE_SILENT_US = 1500000,   /* a connection may fall silent for good while new ones work */
-  START_WAIT_US = 250000,      /* time to hear of a present leader after the start */
-  ALONE_WAIT_US = 700000,   /* the same as long as no other instance can be reached; after a power
-                               loss they come back one by one */
-  FENCED_PAUSE_US = 500000, /* before a fenced instance may lead again */
+  START_WAIT_US = 250000, /* time to hear of a present leader after the start, and after the latest
+                           instance that was new */
+  FEW_WAIT_US = 700000,   /* the same as long as less than half of the others have been heard of;
+                           after a power loss they come back one by one */
+  START_MAX_US = 2000000, /* after which a start is over, however many others still join */
+  FENCED_PAUSE_US = 500000,          /* before a fenced instance may lead again */
   FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
                                         that fenced it is at work there */
   TERMS_PER_MS = 4096,               /* a term stays below 2^53, which JSON numbers keep exactly */
@@ -446,6 +448,8 @@
     }
   if (peer_is_ours (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
+  if (is_new)
+    leased->joined_us = leased->r->now.mono_us;
   if (is_new && peer_is_ours (leased, peer))
     dks_lspeeds_tell_all (leased);
   if (changed)
@@ -538,30 +542,37 @@
   return others;
 }
 
-/* Whether every instance that is known of has told its state. */
-static bool
-has_heard_all (const dks_leased_t *leased)
+static uint32_t
+count_heard (const dks_leased_t *leased)
 {
   const dks_lpeer_t *peer;
   uint32_t count = 0;
 
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     count += dks_lpeer_is_alive (leased, peer);
-  return leased->address_count > 0 && count >= leased->address_count;
+  return count;
 }
 
-/* Whether others are known of, and none has told its state. */
+/* Whether enough of the others has been heard of after our start for a choice of the leader. When
+ * all instances start together, each hears of the others one by one; those that lead too early
+ * fence each other off. */
 static bool
-is_alone (const dks_leased_t *leased)
+knows_enough (const dks_leased_t *leased)
 {
-  const dks_lpeer_t *peer;
+  int64_t now_us = leased->r->now.mono_us;
+  uint32_t heard = count_heard (leased);
+  int64_t joined_us =
+      leased->joined_us > leased->started_us ? leased->joined_us : leased->started_us;
 
-  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
-    {
-      if (dks_lpeer_is_alive (leased, peer))
-        return false;
-    }
-  return leased->address_count > 0;
+  if (now_us - leased->started_us >= START_MAX_US)
+    return true;
+  /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
+  if (leased->address_count > 0 && heard >= leased->address_count
+      && !has_better_candidate (leased, false))
+    return true;
+  if (2 * heard < leased->address_count && now_us - leased->started_us < FEW_WAIT_US)
+    return false;
+  return now_us - joined_us >= START_WAIT_US;
 }
 
 static bool
@@ -570,14 +581,7 @@
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_cut_off (leased) ? FENCED_CUT_OFF_PAUSE_US : FENCED_PAUSE_US;
 
-  if (!dks_lfeed_knows_targets (leased))
-    return false;
-  /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
-
-  if (now_us - leased->started_us < ALONE_WAIT_US && is_alone (leased))
-    return false;
-  if (now_us - leased->started_us < START_WAIT_US
-      && (!has_heard_all (leased) || has_better_candidate (leased, false)))
+  if (!dks_lfeed_knows_targets (leased) || !knows_enough (leased))
     return false;
   if (leased->fenced_us > 0 && now_us - leased->fenced_us < pause_us)
     return false;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -274,9 +274,10 @@
   struct dks_lpeer_ring_t peers;
   int64_t started_ms;
   int64_t started_us;
-  int64_t event_us; /**< time of the latest event */
-  uint64_t term;    /**< of our leadership, 0: we do not lead */
-  bool yields;      /**< we lead, and give way to a larger instance */
+  int64_t joined_us; /**< when an instance was last heard of for the first time */
+  int64_t event_us;  /**< time of the latest event */
+  uint64_t term;     /**< of our leadership, 0: we do not lead */
+  bool yields;       /**< we lead, and give way to a larger instance */
   uint64_t highest_term;
   int64_t fenced_us;    /**< when a target last rejected our fence, 0 for never */
   bool status_dirty;    /**< other leaders have to be told of the room soon */
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -996,3 +996,35 @@
     stopped = stopped || line.find ("reason=lagging") != std::string::npos;
   EXPECT_TRUE (stopped);
 }
+
+// On the grown Lexicon Office 24 of 37 instances began to lead within 0.15 s after all processes
+// had been killed: each had heard of instances of other data centres, but not yet of its own.
+TEST (Leased, NobodyLeadsWhileOthersAreStillBeingHeardOf)
+{
+  World world;
+  make_data_centre (world, "a", 4, 3);
+  make_data_centre (world, "b", 0, 5);
+  for (size_t i = 0; i < world.instances.size (); i++)
+    {
+      for (size_t j = i + 1; j < world.instances.size (); j++)
+        world.cut (i, j, true);
+    }
+  world.start_all ();
+  // One instance of b after the other is heard of, then those of the own data centre.
+  for (size_t b = 3; b < 8; b++)
+    {
+      world.run_for (100 * ms);
+      for (size_t a = 0; a < 3; a++)
+        world.cut (a, b, false);
+    }
+  world.run_for (200 * ms);
+  world.cut (0, 1, false);
+  world.cut (0, 2, false);
+  world.cut (1, 2, false);
+  world.run_for (500 * ms);
+
+  int starts = 0;
+  for (auto &line : world.log)
+    starts += line.find ("event=leader-start data_centre=a") != std::string::npos;
+  EXPECT_EQ (starts, 1);
+}
