leased: a task that is long itself is moved once only

A run over 2.2 times its expected time was taken for one on a slow target and started anew on another one, again and again until its caller left, and each time the target's learned speed became worse.

Ruled out: the early review (it gives such jobs up where their caller does not wait); real slow targets, on which several runs in a row are slow.

Change: a run that was moved and is slow again goes on, unless it stands still. A target's speed changes fast only after two ends in a row that are far off.

One test, seen to fail with the old code, in which the task never ended.

--- a/core/leased_health.c
+++ b/core/leased_health.c
@@ -11,7 +11,8 @@
   EJECT_MIN_US = 1000000,
   EJECT_MAX_US = 8000000,
   EJECT_DOUBLINGS = 3,
-  MIN_SAMPLES = 3 /* ends before a target's speed counts */
+  CHANGE_ENDS = 2, /* in a row show a change */
+  MIN_SAMPLES = 3  /* ends before a target's speed counts */
 };
 
 #define SPEED_WEIGHT 0.04  /* of a new sample in a target's moving average */
@@ -90,11 +91,14 @@
 
   if (slowness > DKS_LSLOWNESS_MAX)
     slowness = DKS_LSLOWNESS_MAX;
-  /* Run times differ by a third from what is expected, so single ones say little, unless they are
-   * far off: then the target has just changed. */
+  /* Run times differ by a third from what is expected, so single ones say little. Several in a row
+   * that are far off tell that the target has just changed; a single one may be a long task. */
   weight = target->samples++ * SPEED_WEIGHT < 1 ? 1.0 / target->samples : SPEED_WEIGHT;
-  if (slowness > CHANGE_FACTOR * target->slowness && weight < CHANGE_WEIGHT)
+  if (slowness <= CHANGE_FACTOR * target->slowness)
+    target->slow_ends = 0;
+  else if (++target->slow_ends >= CHANGE_ENDS && weight < CHANGE_WEIGHT)
     weight = CHANGE_WEIGHT;
+
   dks_laverage (&target->slowness, slowness, weight);
   dks_laverage (&leased->slowness_mean, slowness, DKS_LMEAN_WEIGHT);
 }
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -145,6 +145,7 @@
 {
   dks_ltarget_t *target = run->target;
   int64_t ran_us = dks_lnow_us (run->leased) - run->started_us;
+  dks_ltask_t *task;
 
   if (run->job == NULL)
     {
@@ -159,6 +160,7 @@
     }
   if (run->state != DKS_LRUN_RUNNING || run->adopted_us > 0)
     return;
+  task = &run->job->tasks[run->task];
   if (run_ends_too_late (run))
     {
       run_handle_too_late (run);
@@ -169,9 +171,11 @@
 
   if (ran_us < (int64_t)(SLOW_FACTOR * run->expected_us) + SLOW_FLOOR_US)
     return;
+  /* One that was slow elsewhere as well is long itself. */
   if (run->reported_us > run->started_us + SLOW_FLOOR_US && run_is_hopeless (run)
-      && has_better_place (run))
+      && (run->percent == 0 || !task->was_moved) && has_better_place (run))
     {
+      task->was_moved = true;
       dks_emit_log (run->leased->r, DKS_LOG_INFO,
                     "event=run-moved task=%s run=%u target=%s percent=%u ran_ms=%" PRId64,
                     run->name, run->run, target->info.id, run->percent, ran_us / 1000);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -140,7 +140,9 @@
   uint32_t accelerators_used;
   double slowness; /**< run time over estimate, moving average */
   uint32_t samples;
-  dks_ltold_t told;         /**< slowness */
+  uint32_t slow_ends; /**< latest ends in a row that took much longer than its slowness tells */
+  dks_ltold_t told;   /**< slowness */
+
   double failure_rate;      /**< moving average of failed ends, 0 to 1 */
   int64_t ejected_until_us; /**< gets no work before this */
   uint32_t ejections;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1028,3 +1028,27 @@
     starts += line.find ("event=leader-start data_centre=a") != std::string::npos;
   EXPECT_EQ (starts, 1);
 }
+
+// Pattern of poison jobs that take many times as long as declared (own day odd-kinds): each was
+// taken for one on a slow target and started anew on one target after the other, and the targets
+// counted as slow.
+TEST (Leased, TaskThatIsLongItselfIsMovedOnceOnly)
+{
+  World world;
+  make_data_centre (world, "a", 8);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  warm_up (world, 0, 16, 100);
+
+  uint32_t before = 0;
+  for (auto &target : world.targets)
+    before += target->starts;
+  uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 100, 900 } }, 8000);
+  world.run_for (4000 * ms);
+  uint32_t starts = 0;
+  for (auto &target : world.targets)
+    starts += target->starts;
+  EXPECT_EQ (starts - before, 2U);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
