leased: leadership in a file of its own

Two counts of the instances that are heard of are one function; a field of a request that nothing read is gone; the soak's stand-in checks a sender in one place.

--- a/core/leased.c
+++ b/core/leased.c
@@ -136,7 +136,7 @@
   int64_t pause_us = event->now.mono_us - leased->event_us;
 
   if (leased->event_us > 0 && pause_us > PAUSE_US)
-    dks_lmembers_handle_pause (leased, pause_us);
+    dks_lleader_handle_pause (leased, pause_us);
   leased->event_us = event->now.mono_us;
   switch (event->type)
     {
@@ -186,13 +186,13 @@
 bool
 dks_leased_is_ready (const dks_leased_t *leased)
 {
-  return leased->drain_us == 0 && leased->catalog != NULL && dks_lmembers_leader (leased) != NULL;
+  return leased->drain_us == 0 && leased->catalog != NULL && dks_lleader_member (leased) != NULL;
 }
 
 char *
 dks_leased_status_json (const dks_leased_t *leased)
 {
-  const char *leader = dks_lmembers_leader (leased);
+  const char *leader = dks_lleader_member (leased);
   json_t *json;
   char *text;
 
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -162,7 +162,7 @@
 void
 dks_lentry_review (dks_leased_t *leased)
 {
-  const char *leader = dks_lmembers_leader (leased);
+  const char *leader = dks_lleader_member (leased);
   dks_lrequest_t *request;
   dks_lrequest_t *next;
 
@@ -219,7 +219,7 @@
 {
   dks_batch_t *batch = event->u.batch.batch;
   dks_lrequest_t *request = request_find (leased, id);
-  const char *leader = dks_lmembers_leader (leased);
+  const char *leader = dks_lleader_member (leased);
 
   if (request != NULL)
     {
@@ -234,7 +234,6 @@
   request->objective_us = INT64_C (1000) * queue->objective_extra_ms
                           + (int64_t)dks_batch_chain_ms (batch) * queue->objective_factor_milli;
   request->budget_us = budget_us (queue, event->u.batch.budget_ms);
-  dks_strcpy (request->queue, sizeof (request->queue), queue->prefix);
   APR_RING_INIT (&request->callers, dks_lcaller_t, link);
   dks_timer_init (&request->timer, handle_request_timer, request);
   APR_RING_INSERT_TAIL (&leased->requests, request, dks_lrequest_t, link);
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -146,7 +146,7 @@
   for (uint32_t i = 0; i < msg->u.targets.count; i++)
     dks_ltargets_put (leased, &msg->u.targets.items[i]);
   feed->read = true;
-  dks_lmembers_review (leased);
+  dks_lleader_review (leased);
 }
 
 static void
--- /dev/null
+++ b/core/leased_leader.c
@@ -0,0 +1,288 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/hash.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  START_WAIT_US = 250000, /* time to hear of a present leader after the start, and after the latest
+                             instance that was new */
+  FEW_WAIT_US = 700000,   /* the same as long as less than half of the others have been heard of;
+                             after a power loss they come back one by one */
+  START_MAX_US = 2000000, /* after which a start is over, however many others still join */
+  FENCED_PAUSE_US = 500000,          /* before a fenced instance may lead again */
+  FENCED_CUT_OFF_PAUSE_US = 5000000, /* the same when it hears nobody of its data centre: the one
+                                        that fenced it is at work there */
+  TERMS_PER_MS = 4096,               /* a term stays below 2^53, which JSON numbers keep exactly */
+  FENCED_STEP_MS = 5000,             /* clock error that one attempt after a fence makes up for */
+  LAG_MAX_US = 400000,               /* less than the silence after which others take us for lost */
+  YIELD_AFTER_US = 2000000,          /* a change costs running jobs some ms: not twice in a row */
+  YIELD_FACTOR = 2                   /* so much more processor time makes up for it */
+};
+
+/* Whether leadership A goes before leadership B. */
+static bool
+precedes (uint64_t term_a, const char *id_a, uint64_t term_b, const char *id_b)
+{
+  return term_a != term_b ? term_a > term_b : strcmp (id_a, id_b) < 0;
+}
+
+/* The leader of our data centre among the others: the one with the highest term. */
+static const dks_lpeer_t *
+other_leader (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  const dks_lpeer_t *leader = NULL;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (peer->term > 0 && dks_lpeer_is_ours (leased, peer) && dks_lpeer_is_alive (leased, peer)
+          && (leader == NULL || precedes (peer->term, peer->id, leader->term, leader->id)))
+        leader = peer;
+    }
+  return leader;
+}
+
+const char *
+dks_lleader_member (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *leader = other_leader (leased);
+
+  if (leased->term > 0
+      && (leader == NULL || precedes (leased->term, leased->r->self, leader->term, leader->id)))
+    return leased->r->self;
+  return leader != NULL ? leader->id : NULL;
+}
+
+bool
+dks_lleader_leads (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  const dks_lpeer_t *other;
+
+  if (peer == NULL || peer->term == 0)
+    return false;
+  APR_RING_FOREACH (other, &leased->peers, dks_lpeer_t, link)
+    {
+      if (other->term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0)
+        return false;
+    }
+  return true;
+}
+
+/* Terms */
+
+static void
+lead (dks_leased_t *leased, bool planned)
+{
+  /* Targets remember the highest term after all instances have been restarted, so it follows the
+   * clock. Instances that begin in the same millisecond get different terms. */
+  uint64_t unique = dks_hash_text (leased->r->self, 0) % TERMS_PER_MS;
+  uint64_t term = (uint64_t)leased->r->now.wall_ms * TERMS_PER_MS + unique;
+
+  if (term <= leased->highest_term)
+    term = (leased->highest_term / TERMS_PER_MS + 1) * TERMS_PER_MS + unique;
+  leased->term = term;
+  leased->highest_term = term;
+  leased->led_us = leased->r->now.mono_us;
+  leased->led_planned = planned;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
+                leased->r->config.data_centre, term);
+  dks_ltargets_handle_leadership (leased);
+  dks_lmembers_announce (leased);
+}
+
+static void
+stop_leading (dks_leased_t *leased, const char *reason)
+{
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-stop term=%" PRIu64 " reason=%s",
+                leased->term, reason);
+  dks_metrics_count (leased->metrics, DKS_LABELLED_LEADER_ENDS, reason, "");
+  leased->term = 0;
+  dks_ljobs_drop_all (leased);
+  dks_ltargets_handle_leadership (leased);
+  dks_lmembers_announce (leased);
+}
+
+/* A leader that handles all messages so late is taken for lost by the others, and does not hear in
+ * time of the one that they choose. */
+void
+dks_lleader_check_lag (dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  int64_t least_us = INT64_MAX;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (dks_lpeer_is_alive (leased, peer) && peer->lag_us < least_us)
+        least_us = peer->lag_us;
+    }
+  if (leased->term > 0 && least_us != INT64_MAX && least_us > LAG_MAX_US)
+    {
+      leased->started_us = leased->r->now.mono_us;
+      stop_leading (leased, "lagging");
+    }
+}
+
+/* Whether the peer leads rather than we do: the instance with more processor time goes first, then
+ * the one that has run longer. */
+static bool
+peer_goes_first (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  uint32_t own = leased->r->config.processor_milli;
+
+  if (peer->processor_milli != own)
+    return peer->processor_milli > own;
+  if (peer->started_ms != leased->started_ms)
+    return peer->started_ms < leased->started_ms;
+  return strcmp (peer->id, leased->r->self) < 0;
+}
+
+/* Whether another instance of our data centre is the better candidate: it is not draining, and goes
+ * first. With `informed`, only those that know the list of targets count. */
+static bool
+has_better_candidate (const dks_leased_t *leased, bool informed)
+{
+  const dks_lpeer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (!dks_lpeer_is_ours (leased, peer) || !dks_lpeer_is_alive (leased, peer) || peer->draining
+          || (informed && !peer->knows_targets))
+        continue;
+      if (leased->drain_us > 0 || peer_goes_first (leased, peer))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_cut_off (const dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  bool others = false;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      if (!dks_lpeer_is_ours (leased, peer))
+        continue;
+      if (dks_lpeer_is_alive (leased, peer))
+        return false;
+      others = true;
+    }
+  return others;
+}
+
+/* Whether enough of the others has been heard of after our start for a choice of the leader. When
+ * all instances start together, each hears of the others one by one; those that lead too early
+ * fence each other off. */
+static bool
+knows_enough (const dks_leased_t *leased)
+{
+  int64_t now_us = leased->r->now.mono_us;
+  uint32_t heard = dks_lmembers_count_alive (leased);
+  int64_t joined_us =
+      leased->joined_us > leased->started_us ? leased->joined_us : leased->started_us;
+
+  if (now_us - leased->started_us >= START_MAX_US)
+    return true;
+  /* All others have told that they do not lead, so there is no need to wait for a leader's word. */
+  if (leased->address_count > 0 && heard >= leased->address_count
+      && !has_better_candidate (leased, false))
+    return true;
+  if (2 * heard < leased->address_count && now_us - leased->started_us < FEW_WAIT_US)
+    return false;
+  return now_us - joined_us >= START_WAIT_US;
+}
+
+static bool
+may_lead (const dks_leased_t *leased)
+{
+  int64_t now_us = leased->r->now.mono_us;
+  int64_t pause_us = is_cut_off (leased) ? FENCED_CUT_OFF_PAUSE_US : FENCED_PAUSE_US;
+
+  if (!dks_lfeed_knows_targets (leased) || !knows_enough (leased))
+    return false;
+  if (leased->fenced_us > 0 && now_us - leased->fenced_us < pause_us)
+    return false;
+  return !has_better_candidate (leased, true);
+}
+
+/* A leader on a small instance gives way to one that is clearly larger and has settled. */
+static void
+review_yielding (dks_leased_t *leased)
+{
+  const dks_lpeer_t *peer;
+  bool yields = false;
+
+  if (leased->term > 0 && leased->r->now.mono_us - leased->led_us >= YIELD_AFTER_US)
+    {
+      APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+        yields = yields
+                 || (dks_lpeer_is_ours (leased, peer) && dks_lpeer_is_alive (leased, peer)
+                     && !peer->draining && peer->knows_targets
+                     && leased->r->now.mono_us - peer->up_us >= YIELD_AFTER_US
+                     && peer->processor_milli >= YIELD_FACTOR * leased->r->config.processor_milli);
+    }
+  if (yields == leased->yields)
+    return;
+  leased->yields = yields;
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=leader-yields yields=%d", yields);
+  dks_lmembers_announce (leased);
+}
+
+/* Whether we may take over from a leader that lives. */
+static bool
+gives_way (const dks_leased_t *leased, const dks_lpeer_t *leader)
+{
+  if (leased->drain_us > 0)
+    return false;
+  return leader->draining
+         || (leader->yields
+             && leased->r->config.processor_milli >= YIELD_FACTOR * leader->processor_milli);
+}
+
+void
+dks_lleader_review (dks_leased_t *leased)
+{
+  const dks_lpeer_t *leader = other_leader (leased);
+
+  if (leased->term > 0 && leader != NULL
+      && precedes (leader->term, leader->id, leased->term, leased->r->self))
+    stop_leading (leased, "higher-term");
+  review_yielding (leased);
+  if (leased->term == 0 && (leader == NULL || gives_way (leased, leader)) && may_lead (leased))
+    lead (leased, leader != NULL);
+  dks_lentry_review (leased);
+}
+
+void
+dks_lleader_handle_pause (dks_leased_t *leased, int64_t pause_us)
+{
+  dks_lpeer_t *peer;
+
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=paused for_ms=%" PRId64, pause_us / 1000);
+  /* Another leader may have begun meanwhile. It is heard of within START_WAIT_US. */
+  leased->started_us = leased->r->now.mono_us;
+  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
+    {
+      /* It is we who were silent. */
+      peer->told = false;
+      peer->heard_us = leased->r->now.mono_us;
+    }
+  if (leased->term > 0)
+    stop_leading (leased, "paused");
+}
+
+void
+dks_lleader_handle_fenced (dks_leased_t *leased)
+{
+  if (leased->term == 0)
+    return;
+  leased->fenced_us = leased->r->now.mono_us;
+  leased->highest_term = leased->term + (uint64_t)FENCED_STEP_MS * TERMS_PER_MS;
+  stop_leading (leased, "fenced");
+  dks_lentry_review (leased);
+}
--- a/core/leased_metrics.c
+++ b/core/leased_metrics.c
@@ -19,17 +19,6 @@
   return since_us > 0 ? (double)(dks_lnow_us (leased) - since_us) / 1e6 : -1;
 }
 
-static uint32_t
-count_peers (const dks_leased_t *leased)
-{
-  const dks_lpeer_t *peer;
-  uint32_t count = 0;
-
-  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
-    count += dks_lpeer_is_alive (leased, peer);
-  return count;
-}
-
 static void
 count_targets (const dks_leased_t *leased, uint32_t *held, uint32_t *runs, uint32_t *ejected)
 {
@@ -53,7 +42,8 @@
   count_targets (leased, &held, &runs, &ejected);
   const gauge_t gauges[] = {
     { "leading", "Whether this instance leads its data centre.", leased->term > 0 },
-    { "peers_alive", "Other instances that were heard of lately.", count_peers (leased) },
+    { "peers_alive", "Other instances that were heard of lately.",
+      dks_lmembers_count_alive (leased) },
     { "catalog_version", "Version of the configuration in force, 0 for none.",
       leased->catalog != NULL ? (double)leased->catalog->version : 0 },
     { "catalog_heard_seconds", "Time since the store last answered about the configuration.",
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -486,7 +486,7 @@
     case DKS_LEASE_FENCED:
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
                     target->info.id, target->fence);
-      dks_lmembers_handle_fenced (leased);
+      dks_lleader_handle_fenced (leased);
       return;
     case DKS_LEASE_OTHER_LIFE:
       target_reborn (target, 0);
@@ -607,7 +607,7 @@
     case DKS_LEASE_FENCED:
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
                     target->info.id, target->fence);
-      dks_lmembers_handle_fenced (leased);
+      dks_lleader_handle_fenced (leased);
       return;
     case DKS_LEASE_UNANSWERED:
       log_unanswered (run);
@@ -655,7 +655,7 @@
   switch (event->u.lease_reply.status)
     {
     case DKS_LEASE_FENCED:
-      dks_lmembers_handle_fenced (run->leased);
+      dks_lleader_handle_fenced (run->leased);
       return;
     case DKS_LEASE_NOT_SENT:
     case DKS_LEASE_UNANSWERED:
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -3,7 +3,7 @@
  * core/reducer.h.
  *
  * Every instance takes requests of callers (leased_entry.c) and passes them to the leader of its
- * data centre (leased_members.c). The leader orders the targets of its data centre
+ * data centre (leased_leader.c, leased_members.c). The leader orders the targets of its data centre
  * (leased_targets.c), places the tasks of jobs on them (leased_jobs.c) and lends room to the
  * leaders of other data centres. What the platform lists is followed in leased_feed.c.
  *
@@ -16,6 +16,8 @@
 #include "common/metrics.h"
 #include "core/state.h"
 
+#include <string.h>
+
 enum
 {
   /** Calls without an answer after which no call extends a target's lease any more. */
@@ -229,7 +231,6 @@
   APR_RING_ENTRY (dks_lrequest_t) link;
   dks_leased_t *leased;
   uint64_t number;
-  char queue[DKS_PREFIX_SIZE]; /**< prefix of its queue */
   dks_batch_t *batch;
   struct dks_lcaller_ring_t callers;
   int64_t arrival_us;
@@ -346,6 +347,13 @@
   bool in_time;    /**< the task is expected to end in time there */
 } dks_lchoice_t;
 
+/** Whether the peer is an instance of our data centre. */
+static inline bool
+dks_lpeer_is_ours (const dks_leased_t *leased, const dks_lpeer_t *peer)
+{
+  return strcmp (peer->data_centre, leased->r->config.data_centre) == 0;
+}
+
 /* leased.c */
 dks_leased_t *dks_leased_create (dks_reducer_t *r);
 void dks_leased_destroy (dks_leased_t *leased);
@@ -363,6 +371,8 @@
 void dks_lmembers_init (dks_leased_t *leased);
 void dks_lmembers_clear (dks_leased_t *leased);
 dks_lpeer_t *dks_lpeer_find (const dks_leased_t *leased, const char *id);
+/** Other instances that are connected and were heard from lately. */
+uint32_t dks_lmembers_count_alive (const dks_leased_t *leased);
 /** Connected and heard from lately. */
 bool dks_lpeer_is_alive (const dks_leased_t *leased, const dks_lpeer_t *peer);
 /** How long a message that the peer sent at `sent_us` has waited on the way and in our queue. */
@@ -371,18 +381,8 @@
 void dks_lmembers_handle_down (dks_leased_t *leased, const char *id);
 void dks_lmembers_handle_status (dks_leased_t *leased, dks_lpeer_t *peer, const dks_msg_t *msg);
 void dks_lmembers_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg);
-/** Member id of the leader of our data centre, ourselves included; NULL when there is none. */
-const char *dks_lmembers_leader (const dks_leased_t *leased);
-/** Whether the peer leads its data centre, as far as is known: nobody there has a higher term. */
-bool dks_lmembers_leads (const dks_leased_t *leased, const dks_lpeer_t *peer);
-/** This process has stood still: what it knows of the others is old. */
-void dks_lmembers_handle_pause (dks_leased_t *leased, int64_t pause_us);
 /** Connects to seeds that were not known yet. */
 void dks_lmembers_add_seeds (dks_leased_t *leased, const dks_config_t *config);
-/** A target has been ordered with a higher fence than ours. */
-void dks_lmembers_handle_fenced (dks_leased_t *leased);
-/** Elects, or stops to lead, as what is known of the others demands. */
-void dks_lmembers_review (dks_leased_t *leased);
 /** Tells the other leaders about our room soon. */
 void dks_lmembers_touch (dks_leased_t *leased);
 /** Tells all peers soon that we lead, do not lead any more, or shut down. */
@@ -392,6 +392,20 @@
 /** Sends the list of targets to a peer that cannot read it. */
 void dks_ltargets_send (dks_leased_t *leased, const char *peer);
 
+/* leased_leader.c */
+/** Member id of the leader of our data centre, ourselves included; NULL when there is none. */
+const char *dks_lleader_member (const dks_leased_t *leased);
+/** Whether the peer leads its data centre, as far as is known: nobody there has a higher term. */
+bool dks_lleader_leads (const dks_leased_t *leased, const dks_lpeer_t *peer);
+/** This process has stood still: what it knows of the others is old. */
+void dks_lleader_handle_pause (dks_leased_t *leased, int64_t pause_us);
+/** A target has been ordered with a higher fence than ours. */
+void dks_lleader_handle_fenced (dks_leased_t *leased);
+/** Elects, or stops to lead, as what is known of the others demands. */
+void dks_lleader_review (dks_leased_t *leased);
+/** Stops to lead when all messages are handled too late. */
+void dks_lleader_check_lag (dks_leased_t *leased);
+
 /* leased_feed.c */
 void dks_lfeed_init (dks_leased_t *leased);
 void dks_lfeed_clear (dks_leased_t *leased);
--- a/tests/platform/soak/standins.py
+++ b/tests/platform/soak/standins.py
@@ -245,15 +245,20 @@
         return self.order(path, headers, body)
 
     def order(self, path, headers, body):
+        refusal = self.check_sender(headers, body)
+        if refusal is not None:
+            return refusal
+        return self.stop(body) if path == "/api/run-stop" else self.start(body)
+
+    def check_sender(self, headers, body):
+        """The answer to a call for another executor or with an old fence, else None."""
         self.update()
         if headers.get("expect-instance") != self.name:
             return 421, {}
         if body["fence"] < self.fence:
             return self.conflict("fence")
         self.fence = body["fence"]
-        if path == "/api/run-stop":
-            return self.stop(body)
-        return self.start(body)
+        return None
 
     def start(self, body):
         task, number = body["task"], body["run"]
@@ -289,12 +294,9 @@
         return 200, {"clock_ms": self.clock_ms()}
 
     async def hold(self, headers, body):
-        self.update()
-        if headers.get("expect-instance") != self.name:
-            return 421, {}
-        if body["fence"] < self.fence:
-            return self.conflict("fence")
-        self.fence = body["fence"]
+        refusal = self.check_sender(headers, body)
+        if refusal is not None:
+            return refusal
         self.extend(body)
         self.ended = [row for row in self.ended if row[0] > body.get("last_seen", 0)]
         born, end = self.born, time.monotonic() + body.get("wait_ms", 0) / 1000
@@ -328,7 +330,7 @@
         self.silent = False
         self.one_way = False  # only answers are held back
         self.cut_names = set()
-        self.links = set()
+        self.open_links = []
         self.server = None
 
     async def open(self, port):
@@ -341,11 +343,9 @@
             writer.transport.abort()
             return
         link = {"name": "", "writers": (writer, other_writer)}
-        self.links.add(id(link))
         tasks = [asyncio.create_task(self.pump(link, reader, other_writer, False)),
                  asyncio.create_task(self.pump(link, other_reader, writer, True))]
         link["tasks"] = tasks
-        self.open_links = getattr(self, "open_links", [])
         self.open_links.append(link)
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in tasks:
@@ -379,7 +379,7 @@
             return
 
     def reset(self, share=1.0, rng=random):
-        for link in list(getattr(self, "open_links", [])):
+        for link in list(self.open_links):
             if rng.random() < share:
                 for end in link["writers"]:
                     end.transport.abort()
