leased: a late run does not move when no target has room

Cause: found in the reading. When no target and no lender had room, the infinite slowness of 'no target' was converted to a whole number, which came out as a time in the past; the run was stopped to go on elsewhere, and its task waited.

Ruled out: full targets of the same data centre with room elsewhere (the slowness told by lenders is used).

Change: without any place the job is given up, as meant. A borrower's question about a lost task is answered even when the borrower does not lead any more; only new tasks are refused.

Measured: one test, seen to fail with the old code (4 starts instead of 2).

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -621,7 +621,7 @@
 
   /* A message that waited that long has a leader behind it that cannot keep up. Its borrower may
    * have given the tasks up, and its cancellation waits behind it. */
-  stale = lent && ((!msg->u.work.resent && lag_us > STALE_US) || !dks_lleader_leads (leased, peer));
+  stale = lent && !msg->u.work.resent && (lag_us > STALE_US || !dks_lleader_leads (leased, peer));
   if (leased->term == 0 || stale || (lent && leased->drain_us > 0 && !msg->u.work.resent))
     {
       /* The sender learns of the change and turns to the next leader; a borrower asks elsewhere. */
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -12,9 +12,8 @@
   LEND_CALLS_MAX = 32, /* messages about lent tasks of one job and one review */
 };
 
-#define FASTER                                                                                     \
-  0.95 /* a target elsewhere is clearly faster up to this part of the slowness here                \
-        */
+/* A target elsewhere is clearly faster up to this part of the slowness here. */
+#define FASTER 0.95
 
 /* Whether the peer has room for the task; with `fast`, on a target that is clearly faster than the
  * best one here. */
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -4,6 +4,7 @@
 #include "common/error.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 enum
@@ -95,10 +96,11 @@
   dks_lchoice_t choice;
 
   dks_ltargets_measure_room (job->leased);
-
   dks_ltargets_choose (job->leased, job, task, &choice);
   if (elsewhere < choice.slowness)
     choice.slowness = elsewhere;
+  if (isinf (choice.slowness))
+    return false;
   return dks_lnow_us (job->leased) + MOVE_US + (int64_t)(choice.slowness * on_average_us)
          < job->give_up_us;
 }
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1052,3 +1052,18 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// Guards against a run that is stopped to go on elsewhere although no target has room.
+TEST (Leased, LateRunIsGivenUpWhenNoTargetHasRoom)
+{
+  World world;
+  make_data_centre (world, "a", 1);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 900, 2500 } });
+  world.run_for (750 * ms);
+  EXPECT_EQ (world.targets[0]->starts, 2U);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+}
