leased: a run that began in a new life of its target goes on

A target restarted under its name while nothing of ours ran there, and took a start before its new life was known. When the lists told of the new life, all runs counted as gone, and their tasks started again while they ran.

Ruled out: the soak's stand-in (the platform's pages allow a restart under the same name); the late look at a start (both starts had been answered).

Change: after a new life the lists decide which runs are gone. When the platform's list tells of it first, the target gets nothing until its lists have been read. Only another target at the same address ends all runs.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -305,11 +305,10 @@
   target->clock_known = true;
 }
 
-/* The target has begun a new life: nothing of before is left, nor any fence. */
+/* The target has begun a new life: what was learned of it is void, and no fence is left. */
 static void
-target_reborn (dks_ltarget_t *target, int64_t born_ms)
+target_begin_life (dks_ltarget_t *target, int64_t born_ms)
 {
-  target_end_all (target, "restarted");
   target->born_ms = born_ms;
   target->last_seen = 0;
   target->clock_known = false;
@@ -321,6 +320,14 @@
   target->ejections = 0;
 }
 
+/* Another target answers at the address: nothing of the one that we ordered is left. */
+static void
+target_replaced (dks_ltarget_t *target)
+{
+  target_end_all (target, "replaced");
+  target_begin_life (target, 0);
+}
+
 static void
 run_note_done (dks_lrun_t *run)
 {
@@ -443,7 +450,13 @@
 handle_lists (dks_ltarget_t *target, const dks_lease_lists_t *lists, int64_t sent_us)
 {
   if (lists->born_ms != 0 && target->born_ms != 0 && lists->born_ms != target->born_ms)
-    target_reborn (target, lists->born_ms);
+    {
+      dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-restarted target=%s runs=%u",
+                    target->info.id, target->run_count);
+      /* A start may have reached the new life before we heard of it, so the lists decide which of
+       * the runs are gone. */
+      target_begin_life (target, lists->born_ms);
+    }
   if (lists->born_ms != 0)
     target->born_ms = lists->born_ms;
   for (size_t i = 0; i < lists->ended_count; i++)
@@ -489,7 +502,7 @@
       dks_lleader_handle_fenced (leased);
       return;
     case DKS_LEASE_OTHER_LIFE:
-      target_reborn (target, 0);
+      target_replaced (target);
       dks_timer_set (leased->r->timers, &target->hold_timer, dks_lnow_us (leased) + RETRY_US);
       break;
     case DKS_LEASE_NOT_SENT:
@@ -621,7 +634,7 @@
       break;
     case DKS_LEASE_OTHER_LIFE:
       run_not_started (run, status);
-      target_reborn (target, 0);
+      target_replaced (target);
       target_hold (target);
       return;
     case DKS_LEASE_NO_ROOM:
@@ -666,7 +679,7 @@
       dks_ltarget_look (target);
       return;
     case DKS_LEASE_OTHER_LIFE:
-      target_reborn (target, 0);
+      target_replaced (target);
       return;
     default:
       run->acked_us = dks_lnow_us (run->leased);
@@ -743,6 +756,20 @@
   return target;
 }
 
+/* The platform lists a new life of the target under its old name. */
+static void
+handle_new_life (dks_ltarget_t *target)
+{
+  if (!target->held)
+    {
+      target_begin_life (target, target->info.born_ms);
+      return;
+    }
+  /* Its lists tell what is left of our runs; until then it gets nothing. */
+  target->adopted = false;
+  dks_ltarget_look (target);
+}
+
 void
 dks_ltargets_put (dks_leased_t *leased, const dks_target_info_t *info)
 {
@@ -754,9 +781,9 @@
     {
       if (info->leaving && !target->info.leaving)
         dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-leaving target=%s", info->id);
-      if (info->born_ms != 0 && target->born_ms != 0 && info->born_ms > target->born_ms)
-        target_reborn (target, info->born_ms);
       target->info = *info;
+      if (info->born_ms != 0 && target->born_ms != 0 && info->born_ms > target->born_ms)
+        handle_new_life (target);
     }
   target->listed = true;
   target->generation = leased->feeds[DKS_FEED_TARGETS].generation;
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -610,6 +610,7 @@
           lists->ended.push_back (row);
         }
     }
+  int64_t born_ms = target != nullptr ? target->info.born_ms : 0;
   deliver (now_us + (target != nullptr ? call_delay_us : 0), index, [=, this] {
     dks_event_t event = {};
     dks_lease_lists_t view = {};
@@ -620,7 +621,7 @@
     event.u.lease_reply.op = op;
     event.u.lease_reply.status = status;
     event.u.lease_reply.clock_ms = status == DKS_LEASE_UNANSWERED ? 0 : clock_ms;
-    view.born_ms = 1;
+    view.born_ms = born_ms;
     view.running_count = lists->running.size ();
     view.running = lists->running.data ();
     view.ended_count = lists->ended.size ();
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1067,3 +1067,30 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
 }
+
+// Found by the soak (seeds 14 and 30): a target that restarts under its name while nothing runs
+// there takes a start before its new life is known. The run was then taken for one of the old life,
+// and started again.
+TEST (Leased, RunThatBeganInANewLifeOfItsTargetGoesOn)
+{
+  World world;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  warm_up (world, 0, 8, 100);
+  world.run_for (1000 * ms);
+  for (auto &target : world.targets)
+    {
+      target->info.born_ms = 2;
+      target->fence = 0;
+      target->ended.clear ();
+      target->next_number = 1;
+      target->highest_ended.clear ();
+    }
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 300, 300 } });
+  world.run_for (1400 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
