leased: a refusal of an earlier message is ignored

A job went from one leader to another and back. The first leader then handled the first message, which had waited over 200 ms, and refused it as not run; the entry instance took that for the answer to its latest message.

Ruled out: a leader that refuses what it may have started (a job that another leader had is never refused).

Change: an entry instance ignores a refusal once it has sent the job more than once.

Measured: one test, seen to fail with the old code.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -128,9 +128,9 @@
   msg->u.work.age_us = dks_lnow_us (leased) - request->arrival_us;
   msg->u.work.objective_us = request->objective_us;
   msg->u.work.budget_us = request->budget_us;
-  msg->u.work.resent = request->sent;
+  msg->u.work.resent = request->sends > 0;
   dks_strcpy (request->leader, sizeof (request->leader), leader);
-  request->sent = true;
+  request->sends++;
   dks_timer_set (leased->r->timers, &request->timer,
                  request->arrival_us + request->budget_us + LEADER_SLACK_US);
   dks_count (&leased->r->counters, DKS_COUNTER_FORWARDS);
@@ -149,7 +149,7 @@
 {
   dks_lrequest_t *request = context;
 
-  if (!request->sent)
+  if (request->sends == 0)
     {
       request_answer (request, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS,
                       "no leader of the data centre is known");
@@ -172,7 +172,7 @@
     {
       if (strcmp (request->leader, leader) == 0)
         continue;
-      if (request->sent)
+      if (request->sends > 0)
         dks_emit_log (leased->r, DKS_LOG_INFO, "event=request-moved job=%s from=%s to=%s",
                       request->batch->id, request->leader, leader);
       request_send (request, leader);
@@ -377,6 +377,11 @@
       if (request->number == msg->u.work_done.request)
         break;
     }
+  /* A leader does not refuse what another one has had, so this is the answer to an earlier message.
+   */
+  if (request != APR_RING_SENTINEL (&leased->requests, dks_lrequest_t, link) && request->sends > 1
+      && msg->u.work_done.answer == DKS_BATCH_REFUSED)
+    return;
   /* An answer of an earlier leader may cross the submission to the next. */
   if (request == APR_RING_SENTINEL (&leased->requests, dks_lrequest_t, link)
       || (strcmp (request->leader, from) != 0 && msg->u.work_done.answer != DKS_BATCH_COMPLETED))
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -238,7 +238,7 @@
   int64_t objective_us;
   int64_t budget_us;
   char leader[DKS_NAME_SIZE]; /**< member that has it, empty for none */
-  bool sent;                  /**< some leader has had it */
+  uint32_t sends;             /**< messages to leaders about it */
   dks_timer_t timer;
 };
 APR_RING_HEAD (dks_lrequest_ring_t, dks_lrequest_t);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1121,3 +1121,40 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// REFUSED in a hunt (waves on the grown Lexicon Office, seed 1016698997924): a leader that could
+// not keep up answered the first message about a job after the job had gone to another leader and
+// back, and the entry told its caller "not run" while the job went on.
+TEST (Leased, RefusalOfAnEarlierMessageIsIgnored)
+{
+  World world;
+  make_data_centre (world, "a", 4, 3);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  size_t leader = world.find (leader_of (world, "a"));
+  size_t entry = leader == 2 ? 1 : 2;
+  uint64_t caller = world.submit (entry, "0000000000000001", { { 1, 6800, 900, 900 } });
+  world.run_for (50 * ms);
+  world.kill (leader);
+  world.run_for (20 * ms);
+  size_t second = world.find (leader_of (world, "a"));
+  ASSERT_NE (second, leader);
+
+  for (uint64_t request = 1; request < 200; request++)
+    {
+      dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK_DONE);
+      dks_event_t event = {};
+
+      msg->u.work_done.request = request;
+      msg->u.work_done.answer = DKS_BATCH_REFUSED;
+      event.type = DKS_EVENT_PEER_MSG;
+      event.u.peer_msg.peer = world.instances[second]->member.c_str ();
+      event.u.peer_msg.msg = msg;
+      world.apply (entry, &event);
+      dks_msg_unref (msg);
+    }
+  EXPECT_FALSE (world.answered (caller));
+  world.run_for (1400 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
