leased: an idle target is used again after it has restarted under its name

The answer that brought the lists of a target's new life set its clock, and the new life then cleared it; with nothing running there no further call was made, so the target got no work until the leader changed.

Ruled out: targets with runs (their holds go on and set the clock).

Change: the clock of the answer that brought the lists holds.

Measured: one test, seen to fail with the old code (the job was refused).

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -456,6 +456,7 @@
       /* A start may have reached the new life before we heard of it, so the lists decide which of
        * the runs are gone. */
       target_begin_life (target, lists->born_ms);
+      target->clock_known = true; /* by the answer that brought the lists */
     }
   if (lists->born_ms != 0)
     target->born_ms = lists->born_ms;
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -340,6 +340,7 @@
 void
 World::send_feed (size_t index, const dks_effect_t &effect)
 {
+  instances[index]->watch_op[effect.u.feed.feed] = effect.u.feed.op;
   uint64_t op = effect.u.feed.op;
   dks_feed_t feed = effect.u.feed.feed;
   bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1158,3 +1158,34 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// Guards against an idle target that gets no work any more after it has restarted under its name.
+TEST (Leased, TargetIsUsedAgainAfterItsRestart)
+{
+  World world;
+  make_data_centre (world, "a", 1, 1);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.run_for (1000 * ms);
+
+  world.targets[0]->info.born_ms = 2;
+  world.targets[0]->fence = 0;
+  dks_feed_item_t item = {};
+  dks_event_t event = {};
+  item.key = world.targets[0]->info.id;
+  item.target = &world.targets[0]->info;
+  event.type = DKS_EVENT_FEED;
+  event.u.feed.op = world.instances[0]->watch_op[DKS_FEED_TARGETS];
+  event.u.feed.status = DKS_FEED_OK;
+  event.u.feed.revision = 100;
+  event.u.feed.count = 1;
+  event.u.feed.items = &item;
+  world.apply (0, &event);
+  world.run_for (1000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000002", { { 2, 6800, 100, 100 } });
+  world.run_for (200 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
