--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -404,8 +404,8 @@
 void dks_lleader_handle_fenced (dks_leased_t *leased);
 /** Elects, or stops to lead, as what is known of the others demands. */
 void dks_lleader_review (dks_leased_t *leased);
-/** Whether every leader of another data centre, which may have borrowed tasks, has been heard of
- * since we took over. */
+/** Whether every leader of another data centre, which may run tasks of our predecessor, has been
+ * heard of since we took over. */
 bool dks_lleader_lenders_heard (const dks_leased_t *leased);
 /** Stops to lead when all messages are handled too late. */
 void dks_lleader_check_lag (dks_leased_t *leased);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1096,7 +1096,7 @@
 }
 
 // TWICE in a hunt (store-turns-away on brandnoot-orders, seed 157711641724, 1 of 4 plays): a leader
-// handed over while the leader that had borrowed its tasks lost power. The successor waited only as
+// handed over while the leader that ran its tasks lost power. The successor waited only as
 // long as a lender needs that is told to stop them.
 TEST (Leased, SuccessorWaitsForTheLeasesOfALenderThatIsLost)
 {
