leased: a successor waits longer when a lender has handed over as well

When the lender hands over at the same time, the borrower's cancellation goes to an instance that does not lead any more; for the new lender the run is an orphan, which it stops after 0.4 s, and the successor waited 0.3 s.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -120,7 +120,9 @@
       if (dks_lpeer_is_ours (leased, peer) || peer->led_us == 0
           || leased->led_us - peer->led_us > LENDER_LEASE_US)
         continue;
-      if (!dks_lpeer_is_alive (leased, peer) || peer->heard_us < leased->led_us + HANDED_OVER_US)
+      /* A leader that has just begun may stop orphans only later. */
+      if (!dks_lpeer_is_alive (leased, peer) || peer->heard_us < leased->led_us + HANDED_OVER_US
+          || leased->led_us - peer->term_us < LENDER_LEASE_US)
         return false;
     }
   return true;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -349,6 +349,8 @@
     dks_llend_handle_lender_lost (leased, peer->id);
   note_way (leased, peer, msg->u.leased_status.sent_us);
   peer->told = true;
+  if (peer->term != msg->u.leased_status.term)
+    peer->term_us = leased->r->now.mono_us;
   peer->term = msg->u.leased_status.term;
   if (peer->term > 0)
     peer->led_us = leased->r->now.mono_us;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -52,6 +52,7 @@
   int64_t catalog_sent;     /**< version that was sent to it on this connection */
   uint32_t processor_milli; /**< processor time that it may use, thousandths of a processor */
   int64_t led_us;           /**< when it last told that it leads, 0: never */
+  int64_t term_us;          /**< when its term was first told */
   int64_t up_us;            /**< when the connection began */
   int64_t way_us;           /**< least difference between our clock and its sending times */
   int64_t lag_us;           /**< how long its latest state waited on the way and in our queue */
@@ -405,7 +406,7 @@
 /** Elects, or stops to lead, as what is known of the others demands. */
 void dks_lleader_review (dks_leased_t *leased);
 /** Whether every leader of another data centre, which may run tasks of our predecessor, has been
- * heard of since we took over. */
+ * heard of since we took over, and had led for long before. */
 bool dks_lleader_lenders_heard (const dks_leased_t *leased);
 /** Stops to lead when all messages are handled too late. */
 void dks_lleader_check_lag (dks_leased_t *leased);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1189,3 +1189,35 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
 }
+
+// TWICE in a hunt (waves on mplo-damask, seed 605392648697): the leaders of two data centres handed
+// over at about the same time. The run of a lent task was an orphan for the new lender, which stops
+// those after 0.4 s, and the successor of the borrower started the task after 0.3 s.
+TEST (Leased, SuccessorWaitsWhenTheLenderHasHandedOverAsWell)
+{
+  for (int offset = -6; offset <= 6; offset++)
+    {
+      World world;
+      make_data_centre (world, "a", 2);
+      make_data_centre (world, "b", 4, 2);
+      world.start_all ();
+      world.run_for (3000 * ms);
+      warm_up (world, 0, 2, 100);
+      size_t leader = world.find (leader_of (world, "a"));
+      size_t lender = world.find (leader_of (world, "b"));
+
+      world.submit (1 - leader, "0000000000000001", { { 4, 6800, 200, 200 } });
+      world.run_for (10 * ms);
+      uint64_t caller =
+          world.submit (1 - leader, "0000000000000002", { { 2, 6800, 700, 700 } }, 5000);
+      world.run_for (50 * ms);
+      ASSERT_NE (world.last_lent, nullptr);
+      world.drain (offset < 0 ? leader : lender);
+      world.run_for (std::abs (offset) * ms / 2);
+      world.drain (offset < 0 ? lender : leader);
+      world.run_for (4000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << offset;
+      ASSERT_TRUE (world.answered (caller));
+      EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+    }
+}
