--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -90,10 +90,11 @@
                        dks_lnow_us (leased) - request->arrival_us);
   if (answer != DKS_BATCH_COMPLETED)
     dks_emit_log (leased->r, DKS_LOG_INFO,
-                  "event=answer job=%s answer=%s age_ms=%" PRId64 " leader=%s catalog=%" PRId64
-                  " reason=\"%s\"",
+                  "event=answer job=%s answer=%s age_ms=%" PRId64 " caller_ms=%" PRId64
+                  " queue_ms=%u leader=%s catalog=%" PRId64 " reason=\"%s\"",
                   request->batch->id, dks_batch_answer_name (answer),
-                  (dks_lnow_us (leased) - request->arrival_us) / 1000, request->leader,
+                  (dks_lnow_us (leased) - request->arrival_us) / 1000, request->caller_ms,
+                  request->queue_ms, request->leader,
                   leased->catalog != NULL ? leased->catalog->version : 0, detail);
   APR_RING_FOREACH (caller, &request->callers, dks_lcaller_t, link)
     reply (leased, caller->caller, answer, retry_after_ms, detail);
@@ -234,6 +235,10 @@
   request->objective_us = INT64_C (1000) * queue->objective_extra_ms
                           + (int64_t)dks_batch_chain_ms (batch) * queue->objective_factor_milli;
   request->budget_us = budget_us (queue, event->u.batch.budget_ms);
+  request->caller_ms = event->u.batch.budget_ms;
+  request->queue_ms = queue->timeout_ms;
+  dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_CALLER_TIME, batch->queue,
+                       INT64_C (1000) * event->u.batch.budget_ms);
   APR_RING_INIT (&request->callers, dks_lcaller_t, link);
   dks_timer_init (&request->timer, handle_request_timer, request);
   APR_RING_INSERT_TAIL (&leased->requests, request, dks_lrequest_t, link);
@@ -361,8 +366,9 @@
   caller_free (caller);
   if (!APR_RING_EMPTY (&request->callers, dks_lcaller_t, link))
     return;
-  dks_emit_log (leased->r, DKS_LOG_INFO, "event=caller-gone job=%s age_ms=%" PRId64,
-                request->batch->id, (dks_lnow_us (leased) - request->arrival_us) / 1000);
+  dks_emit_log (
+      leased->r, DKS_LOG_INFO, "event=caller-gone job=%s age_ms=%" PRId64 " caller_ms=%" PRId64,
+      request->batch->id, (dks_lnow_us (leased) - request->arrival_us) / 1000, request->caller_ms);
   request_cancel (request);
   request_free (request);
 }
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -175,6 +175,20 @@
     }
 }
 
+double
+dks_ltargets_fastest (const dks_leased_t *leased)
+{
+  const dks_ltarget_t *target;
+  double slowness = HUGE_VAL;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_ltarget_t, link)
+    {
+      if (is_usable (target) && dks_ltarget_slowness (target) < slowness)
+        slowness = dks_ltarget_slowness (target);
+    }
+  return slowness;
+}
+
 bool
 dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
                            const dks_batch_step_t *step)
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -130,10 +130,12 @@
 
   dks_emit_log (run->leased->r, DKS_LOG_INFO,
                 "event=run-too-late task=%s target=%s slowness=%.2f percent=%u ran_ms=%" PRId64
-                " expected_ms=%.0f left_ms=%" PRId64 " action=%s",
+                " expected_ms=%.0f wait_ms=%" PRId64 " left_ms=%" PRId64 " fastest=%.2f action=%s",
                 run->name, run->target->info.id, run->target->slowness, run->percent,
                 (run->reported_us - run->started_us) / 1000, run->expected_us / 1000,
-                (run->job->give_up_us - run->reported_us) / 1000, move ? "move" : "give-up");
+                (run->started_us - run->job->arrival_us) / 1000,
+                (run->job->give_up_us - run->reported_us) / 1000,
+                dks_ltargets_fastest (run->leased), move ? "move" : "give-up");
   if (!move)
     {
       dks_ljobs_give_up (run->job, run->task);
--- a/include/common/metrics.h
+++ b/include/common/metrics.h
@@ -24,6 +24,7 @@
 /** X(identifier, metric name without prefix and unit, label, help text) */
 #define DKS_HISTOGRAMS(X)                                                                          \
   X (ANSWER, "answer", "queue", "Time from a job's arrival to its answer, in seconds.")            \
+  X (CALLER_TIME, "caller_time", "queue", "How long a job's caller says it waits, in seconds.")    \
   X (QUEUE_WAIT, "queue_wait", "queue", "Time from a job's arrival to the first start of a task.") \
   X (RUN, "run", "queue", "Time from the start of a run to its good end, in seconds.")
 
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -238,6 +238,8 @@
   int64_t arrival_us;
   int64_t objective_us;
   int64_t budget_us;
+  int64_t caller_ms;          /**< how long the caller says it waits, 0: not said */
+  uint32_t queue_ms;          /**< time-out of its queue, 0: none */
   char leader[DKS_NAME_SIZE]; /**< member that has it, empty for none */
   uint32_t sends;             /**< messages to leaders about it */
   dks_timer_t timer;
@@ -455,6 +457,9 @@
 /** Best target for a task now, or NULL. */
 dks_ltarget_t *dks_ltargets_choose (dks_leased_t *leased, const dks_ljob_t *job,
                                     const dks_ltask_t *task, dks_lchoice_t *choice);
+/** Slowness of the fastest usable target of our data centre, with room or without; HUGE_VAL: none.
+ */
+double dks_ltargets_fastest (const dks_leased_t *leased);
 /** Whether any target could ever run the step. */
 bool dks_ltargets_can_ever_run (const dks_leased_t *leased, const dks_batch_t *batch,
                                 const dks_batch_step_t *step);
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -368,6 +368,7 @@
         set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
         set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
         catalog->queues[0].max_attempts = 3;
+        catalog->queues[0].timeout_ms = queue_timeout_ms;
         catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
         catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
         set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -139,6 +139,7 @@
   dks_msg_t *last_lent = nullptr; // latest message that lends tasks
   int objective_extra_ms = 60;
   int objective_factor_milli = 1600;
+  uint32_t queue_timeout_ms = 0; // of the queue, 0: none
   std::vector<std::string> log;
   bool trace = getenv ("LEASED_TRACE") != nullptr; // prints the log lines
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -393,6 +393,22 @@
   EXPECT_TRUE (log_tells ({ "event=job-refused", "no target can run it" }));
 }
 
+// The incident SHORT: from the lines of a lost job nobody could tell whether its caller's time or
+// its queue's had ended it.
+TEST_F (LeasedCause, LostJobNamesTheTimesOfItsCallerAndItsQueue)
+{
+  World other;
+  other.queue_timeout_ms = 1500;
+  make_data_centre (other, "a", 4);
+  other.start_all ();
+  other.run_for (2000 * ms);
+  other.submit (0, id, { { 2, 6800, 900, 9000 } }, 4000);
+  other.run_for (4200 * ms);
+  world.log = other.log;
+  EXPECT_TRUE (log_tells ({ "event=answer", "answer=lost", "caller_ms=4000", "queue_ms=1500" }));
+  EXPECT_TRUE (log_tells ({ "event=run-too-late", "wait_ms=", "left_ms=", "fastest=" }));
+}
+
 TEST_F (LeasedCause, WorkThatTakesTooLong)
 {
   submit (2, 900, 4000);
