--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -305,6 +305,26 @@
   EXPECT_EQ (world.answers[possible].answer, DKS_BATCH_COMPLETED);
 }
 
+// The incident SHORT: guards against a time-out of the queue that ends jobs whose callers wait
+// longer. The pattern is the largest tenth of a long kind on idle targets.
+TEST (Leased, LongJobEndsForACallerThatOutwaitsTheTimeOutOfItsQueue)
+{
+  World world;
+  world.queue_timeout_ms = 1500;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1800, 2600 } }, 8000);
+  world.run_for (2700 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  uint32_t starts = 0;
+  for (auto &target : world.targets)
+    starts += target->starts;
+  EXPECT_EQ (starts, 4U);
+}
+
 // The rule broken on trouble-2 of brandnoot-orders: both instances of a data centre began to lead
 // in the same millisecond, with the same term, and neither gave way.
 TEST (Leased, OneOfTwoLeadersThatBeginTogetherGivesWay)
