leased: the caller's time ends its job, not the time-out of the queue

Cause: the entry took the smaller of the caller's time and the time-out of the queue as the time for which the answer is wanted, and all else follows from that number.

The time that the caller states counts. The time-out of a queue stands for callers that state none.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  DEFAULT_BUDGET_MS = 30000, /* of callers that do not say how long they wait */
+  DEFAULT_BUDGET_MS = 30000, /* of callers that do not say how long they wait, at queues without a
+                                time-out */
   MAX_BUDGET_MS = 600000,
   REFUSE_PART = 4,           /* a request that no leader has had is refused after this part of its
                                 objective */
@@ -204,13 +205,15 @@
   apr_hash_set (request->leased->callers_by_id, &caller->caller, sizeof (caller->caller), caller);
 }
 
+/* How long the answer is wanted. The caller knows; the time-out of the queue stands for callers
+ * that do not say. */
 static int64_t
 budget_us (const dks_queue_entry_t *queue, int64_t caller_ms)
 {
-  int64_t budget_ms = caller_ms > 0 ? caller_ms : DEFAULT_BUDGET_MS;
+  int64_t budget_ms = caller_ms;
 
-  if (queue->timeout_ms > 0 && queue->timeout_ms < budget_ms)
-    budget_ms = queue->timeout_ms;
+  if (budget_ms <= 0)
+    budget_ms = queue->timeout_ms > 0 ? queue->timeout_ms : DEFAULT_BUDGET_MS;
   return 1000 * (budget_ms < MAX_BUDGET_MS ? budget_ms : MAX_BUDGET_MS);
 }
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -325,6 +325,21 @@
   EXPECT_EQ (starts, 4U);
 }
 
+// The same incident: the time-out of the queue still ends the jobs of callers that state no time.
+TEST (Leased, TimeOutOfTheQueueCountsForCallersThatStateNoTime)
+{
+  World world;
+  world.queue_timeout_ms = 1500;
+  make_data_centre (world, "a", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1200, 2600 } }, 0);
+  world.run_for (1600 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+}
+
 // The rule broken on trouble-2 of brandnoot-orders: both instances of a data centre began to lead
 // in the same millisecond, with the same term, and neither gave way.
 TEST (Leased, OneOfTwoLeadersThatBeginTogetherGivesWay)
