leased: a caller waits for an election as long as its time allows

The entry uses the same bound as the leader (dks_ljobs_wait_us). Test CallerWaitsForAnElectionAsLongAsItsTimeAllows, red before.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -12,8 +12,6 @@
   DEFAULT_BUDGET_MS = 30000, /* of callers that do not say how long they wait, at queues without a
                                 time-out */
   MAX_BUDGET_MS = 600000,
-  REFUSE_PART = 4,           /* a request that no leader has had is refused after this part of its
-                                objective */
   NO_LEADER_RETRY_MS = 1000, /* an election takes less */
   NO_CATALOG_RETRY_MS = 1000,
   LEADER_SLACK_US = 50000,  /* the leader ends a request by itself before this is over */
@@ -248,7 +246,9 @@
   leased->request_count++;
   request_add_caller (request, event->u.batch.caller);
   dks_timer_set (leased->r->timers, &request->timer,
-                 request->arrival_us + request->objective_us / REFUSE_PART);
+                 request->arrival_us
+                     + dks_ljobs_wait_us (queue, request->budget_us,
+                                          INT64_C (1000) * dks_batch_chain_ms (batch)));
   if (leader != NULL)
     request_send (request, leader);
 }
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -299,10 +299,8 @@
          + chain_us * queue->objective_factor_milli / 1000;
 }
 
-/* How long a job may wait for its first start: its caller's time bounds it, and the queue's
- * time-out what this system may hold. */
-static int64_t
-wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us)
+int64_t
+dks_ljobs_wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us)
 {
   int64_t longest_us = min_us (budget_us / REFUSE_PART, budget_us - chain_us);
 
@@ -338,7 +336,7 @@
   job->give_up_us = job->arrival_us + msg->u.work.budget_us;
   job->latest_start_us = min_us (job->objective_end_us, job->give_up_us) - chain_us;
   job->late = job->latest_start_us <= dks_lnow_us (leased);
-  job->wait_until_us = job->arrival_us + wait_us (queue, msg->u.work.budget_us, chain_us);
+  job->wait_until_us = job->arrival_us + dks_ljobs_wait_us (queue, msg->u.work.budget_us, chain_us);
   dks_lestimate_tails_us (leased, batch, job->step_tail_us);
 
   job->cpu_min = UINT32_MAX;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -521,6 +521,9 @@
 void dks_ltask_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state);
 void dks_ljobs_init (dks_leased_t *leased);
 void dks_ljobs_clear (dks_leased_t *leased);
+/** How long a job that takes `chain_us` may wait for its first start: its caller's time bounds it,
+ * and the queue's time-out, since that is how long this system may hold it. `queue` may be NULL. */
+int64_t dks_ljobs_wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us);
 /** Takes a job of an entry instance (ourselves included) or lent tasks. */
 void dks_ljobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg);
 void dks_ljobs_handle_cancel (dks_leased_t *leased, const char *origin, uint64_t request);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -874,6 +874,28 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// The same class as the incident SHORT: callers were refused after a quarter of their job's
+// objective while a leader was being elected, although they wait for longer. The pattern is the
+// final fault of a day after which one instance returns before the others.
+TEST (Leased, CallerWaitsForAnElectionAsLongAsItsTimeAllows)
+{
+  World world;
+  make_data_centre (world, "a", 4, 3);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.kill (i);
+  world.run_for (1200 * ms);
+  world.restart (0);
+  world.run_for (50 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } }, 6000);
+  world.run_for (1400 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Days with killed leaders: a successor knew nothing of the speeds and placed long tasks anywhere.
 TEST (Leased, SuccessorKnowsTheSpeedsOfTheTargets)
 {
