soak: callers state how long they wait, and some tasks outlast their queue's time-out

The new check HASTY reports a job that is given up before its caller's time is over although all faults have ended, and RECOVER counts long jobs as well.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -13,6 +13,7 @@
   SILENT   a caller without an answer from an instance that runs
   ORPHAN   a run that nobody waits for, long after the traffic
   RECOVER  callers that are not served although all faults have ended
+  HASTY    a job that is given up before its caller's time is over although all faults have ended
   CONFIG   an old configuration in force long after a change
   EXIT     a process that ended by itself with a bad status
 
@@ -34,13 +35,16 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from standins import Executor, HttpServer, Proxy, Store, read_message  # noqa: E402
 
-BUDGET_MS = 1500  # that callers wait
+QUEUE_MS = 1500  # time-out of the queues, for callers that state no time
+WORK_S = [0.06] * 6 + [0.2] * 3 + [0.9] * 2 + [2.4]  # of a task; the last outlasts its queue's time-out
+OBJECTIVE_FACTOR = 1.6  # of a job's work
+OBJECTIVE_EXTRA_MS = 60
 RESEND_S = 1.3  # after a broken connection the job is sent again
 ANSWER_SLACK_S = 1.0  # beyond the caller's time, for a busy machine
 QUIET_S = 4.0  # without faults before the end, in which callers must be served
 SETTLE_S = 3.0  # after which nothing runs any more: a lease and its stop
 CONFIG_S = 2.0  # in which a change of the configuration must be in force
-TIMED = ("SILENT", "RECOVER", "CONFIG")  # checks that count on the machine being fast enough
+TIMED = ("SILENT", "RECOVER", "HASTY", "CONFIG")  # checks that count on the machine being fast enough
 SERVED_AT_LEAST = 0.9  # of the callers in the quiet time; targets fail 2 of 1000 runs
 
 
@@ -50,10 +54,17 @@
         self.spec = "spec-%s-%d" % (name, rng.randrange(1 << 30))
         self.steps = []
         for i in range(rng.choice([1, 1, 1, 2])):
-            work_s = rng.choice([0.06, 0.06, 0.2, 0.9]) * rng.uniform(0.8, 1.2)
+            work_s = rng.choice(WORK_S) * rng.uniform(0.8, 1.2)
             self.steps.append({"count": rng.randint(1, 5), "cpu": rng.choice([4000, 6800]),
                                "work_s": work_s, "after": [0] if i == 1 else []})
+        objective_ms = OBJECTIVE_EXTRA_MS + OBJECTIVE_FACTOR * 1000 * sum(
+            step["work_s"] for step in self.steps)
+        self.states_time = rng.random() < 0.95
+        self.wait_ms = QUEUE_MS  # that its caller waits
+        if self.states_time:
+            self.wait_ms += int(objective_ms * rng.uniform(2, 3))
         self.answers = []  # of each attempt: a status, "broken" or "silent"
+        self.was_hasty = False  # ended as lost before its caller's time was over
         self.started = False
         self.active = {}  # task -> (executor, run)
         self.done = set()  # tasks that ended well
@@ -216,8 +227,9 @@
 
     def route(self, prefix):
         return {"name": "r" + prefix.replace("/", ""), "host": "words.example", "prefix": prefix,
-                "service": "words", "priority": 0, "max_attempts": 3, "timeout_ms": 0,
-                "target_factor": 1.6, "target_latency_ms": 60}
+                "service": "words", "priority": 0, "max_attempts": 3,
+                "timeout_ms": QUEUE_MS, "target_factor": OBJECTIVE_FACTOR,
+                "target_latency_ms": OBJECTIVE_EXTRA_MS}
 
     def publish(self):
         self.version += self.rng.randint(1, 3)
@@ -242,16 +254,17 @@
 
     # Callers
 
-    async def call(self, instance, method, path, body=b"", timeout=2.0):
+    async def call(self, instance, method, path, body=b"", timeout=2.0, wait_ms=0):
         """(status, body), or ("broken" or "silent", None)."""
         writer = None
+        stated = "Deadline-Ms: %d\r\n" % wait_ms if wait_ms > 0 else ""
 
         async def exchange():
             nonlocal writer
             reader, writer = await asyncio.open_connection("127.0.0.1", instance.front)
-            writer.write(("%s %s HTTP/1.1\r\nHost: words.example\r\nDeadline-Ms: %d\r\n"
+            writer.write(("%s %s HTTP/1.1\r\nHost: words.example\r\n%s"
                           "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                          % (method, path, BUDGET_MS, len(body))).encode() + body)
+                          % (method, path, stated, len(body))).encode() + body)
             line, _, answer = await read_message(reader)
             return int(line.split(" ")[1]), answer
 
@@ -290,8 +303,10 @@
             instance = self.choose_instance()
             sent = time.monotonic()
             leaves = job.left = self.rng.random() < 0.03
-            limit = 0.2 if leaves else BUDGET_MS / 1000 + ANSWER_SLACK_S
-            status, _ = await self.call(instance, "POST", "/q/" + job.name, body, limit)
+            limit = 0.2 if leaves else job.wait_ms / 1000 + ANSWER_SLACK_S
+            status, _ = await self.call(instance, "POST", "/q/" + job.name, body, limit,
+                                        job.wait_ms if job.states_time else 0)
+            job.was_hasty = status == 504 and 1000 * (time.monotonic() - sent) < job.wait_ms
             job.answers.append(status)
             self.note("job %s answered %s by %s after %d ms" % (
                 job.name, status, instance.name, 1000 * (time.monotonic() - sent)))
@@ -466,14 +481,18 @@
     def check_recovery(self, since):
         late = [j for j in self.jobs.values() if j.sent_s > since and not j.left]
         served = sum(200 in j.answers for j in late)
-        # Long jobs may take longer than their caller waits.
-        short = [j for j in late if sum(s["work_s"] for s in j.steps) < 0.5]
-        good = sum(200 in j.answers for j in short)
-        self.note("quiet time: %d of %d served, %d of %d short ones" % (
-            served, len(late), good, len(short)))
-        if short and good < SERVED_AT_LEAST * len(short):
-            self.violate("RECOVER", "%d of %d short jobs were served without faults" % (
-                good, len(short)))
+        # Long jobs take longer than the time-out of the queue.
+        stated = [j for j in late if j.states_time or sum(s["work_s"] for s in j.steps) < 0.5]
+        good = sum(200 in j.answers for j in stated)
+        self.note("quiet time: %d of %d served, %d of %d whose callers wait long enough" % (
+            served, len(late), good, len(stated)))
+        if stated and good < SERVED_AT_LEAST * len(stated):
+            self.violate("RECOVER", "%d of %d jobs were served without faults" % (
+                good, len(stated)))
+        for job in late:
+            if job.states_time and job.was_hasty:
+                self.violate("HASTY", "%s was given up before %d ms: %s" % (
+                    job.name, job.wait_ms, job.answers))
 
     async def check_config(self):
         for instance in self.instances:
