leased: refused callers return spread over time

Callers that were refused in one burst were all told the same time to return, and met again: the time followed from the backlog alone. Half of that time is now added by the hash of the job's id, so that they return over half of it.

Test RefusedCallersAreToldDifferentTimes, red before.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -2,6 +2,7 @@
 
 #include "common/alloc.h"
 #include "common/error.h"
+#include "common/hash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -13,6 +14,7 @@
                                 caller's time: the caller can still go elsewhere */
   RETRY_AFTER_MIN_MS = 1000, /* the header has whole seconds */
   RETRY_AFTER_MAX_MS = 30000,
+  RETRY_SPREAD_PART = 2, /* of the time after which refused callers return */
   STALE_US = 200000, /* a message waits some ms, on an instance at its limit of the processor 100 */
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
@@ -190,28 +192,29 @@
   return (int64_t)(run_us / capacity);
 }
 
-/* Until the tasks that wait now will have found room. */
+/* Until the tasks that wait now will have found room. Callers that are refused together return over
+ * half of that time, else they would meet each other again. */
 static uint32_t
-retry_after_ms (const dks_leased_t *leased)
+retry_after_ms (const dks_ljob_t *job)
 {
-  const dks_ljob_t *job;
+  const dks_leased_t *leased = job->leased;
+  const dks_ljob_t *other;
   double run_us = 0;
   int64_t wait_ms;
 
-  APR_RING_FOREACH (job, &leased->jobs, dks_ljob_t, link)
-    run_us += job->waiting * job->run_us;
+  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
+    run_us += other->waiting * other->run_us;
   wait_ms = work_time_us (leased, run_us) / 1000;
-  if (wait_ms < RETRY_AFTER_MIN_MS)
-    return RETRY_AFTER_MIN_MS;
-  return wait_ms < RETRY_AFTER_MAX_MS ? (uint32_t)wait_ms : RETRY_AFTER_MAX_MS;
+  wait_ms = min_us (max_us (wait_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS);
+  return (uint32_t)wait_ms
+         + (uint32_t)(dks_hash_text (job->batch->id, 0) % (uint64_t)(wait_ms / RETRY_SPREAD_PART));
 }
 
 static void
 job_refuse (dks_ljob_t *job, const char *detail)
 {
   /* What another leader may have started is not known to be "not run". */
-  job_answer (job, job->resent ? DKS_BATCH_LOST : DKS_BATCH_REFUSED, retry_after_ms (job->leased),
-              detail);
+  job_answer (job, job->resent ? DKS_BATCH_LOST : DKS_BATCH_REFUSED, retry_after_ms (job), detail);
 }
 
 void
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -447,6 +447,31 @@
   EXPECT_LT (world.answers[in_time].at_us, world.answers[late].at_us);
 }
 
+// Guards against callers that are refused together and all return together.
+TEST (Leased, RefusedCallersAreToldDifferentTimes)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  for (int i = 0; i < 4; i++)
+    world.submit (0, "000000000000001" + std::to_string (i), { { 4, 6800, 900, 900 } }, 30000);
+  world.run_for (5 * ms);
+  std::set<uint32_t> seconds;
+  for (int i = 0; i < 20; i++)
+    {
+      uint64_t caller = world.submit (0, "00000000000000" + std::to_string (20 + i),
+                                      { { 4, 6800, 900, 900 } }, 8000);
+      world.run_for (1 * ms);
+      ASSERT_TRUE (world.answered (caller));
+      EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_REFUSED);
+      EXPECT_GE (world.answers[caller].retry_after_ms, 2000U);
+      seconds.insert ((world.answers[caller].retry_after_ms + 999) / 1000);
+    }
+  EXPECT_GE (seconds.size (), 2U);
+}
+
 // Guards against refusals that come late in overload: what cannot find room within the time that
 // its caller allows is refused when it arrives, also behind long jobs.
 TEST (Leased, BurstBeyondWhatCallersWaitForIsRefusedOnArrival)
