leased: order of service and waits in a file of their own

What decides when a job is served, how long it waits and when a refused caller returns stands in leased_admission.c. No change of behaviour; test_leased passes.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -274,8 +274,8 @@
   request->budget_us = budget_us (queue, event->u.batch.budget_ms);
   if (request->arrival_us + request->budget_us > answers_end_us (leased))
     request->budget_us = answers_end_us (leased) - request->arrival_us;
-  request->wait_us =
-      dks_ljobs_wait_us (queue, request->budget_us, INT64_C (1000) * dks_batch_chain_ms (batch));
+  request->wait_us = dks_ladmission_wait_us (queue, request->budget_us,
+                                             INT64_C (1000) * dks_batch_chain_ms (batch));
   request->caller_ms = event->u.batch.budget_ms;
   request->queue_ms = queue->timeout_ms;
   dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_CALLER_TIME, batch->queue,
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -2,7 +2,6 @@
 
 #include "common/alloc.h"
 #include "common/error.h"
-#include "common/hash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -10,11 +9,6 @@
 
 enum
 {
-  REFUSE_PART = 4,           /* a job of which nothing has started is refused after this part of its
-                                caller's time: the caller can still go elsewhere */
-  RETRY_AFTER_MIN_MS = 1000, /* the header has whole seconds */
-  RETRY_AFTER_MAX_MS = 30000,
-  RETRY_SPREAD_PART = 2, /* of the time after which refused callers return */
   STALE_US = 200000, /* a message waits some ms, on an instance at its limit of the processor 100 */
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
@@ -181,40 +175,12 @@
   send_done (leased, origin, request, answer, retry_after_ms, detail);
 }
 
-/* Time that the targets need for run times of this sum. */
-static int64_t
-work_time_us (const dks_leased_t *leased, double run_us)
-{
-  uint32_t capacity = dks_ltargets_capacity (leased);
-
-  if (capacity == 0)
-    return INT64_C (1000) * RETRY_AFTER_MAX_MS;
-  return (int64_t)(run_us / capacity);
-}
-
-/* Until the tasks that wait now will have found room. Callers that are refused together return over
- * half of that time, else they would meet each other again. */
-static uint32_t
-retry_after_ms (const dks_ljob_t *job)
-{
-  const dks_leased_t *leased = job->leased;
-  const dks_ljob_t *other;
-  double run_us = 0;
-  int64_t wait_ms;
-
-  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
-    run_us += other->waiting * other->run_us;
-  wait_ms = work_time_us (leased, run_us) / 1000;
-  wait_ms = min_us (max_us (wait_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS);
-  return (uint32_t)wait_ms
-         + (uint32_t)(dks_hash_text (job->batch->id, 0) % (uint64_t)(wait_ms / RETRY_SPREAD_PART));
-}
-
 static void
 job_refuse (dks_ljob_t *job, const char *detail)
 {
   /* What another leader may have started is not known to be "not run". */
-  job_answer (job, job->resent ? DKS_BATCH_LOST : DKS_BATCH_REFUSED, retry_after_ms (job), detail);
+  job_answer (job, job->resent ? DKS_BATCH_LOST : DKS_BATCH_REFUSED,
+              dks_ladmission_retry_after_ms (job), detail);
 }
 
 void
@@ -233,35 +199,6 @@
     }
 }
 
-/* Jobs that miss their objective come after those that can reach it: else each of them would make
- * the next one miss it as well. */
-static bool
-comes_before (const dks_ljob_t *a, const dks_ljob_t *b)
-{
-  if (a->batch->priority != b->batch->priority)
-    return a->batch->priority < b->batch->priority;
-  if (a->late != b->late)
-    return b->late;
-  return a->late ? a->give_up_us < b->give_up_us : a->latest_start_us < b->latest_start_us;
-}
-
-static void
-job_insert (dks_ljob_t *job)
-{
-  dks_leased_t *leased = job->leased;
-  dks_ljob_t *other;
-
-  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
-    {
-      if (comes_before (job, other))
-        break;
-    }
-  if (other == APR_RING_SENTINEL (&leased->jobs, dks_ljob_t, link))
-    APR_RING_INSERT_TAIL (&leased->jobs, job, dks_ljob_t, link);
-  else
-    APR_RING_INSERT_BEFORE (other, job, link);
-}
-
 static void
 job_plan_timer (dks_ljob_t *job)
 {
@@ -287,7 +224,7 @@
     {
       job->late = job->late || !job->begun;
       APR_RING_REMOVE (job, link);
-      job_insert (job);
+      dks_ladmission_insert (job);
       job_plan_timer (job);
     }
 }
@@ -302,16 +239,6 @@
          + chain_us * queue->objective_factor_milli / 1000;
 }
 
-int64_t
-dks_ljobs_wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us)
-{
-  int64_t longest_us = min_us (budget_us / REFUSE_PART, budget_us - chain_us);
-
-  if (queue != NULL && queue->timeout_ms > 0)
-    longest_us = min_us (longest_us, INT64_C (1000) * queue->timeout_ms);
-  return longest_us;
-}
-
 static dks_ljob_t *
 job_create (dks_leased_t *leased, const char *origin, const dks_msg_t *msg, int64_t lag_us)
 {
@@ -339,7 +266,8 @@
   job->give_up_us = job->arrival_us + msg->u.work.budget_us;
   job->latest_start_us = min_us (job->objective_end_us, job->give_up_us) - chain_us;
   job->late = job->latest_start_us <= dks_lnow_us (leased);
-  job->wait_until_us = job->arrival_us + dks_ljobs_wait_us (queue, msg->u.work.budget_us, chain_us);
+  job->wait_until_us =
+      job->arrival_us + dks_ladmission_wait_us (queue, msg->u.work.budget_us, chain_us);
   dks_lestimate_tails_us (leased, batch, job->step_tail_us);
 
   job->cpu_min = UINT32_MAX;
@@ -354,7 +282,7 @@
   dks_timer_init (&job->timer, handle_job_timer, job);
   leased->waiting_tasks += count;
   leased->job_count++;
-  job_insert (job);
+  dks_ladmission_insert (job);
   return job;
 }
 
@@ -557,62 +485,6 @@
 
 /* Admission */
 
-static uint32_t
-free_elsewhere (const dks_leased_t *leased)
-{
-  const dks_lpeer_t *peer;
-  uint32_t count = 0;
-
-  APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
-    {
-      if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
-          && strcmp (peer->data_centre, leased->r->config.data_centre) != 0)
-        count += peer->free_tasks;
-    }
-  return count;
-}
-
-/* Time until the job finds room behind the waiting tasks of the jobs that come before it, or with
- * `late`, that come before it once it has missed its objective. */
-static int64_t
-expected_wait_us (const dks_ljob_t *job, bool late)
-{
-  const dks_leased_t *leased = job->leased;
-  const dks_ljob_t *other;
-  uint32_t room = dks_ltargets_free_tasks (leased) + free_elsewhere (leased);
-  uint32_t tasks = job->waiting;
-  /* Room for its own tasks comes from runs that end. */
-  double run_us = job->waiting * dks_ltargets_mean_run_us (leased);
-
-  APR_RING_FOREACH (other, &leased->jobs, dks_ljob_t, link)
-    {
-      if (other == job
-          || !(late ? other->batch->priority <= job->batch->priority : comes_before (other, job)))
-        continue;
-      tasks += other->waiting;
-      run_us += other->waiting * other->run_us;
-    }
-  if (tasks <= room)
-    return 0;
-  return work_time_us (leased, run_us * (tasks - room) / tasks);
-}
-
-/* Whether the job cannot start before it is refused anyway, by the tasks that come before it. */
-static bool
-wait_is_too_long (const dks_ljob_t *job)
-{
-  const dks_leased_t *leased = job->leased;
-  int64_t start_us;
-
-  /* A leader that has just begun does not know the room of its targets yet. */
-  if (!dks_ltargets_are_adopted (leased))
-    return false;
-  start_us = dks_lnow_us (leased) + expected_wait_us (job, job->late);
-  if (start_us > job->latest_start_us && !job->late)
-    start_us = dks_lnow_us (leased) + expected_wait_us (job, true);
-  return start_us > job->wait_until_us;
-}
-
 static bool
 fits_nowhere (const dks_ljob_t *job)
 {
@@ -704,7 +576,7 @@
     job_refuse (job, "the leader cannot keep up");
   else if (fits_nowhere (job))
     job_refuse (job, "no target can run it");
-  else if (!job->resent && wait_is_too_long (job))
+  else if (!job->resent && dks_ladmission_wait_is_too_long (job))
     job_refuse (job, "the wait would be too long");
   else
     {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -522,9 +522,6 @@
 void dks_ltask_leave_waiting (dks_ljob_t *job, dks_ltask_t *task, dks_ltask_state_t state);
 void dks_ljobs_init (dks_leased_t *leased);
 void dks_ljobs_clear (dks_leased_t *leased);
-/** How long a job that takes `chain_us` may wait for its first start: its caller's time bounds it,
- * and the queue's time-out, since that is how long this system may hold it. `queue` may be NULL. */
-int64_t dks_ljobs_wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us);
 /** Takes a job of an entry instance (ourselves included) or lent tasks. */
 void dks_ljobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg);
 void dks_ljobs_handle_cancel (dks_leased_t *leased, const char *origin, uint64_t request);
@@ -540,6 +537,20 @@
 /** Outcome of a run of a job's task. `is_fault`: the task failed by itself. */
 void dks_ljobs_handle_run_end (dks_leased_t *leased, dks_lrun_t *run, bool ok, bool is_fault);
 
+/* leased_admission.c */
+/** Puts a job into the order of service. */
+void dks_ladmission_insert (dks_ljob_t *job);
+/** How long a job that takes `chain_us` may wait for its first start: its caller's time bounds
+ * it, and the queue's time-out, since that is how long this system may hold it. `queue` may be
+ * NULL. */
+int64_t
+dks_ladmission_wait_us (const dks_queue_entry_t *queue, int64_t budget_us, int64_t chain_us);
+/** Whether the job cannot start before it is refused anyway, by the tasks that come before it. */
+bool dks_ladmission_wait_is_too_long (const dks_ljob_t *job);
+/** Until the tasks that wait now will have found room. Callers that are refused together return
+ * over half of that time, else they would meet each other again. */
+uint32_t dks_ladmission_retry_after_ms (const dks_ljob_t *job);
+
 /* leased_estimate.c */
 void dks_lestimate_init (dks_leased_t *leased);
 void dks_lestimate_clear (dks_leased_t *leased);
