leased: a job that comes late to its leader is tried before it is refused

Found on reading: a job was refused with idle targets when its wait was over before its leader had it, after an election, or when its declared time is longer than its caller's.

A leader tries each job for 100 ms at least, in which a new one reads the lists of its targets. Tests, both red before: JobDeclaredLongerThanItsCallersTimeIsTriedOnIdleTargets, JobThatWaitedForAnElectionIsTriedByTheNewLeader.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -10,6 +10,7 @@
 enum
 {
   STALE_US = 200000, /* a message waits some ms, on an instance at its limit of the processor 100 */
+  FIRST_TRY_US = 100000, /* in which a new leader has read the lists of its targets */
   RETRY_PAUSE_US = 5000, /* before a task that failed is started again */
   /* Tasks of a job that another leader had and that do not run here may have been lent elsewhere.
    * Their lender stops them when it is told, which it is by a leader that hands over, or misses
@@ -267,7 +268,8 @@
   job->latest_start_us = min_us (job->objective_end_us, job->give_up_us) - chain_us;
   job->late = job->latest_start_us <= dks_lnow_us (leased);
   job->wait_until_us =
-      job->arrival_us + dks_ladmission_wait_us (queue, msg->u.work.budget_us, chain_us);
+      max_us (job->arrival_us + dks_ladmission_wait_us (queue, msg->u.work.budget_us, chain_us),
+              job->received_us + FIRST_TRY_US);
   dks_lestimate_tails_us (leased, batch, job->step_tail_us);
 
   job->cpu_min = UINT32_MAX;
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -13,7 +13,6 @@
 {
 
 constexpr int64_t peer_delay_us = 1 * ms;
-constexpr int64_t call_delay_us = 300; // one way to a target or the platform
 constexpr int64_t lease_us = 1000 * ms;
 
 static void
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -140,6 +140,7 @@
   int objective_extra_ms = 60;
   int objective_factor_milli = 1600;
   uint32_t queue_timeout_ms = 0; // of the queue, 0: none
+  int64_t call_delay_us = 300;   // one way to a target or the platform
   std::vector<std::string> log;
   bool trace = getenv ("LEASED_TRACE") != nullptr; // prints the log lines
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -447,6 +447,46 @@
   EXPECT_LT (world.answers[in_time].at_us, world.answers[late].at_us);
 }
 
+// Guards against a job that is refused by a guess: it is declared longer than its caller waits, and
+// ends in time on idle targets.
+TEST (Leased, JobDeclaredLongerThanItsCallersTimeIsTriedOnIdleTargets)
+{
+  World world;
+  make_data_centre (world, "a", 2);
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 1000, 700 } }, 800);
+  world.run_for (800 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+}
+
+// Guards against jobs that spent their wait on an election and are refused by the new leader while
+// its targets are idle.
+TEST (Leased, JobThatWaitedForAnElectionIsTriedByTheNewLeader)
+{
+  World world;
+  make_data_centre (world, "a", 8, 3);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.kill (i);
+  world.run_for (1200 * ms);
+  world.call_delay_us = 20 * ms;
+  world.restart (0);
+  world.run_for (50 * ms);
+
+  for (int i = 0; i < 8; i++)
+    world.submit (0, "000000000000001" + std::to_string (i), { { 1, 6800, 60, 60 } },
+                  2400 + 60 * i);
+  world.run_for (2000 * ms);
+  int refused = 0;
+  for (auto &line : world.log)
+    refused += line.find ("event=job-refused") != std::string::npos;
+  EXPECT_EQ (refused, 0);
+}
+
 // Guards against callers that are refused together and all return together.
 TEST (Leased, RefusedCallersAreToldDifferentTimes)
 {
