leased: a superseded leader does not answer for tasks that its successor was lent

Both leaders were seconds behind after all power had been lost. The borrower lost antw-1 and asked the leader that it knew of, antw-2; this one knew of no run and said so, and the task started in a third data centre while antw-1's run was still at work. When antw-2 led again, it found that run in its target's list and nobody claimed it (orphan-stopped).

Ruled out: a late start at a target (the run was in its list), a refusal after a start (none in the log).

A borrower keeps the lender's id and term, and asks only a leader with a higher term, or the lender itself. Until there is one the task waits. Test SupersededLeaderDoesNotAnswerForItsSuccessor, red before (2 double runs).

--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -96,6 +96,14 @@
   return single;
 }
 
+static void
+task_set_lender (dks_ltask_t *task, const dks_lpeer_t *peer)
+{
+  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+  dks_strcpy (task->lender, sizeof (task->lender), peer->id);
+  task->lender_term = peer->term;
+}
+
 /* Sends due tasks of one step, as many as fit at the peer. */
 static void
 lend_tasks (dks_ljob_t *job, dks_lpeer_t *peer, uint32_t first, bool fast)
@@ -120,7 +128,7 @@
       count++;
       peer->free_tasks -= peer->free_tasks > 0;
       peer->free_fast_tasks -= peer->free_fast_tasks > 0;
-      dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+      task_set_lender (task, peer);
       dks_strcpy (task->lender_dc, sizeof (task->lender_dc), peer->data_centre);
       dks_ltask_leave_waiting (job, task, DKS_LTASK_LENT);
     }
@@ -160,9 +168,18 @@
     }
 }
 
-/* The present leader of a data centre, not ourselves. */
+/* Whether the peer knows what the task's lost lender has started. A leader that the lender
+ * superseded does not, although it may lead on for a while. */
+static bool
+can_answer_for (const dks_lpeer_t *peer, const dks_ltask_t *task)
+{
+  return peer->term > task->lender_term
+         || (peer->term == task->lender_term && strcmp (peer->id, task->lender) == 0);
+}
+
+/* The present leader of the data centre of a lost lender; NULL: not known. */
 static dks_lpeer_t *
-find_leader (const dks_leased_t *leased, const char *data_centre)
+find_successor (const dks_leased_t *leased, const dks_ltask_t *task)
 {
   dks_lpeer_t *peer;
   dks_lpeer_t *best = NULL;
@@ -170,7 +187,7 @@
   APR_RING_FOREACH (peer, &leased->peers, dks_lpeer_t, link)
     {
       if (peer->term > 0 && dks_lpeer_is_alive (leased, peer)
-          && strcmp (peer->data_centre, data_centre) == 0
+          && strcmp (peer->data_centre, task->lender_dc) == 0 && can_answer_for (peer, task)
           && (best == NULL || peer->term > best->term))
         best = peer;
     }
@@ -182,13 +199,13 @@
 task_ask_successor (dks_ljob_t *job, dks_ltask_t *task)
 {
   dks_leased_t *leased = job->leased;
-  dks_lpeer_t *peer = find_leader (leased, task->lender_dc);
+  dks_lpeer_t *peer = find_successor (leased, task);
   dks_msg_t *msg;
 
   if (peer == NULL)
     return;
   leased->lost_tasks--;
-  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
+  task_set_lender (task, peer);
   msg = dks_msg_create (DKS_MSG_WORK);
   msg->u.work.lent = dks_alloc (sizeof (msg->u.work.lent[0]));
   msg->u.work.runs = dks_alloc (sizeof (msg->u.work.runs[0]));
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -447,6 +447,36 @@
   EXPECT_LT (world.answers[in_time].at_us, world.answers[late].at_us);
 }
 
+// The rule broken on odd-kinds (grown Consortium, seed 751264516672): a borrower that had lost the
+// lender of a task asked a leader whose term was lower, and that the lender had superseded. It knew
+// of no run, and the task started elsewhere while the lender still ran it.
+TEST (Leased, SupersededLeaderDoesNotAnswerForItsSuccessor)
+{
+  World world;
+  make_data_centre (world, "a", 1, 1);
+  make_data_centre (world, "b", 4);
+  for (auto &target : world.targets)
+    target->stop_us = 500 * ms;
+  world.start_all ();
+  world.run_for (2000 * ms);
+
+  size_t borrower = world.find ("a-1");
+  size_t old_leader = world.find (leader_of (world, "b"));
+  size_t new_leader = other_of (world, "b", leader_of (world, "b"));
+  world.cut (old_leader, new_leader, true);
+  world.run_for (250 * ms);
+  ASSERT_EQ (leader_of (world, "b"), world.instances[new_leader]->id);
+  world.cut (borrower, old_leader, true);
+  world.submit (borrower, "0000000000000001", { { 2, 6800, 100, 100 } }, 8000);
+  world.submit (borrower, "0000000000000002", { { 2, 6800, 900, 900 } }, 8000);
+  world.run_for (120 * ms);
+  world.cut (borrower, old_leader, false);
+  world.run_for (5 * ms);
+  world.cut (borrower, new_leader, true);
+  world.run_for (300 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against a job that is refused by a guess: it is declared longer than its caller waits, and
 // ends in time on idle targets.
 TEST (Leased, JobDeclaredLongerThanItsCallersTimeIsTriedOnIdleTargets)
