--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -39,6 +39,16 @@
   return world.find (leader == data_centre + "-1" ? data_centre + "-2" : data_centre + "-1");
 }
 
+uint32_t
+count_starts (const World &world)
+{
+  uint32_t starts = 0;
+
+  for (auto &target : world.targets)
+    starts += target->starts;
+  return starts;
+}
+
 // Runs enough short jobs that the leaders know the run times and the speeds of their targets.
 void
 warm_up (World &world, size_t instance, uint32_t tasks, uint32_t run_ms)
@@ -142,9 +152,7 @@
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
   EXPECT_EQ (world.double_runs, 0);
-  uint32_t starts = 0;
-  for (auto &target : world.targets)
-    starts += target->starts;
+  uint32_t starts = count_starts (world);
   EXPECT_EQ (starts, 4U);
 }
 
@@ -364,9 +372,7 @@
   world.run_for (2700 * ms);
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
-  uint32_t starts = 0;
-  for (auto &target : world.targets)
-    starts += target->starts;
+  uint32_t starts = count_starts (world);
   EXPECT_EQ (starts, 4U);
 }
 
@@ -993,14 +999,10 @@
   world.run_for (2000 * ms);
   warm_up (world, 0, 8, 400);
 
-  uint32_t before = 0;
-  for (auto &target : world.targets)
-    before += target->starts;
+  uint32_t before = count_starts (world);
   uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 2000, 2800 } }, 9000);
   world.run_for (2900 * ms);
-  uint32_t starts = 0;
-  for (auto &target : world.targets)
-    starts += target->starts;
+  uint32_t starts = count_starts (world);
   EXPECT_EQ (starts - before, 1U);
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
@@ -1373,14 +1375,10 @@
   world.run_for (2000 * ms);
   warm_up (world, 0, 16, 100);
 
-  uint32_t before = 0;
-  for (auto &target : world.targets)
-    before += target->starts;
+  uint32_t before = count_starts (world);
   uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 100, 900 } }, 8000);
   world.run_for (4000 * ms);
-  uint32_t starts = 0;
-  for (auto &target : world.targets)
-    starts += target->starts;
+  uint32_t starts = count_starts (world);
   EXPECT_EQ (starts - before, 2U);
   ASSERT_TRUE (world.answered (caller));
   EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
