tests: the HTTP client's test waits for the threads of its server

The server counts both in a thread for each connection, and the test read the counts 200 ms after its requests without waiting for these threads.

The check is as strict: two connections and two requests, counted 50 ms after both have come, so that a third would show.

--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -330,6 +330,10 @@
   for (uint64_t id : others)
     EXPECT_EQ (replies[id].error, DKS_OK);
   EXPECT_EQ (replies[waiting].error, DKS_ERR_UNAVAILABLE);
+  // The server counts in threads of its own, which a busy machine starts late.
+  for (int i = 0; i < 100 && count < 2; i++)
+    turn_for (10000);
+  turn_for (50000);
   EXPECT_EQ (connections, 2);
   EXPECT_EQ (count, 2);
   dks_http_client_abort (client, first);
