leased: one margin of expected run times, both uses of a queue's time-out documented

Found on reading. leased_entry.c and leased_place.c had the factor 1.5 with the same reason each; the catalog's comment named one of the two uses of the time-out. No change of behaviour; test_leased 68 of 68.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -23,9 +23,6 @@
 
 static const char shuts_down[] = "the instance shuts down";
 
-/* Run times are declared, and off by 40%. */
-#define EXPECTED_MARGIN 1.5
-
 static void
 reply (dks_leased_t *leased, uint64_t caller, dks_batch_answer_t answer, uint32_t retry_after_ms,
        const char *detail)
@@ -231,7 +228,7 @@
 static bool
 is_too_late_for_drain (const dks_leased_t *leased, const dks_batch_t *batch)
 {
-  double expected_us = EXPECTED_MARGIN * dks_lestimate_chain_us (leased, batch);
+  double expected_us = DKS_LEXPECTED_MARGIN * dks_lestimate_chain_us (leased, batch);
 
   if (leased->drain_us == 0)
     return false;
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -7,11 +7,9 @@
 #define SPARE_WEIGHT 0.5 /* of a target's speed for tasks that do not need it */
 #define LATE_COST 4.0    /* of a target on which the task ends late; above any other in-time cost */
 #define FAST_BAND 1.1    /* room counts as fast up to this many times the fastest free slowness */
-/* The objective follows the job's true run time, of which its own targets' unevenness remains. */
+/* The objective follows the job's true run time, of which its own targets' unevenness remains. The
+ * caller's time does not. */
 #define OBJECTIVE_MARGIN 1.1
-/* The caller's time does not: declared times are off by 40%, the middle with the queue's average
- * by less. */
-#define CALLER_MARGIN 1.5
 #define OBJECTIVE_LOST 0.5 /* an objective that would take a target of less slowness is missed */
 
 static bool
@@ -79,7 +77,7 @@
   bool observed = task->observed_us > 0;
   double expected_us =
       observed ? task->observed_us : dks_lestimate_run_us (leased, job->batch, task->batch_step);
-  double margin = observed ? OBJECTIVE_MARGIN : CALLER_MARGIN;
+  double margin = observed ? OBJECTIVE_MARGIN : DKS_LEXPECTED_MARGIN;
   int64_t end_us = dks_lnow_us (leased) + job->step_tail_us[task->batch_step];
   double by_caller = (double)(job->give_up_us - end_us) / (margin * expected_us);
   double by_objective = (double)(job->objective_end_us - end_us) / (OBJECTIVE_MARGIN * expected_us);
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -24,7 +24,8 @@
   char service[DKS_NAME_SIZE];  /**< whose targets run the tasks */
   uint32_t priority;            /**< 0 comes first */
   uint32_t max_attempts;        /**< starts of one task at most, 1 or more */
-  uint32_t timeout_ms;          /**< how long callers wait that do not say so, 0: not told */
+  uint32_t timeout_ms;          /**< how long callers wait that do not say so, and how long a job is
+                                   held of which nothing has run; 0: no bound */
   uint32_t
       objective_factor_milli;  /**< objective: this part of a job's run time, in thousandths ... */
   uint32_t objective_extra_ms; /**< ... and this */
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -28,6 +28,10 @@
 
 #define DKS_LMEAN_WEIGHT 0.02  /**< of a new sample in the moving averages of all targets */
 #define DKS_LSLOWNESS_MAX 20.0 /**< bound of one sample of a target's slowness */
+/** Of expected run times: declared ones are off by 40%, the middle with the queue's average by
+ * less.
+ */
+#define DKS_LEXPECTED_MARGIN 1.5
 
 typedef struct dks_leased_t dks_leased_t;
 typedef struct dks_lpeer_t dks_lpeer_t;
