leased: one field for a task's lender

A borrower kept the lender's id twice, once to be emptied when the lender was lost. It keeps it once, with a flag.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -127,10 +127,10 @@
 static void
 task_cancel_lent (dks_ljob_t *job, dks_ltask_t *task)
 {
-  if (task->peer[0] != '\0')
-    send_cancel (job->leased, task->peer, job->lend_id);
-  else
+  if (task->lender_lost)
     job->leased->lost_tasks--;
+  else
+    send_cancel (job->leased, task->lender, job->lend_id);
 }
 
 /* Stops whatever of the job still runs, here and at other leaders, and drops it. */
@@ -695,7 +695,8 @@
       dks_ltask_t *task = &job->tasks[i];
 
       if (task->state != DKS_LTASK_LENT || task->index != msg->u.lent_done.index
-          || task->run != msg->u.lent_done.run || strcmp (task->peer, peer) != 0)
+          || task->run != msg->u.lent_done.run || task->lender_lost
+          || strcmp (task->lender, peer) != 0)
         continue;
       dks_metrics_count (leased->metrics, DKS_LABELLED_TASKS_LENT, task->lender_dc,
                          dks_lent_result_name ((dks_lent_result_t)msg->u.lent_done.result));
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -99,9 +99,9 @@
 static void
 task_set_lender (dks_ltask_t *task, const dks_lpeer_t *peer)
 {
-  dks_strcpy (task->peer, sizeof (task->peer), peer->id);
   dks_strcpy (task->lender, sizeof (task->lender), peer->id);
   task->lender_term = peer->term;
+  task->lender_lost = false;
 }
 
 /* Sends due tasks of one step, as many as fit at the peer. */
@@ -231,7 +231,7 @@
     {
       for (uint32_t i = 0; i < job->task_count; i++)
         {
-          if (job->tasks[i].state == DKS_LTASK_LENT && job->tasks[i].peer[0] == '\0')
+          if (job->tasks[i].state == DKS_LTASK_LENT && job->tasks[i].lender_lost)
             task_ask_successor (job, &job->tasks[i]);
         }
     }
@@ -248,9 +248,10 @@
         {
           dks_ltask_t *task = &job->tasks[i];
 
-          if (task->state != DKS_LTASK_LENT || strcmp (task->peer, peer) != 0)
+          if (task->state != DKS_LTASK_LENT || task->lender_lost
+              || strcmp (task->lender, peer) != 0)
             continue;
-          task->peer[0] = '\0';
+          task->lender_lost = true;
           leased->lost_tasks++;
         }
     }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -183,9 +183,9 @@
   uint32_t run;                  /**< number of the latest run */
   uint32_t lent_run;             /**< of a task lent to us: the number that its borrower gave */
   dks_lrun_t *current;           /**< PLACED */
-  char peer[DKS_NAME_SIZE];      /**< LENT: the lender; empty when it is lost */
-  char lender[DKS_NAME_SIZE];    /**< LENT: the latest lender, also when it is lost */
+  char lender[DKS_NAME_SIZE];    /**< LENT: member that has it */
   uint64_t lender_term;          /**< LENT: its term */
+  bool lender_lost;              /**< LENT: its successor has to be asked */
   char lender_dc[DKS_NAME_SIZE]; /**< LENT: data centre of the targets that run it */
   int64_t not_before_us;
   char avoid[DKS_NAME_SIZE]; /**< target on which it failed last */
