leased: malformed jobs and those without a configuration leave a log line

Both were answered and counted without a line that gives the reason. Test LeasedCause.MalformedJob, red before.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -287,14 +287,15 @@
     request_send (request, leader);
 }
 
+/* Answers a request of which nothing is kept. */
 static void
-refuse (dks_leased_t *leased, uint64_t caller, const dks_queue_entry_t *queue, const char *id,
-        uint32_t retry_after_ms, const char *reason)
+answer_at_once (dks_leased_t *leased, const dks_event_t *event, const char *queue, const char *id,
+                dks_batch_answer_t answer, uint32_t retry_after_ms, const char *reason)
 {
-  dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%s answer=%s reason=\"%s\"", id,
-                dks_batch_answer_name (DKS_BATCH_REFUSED), reason);
-  count_answer (leased, queue->name, DKS_BATCH_REFUSED, reason);
-  reply (leased, caller, DKS_BATCH_REFUSED, retry_after_ms, reason);
+  dks_emit_log (leased->r, DKS_LOG_INFO, "event=answer job=%.*s answer=%s reason=\"%s\"",
+                DKS_BATCH_ID_SIZE, id, dks_batch_answer_name (answer), reason);
+  count_answer (leased, queue, answer, reason);
+  reply (leased, event->u.batch.caller, answer, retry_after_ms, reason);
 }
 
 static void
@@ -302,19 +303,18 @@
                const char *id)
 {
   dks_batch_t *batch = event->u.batch.batch;
-  uint64_t caller = event->u.batch.caller;
 
   dks_count (&leased->r->counters, DKS_COUNTER_SUBMISSIONS);
   if (event->u.batch.refusal != NULL || queue->needs_advice)
     {
-      refuse (leased, caller, queue, id, 0,
-              event->u.batch.refusal != NULL ? event->u.batch.refusal : "queues with advice");
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_REFUSED, 0,
+                      event->u.batch.refusal != NULL ? event->u.batch.refusal
+                                                     : "queues with advice");
       return;
     }
   if (batch == NULL || dks_strcpy (batch->id, sizeof (batch->id), id) != DKS_OK)
     {
-      count_answer (leased, queue->name, DKS_BATCH_INVALID, "");
-      reply (leased, caller, DKS_BATCH_INVALID, 0, "the job is malformed");
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_INVALID, 0, "the job is malformed");
       return;
     }
   dks_strcpy (batch->service, sizeof (batch->service), queue->service);
@@ -323,7 +323,8 @@
   batch->max_attempts = queue->max_attempts;
   if (is_too_late_for_drain (leased, batch))
     {
-      refuse (leased, caller, queue, id, NO_LEADER_RETRY_MS, shuts_down);
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_REFUSED, NO_LEADER_RETRY_MS,
+                      shuts_down);
       return;
     }
   submit (leased, event, queue, id);
@@ -370,9 +371,8 @@
 
   if (leased->catalog == NULL)
     {
-      count_answer (leased, "", DKS_BATCH_REFUSED, "no configuration is known yet");
-      reply (leased, caller, DKS_BATCH_REFUSED, NO_CATALOG_RETRY_MS,
-             "no configuration is known yet");
+      answer_at_once (leased, event, "", "", DKS_BATCH_REFUSED, NO_CATALOG_RETRY_MS,
+                      "no configuration is known yet");
       return;
     }
   queue = dks_catalog_find (leased->catalog, event->u.batch.host, event->u.batch.path, &id);
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -671,6 +671,20 @@
   EXPECT_TRUE (log_tells ({ "event=run-too-late", "wait_ms=", "left_ms=", "fastest=" }));
 }
 
+// Guards against refusals without a log line.
+TEST_F (LeasedCause, MalformedJob)
+{
+  std::string too_long (60, 'a');
+  uint64_t caller = world.submit (entry, too_long, { { 1, 6800, 100, 100 } });
+
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_INVALID);
+  size_t lines = 0;
+  for (auto &line : world.log)
+    lines += line.find ("answer=invalid reason=\"the job is malformed\"") != std::string::npos;
+  EXPECT_EQ (lines, 1U);
+}
+
 TEST_F (LeasedCause, WorkThatTakesTooLong)
 {
   submit (2, 900, 4000);
