host, net: requests that arrive as a drain ends are answered

The request's key was made in the millisecond 086.651, the log has drain-end at 086.651958 and the exit at 086.652432: it waited to be accepted, or to be read, when the process ended, and was reset. Callers use an instance until it is gone.

When the drain has ended the instance takes the connections that wait to be accepted, closes its listening sockets, refuses new work on open connections with a whole answer, and exits 100 ms later. Ruled out: the reducer, which had answered all it had (open_requests=0).

--- a/core/entry.c
+++ b/core/entry.c
@@ -249,7 +249,7 @@
   dks_request_t *request;
 
   dks_count (&r->counters, DKS_COUNTER_SUBMISSIONS);
-  if (r->draining && r->now.mono_us - r->drain_us >= DRAIN_ACCEPT_US)
+  if (r->exit_sent || (r->draining && r->now.mono_us - r->drain_us >= DRAIN_ACCEPT_US))
     {
       /* An earlier submission of the key may have run, so "not run" would be a guess. */
       reply_new (r, caller, submission->key, DKS_OUTCOME_UNKNOWN, DKS_PROBLEM_DRAINING,
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -232,7 +232,7 @@
 
   if (leased->drain_us == 0)
     return false;
-  return dks_lnow_us (leased) - leased->drain_us > DRAIN_CLOSE_US
+  return leased->r->exit_sent || dks_lnow_us (leased) - leased->drain_us > DRAIN_CLOSE_US
          || dks_lnow_us (leased) + (int64_t)expected_us > answers_end_us (leased);
 }
 
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -29,6 +29,8 @@
   STORE_LIST_INTERVAL_MS = 1000,
   /* Callers that do not read their answer hold up the exit at most this long. */
   EXIT_WAIT_US = 30 * 1000000,
+  /* Requests on their way when the drain ends still arrive, and are answered. */
+  EXIT_LINGER_US = 100000,
   OTHER_DESCRIPTORS = 512,     /* excess callers, peers, platform, some targets */
   READY_CONNECTIONS = 64,      /* of the readiness check */
   SETTINGS_CHECK_US = 2000000, /* between two looks at the settings file */
@@ -57,8 +59,9 @@
   bool carrying_out; /* effects are being carried out; new ones are appended to the same list */
   int signal_fd;
   bool draining;
-  int64_t exit_at_us; /* latest exit after DKS_EFFECT_EXIT; 0 before */
-  int status;         /* exit status */
+  int64_t drained_us;     /* when DKS_EFFECT_EXIT came; 0 before */
+  dks_timer_t exit_timer; /* ends the turn in which the exit is due */
+  int status;             /* exit status */
   dks_options_t options;
   dks_host_reload_t reload; /* NULL: options are fixed */
   void *reload_context;
@@ -68,6 +71,26 @@
 
 static void handle_leased_event (void *context, dks_event_t *event);
 
+/* Nothing is left to do: what is still on its way is answered before the exit. */
+static void
+handle_drained (dks_host_t *host)
+{
+  if (host->drained_us > 0)
+    return;
+  host->drained_us = dks_loop_now ().mono_us;
+  dks_http_server_stop_listening (host->server);
+  if (host->front != NULL)
+    dks_http_server_stop_listening (host->front);
+  dks_timer_set (dks_loop_timers (host->loop), &host->exit_timer,
+                 host->drained_us + EXIT_LINGER_US);
+}
+
+/* The exit is decided at the end of each turn of the loop. */
+static void
+handle_exit_timer (void *context, int64_t now_us)
+{
+}
+
 static void
 carry_out (dks_host_t *host, const dks_effect_t *effect)
 {
@@ -115,8 +138,7 @@
       dks_log (effect->u.log.level, "%s", effect->u.log.text);
       break;
     case DKS_EFFECT_EXIT:
-      if (host->exit_at_us == 0)
-        host->exit_at_us = dks_loop_now ().mono_us + EXIT_WAIT_US;
+      handle_drained (host);
       break;
     }
 }
@@ -371,16 +393,17 @@
 handle_turn_end (void *context)
 {
   dks_host_t *host = context;
+  int64_t now_us = dks_loop_now ().mono_us;
   uint32_t open_requests;
 
   dks_peers_flush (host->peers);
   schedule_tick (host);
-  if (host->exit_at_us == 0)
+  if (host->drained_us == 0 || now_us < host->drained_us + EXIT_LINGER_US)
     return;
   open_requests = dks_http_server_open_requests (host->server);
   if (host->front != NULL)
     open_requests += dks_http_server_open_requests (host->front);
-  if (open_requests > 0 && dks_loop_now ().mono_us < host->exit_at_us)
+  if (open_requests > 0 && now_us < host->drained_us + EXIT_WAIT_US)
     return;
   dks_log (DKS_LOG_NOTICE, "event=exit reason=drained open_requests=%u", open_requests);
   dks_loop_stop (host->loop);
@@ -556,6 +579,7 @@
   host->loop = dks_loop_create ();
   dks_timer_init (&host->tick, handle_tick, host);
   dks_timer_init (&host->settings_timer, handle_settings_timer, host);
+  dks_timer_init (&host->exit_timer, handle_exit_timer, host);
   host->reducer = dks_reducer_create (&options->config, dks_loop_now ());
   if (error == DKS_OK)
     error = open_signals (host);
@@ -605,6 +629,7 @@
     }
   dks_timer_cancel (dks_loop_timers (host->loop), &host->tick);
   dks_timer_cancel (dks_loop_timers (host->loop), &host->settings_timer);
+  dks_timer_cancel (dks_loop_timers (host->loop), &host->exit_timer);
   dks_effects_destroy (&host->effects);
   dks_reducer_destroy (host->reducer);
   dks_loop_destroy (host->loop);
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -43,6 +43,9 @@
 void dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect);
 /** From now on every reply closes its connection and /healthz reports that the instance drains. */
 void dks_http_server_set_draining (dks_http_server_t *server);
+/** Takes the connections that wait to be accepted and refuses further ones. Requests on open
+ * connections are still answered. */
+void dks_http_server_stop_listening (dks_http_server_t *server);
 /** Requests whose reply has not been sent yet. */
 uint32_t dks_http_server_open_requests (const dks_http_server_t *server);
 /** Number of requests that could not be decoded. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -724,6 +724,26 @@
   server->draining = true;
 }
 
+void
+dks_http_server_stop_listening (dks_http_server_t *server)
+{
+  int listen_fd = MHD_quiesce_daemon (server->daemon);
+  dks_address_t address;
+  socklen_t size = sizeof (address);
+  int fd;
+
+  if (listen_fd < 0)
+    return;
+  /* Closing the socket would reset what waits there. */
+  while ((fd = accept4 (listen_fd, &address.any, &size, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0)
+    {
+      MHD_add_connection (server->daemon, fd, &address.any, size);
+      size = sizeof (address);
+    }
+  close (listen_fd);
+  dks_timer_set (dks_loop_timers (server->loop), &server->run_timer, dks_loop_now ().mono_us);
+}
+
 uint32_t
 dks_http_server_open_requests (const dks_http_server_t *server)
 {
--- a/tests/test_host.cc
+++ b/tests/test_host.cc
@@ -187,27 +187,48 @@
     return finished;
   }
 
-  // The whole reply, or an empty string when there is no connection.
-  std::string
-  call (const std::string &request)
+  // A connection to the host, or -1.
+  int
+  connect_host () const
   {
     int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = {};
     timeval limit = { 10, 0 };
-    std::string reply;
-    char buffer[4096];
-    ssize_t len;
 
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
     address.sin_port = htons (static_cast<uint16_t> (http_port));
     setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof (limit));
     if (connect (fd, reinterpret_cast<sockaddr *> (&address), sizeof (address)) == 0)
-      {
-        net_write (fd, request);
-        while ((len = recv (fd, buffer, sizeof (buffer), 0)) > 0)
-          reply.append (buffer, static_cast<size_t> (len));
-      }
+      return fd;
+    close (fd);
+    return -1;
+  }
+
+  // All that comes until the connection ends.
+  static std::string
+  receive (int fd)
+  {
+    std::string reply;
+    char buffer[4096];
+    ssize_t len;
+
+    while ((len = recv (fd, buffer, sizeof (buffer), 0)) > 0)
+      reply.append (buffer, static_cast<size_t> (len));
+    return reply;
+  }
+
+  // The whole reply, or an empty string when there is no connection.
+  std::string
+  call (const std::string &request)
+  {
+    int fd = connect_host ();
+    std::string reply;
+
+    if (fd < 0)
+      return "";
+    net_write (fd, request);
+    reply = receive (fd);
     close (fd);
     return reply;
   }
@@ -243,6 +264,36 @@
   EXPECT_EQ (status, 0);
 }
 
+// The violation of scripts/demo: a request that arrived in the millisecond in which the drain ended
+// was cut.
+TEST_F (Host, RequestThatArrivesAtTheEndOfTheDrainIsAnswered)
+{
+  static const char body[] =
+      "{\"service\":\"s\",\"team\":\"t\",\"deadline_ms\":1000,\"task\":{\"payload\":\"x\"}}";
+  Platform platform;
+
+  start (platform.url ());
+  EXPECT_EQ (get ("/healthz").compare (0, 12, "HTTP/1.1 200"), 0);
+  int waiting = connect_host ();
+  ASSERT_GE (waiting, 0);
+  kill (getpid (), SIGTERM);
+  int fd;
+  for (int i = 0; i < 10000 && (fd = connect_host ()) >= 0; i++)
+    {
+      close (fd);
+      usleep (1000);
+    }
+  EXPECT_LT (fd, 0);
+  net_write (waiting, "POST /v1/requests HTTP/1.1\r\nHost: localhost\r\nContent-Length: "
+                          + std::to_string (strlen (body)) + "\r\n\r\n" + body);
+  std::string reply = receive (waiting);
+  close (waiting);
+  EXPECT_EQ (reply.compare (0, 9, "HTTP/1.1 "), 0) << reply;
+  EXPECT_NE (reply.find ("Connection: close"), std::string::npos) << reply;
+  ASSERT_TRUE (finishes_within (10000000));
+  EXPECT_EQ (status, 0);
+}
+
 TEST_F (Host, DrainRequestOfAnOperatorExits)
 {
   Platform platform;
--- a/tests/test_http_server.cc
+++ b/tests/test_http_server.cc
@@ -1091,6 +1091,29 @@
   EXPECT_TRUE (client.closed);
 }
 
+// Guards against connections that are reset at a shutdown because they have not been accepted yet.
+TEST_F (HttpServer, AnswersWhatWaitsToBeAcceptedWhenItStopsListening)
+{
+  start ();
+  dks_http_server_set_draining (server);
+  std::vector<Client> clients;
+  for (int i = 0; i < 5; i++)
+    {
+      clients.emplace_back (port);
+      send_text (clients.back (), request ("GET", "/healthz", ""));
+    }
+  dks_http_server_stop_listening (server);
+  for (Client &client : clients)
+    EXPECT_EQ (receive (client).status, 503);
+  sockaddr_in address = {};
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (static_cast<uint16_t> (port));
+  EXPECT_NE (connect (fd, reinterpret_cast<sockaddr *> (&address), sizeof (address)), 0);
+  close (fd);
+}
+
 TEST_F (HttpServer, RefusesABadOrUsedAddress)
 {
   dks_http_server_callbacks_t callbacks = {};
