--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -20,6 +20,27 @@
     world.add_target (name);
 }
 
+// One data centre whose leader knows its targets.
+void
+start_data_centre (World &world, int targets, int instances = 2)
+{
+  make_data_centre (world, "a", targets, instances);
+  world.start_all ();
+  world.run_for (2000 * ms);
+}
+
+testing::AssertionResult
+got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer)
+{
+  auto found = world.answers.find (caller);
+
+  if (found == world.answers.end ())
+    return testing::AssertionFailure () << "caller " << caller << " has no answer";
+  if (found->second.answer != answer)
+    return testing::AssertionFailure () << dks_batch_answer_name (found->second.answer);
+  return testing::AssertionSuccess ();
+}
+
 std::string
 leader_of (const World &world, const std::string &data_centre)
 {
@@ -66,16 +87,13 @@
 TEST (Leased, JobEndsOnceAllTasksHaveEnded)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 8, 6800, 100, 100 } });
   world.run_for (90 * ms);
   EXPECT_FALSE (world.answered (caller));
   world.run_for (30 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
   for (auto &target : world.targets)
     EXPECT_EQ (target->rejected, 0U);
@@ -85,17 +103,14 @@
 TEST (Leased, StepsWaitForThoseBefore)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t caller =
       world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 }, { 2, 6800, 100, 100, 1 } });
   world.run_for (150 * ms);
   EXPECT_FALSE (world.answered (caller));
   world.run_for (100 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Room lent by other data centres: a wide job that does not fit into its own.
@@ -112,8 +127,7 @@
   uint64_t caller = world.submit (0, "0000000000000002", { { 10, 6800, 100, 100 } });
   world.run_for (130 * ms);
   EXPECT_TRUE (world.answered (first));
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -121,17 +135,14 @@
 TEST (Leased, JobThatWouldWaitTooLongIsRefusedAtOnce)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } });
   world.submit (0, "0000000000000002", { { 8, 6800, 100, 100 } });
   world.run_for (5 * ms);
   uint64_t caller = world.submit (0, "0000000000000003", { { 8, 6800, 100, 100 } });
   world.run_for (5 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_REFUSED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_REFUSED));
   EXPECT_GE (world.answers[caller].retry_after_ms, 1000U);
 }
 
@@ -139,9 +150,7 @@
 TEST (Leased, SuccessorAdoptsRunsOfALeaderThatDied)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   std::string leader = leader_of (world, "a");
   size_t entry = other_of (world, "a", leader);
@@ -149,8 +158,7 @@
   world.run_for (100 * ms);
   world.kill (world.find (leader));
   world.run_for (1000 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
   uint32_t starts = count_starts (world);
   EXPECT_EQ (starts, 4U);
@@ -181,10 +189,8 @@
   world.drain (leader);
   world.run_for (1200 * ms);
   EXPECT_EQ (leader_of (world, "b"), world.instances[other]->id);
-  ASSERT_TRUE (world.answered (lent));
-  EXPECT_EQ (world.answers[lent].answer, DKS_BATCH_COMPLETED);
-  ASSERT_TRUE (world.answered (own));
-  EXPECT_EQ (world.answers[own].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, lent, DKS_BATCH_COMPLETED));
+  EXPECT_TRUE (got_answer (world, own, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -192,9 +198,7 @@
 TEST (Leased, RunThatIsBeingStoppedEndsBeforeTheTaskStartsAgain)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   for (auto &target : world.targets)
     target->stop_us = 50 * ms;
 
@@ -203,8 +207,7 @@
   world.leave (0, first);
   uint64_t second = world.submit (1, "0000000000000001", { { 2, 6800, 300, 300 } });
   world.run_for (600 * ms);
-  ASSERT_TRUE (world.answered (second));
-  EXPECT_EQ (world.answers[second].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, second, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -212,16 +215,13 @@
 TEST (Leased, LateStartNeverMakesASecondRun)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   world.targets[0]->lose_starts = 2;
   world.targets[0]->late_us = 500 * ms;
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 300, 300 } });
   world.run_for (600 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -229,9 +229,7 @@
 TEST (Leased, TasksOfASilentTargetWaitForTheEndOfItsLease)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } }, 10000);
   world.run_for (50 * ms);
@@ -244,8 +242,7 @@
         }
     }
   world.run_for (4000 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -253,15 +250,12 @@
 TEST (Leased, TaskLeavesATargetOnWhichItStandsStill)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   world.targets[0]->stalled = true;
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 7, 6800, 100, 100 } });
   world.run_for (1400 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -269,17 +263,14 @@
 TEST (Leased, DrainingInstanceAnswersItsCallersFirst)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   size_t leader = world.find (leader_of (world, "a"));
   uint64_t caller = world.submit (leader, "0000000000000001", { { 4, 6800, 900, 900 } });
   world.run_for (20 * ms);
   world.drain (leader);
   world.run_for (1100 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_FALSE (world.instances[leader]->exited);
   world.run_for (2000 * ms);
   EXPECT_TRUE (world.instances[leader]->exited);
@@ -292,15 +283,12 @@
 TEST (Leased, JobThatCannotEndBeforeItsCallerLeavesIsGivenUpEarly)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t hopeless = world.submit (0, "0000000000000001", { { 4, 6800, 900, 2500 } });
   uint64_t possible = world.submit (0, "0000000000000002", { { 4, 6800, 900, 1350 } });
   world.run_for (750 * ms);
-  ASSERT_TRUE (world.answered (hopeless));
-  EXPECT_EQ (world.answers[hopeless].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, hopeless, DKS_BATCH_LOST));
   EXPECT_FALSE (world.answered (possible));
   world.run_for (100 * ms);
   for (auto &target : world.targets)
@@ -309,8 +297,7 @@
         EXPECT_EQ (run.task.rfind ("0000000000000002", 0), 0U) << run.task;
     }
   world.run_for (600 * ms);
-  ASSERT_TRUE (world.answered (possible));
-  EXPECT_EQ (world.answers[possible].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, possible, DKS_BATCH_COMPLETED));
 }
 
 // Guards against requests that are taken during a shutdown and cut at its end: their callers wait
@@ -318,9 +305,7 @@
 TEST (Leased, DrainingInstanceRefusesJobsThatOutlastIt)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   size_t entry = other_of (world, "a", leader_of (world, "a"));
   world.drain (entry);
@@ -328,21 +313,17 @@
   uint64_t lasting = world.submit (entry, "0000000000000001", { { 4, 6800, 2500, 2500 } }, 8000);
   uint64_t brief = world.submit (entry, "0000000000000002", { { 4, 6800, 900, 900 } }, 8000);
   world.run_for (5 * ms);
-  ASSERT_TRUE (world.answered (lasting));
-  EXPECT_EQ (world.answers[lasting].answer, DKS_BATCH_REFUSED);
+  EXPECT_TRUE (got_answer (world, lasting, DKS_BATCH_REFUSED));
   EXPECT_GE (world.answers[lasting].retry_after_ms, 1000U);
   world.run_for (1000 * ms);
-  ASSERT_TRUE (world.answered (brief));
-  EXPECT_EQ (world.answers[brief].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, brief, DKS_BATCH_COMPLETED));
 }
 
 // Guards against a shutdown that cuts the connection of a caller whose job is at work.
 TEST (Leased, DrainingInstanceAnswersWhatOutlastsIt)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   size_t entry = other_of (world, "a", leader_of (world, "a"));
   uint64_t caller = world.submit (entry, "0000000000000001", { { 4, 6800, 7000, 7000 } }, 20000);
@@ -352,8 +333,7 @@
   EXPECT_FALSE (world.answered (caller));
   world.run_for (1000 * ms);
   EXPECT_TRUE (world.instances[entry]->exited);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_LOST));
   for (auto &target : world.targets)
     EXPECT_TRUE (target->runs.empty ());
 }
@@ -364,14 +344,11 @@
 {
   World world;
   world.queue_timeout_ms = 1500;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1800, 2600 } }, 8000);
   world.run_for (2700 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   uint32_t starts = count_starts (world);
   EXPECT_EQ (starts, 4U);
 }
@@ -381,14 +358,11 @@
 {
   World world;
   world.queue_timeout_ms = 1500;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1200, 2600 } }, 0);
   world.run_for (1600 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_LOST));
 }
 
 // The same class as the incident SHORT: a job was refused after a quarter of its objective (39 ms
@@ -398,16 +372,13 @@
 {
   World world;
   world.queue_timeout_ms = 1500;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   world.submit (0, "0000000000000001", { { 4, 6800, 300, 300 } }, 4000);
   world.run_for (5 * ms);
   uint64_t caller = world.submit (0, "0000000000000002", { { 4, 6800, 60, 60 } }, 2000);
   world.run_for (400 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Guards against a time-out of the queue without any effect: it bounds how long a job is held of
@@ -416,9 +387,7 @@
 {
   World world;
   world.queue_timeout_ms = 500;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   world.submit (0, "0000000000000001", { { 4, 6800, 400, 900 } }, 8000);
   world.run_for (5 * ms);
@@ -426,8 +395,7 @@
   world.run_for (490 * ms);
   EXPECT_FALSE (world.answered (caller));
   world.run_for (20 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_REFUSED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_REFUSED));
   EXPECT_GE (world.answers[caller].retry_after_ms, 1000U);
 }
 
@@ -436,9 +404,7 @@
 TEST (Leased, JobsThatMissedTheirObjectiveLetThoseThatCanReachItGoFirst)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   world.submit (0, "0000000000000001", { { 4, 6800, 300, 300 } }, 4000);
   world.run_for (5 * ms);
@@ -488,14 +454,11 @@
 TEST (Leased, JobDeclaredLongerThanItsCallersTimeIsTriedOnIdleTargets)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 1000, 700 } }, 800);
   world.run_for (800 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Guards against jobs that spent their wait on an election and are refused by the new leader while
@@ -503,9 +466,7 @@
 TEST (Leased, JobThatWaitedForAnElectionIsTriedByTheNewLeader)
 {
   World world;
-  make_data_centre (world, "a", 8, 3);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 8, 3);
   for (size_t i = 0; i < world.instances.size (); i++)
     world.kill (i);
   world.run_for (1200 * ms);
@@ -527,9 +488,7 @@
 TEST (Leased, RefusedCallersAreToldDifferentTimes)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   for (int i = 0; i < 4; i++)
     world.submit (0, "000000000000001" + std::to_string (i), { { 4, 6800, 900, 900 } }, 30000);
@@ -553,17 +512,14 @@
 TEST (Leased, BurstBeyondWhatCallersWaitForIsRefusedOnArrival)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
 
   for (int i = 0; i < 4; i++)
     world.submit (0, "000000000000001" + std::to_string (i), { { 4, 6800, 900, 900 } }, 30000);
   world.run_for (5 * ms);
   uint64_t caller = world.submit (0, "0000000000000002", { { 4, 6800, 900, 900 } }, 8000);
   world.run_for (5 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_REFUSED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_REFUSED));
   EXPECT_GE (world.answers[caller].retry_after_ms, 2000U);
 }
 
@@ -677,8 +633,7 @@
   std::string too_long (60, 'a');
   uint64_t caller = world.submit (entry, too_long, { { 1, 6800, 100, 100 } });
 
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_INVALID);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_INVALID));
   size_t lines = 0;
   for (auto &line : world.log)
     lines += line.find ("answer=invalid reason=\"the job is malformed\"") != std::string::npos;
@@ -830,8 +785,7 @@
   dks_msg_unref (msg);
   world.run_for (600 * ms);
   EXPECT_EQ (world.double_runs, 0);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // The rule broken on the own day late-orders: a leader that had been frozen took a request before
@@ -858,8 +812,7 @@
   world.cut (leader, successor, false);
   world.run_for (1200 * ms);
   EXPECT_EQ (world.double_runs, 0);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // On brandnoot-orders the only instance of a data centre took 5.5 s to shut down, because others
@@ -886,9 +839,7 @@
 TEST (Leased, StepKeepsItsBoundOnOneTarget)
 {
   World world;
-  make_data_centre (world, "a", 3);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 3);
 
   size_t leader = world.find (leader_of (world, "a"));
   uint64_t caller =
@@ -903,8 +854,7 @@
         most = std::max (most, target->runs.size ());
     }
   EXPECT_EQ (most, 1U);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -922,8 +872,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1000, 1200 } });
   world.run_for (1300 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // The same with the fast targets in another data centre. Its leader told only of targets that are
@@ -942,8 +891,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 1000, 1250 } });
   world.run_for (1350 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -961,8 +909,7 @@
   world.submit (0, "0000000000000001", { { 2, 6800, 700, 700 } });
   uint64_t caller = world.submit (0, "0000000000000002", { { 4, 6800, 900, 2500 } });
   world.run_for (750 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_LOST));
   world.run_for (200 * ms);
   for (auto &target : world.targets)
     EXPECT_TRUE (target->runs.empty ());
@@ -982,8 +929,7 @@
   world.submit (0, "0000000000000001", { { 2, 6800, 200, 200 } });
   uint64_t caller = world.submit (0, "0000000000000002", { { 1, 6800, 500, 1000 } });
   world.run_for (1490 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -999,8 +945,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 6, 6800, 900, 900 } }, 8000);
   world.run_for (2000 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -1008,9 +953,7 @@
 TEST (Leased, JobLongerThanTheUsualIsNotMovedWhereItsDeclarationExplainsIt)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   warm_up (world, 0, 8, 400);
 
   uint32_t before = count_starts (world);
@@ -1018,8 +961,7 @@
   world.run_for (2900 * ms);
   uint32_t starts = count_starts (world);
   EXPECT_EQ (starts - before, 1U);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // On quiet-1 (mplo-damask) a task failed after 838 ms and started again although its caller would
@@ -1027,16 +969,13 @@
 TEST (Leased, TaskThatFailsTooLateEndsItsJobAtOnce)
 {
   World world;
-  make_data_centre (world, "a", 2);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2);
   for (auto &target : world.targets)
     target->fails = true;
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 1200, 1200 } });
   world.run_for (1300 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_LOST));
 }
 
 // The final fault of several days: all instances are killed at once. Callers that came in the first
@@ -1075,9 +1014,7 @@
 TEST (Leased, CallerWaitsForAnElectionAsLongAsItsTimeAllows)
 {
   World world;
-  make_data_centre (world, "a", 4, 3);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4, 3);
   for (size_t i = 0; i < world.instances.size (); i++)
     world.kill (i);
   world.run_for (1200 * ms);
@@ -1086,8 +1023,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } }, 6000);
   world.run_for (1400 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -1107,17 +1043,14 @@
   world.run_for (1000 * ms);
   uint64_t caller = world.submit (1 - leader, "0000000000000001", { { 4, 6800, 1000, 1200 } });
   world.run_for (1300 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Guards against a refusal that the metrics do not show, or not by its reason.
 TEST (Leased, MetricsTellAnswersAndReasons)
 {
   World world;
-  make_data_centre (world, "a", 2, 1);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 2, 1);
   world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
   world.submit (0, "0000000000000002", { { 1, 64000, 100, 100 } });
   world.run_for (300 * ms);
@@ -1142,9 +1075,7 @@
 TEST (Leased, ShortJobMeetsItsObjectiveAlthoughAStartGetsNoAnswer)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   for (size_t i = 0; i < 3; i++)
     {
       world.targets[i]->lose_starts = 1;
@@ -1153,8 +1084,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 6, 6800, 60, 60 } });
   world.run_for (156 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   world.run_for (4000 * ms);
   EXPECT_EQ (world.double_runs, 0);
 }
@@ -1181,8 +1111,7 @@
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 900, 900 } });
   world.run_for (1300 * ms);
   EXPECT_EQ (leader_of (world, "a"), "a-3");
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (world.double_runs, 0);
 }
 
@@ -1288,8 +1217,7 @@
   EXPECT_EQ (starts, 1);
   uint64_t caller = world.submit (1, "0000000000000001", { { 2, 6800, 100, 100 } });
   world.run_for (200 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // TWICE on the drawn day fresh-d3ce of the grown Lexicon Office: a leader that had been superseded
@@ -1318,9 +1246,7 @@
 TEST (Leased, LeaderThatHandlesMessagesTooLateStepsDown)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   size_t leader = world.find (leader_of (world, "a"));
   size_t other = 1 - leader;
 
@@ -1384,9 +1310,7 @@
 TEST (Leased, TaskThatIsLongItselfIsMovedOnceOnly)
 {
   World world;
-  make_data_centre (world, "a", 8);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 8);
   warm_up (world, 0, 16, 100);
 
   uint32_t before = count_starts (world);
@@ -1394,23 +1318,19 @@
   world.run_for (4000 * ms);
   uint32_t starts = count_starts (world);
   EXPECT_EQ (starts - before, 2U);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Guards against a run that is stopped to go on elsewhere although no target has room.
 TEST (Leased, LateRunIsGivenUpWhenNoTargetHasRoom)
 {
   World world;
-  make_data_centre (world, "a", 1);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 1);
 
   uint64_t caller = world.submit (0, "0000000000000001", { { 2, 6800, 900, 2500 } });
   world.run_for (750 * ms);
   EXPECT_EQ (world.targets[0]->starts, 2U);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_LOST);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_LOST));
 }
 
 // Found by the soak (seeds 14 and 30): a target that restarts under its name while nothing runs
@@ -1419,9 +1339,7 @@
 TEST (Leased, RunThatBeganInANewLifeOfItsTargetGoesOn)
 {
   World world;
-  make_data_centre (world, "a", 4);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4);
   warm_up (world, 0, 8, 100);
   world.run_for (1000 * ms);
   for (auto &target : world.targets)
@@ -1436,8 +1354,7 @@
   uint64_t caller = world.submit (0, "0000000000000001", { { 4, 6800, 300, 300 } });
   world.run_for (1400 * ms);
   EXPECT_EQ (world.double_runs, 0);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // TWICE in a hunt (store-turns-away on brandnoot-orders, seed 157711641724, 1 of 4 plays): a leader
@@ -1463,8 +1380,7 @@
   world.drain (leader);
   world.run_for (4000 * ms);
   EXPECT_EQ (world.double_runs, 0);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // REFUSED in a hunt (waves on the grown Lexicon Office, seed 1016698997924): a leader that could
@@ -1473,9 +1389,7 @@
 TEST (Leased, RefusalOfAnEarlierMessageIsIgnored)
 {
   World world;
-  make_data_centre (world, "a", 4, 3);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 4, 3);
   size_t leader = world.find (leader_of (world, "a"));
   size_t entry = leader == 2 ? 1 : 2;
   uint64_t caller = world.submit (entry, "0000000000000001", { { 1, 6800, 900, 900 } });
@@ -1500,17 +1414,14 @@
     }
   EXPECT_FALSE (world.answered (caller));
   world.run_for (1400 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // Guards against an idle target that gets no work any more after it has restarted under its name.
 TEST (Leased, TargetIsUsedAgainAfterItsRestart)
 {
   World world;
-  make_data_centre (world, "a", 1, 1);
-  world.start_all ();
-  world.run_for (2000 * ms);
+  start_data_centre (world, 1, 1);
   world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
   world.run_for (1000 * ms);
 
@@ -1531,8 +1442,7 @@
 
   uint64_t caller = world.submit (0, "0000000000000002", { { 2, 6800, 100, 100 } });
   world.run_for (200 * ms);
-  ASSERT_TRUE (world.answered (caller));
-  EXPECT_EQ (world.answers[caller].answer, DKS_BATCH_COMPLETED);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
 // TWICE in a hunt (waves on mplo-damask, seed 605392648697): the leaders of two data centres handed
