leased: runs in a file of their own

leased_targets.c had 890 lines and two jobs: the lease of a target, and the runs on it. Creation, starts, stops and ends of runs stand in leased_runs.c.

--- /dev/null
+++ b/core/leased_runs.c
@@ -0,0 +1,340 @@
+#include "core/leased.h"
+
+#include "common/alloc.h"
+#include "common/error.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  START_TIMEOUT_MS = 150, /* a start without an answer is looked into after this */
+  START_LEASE_MS = 700,   /* a start that arrives later than this is rejected */
+  FULL_PAUSE_US = 30000,  /* after a start was rejected for want of room */
+  OLD_RUN_SKIP = 8,       /* run numbers that are passed over when one turns out to be used */
+};
+
+void
+dks_lrun_take_room (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+
+  target->run_count++;
+  target->cpu_used += run->cpu_milli;
+  target->memory_used += run->memory_mb;
+  target->accelerators_used += run->accelerators;
+}
+
+dks_lrun_t *
+dks_lrun_create (dks_ltarget_t *target, const char *name, uint32_t number)
+{
+  dks_lrun_t *run = dks_alloc (sizeof (*run));
+
+  run->leased = target->leased;
+  run->target = target;
+  run->run = number;
+  dks_strcpy (run->name, sizeof (run->name), name);
+  APR_RING_INSERT_TAIL (&target->runs, run, dks_lrun_t, link);
+  /* Removed first, since the table keeps the key of the run that it holds. */
+  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
+  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, run);
+  return run;
+}
+
+void
+dks_lrun_free (dks_lrun_t *run)
+{
+  dks_ltarget_t *target = run->target;
+  dks_leased_t *leased = run->leased;
+
+  if (run->op != 0)
+    apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  if (apr_hash_get (leased->runs_by_name, run->name, APR_HASH_KEY_STRING) == run)
+    apr_hash_set (leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
+  target->run_count--;
+  target->cpu_used -= run->cpu_milli;
+  target->memory_used -= run->memory_mb;
+  target->accelerators_used -= run->accelerators;
+  APR_RING_REMOVE (run, link);
+  free (run);
+  leased->pump_wanted = true;
+  dks_lmembers_touch (leased);
+}
+
+void
+dks_lrun_set_size (dks_lrun_t *run, const dks_batch_step_t *step)
+{
+  dks_ltarget_t *target = run->target;
+
+  target->cpu_used += step->cpu_milli - run->cpu_milli;
+  target->memory_used += step->memory_mb - run->memory_mb;
+  target->accelerators_used += step->accelerators - run->accelerators;
+  run->cpu_milli = step->cpu_milli;
+  run->memory_mb = step->memory_mb;
+  run->accelerators = step->accelerators;
+}
+
+/* Tells the job, and frees the room. */
+void
+dks_lrun_end (dks_lrun_t *run, bool ok, bool is_fault)
+{
+  if (run->job != NULL)
+    dks_ljobs_handle_run_end (run->leased, run, ok, is_fault);
+  run->job = NULL;
+  dks_lrun_free (run);
+}
+
+dks_lrun_t *
+dks_ltarget_find_run (dks_ltarget_t *target, const char *name, uint32_t number)
+{
+  dks_lrun_t *run;
+
+  APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
+    {
+      if (run->run == number && strcmp (run->name, name) == 0)
+        return run;
+    }
+  return NULL;
+}
+
+void
+dks_lrun_log_unanswered (const dks_lrun_t *run)
+{
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=start-unanswered task=%s run=%u target=%s waited_ms=%" PRId64, run->name,
+                run->run, run->target->info.id,
+                (dks_lnow_us (run->leased) - run->started_us) / 1000);
+}
+
+static void
+run_note_done (dks_lrun_t *run)
+{
+  dks_leased_t *leased = run->leased;
+  double time_us = (double)(dks_lnow_us (leased) - run->started_us);
+
+  if (run->adopted_us > 0 || run->expected_us <= 0 || run->job == NULL)
+    return;
+  dks_ltarget_note_speed (run->target, time_us / run->expected_us);
+  dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_RUN, run->job->batch->queue,
+                       (int64_t)time_us);
+  dks_lestimate_note (leased, run->job->batch,
+                      time_us * leased->slowness_mean / dks_ltarget_slowness (run->target));
+  dks_laverage (&leased->run_mean_us, time_us, DKS_LMEAN_WEIGHT);
+}
+
+/* Lists of runs */
+
+void
+dks_lrun_handle_end (dks_lrun_t *run, dks_run_end_t end)
+{
+  bool fault = end == DKS_RUN_FAILED;
+
+  if (run->job != NULL)
+    dks_metrics_count (run->leased->metrics, DKS_LABELLED_RUN_ENDS, run->job->batch->queue,
+                       dks_run_end_name (end));
+
+  if (end == DKS_RUN_DONE)
+    run_note_done (run);
+  if (end == DKS_RUN_DONE || fault)
+    dks_ltarget_note_end (run->target, fault);
+  if (end != DKS_RUN_DONE && run->job != NULL)
+    {
+      dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_FAILED);
+      dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                    "event=run-ended task=%s run=%u target=%s end=%s ran_ms=%" PRId64, run->name,
+                    run->run, run->target->info.id, dks_run_end_name (end),
+                    (dks_lnow_us (run->leased) - run->started_us) / 1000);
+    }
+  dks_lrun_end (run, end == DKS_RUN_DONE, fault);
+}
+
+/* Starts and stops */
+
+void
+dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task)
+{
+  dks_ltask_t *entry = &job->tasks[task];
+  const dks_batch_step_t *step = &job->batch->steps[entry->batch_step];
+  dks_effect_t *effect = dks_ltarget_call (target, DKS_EFFECT_LEASE_START, START_TIMEOUT_MS);
+  char name[DKS_TASK_NAME_SIZE];
+  dks_lrun_t *run;
+
+  dks_batch_task_name (job->batch->id, entry->step, entry->index, name);
+  run = dks_lrun_create (target, name, entry->run);
+  run->state = DKS_LRUN_STARTING;
+  run->job = job;
+  run->task = task;
+  run->cpu_milli = step->cpu_milli;
+  run->memory_mb = step->memory_mb;
+  run->accelerators = step->accelerators;
+  run->expected_us = dks_lestimate_run_us (leased, job->batch, entry->batch_step);
+  run->started_us = dks_lnow_us (leased);
+  run->progress_us = dks_lnow_us (leased);
+  run->op = effect->u.lease.op;
+  dks_lrun_take_room (run);
+  entry->current = run;
+  apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), run);
+  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), name);
+  effect->u.lease.run = run->run;
+  effect->u.lease.spec = dks_blob_ref (job->batch->spec);
+  effect->u.lease.deadline_ms = dks_ltarget_deadline (target, START_LEASE_MS);
+  target->extended_us = dks_lnow_us (leased);
+  dks_laverage (&leased->cpu_mean, step->cpu_milli, DKS_LMEAN_WEIGHT);
+  dks_count (&leased->r->counters, DKS_COUNTER_STARTS);
+  dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=run-sent task=%s run=%u target=%s", name, run->run,
+                target->info.id);
+  dks_lmembers_touch (leased);
+}
+
+static void
+send_stop (dks_lrun_t *run)
+{
+  dks_effect_t *effect =
+      dks_ltarget_call (run->target, DKS_EFFECT_LEASE_STOP, DKS_LANSWER_TIMEOUT_MS);
+
+  if (run->op != 0)
+    apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  run->state = DKS_LRUN_STOPPING;
+  run->acked_us = 0;
+  run->op = effect->u.lease.op;
+  apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
+  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), run->name);
+  effect->u.lease.run = run->run;
+}
+
+void
+dks_lrun_stop (dks_lrun_t *run)
+{
+  run->job = NULL;
+  if (run->state != DKS_LRUN_STOPPING)
+    send_stop (run);
+}
+
+void
+dks_lrun_fence (dks_lrun_t *run)
+{
+  if (run->state != DKS_LRUN_STOPPING)
+    send_stop (run);
+}
+
+/* The run was certainly not started; its task may start elsewhere. */
+static void
+run_not_started (dks_lrun_t *run, dks_lease_status_t status)
+{
+  dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_REFUSED);
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=start-rejected task=%s run=%u target=%s reason=%s", run->name, run->run,
+                run->target->info.id, dks_lease_status_name (status));
+  dks_lrun_end (run, false, status == DKS_LEASE_INVALID);
+}
+
+static void
+handle_start_reply (dks_lrun_t *run, const dks_event_t *event)
+{
+  dks_ltarget_t *target = run->target;
+  dks_leased_t *leased = run->leased;
+  dks_lease_status_t status = event->u.lease_reply.status;
+
+  dks_metrics_count (leased->metrics, DKS_LABELLED_LEASED_STARTS, dks_lease_status_name (status),
+                     "");
+  switch (status)
+    {
+    case DKS_LEASE_OK:
+      dks_ltarget_note_answer (target, event->u.lease_reply.clock_ms);
+      if (run->state == DKS_LRUN_STARTING)
+        run->state = DKS_LRUN_RUNNING;
+      run->acked_us = dks_lnow_us (leased);
+      dks_ltarget_hold (target);
+      return;
+    case DKS_LEASE_FENCED:
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
+                    target->info.id, target->fence);
+      dks_lleader_handle_fenced (leased);
+      return;
+    case DKS_LEASE_UNANSWERED:
+      dks_lrun_log_unanswered (run);
+      /* A list may have shown it already. */
+      run->state = run->acked_us > 0 ? DKS_LRUN_RUNNING : DKS_LRUN_UNSURE;
+      dks_ltarget_look (target);
+      return;
+    case DKS_LEASE_NOT_SENT:
+      dks_ltarget_note_silence (target);
+      dks_ltarget_hold (target);
+      break;
+    case DKS_LEASE_OTHER_LIFE:
+      run_not_started (run, status);
+      dks_ltarget_note_replaced (target);
+      dks_ltarget_hold (target);
+      return;
+    case DKS_LEASE_NO_ROOM:
+      target->full_until_us = dks_lnow_us (leased) + FULL_PAUSE_US;
+      dks_ltarget_look (target);
+      break;
+    case DKS_LEASE_BUSY:
+      dks_ltarget_note_end (target, true);
+      dks_ltarget_eject (target, "unhealthy");
+      break;
+    case DKS_LEASE_LATE:
+      target->clock_known = false;
+      dks_ltarget_look (target);
+      break;
+    case DKS_LEASE_OLD_RUN:
+      /* An earlier sender of the job has had runs there. */
+      if (run->job != NULL)
+        run->job->tasks[run->task].run += OLD_RUN_SKIP;
+      break;
+    case DKS_LEASE_INVALID:
+      break;
+    }
+  run_not_started (run, status);
+}
+
+static void
+handle_stop_reply (dks_lrun_t *run, const dks_event_t *event)
+{
+  dks_ltarget_t *target = run->target;
+
+  switch (event->u.lease_reply.status)
+    {
+    case DKS_LEASE_FENCED:
+      dks_lleader_handle_fenced (run->leased);
+      return;
+    case DKS_LEASE_NOT_SENT:
+    case DKS_LEASE_UNANSWERED:
+      /* Sent again with the next round of handle_watch_timer(). */
+      run->state = DKS_LRUN_UNSURE;
+      if (run->job == NULL)
+        run->adopted_us = run->adopted_us > 0 ? run->adopted_us : 1;
+      dks_ltarget_look (target);
+      return;
+    case DKS_LEASE_OTHER_LIFE:
+      dks_ltarget_note_replaced (target);
+      return;
+    default:
+      run->acked_us = dks_lnow_us (run->leased);
+      dks_ltarget_note_answer (target, event->u.lease_reply.clock_ms);
+      /* A run that was there is listed when it has ended, another one is missing in the list. */
+      if (target->hold_op == 0)
+        dks_ltarget_hold (target);
+      dks_ltarget_look (target);
+      return;
+    }
+}
+
+void
+dks_lrun_handle_reply (dks_lrun_t *run, const dks_event_t *event)
+{
+  apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), NULL);
+  run->op = 0;
+  if (run->state == DKS_LRUN_STOPPING)
+    handle_stop_reply (run, event);
+  else
+    handle_start_reply (run, event);
+}
+
+dks_lrun_t *
+dks_ltargets_find_run (dks_leased_t *leased, const char *name)
+{
+  return apr_hash_get (leased->runs_by_name, name, APR_HASH_KEY_STRING);
+}
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -11,111 +11,21 @@
 {
   LEASE_MS = 1000,         /* the platform's longest lease */
   HOLD_WAIT_MS = 300,      /* a hold waits this long for an end; three fit into a lease */
-  ANSWER_TIMEOUT_MS = 200, /* an answer takes some ms; an instance may stand still for 100 ms */
-  START_TIMEOUT_MS = 150,  /* a start without an answer is looked into after this */
-  START_LEASE_MS = 700,    /* a start that arrives later than this is rejected */
   CLOCK_JUMP_MS = 500,     /* a clock that is this much behind belongs to a new life */
   LAPSE_MARGIN_US = 60000, /* network and rounding, beyond the error of the target's clock */
   CLOCK_ERROR_PERCENT = 2, /* a target's clock may be slow by this much */
   RETRY_US = 200000,       /* between two looks at a silent target */
   OVERDUE_US =
       20000, /* a start sent this long before a list that lacks its run is taken for lost */
-  FULL_PAUSE_US = 30000, /* after a start was rejected for want of room */
-  OLD_RUN_SKIP = 8,      /* run numbers that are passed over when one turns out to be used */
 };
 
 #define FIRST_CPU_MILLI 4000.0 /* size of a task before the first is known */
 #define FIRST_RUN_US 200000.0  /* run time of a task before the first is known */
 
-/* Runs */
-
-static void
-run_take_room (dks_lrun_t *run)
-{
-  dks_ltarget_t *target = run->target;
-
-  target->run_count++;
-  target->cpu_used += run->cpu_milli;
-  target->memory_used += run->memory_mb;
-  target->accelerators_used += run->accelerators;
-}
-
-static dks_lrun_t *
-run_create (dks_ltarget_t *target, const char *name, uint32_t number)
-{
-  dks_lrun_t *run = dks_alloc (sizeof (*run));
-
-  run->leased = target->leased;
-  run->target = target;
-  run->run = number;
-  dks_strcpy (run->name, sizeof (run->name), name);
-  APR_RING_INSERT_TAIL (&target->runs, run, dks_lrun_t, link);
-  /* Removed first, since the table keeps the key of the run that it holds. */
-  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
-  apr_hash_set (run->leased->runs_by_name, run->name, APR_HASH_KEY_STRING, run);
-  return run;
-}
-
-static void
-run_free (dks_lrun_t *run)
-{
-  dks_ltarget_t *target = run->target;
-  dks_leased_t *leased = run->leased;
-
-  if (run->op != 0)
-    apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
-  if (apr_hash_get (leased->runs_by_name, run->name, APR_HASH_KEY_STRING) == run)
-    apr_hash_set (leased->runs_by_name, run->name, APR_HASH_KEY_STRING, NULL);
-  target->run_count--;
-  target->cpu_used -= run->cpu_milli;
-  target->memory_used -= run->memory_mb;
-  target->accelerators_used -= run->accelerators;
-  APR_RING_REMOVE (run, link);
-  free (run);
-  leased->pump_wanted = true;
-  dks_lmembers_touch (leased);
-}
-
-void
-dks_lrun_set_size (dks_lrun_t *run, const dks_batch_step_t *step)
-{
-  dks_ltarget_t *target = run->target;
-
-  target->cpu_used += step->cpu_milli - run->cpu_milli;
-  target->memory_used += step->memory_mb - run->memory_mb;
-  target->accelerators_used += step->accelerators - run->accelerators;
-  run->cpu_milli = step->cpu_milli;
-  run->memory_mb = step->memory_mb;
-  run->accelerators = step->accelerators;
-}
-
-/* Tells the job, and frees the room. */
-static void
-run_end (dks_lrun_t *run, bool ok, bool is_fault)
-{
-  if (run->job != NULL)
-    dks_ljobs_handle_run_end (run->leased, run, ok, is_fault);
-  run->job = NULL;
-  run_free (run);
-}
-
-static dks_lrun_t *
-target_find_run (dks_ltarget_t *target, const char *name, uint32_t number)
-{
-  dks_lrun_t *run;
-
-  APR_RING_FOREACH (run, &target->runs, dks_lrun_t, link)
-    {
-      if (run->run == number && strcmp (run->name, name) == 0)
-        return run;
-    }
-  return NULL;
-}
-
 /* Calls */
 
-static dks_effect_t *
-lease_effect (dks_ltarget_t *target, dks_effect_type_t type, int64_t timeout_ms)
+dks_effect_t *
+dks_ltarget_call (dks_ltarget_t *target, dks_effect_type_t type, int64_t timeout_ms)
 {
   dks_effect_t *effect = dks_effects_add (target->leased->r->effects, type);
 
@@ -128,8 +38,8 @@
 }
 
 /* Time on the target's clock, `ahead_ms` from now. */
-static int64_t
-target_deadline (const dks_ltarget_t *target, int64_t ahead_ms)
+int64_t
+dks_ltarget_deadline (const dks_ltarget_t *target, int64_t ahead_ms)
 {
   return dks_lnow_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
 }
@@ -152,7 +62,8 @@
 send_hold (dks_ltarget_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us)
 {
   dks_leased_t *leased = target->leased;
-  dks_effect_t *effect = lease_effect (target, DKS_EFFECT_LEASE_HOLD, wait_ms + ANSWER_TIMEOUT_MS);
+  dks_effect_t *effect =
+      dks_ltarget_call (target, DKS_EFFECT_LEASE_HOLD, wait_ms + DKS_LANSWER_TIMEOUT_MS);
 
   *op = effect->u.lease.op;
   *sent_us = dks_lnow_us (leased);
@@ -160,15 +71,15 @@
   effect->u.lease.wait_ms = wait_ms;
   if (may_extend (target) && target->run_count > 0)
     {
-      effect->u.lease.deadline_ms = target_deadline (target, LEASE_MS);
+      effect->u.lease.deadline_ms = dks_ltarget_deadline (target, LEASE_MS);
       target->extended_us = dks_lnow_us (leased);
     }
   apr_hash_set (leased->targets_by_op, op, sizeof (*op), target);
 }
 
 /* Keeps a hold waiting while anything runs there, and asks until the lists have been read. */
-static void
-target_hold (dks_ltarget_t *target)
+void
+dks_ltarget_hold (dks_ltarget_t *target)
 {
   bool settled = target->adopted && target->silent_calls == 0;
 
@@ -217,7 +128,7 @@
   while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
     {
       dks_metrics_count (target->leased->metrics, DKS_LABELLED_RUNS_LOST, reason, "");
-      run_end (APR_RING_FIRST (&target->runs), false, false);
+      dks_lrun_end (APR_RING_FIRST (&target->runs), false, false);
     }
 }
 
@@ -236,7 +147,7 @@
 static void
 handle_hold_timer (void *context, int64_t time_us)
 {
-  target_hold (context);
+  dks_ltarget_hold (context);
 }
 
 static void
@@ -245,7 +156,7 @@
   dks_leased_t *leased = target->leased;
 
   while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
-    run_free (APR_RING_FIRST (&target->runs));
+    dks_lrun_free (APR_RING_FIRST (&target->runs));
   target_release (target);
   apr_hash_set (leased->targets_by_id, target->info.id, APR_HASH_KEY_STRING, NULL);
   APR_RING_REMOVE (target, link);
@@ -266,8 +177,8 @@
 }
 
 /* The target has not answered. Its runs end at the latest when the lease does. */
-static void
-target_note_silence (dks_ltarget_t *target)
+void
+dks_ltarget_note_silence (dks_ltarget_t *target)
 {
   dks_timers_t *timers = target->leased->r->timers;
 
@@ -281,8 +192,8 @@
     dks_timer_set (timers, &target->hold_timer, dks_lnow_us (target->leased) + RETRY_US);
 }
 
-static void
-target_note_answer (dks_ltarget_t *target, int64_t clock_ms)
+void
+dks_ltarget_note_answer (dks_ltarget_t *target, int64_t clock_ms)
 {
   int64_t idle_ms = (dks_lnow_us (target->leased) - target->heard_us) / 1000;
   int64_t offset_ms;
@@ -321,69 +232,18 @@
 }
 
 /* Another target answers at the address: nothing of the one that we ordered is left. */
-static void
-target_replaced (dks_ltarget_t *target)
+void
+dks_ltarget_note_replaced (dks_ltarget_t *target)
 {
   target_end_all (target, "replaced");
   target_begin_life (target, 0);
 }
 
-static void
-run_note_done (dks_lrun_t *run)
-{
-  dks_leased_t *leased = run->leased;
-  double time_us = (double)(dks_lnow_us (leased) - run->started_us);
-
-  if (run->adopted_us > 0 || run->expected_us <= 0 || run->job == NULL)
-    return;
-  dks_ltarget_note_speed (run->target, time_us / run->expected_us);
-  dks_metrics_observe (leased->metrics, DKS_HISTOGRAM_RUN, run->job->batch->queue,
-                       (int64_t)time_us);
-  dks_lestimate_note (leased, run->job->batch,
-                      time_us * leased->slowness_mean / dks_ltarget_slowness (run->target));
-  dks_laverage (&leased->run_mean_us, time_us, DKS_LMEAN_WEIGHT);
-}
-
-/* Lists of runs */
-
-static void
-log_unanswered (const dks_lrun_t *run)
-{
-  dks_emit_log (run->leased->r, DKS_LOG_INFO,
-                "event=start-unanswered task=%s run=%u target=%s waited_ms=%" PRId64, run->name,
-                run->run, run->target->info.id,
-                (dks_lnow_us (run->leased) - run->started_us) / 1000);
-}
-
-static void
-run_handle_end (dks_lrun_t *run, dks_run_end_t end)
-{
-  bool fault = end == DKS_RUN_FAILED;
-
-  if (run->job != NULL)
-    dks_metrics_count (run->leased->metrics, DKS_LABELLED_RUN_ENDS, run->job->batch->queue,
-                       dks_run_end_name (end));
-
-  if (end == DKS_RUN_DONE)
-    run_note_done (run);
-  if (end == DKS_RUN_DONE || fault)
-    dks_ltarget_note_end (run->target, fault);
-  if (end != DKS_RUN_DONE && run->job != NULL)
-    {
-      dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_FAILED);
-      dks_emit_log (run->leased->r, DKS_LOG_INFO,
-                    "event=run-ended task=%s run=%u target=%s end=%s ran_ms=%" PRId64, run->name,
-                    run->run, run->target->info.id, dks_run_end_name (end),
-                    (dks_lnow_us (run->leased) - run->started_us) / 1000);
-    }
-  run_end (run, end == DKS_RUN_DONE, fault);
-}
-
 static void
 adopt_run (dks_ltarget_t *target, const dks_running_t *row)
 {
   dks_leased_t *leased = target->leased;
-  dks_lrun_t *run = run_create (target, row->task, row->run);
+  dks_lrun_t *run = dks_lrun_create (target, row->task, row->run);
   const dks_service_entry_t *service =
       leased->catalog != NULL ? dks_catalog_service (leased->catalog, target->info.service) : NULL;
 
@@ -397,7 +257,7 @@
   run->adopted_us = dks_lnow_us (leased);
   run->progress_us = dks_lnow_us (leased);
   run->percent = row->percent;
-  run_take_room (run);
+  dks_lrun_take_room (run);
 }
 
 /* Brings what we know of the runs in line with the list of a call sent at `sent_us`. */
@@ -411,7 +271,7 @@
     {
       const dks_running_t *row = &lists->running[i];
 
-      run = target_find_run (target, row->task, row->run);
+      run = dks_ltarget_find_run (target, row->task, row->run);
       if (run == NULL)
         {
           adopt_run (target, row);
@@ -435,10 +295,10 @@
        * stop was, which fences the run off. */
       if ((run->state == DKS_LRUN_RUNNING || run->state == DKS_LRUN_STOPPING) && run->acked_us > 0
           && run->acked_us <= sent_us)
-        run_end (run, false, false);
+        dks_lrun_end (run, false, false);
       else if (run->state == DKS_LRUN_STARTING && sent_us - run->started_us >= OVERDUE_US)
         {
-          log_unanswered (run);
+          dks_lrun_log_unanswered (run);
           dks_lrun_fence (run);
         }
       else if (run->state == DKS_LRUN_UNSURE && run->op == 0 && run->started_us < sent_us)
@@ -468,9 +328,9 @@
       if (row->number <= target->last_seen)
         continue;
       target->last_seen = row->number;
-      run = target_find_run (target, row->task, row->run);
+      run = dks_ltarget_find_run (target, row->task, row->run);
       if (run != NULL)
-        run_handle_end (run, row->end);
+        dks_lrun_handle_end (run, row->end);
     }
   handle_running (target, lists, sent_us);
 }
@@ -491,7 +351,7 @@
   switch (event->u.lease_reply.status)
     {
     case DKS_LEASE_OK:
-      target_note_answer (target, event->u.lease_reply.clock_ms);
+      dks_ltarget_note_answer (target, event->u.lease_reply.clock_ms);
       handle_lists (target, event->u.lease_reply.lists, sent_us);
       target->adopted = true;
       if (!was_adopted)
@@ -503,12 +363,12 @@
       dks_lleader_handle_fenced (leased);
       return;
     case DKS_LEASE_OTHER_LIFE:
-      target_replaced (target);
+      dks_ltarget_note_replaced (target);
       dks_timer_set (leased->r->timers, &target->hold_timer, dks_lnow_us (leased) + RETRY_US);
       break;
     case DKS_LEASE_NOT_SENT:
     case DKS_LEASE_UNANSWERED:
-      target_note_silence (target);
+      dks_ltarget_note_silence (target);
       break;
     default:
       dks_emit_log (leased->r, DKS_LOG_WARNING, "event=hold-rejected target=%s status=%s",
@@ -518,179 +378,7 @@
     }
   if (target->look_again && target->look_op == 0)
     dks_ltarget_look (target);
-  target_hold (target);
-}
-
-/* Starts and stops */
-
-void
-dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task)
-{
-  dks_ltask_t *entry = &job->tasks[task];
-  const dks_batch_step_t *step = &job->batch->steps[entry->batch_step];
-  dks_effect_t *effect = lease_effect (target, DKS_EFFECT_LEASE_START, START_TIMEOUT_MS);
-  char name[DKS_TASK_NAME_SIZE];
-  dks_lrun_t *run;
-
-  dks_batch_task_name (job->batch->id, entry->step, entry->index, name);
-  run = run_create (target, name, entry->run);
-  run->state = DKS_LRUN_STARTING;
-  run->job = job;
-  run->task = task;
-  run->cpu_milli = step->cpu_milli;
-  run->memory_mb = step->memory_mb;
-  run->accelerators = step->accelerators;
-  run->expected_us = dks_lestimate_run_us (leased, job->batch, entry->batch_step);
-  run->started_us = dks_lnow_us (leased);
-  run->progress_us = dks_lnow_us (leased);
-  run->op = effect->u.lease.op;
-  run_take_room (run);
-  entry->current = run;
-  apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), run);
-  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), name);
-  effect->u.lease.run = run->run;
-  effect->u.lease.spec = dks_blob_ref (job->batch->spec);
-  effect->u.lease.deadline_ms = target_deadline (target, START_LEASE_MS);
-  target->extended_us = dks_lnow_us (leased);
-  dks_laverage (&leased->cpu_mean, step->cpu_milli, DKS_LMEAN_WEIGHT);
-  dks_count (&leased->r->counters, DKS_COUNTER_STARTS);
-  dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=run-sent task=%s run=%u target=%s", name, run->run,
-                target->info.id);
-  dks_lmembers_touch (leased);
-}
-
-static void
-send_stop (dks_lrun_t *run)
-{
-  dks_effect_t *effect = lease_effect (run->target, DKS_EFFECT_LEASE_STOP, ANSWER_TIMEOUT_MS);
-
-  if (run->op != 0)
-    apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), NULL);
-  run->state = DKS_LRUN_STOPPING;
-  run->acked_us = 0;
-  run->op = effect->u.lease.op;
-  apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
-  dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), run->name);
-  effect->u.lease.run = run->run;
-}
-
-void
-dks_lrun_stop (dks_lrun_t *run)
-{
-  run->job = NULL;
-  if (run->state != DKS_LRUN_STOPPING)
-    send_stop (run);
-}
-
-void
-dks_lrun_fence (dks_lrun_t *run)
-{
-  if (run->state != DKS_LRUN_STOPPING)
-    send_stop (run);
-}
-
-/* The run was certainly not started; its task may start elsewhere. */
-static void
-run_not_started (dks_lrun_t *run, dks_lease_status_t status)
-{
-  dks_count (&run->leased->r->counters, DKS_COUNTER_ATTEMPTS_REFUSED);
-  dks_emit_log (run->leased->r, DKS_LOG_INFO,
-                "event=start-rejected task=%s run=%u target=%s reason=%s", run->name, run->run,
-                run->target->info.id, dks_lease_status_name (status));
-  run_end (run, false, status == DKS_LEASE_INVALID);
-}
-
-static void
-handle_start_reply (dks_lrun_t *run, const dks_event_t *event)
-{
-  dks_ltarget_t *target = run->target;
-  dks_leased_t *leased = run->leased;
-  dks_lease_status_t status = event->u.lease_reply.status;
-
-  dks_metrics_count (leased->metrics, DKS_LABELLED_LEASED_STARTS, dks_lease_status_name (status),
-                     "");
-  switch (status)
-    {
-    case DKS_LEASE_OK:
-      target_note_answer (target, event->u.lease_reply.clock_ms);
-      if (run->state == DKS_LRUN_STARTING)
-        run->state = DKS_LRUN_RUNNING;
-      run->acked_us = dks_lnow_us (leased);
-      target_hold (target);
-      return;
-    case DKS_LEASE_FENCED:
-      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
-                    target->info.id, target->fence);
-      dks_lleader_handle_fenced (leased);
-      return;
-    case DKS_LEASE_UNANSWERED:
-      log_unanswered (run);
-      /* A list may have shown it already. */
-      run->state = run->acked_us > 0 ? DKS_LRUN_RUNNING : DKS_LRUN_UNSURE;
-      dks_ltarget_look (target);
-      return;
-    case DKS_LEASE_NOT_SENT:
-      target_note_silence (target);
-      target_hold (target);
-      break;
-    case DKS_LEASE_OTHER_LIFE:
-      run_not_started (run, status);
-      target_replaced (target);
-      target_hold (target);
-      return;
-    case DKS_LEASE_NO_ROOM:
-      target->full_until_us = dks_lnow_us (leased) + FULL_PAUSE_US;
-      dks_ltarget_look (target);
-      break;
-    case DKS_LEASE_BUSY:
-      dks_ltarget_note_end (target, true);
-      dks_ltarget_eject (target, "unhealthy");
-      break;
-    case DKS_LEASE_LATE:
-      target->clock_known = false;
-      dks_ltarget_look (target);
-      break;
-    case DKS_LEASE_OLD_RUN:
-      /* An earlier sender of the job has had runs there. */
-      if (run->job != NULL)
-        run->job->tasks[run->task].run += OLD_RUN_SKIP;
-      break;
-    case DKS_LEASE_INVALID:
-      break;
-    }
-  run_not_started (run, status);
-}
-
-static void
-handle_stop_reply (dks_lrun_t *run, const dks_event_t *event)
-{
-  dks_ltarget_t *target = run->target;
-
-  switch (event->u.lease_reply.status)
-    {
-    case DKS_LEASE_FENCED:
-      dks_lleader_handle_fenced (run->leased);
-      return;
-    case DKS_LEASE_NOT_SENT:
-    case DKS_LEASE_UNANSWERED:
-      /* Sent again with the next round of handle_watch_timer(). */
-      run->state = DKS_LRUN_UNSURE;
-      if (run->job == NULL)
-        run->adopted_us = run->adopted_us > 0 ? run->adopted_us : 1;
-      dks_ltarget_look (target);
-      return;
-    case DKS_LEASE_OTHER_LIFE:
-      target_replaced (target);
-      return;
-    default:
-      run->acked_us = dks_lnow_us (run->leased);
-      target_note_answer (target, event->u.lease_reply.clock_ms);
-      /* A run that was there is listed when it has ended, another one is missing in the list. */
-      if (target->hold_op == 0)
-        target_hold (target);
-      dks_ltarget_look (target);
-      return;
-    }
+  dks_ltarget_hold (target);
 }
 
 void
@@ -707,14 +395,7 @@
       handle_hold_reply (target, event, op == target->look_op);
     }
   else if (run != NULL)
-    {
-      apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
-      run->op = 0;
-      if (run->state == DKS_LRUN_STOPPING)
-        handle_stop_reply (run, event);
-      else
-        handle_start_reply (run, event);
-    }
+    dks_lrun_handle_reply (run, event);
 }
 
 /* The list of targets */
@@ -739,7 +420,7 @@
   target->look_op = 0;
   /* Until the lists have been read, whatever ran there may have been extended just now. */
   target->extended_us = dks_lnow_us (leased);
-  target_hold (target);
+  dks_ltarget_hold (target);
 }
 
 static dks_ltarget_t *
@@ -824,7 +505,7 @@
       else if (leased->term == 0 && target->held)
         {
           while (!APR_RING_EMPTY (&target->runs, dks_lrun_t, link))
-            run_free (APR_RING_FIRST (&target->runs));
+            dks_lrun_free (APR_RING_FIRST (&target->runs));
           target_release (target);
           if (!target->listed)
             target_free (target);
@@ -863,12 +544,6 @@
   dks_emit_peer (leased->r, peer, msg);
 }
 
-dks_lrun_t *
-dks_ltargets_find_run (dks_leased_t *leased, const char *name)
-{
-  return apr_hash_get (leased->runs_by_name, name, APR_HASH_KEY_STRING);
-}
-
 void
 dks_ltargets_init (dks_leased_t *leased)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -4,8 +4,8 @@
  *
  * Every instance takes requests of callers (leased_entry.c) and passes them to the leader of its
  * data centre (leased_leader.c, leased_members.c). The leader orders the targets of its data centre
- * (leased_targets.c), places the tasks of jobs on them (leased_jobs.c) and lends room to the
- * leaders of other data centres. What the platform lists is followed in leased_feed.c.
+ * (leased_targets.c, leased_runs.c), places the tasks of jobs on them (leased_jobs.c) and lends
+ * room to the leaders of other data centres. What the platform lists is followed in leased_feed.c.
  *
  * Hash tables serve look-ups only. Whatever is iterated stands in a ring, which keeps a run
  * repeatable.
@@ -22,6 +22,8 @@
 {
   /** Calls without an answer after which no call extends a target's lease any more. */
   DKS_LSILENT_CALLS_MAX = 2,
+  /** An answer of a target takes some ms; an instance may stand still for 100 ms. */
+  DKS_LANSWER_TIMEOUT_MS = 200,
   /** Entries that lapsed while the platform's store was away return within 2 s. */
   DKS_LUNLISTED_GRACE_US = 2500000
 };
@@ -445,6 +447,37 @@
 void dks_ltargets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
 /** Whether the lists of all reachable targets have been read since our leadership began. */
 bool dks_ltargets_are_adopted (const dks_leased_t *leased);
+/** Reads a target's lists at once. */
+void dks_ltarget_look (dks_ltarget_t *target);
+
+/** New call to a target under our fence; the caller of this fills in the rest. */
+dks_effect_t *dks_ltarget_call (dks_ltarget_t *target, dks_effect_type_t type, int64_t timeout_ms);
+/** Time on the target's clock, `ahead_ms` from now. */
+int64_t dks_ltarget_deadline (const dks_ltarget_t *target, int64_t ahead_ms);
+/** Holds the target, unless a hold is under way. */
+void dks_ltarget_hold (dks_ltarget_t *target);
+void dks_ltarget_note_answer (dks_ltarget_t *target, int64_t clock_ms);
+/** A call got no answer. */
+void dks_ltarget_note_silence (dks_ltarget_t *target);
+/** Another life of the target has answered. */
+void dks_ltarget_note_replaced (dks_ltarget_t *target);
+
+/* leased_runs.c */
+/** New run on the target, in the state 0 and without a size. */
+dks_lrun_t *dks_lrun_create (dks_ltarget_t *target, const char *name, uint32_t number);
+void dks_lrun_free (dks_lrun_t *run);
+/** Adds the run's size to what its target has in use. */
+void dks_lrun_take_room (dks_lrun_t *run);
+/** Tells the job, and frees the room. */
+void dks_lrun_end (dks_lrun_t *run, bool ok, bool is_fault);
+/** The target lists the run's end. */
+void dks_lrun_handle_end (dks_lrun_t *run, dks_run_end_t end);
+/** Logs that the run's start got no answer. */
+void dks_lrun_log_unanswered (const dks_lrun_t *run);
+/** Answer to the start or stop under way. */
+void dks_lrun_handle_reply (dks_lrun_t *run, const dks_event_t *event);
+/** Run of the target with this number, or NULL. */
+dks_lrun_t *dks_ltarget_find_run (dks_ltarget_t *target, const char *name, uint32_t number);
 /** Starts a run of the task. */
 void
 dks_ltargets_start (dks_leased_t *leased, dks_ltarget_t *target, dks_ljob_t *job, uint32_t task);
@@ -457,9 +490,6 @@
 /** Latest run of a task on our targets that has not surely ended; NULL if there is none. */
 dks_lrun_t *dks_ltargets_find_run (dks_leased_t *leased, const char *name);
 
-/** Reads a target's lists at once. */
-void dks_ltarget_look (dks_ltarget_t *target);
-
 /* leased_place.c */
 /** Brings `free_cpu_max` up to date. */
 void dks_ltargets_measure_room (dks_leased_t *leased);
