--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -75,7 +75,6 @@
   run->accelerators = step->accelerators;
 }
 
-/* Tells the job, and frees the room. */
 void
 dks_lrun_end (dks_lrun_t *run, bool ok, bool is_fault)
 {
@@ -123,8 +122,6 @@
   dks_laverage (&leased->run_mean_us, time_us, DKS_LMEAN_WEIGHT);
 }
 
-/* Lists of runs */
-
 void
 dks_lrun_handle_end (dks_lrun_t *run, dks_run_end_t end)
 {
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -37,7 +37,6 @@
   return effect;
 }
 
-/* Time on the target's clock, `ahead_ms` from now. */
 int64_t
 dks_ltarget_deadline (const dks_ltarget_t *target, int64_t ahead_ms)
 {
@@ -77,7 +76,6 @@
   apr_hash_set (leased->targets_by_op, op, sizeof (*op), target);
 }
 
-/* Keeps a hold waiting while anything runs there, and asks until the lists have been read. */
 void
 dks_ltarget_hold (dks_ltarget_t *target)
 {
@@ -90,7 +88,6 @@
   send_hold (target, settled ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_us);
 }
 
-/* Reads the lists at once. */
 void
 dks_ltarget_look (dks_ltarget_t *target)
 {
@@ -176,7 +173,6 @@
     dks_timer_set (target->leased->r->timers, &target->lapse_timer, time_us + RETRY_US);
 }
 
-/* The target has not answered. Its runs end at the latest when the lease does. */
 void
 dks_ltarget_note_silence (dks_ltarget_t *target)
 {
@@ -231,7 +227,6 @@
   target->ejections = 0;
 }
 
-/* Another target answers at the address: nothing of the one that we ordered is left. */
 void
 dks_ltarget_note_replaced (dks_ltarget_t *target)
 {
@@ -239,6 +234,8 @@
   target_begin_life (target, 0);
 }
 
+/* Lists of runs */
+
 static void
 adopt_run (dks_ltarget_t *target, const dks_running_t *row)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -454,12 +454,12 @@
 dks_effect_t *dks_ltarget_call (dks_ltarget_t *target, dks_effect_type_t type, int64_t timeout_ms);
 /** Time on the target's clock, `ahead_ms` from now. */
 int64_t dks_ltarget_deadline (const dks_ltarget_t *target, int64_t ahead_ms);
-/** Holds the target, unless a hold is under way. */
+/** Keeps a hold waiting while anything runs there, and asks until the lists have been read. */
 void dks_ltarget_hold (dks_ltarget_t *target);
 void dks_ltarget_note_answer (dks_ltarget_t *target, int64_t clock_ms);
-/** A call got no answer. */
+/** A call got no answer. The target's runs end at the latest when its lease does. */
 void dks_ltarget_note_silence (dks_ltarget_t *target);
-/** Another life of the target has answered. */
+/** Another target answers at the address: nothing of the one that we ordered is left. */
 void dks_ltarget_note_replaced (dks_ltarget_t *target);
 
 /* leased_runs.c */
