--- a/core/leased.c
+++ b/core/leased.c
@@ -22,6 +22,7 @@
 
   leased->r = r;
   leased->metrics = dks_metrics_create ();
+  dks_leased_addresses_init (leased);
   dks_leased_members_init (leased);
   dks_leased_estimate_init (leased);
   dks_leased_speeds_init (leased);
@@ -46,6 +47,7 @@
   dks_leased_estimate_clear (leased);
   dks_leased_feed_clear (leased);
   dks_leased_members_clear (leased);
+  dks_leased_addresses_clear (leased);
   dks_metrics_destroy (leased->metrics);
   free (leased);
 }
@@ -78,7 +80,7 @@
       dks_leased_members_handle_status (leased, peer, msg);
       break;
     case DKS_MSG_ADDRESSES:
-      dks_leased_members_handle_addresses (leased, msg);
+      dks_leased_addresses_handle_msg (leased, peer, msg);
       break;
     case DKS_MSG_WORK:
       dks_leased_jobs_handle_work (leased, from, msg);
@@ -101,6 +103,9 @@
     case DKS_MSG_RECORD:
       handle_catalog_record (leased, from, msg);
       break;
+    case DKS_MSG_RECORD_ASK:
+      dks_leased_feed_handle_record_ask (leased, from, msg);
+      break;
     default:
       dks_emit_log (leased->r, DKS_LOG_WARNING, "event=unexpected-message peer=%s type=%s", from,
                     dks_msg_name (msg->type));
@@ -169,7 +174,7 @@
       break;
     case DKS_EVENT_CONFIG:
       leased->r->config.remote_factor = event->u.config.config->remote_factor;
-      dks_leased_members_add_seeds (leased, event->u.config.config);
+      dks_leased_addresses_add_seeds (leased, event->u.config.config);
       break;
     case DKS_EVENT_SUBMIT:
       refuse_submission (leased, event->u.submit.caller, event->u.submit.submission->key);
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -14,7 +14,11 @@
   TARGETS_WATCH_PAUSE_US = 400000,
   READ_TIMEOUT_MS = 1500, /* answers take some ms, and some hundred ms while the store is slow */
   RETRY_DELAY_MIN_US = 150000,
-  RETRY_DELAY_MAX_US = 1200000
+  RETRY_DELAY_MAX_US = 1200000,
+  /* From the moment at which a peer has a record that is missing here until it is asked for: the
+     platform delivers it to most instances by then. */
+  FETCH_DELAY_US = 250000,
+  FETCH_INTERVAL_US = 700000 /* until another peer is asked */
 };
 
 static const char *
@@ -123,9 +127,8 @@
   dks_catalog_unref (leased->catalog);
   dks_blob_unref (leased->catalog_record);
   leased->catalog = dks_catalog_ref (catalog);
-  leased->catalog_record = dks_catalog_encode (catalog);
+  leased->catalog_record = NULL;
   dks_counter_increment (&leased->r->counters, DKS_COUNTER_SETTINGS_APPLIED);
-  dks_leased_members_send_catalog (leased);
   dks_leased_members_notify_all (leased);
 }
 
@@ -150,6 +153,98 @@
   dks_leased_leader_update (leased);
 }
 
+/* Records of peers */
+
+/* Whether the peer has what this instance lacks. */
+static bool
+peer_has (const dks_leased_t *leased, const dks_leased_peer_t *peer, dks_feed_t which)
+{
+  int64_t version = leased->catalog != NULL ? leased->catalog->version : 0;
+
+  return which == DKS_FEED_CATALOG ? peer->catalog_version > version
+                                   : peer->knows_targets && !dks_leased_feed_knows_targets (leased);
+}
+
+/* The peer to ask: one that was not asked last, then one of the own data centre, then its leader,
+ * which is the most likely to be up to date. NULL: no peer has it. */
+static const dks_leased_peer_t *
+choose_source (const dks_leased_t *leased, dks_feed_t which, const char *asked_peer)
+{
+  const dks_leased_peer_t *peer;
+  const dks_leased_peer_t *best = NULL;
+  int best_rank = -1;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      int rank = 4 * (strcmp (peer->id, asked_peer) != 0)
+                 + 2 * dks_leased_peer_is_local (leased, peer) + (peer->term > 0);
+
+      if (rank <= best_rank || !dks_leased_peer_is_alive (leased, peer)
+          || !peer_has (leased, peer, which))
+        continue;
+      best = peer;
+      best_rank = rank;
+    }
+  return best;
+}
+
+static void
+fetch_from_peer (dks_leased_t *leased, dks_feed_t which, dks_leased_fetch_t *fetch)
+{
+  const dks_leased_peer_t *peer = choose_source (leased, which, fetch->asked_peer);
+  int64_t now_us = leased->r->now.mono_us;
+  dks_msg_t *msg;
+
+  if (peer == NULL)
+    {
+      *fetch = (dks_leased_fetch_t){ 0 };
+      return;
+    }
+  if (fetch->missing_since_us == 0)
+    fetch->missing_since_us = now_us;
+  if (now_us - fetch->missing_since_us < FETCH_DELAY_US
+      || (fetch->asked_us > 0 && now_us - fetch->asked_us < FETCH_INTERVAL_US))
+    return;
+  fetch->asked_us = now_us;
+  dks_strcpy (fetch->asked_peer, sizeof (fetch->asked_peer), peer->id);
+  msg = dks_msg_create (DKS_MSG_RECORD_ASK);
+  dks_strcpy (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), feed_name (which));
+  dks_emit_peer (leased->r, peer->id, msg);
+}
+
+void
+dks_leased_feed_fetch_from_peers (dks_leased_t *leased)
+{
+  fetch_from_peer (leased, DKS_FEED_CATALOG, &leased->catalog_fetch);
+  fetch_from_peer (leased, DKS_FEED_TARGETS, &leased->targets_fetch);
+}
+
+static void
+send_catalog (dks_leased_t *leased, const char *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_RECORD);
+
+  if (leased->catalog_record == NULL)
+    leased->catalog_record = dks_catalog_encode (leased->catalog);
+  dks_strcpy (msg->u.record.key, sizeof (msg->u.record.key), feed_name (DKS_FEED_CATALOG));
+  msg->u.record.version = leased->catalog->version;
+  msg->u.record.value = dks_blob_ref (leased->catalog_record);
+  dks_emit_peer (leased->r, peer, msg);
+}
+
+void
+dks_leased_feed_handle_record_ask (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
+{
+  const char *key = msg->u.record_ask.key;
+
+  if (leased->catalog != NULL && strcmp (key, feed_name (DKS_FEED_TARGETS)) != 0)
+    send_catalog (leased, from);
+  if (dks_leased_feed_knows_targets (leased) && strcmp (key, feed_name (DKS_FEED_CATALOG)) != 0)
+    dks_leased_targets_send_list (leased, from);
+}
+
+/* Items of the platform */
+
 static void
 handle_item (dks_leased_t *leased, dks_feed_t which, const dks_feed_item_t *item)
 {
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -151,7 +151,9 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (dks_leased_peer_is_alive (leased, peer) && peer->lag_us < min_lag_us)
+      /* The lag of a status that is sent rarely may be outdated. */
+      if (dks_leased_peer_is_alive (leased, peer) && dks_leased_peer_sends_fast (peer)
+          && peer->lag_us < min_lag_us)
         min_lag_us = peer->lag_us;
     }
   if (leased->term > 0 && min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US)
@@ -220,6 +222,7 @@
 {
   int64_t now_us = leased->r->now.mono_us;
   uint32_t alive_count = dks_leased_members_count_alive (leased);
+  uint32_t address_count = dks_leased_addresses_count_recent (leased);
   int64_t quiet_since_us = leased->last_join_us > leased->listening_since_us
                                ? leased->last_join_us
                                : leased->listening_since_us;
@@ -227,11 +230,9 @@
   if (now_us - leased->listening_since_us >= DISCOVERY_MAX_US)
     return true;
   /* All other instances have reported that they do not lead, so no leader's status is awaited. */
-  if (leased->address_count > 0 && alive_count >= leased->address_count
-      && !has_better_candidate (leased, false))
+  if (address_count > 0 && alive_count >= address_count && !has_better_candidate (leased, false))
     return true;
-  if (2 * alive_count < leased->address_count
-      && now_us - leased->listening_since_us < MINORITY_WAIT_US)
+  if (2 * alive_count < address_count && now_us - leased->listening_since_us < MINORITY_WAIT_US)
     return false;
   return now_us - quiet_since_us >= JOIN_QUIET_US;
 }
@@ -299,6 +300,7 @@
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
       && may_lead (leased))
     start_leading (leased, leader != NULL);
+  leased->leader_known = leased->term > 0 || find_leading_peer (leased) != NULL;
   dks_leased_entry_resubmit (leased);
 }
 
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -1,7 +1,6 @@
 #include "core/leased.h"
 
 #include "common/alloc.h"
-#include "common/hash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -9,15 +8,25 @@
 
 enum
 {
-  HEARTBEAT_INTERVAL_US = 100000, /* six are missed before SILENCE_TIMEOUT_US has passed */
-  STATUS_MIN_INTERVAL_US = 5000,  /* least time between two statuses about changes */
+  /* Between two statuses of instances that need each other: a leader and its data centre, two
+     leaders, and all instances of a data centre without a leader. Six are missed before
+     SILENCE_TIMEOUT_US has passed. */
+  FAST_INTERVAL_US = 100000,
+  LOCAL_INTERVAL_US = 200000,    /* of other instances of one data centre */
+  REMOTE_INTERVAL_US = 1000000,  /* of other instances of two data centres */
+  STATUS_MIN_INTERVAL_US = 5000, /* least time between two statuses about changes */
+  /* A change of the free capacity by less tasks than this, and by less than a quarter, waits for
+     the next status that is due anyway. */
+  CAPACITY_CHANGE_MIN_TASKS = 4,
   /* An instance without a message for this long counts as lost. Shorter than a lease, so that a
      successor can adopt the runs of a lost leader. */
   SILENCE_TIMEOUT_US = 600000,
-  /* A connection without a message for this long is closed: it may stay silent for ever while new
-     ones work. */
-  CLOSE_TIMEOUT_US = 1500000,
-  DIAL_INTERVAL_US = 10000000,      /* between two attempts to connect to all known addresses */
+  /* Intervals without a status after which an instance counts as lost that sends them rarely. */
+  SILENT_INTERVALS = 3,
+  SILENCE_MARGIN_US = 200000, /* added to SILENT_INTERVALS for delay on the way */
+  /* From the loss of an instance to the end of its connection, which may stay silent for ever while
+     new ones work. */
+  CLOSE_DELAY_US = 900000,
   LOST_PEER_RETENTION_US = 20000000 /* a lost instance is forgotten after this */
 };
 
@@ -34,11 +43,26 @@
   return NULL;
 }
 
+bool
+dks_leased_peer_sends_fast (const dks_leased_peer_t *peer)
+{
+  return peer->interval_us <= FAST_INTERVAL_US;
+}
+
+/* Time without a message after which the peer counts as lost. */
+static int64_t
+silence_timeout_us (const dks_leased_peer_t *peer)
+{
+  return dks_leased_peer_sends_fast (peer)
+             ? SILENCE_TIMEOUT_US
+             : SILENT_INTERVALS * peer->interval_us + SILENCE_MARGIN_US;
+}
+
 bool
 dks_leased_peer_is_alive (const dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
   return peer->connected && peer->status_received
-         && leased->r->now.mono_us - peer->last_message_us < SILENCE_TIMEOUT_US;
+         && leased->r->now.mono_us - peer->last_message_us < silence_timeout_us (peer);
 }
 
 uint32_t
@@ -54,58 +78,112 @@
 
 /* Status */
 
+/* Longest time between two statuses to the peer. */
+static int64_t
+status_interval_us (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  bool is_local = dks_leased_peer_is_local (leased, peer);
+
+  /* A peer that has stated no interval takes the silence of a few fast ones for a loss. */
+  if (peer->interval_us == 0)
+    return FAST_INTERVAL_US;
+  if (!is_local)
+    return leased->term > 0 && peer->term > 0 ? FAST_INTERVAL_US : REMOTE_INTERVAL_US;
+  return leased->term > 0 || peer->term > 0 || !leased->leader_known ? FAST_INTERVAL_US
+                                                                     : LOCAL_INTERVAL_US;
+}
+
+/* Computes the free capacity that statuses state. A draining leader without a successor states
+ * none, so that it gets no more lent tasks and can finish. */
 static void
-send_status (dks_leased_t *leased, const char *peer)
+update_capacity (dks_leased_t *leased)
 {
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_LEASED_STATUS);
   double slowness;
 
+  leased->capacity = (dks_leased_capacity_t){ 0 };
+  if (leased->term == 0 || leased->drain_start_us > 0)
+    return;
+  leased->capacity.free_tasks = dks_leased_targets_free_tasks (leased);
+  leased->capacity.free_fast_tasks = dks_leased_targets_free_fast_tasks (leased, &slowness);
+  if (leased->capacity.free_fast_tasks > 0)
+    leased->capacity.fast_slowness_milli = (uint32_t)(1000 * slowness);
+}
+
+static bool
+is_clear_change (uint32_t before, uint32_t after)
+{
+  uint32_t change = before > after ? before - after : after - before;
+
+  if ((before == 0) != (after == 0))
+    return true;
+  return change >= CAPACITY_CHANGE_MIN_TASKS && 4 * change >= before;
+}
+
+/* Whether other leaders would lend other tasks if they knew the present free capacity. */
+static bool
+capacity_has_changed (const dks_leased_t *leased)
+{
+  return is_clear_change (leased->stated_capacity.free_tasks, leased->capacity.free_tasks)
+         || is_clear_change (leased->stated_capacity.free_fast_tasks,
+                             leased->capacity.free_fast_tasks);
+}
+
+/* States the capacity that update_capacity() has computed. */
+static void
+send_status (dks_leased_t *leased, dks_leased_peer_t *peer)
+{
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_LEASED_STATUS);
+  int64_t interval_us = status_interval_us (leased, peer);
+
   msg->u.leased_status.term = leased->term;
   msg->u.leased_status.started_ms = leased->started_ms;
   msg->u.leased_status.catalog_version = leased->catalog != NULL ? leased->catalog->version : 0;
-  /* A draining leader without a successor reports no free capacity, so that it gets no more lent
-   * tasks and can finish. */
-  if (leased->term > 0 && leased->drain_start_us == 0)
-    {
-      msg->u.leased_status.free_tasks = dks_leased_targets_free_tasks (leased);
-      msg->u.leased_status.free_fast_tasks = dks_leased_targets_free_fast_tasks (leased, &slowness);
-      if (msg->u.leased_status.free_fast_tasks > 0)
-        msg->u.leased_status.fast_slowness_milli = (uint32_t)(1000 * slowness);
-    }
+  msg->u.leased_status.free_tasks = leased->capacity.free_tasks;
+  msg->u.leased_status.free_fast_tasks = leased->capacity.free_fast_tasks;
+  msg->u.leased_status.fast_slowness_milli = leased->capacity.fast_slowness_milli;
   msg->u.leased_status.sent_us = leased->r->now.mono_us;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.processor_milli = leased->r->config.processor_milli;
   msg->u.leased_status.draining = leased->drain_start_us > 0;
   msg->u.leased_status.yields_leadership = leased->term > 0 && leased->yields_leadership;
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
-  dks_emit_peer (leased->r, peer, msg);
+  msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
+  msg->u.leased_status.address_digest = leased->address_digest;
+  peer->next_status_us = leased->r->now.mono_us + interval_us;
+  peer->stated_interval_us = interval_us;
+  dks_emit_peer (leased->r, peer->id, msg);
 }
 
-/* Between two heartbeats, changes of the free capacity are sent to other leaders only. */
+/* Sends the statuses that are due. Clear changes of the free capacity are sent to other leaders
+ * only.
+ */
 static void
 send_status_to_peers (dks_leased_t *leased)
 {
   int64_t time_us = leased->r->now.mono_us;
-  bool to_all =
-      leased->status_due_to_all || time_us - leased->last_heartbeat_us >= HEARTBEAT_INTERVAL_US;
+  bool to_all = leased->status_due_to_all;
+  bool to_leaders;
   dks_leased_peer_t *peer;
 
+  update_capacity (leased);
+  to_leaders = leased->status_due_to_leaders && capacity_has_changed (leased);
+  if (to_leaders || to_all)
+    leased->stated_capacity = leased->capacity;
   leased->status_due_to_leaders = false;
   leased->status_due_to_all = false;
   leased->last_status_us = time_us;
-  if (to_all)
-    leased->last_heartbeat_us = time_us;
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (peer->connected && (to_all || peer->term > 0))
-        send_status (leased, peer->id);
+      if (peer->connected
+          && (to_all || (to_leaders && peer->term > 0) || time_us >= peer->next_status_us))
+        send_status (leased, peer);
     }
 }
 
 static void
 schedule_status (dks_leased_t *leased)
 {
-  int64_t at_us = leased->last_heartbeat_us + HEARTBEAT_INTERVAL_US;
+  int64_t at_us = leased->last_status_us + FAST_INTERVAL_US;
 
   if ((leased->status_due_to_leaders || leased->status_due_to_all)
       && leased->last_status_us + STATUS_MIN_INTERVAL_US < at_us)
@@ -136,7 +214,9 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (peer->connected && leased->r->now.mono_us - peer->last_message_us >= CLOSE_TIMEOUT_US)
+      if (peer->connected
+          && leased->r->now.mono_us - peer->last_message_us
+                 >= silence_timeout_us (peer) + CLOSE_DELAY_US)
         {
           dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_PEER_CLOSE);
 
@@ -151,36 +231,17 @@
     }
 }
 
-static void
-dial (dks_leased_t *leased, const char *address)
-{
-  dks_effect_t *effect = dks_effects_add (leased->r->effects, DKS_EFFECT_PEER_CONNECT);
-
-  dks_strcpy (effect->u.peer_connect.address, sizeof (effect->u.peer_connect.address), address);
-}
-
-/* Asks the host to connect to all known addresses again, since it gives up those that do not
- * answer. */
-static void
-dial_all (dks_leased_t *leased, int64_t now_us)
-{
-  if (leased->last_dial_us > 0 && now_us - leased->last_dial_us < DIAL_INTERVAL_US)
-    return;
-  leased->last_dial_us = now_us;
-  for (uint32_t i = 0; i < leased->address_count && i < DKS_MEMBERS_MAX; i++)
-    dial (leased, leased->addresses[i]);
-}
-
 static void
 handle_status_timer (void *context, int64_t now_us)
 {
   dks_leased_t *leased = context;
 
-  dial_all (leased, now_us);
+  dks_leased_addresses_tick (leased);
   check_silent_peers (leased);
   dks_leased_leader_check_lag (leased);
   drop_lost_peers (leased);
   dks_leased_leader_update (leased);
+  dks_leased_feed_fetch_from_peers (leased);
   send_status_to_peers (leased);
   schedule_status (leased);
 }
@@ -201,90 +262,6 @@
   schedule_status (leased);
 }
 
-void
-dks_leased_members_send_catalog (dks_leased_t *leased)
-{
-  dks_leased_peer_t *peer;
-
-  if (leased->catalog == NULL)
-    return;
-  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
-    {
-      dks_msg_t *msg;
-
-      if (!peer->connected || !peer->status_received
-          || peer->catalog_version >= leased->catalog->version
-          || peer->catalog_sent_version >= leased->catalog->version)
-        continue;
-      peer->catalog_sent_version = leased->catalog->version;
-      msg = dks_msg_create (DKS_MSG_RECORD);
-      dks_strcpy (msg->u.record.key, sizeof (msg->u.record.key), "catalog");
-      msg->u.record.version = leased->catalog->version;
-      msg->u.record.value = dks_blob_ref (leased->catalog_record);
-      dks_emit_peer (leased->r, peer->id, msg);
-    }
-}
-
-/* Addresses */
-
-static bool
-add_address (dks_leased_t *leased, const char *address)
-{
-  if (strcmp (address, leased->r->config.address) == 0)
-    return false;
-  for (uint32_t i = 0; i < leased->address_count && i < DKS_MEMBERS_MAX; i++)
-    {
-      if (strcmp (leased->addresses[i], address) == 0)
-        return false;
-    }
-  /* When the list is full, the oldest entry is overwritten; the host gives up an address that does
-   * not answer by itself. */
-  dks_strcpy (leased->addresses[leased->address_count % DKS_MEMBERS_MAX], DKS_ADDRESS_SIZE,
-              address);
-  leased->address_count++;
-  dial (leased, address);
-  return true;
-}
-
-static void
-send_addresses (dks_leased_t *leased, const char *peer)
-{
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_ADDRESSES);
-  uint32_t count =
-      leased->address_count < DKS_MEMBERS_MAX ? leased->address_count : (uint32_t)DKS_MEMBERS_MAX;
-
-  msg->u.addresses.count = count + 1;
-  msg->u.addresses.items = dks_alloc ((count + 1) * sizeof (msg->u.addresses.items[0]));
-  dks_strcpy (msg->u.addresses.items[0], DKS_ADDRESS_SIZE, leased->r->config.address);
-  for (uint32_t i = 0; i < count; i++)
-    dks_strcpy (msg->u.addresses.items[i + 1], DKS_ADDRESS_SIZE, leased->addresses[i]);
-  dks_emit_peer (leased->r, peer, msg);
-}
-
-void
-dks_leased_members_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg)
-{
-  bool added = false;
-  dks_leased_peer_t *peer;
-
-  for (uint32_t i = 0; i < msg->u.addresses.count; i++)
-    added |= add_address (leased, msg->u.addresses.items[i]);
-  if (!added)
-    return;
-  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
-    {
-      if (peer->connected)
-        send_addresses (leased, peer->id);
-    }
-}
-
-void
-dks_leased_members_add_seeds (dks_leased_t *leased, const dks_config_t *config)
-{
-  for (size_t i = 0; i < config->seed_address_count; i++)
-    add_address (leased, config->seed_addresses[i]);
-}
-
 /* Connections */
 
 void
@@ -302,13 +279,13 @@
   peer->connected = true;
   peer->status_received = false;
   peer->term = 0;
-  peer->catalog_sent_version = 0;
-  peer->targets_sent = false;
+  peer->interval_us = 0;
   peer->last_message_us = leased->r->now.mono_us;
   peer->connected_us = leased->r->now.mono_us;
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
-  send_status (leased, id);
-  send_addresses (leased, id);
+  dks_leased_addresses_handle_up (leased, peer);
+  update_capacity (leased);
+  send_status (leased, peer);
 }
 
 void
@@ -322,6 +299,7 @@
   peer->connected = false;
   peer->status_received = false;
   peer->term = 0;
+  dks_leased_addresses_handle_down (leased, peer);
   dks_leased_jobs_handle_peer_lost (leased, id);
   dks_leased_leader_update (leased);
 }
@@ -375,11 +353,9 @@
   peer->draining = msg->u.leased_status.draining;
   peer->yields_leadership = msg->u.leased_status.yields_leadership;
   peer->knows_targets = msg->u.leased_status.knows_targets;
-  if (!peer->knows_targets && !peer->targets_sent && dks_leased_feed_knows_targets (leased))
-    {
-      peer->targets_sent = true;
-      dks_leased_targets_send_list (leased, peer->id);
-    }
+  peer->interval_us = INT64_C (1000) * msg->u.leased_status.interval_ms;
+  peer->address_digest = msg->u.leased_status.address_digest;
+  dks_leased_addresses_handle_digest (leased, peer);
   if (dks_leased_peer_is_local (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
   if (is_new)
@@ -388,7 +364,13 @@
     dks_leased_speeds_publish_all (leased);
   if (changed)
     dks_leased_leader_update (leased);
-  dks_leased_members_send_catalog (leased);
+  /* The peer takes the interval in the latest status for the time in which silence shows a loss, so
+     a shorter one has to be stated before any tasks are lent. */
+  if (status_interval_us (leased, peer) < peer->stated_interval_us)
+    {
+      update_capacity (leased);
+      send_status (leased, peer);
+    }
   if ((peer->free_tasks > 0 && leased->waiting_tasks > 0) || leased->remote_lost_tasks > 0)
     leased->placement_due = true;
 }
@@ -396,17 +378,11 @@
 void
 dks_leased_members_init (dks_leased_t *leased)
 {
-  const dks_config_t *config = &leased->r->config;
-
   APR_RING_INIT (&leased->peers, dks_leased_peer_t, link);
   leased->started_ms = leased->r->now.wall_ms;
   leased->listening_since_us = leased->r->now.mono_us;
   dks_timer_init (&leased->status_timer, handle_status_timer, leased);
   dks_timer_set (leased->r->timers, &leased->status_timer, leased->r->now.mono_us);
-  for (size_t i = 0; i < config->seed_address_count; i++)
-    if (strcmp (config->seed_addresses[i], config->address) != 0)
-      dks_strcpy (leased->addresses[leased->address_count++], DKS_ADDRESS_SIZE,
-                  config->seed_addresses[i]);
 }
 
 void
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -48,6 +48,22 @@
 typedef struct dks_leased_caller_t dks_leased_caller_t;
 typedef struct dks_leased_request_t dks_leased_request_t;
 
+/** An address at which another instance is or was, or a seed. */
+typedef struct dks_leased_address_t dks_leased_address_t;
+
+struct dks_leased_address_t
+{
+  APR_RING_ENTRY (dks_leased_address_t) link;
+  char text[DKS_ADDRESS_SIZE];
+  bool is_seed;      /**< from the settings; it is never dropped */
+  uint64_t sequence; /**< rises with each address that becomes known to be that of an instance; 0:
+                        a seed that no instance has confirmed yet */
+  uint32_t connections; /**< peers that are connected and have stated this address */
+  int64_t last_seen_us; /**< when an instance there was last known to be connected */
+  int64_t next_dial_us;
+};
+APR_RING_HEAD (dks_leased_address_ring_t, dks_leased_address_t);
+
 /** Another instance. */
 struct dks_leased_peer_t
 {
@@ -60,20 +76,24 @@
   uint64_t term;           /**< of its leadership of its data centre, 0: it does not lead */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
-  int64_t catalog_sent_version; /**< version that was sent to it on this connection, 0: none */
-  uint32_t processor_milli;     /**< processor time that it may use, thousandths of a processor */
-  int64_t last_leading_us;      /**< when a status last said that it leads, 0: never */
-  int64_t term_received_us;     /**< when a status last changed `term` */
-  int64_t connected_us;         /**< when the connection began */
-  int64_t min_clock_diff_us;    /**< least receipt time less sending time of its statuses */
+  uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
+  int64_t last_leading_us;   /**< when a status last said that it leads, 0: never */
+  int64_t term_received_us;  /**< when a status last changed `term` */
+  int64_t connected_us;      /**< when the connection began */
+  int64_t min_clock_diff_us; /**< least receipt time less sending time of its statuses */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
   bool draining;
   bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
-  bool targets_sent;        /**< the list of targets was sent on this connection */
-  uint32_t free_tasks;      /**< tasks that fit there: latest status, less what was lent since */
-  uint32_t free_fast_tasks; /**< likewise, on about its fastest targets with free capacity */
-  double fast_slowness;     /**< of its fastest targets with free capacity, by the latest status */
+  dks_leased_address_t *address; /**< as it has stated, NULL: not yet */
+  uint64_t address_digest;       /**< of the addresses that it knows, by its latest status */
+  uint64_t addresses_sent;       /**< `sequence` up to which addresses were sent to it */
+  int64_t interval_us; /**< within which it sends its next status, as stated; 0: not stated */
+  int64_t stated_interval_us; /**< interval that the latest status to it stated */
+  int64_t next_status_us;     /**< when the next status to it is due */
+  uint32_t free_tasks;        /**< tasks that fit there: latest status, less what was lent since */
+  uint32_t free_fast_tasks;   /**< likewise, on about its fastest targets with free capacity */
+  double fast_slowness; /**< of its fastest targets with free capacity, by the latest status */
 
   uint32_t waiting_tasks; /**< tasks that wait there for free capacity, by the latest status */
 };
@@ -289,6 +309,22 @@
   dks_timer_t timer;
 } dks_leased_feed_t;
 
+/** Free capacity of the targets of this leader; all 0 when this instance does not lead. */
+typedef struct
+{
+  uint32_t free_tasks;      /**< tasks of mean size that fit now */
+  uint32_t free_fast_tasks; /**< likewise, on about the fastest targets that have free capacity */
+  uint32_t fast_slowness_milli; /**< slowness of those, thousandths */
+} dks_leased_capacity_t;
+
+/** Request of a record from a peer that has it, while the platform has not delivered it. */
+typedef struct
+{
+  int64_t missing_since_us; /**< when a peer was first known to have it, 0: it is not missing */
+  int64_t asked_us;         /**< when a peer was last asked, 0: not yet */
+  char asked_peer[DKS_NAME_SIZE];
+} dks_leased_fetch_t;
+
 struct dks_leased_t
 {
   dks_reducer_t *r;
@@ -301,22 +337,33 @@
   int64_t last_join_us;       /**< when an instance last became known by its first status */
   int64_t last_event_us;      /**< time of the latest event */
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
-  bool yields_leadership;     /**< this instance leads, and offers to hand over to a larger one */
-  uint64_t highest_term;      /**< highest term known, raised when fenced; a new term is above it */
-  int64_t last_fenced_us;     /**< when a target last rejected the fencing token, 0 for never */
-  bool status_due_to_leaders; /**< a status is due to other leaders, as free capacity changed */
-  bool status_due_to_all;     /**< a status is due to all peers */
-  int64_t last_status_us;     /**< when a status was last sent to any peer */
-  int64_t last_heartbeat_us;  /**< when a status was last sent to all peers */
+  bool leader_known;      /**< a leader of the data centre is known, which may be this instance */
+  bool yields_leadership; /**< this instance leads, and offers to hand over to a larger one */
+  uint64_t highest_term;  /**< highest term known, raised when fenced; a new term is above it */
+  int64_t last_fenced_us; /**< when a target last rejected the fencing token, 0 for never */
+  bool status_due_to_leaders;     /**< a status is due to other leaders, as free capacity changed */
+  bool status_due_to_all;         /**< a status is due to all peers */
+  int64_t last_status_us;         /**< when a status was last sent to any peer */
+  dks_leased_capacity_t capacity; /**< as last computed, for statuses */
+  dks_leased_capacity_t stated_capacity; /**< as last sent to all other leaders at once */
   dks_timer_t status_timer;
-  char addresses[DKS_MEMBERS_MAX][DKS_ADDRESS_SIZE]; /**< peer addresses to connect to */
+
+  /* leased_addresses.c */
+  struct dks_leased_address_ring_t addresses;
+  apr_hash_t *addresses_by_text;
   uint32_t address_count;
-  int64_t last_dial_us; /**< when the host was last asked to connect to all `addresses` */
+  uint64_t address_sequence;      /**< of the latest address */
+  uint64_t address_digest;        /**< of the own address and those with a sequence */
+  int64_t last_address_reject_us; /**< when an address was last rejected in the log, 0: never */
+  int64_t last_address_repair_us; /**< when a peer was last sent all addresses again */
+  dks_timer_t announce_timer;     /**< armed while peers may lack addresses */
 
   /* leased_feed.c */
   dks_leased_feed_t feeds[DKS_FEED_COUNT];
-  dks_catalog_t *catalog; /**< in force, NULL before the first */
-  dks_blob_t *catalog_record;
+  dks_catalog_t *catalog;           /**< in force, NULL before the first */
+  dks_blob_t *catalog_record;       /**< `catalog` encoded for peers, NULL: not asked for yet */
+  dks_leased_fetch_t catalog_fetch; /**< of a newer configuration from a peer */
+  dks_leased_fetch_t targets_fetch; /**< of the list of targets from a peer */
 
   /* leased_targets.c */
   struct dks_leased_target_ring_t targets;
@@ -392,6 +439,8 @@
 void dks_leased_members_init (dks_leased_t *leased);
 void dks_leased_members_clear (dks_leased_t *leased);
 dks_leased_peer_t *dks_leased_peer_find (const dks_leased_t *leased, const char *id);
+/** Whether the peer sends a status as often as any two instances do that need each other. */
+bool dks_leased_peer_sends_fast (const dks_leased_peer_t *peer);
 /** Number of other instances that are alive. */
 uint32_t dks_leased_members_count_alive (const dks_leased_t *leased);
 /** Whether the peer is connected, has sent a status, and its last message is recent. */
@@ -403,18 +452,31 @@
 void dks_leased_members_handle_down (dks_leased_t *leased, const char *id);
 void dks_leased_members_handle_status (dks_leased_t *leased, dks_leased_peer_t *peer,
                                        const dks_msg_t *msg);
-void dks_leased_members_handle_addresses (dks_leased_t *leased, const dks_msg_t *msg);
-/** Connects to the seed addresses in `config` that were not known yet. */
-void dks_leased_members_add_seeds (dks_leased_t *leased, const dks_config_t *config);
 /** Sends a status to the other leaders soon, since the free capacity has changed. */
 void dks_leased_members_notify_leaders (dks_leased_t *leased);
 /** Sends a status to all peers soon, since this instance begins or stops to lead, or drains. */
 void dks_leased_members_notify_all (dks_leased_t *leased);
-/** Sends the configuration in force to peers that have an older one. */
-void dks_leased_members_send_catalog (dks_leased_t *leased);
 /** Sends the list of targets to a peer that cannot read it. */
 void dks_leased_targets_send_list (dks_leased_t *leased, const char *peer);
 
+/* leased_addresses.c */
+void dks_leased_addresses_init (dks_leased_t *leased);
+void dks_leased_addresses_clear (dks_leased_t *leased);
+/** Adds the seed addresses in `config` that were not known yet. */
+void dks_leased_addresses_add_seeds (dks_leased_t *leased, const dks_config_t *config);
+/** Sends the own address to a peer that has connected, and soon those that it does not know. */
+void dks_leased_addresses_handle_up (dks_leased_t *leased, dks_leased_peer_t *peer);
+/** Forgets which address the peer has stated, since its connection has ended. */
+void dks_leased_addresses_handle_down (dks_leased_t *leased, dks_leased_peer_t *peer);
+void dks_leased_addresses_handle_msg (dks_leased_t *leased, dks_leased_peer_t *peer,
+                                      const dks_msg_t *msg);
+/** Has the peer sent all addresses again when its latest status shows that it lacks some. */
+void dks_leased_addresses_handle_digest (dks_leased_t *leased, dks_leased_peer_t *peer);
+/** Connects to known addresses, and drops those of instances that are gone. */
+void dks_leased_addresses_tick (dks_leased_t *leased);
+/** Number of other instances that are likely to run: seen lately, or seeds not yet heard of. */
+uint32_t dks_leased_addresses_count_recent (const dks_leased_t *leased);
+
 /* leased_leader.c */
 /** Member id of the leader of the data centre, which may be this instance; NULL: none is known. */
 const char *dks_leased_leader_id (const dks_leased_t *leased);
@@ -438,6 +500,11 @@
 void dks_leased_feed_handle_event (dks_leased_t *leased, const dks_event_t *event);
 /** Whether the list of targets is known, from the platform or from a peer. */
 bool dks_leased_feed_knows_targets (const dks_leased_t *leased);
+/** Asks peers for what they have and the platform has not delivered for a while. */
+void dks_leased_feed_fetch_from_peers (dks_leased_t *leased);
+/** Sends a peer the records that it asks for. */
+void
+dks_leased_feed_handle_record_ask (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Uses a peer's list of targets as long as the platform's has not been read. */
 void dks_leased_feed_handle_targets (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Puts the catalog in force, unless the version in force is as new or newer. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -30,7 +30,7 @@
   DKS_MSG_RUN_DONE,      /**< lender -> borrower: outcome of RUN */
   DKS_MSG_RUN_ABORT,     /**< borrower -> lender: the result of RUN is no longer needed */
   DKS_MSG_RECORD,        /**< a platform record (settings or a view) with its version */
-  DKS_MSG_RECORD_ASK,    /**< requests all records of a peer */
+  DKS_MSG_RECORD_ASK,    /**< requests one record of a peer, or all */
   DKS_MSG_LEASED_STATUS, /**< heartbeat of instances whose targets run under leases */
   DKS_MSG_ADDRESSES,     /**< peer addresses of other instances that the sender knows */
   DKS_MSG_WORK, /**< entry -> leader: a batch; leader -> leader: lent tasks that are to start at
@@ -58,6 +58,13 @@
 
 } dks_lent_result_t;
 
+/** Address of an instance, as another one knows it. */
+typedef struct
+{
+  char text[DKS_ADDRESS_SIZE]; /**< IP:port */
+  uint32_t unseen_s; /**< time since an instance there was last known to be connected, seconds */
+} dks_member_address_t;
+
 /** Speed of a target, as a leader has measured it from runs. */
 typedef struct
 {
@@ -206,6 +213,10 @@
       dks_blob_t *value;
     } record;
     struct
+    {
+      char key[DKS_NAME_SIZE + 8]; /**< store key; empty: all records */
+    } record_ask;
+    struct
     {
       uint64_t term;      /**< term of the sender as leader of its data centre, 0: not the leader */
       int64_t started_ms; /**< start of the sender's process, Unix ms */
@@ -221,13 +232,15 @@
       bool draining;            /**< shutting down; the sender is no candidate for leader */
       bool knows_targets; /**< the sender knows the list of targets; otherwise it is no candidate
                              for leader */
-      bool yields_leadership; /**< leader: it will hand leadership to a clearly larger instance */
-      int64_t sent_us;        /**< monotonic time of the sender */
+      bool yields_leadership;  /**< leader: it will hand leadership to a clearly larger instance */
+      int64_t sent_us;         /**< monotonic time of the sender */
+      uint32_t interval_ms;    /**< the next status follows within this time, 0: not stated */
+      uint64_t address_digest; /**< of the addresses that the sender knows */
     } leased_status;
     struct
     {
       uint32_t count;
-      char (*items)[DKS_ADDRESS_SIZE];
+      dks_member_address_t *items; /**< the first one is that of the sender */
     } addresses;
     struct
     {
--- a/net/codec.c
+++ b/net/codec.c
@@ -370,6 +370,7 @@
 {
   Dks__RecordAsk body = DKS__RECORD_ASK__INIT;
 
+  body.key = (char *)msg->u.record_ask.key;
   wire->record_ask = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -724,7 +725,8 @@
 static int
 decode_record_ask (const Dks__PeerMessage *wire, dks_msg_t *msg)
 {
-  return DKS_OK;
+  return dks_codec_copy_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key),
+                              wire->record_ask->key);
 }
 
 /* Codecs of all messages but the hello, indexed by dks_msg_type_t. */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -37,6 +37,8 @@
   body.knows_targets = msg->u.leased_status.knows_targets;
   body.yields = msg->u.leased_status.yields_leadership;
   body.sent_us = msg->u.leased_status.sent_us;
+  body.interval_ms = msg->u.leased_status.interval_ms;
+  body.address_digest = msg->u.leased_status.address_digest;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -49,10 +51,16 @@
 
   body.n_items = count;
   body.items = dks_alloc ((count + 1) * sizeof (body.items[0]));
+  body.n_unseen_s = count;
+  body.unseen_s = dks_alloc ((count + 1) * sizeof (body.unseen_s[0]));
   for (uint32_t i = 0; i < count; i++)
-    body.items[i] = msg->u.addresses.items[i];
+    {
+      body.items[i] = msg->u.addresses.items[i].text;
+      body.unseen_s[i] = msg->u.addresses.items[i].unseen_s;
+    }
   wire->addresses = &body;
   dks_codec_pack (wire, frame, len);
+  free (body.unseen_s);
   free (body.items);
 }
 
@@ -245,6 +253,8 @@
   msg->u.leased_status.knows_targets = body->knows_targets;
   msg->u.leased_status.yields_leadership = body->yields;
   msg->u.leased_status.sent_us = body->sent_us;
+  msg->u.leased_status.interval_ms = body->interval_ms;
+  msg->u.leased_status.address_digest = body->address_digest;
   return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
 }
 
@@ -256,10 +266,17 @@
 
   if (body->n_items > MSG_ADDRESSES_MAX)
     return DKS_ERR_TOO_LARGE;
+  if (body->n_unseen_s != 0 && body->n_unseen_s != body->n_items)
+    return DKS_ERR_INVALID;
   msg->u.addresses.count = (uint32_t)body->n_items;
   msg->u.addresses.items = dks_alloc ((body->n_items + 1) * sizeof (msg->u.addresses.items[0]));
   for (size_t i = 0; i < body->n_items && error == DKS_OK; i++)
-    error = dks_codec_copy_text (msg->u.addresses.items[i], DKS_ADDRESS_SIZE, body->items[i]);
+    {
+      dks_member_address_t *to = &msg->u.addresses.items[i];
+
+      to->unseen_s = i < body->n_unseen_s ? body->unseen_s[i] : 0;
+      error = dks_codec_copy_text (to->text, sizeof (to->text), body->items[i]);
+    }
   return error;
 }
 
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3238,9 +3238,29 @@
   (ProtobufCMessageInit) dks__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-#define dks__record_ask__field_descriptors NULL
-#define dks__record_ask__field_indices_by_name NULL
-#define dks__record_ask__number_ranges NULL
+static const ProtobufCFieldDescriptor dks__record_ask__field_descriptors[1] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dks__RecordAsk, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dks__record_ask__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+};
+static const ProtobufCIntRange dks__record_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
 const ProtobufCMessageDescriptor dks__record_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -3249,14 +3269,14 @@
   "Dks__RecordAsk",
   "dks",
   sizeof(Dks__RecordAsk),
-  0,
+  1,
   dks__record_ask__field_descriptors,
   dks__record_ask__field_indices_by_name,
-  0,  dks__record_ask__number_ranges,
+  1,  dks__record_ask__number_ranges,
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[12] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[14] =
 {
   {
     "term",
@@ -3402,13 +3422,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address_digest",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, address_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
+  13,   /* field[13] = address_digest */
   2,   /* field[2] = catalog_version */
   5,   /* field[5] = draining */
   8,   /* field[8] = fast_slowness_milli */
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
+  12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
   9,   /* field[9] = processor_milli */
   11,   /* field[11] = sent_us */
@@ -3420,7 +3466,7 @@
 static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3430,7 +3476,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  12,
+  14,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   1,  dks__leased_status__number_ranges,
@@ -3822,7 +3868,7 @@
   (ProtobufCMessageInit) dks__targets__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__addresses__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dks__addresses__field_descriptors[2] =
 {
   {
     "items",
@@ -3836,14 +3882,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unseen_s",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dks__Addresses, n_unseen_s),
+    offsetof(Dks__Addresses, unseen_s),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__addresses__field_indices_by_name[] = {
   0,   /* field[0] = items */
+  1,   /* field[1] = unseen_s */
 };
 static const ProtobufCIntRange dks__addresses__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dks__addresses__descriptor =
 {
@@ -3853,7 +3912,7 @@
   "Dks__Addresses",
   "dks",
   sizeof(Dks__Addresses),
-  1,
+  2,
   dks__addresses__field_descriptors,
   dks__addresses__field_indices_by_name,
   1,  dks__addresses__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -345,10 +345,14 @@
 struct  Dks__RecordAsk
 {
   ProtobufCMessage base;
+  /*
+   * Record that is requested; empty: all records.
+   */
+  char *key;
 };
 #define DKS__RECORD_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__record_ask__descriptor) \
-     }
+    , (char *)protobuf_c_empty_string }
 
 
 struct  Dks__LeasedStatus
@@ -366,10 +370,15 @@
   uint32_t processor_milli;
   protobuf_c_boolean yields;
   int64_t sent_us;
+  /*
+   * Time after which the sender sends the next status to this receiver at the latest.
+   */
+  uint32_t interval_ms;
+  uint64_t address_digest;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
@@ -441,15 +450,23 @@
     , 0,NULL }
 
 
+/*
+ * The first address is the sender's own.
+ */
 struct  Dks__Addresses
 {
   ProtobufCMessage base;
   size_t n_items;
   char **items;
+  /*
+   * For each address, the time since the instance there was last known to be connected.
+   */
+  size_t n_unseen_s;
+  uint32_t *unseen_s;
 };
 #define DKS__ADDRESSES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__addresses__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 struct  Dks__BatchStep
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -120,7 +120,7 @@
 
   for (size_t other = 0; other < instances.size (); other++)
     {
-      if (other != index)
+      if (other != index && config.seed_address_count < (connects_by_address ? 3 : DKS_SEEDS_MAX))
         set_text (config.seed_addresses[config.seed_address_count++],
                   sizeof (config.seed_addresses[0]), instances[other]->id);
     }
@@ -133,11 +133,31 @@
   for (size_t other = 0; other < instances.size (); other++)
     {
       if (other != index && instances[other]->up
-          && partitions.count (std::minmax (index, other)) == 0)
+          && partitions.count (std::minmax (index, other)) == 0
+          && (!connects_by_address || dialled.count ({ other, instance.id }) > 0))
         link (index, other);
     }
 }
 
+// Connects to the instance at the address, now or when it starts.
+void
+World::connect (size_t index, const std::string &address)
+{
+  if (!connects_by_address)
+    return;
+  dialled.insert ({ index, address });
+  dialled_again.insert (address);
+  schedule_at (now_us + 2 * peer_delay_us, [this, index, address] {
+    for (size_t other = 0; other < instances.size (); other++)
+      {
+        if (other != index && instances[other]->id == address && instances[other]->up
+            && instances[index]->up && !is_linked (index, other)
+            && partitions.count (std::minmax (index, other)) == 0)
+          link (index, other);
+      }
+  });
+}
+
 void
 World::start_all ()
 {
@@ -288,7 +308,13 @@
       answers[effect.u.batch_reply.caller] = { effect.u.batch_reply.answer,
                                                effect.u.batch_reply.retry_after_ms, now_us };
       break;
+    case DKS_EFFECT_PEER_CONNECT:
+      connect (index, effect.u.peer_connect.address);
+      break;
     case DKS_EFFECT_PEER_SEND:
+      sent_msgs[effect.u.peer_send.msg->type]++;
+      if (effect.u.peer_send.msg->type == DKS_MSG_ADDRESSES)
+        sent_addresses += effect.u.peer_send.msg->u.addresses.count;
       if (effect.u.peer_send.msg->type == DKS_MSG_WORK
           && effect.u.peer_send.msg->u.work.lent_count > 0)
         {
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -148,7 +148,22 @@
   // Applies the event to the instance now, and executes its effects.
   void apply (size_t instance, dks_event_t *event);
 
+  // Messages of the type that instances have sent to each other.
+  uint64_t
+  sent (dks_msg_type_t type) const
+  {
+    auto found = sent_msgs.find (type);
+
+    return found != sent_msgs.end () ? found->second : 0;
+  }
+
   int64_t now_us = 1000 * ms;
+  // Instances connect only to the addresses to which their reducers ask to connect, and know three
+  // seeds at the start; else all are connected to each other.
+  bool connects_by_address = false;
+  std::map<dks_msg_type_t, uint64_t> sent_msgs;
+  std::set<std::string> dialled_again; // addresses to which some instance tried to connect
+  uint64_t sent_addresses = 0;         // in all messages of type DKS_MSG_ADDRESSES
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Target>> targets;
   std::map<uint64_t, Answer> answers; // by number of the caller
@@ -189,6 +204,7 @@
   void execute_effect (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
   void link (size_t a, size_t b);
+  void connect (size_t instance, const std::string &address);
   void unlink (size_t a, size_t b);
   bool
   is_linked (size_t a, size_t b) const
@@ -212,6 +228,8 @@
   // Pairs of instances, the lower index first: those that are connected, and those that may not be.
   std::set<std::pair<size_t, size_t>> links;
   std::set<std::pair<size_t, size_t>> partitions;
+  // With `connects_by_address`: instances and the addresses to which they try to connect.
+  std::set<std::pair<size_t, std::string>> dialled;
   uint64_t sequence = 0;
   uint64_t next_caller = 1;
   std::map<size_t, int64_t> next_tick_us;  // by index of the instance, INT64_MAX: none scheduled
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -177,10 +177,12 @@
       msg->u.record.version = 99;
       msg->u.record.value = dks_blob_create_text ("{}");
       break;
+    case DKS_MSG_RECORD_ASK:
+      set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
+      break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = {
-        INT64_MAX, issued_ms, 17, 40, 11, 870, 3, 120, true, true, true, 77
-      };
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17,   40,   11, 870, 3,
+                               120,       true,      true, true, 77, 200, UINT64_MAX };
       break;
     case DKS_MSG_TARGETS:
       msg->u.targets.count = 2;
@@ -205,9 +207,9 @@
     case DKS_MSG_ADDRESSES:
       msg->u.addresses.count = 2;
       msg->u.addresses.items =
-          static_cast<char (*)[DKS_ADDRESS_SIZE]> (calloc (2, DKS_ADDRESS_SIZE));
-      set_text (msg->u.addresses.items[0], DKS_ADDRESS_SIZE, "10.0.0.1:7000");
-      set_text (msg->u.addresses.items[1], DKS_ADDRESS_SIZE, "10.0.0.2:7000");
+          static_cast<dks_member_address_t *> (calloc (2, sizeof (dks_member_address_t)));
+      msg->u.addresses.items[0] = { "10.0.0.1:7000", 0 };
+      msg->u.addresses.items[1] = { "10.0.0.2:7000", 7200 };
       break;
     case DKS_MSG_WORK:
       msg->u.work = { 7, make_batch (), 1500, 60000, 1500000, true, 3, 2, nullptr, nullptr, 78 };
@@ -380,6 +382,8 @@
       add (msg->u.leased_status.knows_targets);
       add (msg->u.leased_status.yields_leadership);
       add (msg->u.leased_status.sent_us);
+      add (msg->u.leased_status.interval_ms);
+      add (msg->u.leased_status.address_digest);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -413,7 +417,10 @@
       break;
     case DKS_MSG_ADDRESSES:
       for (uint32_t i = 0; i < msg->u.addresses.count; i++)
-        text += std::string (",") + msg->u.addresses.items[i];
+        {
+          text += std::string (",") + msg->u.addresses.items[i].text;
+          add (msg->u.addresses.items[i].unseen_s);
+        }
       break;
     case DKS_MSG_WORK:
       {
@@ -477,6 +484,8 @@
       add (msg->u.grant.count);
       break;
     case DKS_MSG_RECORD_ASK:
+      text += std::string (",") + msg->u.record_ask.key;
+      break;
     case DKS_MSG_TYPE_COUNT:
       break;
     }
