--- a/core/leased_addresses.c
+++ b/core/leased_addresses.c
@@ -23,6 +23,10 @@
   /* From the first address that peers may lack until all are sent: many are learned together, and a
      peer's status may say meanwhile that it lacks none. */
   ANNOUNCE_DELAY_US = 100000,
+  /* Likewise for a peer that has just connected, and for all peers after the start: instances that
+     start together have to find each other before one of them may lead. */
+  GREETING_DELAY_US = 20000,
+  START_PERIOD_US = 3000000,
   /* Between two repairs, in which one peer is sent all addresses again. */
   REPAIR_INTERVAL_US = 1000000,
   REJECT_LOG_INTERVAL_US = 60000000
@@ -118,13 +122,18 @@
 static void
 confirm (dks_leased_t *leased, dks_leased_address_t *address)
 {
+  int64_t now_us = dks_leased_now_us (leased);
+
   if (address->sequence != 0)
     return;
   address->sequence = ++leased->address_sequence;
   leased->address_digest ^= digest_of (address->text);
+  if (leased->announce_due_us == 0)
+    leased->announce_due_us =
+        now_us
+        + (now_us - leased->start_us < START_PERIOD_US ? GREETING_DELAY_US : ANNOUNCE_DELAY_US);
   if (!dks_timer_is_armed (&leased->announce_timer))
-    dks_timer_set (leased->r->timers, &leased->announce_timer,
-                   dks_leased_now_us (leased) + ANNOUNCE_DELAY_US);
+    dks_timer_set (leased->r->timers, &leased->announce_timer, leased->announce_due_us);
 }
 
 static bool
@@ -162,17 +171,24 @@
   dks_emit_peer (leased->r, peer->id, msg);
 }
 
-/* Sends each peer the addresses that it may lack. A peer whose latest status has the same digest
- * lacks none. */
+/* Sends each peer the addresses that it may lack: new peers at once, others when the announcement
+ * is due. A peer whose latest status has the same digest lacks none. */
 static void
 handle_announce_timer (void *context, int64_t now_us)
 {
   dks_leased_t *leased = context;
+  bool to_all = leased->announce_due_us > 0 && now_us >= leased->announce_due_us;
   dks_leased_peer_t *peer;
 
+  if (to_all)
+    leased->announce_due_us = 0;
+  else if (leased->announce_due_us > 0)
+    dks_timer_set (leased->r->timers, &leased->announce_timer, leased->announce_due_us);
+
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!peer->connected || peer->addresses_sent == leased->address_sequence)
+      if (!peer->connected || peer->addresses_sent == leased->address_sequence
+          || (!to_all && peer->addresses_sent > 0))
         continue;
       if (peer->address_digest != leased->address_digest)
         send_addresses (leased, peer, peer->addresses_sent);
@@ -200,9 +216,11 @@
   peer->address_digest = 0;
   peer->addresses_sent = 0;
   send_addresses (leased, peer, leased->address_sequence);
-  if (!dks_timer_is_armed (&leased->announce_timer))
-    dks_timer_set (leased->r->timers, &leased->announce_timer,
-                   dks_leased_now_us (leased) + ANNOUNCE_DELAY_US);
+  if (leased->greeting_due_us <= dks_leased_now_us (leased))
+    {
+      leased->greeting_due_us = dks_leased_now_us (leased) + GREETING_DELAY_US;
+      dks_timer_set (leased->r->timers, &leased->announce_timer, leased->greeting_due_us);
+    }
 }
 
 void
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -15,8 +15,8 @@
   READ_TIMEOUT_MS = 1500, /* answers take some ms, and some hundred ms while the store is slow */
   RETRY_DELAY_MIN_US = 150000,
   RETRY_DELAY_MAX_US = 1200000,
-  /* From the moment at which a peer has a record that is missing here until it is asked for: the
-     platform delivers it to most instances by then. */
+  /* From the moment at which a peer has a newer record until it is asked for: the platform delivers
+     it to most instances by then. */
   FETCH_DELAY_US = 250000,
   FETCH_INTERVAL_US = 700000 /* until another peer is asked */
 };
@@ -192,6 +192,7 @@
 fetch_from_peer (dks_leased_t *leased, dks_feed_t which, dks_leased_fetch_t *fetch)
 {
   const dks_leased_peer_t *peer = choose_source (leased, which, fetch->asked_peer);
+  bool has_any = which == DKS_FEED_CATALOG && leased->catalog != NULL;
   int64_t now_us = leased->r->now.mono_us;
   dks_msg_t *msg;
 
@@ -202,7 +203,7 @@
     }
   if (fetch->missing_since_us == 0)
     fetch->missing_since_us = now_us;
-  if (now_us - fetch->missing_since_us < FETCH_DELAY_US
+  if ((has_any && now_us - fetch->missing_since_us < FETCH_DELAY_US)
       || (fetch->asked_us > 0 && now_us - fetch->asked_us < FETCH_INTERVAL_US))
     return;
   fetch->asked_us = now_us;
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -26,8 +26,6 @@
   LAG_MAX_US = 400000, /* lag of all peers' statuses at which a leader stops leading; less than the
                           silence after which peers count an instance as lost */
   HANDOVER_NOTICE_US = 100000, /* time until a leader that is alive has learned of a handover */
-  /* Well over the time for which runs continue after the leader of their target is lost. */
-  ORPHAN_LIFETIME_MAX_US = 2000000,
   /* Least age of a leadership that is handed over, and of the connection to its successor: each
      change costs running jobs some ms, so two must not follow in a row. */
   YIELD_MIN_AGE_US = 2000000,
@@ -117,6 +115,7 @@
                 leased->term, reason);
   dks_metrics_increment (leased->metrics, DKS_LABELLED_LEADER_ENDS, reason, "");
   leased->term = 0;
+  leased->last_leading_us = leased->r->now.mono_us;
   dks_leased_jobs_drop_all (leased);
   dks_leased_targets_handle_leadership (leased);
   dks_leased_members_notify_all (leased);
@@ -130,12 +129,12 @@
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
       if (dks_leased_peer_is_local (leased, peer) || peer->last_leading_us == 0
-          || leased->term_start_us - peer->last_leading_us > ORPHAN_LIFETIME_MAX_US)
+          || leased->term_start_us - peer->last_leading_us > DKS_LEASED_ORPHAN_LIFETIME_MAX_US)
         continue;
       /* A remote leader that had begun to lead only shortly before may stop orphaned runs later. */
       if (!dks_leased_peer_is_alive (leased, peer)
           || peer->last_message_us < leased->term_start_us + HANDOVER_NOTICE_US
-          || leased->term_start_us - peer->term_received_us < ORPHAN_LIFETIME_MAX_US)
+          || leased->term_start_us - peer->term_received_us < DKS_LEASED_ORPHAN_LIFETIME_MAX_US)
         return false;
     }
   return true;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -78,6 +78,16 @@
 
 /* Status */
 
+/* Whether an instance leads, or led so lately that a new leader has to hear from it before it may
+ * take the runs of the former one for ended. */
+static bool
+has_lately_led (const dks_leased_t *leased, uint64_t term, int64_t last_leading_us)
+{
+  return term > 0
+         || (last_leading_us > 0
+             && leased->r->now.mono_us - last_leading_us < DKS_LEASED_ORPHAN_LIFETIME_MAX_US);
+}
+
 /* Longest time between two statuses to the peer. */
 static int64_t
 status_interval_us (const dks_leased_t *leased, const dks_leased_peer_t *peer)
@@ -88,7 +98,10 @@
   if (peer->interval_us == 0)
     return FAST_INTERVAL_US;
   if (!is_local)
-    return leased->term > 0 && peer->term > 0 ? FAST_INTERVAL_US : REMOTE_INTERVAL_US;
+    return has_lately_led (leased, leased->term, leased->last_leading_us)
+                   && has_lately_led (leased, peer->term, peer->last_leading_us)
+               ? FAST_INTERVAL_US
+               : REMOTE_INTERVAL_US;
   return leased->term > 0 || peer->term > 0 || !leased->leader_known ? FAST_INTERVAL_US
                                                                      : LOCAL_INTERVAL_US;
 }
@@ -364,6 +377,7 @@
     dks_leased_speeds_publish_all (leased);
   if (changed)
     dks_leased_leader_update (leased);
+  dks_leased_feed_fetch_from_peers (leased);
   /* The peer takes the interval in the latest status for the time in which silence shows a loss, so
      a shorter one has to be stated before any tasks are lent. */
   if (status_interval_us (leased, peer) < peer->stated_interval_us)
@@ -380,6 +394,7 @@
 {
   APR_RING_INIT (&leased->peers, dks_leased_peer_t, link);
   leased->started_ms = leased->r->now.wall_ms;
+  leased->start_us = leased->r->now.mono_us;
   leased->listening_since_us = leased->r->now.mono_us;
   dks_timer_init (&leased->status_timer, handle_status_timer, leased);
   dks_timer_set (leased->r->timers, &leased->status_timer, leased->r->now.mono_us);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -31,7 +31,9 @@
   DKS_LEASED_ANSWER_TIMEOUT_MS = 200,
   /** Time after which a target that the platform does not list any more gets no more work. Entries
    * that expired while the platform's store was unavailable return within 2 s. */
-  DKS_LEASED_UNLISTED_GRACE_US = 2500000
+  DKS_LEASED_UNLISTED_GRACE_US = 2500000,
+  /** Well over the time for which runs continue after the leader of their target is lost. */
+  DKS_LEASED_ORPHAN_LIFETIME_MAX_US = 2000000
 };
 
 #define DKS_LEASED_MEAN_WEIGHT 0.02  /**< of a new sample in the moving averages of all targets */
@@ -333,14 +335,16 @@
   /* leased_members.c */
   struct dks_leased_peer_ring_t peers;
   int64_t started_ms;         /**< start of this process, Unix ms */
+  int64_t start_us;           /**< start of this process */
   int64_t listening_since_us; /**< start of the wait for other instances: own start, stall or lag */
   int64_t last_join_us;       /**< when an instance last became known by its first status */
   int64_t last_event_us;      /**< time of the latest event */
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
-  bool leader_known;      /**< a leader of the data centre is known, which may be this instance */
-  bool yields_leadership; /**< this instance leads, and offers to hand over to a larger one */
-  uint64_t highest_term;  /**< highest term known, raised when fenced; a new term is above it */
-  int64_t last_fenced_us; /**< when a target last rejected the fencing token, 0 for never */
+  bool leader_known;       /**< a leader of the data centre is known, which may be this instance */
+  bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
+  int64_t last_leading_us; /**< when this instance last stopped to lead, 0: never */
+  uint64_t highest_term;   /**< highest term known, raised when fenced; a new term is above it */
+  int64_t last_fenced_us;  /**< when a target last rejected the fencing token, 0 for never */
   bool status_due_to_leaders;     /**< a status is due to other leaders, as free capacity changed */
   bool status_due_to_all;         /**< a status is due to all peers */
   int64_t last_status_us;         /**< when a status was last sent to any peer */
@@ -356,6 +360,8 @@
   uint64_t address_digest;        /**< of the own address and those with a sequence */
   int64_t last_address_reject_us; /**< when an address was last rejected in the log, 0: never */
   int64_t last_address_repair_us; /**< when a peer was last sent all addresses again */
+  int64_t announce_due_us;        /**< when new addresses are sent to all peers, 0: none are new */
+  int64_t greeting_due_us;        /**< when peers that connected last are sent all addresses */
   dks_timer_t announce_timer;     /**< armed while peers may lack addresses */
 
   /* leased_feed.c */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -327,6 +327,9 @@
               || !is_linked (index, other))
             continue;
           std::shared_ptr<dks_msg_t> msg (dks_msg_ref (effect.u.peer_send.msg), dks_msg_unref);
+          statuses_to_other_data_centres +=
+              index == count_statuses_of && msg->type == DKS_MSG_LEASED_STATUS
+              && instances[other]->data_centre != instances[index]->data_centre;
           std::string from = instances[index]->member_id;
           std::string to = instances[other]->member_id;
           deliver (now_us + peer_delay_us, other, [this, index, other, msg, from, to] {
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -289,6 +289,125 @@
       << "lists that cannot be decoded must count as no answer";
 }
 
+// Guards against progress that is taken for another number: it decides whether a run is moved.
+TEST_F (Adapter, ProgressIsLimitedToPercent)
+{
+  dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
+
+  platform.queue_reply (200, R"({"clock_ms":1,"running":[["a",1,"",-1],["b",1,"",250],)"
+                             R"(["c",1,"",1e300],["d",1,"",99.9]],"ended_runs":[]})");
+  dks_executor_call (client, &effect, handle_event, this);
+  wait_for_event ();
+  ASSERT_EQ (running.size (), 4U);
+  EXPECT_EQ (running[0].percent_done, 0U);
+  EXPECT_EQ (running[1].percent_done, 100U);
+  EXPECT_EQ (running[2].percent_done, 100U);
+  EXPECT_EQ (running[3].percent_done, 99U);
+}
+
+// Guards against the end of another run that is taken for that of run 1.
+TEST_F (Adapter, RunNumbersThatAreTooLargeAreNotCutOff)
+{
+  dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
+
+  for (const char *lists : { R"("running":[["a",4294967297,"",1]],"ended_runs":[])",
+                             R"("running":[],"ended_runs":[[1,"a",4294967297,"done",""]])" })
+    {
+      platform.queue_reply (200, std::string (R"({"clock_ms":1,)") + lists + "}");
+      dks_executor_call (client, &effect, handle_event, this);
+      wait_for_event ();
+      EXPECT_EQ (status, DKS_LEASE_UNANSWERED);
+    }
+}
+
+// Guards against targets that are dropped because a list that is too long was read only in part.
+TEST_F (Adapter, ListOfTooManyItemsIsReadInParts)
+{
+  dks_effect_t effect = {};
+  std::string body = R"({"items":[)";
+
+  for (int i = 0; i < 10050; i++)
+    body += (i > 0 ? "," : "") + (R"({"key":"servers/)" + std::to_string (i) + R"(","value":""})");
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_TARGETS;
+  effect.u.feed.timeout_ms = 2000;
+  platform.queue_reply (200, body + R"(],"store_revision":530})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_OK);
+  EXPECT_TRUE (more);
+  ASSERT_FALSE (keys.empty ());
+  EXPECT_EQ (keys.back (), std::to_string (keys.size () - 1));
+}
+
+// Guards against an instance that never gets past a long series of large configurations: the answer
+// to its watch is larger than what is read, each time.
+TEST_F (Adapter, WatchWithTooMuchHistoryIsReplacedByARead)
+{
+  dks_effect_t effect = {};
+  std::string url = "http://" + platform.address ();
+  std::string events = R"({"events":[)";
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  platform.queue_reply (200, events + std::string (3 << 20, ' ') + R"(],"store_revision":4})");
+  dks_platform_feed_call (client, url.c_str (), &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_HISTORY_GONE);
+  for (int i = 0; i < 10050; i++)
+    events += (i > 0 ? "," : "") + std::string (R"({"key":"servers/i","rev":1,"deleted":true})");
+  platform.queue_reply (200, events + R"(],"store_revision":4})");
+  effect.u.feed.feed = DKS_FEED_TARGETS;
+  dks_platform_feed_call (client, url.c_str (), &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_HISTORY_GONE);
+}
+
+// Guards against a key that is cut where it is encoded, so that a read goes on at another one.
+TEST_F (Adapter, KeyOfEscapedCharactersIsSentWhole)
+{
+  dks_effect_t effect = {};
+  std::string key (DKS_KEY_SIZE - 1, '+');
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_TARGETS;
+  effect.u.feed.timeout_ms = 2000;
+  snprintf (effect.u.feed.after_key, sizeof (effect.u.feed.after_key), "%s", key.c_str ());
+  platform.queue_reply (200, R"({"items":[],"store_revision":1})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  std::string request = platform.take_request ();
+  size_t count = 0;
+  for (size_t at = request.find ("%2B"); at != std::string::npos; at = request.find ("%2B", at + 1))
+    count++;
+  EXPECT_EQ (count, key.size ());
+}
+
+// Guards against versions of the configuration that are decoded although a newer one came with
+// them: a series of large ones takes a small instance seconds.
+TEST_F (Adapter, OnlyTheNewestConfigurationOfAWatchIsDecoded)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  // {"version":3,"routes":[],"services":[]} and {"version":4,"routes":[],"services":[]}
+  platform.queue_reply (
+      200,
+      R"({"events":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"},)"
+      R"({"key":"op/config","rev":2,"value":"eyJ2ZXJzaW9uIjo0LCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"},)"
+      R"({"key":"op/config2","rev":3,"value":"e30="}],"store_revision":3})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (versions, std::vector<int64_t> ({ 4 }));
+  EXPECT_EQ (keys.size (), 1U);
+}
+
 TEST_F (Adapter, TargetRecordsThatCannotBeDecodedAreSkipped)
 {
   dks_effect_t effect = {};
