--- a/core/leased.c
+++ b/core/leased.c
@@ -81,6 +81,7 @@
       break;
     case DKS_MSG_ADDRESSES:
       dks_leased_addresses_handle_msg (leased, peer, msg);
+      dks_leased_leader_update (leased);
       break;
     case DKS_MSG_WORK:
       dks_leased_jobs_handle_work (leased, from, msg);
--- a/core/leased_addresses.c
+++ b/core/leased_addresses.c
@@ -23,9 +23,9 @@
   /* From the first address that peers may lack until all are sent: many are learned together, and a
      peer's status may say meanwhile that it lacks none. */
   ANNOUNCE_DELAY_US = 100000,
-  /* Likewise for a peer that has just connected, and for all peers after the start: instances that
-     start together have to find each other before one of them may lead. */
-  GREETING_DELAY_US = 20000,
+  /* Likewise after the start: instances that start together have to find each other before one of
+     them may lead. */
+  START_ANNOUNCE_DELAY_US = 20000,
   START_PERIOD_US = 3000000,
   /* Between two repairs, in which one peer is sent all addresses again. */
   REPAIR_INTERVAL_US = 1000000,
@@ -128,12 +128,11 @@
     return;
   address->sequence = ++leased->address_sequence;
   leased->address_digest ^= digest_of (address->text);
-  if (leased->announce_due_us == 0)
-    leased->announce_due_us =
-        now_us
-        + (now_us - leased->start_us < START_PERIOD_US ? GREETING_DELAY_US : ANNOUNCE_DELAY_US);
   if (!dks_timer_is_armed (&leased->announce_timer))
-    dks_timer_set (leased->r->timers, &leased->announce_timer, leased->announce_due_us);
+    dks_timer_set (leased->r->timers, &leased->announce_timer,
+                   now_us
+                       + (now_us - leased->start_us < START_PERIOD_US ? START_ANNOUNCE_DELAY_US
+                                                                      : ANNOUNCE_DELAY_US));
 }
 
 static bool
@@ -171,24 +170,17 @@
   dks_emit_peer (leased->r, peer->id, msg);
 }
 
-/* Sends each peer the addresses that it may lack: new peers at once, others when the announcement
- * is due. A peer whose latest status has the same digest lacks none. */
+/* Sends each peer the addresses that it may lack. A peer whose latest status has the same digest
+ * lacks none. */
 static void
 handle_announce_timer (void *context, int64_t now_us)
 {
   dks_leased_t *leased = context;
-  bool to_all = leased->announce_due_us > 0 && now_us >= leased->announce_due_us;
   dks_leased_peer_t *peer;
 
-  if (to_all)
-    leased->announce_due_us = 0;
-  else if (leased->announce_due_us > 0)
-    dks_timer_set (leased->r->timers, &leased->announce_timer, leased->announce_due_us);
-
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!peer->connected || peer->addresses_sent == leased->address_sequence
-          || (!to_all && peer->addresses_sent > 0))
+      if (!peer->status_received || peer->addresses_sent == leased->address_sequence)
         continue;
       if (peer->address_digest != leased->address_digest)
         send_addresses (leased, peer, peer->addresses_sent);
@@ -197,15 +189,23 @@
 }
 
 void
-dks_leased_addresses_handle_digest (dks_leased_t *leased, dks_leased_peer_t *peer)
+dks_leased_addresses_handle_status (dks_leased_t *leased, dks_leased_peer_t *peer, bool is_first)
 {
   int64_t now_us = dks_leased_now_us (leased);
 
-  if (peer->address_digest == leased->address_digest
-      || peer->addresses_sent != leased->address_sequence
-      || now_us - leased->last_address_repair_us < REPAIR_INTERVAL_US)
-    return;
-  leased->last_address_repair_us = now_us;
+  if (peer->address_digest == leased->address_digest)
+    {
+      peer->addresses_received = true;
+      return;
+    }
+  if (!is_first)
+    {
+      if (peer->addresses_sent != leased->address_sequence
+          || now_us - leased->last_address_repair_us < REPAIR_INTERVAL_US)
+        return;
+      leased->last_address_repair_us = now_us;
+    }
+  peer->addresses_sent = leased->address_sequence;
   send_addresses (leased, peer, 0);
 }
 
@@ -215,12 +215,8 @@
   dks_leased_addresses_handle_down (leased, peer);
   peer->address_digest = 0;
   peer->addresses_sent = 0;
+  peer->addresses_received = false;
   send_addresses (leased, peer, leased->address_sequence);
-  if (leased->greeting_due_us <= dks_leased_now_us (leased))
-    {
-      leased->greeting_due_us = dks_leased_now_us (leased) + GREETING_DELAY_US;
-      dks_timer_set (leased->r->timers, &leased->announce_timer, leased->greeting_due_us);
-    }
 }
 
 void
@@ -239,6 +235,8 @@
 {
   int64_t now_us = dks_leased_now_us (leased);
 
+  /* The first message on a connection has the address of the peer only. */
+  peer->addresses_received = peer->addresses_received || peer->address != NULL;
   for (uint32_t i = 0; i < msg->u.addresses.count; i++)
     {
       const dks_member_address_t *item = &msg->u.addresses.items[i];
@@ -285,6 +283,19 @@
     }
 }
 
+bool
+dks_leased_addresses_are_exchanged (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (peer->status_received && !peer->addresses_received)
+        return false;
+    }
+  return true;
+}
+
 uint32_t
 dks_leased_addresses_count_recent (const dks_leased_t *leased)
 {
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -228,8 +228,10 @@
 
   if (now_us - leased->listening_since_us >= DISCOVERY_MAX_US)
     return true;
-  /* All other instances have reported that they do not lead, so no leader's status is awaited. */
-  if (address_count > 0 && alive_count >= address_count && !has_better_candidate (leased, false))
+  /* All other instances have reported that they do not lead, so no leader's status is awaited. One
+     that has not sent its addresses yet may know of more. */
+  if (address_count > 0 && alive_count >= address_count
+      && dks_leased_addresses_are_exchanged (leased) && !has_better_candidate (leased, false))
     return true;
   if (2 * alive_count < address_count && now_us - leased->listening_since_us < MINORITY_WAIT_US)
     return false;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -368,7 +368,7 @@
   peer->knows_targets = msg->u.leased_status.knows_targets;
   peer->interval_us = INT64_C (1000) * msg->u.leased_status.interval_ms;
   peer->address_digest = msg->u.leased_status.address_digest;
-  dks_leased_addresses_handle_digest (leased, peer);
+  dks_leased_addresses_handle_status (leased, peer, is_new);
   if (dks_leased_peer_is_local (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
   if (is_new)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -88,6 +88,7 @@
   bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
   dks_leased_address_t *address; /**< as it has stated, NULL: not yet */
+  bool addresses_received;       /**< it has sent the addresses that it knows, or knows the same */
   uint64_t address_digest;       /**< of the addresses that it knows, by its latest status */
   uint64_t addresses_sent;       /**< `sequence` up to which addresses were sent to it */
   int64_t interval_us; /**< within which it sends its next status, as stated; 0: not stated */
@@ -360,8 +361,6 @@
   uint64_t address_digest;        /**< of the own address and those with a sequence */
   int64_t last_address_reject_us; /**< when an address was last rejected in the log, 0: never */
   int64_t last_address_repair_us; /**< when a peer was last sent all addresses again */
-  int64_t announce_due_us;        /**< when new addresses are sent to all peers, 0: none are new */
-  int64_t greeting_due_us;        /**< when peers that connected last are sent all addresses */
   dks_timer_t announce_timer;     /**< armed while peers may lack addresses */
 
   /* leased_feed.c */
@@ -470,14 +469,19 @@
 void dks_leased_addresses_clear (dks_leased_t *leased);
 /** Adds the seed addresses in `config` that were not known yet. */
 void dks_leased_addresses_add_seeds (dks_leased_t *leased, const dks_config_t *config);
-/** Sends the own address to a peer that has connected, and soon those that it does not know. */
+/** Sends the own address to a peer that has connected. */
 void dks_leased_addresses_handle_up (dks_leased_t *leased, dks_leased_peer_t *peer);
 /** Forgets which address the peer has stated, since its connection has ended. */
 void dks_leased_addresses_handle_down (dks_leased_t *leased, dks_leased_peer_t *peer);
 void dks_leased_addresses_handle_msg (dks_leased_t *leased, dks_leased_peer_t *peer,
                                       const dks_msg_t *msg);
-/** Has the peer sent all addresses again when its latest status shows that it lacks some. */
-void dks_leased_addresses_handle_digest (dks_leased_t *leased, dks_leased_peer_t *peer);
+/** Sends the peer all addresses when its latest status shows that it knows others; after the first
+ * status on a connection at once, later as a repair. */
+void
+dks_leased_addresses_handle_status (dks_leased_t *leased, dks_leased_peer_t *peer, bool is_first);
+/** Whether all peers that have sent a status have also sent the addresses that they know, or know
+ * the same ones. */
+bool dks_leased_addresses_are_exchanged (const dks_leased_t *leased);
 /** Connects to known addresses, and drops those of instances that are gone. */
 void dks_leased_addresses_tick (dks_leased_t *leased);
 /** Number of other instances that are likely to run: seen lately, or seeds not yet heard of. */
--- a/tests/test_leased_members.cc
+++ b/tests/test_leased_members.cc
@@ -190,3 +190,15 @@
   world.run_for (500 * ms);
   EXPECT_GE (world.statuses_to_other_data_centres, as_leader / 2);
 }
+
+// Guards against two leaders of one data centre: an instance that has started knows its seeds only,
+// and leads when none of them is of its data centre and all of them have reported.
+TEST (LeasedMembers, NewInstanceDoesNotLeadBesideALeaderThatItHasNotHeardOfYet)
+{
+  World world;
+  start_instances (world, 20);
+  size_t leaders = count_logged (world, "event=leader-start");
+  world.restart (world.add_instance ("d", false, 4000));
+  world.run_for (1000 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), leaders);
+}
