--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -14,8 +14,11 @@
 enum
 {
   DKS_FRAME_MAX = 16 << 20, /**< bytes of one frame without its length prefix */
-  DKS_PEER_BACKLOG_MAX =
-      64 << 20 /**< unsent bytes queued for one peer; the connection is closed above this */
+  /** Unsent bytes queued for one peer; its connection is closed above this. Room for one frame of
+   * the largest size and what follows it. */
+  DKS_PEER_BACKLOG_MAX = 24 << 20,
+  /** Unsent bytes queued for all peers; above this the connection with the most is closed. */
+  DKS_PEERS_BACKLOG_MAX = 48 << 20
 };
 
 /** Never called from within a function of this header. `up` and `down` of a member alternate, and
@@ -50,6 +53,8 @@
 /** Queues `msg`, or drops it if there is no connection to `member`. dks_peers_flush() writes all
  * messages of one turn together. */
 void dks_peers_send (dks_peers_t *peers, const char *member, const dks_msg_t *msg);
+/** Unsent bytes queued for all peers. */
+size_t dks_peers_backlog (const dks_peers_t *peers);
 /** Writes the queued messages of all connections; call it at the end of each turn of the loop. */
 void dks_peers_flush (dks_peers_t *peers);
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -107,6 +107,7 @@
   APR_RING_HEAD (dirty_ring_t, link_t) dirty;
   APR_RING_HEAD (endpoint_ring_t, endpoint_t) endpoints;
   link_t *members[MEMBER_BUCKETS];
+  size_t backlog; /* unsent bytes of all connections */
 };
 
 static void handle_link (void *context, int fd, int events);
@@ -223,6 +224,7 @@
     members_remove (link);
   if (link->endpoint != NULL)
     link->endpoint->connection = NULL;
+  peers->backlog -= buffer_len (&link->out);
   apr_pool_destroy (link->pool);
   free (link->in.data);
   free (link->out.data);
@@ -363,6 +365,7 @@
       if (n < 0)
         break;
       buffer_consume (&link->out, (size_t)n);
+      link->peers->backlog -= (size_t)n;
     }
   if (link->awaits_writable != (buffer_len (&link->out) > 0))
     {
@@ -372,6 +375,14 @@
   return true;
 }
 
+static void
+link_append (link_t *link, const uint8_t *frame, size_t len)
+{
+  memcpy (buffer_reserve (&link->out, len), frame, len);
+  link->out.end += len;
+  link->peers->backlog += len;
+}
+
 static bool
 link_send_hello (link_t *link, bool duplicate)
 {
@@ -380,8 +391,7 @@
   size_t len;
 
   dks_codec_encode_hello (peers->member, peers->data_centre, duplicate, &frame, &len);
-  memcpy (buffer_reserve (&link->out, len), frame, len);
-  link->out.end += len;
+  link_append (link, frame, len);
   free (frame);
   return link_write (link);
 }
@@ -853,6 +863,32 @@
   free (peers);
 }
 
+/* The bytes of a connection that is about to be closed count until then, so that one is closed for
+ * one excess. */
+static void
+close_largest_backlog (dks_peers_t *peers)
+{
+  size_t closing_bytes = 0;
+  link_t *largest = NULL;
+  link_t *link;
+
+  APR_RING_FOREACH (link, &peers->links, link_t, all_link)
+    {
+      if (link->close_reason != NULL)
+        closing_bytes += buffer_len (&link->out);
+      else if (largest == NULL || buffer_len (&link->out) > buffer_len (&largest->out))
+        largest = link;
+    }
+  if (largest != NULL && peers->backlog - closing_bytes > DKS_PEERS_BACKLOG_MAX)
+    link_close_later (largest, "largest of too large backlogs");
+}
+
+size_t
+dks_peers_backlog (const dks_peers_t *peers)
+{
+  return peers->backlog;
+}
+
 void
 dks_peers_send (dks_peers_t *peers, const char *member, const dks_msg_t *msg)
 {
@@ -873,13 +909,14 @@
     link_close_later (link, "backlog too large");
   else
     {
-      memcpy (buffer_reserve (&link->out, len), frame, len);
-      link->out.end += len;
+      link_append (link, frame, len);
       if (!link->dirty)
         {
           link->dirty = true;
           APR_RING_INSERT_TAIL (&peers->dirty, link, link_t, dirty_link);
         }
+      if (peers->backlog > DKS_PEERS_BACKLOG_MAX)
+        close_largest_backlog (peers);
     }
   free (frame);
 }
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -505,13 +505,43 @@
       a.send ("raw#1", msg);
       dks_loop_turn (loop, 0);
     }
-  EXPECT_GE (sent, 64);
-  EXPECT_LT (sent, 100);
+  EXPECT_GE (sent, DKS_PEER_BACKLOG_MAX / DKS_PAYLOAD_MAX);
+  EXPECT_LT (sent, DKS_PEER_BACKLOG_MAX / DKS_PAYLOAD_MAX + 36);
   EXPECT_FALSE (a.is_up ("raw#1"));
   a.grant ("b#1", 1);
   EXPECT_TRUE (run_until ([&] { return b.messages.size () == 1; }));
 }
 
+// Guards against unbounded memory for the unsent messages to many peers that do not read: each alone
+// stays below its bound. The connection with the most of them is closed.
+TEST_F (Peer, ClosesTheConnectionWithTheLargestBacklogWhenAllTogetherAreTooLarge)
+{
+  Instance &a = add ("a#1");
+  std::string payload (DKS_PAYLOAD_MAX, 'p');
+  const int count = 16;
+
+  for (int i = 0; i < count; i++)
+    net_write (open_socket (a), hello ("raw#" + std::to_string (i)));
+  ASSERT_TRUE (run_until ([&] { return a.events.size () == count; }));
+  size_t sent = 0;
+  for (int i = 0; i < 11 * (count + 1); i++)
+    {
+      // The first one gets two messages in turn, so it has the largest backlog.
+      std::string member = "raw#" + std::to_string (i % (count + 1) % count);
+      dks_msg_t *msg = dks_msg_create (DKS_MSG_RECORD);
+
+      strcpy (msg->u.record.key, "settings");
+      msg->u.record.value = dks_blob_create_text (payload.c_str ());
+      sent += a.is_up (member);
+      a.send (member, msg);
+      dks_loop_turn (loop, 0);
+    }
+  EXPECT_GT (sent * DKS_PAYLOAD_MAX, static_cast<size_t> (DKS_PEERS_BACKLOG_MAX));
+  EXPECT_LE (dks_peers_backlog (a.peers), static_cast<size_t> (DKS_PEERS_BACKLOG_MAX));
+  EXPECT_FALSE (a.is_up ("raw#0"));
+  EXPECT_TRUE (a.is_up ("raw#15"));
+}
+
 TEST_F (Peer, IgnoresOwnAddressAndReportsBadAddresses)
 {
   Instance &a = add ("a#1");
