--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -167,9 +167,8 @@
   dks_emit_peer (leased->r, peer->id, msg);
 }
 
-/* Sends the statuses that are due. Clear changes of the free capacity are sent to other leaders
- * only.
- */
+/* Sends the statuses that are due. Clear changes of the free capacity make those to other leaders
+ * due. */
 static void
 send_status_to_peers (dks_leased_t *leased)
 {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -10,7 +10,9 @@
 enum
 {
   MSG_ADDRESSES_MAX = 4096, /* addresses in one message */
-  MSG_TARGETS_MAX = 8192    /* targets in one message, and queues in one DKS_MSG_SPEEDS */
+  /* A longer interval would keep a lost instance from being noticed. */
+  STATUS_INTERVAL_MAX_MS = 10000,
+  MSG_TARGETS_MAX = 8192 /* targets in one message, and queues in one DKS_MSG_SPEEDS */
 };
 
 /* Longest duration in a message that check_span() accepts, in microseconds: one day. Sums of a few
@@ -255,7 +257,8 @@
   msg->u.leased_status.sent_us = body->sent_us;
   msg->u.leased_status.interval_ms = body->interval_ms;
   msg->u.leased_status.address_digest = body->address_digest;
-  return body->term <= INT64_MAX ? DKS_OK : DKS_ERR_INVALID;
+  return body->term <= INT64_MAX && body->interval_ms <= STATUS_INTERVAL_MAX_MS ? DKS_OK
+                                                                                : DKS_ERR_INVALID;
 }
 
 int
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -146,7 +146,7 @@
   if (!connects_by_address)
     return;
   dialled.insert ({ index, address });
-  dialled_again.insert (address);
+  dialled_addresses.insert (address);
   schedule_at (now_us + 2 * peer_delay_us, [this, index, address] {
     for (size_t other = 0; other < instances.size (); other++)
       {
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -164,8 +164,8 @@
   std::map<dks_msg_type_t, uint64_t> sent_msgs;
   size_t count_statuses_of = SIZE_MAX; // instance whose statuses are counted
   uint64_t statuses_to_other_data_centres = 0;
-  std::set<std::string> dialled_again; // addresses to which some instance tried to connect
-  uint64_t sent_addresses = 0;         // in all messages of type DKS_MSG_ADDRESSES
+  std::set<std::string> dialled_addresses; // addresses to which some instance tried to connect
+  uint64_t sent_addresses = 0;             // in all messages of type DKS_MSG_ADDRESSES
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Target>> targets;
   std::map<uint64_t, Answer> answers; // by number of the caller
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -761,6 +761,24 @@
              DKS_ERR_INVALID);
 }
 
+// Guards against a loss that is never noticed, since the peer promised a status in a far future.
+TEST (Codec, StatusWithATooLongIntervalIsRejected)
+{
+  for (uint32_t interval_ms : { 10000U, 10001U })
+    {
+      dks_msg_t *msg = make_msg (DKS_MSG_LEASED_STATUS);
+      dks_msg_t *decoded = nullptr;
+
+      msg->u.leased_status.interval_ms = interval_ms;
+      std::vector<uint8_t> frame = encode (msg);
+      dks_msg_unref (msg);
+      EXPECT_EQ (dks_codec_decode (frame.data () + 4, frame.size () - 4, &decoded),
+                 interval_ms == 10000 ? DKS_OK : DKS_ERR_INVALID);
+      if (interval_ms == 10000)
+        dks_msg_unref (decoded);
+    }
+}
+
 // Guards against a frame that takes a large multiple of its size in memory: each empty sub-message
 // has two bytes in the frame, but a whole struct when it is unpacked.
 TEST (Codec, BoundsMemoryOfNestedEmptyMessages)
--- a/tests/test_leased_members.cc
+++ b/tests/test_leased_members.cc
@@ -79,13 +79,13 @@
   start_instances (world, 5);
   world.kill (4);
   world.run_for (3600 * 1000 * ms);
-  world.dialled_again.clear ();
+  world.dialled_addresses.clear ();
   world.run_for (600 * 1000 * ms);
-  EXPECT_GT (world.dialled_again.count (world.instances[4]->id), 0U);
+  EXPECT_GT (world.dialled_addresses.count (world.instances[4]->id), 0U);
   world.run_for (3600 * 1000 * ms);
-  world.dialled_again.clear ();
+  world.dialled_addresses.clear ();
   world.run_for (1200 * 1000 * ms);
-  EXPECT_EQ (world.dialled_again.count (world.instances[4]->id), 0U);
+  EXPECT_EQ (world.dialled_addresses.count (world.instances[4]->id), 0U);
 }
 
 // Guards against a list that replaces entries without end when it is full, and against one that
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -512,8 +512,8 @@
   EXPECT_TRUE (run_until ([&] { return b.messages.size () == 1; }));
 }
 
-// Guards against unbounded memory for the unsent messages to many peers that do not read: each alone
-// stays below its bound. The connection with the most of them is closed.
+// Guards against unbounded memory for the unsent messages to many peers that do not read: each
+// alone stays below its bound. The connection with the most of them is closed.
 TEST_F (Peer, ClosesTheConnectionWithTheLargestBacklogWhenAllTogetherAreTooLarge)
 {
   Instance &a = add ("a#1");
