core, platform: a failed call to the store tells why, and after which wait

Change: the status of a feed call is rejected, unreachable or unanswered; the line has the reason, the wait and the number of failures before, and is written for the first three failures in a row. Measured: test_platform 14 of 14 (new: WatchWithoutAnAnswerIsToldFromOneThatWasNotSent), test_leased 69 of 69, test_leased_members 8 of 8.

--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -18,7 +18,8 @@
   /* From the moment at which a peer has a newer record until it is asked for: the platform delivers
      it to most instances by then. */
   FETCH_DELAY_US = 250000,
-  FETCH_INTERVAL_US = 700000 /* until another peer is asked */
+  FETCH_INTERVAL_US = 700000, /* until another peer is asked */
+  LOGGED_FAILURES_MAX = 3     /* failed calls in a row that are logged */
 };
 
 static const char *
@@ -36,9 +37,14 @@
       return "ok";
     case DKS_FEED_HISTORY_GONE:
       return "history_gone";
-    default:
-      return "unavailable";
+    case DKS_FEED_REJECTED:
+      return "rejected";
+    case DKS_FEED_UNREACHABLE:
+      return "unreachable";
+    case DKS_FEED_UNANSWERED:
+      return "unanswered";
     }
+  return "unknown";
 }
 
 static void
@@ -49,6 +55,7 @@
       leased->r->effects, feed->is_watch ? DKS_EFFECT_FEED_WATCH : DKS_EFFECT_FEED_READ);
 
   feed->op = dks_next_id (leased->r);
+  feed->sent_us = leased->r->now.mono_us;
   effect->u.feed.op = feed->op;
   effect->u.feed.feed = which;
   effect->u.feed.revision = feed->revision;
@@ -300,6 +307,19 @@
   begin_watch (leased, which);
 }
 
+static void
+log_failure (dks_leased_t *leased, dks_feed_t which, dks_feed_status_t status)
+{
+  const dks_leased_feed_t *feed = &leased->feeds[which];
+  bool is_history_gone = status == DKS_FEED_HISTORY_GONE;
+
+  dks_emit_log (leased->r, DKS_LOG_NOTICE,
+                "event=feed-%s feed=%s call=%s reason=%s waited_ms=%" PRId64 " failures=%u",
+                is_history_gone ? "history-gone" : "unavailable", feed_name (which),
+                feed->is_watch ? "watch" : "read", status_name (status),
+                (leased->r->now.mono_us - feed->sent_us) / 1000, feed->failures);
+}
+
 void
 dks_leased_feed_handle_event (dks_leased_t *leased, const dks_event_t *event)
 {
@@ -317,11 +337,8 @@
 
   if (event->u.feed.status != DKS_FEED_OK)
     {
-      if (feed->failures == 0 || event->u.feed.status == DKS_FEED_HISTORY_GONE)
-        dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=feed-%s feed=%s call=%s",
-                      event->u.feed.status == DKS_FEED_HISTORY_GONE ? "history-gone"
-                                                                    : "unavailable",
-                      feed_name (which), feed->is_watch ? "watch" : "read");
+      if (feed->failures < LOGGED_FAILURES_MAX || event->u.feed.status == DKS_FEED_HISTORY_GONE)
+        log_failure (leased, which, event->u.feed.status);
       if (event->u.feed.status == DKS_FEED_HISTORY_GONE)
         begin_read (leased, which);
       else
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -34,7 +34,9 @@
   DKS_FEED_OK = 1,
   DKS_FEED_HISTORY_GONE, /**< watch only: the platform no longer has all changes since the revision;
                             the feed must be read again */
-  DKS_FEED_UNAVAILABLE,  /**< the platform rejected the call, or did not answer */
+  DKS_FEED_REJECTED,     /**< the platform answered with an error, or unreadably */
+  DKS_FEED_UNREACHABLE,  /**< the call was not sent, or its connection broke */
+  DKS_FEED_UNANSWERED,   /**< no answer within the timeout */
 } dks_feed_status_t;
 
 /** One item of a feed. */
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -301,7 +301,8 @@
 
 typedef struct
 {
-  uint64_t op; /**< id of the read or watch under way, 0 for none */
+  uint64_t op;     /**< id of the read or watch under way, 0 for none */
+  int64_t sent_us; /**< when it was sent */
   bool is_watch;
   int64_t revision;
   bool is_loaded; /**< the feed has been read to its end, or a peer has sent its items */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -389,7 +389,7 @@
       return;
     event.type = DKS_EVENT_FEED;
     event.u.feed.op = op;
-    event.u.feed.status = down ? DKS_FEED_UNAVAILABLE : DKS_FEED_OK;
+    event.u.feed.status = down ? DKS_FEED_UNANSWERED : DKS_FEED_OK;
     event.u.feed.revision = 1;
     if (!down && !is_watch && feed == DKS_FEED_CATALOG)
       {
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -473,12 +473,37 @@
       platform.queue_reply (code, "{}");
       dks_platform_feed_call (client, url.c_str (), &effect, handle_event, this);
       wait_for_event ();
-      EXPECT_EQ (feed_status, DKS_FEED_UNAVAILABLE);
+      EXPECT_EQ (feed_status, DKS_FEED_REJECTED);
     }
   platform.queue_reply (200, "not JSON");
   dks_platform_feed_call (client, url.c_str (), &effect, handle_event, this);
   wait_for_event ();
-  EXPECT_EQ (feed_status, DKS_FEED_UNAVAILABLE);
+  EXPECT_EQ (feed_status, DKS_FEED_REJECTED);
+}
+
+TEST_F (Adapter, WatchWithoutAnAnswerIsToldFromOneThatWasNotSent)
+{
+  dks_effect_t effect = {};
+  std::atomic<int> connections (0);
+  NetServer silent_store ([&] (int fd, int) {
+    HttpRequest request;
+    connections++;
+    while (http_read (fd, &request))
+      continue;
+  });
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 1100;
+  dks_platform_feed_call (client, silent_store.url ("").c_str (), &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_UNANSWERED);
+  EXPECT_EQ (connections, 1);
+  dks_platform_feed_call (client,
+                          ("http://127.0.0.1:" + std::to_string (net_free_port ())).c_str (),
+                          &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_UNREACHABLE);
 }
 
 TEST (Wire, CatalogDecodesQueuesAndServices)
