core, platform: a watch on a dead connection ends after 1.5 s instead of 4 s

What callers saw: after a confirmed change an instance answered 404 for a route that had been added. Cause: a watch on a connection that has gone silent without a reset ended only after its time-out of 4 s, twice the 2 s within which a change has to be in force. After a change the watches of all instances begin at the same moment, so peers had nothing newer either. Change: a watch asks for an answer within 1 s and times out after 1.5 s, so that the next one is answered within 1.7 s of the loss. The watch of the configuration makes 1 call a second and instance in place of 1 in 3 s.

--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -7,7 +7,9 @@
 
 enum
 {
-  WATCH_TIMEOUT_MS = 4000, /* bounds the time until a dead connection to the store is noticed */
+  /* Bounds the time until a dead connection to the store is noticed. A change has to be in force
+     within 2 s, and the watches of all instances can be on dead connections. */
+  WATCH_TIMEOUT_MS = 1500,
   /* Pause between two watches of the list of targets. Each target reports every 1.5 s, so a watch
      is answered at once; after a pause the answer has many reports. A leaving target can take work
      for another 2 s. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -346,7 +346,7 @@
       break;
     case DKS_EFFECT_FEED_READ:
     case DKS_EFFECT_FEED_WATCH:
-      answer_feed_call (index, effect);
+      send_feed_call (index, effect);
       break;
     case DKS_EFFECT_LEASE_START:
     case DKS_EFFECT_LEASE_STOP:
@@ -367,55 +367,101 @@
     }
 }
 
-// Answers a read of a feed with all its items, and a watch with no change after its timeout. When
-// the feed is down, both fail after their timeout.
+// A read is answered with all items of the feed, a watch when the configuration changes or, with no
+// change, after its timeout. Without an answer both end after their timeout.
 void
-World::answer_feed_call (size_t index, const dks_effect_t &effect)
+World::send_feed_call (size_t index, const dks_effect_t &effect)
 {
-  instances[index]->feed_op[effect.u.feed.feed] = effect.u.feed.op;
   uint64_t op = effect.u.feed.op;
-  dks_feed_t feed = effect.u.feed.feed;
-  bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
   int64_t timeout_us = 1000 * effect.u.feed.timeout_ms;
-  dks_reducer_t *reducer = instances[index]->reducer;
-  bool down = instances[index]->feed_down;
+  bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
+  FeedCall call = { index,    instances[index]->reducer, effect.u.feed.feed,
+                    is_watch, effect.u.feed.revision,    !instances[index]->feed_down };
 
-  deliver (now_us + (is_watch || down ? timeout_us : 2 * call_delay_us), index, [=, this] {
-    dks_event_t event = {};
-    std::vector<dks_feed_item_t> items;
-    dks_catalog_t *catalog = nullptr;
+  instances[index]->feed_op[effect.u.feed.feed] = op;
+  feed_calls[{ index, op }] = call;
+  if (call.is_answered && (!is_watch || has_change (call)))
+    timeout_us = 2 * call_delay_us;
+  deliver (now_us + timeout_us, index, [=, this] { end_feed_call (index, op); });
+}
 
-    if (!instances[index]->up || instances[index]->reducer != reducer)
-      return;
-    event.type = DKS_EVENT_FEED;
-    event.u.feed.op = op;
-    event.u.feed.status = down ? DKS_FEED_UNANSWERED : DKS_FEED_OK;
-    event.u.feed.revision = 1;
-    if (!down && !is_watch && feed == DKS_FEED_CATALOG)
-      {
-        catalog = dks_catalog_create (1, 1);
-        catalog->version = 1;
-        set_text (catalog->queues[0].name, DKS_NAME_SIZE, "queue");
-        set_text (catalog->queues[0].host, DKS_HOST_SIZE, "host");
-        set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
-        set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
-        catalog->queues[0].max_attempts = 3;
-        catalog->queues[0].timeout_ms = queue_timeout_ms;
-        catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
-        catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
-        set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
-        items.push_back ({ "catalog", false, catalog, nullptr });
-      }
-    if (!down && !is_watch && feed == DKS_FEED_TARGETS)
-      {
-        for (auto &target : targets)
-          items.push_back ({ target->info.id, false, nullptr, &target->info });
-      }
-    event.u.feed.count = items.size ();
-    event.u.feed.items = items.data ();
-    apply (index, &event);
-    dks_catalog_unref (catalog);
-  });
+bool
+World::has_change (const FeedCall &call) const
+{
+  return call.feed == DKS_FEED_CATALOG && call.after_revision < catalog_version;
+}
+
+dks_catalog_t *
+World::create_catalog () const
+{
+  dks_catalog_t *catalog = dks_catalog_create (1, 1);
+
+  catalog->version = catalog_version;
+  set_text (catalog->queues[0].name, DKS_NAME_SIZE, "queue");
+  set_text (catalog->queues[0].host, DKS_HOST_SIZE, "host");
+  set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
+  set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
+  catalog->queues[0].max_attempts = 3;
+  catalog->queues[0].timeout_ms = queue_timeout_ms;
+  catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
+  catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
+  set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
+  return catalog;
+}
+
+void
+World::end_feed_call (size_t index, uint64_t op)
+{
+  auto found = feed_calls.find ({ index, op });
+  dks_event_t event = {};
+  std::vector<dks_feed_item_t> items;
+  dks_catalog_t *catalog = nullptr;
+
+  if (found == feed_calls.end ())
+    return;
+  FeedCall call = found->second;
+  feed_calls.erase (found);
+  if (!instances[index]->up || instances[index]->reducer != call.reducer)
+    return;
+  event.type = DKS_EVENT_FEED;
+  event.u.feed.op = op;
+  event.u.feed.status = call.is_answered ? DKS_FEED_OK : DKS_FEED_UNANSWERED;
+  event.u.feed.revision = catalog_version;
+  if (call.is_answered && call.feed == DKS_FEED_CATALOG && (!call.is_watch || has_change (call)))
+    {
+      catalog = create_catalog ();
+      items.push_back ({ "catalog", false, catalog, nullptr });
+    }
+  if (call.is_answered && !call.is_watch && call.feed == DKS_FEED_TARGETS)
+    {
+      for (auto &target : targets)
+        items.push_back ({ target->info.id, false, nullptr, &target->info });
+    }
+  event.u.feed.count = items.size ();
+  event.u.feed.items = items.data ();
+  apply (index, &event);
+  dks_catalog_unref (catalog);
+}
+
+void
+World::change_catalog ()
+{
+  catalog_version++;
+  for (auto &[id, call] : feed_calls)
+    {
+      auto [index, op] = id;
+
+      if (call.is_watch && call.is_answered && has_change (call))
+        deliver (now_us + call_delay_us, index,
+                 [=, this, index = index, op = op] { end_feed_call (index, op); });
+    }
+}
+
+void
+World::silence_feed_calls ()
+{
+  for (auto &[id, call] : feed_calls)
+    call.is_answered = false;
 }
 
 // Targets
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -131,6 +131,10 @@
   void set_partitioned (size_t a, size_t b, bool is_partitioned);
   // A frozen instance handles no events; those that reach it wait until it is no longer frozen.
   void set_frozen (size_t instance, bool is_frozen);
+  // Puts a new version of the configuration into the platform's store.
+  void change_catalog ();
+  // The open connections to the platform's store go silent: calls under way get no answer.
+  void silence_feed_calls ();
   void run_for (int64_t us);
   // Submits a job whose caller waits `budget_ms` (0: the caller states no time); returns the number
   // of the caller.
@@ -158,6 +162,7 @@
   }
 
   int64_t now_us = 1000 * ms;
+  int64_t catalog_version = 1;
   // Instances connect only to the addresses to which their reducers ask to connect, and know three
   // seeds at the start; else all are connected to each other.
   bool connects_by_address = false;
@@ -213,7 +218,21 @@
   {
     return links.count (std::minmax (a, b)) > 0;
   }
-  void answer_feed_call (size_t instance, const dks_effect_t &effect);
+  // A read or watch of a feed that has not ended.
+  struct FeedCall
+  {
+    size_t instance;
+    dks_reducer_t *reducer; // of the incarnation that sent it
+    dks_feed_t feed;
+    bool is_watch;
+    int64_t after_revision;
+    bool is_answered; // the connection is up
+  };
+
+  void send_feed_call (size_t instance, const dks_effect_t &effect);
+  void end_feed_call (size_t instance, uint64_t op);
+  bool has_change (const FeedCall &call) const;
+  dks_catalog_t *create_catalog () const;
   void send_lease_call (size_t instance, const dks_effect_t &effect);
   void handle_lease_call (Target &target, const Call &call, bool is_answered);
   void send_lease_reply (size_t instance, uint64_t op, dks_lease_status_t status,
@@ -232,6 +251,7 @@
   std::set<std::pair<size_t, size_t>> partitions;
   // With `connects_by_address`: instances and the addresses to which they try to connect.
   std::set<std::pair<size_t, std::string>> dialled;
+  std::map<std::pair<size_t, uint64_t>, FeedCall> feed_calls; // by instance and operation
   uint64_t sequence = 0;
   uint64_t next_caller = 1;
   std::map<size_t, int64_t> next_tick_us;  // by index of the instance, INT64_MAX: none scheduled
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -459,7 +459,7 @@
   dks_platform_feed_call (client, url.c_str (), &effect, handle_event, this);
   wait_for_event ();
   EXPECT_EQ (platform.take_request ().rfind (
-                 "GET /api/kv-watch?prefix=servers/&after=411&wait_ms=3000 HTTP/1.1", 0),
+                 "GET /api/kv-watch?prefix=servers/&after=411&wait_ms=3500 HTTP/1.1", 0),
              0U);
   ASSERT_EQ (deleted.size (), 1U);
   EXPECT_TRUE (deleted[0]);
