net: no idle connection is used after a request on another one timed out

Change: the connections to a server over which nothing was received since a request was sent to it are not used again once that request timed out; a new one is opened. No byte was sent over the replaced one.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -24,6 +24,7 @@
 
 typedef struct http_request_t http_request_t;
 typedef struct http_host_t http_host_t;
+typedef struct http_connection_t http_connection_t;
 
 APR_RING_HEAD (http_ring_t, http_request_t);
 
@@ -56,10 +57,12 @@
   size_t reply_body_len;
   size_t reply_body_capacity;
   size_t reply_head_len;
-  int opened_fd;           /* socket that libcurl opened last for this request, or -1 */
-  bool active;             /* handed to libcurl */
-  bool before_send_called; /* a connection was ready for the request at least once */
-  bool restart_pending;    /* to be started once more, on a new connection */
+  int64_t start_us;              /* when it was handed to libcurl */
+  http_connection_t *connection; /* over which it is sent; valid while the connection is open */
+  int opened_fd;                 /* socket that libcurl opened last for this request, or -1 */
+  bool active;                   /* handed to libcurl */
+  bool before_send_called;       /* a connection was ready for the request at least once */
+  bool restart_pending;          /* to be started once more, on a new connection */
   bool restarted;
   bool too_large; /* the reply exceeds REPLY_BODY_MAX_BYTES or REPLY_HEAD_MAX_BYTES */
   bool framed;    /* the reply has a Content-Length or is chunked */
@@ -70,12 +73,12 @@
 
 /* An open connection, by which its socket is found: before a request is sent, libcurl gives the two
  * endpoints of the connection but not the socket. */
-typedef struct http_connection_t http_connection_t;
-
 struct http_connection_t
 {
   http_connection_t *next; /* in the bucket of the local port */
   int fd;
+  int64_t last_reply_us; /* when it was opened, or a reply over it last began */
+  bool suspect;        /* a later request to the same server got no reply, so it may be dead too */
   char endpoints[128]; /* LOCAL_IP:PORT-REMOTE_IP:PORT */
 };
 
@@ -168,6 +171,7 @@
   CURLMcode code;
 
   request->active = true;
+  request->start_us = dks_loop_now ().mono_us;
   request->host->active_count++;
   APR_RING_INSERT_TAIL (&client->active, request, http_request_t, link);
   code = curl_multi_add_handle (client->multi, request->easy);
@@ -315,11 +319,41 @@
   finish_completed_requests (client);
 }
 
+/* Connections to the server of the request over which nothing was received since the request was
+ * sent are not used any more: when a path fails without a reset, all connections over it go silent,
+ * and each further request would have to time out on one of them. */
+static void
+suspect_idle_connections (const http_request_t *request)
+{
+  char remote[80];
+  char *ip = NULL;
+  long port = 0;
+
+  if (curl_easy_getinfo (request->easy, CURLINFO_PRIMARY_IP, &ip) != CURLE_OK || ip == NULL
+      || curl_easy_getinfo (request->easy, CURLINFO_PRIMARY_PORT, &port) != CURLE_OK)
+    return;
+  snprintf (remote, sizeof (remote), "-%s:%ld", ip, port);
+  for (int i = 0; i < HASH_BUCKETS; i++)
+    {
+      for (http_connection_t *connection = request->client->connections[i]; connection != NULL;
+           connection = connection->next)
+        {
+          const char *end = strchr (connection->endpoints, '-');
+
+          if (connection->last_reply_us < request->start_us && end != NULL
+              && strcmp (end, remote) == 0)
+            connection->suspect = true;
+        }
+    }
+}
+
 static void
 handle_request_timeout (void *context, int64_t now_us)
 {
   http_request_t *request = context;
 
+  if (request->active && request_is_sent (request))
+    suspect_idle_connections (request);
   request_finish (request, request->active && request_is_sent (request) ? DKS_ERR_TIMEOUT
                                                                         : DKS_ERR_UNAVAILABLE);
 }
@@ -384,9 +418,9 @@
   return close (fd);
 }
 
-/* Returns the descriptor of the connection with these endpoints. A connection that is not known yet
- * is the one that `request` opened last; -1 if `request` opened none. */
-static int
+/* Returns the connection with these endpoints. One that is not known yet is the one that `request`
+ * opened last; NULL if `request` opened none. */
+static http_connection_t *
 connection_find_or_add (http_request_t *request, const char *endpoints, int local_port)
 {
   http_connection_t **bucket = &request->client->connections[local_port % HASH_BUCKETS];
@@ -395,15 +429,16 @@
   while (connection != NULL && strcmp (connection->endpoints, endpoints) != 0)
     connection = connection->next;
   if (connection != NULL)
-    return connection->fd;
+    return connection;
   if (request->opened_fd < 0)
-    return -1;
+    return NULL;
   connection = dks_alloc (sizeof (*connection));
   dks_strcpy (connection->endpoints, sizeof (connection->endpoints), endpoints);
   connection->fd = request->opened_fd;
+  connection->last_reply_us = dks_loop_now ().mono_us;
   connection->next = *bucket;
   *bucket = connection;
-  return connection->fd;
+  return connection;
 }
 
 /* libcurl calls this each time before it sends the request. When a reused connection was closed
@@ -413,19 +448,21 @@
 before_send (void *context, char *primary_ip, char *local_ip, int primary_port, int local_port)
 {
   http_request_t *request = context;
+  http_connection_t *connection;
   char endpoints[128];
   char byte;
-  int fd;
 
   if (request->before_send_called && request_is_sent (request))
     return CURL_PREREQFUNC_ABORT;
   request->before_send_called = true;
   /* Bytes that arrived before the request was sent are not its reply, but libcurl would take them
-   * for it; a new connection is used instead. */
+   * for it; a new connection is used instead, and also in place of one that may be dead. */
   snprintf (endpoints, sizeof (endpoints), "%s:%d-%s:%d", local_ip, local_port, primary_ip,
             primary_port);
-  fd = connection_find_or_add (request, endpoints, local_port);
-  if (fd < 0 || recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+  connection = connection_find_or_add (request, endpoints, local_port);
+  request->connection = connection;
+  if (connection == NULL || connection->suspect
+      || recv (connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
     {
       request->restart_pending = !request->restarted;
       return CURL_PREREQFUNC_ABORT;
@@ -496,6 +533,8 @@
       request->not_run = false;
       request->leaving = false;
       request->connection_close = false;
+      if (request->connection != NULL)
+        request->connection->last_reply_us = dks_loop_now ().mono_us;
     }
   else if (header_is (data, len, "Content-Length", NULL)
            || header_is (data, len, "Transfer-Encoding", "chunked"))
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -305,6 +305,41 @@
   EXPECT_EQ (replies[id].error, DKS_ERR_TIMEOUT);
 }
 
+// Guards against an outage that goes on for as many time-outs as there are idle connections: when
+// connections to a server have gone silent without a reset, a request that times out on one of them
+// must not be followed by one on another.
+TEST_F (HttpClient, RequestAfterATimeOutUsesNoConnectionThatWasIdleMeanwhile)
+{
+  std::atomic<int> connections (0);
+  std::atomic<bool> silent (false);
+  NetServer server ([&] (int fd, int number) {
+    HttpRequest request;
+    connections++;
+    while (http_read (fd, &request))
+      {
+        if (silent && number < 2)
+          continue;
+        // The first two requests are sent at the same time, and so over two connections.
+        while (connections < 2)
+          usleep (1000);
+        net_write (fd, http_reply (200, "ok"));
+      }
+  });
+
+  send ("GET", server.url ("/a"));
+  send ("GET", server.url ("/b"));
+  run_until (2);
+  ASSERT_EQ (connections, 2);
+  silent = true;
+  uint64_t unanswered = send ("GET", server.url ("/c"), nullptr, 200);
+  run_until (3);
+  EXPECT_EQ (replies[unanswered].error, DKS_ERR_TIMEOUT);
+  uint64_t next = send ("GET", server.url ("/d"), nullptr, 1000);
+  run_until (4);
+  EXPECT_EQ (replies[next].error, DKS_OK);
+  EXPECT_EQ (connections, 3);
+}
+
 TEST_F (HttpClient, BoundsConnectionsAndTimesOutWaitingRequests)
 {
   std::atomic<int> connections (0);
