core, net, platform: lost runs name their task, and a crash is told from silence

Change: a line run-lost for each run; a call that is refused because nothing listens at the address has a status of its own, and runs that end after such a call are lost with reason crashed.

--- a/core/lease.c
+++ b/core/lease.c
@@ -13,6 +13,7 @@
     [DKS_LEASE_UNHEALTHY] = "busy",
     [DKS_LEASE_OTHER_INCARNATION] = "other-life",
     [DKS_LEASE_NOT_SENT] = "not-sent",
+    [DKS_LEASE_REFUSED] = "connection-refused",
     [DKS_LEASE_UNANSWERED] = "unanswered",
   };
 
--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -262,6 +262,11 @@
       run->state = run->acked_us > 0 ? DKS_LEASED_RUN_RUNNING : DKS_LEASED_RUN_UNCONFIRMED;
       dks_leased_target_poll (target);
       return;
+    case DKS_LEASE_REFUSED:
+      target->connection_refused = true;
+      dks_leased_target_handle_no_answer (target);
+      dks_leased_target_hold (target);
+      break;
     case DKS_LEASE_NOT_SENT:
       dks_leased_target_handle_no_answer (target);
       dks_leased_target_hold (target);
@@ -305,6 +310,7 @@
       dks_leased_leader_handle_fenced (run->leased);
       return;
     case DKS_LEASE_NOT_SENT:
+    case DKS_LEASE_REFUSED:
     case DKS_LEASE_UNANSWERED:
       /* The stop is sent again when `run_watch_timer` expires. */
       run->state = DKS_LEASED_RUN_UNCONFIRMED;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -123,6 +123,19 @@
   target->poll_op = 0;
 }
 
+static void
+run_lose (dks_leased_run_t *run, const char *reason)
+{
+  dks_leased_t *leased = run->leased;
+
+  dks_metrics_increment (leased->metrics, DKS_LABELLED_RUNS_LOST, reason, "");
+  dks_emit_log (leased->r, DKS_LOG_INFO,
+                "event=run-lost task=%s run=%u target=%s reason=%s ran_ms=%" PRId64, run->task_name,
+                run->number, run->target->info.id, reason,
+                (dks_leased_now_us (leased) - run->start_sent_us) / 1000);
+  dks_leased_run_end (run, false, false);
+}
+
 /* Ends all runs of the target as lost, since they have certainly ended without a result. */
 static void
 target_end_all_runs (dks_leased_target_t *target, const char *reason)
@@ -131,10 +144,7 @@
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=runs-lost target=%s runs=%u reason=%s",
                   target->info.id, target->run_count, reason);
   while (!APR_RING_EMPTY (&target->runs, dks_leased_run_t, link))
-    {
-      dks_metrics_increment (target->leased->metrics, DKS_LABELLED_RUNS_LOST, reason, "");
-      dks_leased_run_end (APR_RING_FIRST (&target->runs), false, false);
-    }
+    run_lose (APR_RING_FIRST (&target->runs), reason);
 }
 
 static void
@@ -175,7 +185,7 @@
 
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX
       && time_us >= target_expiry_us (target))
-    target_end_all_runs (target, "silent");
+    target_end_all_runs (target, target->connection_refused ? "crashed" : "silent");
   if (!target->listed && target->run_count == 0)
     target_free (target);
   else if (!target->listed)
@@ -209,6 +219,7 @@
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-back target=%s",
                   target->info.id);
   target->unanswered_calls = 0;
+  target->connection_refused = false;
   target->last_answer_us = dks_leased_now_us (target->leased);
   if (target->listed)
     dks_timer_cancel (target->leased->r->timers, &target->expiry_timer);
@@ -383,6 +394,10 @@
       dks_timer_set (leased->r->timers, &target->hold_timer,
                      dks_leased_now_us (leased) + RETRY_DELAY_US);
       break;
+    case DKS_LEASE_REFUSED:
+      target->connection_refused = true;
+      dks_leased_target_handle_no_answer (target);
+      break;
     case DKS_LEASE_NOT_SENT:
     case DKS_LEASE_UNANSWERED:
       dks_leased_target_handle_no_answer (target);
--- a/include/core/lease.h
+++ b/include/core/lease.h
@@ -43,6 +43,7 @@
   DKS_LEASE_OTHER_INCARNATION, /**< the target has restarted: it is another incarnation; nothing was
                                   done */
   DKS_LEASE_NOT_SENT,          /**< there was no connection; the call was not sent */
+  DKS_LEASE_REFUSED,    /**< nothing listens at the target's address; the call was not sent */
   DKS_LEASE_UNANSWERED, /**< no answer: the call may have been carried out, or may be later */
 } dks_lease_status_t;
 
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -170,6 +170,7 @@
   int64_t last_answer_us;    /**< when the latest answer was received */
   int64_t lease_extended_us; /**< when the latest call was sent that may have extended the lease */
   uint32_t unanswered_calls; /**< calls without an answer since the latest answer */
+  bool connection_refused;   /**< since the latest answer: its process is gone */
   dks_timer_t hold_timer;
   dks_timer_t expiry_timer; /**< armed while the target does not answer or is not listed */
   struct dks_leased_run_ring_t runs;
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -15,6 +15,7 @@
   int error;    /**< 0, or DKS_ERR_UNAVAILABLE: no byte of the request was sent; DKS_ERR_TIMEOUT and
                      DKS_ERR_IO: the peer may have received the request; DKS_ERR_TOO_LARGE: the reply
                      has a body above 2 MiB or header lines above 64 KiB in all */
+  bool refused; /**< `error` is DKS_ERR_UNAVAILABLE because nothing listens at the address */
   int status;   /**< HTTP status code when `error` is 0 */
   bool not_run; /**< header Damaskshore-Not-Run: 1 */
   bool leaving; /**< header Damaskshore-Leaving: 1, or Connection: close with status 503 */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -5,6 +5,7 @@
 
 #include <apr_ring.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -222,7 +223,10 @@
 request_finish (http_request_t *request, int error)
 {
   dks_http_result_t result = { .error = error };
+  long os_error = 0;
 
+  curl_easy_getinfo (request->easy, CURLINFO_OS_ERRNO, &os_error);
+  result.refused = error == DKS_ERR_UNAVAILABLE && os_error == ECONNREFUSED;
   if (error == DKS_OK)
     {
       long status = 0;
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -216,6 +216,30 @@
   dks_blob_unref (effect.u.lease.spec);
 }
 
+// Guards against taking a target that is only cut off for one that has crashed: only the address of
+// the latter refuses connections.
+TEST_F (Adapter, RefusedConnectionIsToldFromATargetThatDoesNotAnswer)
+{
+  dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
+  NetServer silent_target ([&] (int fd, int) {
+    HttpRequest request;
+    while (http_read (fd, &request))
+      continue;
+  });
+
+  effect.u.lease.timeout_ms = 200;
+  snprintf (effect.u.lease.address, sizeof (effect.u.lease.address), "127.0.0.1:%d",
+            silent_target.port ());
+  dks_executor_call (client, &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (status, DKS_LEASE_UNANSWERED);
+  snprintf (effect.u.lease.address, sizeof (effect.u.lease.address), "127.0.0.1:%d",
+            net_free_port ());
+  dks_executor_call (client, &effect, handle_event, this);
+  wait_for_event ();
+  EXPECT_EQ (status, DKS_LEASE_REFUSED);
+}
+
 // Guards against mixing up two reasons for which a target rejects a call: the dispatcher acts
 // differently on each.
 TEST_F (Adapter, RejectionsMapToDistinctStatuses)
