core, net: a task under which two targets have crashed is not started again

What callers see: a task that crashes its targets took down one target every 1.1 s for as long as its caller waited, and the tasks that ran beside it were lost and delayed. Cause: the loss of a target counts as an interruption of its runs, which is retried without a bound; only ends that a target lists as failed were counted, and by one leader for one submission. Change: crashes are counted by task (leased_crashes.c): a refused connection or a new incarnation is a crash, silence, a refused start and the end of a target that leaves are not. At the second one the job is answered as failed at once. The count goes to the data centre, to instances that join it and to the other leaders, as a field of the message with the speeds, which instances of the version before ignore. Why it works: whoever may start the task next knows the count before the task can be started again, as the lease of the crashed target has to expire first.

--- a/core/leased.c
+++ b/core/leased.c
@@ -26,6 +26,7 @@
   dks_leased_members_init (leased);
   dks_leased_estimate_init (leased);
   dks_leased_speeds_init (leased);
+  dks_leased_crashes_init (leased);
   dks_leased_targets_init (leased);
   dks_leased_watch_init (leased);
   dks_leased_jobs_init (leased);
@@ -43,6 +44,7 @@
   dks_leased_jobs_clear (leased);
   dks_leased_watch_clear (leased);
   dks_leased_targets_clear (leased);
+  dks_leased_crashes_clear (leased);
   dks_leased_speeds_clear (leased);
   dks_leased_estimate_clear (leased);
   dks_leased_feed_clear (leased);
@@ -100,6 +102,7 @@
       break;
     case DKS_MSG_SPEEDS:
       dks_leased_speeds_handle_msg (leased, msg);
+      dks_leased_crashes_handle_msg (leased, msg);
       break;
     case DKS_MSG_RECORD:
       handle_catalog_record (leased, from, msg);
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -4,6 +4,7 @@
 #include "common/error.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -38,6 +39,8 @@
  * average target, which may be wrong by 40%. */
 #define EXPECTED_RUN_FACTOR_MIN 0.45
 
+static const char crash_reason[] = "targets crashed while they ran a task";
+
 static int64_t
 min_us (int64_t a, int64_t b)
 {
@@ -528,6 +531,17 @@
   return false;
 }
 
+static bool
+has_forbidden_task (const dks_leased_job_t *job)
+{
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      if (dks_leased_crashes_forbid_start (job, &job->tasks[i]))
+        return true;
+    }
+  return false;
+}
+
 /* Starts tasks that another leader lent, and refuses those that do not fit on a target now. */
 static void
 place_lent (dks_leased_job_t *job)
@@ -611,6 +625,8 @@
     }
   if (!job->resent && lag_us > WORK_LAG_MAX_US)
     job_refuse (job, "the leader cannot keep up");
+  else if (has_forbidden_task (job))
+    job_answer (job, DKS_BATCH_FAILED, 0, crash_reason);
   else if (has_unplaceable_step (job))
     job_refuse (job, "no target can run it");
   else if (!job->resent && dks_leased_admission_wait_is_too_long (job))
@@ -699,6 +715,18 @@
     job_free (job);
 }
 
+void
+dks_leased_jobs_handle_crashes (dks_leased_t *leased, const char *task_name)
+{
+  char id[DKS_BATCH_ID_SIZE];
+  dks_leased_job_t *job;
+
+  snprintf (id, sizeof (id), "%.*s", (int)strcspn (task_name, "."), task_name);
+  job = job_find_by_batch_id (leased, id);
+  if (job != NULL)
+    job_answer (job, DKS_BATCH_FAILED, 0, crash_reason);
+}
+
 void
 dks_leased_jobs_handle_run_end (dks_leased_t *leased, dks_leased_run_t *run, bool ok, bool is_fault)
 {
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -373,7 +373,10 @@
   if (is_new)
     leased->last_join_us = leased->r->now.mono_us;
   if (is_new && dks_leased_peer_is_local (leased, peer))
-    dks_leased_speeds_publish_all (leased);
+    {
+      dks_leased_speeds_publish_all (leased);
+      dks_leased_crashes_send_all (leased, peer->id);
+    }
   if (changed)
     dks_leased_leader_update (leased);
   dks_leased_feed_fetch_from_peers (leased);
--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -263,10 +263,11 @@
       dks_leased_target_poll (target);
       return;
     case DKS_LEASE_REFUSED:
+      run_handle_not_started (run, status);
       target->connection_refused = true;
       dks_leased_target_handle_no_answer (target);
       dks_leased_target_hold (target);
-      break;
+      return;
     case DKS_LEASE_NOT_SENT:
       dks_leased_target_handle_no_answer (target);
       dks_leased_target_hold (target);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -201,6 +201,8 @@
   if (target->unanswered_calls == DKS_LEASED_UNANSWERED_CALLS_MAX)
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-silent target=%s runs=%u",
                   target->info.id, target->run_count);
+  if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX && target->connection_refused)
+    dks_leased_crashes_record (target, NULL);
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX
       && !dks_timer_is_armed (&target->expiry_timer))
     dks_timer_set (timers, &target->expiry_timer, target_expiry_us (target));
@@ -254,6 +256,7 @@
 void
 dks_leased_target_handle_replaced (dks_leased_target_t *target)
 {
+  dks_leased_crashes_record (target, NULL);
   target_end_all_runs (target, "replaced");
   target_begin_incarnation (target, 0);
 }
@@ -342,6 +345,7 @@
                     target->info.id, target->run_count);
       /* A start may have reached the new incarnation before this leader knew of it, so the run
        * lists decide which of the runs are gone. */
+      dks_leased_crashes_record (target, lists);
       target_begin_incarnation (target, lists->incarnation_ms);
       target->clock_known = true; /* from the answer that contained the lists */
     }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -50,6 +50,10 @@
 typedef struct dks_leased_caller_t dks_leased_caller_t;
 typedef struct dks_leased_request_t dks_leased_request_t;
 
+/** A task under which targets have crashed. */
+typedef struct dks_leased_crash_t dks_leased_crash_t;
+APR_RING_HEAD (dks_leased_crash_ring_t, dks_leased_crash_t);
+
 /** An address at which another instance is or was, or a seed. */
 typedef struct dks_leased_address_t dks_leased_address_t;
 
@@ -134,6 +138,7 @@
   int64_t adopted_us;        /**< when it was found in a target's list, 0: started by this leader */
   int64_t stop_sent_us;      /**< when the stop was last sent */
   uint64_t op;               /**< id of the start or stop under way, 0 for none */
+  bool crash_recorded;       /**< the crash of its target was counted */
   bool slowness_recorded;    /**< its run time was counted as a sample of its target's slowness */
 };
 APR_RING_HEAD (dks_leased_run_ring_t, dks_leased_run_t);
@@ -391,6 +396,11 @@
   /* leased_speeds.c */
   dks_timer_t publish_timer;
 
+  /* leased_crashes.c */
+  struct dks_leased_crash_ring_t crashes;
+  apr_hash_t *crashes_by_task_name;
+  uint32_t crash_count; /**< tasks in `crashes` */
+
   /* leased_estimate.c */
   struct dks_leased_queue_ring_t queues;
   uint32_t queue_count;
@@ -625,6 +635,18 @@
 /** Has all averages published again, since an instance has joined the data centre. */
 void dks_leased_speeds_publish_all (dks_leased_t *leased);
 
+/* leased_crashes.c */
+void dks_leased_crashes_init (dks_leased_t *leased);
+void dks_leased_crashes_clear (dks_leased_t *leased);
+/** Counts a crash of the target for the tasks of its runs, except those that its new incarnation
+ * lists, and tells other instances. `new_lists` may be NULL. */
+void dks_leased_crashes_record (dks_leased_target_t *target, const dks_run_lists_t *new_lists);
+/** Whether so many targets have crashed under the task that it is not started again. */
+bool dks_leased_crashes_forbid_start (const dks_leased_job_t *job, const dks_leased_task_t *task);
+void dks_leased_crashes_handle_msg (dks_leased_t *leased, const dks_msg_t *msg);
+/** Sends the peer, which has joined the data centre of this leader, all crashes. */
+void dks_leased_crashes_send_all (dks_leased_t *leased, const char *peer);
+
 /* leased_watch.c */
 void dks_leased_watch_init (dks_leased_t *leased);
 void dks_leased_watch_clear (dks_leased_t *leased);
@@ -663,6 +685,9 @@
 void dks_leased_jobs_place_waiting (dks_leased_t *leased);
 /** Ends a job that cannot complete before its caller leaves, or reports that for a lent task. */
 void dks_leased_jobs_give_up (dks_leased_job_t *job, uint32_t task_index);
+/** Ends the job of the task, if this leader has it, since too many targets crashed under the task.
+ */
+void dks_leased_jobs_handle_crashes (dks_leased_t *leased, const char *task_name);
 /** Handles the outcome of a run of a job's task. `is_fault`: the task itself failed. */
 void dks_leased_jobs_handle_run_end (dks_leased_t *leased, dks_leased_run_t *run, bool ok,
                                      bool is_fault);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -41,7 +41,7 @@
   DKS_MSG_TARGETS, /**< all targets that the sender knows, for an instance that cannot read the list
                       from the platform */
   DKS_MSG_SPEEDS,  /**< leader -> instances of its data centre: measured speeds of targets and run
-                      times of queues */
+                      times of queues; also to other leaders: tasks under which targets crashed */
 
   DKS_MSG_TYPE_COUNT
 } dks_msg_type_t;
@@ -83,6 +83,13 @@
   uint32_t samples;    /**< number of runs behind the value */
 } dks_queue_run_time_t;
 
+/** A task under which targets have crashed. */
+typedef struct
+{
+  char task_name[DKS_TASK_NAME_SIZE];
+  uint32_t crashes;
+} dks_crashed_task_t;
+
 const char *dks_lent_result_name (dks_lent_result_t result);
 
 /** Outcome of one attempt to run a task at a target. */
@@ -253,6 +260,8 @@
       dks_target_speed_t *targets;
       uint32_t queue_count;
       dks_queue_run_time_t *queues;
+      uint32_t crashed_task_count;
+      dks_crashed_task_t *crashed_tasks;
     } speeds;
     struct
     {
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Dks__LeasedStatus Dks__LeasedStatus;
 typedef struct Dks__TargetSpeed Dks__TargetSpeed;
 typedef struct Dks__QueueRunTime Dks__QueueRunTime;
+typedef struct Dks__CrashedTask Dks__CrashedTask;
 typedef struct Dks__Speeds Dks__Speeds;
 typedef struct Dks__TargetInfo Dks__TargetInfo;
 typedef struct Dks__Targets Dks__Targets;
@@ -406,6 +407,20 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+struct  Dks__CrashedTask
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t crashes;
+};
+#define DKS__CRASHED_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__crashed_task__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A message of a type that an instance does not know ends its connection, an unknown field does not.
+ */
 struct  Dks__Speeds
 {
   ProtobufCMessage base;
@@ -413,10 +428,12 @@
   Dks__TargetSpeed **targets;
   size_t n_queues;
   Dks__QueueRunTime **queues;
+  size_t n_crashed_tasks;
+  Dks__CrashedTask **crashed_tasks;
 };
 #define DKS__SPEEDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__speeds__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Dks__TargetInfo
@@ -1097,6 +1114,25 @@
 void   dks__queue_run_time__free_unpacked
                      (Dks__QueueRunTime *message,
                       ProtobufCAllocator *allocator);
+/* Dks__CrashedTask methods */
+void   dks__crashed_task__init
+                     (Dks__CrashedTask         *message);
+size_t dks__crashed_task__get_packed_size
+                     (const Dks__CrashedTask   *message);
+size_t dks__crashed_task__pack
+                     (const Dks__CrashedTask   *message,
+                      uint8_t             *out);
+size_t dks__crashed_task__pack_to_buffer
+                     (const Dks__CrashedTask   *message,
+                      ProtobufCBuffer     *buffer);
+Dks__CrashedTask *
+       dks__crashed_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dks__crashed_task__free_unpacked
+                     (Dks__CrashedTask *message,
+                      ProtobufCAllocator *allocator);
 /* Dks__Speeds methods */
 void   dks__speeds__init
                      (Dks__Speeds         *message);
@@ -1364,6 +1400,9 @@
 typedef void (*Dks__QueueRunTime_Closure)
                  (const Dks__QueueRunTime *message,
                   void *closure_data);
+typedef void (*Dks__CrashedTask_Closure)
+                 (const Dks__CrashedTask *message,
+                  void *closure_data);
 typedef void (*Dks__Speeds_Closure)
                  (const Dks__Speeds *message,
                   void *closure_data);
@@ -1425,6 +1464,7 @@
 extern const ProtobufCMessageDescriptor dks__leased_status__descriptor;
 extern const ProtobufCMessageDescriptor dks__target_speed__descriptor;
 extern const ProtobufCMessageDescriptor dks__queue_run_time__descriptor;
+extern const ProtobufCMessageDescriptor dks__crashed_task__descriptor;
 extern const ProtobufCMessageDescriptor dks__speeds__descriptor;
 extern const ProtobufCMessageDescriptor dks__target_info__descriptor;
 extern const ProtobufCMessageDescriptor dks__targets__descriptor;
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -432,7 +432,7 @@
       catalog = create_catalog ();
       items.push_back ({ "catalog", false, catalog, nullptr });
     }
-  if (call.is_answered && !call.is_watch && call.feed == DKS_FEED_TARGETS)
+  if (call.is_answered && call.feed == DKS_FEED_TARGETS && (!call.is_watch || call.has_targets))
     {
       for (auto &target : targets)
         items.push_back ({ target->info.id, false, nullptr, &target->info });
@@ -457,6 +457,21 @@
     }
 }
 
+void
+World::announce_targets ()
+{
+  for (auto &[id, call] : feed_calls)
+    {
+      auto [index, op] = id;
+
+      if (call.feed != DKS_FEED_TARGETS || !call.is_watch || !call.is_answered)
+        continue;
+      call.has_targets = true;
+      deliver (now_us + call_delay_us, index,
+               [=, this, index = index, op = op] { end_feed_call (index, op); });
+    }
+}
+
 void
 World::silence_feed_calls ()
 {
@@ -570,6 +585,17 @@
   target.runs.push_back (
       { task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us, false });
   check_double_runs (task);
+  if (deadly_tasks.count (task) > 0)
+    {
+      int64_t incarnation_ms = target.info.incarnation_ms;
+
+      schedule_at (now_us + 10 * ms, [this, &target, task, incarnation_ms] {
+        if (target.info.incarnation_ms != incarnation_ms)
+          return;
+        deadly_tasks[task]++;
+        crash (target, 3000 * ms);
+      });
+    }
   if (!target.stalled)
     schedule_at (now_us + length_us, [this, &target] { answer_waiting_holds (target); });
   return DKS_LEASE_OK;
@@ -614,6 +640,11 @@
 
   if (target.silent)
     return;
+  if (target.refuses_until_us > now_us)
+    {
+      send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_REFUSED, nullptr, nullptr);
+      return;
+    }
   end_due_runs (target);
   if (effect.u.lease.fencing_token < target.highest_fence)
     status = DKS_LEASE_FENCED;
@@ -653,6 +684,25 @@
     send_lease_reply (call.instance, effect.u.lease.op, status, &target, &call);
 }
 
+void
+World::crash (Target &target, int64_t down_us)
+{
+  auto holds = std::move (target.waiting_holds);
+
+  target.waiting_holds.clear ();
+  target.refuses_until_us = now_us + down_us;
+  target.info.incarnation_ms++;
+  target.runs.clear ();
+  target.ended.clear ();
+  target.next_end_number = 1;
+  target.highest_ended_run.clear ();
+  target.highest_fence = 0;
+  target.lease_end_us = 0;
+  for (auto &hold : holds)
+    send_lease_reply (hold.instance, hold.effect.u.lease.op, DKS_LEASE_UNANSWERED, nullptr,
+                      nullptr);
+}
+
 void
 World::send_lease_reply (size_t index, uint64_t op, dks_lease_status_t status, const Target *target,
                          const Call *call)
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -56,10 +56,11 @@
 struct Target
 {
   dks_target_info_t info;
-  double slowness = 1;    // run time over that on a target of usual speed
-  bool silent = false;    // receives no calls and answers none
-  bool stalled = false;   // its runs make no progress and never end
-  bool runs_fail = false; // its runs end as DKS_RUN_FAILED
+  double slowness = 1;          // run time over that on a target of usual speed
+  bool silent = false;          // receives no calls and answers none
+  int64_t refuses_until_us = 0; // its process is gone until then, and connections are refused
+  bool stalled = false;         // its runs make no progress and never end
+  bool runs_fail = false;       // its runs end as DKS_RUN_FAILED
   // The next `delayed_starts` starts are carried out `start_delay_us` after they were sent, and get
   // no answer.
   int delayed_starts = 0;
@@ -131,6 +132,10 @@
   void set_partitioned (size_t a, size_t b, bool is_partitioned);
   // A frozen instance handles no events; those that reach it wait until it is no longer frozen.
   void set_frozen (size_t instance, bool is_frozen);
+  // The process of the target ends at once, and a new incarnation starts after `down_us`.
+  void crash (Target &target, int64_t down_us);
+  // The platform's list of targets has changed: watches of it are answered.
+  void announce_targets ();
   // Puts a new version of the configuration into the platform's store.
   void change_catalog ();
   // The open connections to the platform's store go silent: calls under way get no answer.
@@ -177,6 +182,8 @@
   // Run time of a task on a target of slowness 1, by the task's name without its index:
   // "ID.0.STEP".
   std::map<std::string, int64_t> real_ms;
+  // Tasks that crash a target 10 ms after it has started them, and the crashes of each.
+  std::map<std::string, int> deadly_tasks;
   int double_runs = 0;                // starts of a task that already had a run on some target
   dks_msg_t *last_lend_msg = nullptr; // latest message by which one leader lends tasks to another
   // Settings of the only queue. The objective of a job is `objective_extra_ms` plus its declared
@@ -226,7 +233,8 @@
     dks_feed_t feed;
     bool is_watch;
     int64_t after_revision;
-    bool is_answered; // the connection is up
+    bool is_answered;         // the connection is up
+    bool has_targets = false; // the list of targets has changed since
   };
 
   void send_feed_call (size_t instance, const dks_effect_t &effect);
--- /dev/null
+++ b/tests/test_leased_crashes.cc
@@ -0,0 +1,238 @@
+// Tasks under which targets crash: such a task is given up after two crashes, whoever starts it.
+
+#include "leased_world.h"
+
+#include <gtest/gtest.h>
+
+using leased::ms;
+using leased::World;
+
+namespace
+{
+
+const char *const job = "0000000000000001";
+const char *const deadly_task = "0000000000000001.0.0.0";
+
+// A data centre with targets that can run two tasks each.
+void
+add_data_centre (World &world, const std::string &name, int instances, int targets)
+{
+  for (int i = 0; i < instances; i++)
+    world.add_instance (name);
+  for (int i = 0; i < targets; i++)
+    world.add_target (name);
+}
+
+void
+start (World &world)
+{
+  world.deadly_tasks[deadly_task] = 0;
+  world.start_all ();
+  world.run_for (2000 * ms);
+}
+
+// Index of the instance that was the last to become leader of the data centre.
+size_t
+leader_of (const World &world, const std::string &data_centre)
+{
+  size_t leader = SIZE_MAX;
+
+  for (auto &line : world.log)
+    {
+      if (line.find ("event=leader-start data_centre=" + data_centre) != std::string::npos)
+        leader = world.find (line.substr (0, line.find (' ')));
+    }
+  return leader;
+}
+
+testing::AssertionResult
+got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer)
+{
+  auto found = world.answers.find (caller);
+
+  if (found == world.answers.end ())
+    return testing::AssertionFailure () << "caller " << caller << " has no answer";
+  if (found->second.answer != answer)
+    return testing::AssertionFailure () << dks_batch_answer_name (found->second.answer);
+  return testing::AssertionSuccess ();
+}
+
+// Guards against a task that takes down target after target for as long as its caller waits.
+TEST (LeasedCrashes, TaskIsGivenUpOnceTwoTargetsHaveCrashedUnderIt)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+
+  uint64_t caller = world.submit (0, job, { { 2, 6800, 100, 100 } }, 12000);
+  uint64_t other = world.submit (0, "0000000000000002", { { 8, 6800, 300, 300 } }, 12000);
+  world.run_for (12000 * ms);
+  EXPECT_EQ (world.deadly_tasks[deadly_task], 2);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+  // It is told at the second crash, which comes once the lease of the first target has expired.
+  EXPECT_LT (world.answers[caller].at_us, 1000 * ms + 2000 * ms + 1300 * ms);
+  EXPECT_TRUE (got_answer (world, other, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against a count that starts anew with each leader of the data centre.
+TEST (LeasedCrashes, SuccessorOfALostLeaderKnowsOfTheCrashes)
+{
+  World world;
+  add_data_centre (world, "a", 4, 8);
+  start (world);
+  size_t leader = leader_of (world, "a");
+  size_t entry = leader == 0 ? 1 : 0;
+
+  uint64_t caller = world.submit (entry, job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (500 * ms);
+  ASSERT_EQ (world.deadly_tasks[deadly_task], 1);
+  world.kill (leader);
+  world.run_for (10000 * ms);
+  EXPECT_EQ (world.deadly_tasks[deadly_task], 2);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+}
+
+// Guards against a count that starts anew with an instance that joins and leads at once.
+TEST (LeasedCrashes, LeaderThatHasJoinedLaterKnowsOfTheCrashes)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  size_t leader = leader_of (world, "a");
+  size_t other = 1 - leader;
+
+  world.kill (other);
+  world.run_for (2000 * ms);
+  world.submit (leader, job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (3000 * ms);
+  ASSERT_EQ (world.deadly_tasks[deadly_task], 2);
+  world.restart (other);
+  world.run_for (2000 * ms);
+  world.kill (leader);
+  world.run_for (2000 * ms);
+  uint64_t caller = world.submit (other, job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (5000 * ms);
+  EXPECT_EQ (world.deadly_tasks[deadly_task], 2);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+}
+
+// Guards against work that has crashed its targets being run again because the answer to it was
+// lost and the caller sent it again, in another data centre.
+TEST (LeasedCrashes, JobThatIsSubmittedAgainElsewhereIsNotStarted)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  add_data_centre (world, "b", 2, 8);
+  start (world);
+
+  uint64_t caller = world.submit (world.find ("a-1"), job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (4000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+  uint64_t again = world.submit (world.find ("b-1"), job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (100 * ms);
+  EXPECT_TRUE (got_answer (world, again, DKS_BATCH_FAILED));
+  EXPECT_EQ (world.deadly_tasks[deadly_task], 2);
+}
+
+// Guards against crashes that are not counted because the task was lent to another data centre.
+TEST (LeasedCrashes, CrashesInOtherDataCentresCount)
+{
+  World world;
+  add_data_centre (world, "a", 2, 0);
+  world.add_target ("a", 1000);
+  add_data_centre (world, "b", 2, 8);
+  start (world);
+
+  uint64_t caller = world.submit (world.find ("a-1"), job, { { 1, 6800, 100, 100 } }, 12000);
+  world.run_for (12000 * ms);
+  EXPECT_EQ (world.deadly_tasks[deadly_task], 2);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+}
+
+// Guards against a target that is back before its lease has expired: its lists lack the runs.
+TEST (LeasedCrashes, CrashOfATargetThatIsBackAtOnceCounts)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 2000, 2000 } }, 12000);
+  for (int i = 0; i < 3; i++)
+    {
+      world.run_for (300 * ms);
+      for (auto &target : world.targets)
+        {
+          if (!target->runs.empty ())
+            world.crash (*target, 100 * ms);
+        }
+      world.run_for (1000 * ms);
+    }
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_FAILED));
+}
+
+// Guards against taking a start that a crashed target refused for a crash under the task.
+TEST (LeasedCrashes, RefusedStartIsNoCrash)
+{
+  World world;
+  add_data_centre (world, "a", 2, 6);
+  start (world);
+  world.deadly_tasks.clear ();
+  for (size_t i = 0; i < 5; i++)
+    world.crash (*world.targets[i], 20000 * ms);
+
+  uint64_t caller = world.submit (0, job, { { 2, 6800, 100, 100 } }, 12000);
+  world.run_for (3000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against work that is given up although its targets were only silent.
+TEST (LeasedCrashes, TaskOnTargetsThatWereOnlySilentIsNotGivenUp)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 3; i++)
+    {
+      world.run_for (100 * ms);
+      for (auto &target : world.targets)
+        target->silent = target->silent || !target->runs.empty ();
+      world.run_for (1800 * ms);
+    }
+  EXPECT_FALSE (world.answered (caller));
+  world.run_for (3000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against runs on a target that leaves and ends its process being taken for crashes.
+TEST (LeasedCrashes, EndOfATargetThatLeavesIsNoCrash)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 2; i++)
+    {
+      world.run_for (100 * ms);
+      for (auto &target : world.targets)
+        {
+          if (target->runs.empty ())
+            continue;
+          target->info.leaving = true;
+          world.announce_targets ();
+          world.crash (*target, 20000 * ms);
+        }
+      world.run_for (1800 * ms);
+    }
+  world.run_for (3000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+}
