tests: the soak has tasks that crash their executors

Cause: no test with processes had a task that crashes its targets (incident BUDGET); a 200 with state failed counted as completed, which no job had been until now. Change: 2% of the jobs crash each executor that starts their first task, whose address then refuses connections for 1 to 3 s; rule BUDGET; FALSE compares the state and also reports a failed job without cause, so it is stricter than before.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -9,12 +9,13 @@
   UNASKED  a start of a task that no caller submitted, or with another specification
   ORDER    a start before the steps it depends on have ended
   REFUSED  a start although every attempt of the caller was refused as not run
-  FALSE    an answer "completed" although a task has not succeeded
+  FALSE    an answer "completed" although a task has not succeeded, or "failed" without cause
   SILENT   no answer to a caller in its time from an instance that runs undisturbed
   ORPHAN   a run that still goes on after the last caller has left and its lease has expired
   RECOVER  too few callers served after all faults have ended
   HASTY    a job given up before its caller's deadline, after all faults have ended
   CONFIG   an old configuration in force long after a change
+  BUDGET   a task started three times more after three executors have crashed under it
   EXIT     an instance that ended by itself, or with an unexpected exit status
 
 The exit status is 0 when no check is violated. The seed determines all random choices, but not the
@@ -40,6 +41,7 @@
 TASK_RUN_TIMES_S = [0.06] * 6 + [0.2] * 3 + [0.9] * 2 + [2.4]
 OBJECTIVE_FACTOR = 1.6  # objective of a job, relative to the run time of its steps
 OBJECTIVE_EXTRA_MS = 60  # added to the objective of each job
+MAX_ATTEMPTS = 3  # runs of a task that may fail
 RESEND_DELAY_S = 1.3  # delay before a job is resubmitted
 ANSWER_SLACK_S = 1.0  # added to the caller's time, because the machine may be busy
 QUIET_S = 4.0  # of traffic without faults at the end, in which callers must be served
@@ -47,6 +49,8 @@
 CONFIG_S = 2.0  # within which a change of the configuration must be in force
 # Checks that also fail when the machine is too slow.
 TIMED_RULES = ("SILENT", "RECOVER", "HASTY", "CONFIG")
+DEADLY_SHARE = 0.02  # of the jobs: their first task crashes each executor that starts it
+CRASH_DELAY_S = 0.01  # from the start of such a task to the crash
 SERVED_SHARE_MIN = 0.9  # of the callers after the faults; executors fail 2 of 1000 runs
 
 
@@ -65,12 +69,16 @@
         self.wait_ms = QUEUE_TIMEOUT_MS  # time that its caller waits
         if self.sends_deadline:
             self.wait_ms += int(objective_ms * rng.uniform(2, 3))
-        self.answers = []  # one for each attempt: an HTTP status, "broken" or "silent"
+        self.answers = []  # one for each attempt: an HTTP status, "failed", "broken" or "silent"
         self.ended_early = False  # the latest answer was 504 before the caller's time was over
         self.started = False
         self.active = {}  # task -> (executor, run)
         self.done = set()  # tasks that have succeeded
         self.caller_left = False  # the caller closed the connection before its time was over
+        self.bad_ends = {}  # task -> ends of its runs as failed, or by a crash of the executor
+        self.is_deadly = False
+        self.crashes = 0  # of executors, by its deadly task
+        self.starts_after_crashes = 0  # of that task, after three crashes
 
     def body(self, rng):
         steps = []
@@ -82,6 +90,10 @@
             steps.append(row)
         return json.dumps({"best_effort": True, "spec": self.spec, "steps": steps}).encode()
 
+    def may_fail(self):
+        return any(ends.count("failed") >= MAX_ATTEMPTS or ends.count("crashed") >= 2
+                   for ends in self.bad_ends.values())
+
     def tasks_of(self, step):
         return {"%s.0.%d.%d" % (self.name, step, i) for i in range(self.steps[step]["count"])}
 
@@ -157,6 +169,7 @@
         self.options = options
         self.seed = seed
         self.rng = random.Random(seed)
+        self.crash_rng = random.Random(seed + 2)
         self.folder = options.keep and os.path.join(options.keep, "seed-%d" % seed)
         if self.folder:
             os.makedirs(self.folder, exist_ok=True)
@@ -217,6 +230,30 @@
                 run.task, run.number, executor.name, current[1].number, current[0].name))
         job.active[run.task] = (executor, run)
         self.log_event("run %s %d starts on %s" % (run.task, run.number, executor.name))
+        if job.is_deadly and run.task == job.name + ".0.0.0":
+            job.starts_after_crashes += job.crashes >= 3
+            if job.starts_after_crashes == 3:
+                self.report_violation("BUDGET", "%s starts again on %s after %d crashes" % (
+                    run.task, executor.name, job.crashes))
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_S, self.crash, job, executor, executor.incarnation)
+
+    def crash(self, job, executor, incarnation):
+        if executor.incarnation != incarnation:
+            return
+        job.crashes += 1
+        self.log_event("%s crashes" % executor.name)
+        executor.end_due_runs()
+        executor.restart()
+        executor.server.drop_connections()
+        asyncio.create_task(self.stay_down(self.executors.index(executor)))
+
+    async def stay_down(self, index):
+        """Refuses connections to the executor for a while."""
+        proxy = self.executor_proxies[index]
+        await proxy.close()
+        await asyncio.sleep(self.crash_rng.uniform(1, 3))
+        await proxy.open(self.executors[index].port)
 
     def run_ended(self, executor, run, end_kind, when):
         job = self.job_of(run.task)
@@ -225,13 +262,15 @@
             del job.active[run.task]
         if end_kind == "done":
             job.done.add(run.task)
+        elif end_kind in ("failed", "crashed"):
+            job.bad_ends.setdefault(run.task, []).append(end_kind)
         self.log_event("run %s %d on %s ends: %s" % (run.task, run.number, executor.name, end_kind))
 
     # Platform
 
     def route(self, prefix):
         return {"name": "r" + prefix.replace("/", ""), "host": "words.example", "prefix": prefix,
-                "service": "words", "priority": 0, "max_attempts": 3,
+                "service": "words", "priority": 0, "max_attempts": MAX_ATTEMPTS,
                 "timeout_ms": QUEUE_TIMEOUT_MS, "target_factor": OBJECTIVE_FACTOR,
                 "target_latency_ms": OBJECTIVE_EXTRA_MS}
 
@@ -315,8 +354,10 @@
             sent = time.monotonic()
             leaves_early = job.caller_left = self.rng.random() < 0.03
             limit = 0.2 if leaves_early else job.wait_ms / 1000 + ANSWER_SLACK_S
-            status, _ = await self.call(instance, "POST", "/q/" + job.name, body, limit,
-                                        job.wait_ms if job.sends_deadline else 0)
+            status, answer = await self.call(instance, "POST", "/q/" + job.name, body, limit,
+                                             job.wait_ms if job.sends_deadline else 0)
+            if status == 200 and json.loads(answer)["state"] != "completed":
+                status = "failed"
             job.ended_early = status == 504 and 1000 * (time.monotonic() - sent) < job.wait_ms
             job.answers.append(status)
             self.log_event("job %s answered %s by %s after %d ms" % (
@@ -328,6 +369,8 @@
                 if not all_tasks <= job.done:
                     self.report_violation("FALSE", "%s completed without %s" % (
                         job.name, sorted(all_tasks - job.done)))
+            if status == "failed" and not job.may_fail():
+                self.report_violation("FALSE", "%s failed after %s" % (job.name, job.bad_ends))
             if status == "silent" and not leaves_early and instance.is_undisturbed(sent - 0.5):
                 self.report_violation("SILENT", "%s got no answer from %s" % (
                     job.name, instance.name))
@@ -342,6 +385,8 @@
             name = "%016x" % (self.seed << 32 | count)
             count += 1
             job = Job(name, self.rng)
+            job.is_deadly = (self.now() < 1.0 + self.options.seconds
+                             and self.crash_rng.random() < DEADLY_SHARE)
             self.jobs[name] = job
             job.sent_s = self.now()
             tasks.append(asyncio.create_task(self.submit(job)))
--- a/tests/platform/soak/standins.py
+++ b/tests/platform/soak/standins.py
@@ -340,6 +340,12 @@
     async def open(self, port):
         self.server = await asyncio.start_server(self.connection, "127.0.0.1", port)
 
+    async def close(self):
+        """Resets all connections; new ones are refused until the next call of open()."""
+        self.server.close()
+        self.reset()
+        await self.server.wait_closed()
+
     async def connection(self, reader, writer):
         try:
             other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.target)
