tests: a second run of a lent task after a hand-over, red

Cause: after a planned handover the successor waits 0.3 s for runs that the former leader lent, and takes a status of the remote leader for a sign that it has handled their end. Status and cancellation come from different instances, so the latter can be on its way behind a large configuration while the former arrives.

--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -332,7 +332,9 @@
               && instances[other]->data_centre != instances[index]->data_centre;
           std::string from = instances[index]->member_id;
           std::string to = instances[other]->member_id;
-          deliver (now_us + peer_delay_us, other, [this, index, other, msg, from, to] {
+          auto delay = link_delay_us.find ({ index, other });
+          int64_t delay_us = peer_delay_us + (delay != link_delay_us.end () ? delay->second : 0);
+          deliver (now_us + delay_us, other, [this, index, other, msg, from, to] {
             dks_event_t event = {};
 
             event.type = DKS_EVENT_PEER_MSG;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -171,6 +171,8 @@
   // Instances connect only to the addresses to which their reducers ask to connect, and know three
   // seeds at the start; else all are connected to each other.
   bool connects_by_address = false;
+  // Delay of the messages from one instance to another, beyond the usual one: a busy link.
+  std::map<std::pair<size_t, size_t>, int64_t> link_delay_us;
   std::map<dks_msg_type_t, uint64_t> sent_msgs;
   size_t count_statuses_of = SIZE_MAX; // instance whose statuses are counted
   uint64_t statuses_to_other_data_centres = 0;
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1417,6 +1417,36 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a second run of a lent task after a hand-over: the link from the former home
+// leader to the remote leader is busy, so that the remote leader learns late that it has to stop
+// the run, while its statuses reach the successor in time.
+TEST (Leased, SuccessorWaitsForARemoteLeaderThatLearnsLateOfTheHandover)
+{
+  for (int64_t delay_ms : { 0, 200, 400, 800 })
+    {
+      World world;
+      add_data_centre (world, "a", 2);
+      add_data_centre (world, "b", 4, 1);
+      world.start_all ();
+      world.run_for (4000 * ms);
+      warm_up (world, 0, 2, 100);
+      size_t leader = world.find (leader_of (world, "a"));
+      size_t entry = 1 - leader;
+
+      world.submit (entry, "0000000000000001", { { 4, 6800, 200, 200 } });
+      world.run_for (10 * ms);
+      uint64_t caller =
+          world.submit (entry, "0000000000000002", { { 2, 6800, 2000, 2000 } }, 12000);
+      world.run_for (50 * ms);
+      ASSERT_NE (world.last_lend_msg, nullptr);
+      world.link_delay_us[{ leader, world.find ("b-1") }] = delay_ms * ms;
+      world.drain (leader);
+      world.run_for (8000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "delay of " << delay_ms << " ms";
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+    }
+}
+
 // Guards against a caller that gets the answer "not run" while its job runs. A leader that could
 // not keep up refused the first message about a job after the job had gone to another leader and
 // back, and the entry instance passed that refusal on to the caller.
