core, net: entries of the crashes of tasks are named after what they hold

Cause: the type named a crash and the message a crashed task, while both hold the number of crashes under a task. Change: names only; the field of the message keeps its number.

--- a/core/leased_crashes.c
+++ b/core/leased_crashes.c
@@ -16,61 +16,61 @@
 };
 
 /* A task under which targets have crashed. */
-struct dks_leased_crash_t
+struct dks_leased_task_crashes_t
 {
-  APR_RING_ENTRY (dks_leased_crash_t) link; /* in the order of the latest crash */
+  APR_RING_ENTRY (dks_leased_task_crashes_t) link; /* in the order of the latest crash */
   char task_name[DKS_TASK_NAME_SIZE];
   uint32_t crashes;
   int64_t last_crash_us;
 };
 
 static void
-crash_free (dks_leased_t *leased, dks_leased_crash_t *crash)
+entry_free (dks_leased_t *leased, dks_leased_task_crashes_t *entry)
 {
-  apr_hash_set (leased->crashes_by_task_name, crash->task_name, APR_HASH_KEY_STRING, NULL);
-  APR_RING_REMOVE (crash, link);
-  leased->crash_count--;
-  free (crash);
+  apr_hash_set (leased->task_crashes_by_name, entry->task_name, APR_HASH_KEY_STRING, NULL);
+  APR_RING_REMOVE (entry, link);
+  leased->task_crashes_count--;
+  free (entry);
 }
 
-static dks_leased_crash_t *
-crash_find (const dks_leased_t *leased, const char *task_name)
+static dks_leased_task_crashes_t *
+entry_find (const dks_leased_t *leased, const char *task_name)
 {
-  return apr_hash_get (leased->crashes_by_task_name, task_name, APR_HASH_KEY_STRING);
+  return apr_hash_get (leased->task_crashes_by_name, task_name, APR_HASH_KEY_STRING);
 }
 
 /* Sets the number of crashes of the task, which never falls, and ends its job when there were too
  * many. */
-static const dks_leased_crash_t *
-crash_put (dks_leased_t *leased, const char *task_name, uint32_t crashes)
+static const dks_leased_task_crashes_t *
+entry_put (dks_leased_t *leased, const char *task_name, uint32_t crashes)
 {
   int64_t now_us = leased->r->now.mono_us;
-  dks_leased_crash_t *crash = crash_find (leased, task_name);
+  dks_leased_task_crashes_t *entry = entry_find (leased, task_name);
 
-  while (leased->crash_count > 0
-         && (leased->crash_count >= TASKS_MAX
-             || APR_RING_FIRST (&leased->crashes)->last_crash_us + RETENTION_US < now_us))
+  while (leased->task_crashes_count > 0
+         && (leased->task_crashes_count >= TASKS_MAX
+             || APR_RING_FIRST (&leased->task_crashes)->last_crash_us + RETENTION_US < now_us))
     {
-      if (APR_RING_FIRST (&leased->crashes) == crash)
+      if (APR_RING_FIRST (&leased->task_crashes) == entry)
         break;
-      crash_free (leased, APR_RING_FIRST (&leased->crashes));
+      entry_free (leased, APR_RING_FIRST (&leased->task_crashes));
     }
-  if (crash == NULL)
+  if (entry == NULL)
     {
-      crash = dks_alloc (sizeof (*crash));
-      dks_strcpy (crash->task_name, sizeof (crash->task_name), task_name);
-      apr_hash_set (leased->crashes_by_task_name, crash->task_name, APR_HASH_KEY_STRING, crash);
-      leased->crash_count++;
+      entry = dks_alloc (sizeof (*entry));
+      dks_strcpy (entry->task_name, sizeof (entry->task_name), task_name);
+      apr_hash_set (leased->task_crashes_by_name, entry->task_name, APR_HASH_KEY_STRING, entry);
+      leased->task_crashes_count++;
     }
   else
-    APR_RING_REMOVE (crash, link);
-  APR_RING_INSERT_TAIL (&leased->crashes, crash, dks_leased_crash_t, link);
-  crash->last_crash_us = now_us;
-  if (crashes > crash->crashes)
-    crash->crashes = crashes;
-  if (crash->crashes >= CRASHES_MAX)
+    APR_RING_REMOVE (entry, link);
+  APR_RING_INSERT_TAIL (&leased->task_crashes, entry, dks_leased_task_crashes_t, link);
+  entry->last_crash_us = now_us;
+  if (crashes > entry->crashes)
+    entry->crashes = crashes;
+  if (entry->crashes >= CRASHES_MAX)
     dks_leased_jobs_handle_crashes (leased, task_name);
-  return crash;
+  return entry;
 }
 
 /* Messages */
@@ -83,39 +83,39 @@
 
   msg->u.speeds.targets = dks_alloc (sizeof (msg->u.speeds.targets[0]));
   msg->u.speeds.queues = dks_alloc (sizeof (msg->u.speeds.queues[0]));
-  msg->u.speeds.crashed_tasks = dks_alloc ((count + 1) * sizeof (msg->u.speeds.crashed_tasks[0]));
+  msg->u.speeds.task_crashes = dks_alloc ((count + 1) * sizeof (msg->u.speeds.task_crashes[0]));
   return msg;
 }
 
 static void
-add_to_msg (dks_msg_t *msg, const dks_leased_crash_t *crash)
+add_to_msg (dks_msg_t *msg, const dks_leased_task_crashes_t *entry)
 {
-  dks_crashed_task_t *to = &msg->u.speeds.crashed_tasks[msg->u.speeds.crashed_task_count++];
+  dks_task_crashes_t *to = &msg->u.speeds.task_crashes[msg->u.speeds.task_crashes_count++];
 
-  dks_strcpy (to->task_name, sizeof (to->task_name), crash->task_name);
-  to->crashes = crash->crashes;
+  dks_strcpy (to->task_name, sizeof (to->task_name), entry->task_name);
+  to->crashes = entry->crashes;
 }
 
 void
 dks_leased_crashes_send_all (dks_leased_t *leased, const char *peer)
 {
-  dks_leased_crash_t *crash;
+  dks_leased_task_crashes_t *entry;
   dks_msg_t *msg;
 
-  if (leased->term == 0 || leased->crash_count == 0)
+  if (leased->term == 0 || leased->task_crashes_count == 0)
     return;
-  msg = create_msg (leased->crash_count);
-  APR_RING_FOREACH (crash, &leased->crashes, dks_leased_crash_t, link)
-    add_to_msg (msg, crash);
+  msg = create_msg (leased->task_crashes_count);
+  APR_RING_FOREACH (entry, &leased->task_crashes, dks_leased_task_crashes_t, link)
+    add_to_msg (msg, entry);
   dks_emit_peer (leased->r, peer, msg);
 }
 
 void
 dks_leased_crashes_handle_msg (dks_leased_t *leased, const dks_msg_t *msg)
 {
-  for (uint32_t i = 0; i < msg->u.speeds.crashed_task_count; i++)
-    crash_put (leased, msg->u.speeds.crashed_tasks[i].task_name,
-               msg->u.speeds.crashed_tasks[i].crashes);
+  for (uint32_t i = 0; i < msg->u.speeds.task_crashes_count; i++)
+    entry_put (leased, msg->u.speeds.task_crashes[i].task_name,
+               msg->u.speeds.task_crashes[i].crashes);
 }
 
 /* Tells those that may start the task next: the instances of the data centre, one of which succeeds
@@ -160,20 +160,20 @@
   msg = create_msg (target->run_count);
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
     {
-      const dks_leased_crash_t *crash = crash_find (leased, run->task_name);
+      const dks_leased_task_crashes_t *entry = entry_find (leased, run->task_name);
 
       /* A start without an answer yet may be refused, as it came after the crash. */
       if (run->crash_recorded || run->state == DKS_LEASED_RUN_STARTING
           || is_in_list (run, new_lists))
         continue;
       run->crash_recorded = true;
-      crash = crash_put (leased, run->task_name, crash != NULL ? crash->crashes + 1 : 1);
+      entry = entry_put (leased, run->task_name, entry != NULL ? entry->crashes + 1 : 1);
       dks_emit_log (leased->r, DKS_LOG_NOTICE,
                     "event=target-crashed target=%s task=%s run=%u crashes=%u", target->info.id,
-                    run->task_name, run->number, crash->crashes);
-      add_to_msg (msg, crash);
+                    run->task_name, run->number, entry->crashes);
+      add_to_msg (msg, entry);
     }
-  if (msg->u.speeds.crashed_task_count > 0)
+  if (msg->u.speeds.task_crashes_count > 0)
     send_to_starters (leased, msg);
   dks_msg_unref (msg);
 }
@@ -181,26 +181,26 @@
 bool
 dks_leased_crashes_forbid_start (const dks_leased_job_t *job, const dks_leased_task_t *task)
 {
-  const dks_leased_crash_t *crash;
+  const dks_leased_task_crashes_t *entry;
   char name[DKS_TASK_NAME_SIZE];
 
-  if (job->leased->crash_count == 0)
+  if (job->leased->task_crashes_count == 0)
     return false;
   dks_batch_task_name (job->batch->id, task->step, task->index, name);
-  crash = crash_find (job->leased, name);
-  return crash != NULL && crash->crashes >= CRASHES_MAX;
+  entry = entry_find (job->leased, name);
+  return entry != NULL && entry->crashes >= CRASHES_MAX;
 }
 
 void
 dks_leased_crashes_init (dks_leased_t *leased)
 {
-  APR_RING_INIT (&leased->crashes, dks_leased_crash_t, link);
-  leased->crashes_by_task_name = apr_hash_make (leased->r->pool);
+  APR_RING_INIT (&leased->task_crashes, dks_leased_task_crashes_t, link);
+  leased->task_crashes_by_name = apr_hash_make (leased->r->pool);
 }
 
 void
 dks_leased_crashes_clear (dks_leased_t *leased)
 {
-  while (!APR_RING_EMPTY (&leased->crashes, dks_leased_crash_t, link))
-    crash_free (leased, APR_RING_FIRST (&leased->crashes));
+  while (!APR_RING_EMPTY (&leased->task_crashes, dks_leased_task_crashes_t, link))
+    entry_free (leased, APR_RING_FIRST (&leased->task_crashes));
 }
--- a/core/msg.c
+++ b/core/msg.c
@@ -61,7 +61,7 @@
     case DKS_MSG_SPEEDS:
       free (msg->u.speeds.targets);
       free (msg->u.speeds.queues);
-      free (msg->u.speeds.crashed_tasks);
+      free (msg->u.speeds.task_crashes);
       break;
     case DKS_MSG_WORK:
       dks_batch_unref (msg->u.work.batch);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -51,8 +51,8 @@
 typedef struct dks_leased_request_t dks_leased_request_t;
 
 /** A task under which targets have crashed. */
-typedef struct dks_leased_crash_t dks_leased_crash_t;
-APR_RING_HEAD (dks_leased_crash_ring_t, dks_leased_crash_t);
+typedef struct dks_leased_task_crashes_t dks_leased_task_crashes_t;
+APR_RING_HEAD (dks_leased_task_crashes_ring_t, dks_leased_task_crashes_t);
 
 /** An address at which another instance is or was, or a seed. */
 typedef struct dks_leased_address_t dks_leased_address_t;
@@ -397,9 +397,9 @@
   dks_timer_t publish_timer;
 
   /* leased_crashes.c */
-  struct dks_leased_crash_ring_t crashes;
-  apr_hash_t *crashes_by_task_name;
-  uint32_t crash_count; /**< tasks in `crashes` */
+  struct dks_leased_task_crashes_ring_t task_crashes; /**< tasks under which targets crashed */
+  apr_hash_t *task_crashes_by_name;
+  uint32_t task_crashes_count;
 
   /* leased_estimate.c */
   struct dks_leased_queue_ring_t queues;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -88,7 +88,7 @@
 {
   char task_name[DKS_TASK_NAME_SIZE];
   uint32_t crashes;
-} dks_crashed_task_t;
+} dks_task_crashes_t;
 
 const char *dks_lent_result_name (dks_lent_result_t result);
 
@@ -260,8 +260,8 @@
       dks_target_speed_t *targets;
       uint32_t queue_count;
       dks_queue_run_time_t *queues;
-      uint32_t crashed_task_count;
-      dks_crashed_task_t *crashed_tasks;
+      uint32_t task_crashes_count;
+      dks_task_crashes_t *task_crashes;
     } speeds;
     struct
     {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -118,9 +118,9 @@
   Dks__TargetSpeed **target_list = dks_alloc ((target_count + 1) * sizeof (Dks__TargetSpeed *));
   Dks__QueueRunTime *queues = dks_alloc ((queue_count + 1) * sizeof (*queues));
   Dks__QueueRunTime **queue_list = dks_alloc ((queue_count + 1) * sizeof (Dks__QueueRunTime *));
-  uint32_t task_count = msg->u.speeds.crashed_task_count;
-  Dks__CrashedTask *tasks = dks_alloc ((task_count + 1) * sizeof (*tasks));
-  Dks__CrashedTask **task_list = dks_alloc ((task_count + 1) * sizeof (Dks__CrashedTask *));
+  uint32_t task_count = msg->u.speeds.task_crashes_count;
+  Dks__TaskCrashes *tasks = dks_alloc ((task_count + 1) * sizeof (*tasks));
+  Dks__TaskCrashes **task_list = dks_alloc ((task_count + 1) * sizeof (Dks__TaskCrashes *));
 
   for (uint32_t i = 0; i < target_count; i++)
     {
@@ -141,17 +141,17 @@
     }
   for (uint32_t i = 0; i < task_count; i++)
     {
-      dks__crashed_task__init (&tasks[i]);
-      tasks[i].task = msg->u.speeds.crashed_tasks[i].task_name;
-      tasks[i].crashes = msg->u.speeds.crashed_tasks[i].crashes;
+      dks__task_crashes__init (&tasks[i]);
+      tasks[i].task = msg->u.speeds.task_crashes[i].task_name;
+      tasks[i].crashes = msg->u.speeds.task_crashes[i].crashes;
       task_list[i] = &tasks[i];
     }
   body.n_targets = target_count;
   body.targets = target_list;
   body.n_queues = queue_count;
   body.queues = queue_list;
-  body.n_crashed_tasks = task_count;
-  body.crashed_tasks = task_list;
+  body.n_task_crashes = task_count;
+  body.task_crashes = task_list;
   wire->speeds = &body;
   dks_codec_pack (wire, frame, len);
   free (task_list);
@@ -345,7 +345,7 @@
   int error = DKS_OK;
 
   if (body->n_targets > MSG_TARGETS_MAX || body->n_queues > MSG_TARGETS_MAX
-      || body->n_crashed_tasks > MSG_TARGETS_MAX)
+      || body->n_task_crashes > MSG_TARGETS_MAX)
     return DKS_ERR_TOO_LARGE;
   msg->u.speeds.target_count = (uint32_t)body->n_targets;
   msg->u.speeds.queue_count = (uint32_t)body->n_queues;
@@ -370,16 +370,16 @@
                   ? dks_codec_copy_text (to->name, sizeof (to->name), body->queues[i]->name)
                   : DKS_ERR_INVALID;
     }
-  msg->u.speeds.crashed_task_count = (uint32_t)body->n_crashed_tasks;
-  msg->u.speeds.crashed_tasks =
-      dks_alloc ((body->n_crashed_tasks + 1) * sizeof (msg->u.speeds.crashed_tasks[0]));
-  for (size_t i = 0; i < body->n_crashed_tasks && error == DKS_OK; i++)
+  msg->u.speeds.task_crashes_count = (uint32_t)body->n_task_crashes;
+  msg->u.speeds.task_crashes =
+      dks_alloc ((body->n_task_crashes + 1) * sizeof (msg->u.speeds.task_crashes[0]));
+  for (size_t i = 0; i < body->n_task_crashes && error == DKS_OK; i++)
     {
-      dks_crashed_task_t *to = &msg->u.speeds.crashed_tasks[i];
+      dks_task_crashes_t *to = &msg->u.speeds.task_crashes[i];
 
-      to->crashes = body->crashed_tasks[i]->crashes;
+      to->crashes = body->task_crashes[i]->crashes;
       error =
-          dks_codec_copy_text (to->task_name, sizeof (to->task_name), body->crashed_tasks[i]->task);
+          dks_codec_copy_text (to->task_name, sizeof (to->task_name), body->task_crashes[i]->task);
     }
   return error;
 }
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1132,49 +1132,49 @@
   assert(message->base.descriptor == &dks__queue_run_time__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   dks__crashed_task__init
-                     (Dks__CrashedTask         *message)
+void   dks__task_crashes__init
+                     (Dks__TaskCrashes         *message)
 {
-  static const Dks__CrashedTask init_value = DKS__CRASHED_TASK__INIT;
+  static const Dks__TaskCrashes init_value = DKS__TASK_CRASHES__INIT;
   *message = init_value;
 }
-size_t dks__crashed_task__get_packed_size
-                     (const Dks__CrashedTask *message)
+size_t dks__task_crashes__get_packed_size
+                     (const Dks__TaskCrashes *message)
 {
-  assert(message->base.descriptor == &dks__crashed_task__descriptor);
+  assert(message->base.descriptor == &dks__task_crashes__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t dks__crashed_task__pack
-                     (const Dks__CrashedTask *message,
+size_t dks__task_crashes__pack
+                     (const Dks__TaskCrashes *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &dks__crashed_task__descriptor);
+  assert(message->base.descriptor == &dks__task_crashes__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t dks__crashed_task__pack_to_buffer
-                     (const Dks__CrashedTask *message,
+size_t dks__task_crashes__pack_to_buffer
+                     (const Dks__TaskCrashes *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &dks__crashed_task__descriptor);
+  assert(message->base.descriptor == &dks__task_crashes__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Dks__CrashedTask *
-       dks__crashed_task__unpack
+Dks__TaskCrashes *
+       dks__task_crashes__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Dks__CrashedTask *)
-     protobuf_c_message_unpack (&dks__crashed_task__descriptor,
+  return (Dks__TaskCrashes *)
+     protobuf_c_message_unpack (&dks__task_crashes__descriptor,
                                 allocator, len, data);
 }
-void   dks__crashed_task__free_unpacked
-                     (Dks__CrashedTask *message,
+void   dks__task_crashes__free_unpacked
+                     (Dks__TaskCrashes *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &dks__crashed_task__descriptor);
+  assert(message->base.descriptor == &dks__task_crashes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   dks__speeds__init
@@ -3669,7 +3669,7 @@
   (ProtobufCMessageInit) dks__queue_run_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__crashed_task__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dks__task_crashes__field_descriptors[2] =
 {
   {
     "task",
@@ -3677,7 +3677,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Dks__CrashedTask, task),
+    offsetof(Dks__TaskCrashes, task),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -3689,35 +3689,35 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dks__CrashedTask, crashes),
+    offsetof(Dks__TaskCrashes, crashes),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned dks__crashed_task__field_indices_by_name[] = {
+static const unsigned dks__task_crashes__field_indices_by_name[] = {
   1,   /* field[1] = crashes */
   0,   /* field[0] = task */
 };
-static const ProtobufCIntRange dks__crashed_task__number_ranges[1 + 1] =
+static const ProtobufCIntRange dks__task_crashes__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor dks__crashed_task__descriptor =
+const ProtobufCMessageDescriptor dks__task_crashes__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "dks.CrashedTask",
-  "CrashedTask",
-  "Dks__CrashedTask",
+  "dks.TaskCrashes",
+  "TaskCrashes",
+  "Dks__TaskCrashes",
   "dks",
-  sizeof(Dks__CrashedTask),
+  sizeof(Dks__TaskCrashes),
   2,
-  dks__crashed_task__field_descriptors,
-  dks__crashed_task__field_indices_by_name,
-  1,  dks__crashed_task__number_ranges,
-  (ProtobufCMessageInit) dks__crashed_task__init,
+  dks__task_crashes__field_descriptors,
+  dks__task_crashes__field_indices_by_name,
+  1,  dks__task_crashes__number_ranges,
+  (ProtobufCMessageInit) dks__task_crashes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor dks__speeds__field_descriptors[3] =
@@ -3747,22 +3747,22 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashed_tasks",
+    "task_crashes",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Dks__Speeds, n_crashed_tasks),
-    offsetof(Dks__Speeds, crashed_tasks),
-    &dks__crashed_task__descriptor,
+    offsetof(Dks__Speeds, n_task_crashes),
+    offsetof(Dks__Speeds, task_crashes),
+    &dks__task_crashes__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned dks__speeds__field_indices_by_name[] = {
-  2,   /* field[2] = crashed_tasks */
   1,   /* field[1] = queues */
   0,   /* field[0] = targets */
+  2,   /* field[2] = task_crashes */
 };
 static const ProtobufCIntRange dks__speeds__number_ranges[1 + 1] =
 {
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -40,7 +40,7 @@
 typedef struct Dks__LeasedStatus Dks__LeasedStatus;
 typedef struct Dks__TargetSpeed Dks__TargetSpeed;
 typedef struct Dks__QueueRunTime Dks__QueueRunTime;
-typedef struct Dks__CrashedTask Dks__CrashedTask;
+typedef struct Dks__TaskCrashes Dks__TaskCrashes;
 typedef struct Dks__Speeds Dks__Speeds;
 typedef struct Dks__TargetInfo Dks__TargetInfo;
 typedef struct Dks__Targets Dks__Targets;
@@ -407,14 +407,14 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
-struct  Dks__CrashedTask
+struct  Dks__TaskCrashes
 {
   ProtobufCMessage base;
   char *task;
   uint32_t crashes;
 };
-#define DKS__CRASHED_TASK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&dks__crashed_task__descriptor) \
+#define DKS__TASK_CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dks__task_crashes__descriptor) \
     , (char *)protobuf_c_empty_string, 0 }
 
 
@@ -428,8 +428,8 @@
   Dks__TargetSpeed **targets;
   size_t n_queues;
   Dks__QueueRunTime **queues;
-  size_t n_crashed_tasks;
-  Dks__CrashedTask **crashed_tasks;
+  size_t n_task_crashes;
+  Dks__TaskCrashes **task_crashes;
 };
 #define DKS__SPEEDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__speeds__descriptor) \
@@ -1114,24 +1114,24 @@
 void   dks__queue_run_time__free_unpacked
                      (Dks__QueueRunTime *message,
                       ProtobufCAllocator *allocator);
-/* Dks__CrashedTask methods */
-void   dks__crashed_task__init
-                     (Dks__CrashedTask         *message);
-size_t dks__crashed_task__get_packed_size
-                     (const Dks__CrashedTask   *message);
-size_t dks__crashed_task__pack
-                     (const Dks__CrashedTask   *message,
+/* Dks__TaskCrashes methods */
+void   dks__task_crashes__init
+                     (Dks__TaskCrashes         *message);
+size_t dks__task_crashes__get_packed_size
+                     (const Dks__TaskCrashes   *message);
+size_t dks__task_crashes__pack
+                     (const Dks__TaskCrashes   *message,
                       uint8_t             *out);
-size_t dks__crashed_task__pack_to_buffer
-                     (const Dks__CrashedTask   *message,
+size_t dks__task_crashes__pack_to_buffer
+                     (const Dks__TaskCrashes   *message,
                       ProtobufCBuffer     *buffer);
-Dks__CrashedTask *
-       dks__crashed_task__unpack
+Dks__TaskCrashes *
+       dks__task_crashes__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   dks__crashed_task__free_unpacked
-                     (Dks__CrashedTask *message,
+void   dks__task_crashes__free_unpacked
+                     (Dks__TaskCrashes *message,
                       ProtobufCAllocator *allocator);
 /* Dks__Speeds methods */
 void   dks__speeds__init
@@ -1400,8 +1400,8 @@
 typedef void (*Dks__QueueRunTime_Closure)
                  (const Dks__QueueRunTime *message,
                   void *closure_data);
-typedef void (*Dks__CrashedTask_Closure)
-                 (const Dks__CrashedTask *message,
+typedef void (*Dks__TaskCrashes_Closure)
+                 (const Dks__TaskCrashes *message,
                   void *closure_data);
 typedef void (*Dks__Speeds_Closure)
                  (const Dks__Speeds *message,
@@ -1464,7 +1464,7 @@
 extern const ProtobufCMessageDescriptor dks__leased_status__descriptor;
 extern const ProtobufCMessageDescriptor dks__target_speed__descriptor;
 extern const ProtobufCMessageDescriptor dks__queue_run_time__descriptor;
-extern const ProtobufCMessageDescriptor dks__crashed_task__descriptor;
+extern const ProtobufCMessageDescriptor dks__task_crashes__descriptor;
 extern const ProtobufCMessageDescriptor dks__speeds__descriptor;
 extern const ProtobufCMessageDescriptor dks__target_info__descriptor;
 extern const ProtobufCMessageDescriptor dks__targets__descriptor;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -203,10 +203,10 @@
           static_cast<dks_queue_run_time_t *> (calloc (2, sizeof (dks_queue_run_time_t)));
       msg->u.speeds.queues[0] = { "words", 60000, 400 };
       msg->u.speeds.queues[1] = { "rulings", 900000, 7 };
-      msg->u.speeds.crashed_task_count = 1;
-      msg->u.speeds.crashed_tasks =
-          static_cast<dks_crashed_task_t *> (calloc (1, sizeof (dks_crashed_task_t)));
-      msg->u.speeds.crashed_tasks[0] = { "5c0e7a21d94b36f8.0.1.17", 2 };
+      msg->u.speeds.task_crashes_count = 1;
+      msg->u.speeds.task_crashes =
+          static_cast<dks_task_crashes_t *> (calloc (1, sizeof (dks_task_crashes_t)));
+      msg->u.speeds.task_crashes[0] = { "5c0e7a21d94b36f8.0.1.17", 2 };
       break;
     case DKS_MSG_ADDRESSES:
       msg->u.addresses.count = 2;
@@ -403,10 +403,10 @@
           add (msg->u.speeds.queues[i].mean_run_us);
           add (msg->u.speeds.queues[i].samples);
         }
-      for (uint32_t i = 0; i < msg->u.speeds.crashed_task_count; i++)
+      for (uint32_t i = 0; i < msg->u.speeds.task_crashes_count; i++)
         {
-          text += std::string (",") + msg->u.speeds.crashed_tasks[i].task_name;
-          add (msg->u.speeds.crashed_tasks[i].crashes);
+          text += std::string (",") + msg->u.speeds.task_crashes[i].task_name;
+          add (msg->u.speeds.task_crashes[i].crashes);
         }
       break;
     case DKS_MSG_TARGETS:
