--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -235,4 +235,37 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a table that grows without end, or rejects the latest crashes when it is full.
+TEST (LeasedCrashes, FullTableForgetsTheOldestTask)
+{
+  const uint32_t count = 1100;
+  World world;
+  add_data_centre (world, "a", 2, 4);
+  start (world);
+  world.deadly_tasks.clear ();
+  size_t leader = leader_of (world, "a");
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_SPEEDS);
+  dks_event_t event = {};
+
+  msg->u.speeds.task_crashes_count = count;
+  msg->u.speeds.task_crashes =
+      static_cast<dks_task_crashes_t *> (calloc (count, sizeof (dks_task_crashes_t)));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      snprintf (msg->u.speeds.task_crashes[i].task_name, DKS_TASK_NAME_SIZE, "%016x.0.0.0", i);
+      msg->u.speeds.task_crashes[i].crashes = 2;
+    }
+  event.type = DKS_EVENT_PEER_MSG;
+  event.u.peer_msg.peer = world.instances[1 - leader]->member_id.c_str ();
+  event.u.peer_msg.msg = msg;
+  world.apply (leader, &event);
+  dks_msg_unref (msg);
+
+  uint64_t oldest = world.submit (0, "0000000000000000", { { 1, 6800, 100, 100 } });
+  uint64_t latest = world.submit (0, "000000000000044b", { { 1, 6800, 100, 100 } });
+  world.run_for (1000 * ms);
+  EXPECT_TRUE (got_answer (world, oldest, DKS_BATCH_COMPLETED));
+  EXPECT_TRUE (got_answer (world, latest, DKS_BATCH_FAILED));
+}
+
 }
