core: a start without an answer is no proof of a crash under its task

Cause: all runs on a target that crashed were counted, also those whose start had got no answer. Change: a crash under a run that the target had confirmed, and that was not being stopped, weighs 2, any other 1, and a task is given up at 4. A task that crashes its targets before they confirm a start is given up after four. Why it works: a single proven crash and a start that may not have been carried out stay below the bound; the rule of the users (three starts after three crashes) stays out of reach, as four crashes of any kind end the job.

--- a/core/leased_crashes.c
+++ b/core/leased_crashes.c
@@ -8,9 +8,13 @@
 
 enum
 {
-  /* Crashes after which a task is not started again. A single one may be the fault of the target,
-     or of another task on it. */
-  CRASHES_MAX = 2,
+  /* A task is not started again once its crashes weigh as much as two proven ones. A single one may
+     be the fault of the target, or of another task on it. A crash is proven when the run had been
+     confirmed and was not being stopped; else it may have come before the start, or after the end.
+   */
+  PROVEN_WEIGHT = 2,
+  POSSIBLE_WEIGHT = 1,
+  WEIGHT_MAX = 2 * PROVEN_WEIGHT,
   TASKS_MAX = 1024,       /* tasks that are remembered */
   RETENTION_US = 60000000 /* callers wait less, and submit a job again within this time */
 };
@@ -20,7 +24,7 @@
 {
   APR_RING_ENTRY (dks_leased_task_crashes_t) link; /* in the order of the latest crash */
   char task_name[DKS_TASK_NAME_SIZE];
-  uint32_t crashes;
+  uint32_t weight; /* of its crashes */
   int64_t last_crash_us;
 };
 
@@ -39,10 +43,10 @@
   return apr_hash_get (leased->task_crashes_by_name, task_name, APR_HASH_KEY_STRING);
 }
 
-/* Sets the number of crashes of the task, which never falls, and ends its job when there were too
- * many. */
+/* Sets the weight of the task's crashes, which never falls, and ends its job when it is too high.
+ */
 static const dks_leased_task_crashes_t *
-entry_put (dks_leased_t *leased, const char *task_name, uint32_t crashes)
+entry_put (dks_leased_t *leased, const char *task_name, uint32_t weight)
 {
   int64_t now_us = leased->r->now.mono_us;
   dks_leased_task_crashes_t *entry = entry_find (leased, task_name);
@@ -66,9 +70,9 @@
     APR_RING_REMOVE (entry, link);
   APR_RING_INSERT_TAIL (&leased->task_crashes, entry, dks_leased_task_crashes_t, link);
   entry->last_crash_us = now_us;
-  if (crashes > entry->crashes)
-    entry->crashes = crashes;
-  if (entry->crashes >= CRASHES_MAX)
+  if (weight > entry->weight)
+    entry->weight = weight;
+  if (entry->weight >= WEIGHT_MAX)
     dks_leased_jobs_handle_crashes (leased, task_name);
   return entry;
 }
@@ -93,7 +97,7 @@
   dks_task_crashes_t *to = &msg->u.speeds.task_crashes[msg->u.speeds.task_crashes_count++];
 
   dks_strcpy (to->task_name, sizeof (to->task_name), entry->task_name);
-  to->crashes = entry->crashes;
+  to->weight = entry->weight;
 }
 
 void
@@ -115,7 +119,7 @@
 {
   for (uint32_t i = 0; i < msg->u.speeds.task_crashes_count; i++)
     entry_put (leased, msg->u.speeds.task_crashes[i].task_name,
-               msg->u.speeds.task_crashes[i].crashes);
+               msg->u.speeds.task_crashes[i].weight);
 }
 
 /* Tells those that may start the task next: the instances of the data centre, one of which succeeds
@@ -161,16 +165,20 @@
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
     {
       const dks_leased_task_crashes_t *entry = entry_find (leased, run->task_name);
+      bool proven;
 
       /* A start without an answer yet may be refused, as it came after the crash. */
       if (run->crash_recorded || run->state == DKS_LEASED_RUN_STARTING
           || is_in_list (run, new_lists))
         continue;
       run->crash_recorded = true;
-      entry = entry_put (leased, run->task_name, entry != NULL ? entry->crashes + 1 : 1);
+      proven = run->state == DKS_LEASED_RUN_RUNNING && run->acked_us > 0;
+      entry = entry_put (leased, run->task_name,
+                         (entry != NULL ? entry->weight : 0)
+                             + (proven ? PROVEN_WEIGHT : POSSIBLE_WEIGHT));
       dks_emit_log (leased->r, DKS_LOG_NOTICE,
-                    "event=target-crashed target=%s task=%s run=%u crashes=%u", target->info.id,
-                    run->task_name, run->number, entry->crashes);
+                    "event=target-crashed target=%s task=%s run=%u proven=%d weight=%u",
+                    target->info.id, run->task_name, run->number, proven, entry->weight);
       add_to_msg (msg, entry);
     }
   if (msg->u.speeds.task_crashes_count > 0)
@@ -188,7 +196,7 @@
     return false;
   dks_batch_task_name (job->batch->id, task->step, task->index, name);
   entry = entry_find (job->leased, name);
-  return entry != NULL && entry->crashes >= CRASHES_MAX;
+  return entry != NULL && entry->weight >= WEIGHT_MAX;
 }
 
 void
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -87,7 +87,7 @@
 typedef struct
 {
   char task_name[DKS_TASK_NAME_SIZE];
-  uint32_t crashes;
+  uint32_t weight; /**< 2 for each crash under a confirmed run, 1 for each other one */
 } dks_task_crashes_t;
 
 const char *dks_lent_result_name (dks_lent_result_t result);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3684,12 +3684,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
+    "weight",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Dks__TaskCrashes, crashes),
+    offsetof(Dks__TaskCrashes, weight),
     NULL,
     NULL,
     0,             /* flags */
@@ -3697,8 +3697,8 @@
   },
 };
 static const unsigned dks__task_crashes__field_indices_by_name[] = {
-  1,   /* field[1] = crashes */
   0,   /* field[0] = task */
+  1,   /* field[1] = weight */
 };
 static const ProtobufCIntRange dks__task_crashes__number_ranges[1 + 1] =
 {
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -411,7 +411,7 @@
 {
   ProtobufCMessage base;
   char *task;
-  uint32_t crashes;
+  uint32_t weight;
 };
 #define DKS__TASK_CRASHES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__task_crashes__descriptor) \
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -647,6 +647,13 @@
       send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_REFUSED, nullptr, nullptr);
       return;
     }
+  if (target.crash_at_start_us > 0 && effect.type == DKS_EFFECT_LEASE_START)
+    {
+      crash (target, target.crash_at_start_us);
+      target.crash_at_start_us = 0;
+      send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_UNANSWERED, nullptr, nullptr);
+      return;
+    }
   end_due_runs (target);
   if (effect.u.lease.fencing_token < target.highest_fence)
     status = DKS_LEASE_FENCED;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -56,8 +56,10 @@
 struct Target
 {
   dks_target_info_t info;
-  double slowness = 1;          // run time over that on a target of usual speed
-  bool silent = false;          // receives no calls and answers none
+  double slowness = 1; // run time over that on a target of usual speed
+  bool silent = false; // receives no calls and answers none
+  // The next start is not carried out but makes the target crash, for this long; 0: it does not.
+  int64_t crash_at_start_us = 0;
   int64_t refuses_until_us = 0; // its process is gone until then, and connections are refused
   bool stalled = false;         // its runs make no progress and never end
   bool runs_fail = false;       // its runs end as DKS_RUN_FAILED
