--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -7,7 +7,7 @@
  * centre (leased_targets.c, leased_runs.c) and places the tasks of jobs on them (leased_jobs.c). It
  * lends tasks to leaders of other data centres that have free capacity, and runs tasks that they
  * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
- * targets.
+ * targets, leased_crashes.c counts the crashes of targets under each task.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -839,4 +839,26 @@
   now_us = until_us;
 }
 
+testing::AssertionResult
+got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer)
+{
+  auto found = world.answers.find (caller);
+
+  if (found == world.answers.end ())
+    return testing::AssertionFailure () << "caller " << caller << " has no answer";
+  if (found->second.answer != answer)
+    return testing::AssertionFailure () << dks_batch_answer_name (found->second.answer);
+  return testing::AssertionSuccess ();
+}
+
+size_t
+count_logged (const World &world, const std::string &text)
+{
+  size_t count = 0;
+
+  for (auto &line : world.log)
+    count += line.find (text) != std::string::npos;
+  return count;
+}
+
 }
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <deque>
 #include <functional>
+#include <gtest/gtest.h>
 #include <map>
 #include <memory>
 #include <queue>
@@ -270,6 +271,11 @@
   std::map<std::string, int> incarnations; // starts so far, by id of the instance
 };
 
+testing::AssertionResult
+got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer);
+// Lines of the log that contain the text.
+size_t count_logged (const World &world, const std::string &text);
+
 }
 
 #endif
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::got_answer;
 using leased::ms;
 using leased::World;
 
@@ -31,18 +32,6 @@
   world.run_for (2000 * ms);
 }
 
-testing::AssertionResult
-got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer)
-{
-  auto found = world.answers.find (caller);
-
-  if (found == world.answers.end ())
-    return testing::AssertionFailure () << "caller " << caller << " has no answer";
-  if (found->second.answer != answer)
-    return testing::AssertionFailure () << dks_batch_answer_name (found->second.answer);
-  return testing::AssertionSuccess ();
-}
-
 // Id of the instance that was the last to become leader of the data centre.
 std::string
 leader_of (const World &world, const std::string &data_centre)
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::got_answer;
 using leased::ms;
 using leased::World;
 
@@ -45,18 +46,6 @@
   return leader;
 }
 
-testing::AssertionResult
-got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer)
-{
-  auto found = world.answers.find (caller);
-
-  if (found == world.answers.end ())
-    return testing::AssertionFailure () << "caller " << caller << " has no answer";
-  if (found->second.answer != answer)
-    return testing::AssertionFailure () << dks_batch_answer_name (found->second.answer);
-  return testing::AssertionSuccess ();
-}
-
 // Guards against a task that takes down target after target for as long as its caller waits.
 TEST (LeasedCrashes, TaskIsGivenUpOnceTwoTargetsHaveCrashedUnderIt)
 {
--- a/tests/test_leased_feed.cc
+++ b/tests/test_leased_feed.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::count_logged;
 using leased::ms;
 using leased::World;
 
@@ -14,12 +15,7 @@
 size_t
 count_applied (const World &world, int64_t version)
 {
-  const std::string text = "event=catalog-applied version=" + std::to_string (version) + " ";
-  size_t count = 0;
-
-  for (auto &line : world.log)
-    count += line.find (text) != std::string::npos;
-  return count;
+  return count_logged (world, "event=catalog-applied version=" + std::to_string (version) + " ");
 }
 
 // Guards against a confirmed configuration that is not in force in time because the connections to
--- a/tests/test_leased_members.cc
+++ b/tests/test_leased_members.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::count_logged;
 using leased::ms;
 using leased::World;
 
@@ -24,16 +25,6 @@
   world.run_for (3000 * ms);
 }
 
-size_t
-count_logged (const World &world, const std::string &text)
-{
-  size_t count = 0;
-
-  for (auto &line : world.log)
-    count += line.find (text) != std::string::npos;
-  return count;
-}
-
 }
 
 // Guards against lists of addresses that instances send each other without end. It came about with
