tests: late calls of the soak's executors end with their process

Also, an executor could not listen again when its port was in use as a local one. Change: a late call is dropped when its process has ended; listening is tried again.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -253,7 +253,12 @@
         proxy = self.executor_proxies[index]
         await proxy.close()
         await asyncio.sleep(self.crash_rng.uniform(1, 3))
-        await proxy.open(self.executors[index].port)
+        while True:
+            try:
+                await proxy.open(self.executors[index].port)
+                return
+            except OSError:  # another connection has the port as its local one
+                await asyncio.sleep(0.1)
 
     def run_ended(self, executor, run, end_kind, when):
         job = self.job_of(run.task)
--- a/tests/platform/soak/standins.py
+++ b/tests/platform/soak/standins.py
@@ -240,12 +240,18 @@
         body = json.loads(body)
         if path != "/api/hold" and self.mode == "late" and self.rng.random() < 0.3:
             delay = self.rng.uniform(0.3, 3)
-            asyncio.get_running_loop().call_later(delay, self.handle_run_call, path, headers, body)
+            asyncio.get_running_loop().call_later(delay, self.handle_late_call, self.incarnation,
+                                                  path, headers, body)
             raise NoAnswer
         if path == "/api/hold":
             return await self.hold(headers, body)
         return self.handle_run_call(path, headers, body)
 
+    def handle_late_call(self, incarnation, path, headers, body):
+        """Carries a call out, unless the process that had received it has ended."""
+        if incarnation == self.incarnation:
+            self.handle_run_call(path, headers, body)
+
     def handle_run_call(self, path, headers, body):
         refusal = self.check_sender(headers, body)
         if refusal is not None:
