--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -448,6 +448,14 @@
 
   if (!task->no_prior_run && task_has_prior_run (job, index))
     return true;
+  if (!task->no_prior_run && job->resent)
+    dks_emit_log (leased->r, DKS_LOG_INFO,
+                  "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64
+                  " planned=%d remotes_reported=%d",
+                  job->batch->id, task->step, task->index,
+                  (dks_leased_now_us (leased) - job->received_us) / 1000,
+                  (dks_leased_now_us (leased) - leased->term_start_us) / 1000,
+                  leased->planned_handover, dks_leased_leader_remotes_reported (leased));
   task->no_prior_run = true;
   target = dks_leased_targets_choose (leased, job, task, &choice);
   task->wants_faster_target = !choice.in_time;
@@ -600,6 +608,11 @@
           && (lag_us > WORK_LAG_MAX_US || !dks_leased_peer_is_leader (leased, peer));
   if (leased->term == 0 || stale || (lent && leased->drain_start_us > 0 && !msg->u.work.resent))
     {
+      if (lent)
+        dks_emit_log (leased->r, DKS_LOG_INFO,
+                      "event=lend-refused job=%s from=%s query=%d term=%" PRIu64 " lag_ms=%" PRId64,
+                      msg->u.work.batch->id, origin, msg->u.work.resent, leased->term,
+                      lag_us / 1000);
       /* An entry instance learns of the change of leader and resubmits the job to the next one; a
        * home leader lends the refused tasks elsewhere. */
       for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -209,6 +209,11 @@
   if (peer == NULL)
     return;
   leased->remote_lost_tasks--;
+  dks_emit_log (leased->r, DKS_LOG_INFO,
+                "event=lend-query job=%s task=%u.%u run=%u lost=%s lost_term=%" PRIu64
+                " to=%s term=%" PRIu64,
+                job->batch->id, task->step, task->index, task->run_number, task->remote_leader,
+                task->remote_term, peer->id, peer->term);
   task_set_remote_leader (task, peer);
   msg = dks_msg_create (DKS_MSG_WORK);
   msg->u.work.lent_tasks = dks_alloc (sizeof (msg->u.work.lent_tasks[0]));
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -27,6 +27,7 @@
   /* From the loss of an instance to the end of its connection, which may stay silent for ever while
      new ones work. */
   CLOSE_DELAY_US = 900000,
+  LOGGED_INCREASE_US = 100000,      /* of the reference of clock differences, after a silence */
   LOST_PEER_RETENTION_US = 20000000 /* a lost instance is forgotten after this */
 };
 
@@ -322,7 +323,11 @@
 record_lag (dks_leased_t *leased, dks_leased_peer_t *peer, int64_t sent_us)
 {
   int64_t clock_diff_us = leased->r->now.mono_us - sent_us;
+  int64_t increase_us = clock_diff_us - peer->min_clock_diff_us;
 
+  if (!peer->status_received && peer->min_clock_diff_us != 0 && increase_us > LOGGED_INCREASE_US)
+    dks_emit_log (leased->r, DKS_LOG_INFO, "event=clock-reference-raised peer=%s by_ms=%" PRId64,
+                  peer->id, increase_us / 1000);
   if (!peer->status_received || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
   peer->lag_us = clock_diff_us - peer->min_clock_diff_us;
