core, net, proto: a lent task names the leaderships between which it is lent

Cause: callers saw one task run twice at the same time. A remote leader was cut off for longer than the time-out for silence; its data centre chose a successor, and the home leader, told by the successor that the task does not run there, started it elsewhere. The former remote leader was fenced, led again with a new term, and then got the message that had lent the task to its earlier leadership. Its new term passes the fence of the targets, so the task started a second time. The class: a permission that is checked by age and not by the term for which it was given. Change: the message states the terms of both leaders. A remote leader refuses a task that was lent to another term than its present one; the refusal is true, as it has not started it. Older instances leave the terms out, and are served as before.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -592,6 +592,18 @@
   job_arm_timer (job);
 }
 
+/* Whether lent tasks must not be started: they were lent to another leadership than the present one
+ * of this instance, for whose tasks the home leader has asked a successor; or by a home leader that
+ * was superseded; or so long ago that it may have given them up, with its cancellation still on the
+ * way. */
+static bool
+is_lend_outdated (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg,
+                  int64_t lag_us)
+{
+  return (msg->u.work.remote_term != 0 && msg->u.work.remote_term != leased->term)
+         || lag_us > WORK_LAG_MAX_US || !dks_leased_peer_is_leader (leased, peer);
+}
+
 void
 dks_leased_jobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
 {
@@ -599,14 +611,9 @@
   dks_leased_job_t *job = lent ? NULL : job_find_by_batch_id (leased, msg->u.work.batch->id);
   const dks_leased_peer_t *peer = dks_leased_peer_find (leased, origin);
   int64_t lag_us = peer != NULL ? dks_leased_peer_lag_us (leased, peer, msg->u.work.sent_us) : 0;
-  bool stale;
-
-  /* A message with lent tasks that is delayed by more than WORK_LAG_MAX_US shows that this leader
-   * cannot keep up. The home leader may have given up the tasks, and its cancellation may be queued
-   * behind the message. */
-  stale = lent && !msg->u.work.resent
-          && (lag_us > WORK_LAG_MAX_US || !dks_leased_peer_is_leader (leased, peer));
-  if (leased->term == 0 || stale || (lent && leased->drain_start_us > 0 && !msg->u.work.resent))
+  bool outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
+
+  if (leased->term == 0 || outdated || (lent && leased->drain_start_us > 0 && !msg->u.work.resent))
     {
       if (lent)
         dks_emit_log (leased->r, DKS_LOG_INFO,
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -141,6 +141,8 @@
   msg->u.work.objective_us = job->objective_end_us - job->step_tail_us[step] - job->arrival_us;
   msg->u.work.budget_us = job->deadline_us - job->arrival_us;
   msg->u.work.step = job->tasks[first].step;
+  msg->u.work.home_term = leased->term;
+  msg->u.work.remote_term = peer->term;
   msg->u.work.lent_count = count;
   dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=tasks-lent job=%s step=%u tasks=%u to=%s fast=%d",
                 job->batch->id, msg->u.work.step, count, peer->id, fast);
@@ -227,6 +229,8 @@
   msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
   msg->u.work.budget_us = job->deadline_us - job->arrival_us;
   msg->u.work.step = task->step;
+  msg->u.work.home_term = leased->term;
+  msg->u.work.remote_term = peer->term;
   msg->u.work.resent = true;
   dks_emit_peer (leased->r, peer->id, msg);
 }
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -210,6 +210,8 @@
   body.lent = msg->u.work.lent_tasks;
   body.n_runs = msg->u.work.lent_count;
   body.runs = msg->u.work.lent_runs;
+  body.home_term = msg->u.work.home_term;
+  body.remote_term = msg->u.work.remote_term;
   wire->work = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -465,6 +467,8 @@
   msg->u.work.budget_us = body->budget_us;
   msg->u.work.resent = body->resent;
   msg->u.work.step = body->step;
+  msg->u.work.home_term = body->home_term;
+  msg->u.work.remote_term = body->remote_term;
   msg->u.work.lent_count = (uint32_t)body->n_lent;
   msg->u.work.lent_tasks = copy_u32_array (body->lent, body->n_lent);
   msg->u.work.lent_runs = copy_u32_array (body->runs, body->n_runs);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -4170,7 +4170,7 @@
   (ProtobufCMessageInit) dks__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__work__field_descriptors[16] =
+static const ProtobufCFieldDescriptor dks__work__field_descriptors[18] =
 {
   {
     "request",
@@ -4364,16 +4364,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home_term",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, home_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remote_term",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, remote_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__work__field_indices_by_name[] = {
   7,   /* field[7] = age_us */
   9,   /* field[9] = budget_us */
+  16,   /* field[16] = home_term */
   1,   /* field[1] = id */
   12,   /* field[12] = lent */
   4,   /* field[4] = max_attempts */
   8,   /* field[8] = objective_us */
   3,   /* field[3] = priority */
   14,   /* field[14] = queue */
+  17,   /* field[17] = remote_term */
   0,   /* field[0] = request */
   10,   /* field[10] = resent */
   13,   /* field[13] = runs */
@@ -4386,7 +4412,7 @@
 static const ProtobufCIntRange dks__work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor dks__work__descriptor =
 {
@@ -4396,7 +4422,7 @@
   "Dks__Work",
   "dks",
   sizeof(Dks__Work),
-  16,
+  18,
   dks__work__field_descriptors,
   dks__work__field_indices_by_name,
   1,  dks__work__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -526,10 +526,15 @@
   uint32_t *runs;
   char *queue;
   int64_t sent_us;
+  /*
+   * Lent tasks: terms of the home leader and of the remote leader for which they are; 0: not stated.
+   */
+  uint64_t home_term;
+  uint64_t remote_term;
 };
 #define DKS__WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__work__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dks__WorkDone
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -247,6 +247,22 @@
     link (a, b);
 }
 
+void
+World::set_held_up (size_t a, size_t b, bool is_held_up)
+{
+  for (auto way : { std::pair (a, b), std::pair (b, a) })
+    {
+      if (is_held_up)
+        {
+          held_up[way];
+          continue;
+        }
+      for (auto &handle : held_up[way])
+        deliver (now_us + peer_delay_us, way.second, handle);
+      held_up.erase (way);
+    }
+}
+
 void
 World::set_frozen (size_t index, bool is_frozen)
 {
@@ -334,7 +350,7 @@
           std::string to = instances[other]->member_id;
           auto delay = link_delay_us.find ({ index, other });
           int64_t delay_us = peer_delay_us + (delay != link_delay_us.end () ? delay->second : 0);
-          deliver (now_us + delay_us, other, [this, index, other, msg, from, to] {
+          auto handle = [this, index, other, msg, from, to] {
             dks_event_t event = {};
 
             event.type = DKS_EVENT_PEER_MSG;
@@ -343,7 +359,11 @@
             if (is_linked (index, other) && instances[other]->member_id == to
                 && instances[index]->member_id == from)
               apply (other, &event);
-          });
+          };
+          if (held_up.count ({ index, other }) > 0)
+            held_up[{ index, other }].push_back (handle);
+          else
+            deliver (now_us + delay_us, other, handle);
         }
       break;
     case DKS_EFFECT_FEED_READ:
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -133,6 +133,9 @@
   void drain (size_t instance);
   // Closes the connection between two instances, and keeps it closed over restarts; or opens it.
   void set_partitioned (size_t a, size_t b, bool is_partitioned);
+  // Holds up the messages between two instances, in both directions, as TCP does during a cut: they
+  // arrive in order once they are not held up any more. The connection stays open.
+  void set_held_up (size_t a, size_t b, bool is_held_up);
   // A frozen instance handles no events; those that reach it wait until it is no longer frozen.
   void set_frozen (size_t instance, bool is_frozen);
   // The process of the target ends at once, and a new incarnation starts after `down_us`.
@@ -265,6 +268,8 @@
   // With `connects_by_address`: instances and the addresses to which they try to connect.
   std::set<std::pair<size_t, std::string>> dialled;
   std::map<std::pair<size_t, uint64_t>, FeedCall> feed_calls; // by instance and operation
+  // By sender and receiver: messages that are held up. Without an entry, none are.
+  std::map<std::pair<size_t, size_t>, std::vector<std::function<void ()>>> held_up;
   uint64_t sequence = 0;
   uint64_t next_caller = 1;
   std::map<size_t, int64_t> next_tick_us;  // by index of the instance, INT64_MAX: none scheduled
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1436,6 +1436,46 @@
     }
 }
 
+// Guards against a second run of a lent task. The remote leader was cut off, stopped leading and
+// led again; the message that lent the task had been held up by the cut and was taken for a new
+// one, since the statuses held up with it were the reference for its age. The home leader had asked
+// the successor of the remote leader and started the task elsewhere.
+TEST (Leased, LentTaskWhoseMessageWasHeldUpIsNotStarted)
+{
+  World world;
+  add_data_centre (world, "a", 2, 1);
+  add_data_centre (world, "b", 4, 3);
+  world.start_all ();
+  world.run_for (4000 * ms);
+  warm_up (world, 0, 2, 100);
+  size_t home = world.find ("a-1");
+  size_t remote = world.find (leader_of (world, "b"));
+
+  world.submit (remote, "0000000000000001", { { 1, 6800, 3000, 3000 } }, 12000);
+  world.submit (home, "0000000000000002", { { 4, 6800, 400, 400 } }, 12000);
+  world.run_for (20 * ms);
+  for (size_t other = 0; other < world.instances.size (); other++)
+    {
+      if (other != remote)
+        world.set_held_up (remote, other, true);
+    }
+  world.run_for (150 * ms);
+  uint64_t caller = world.submit (home, "0000000000000003", { { 2, 6800, 2000, 2000 } }, 12000);
+  world.run_for (1000 * ms);
+  size_t successor = world.find (leader_of (world, "b"));
+  ASSERT_NE (successor, remote);
+  size_t third = 6 - remote - successor; // of the instances 1 to 3
+  world.set_held_up (remote, third, false);
+  world.run_for (300 * ms);
+  ASSERT_EQ (leader_of (world, "b"), world.instances[remote]->id);
+  world.set_held_up (remote, home, false);
+  world.run_for (100 * ms);
+  world.set_held_up (remote, successor, false);
+  world.run_for (6000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
 // Guards against a caller that gets the answer "not run" while its job runs. A leader that could
 // not keep up refused the first message about a job after the job had gone to another leader and
 // back, and the entry instance passed that refusal on to the caller.
