core: the age of a message is measured by one reference over silence and connections

Cause: callers saw one task run twice at the same time. The reference for the age of messages, the least difference of the two clocks, was set anew by the first status after a silence. After a cut that status has been held up as long as the messages behind it, which then counted as new: a remote leader started a lent task 1.3 s after it had been sent, when its job had been cancelled and submitted again in another data centre. Change: the reference lasts as long as the peer's process is known. It rises by a thousandth of the time that has passed, so that clocks which drift apart do not make all messages look old after some hours. The line clock-reference-raised, which showed this, has gone with it.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -27,7 +27,7 @@
   /* From the loss of an instance to the end of its connection, which may stay silent for ever while
      new ones work. */
   CLOSE_DELAY_US = 900000,
-  LOGGED_INCREASE_US = 100000,      /* of the reference of clock differences, after a silence */
+  CLOCK_DRIFT_PART = 1000, /* steady clocks drift apart by less than this part of the time */
   LOST_PEER_RETENTION_US = 20000000 /* a lost instance is forgotten after this */
 };
 
@@ -317,19 +317,19 @@
   dks_leased_leader_update (leased);
 }
 
-/* Records how much later than usual a status was handled. The least difference of the two clocks on
- * a connection is that of a message which was not delayed. */
+/* Records how much later than usual a status was handled. The least difference of the two clocks is
+ * that of a status which was not delayed. It outlasts silence and connections: the first status
+ * after a cut has been held up as long as the messages that follow it. */
 static void
 record_lag (dks_leased_t *leased, dks_leased_peer_t *peer, int64_t sent_us)
 {
   int64_t clock_diff_us = leased->r->now.mono_us - sent_us;
-  int64_t increase_us = clock_diff_us - peer->min_clock_diff_us;
 
-  if (!peer->status_received && peer->min_clock_diff_us != 0 && increase_us > LOGGED_INCREASE_US)
-    dks_emit_log (leased->r, DKS_LOG_INFO, "event=clock-reference-raised peer=%s by_ms=%" PRId64,
-                  peer->id, increase_us / 1000);
-  if (!peer->status_received || clock_diff_us < peer->min_clock_diff_us)
+  if (peer->last_status_us > 0)
+    peer->min_clock_diff_us += (leased->r->now.mono_us - peer->last_status_us) / CLOCK_DRIFT_PART;
+  if (peer->last_status_us == 0 || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
+  peer->last_status_us = leased->r->now.mono_us;
   peer->lag_us = clock_diff_us - peer->min_clock_diff_us;
 }
 
@@ -338,7 +338,7 @@
 {
   int64_t lag_us = leased->r->now.mono_us - sent_us - peer->min_clock_diff_us;
 
-  return peer->status_received && lag_us > 0 ? lag_us : 0;
+  return peer->last_status_us > 0 && lag_us > 0 ? lag_us : 0;
 }
 
 void
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1476,6 +1476,40 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a second run of a lent task. Its message was held up by a cut that outlasted the
+// time-out for silence, and was taken for a new one: the reference for its age was the first status
+// after the silence, which had been held up as well. Meanwhile the job had been cancelled and
+// submitted again in another data centre.
+TEST (Leased, LentTaskOfAJobThatWasSubmittedElsewhereMeanwhileIsNotStarted)
+{
+  World world;
+  add_data_centre (world, "a", 2, 1);
+  add_data_centre (world, "b", 4, 1);
+  add_data_centre (world, "c", 2, 1);
+  world.start_all ();
+  world.run_for (4000 * ms);
+  warm_up (world, 0, 2, 100);
+  size_t home = world.find ("a-1");
+  size_t remote = world.find ("b-1");
+  size_t elsewhere = world.find ("c-1");
+
+  world.submit (elsewhere, "0000000000000001", { { 4, 6800, 1000, 1000 } }, 12000);
+  world.submit (home, "0000000000000002", { { 4, 6800, 1000, 1000 } }, 12000);
+  world.run_for (20 * ms);
+  world.set_held_up (home, remote, true);
+  world.run_for (150 * ms);
+  uint64_t caller = world.submit (home, "0000000000000003", { { 2, 6800, 2000, 2000 } }, 12000);
+  world.run_for (10 * ms);
+  ASSERT_NE (world.last_lend_msg, nullptr);
+  world.leave (home, caller);
+  world.run_for (1290 * ms);
+  world.submit (elsewhere, "0000000000000003", { { 2, 6800, 2000, 2000 } }, 12000);
+  world.run_for (10 * ms);
+  world.set_held_up (home, remote, false);
+  world.run_for (4000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against a caller that gets the answer "not run" while its job runs. A leader that could
 // not keep up refused the first message about a job after the job had gone to another leader and
 // back, and the entry instance passed that refusal on to the caller.
