tests: cuts, slow instances and late starts in the simulation

The simulation of dispatch to leased targets could only close a connection. A cut now holds the messages of one or both directions until it ends, DKS_EFFECT_PEER_CLOSE ends a connection, and both sides connect again 100 to 300 ms after its end. Further additions: resets, instances that handle events up to 2 s late, instances cut off from single targets, and starts carried out late for a period. Messages of one link keep their order when its delay changes. Reports of double runs name the runs, their targets and starters.

--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -12,8 +12,10 @@
 namespace leased
 {
 
-constexpr int64_t peer_delay_us = 1 * ms;   // one way between two instances
-constexpr int64_t lease_max_us = 1000 * ms; // longest lease that the platform allows
+constexpr int64_t peer_delay_us = 1 * ms;       // one way between two instances
+constexpr int64_t event_lag_max_us = 2000 * ms; // longest wait of an event at a slow instance
+constexpr int64_t reconnect_min_us = 100 * ms;  // from the end of a connection to the next one
+constexpr int64_t lease_max_us = 1000 * ms;     // longest lease that the platform allows
 
 static void
 set_text (char *to, size_t size, const std::string &text)
@@ -92,11 +94,48 @@
 void
 World::deliver (int64_t us, size_t index, std::function<void ()> func)
 {
-  schedule_at (us, [this, index, func] {
-    if (instances[index]->frozen)
-      instances[index]->pending_events.push_back (func);
-    else
+  schedule_at (us, [this, index, func] { deliver_now (index, func); });
+}
+
+void
+World::deliver_now (size_t index, const std::function<void ()> &func)
+{
+  Instance &instance = *instances[index];
+
+  if (!instance.frozen && instance.event_cost_us == 0 && instance.pending_events.empty ())
+    {
       func ();
+      return;
+    }
+  instance.pending_events.push_back (func);
+  schedule_pending_event (index, std::max (now_us, instance.busy_until_us));
+}
+
+// Handles the events that wait at the instance in their order, one at the given time at the
+// earliest.
+void
+World::schedule_pending_event (size_t index, int64_t us)
+{
+  Instance &instance = *instances[index];
+
+  if (instance.event_scheduled || instance.frozen || instance.pending_events.empty ())
+    return;
+  instance.event_scheduled = true;
+  schedule_at (us, [this, index] {
+    Instance &at = *instances[index];
+
+    at.event_scheduled = false;
+    if (at.frozen || at.pending_events.empty ())
+      return;
+    std::function<void ()> func = std::move (at.pending_events.front ());
+    at.pending_events.pop_front ();
+    // With many events waiting, each takes less time, so that none waits for more than 2 s.
+    at.busy_until_us =
+        now_us
+        + std::min (at.event_cost_us,
+                    event_lag_max_us / static_cast<int64_t> (at.pending_events.size () + 1));
+    func ();
+    schedule_pending_event (index, at.busy_until_us);
   });
 }
 
@@ -133,7 +172,7 @@
   for (size_t other = 0; other < instances.size (); other++)
     {
       if (other != index && instances[other]->up
-          && partitions.count (std::minmax (index, other)) == 0
+          && partitions.count (std::minmax (index, other)) == 0 && !is_cut (index, other)
           && (!connects_by_address || dialled.count ({ other, instance.id }) > 0))
         link (index, other);
     }
@@ -151,7 +190,7 @@
     for (size_t other = 0; other < instances.size (); other++)
       {
         if (other != index && instances[other]->id == address && instances[other]->up
-            && instances[index]->up && !is_linked (index, other)
+            && instances[index]->up && !is_linked (index, other) && !is_cut (index, other)
             && partitions.count (std::minmax (index, other)) == 0)
           link (index, other);
       }
@@ -173,8 +212,13 @@
   instance.up = false;
   dks_reducer_destroy (instance.reducer);
   instance.reducer = nullptr;
+  instance.pending_events.clear ();
+  instance.tick_pending = false;
   for (size_t other = 0; other < instances.size (); other++)
-    unlink (index, other);
+    {
+      sides.erase ({ index, other });
+      notify_closed (index, other);
+    }
   for (auto &target : targets)
     {
       auto &waiting_holds = target->waiting_holds;
@@ -194,43 +238,146 @@
 void
 World::drain (size_t index)
 {
-  dks_event_t event = {};
+  dks_reducer_t *reducer = instances[index]->reducer;
 
-  event.type = DKS_EVENT_DRAIN;
-  apply (index, &event);
+  deliver_now (index, [this, index, reducer] {
+    dks_event_t event = {};
+
+    event.type = DKS_EVENT_DRAIN;
+    if (instances[index]->reducer == reducer)
+      apply (index, &event);
+  });
 }
 
 void
 World::link (size_t a, size_t b)
 {
+  // A new connection replaces one whose end the side has not noticed yet.
+  close_side (a, b);
+  close_side (b, a);
+  next_connection++;
   for (auto [self, peer] : { std::pair (a, b), std::pair (b, a) })
     {
-      dks_event_t event = {};
       std::string member_id = instances[peer]->member_id;
+      std::string data_centre = instances[peer]->data_centre;
+      uint64_t connection = next_connection;
 
-      links.insert (std::minmax (a, b));
-      event.type = DKS_EVENT_PEER_UP;
-      event.u.peer.peer = member_id.c_str ();
-      event.u.peer.data_centre = instances[peer]->data_centre.c_str ();
-      apply (self, &event);
+      sides[{ self, peer }] = { connection, member_id };
+      deliver_now (self, [=, this, self = self, peer = peer] {
+        dks_event_t event = {};
+
+        if (!is_open (self, peer, connection))
+          return;
+        event.type = DKS_EVENT_PEER_UP;
+        event.u.peer.peer = member_id.c_str ();
+        event.u.peer.data_centre = data_centre.c_str ();
+        apply (self, &event);
+      });
     }
 }
 
 void
 World::unlink (size_t a, size_t b)
 {
-  if (links.erase (std::minmax (a, b)) == 0)
+  close_side (a, b);
+  close_side (b, a);
+}
+
+bool
+World::is_linked (size_t a, size_t b) const
+{
+  auto side = sides.find ({ a, b });
+
+  return side != sides.end () && is_open (b, a, side->second.connection);
+}
+
+bool
+World::is_open (size_t self, size_t peer, uint64_t connection) const
+{
+  auto side = sides.find ({ self, peer });
+
+  return side != sides.end () && side->second.connection == connection;
+}
+
+// Ends the connection at one side, which is told.
+void
+World::close_side (size_t self, size_t peer)
+{
+  auto side = sides.find ({ self, peer });
+  dks_reducer_t *reducer = instances[self]->reducer;
+
+  if (side == sides.end ())
     return;
-  for (auto [self, peer] : { std::pair (a, b), std::pair (b, a) })
-    {
-      dks_event_t event = {};
-      std::string member_id = instances[peer]->member_id;
+  std::string member_id = side->second.peer_member_id;
+  sides.erase (side);
+  deliver_now (self, [=, this] {
+    dks_event_t event = {};
 
-      event.type = DKS_EVENT_PEER_DOWN;
-      event.u.peer.peer = member_id.c_str ();
-      if (instances[self]->up)
-        apply (self, &event);
+    event.type = DKS_EVENT_PEER_DOWN;
+    event.u.peer.peer = member_id.c_str ();
+    if (instances[self]->up && instances[self]->reducer == reducer)
+      apply (self, &event);
+  });
+}
+
+// The connection has ended at `self`: the peer learns of it as soon as the way to it is open.
+void
+World::notify_closed (size_t self, size_t peer)
+{
+  if (cuts.count ({ self, peer }) == 0)
+    close_side (peer, self);
+}
+
+void
+World::set_cut (size_t from, size_t to, bool is_cut_now)
+{
+  if (is_cut_now)
+    {
+      cuts.insert ({ from, to });
+      return;
     }
+  if (cuts.erase ({ from, to }) == 0)
+    return;
+  if (sides.count ({ from, to }) == 0 || !is_linked (from, to))
+    close_side (to, from);
+  schedule_at (now_us + peer_delay_us, [this, from, to] {
+    if (cuts.count ({ from, to }) > 0)
+      return;
+    auto held = std::move (held_msgs[{ from, to }]);
+    held_msgs[{ from, to }].clear ();
+    for (auto &func : held)
+      deliver_now (to, func);
+  });
+  reconnect_later (from, to);
+}
+
+void
+World::set_cut_both_ways (size_t a, size_t b, bool is_cut_now)
+{
+  set_cut (a, b, is_cut_now);
+  set_cut (b, a, is_cut_now);
+}
+
+// Opens a connection between two instances some 100 to 300 ms from now, if there is none then.
+void
+World::reconnect_later (size_t a, size_t b)
+{
+  int64_t delay_us = reconnect_min_us + static_cast<int64_t> (sequence % 201) * ms;
+
+  schedule_at (now_us + delay_us, [this, a, b] {
+    if (instances[a]->up && instances[b]->up && !is_linked (a, b) && !is_cut (a, b)
+        && partitions.count (std::minmax (a, b)) == 0)
+      link (a, b);
+  });
+}
+
+void
+World::reset_connection (size_t a, size_t b)
+{
+  if (is_cut (a, b) || !is_linked (a, b))
+    return;
+  unlink (a, b);
+  reconnect_later (a, b);
 }
 
 void
@@ -243,20 +390,21 @@
       return;
     }
   partitions.erase (std::minmax (a, b));
-  if (instances[a]->up && instances[b]->up)
+  if (instances[a]->up && instances[b]->up && !is_cut (a, b))
     link (a, b);
 }
 
 void
 World::set_frozen (size_t index, bool is_frozen)
 {
-  Instance &instance = *instances[index];
-  auto pending_events = std::move (instance.pending_events);
+  instances[index]->frozen = is_frozen;
+  schedule_pending_event (index, now_us + ms);
+}
 
-  instance.frozen = is_frozen;
-  instance.pending_events.clear ();
-  for (auto &func : pending_events)
-    schedule_at (now_us + ms, func);
+void
+World::set_event_cost (size_t index, int64_t us)
+{
+  instances[index]->event_cost_us = us;
 }
 
 void
@@ -265,21 +413,24 @@
   int64_t next = dks_reducer_next_us (instances[index]->reducer);
   dks_reducer_t *reducer = instances[index]->reducer;
 
-  if (next == INT64_MAX || next >= next_tick_us[index])
+  if (instances[index]->tick_pending || next == INT64_MAX || next >= next_tick_us[index])
     return;
   next = std::max (next, now_us);
   next_tick_us[index] = next;
   schedule_at (next, [this, index, reducer] {
-    dks_event_t event = {};
-
-    if (instances[index]->reducer != reducer)
+    if (instances[index]->reducer != reducer || instances[index]->tick_pending)
       return;
     next_tick_us[index] = INT64_MAX;
-    event.type = DKS_EVENT_TICK;
-    if (instances[index]->frozen)
-      instances[index]->pending_events.push_back ([this, index] { schedule_tick (index); });
-    else
+    instances[index]->tick_pending = true;
+    deliver_now (index, [this, index, reducer] {
+      dks_event_t event = {};
+
+      if (instances[index]->reducer != reducer)
+        return;
+      instances[index]->tick_pending = false;
+      event.type = DKS_EVENT_TICK;
       apply (index, &event);
+    });
   });
 }
 
@@ -323,29 +474,20 @@
         }
       for (size_t other = 0; other < instances.size (); other++)
         {
-          if (!instances[other]->up || instances[other]->member_id != effect.u.peer_send.peer
-              || !is_linked (index, other))
+          auto side = sides.find ({ index, other });
+
+          if (side == sides.end () || side->second.peer_member_id != effect.u.peer_send.peer)
             continue;
           std::shared_ptr<dks_msg_t> msg (dks_msg_ref (effect.u.peer_send.msg), dks_msg_unref);
           statuses_to_other_data_centres +=
               index == count_statuses_of && msg->type == DKS_MSG_LEASED_STATUS
               && instances[other]->data_centre != instances[index]->data_centre;
-          std::string from = instances[index]->member_id;
-          std::string to = instances[other]->member_id;
-          auto delay = link_delay_us.find ({ index, other });
-          int64_t delay_us = peer_delay_us + (delay != link_delay_us.end () ? delay->second : 0);
-          deliver (now_us + delay_us, other, [this, index, other, msg, from, to] {
-            dks_event_t event = {};
-
-            event.type = DKS_EVENT_PEER_MSG;
-            event.u.peer_msg.peer = from.c_str ();
-            event.u.peer_msg.msg = msg.get ();
-            if (is_linked (index, other) && instances[other]->member_id == to
-                && instances[index]->member_id == from)
-              apply (other, &event);
-          });
+          send_msg (index, other, side->second.connection, msg);
         }
       break;
+    case DKS_EFFECT_PEER_CLOSE:
+      close_connection (index, effect.u.peer_close.peer);
+      break;
     case DKS_EFFECT_FEED_READ:
     case DKS_EFFECT_FEED_WATCH:
       send_feed_call (index, effect);
@@ -357,6 +499,7 @@
       break;
     case DKS_EFFECT_LOG:
       log.push_back (instances[index]->id + " " + effect.u.log.text);
+      log_times_us.push_back (now_us);
       if (trace)
         printf ("%9.3f %s %s\n", static_cast<double> (now_us) / 1e6, instances[index]->id.c_str (),
                 effect.u.log.text);
@@ -369,6 +512,59 @@
     }
 }
 
+// Messages of one connection arrive in the order in which they were sent. Those that arrive during
+// a cut are held until it ends.
+void
+World::send_msg (size_t from, size_t to, uint64_t connection, std::shared_ptr<dks_msg_t> msg)
+{
+  auto delay = link_delay_us.find ({ from, to });
+  int64_t &last_arrival = last_arrival_us[{ from, to }];
+  std::string from_id = instances[from]->member_id;
+  auto handle = [this, from, to, connection, from_id, msg] {
+    dks_event_t event = {};
+
+    event.type = DKS_EVENT_PEER_MSG;
+    event.u.peer_msg.peer = from_id.c_str ();
+    event.u.peer_msg.msg = msg.get ();
+    if (is_open (to, from, connection))
+      apply (to, &event);
+  };
+
+  last_arrival = std::max (last_arrival, now_us + peer_delay_us
+                                             + (delay != link_delay_us.end () ? delay->second : 0));
+  schedule_at (last_arrival, [this, from, to, handle] {
+    auto &held = held_msgs[{ from, to }];
+
+    if (cuts.count ({ from, to }) > 0 || !held.empty ())
+      held.push_back (handle);
+    else
+      deliver_now (to, handle);
+  });
+}
+
+// Carries out an instance's request to close the connection to a peer.
+void
+World::close_connection (size_t index, const std::string &peer)
+{
+  for (size_t other = 0; other < instances.size (); other++)
+    {
+      auto side = sides.find ({ index, other });
+
+      if (side == sides.end () || side->second.peer_member_id != peer)
+        continue;
+      // The effect is carried out after the event that caused it.
+      schedule_at (now_us, [this, index, other, connection = side->second.connection] {
+        if (!is_open (index, other, connection))
+          return;
+        close_side (index, other);
+        notify_closed (index, other);
+        if (!is_cut (index, other))
+          reconnect_later (index, other);
+      });
+      return;
+    }
+}
+
 // A read is answered with all items of the feed, a watch when the configuration changes or, with no
 // change, after its timeout. Without an answer both end after their timeout.
 void
@@ -497,14 +693,42 @@
 World::check_double_runs (const std::string &task)
 {
   int count = 0;
+  std::string text;
+  char line[160];
 
   for (auto &target : targets)
     {
       end_due_runs (*target);
       for (auto &run : target->runs)
-        count += run.task == task;
+        {
+          if (run.task != task)
+            continue;
+          count++;
+          snprintf (line, sizeof (line), " run %u on %s since %.3f by %s%s;", run.run_number,
+                    target->info.id, static_cast<double> (run.started_us) / 1e6,
+                    run.starter.c_str (), run.stopping ? " (stopping)" : "");
+          text += line;
+        }
     }
-  double_runs += count > 1;
+  if (count <= 1)
+    return;
+  double_runs++;
+  snprintf (line, sizeof (line), "%9.3f ", static_cast<double> (now_us) / 1e6);
+  double_run_reports.push_back (line + task + ":" + text);
+  if (trace)
+    printf ("%s\n", double_run_reports.back ().c_str ());
+  if (double_runs > 1)
+    return;
+  std::vector<std::string> lines;
+  std::string job = task.substr (0, task.find ('.'));
+  for (size_t i = log.size (); i-- > 0 && lines.size () < 40;)
+    {
+      if (log[i].find (job) != std::string::npos
+          || log[i].find ("event=leader-") != std::string::npos)
+        lines.push_back (std::to_string (log_times_us[i] / ms) + " ms " + log[i]);
+    }
+  std::reverse (lines.begin (), lines.end ());
+  double_run_log = lines;
 }
 
 void
@@ -559,7 +783,7 @@
 }
 
 dks_lease_status_t
-World::start_run (Target &target, const dks_effect_t &effect)
+World::start_run (Target &target, const dks_effect_t &effect, size_t starter)
 {
   std::string task = effect.u.lease.task;
   uint32_t run = effect.u.lease.run;
@@ -584,8 +808,8 @@
   target.lease_end_us = std::max (
       target.lease_end_us, std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_max_us));
   target.starts++;
-  target.runs.push_back (
-      { task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us, false });
+  target.runs.push_back ({ task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us,
+                           false, instances[starter]->id });
   check_double_runs (task);
   if (deadly_tasks.count (task) > 0)
     {
@@ -621,7 +845,9 @@
           target->delayed_starts--;
           delayed = true;
         }
-      if (!target->silent)
+      if (effect.type == DKS_EFFECT_LEASE_START && now_us < target->starts_late_until_us)
+        delayed = true;
+      if (!target->silent && target_cuts.count ({ index, at_target }) == 0)
         schedule_at (now_us + (delayed ? target->start_delay_us : call_delay_us),
                      [=, this] { handle_lease_call (*at_target, call, !delayed); });
       // The reducer ignores this timeout when the call has been answered before.
@@ -661,7 +887,7 @@
     {
       target.highest_fence = effect.u.lease.fencing_token;
       if (effect.type == DKS_EFFECT_LEASE_START)
-        status = start_run (target, effect);
+        status = start_run (target, effect, call.instance);
       else if (effect.type == DKS_EFFECT_LEASE_STOP)
         {
           target.highest_ended_run[effect.u.lease.task] =
@@ -727,7 +953,7 @@
   int64_t clock_ms = now_us / 1000;
   dks_reducer_t *reducer = instances[index]->reducer;
 
-  if (target != nullptr && target->silent)
+  if (target != nullptr && (target->silent || target_cuts.count ({ index, target }) > 0))
     return;
   if (with_lists)
     {
@@ -805,22 +1031,32 @@
   event.u.batch.caller = caller;
   event.u.batch.verb = DKS_BATCH_SUBMIT;
   event.u.batch.host = "host";
-  event.u.batch.path = path.c_str ();
   event.u.batch.batch = batch;
   event.u.batch.budget_ms = budget_ms;
-  apply (index, &event);
-  dks_batch_unref (batch);
+  deliver_now (index, [this, index, event, path, reducer = instances[index]->reducer,
+                       kept = std::shared_ptr<dks_batch_t> (batch, dks_batch_unref)] {
+    dks_event_t own = event;
+
+    own.u.batch.path = path.c_str ();
+    if (instances[index]->reducer == reducer)
+      apply (index, &own);
+  });
   return caller;
 }
 
 void
 World::leave (size_t index, uint64_t caller)
 {
-  dks_event_t event = {};
+  dks_reducer_t *reducer = instances[index]->reducer;
 
-  event.type = DKS_EVENT_CALLER_GONE;
-  event.u.caller_gone.caller = caller;
-  apply (index, &event);
+  deliver_now (index, [this, index, caller, reducer] {
+    dks_event_t event = {};
+
+    event.type = DKS_EVENT_CALLER_GONE;
+    event.u.caller_gone.caller = caller;
+    if (instances[index]->reducer == reducer)
+      apply (index, &event);
+  });
 }
 
 void
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -35,6 +35,7 @@
   int64_t started_us;
   int64_t ends_us;       // INT64_MAX: never, its target is stalled
   bool stopping = false; // a stop has arrived; the run ends at `ends_us`
+  std::string starter;   // id of the instance that sent the start
 };
 
 struct EndedRun
@@ -68,8 +69,9 @@
   // no answer.
   int delayed_starts = 0;
   int64_t start_delay_us = 0;
-  int64_t highest_fence = 0; // fencing token of the latest call; lower ones are rejected
-  int64_t lease_end_us = 0;  // runs that have not ended by then end as DKS_RUN_LEASE_EXPIRED
+  int64_t starts_late_until_us = 0; // starts that are sent before are delayed in the same way
+  int64_t highest_fence = 0;        // fencing token of the latest call; lower ones are rejected
+  int64_t lease_end_us = 0;         // runs that have not ended by then end as DKS_RUN_LEASE_EXPIRED
   int64_t next_end_number = 1;
   int64_t stop_duration_us = 20 * ms; // from the arrival of a stop to the end of the run
   std::vector<Run> runs;
@@ -89,8 +91,13 @@
   dks_reducer_t *reducer = nullptr;
   bool up = false;
   bool frozen = false;
-  std::vector<std::function<void ()>> pending_events; // reached the instance while it was frozen
-  bool feed_down = false;                             // the platform's feeds are unavailable to it
+  int64_t event_cost_us = 0; // time that the handling of an event takes, on a slow instance
+  int64_t busy_until_us = 0; // end of the handling of the latest event
+  // Have reached the instance and wait until it is no longer frozen or busy.
+  std::deque<std::function<void ()>> pending_events;
+  bool event_scheduled = false;          // the handling of the first pending event
+  bool tick_pending = false;             // a tick is among the pending events
+  bool feed_down = false;                // the platform's feeds are unavailable to it
   uint32_t processor_milli = 1000;       // processor time it may use, thousandths of a processor
   uint64_t feed_op[DKS_FEED_COUNT] = {}; // operation number of its latest call for each feed
   std::string member_id;
@@ -135,6 +142,16 @@
   void set_partitioned (size_t a, size_t b, bool is_partitioned);
   // A frozen instance handles no events; those that reach it wait until it is no longer frozen.
   void set_frozen (size_t instance, bool is_frozen);
+  // Each event takes the instance so long to handle that those which follow wait, by up to 2 s in
+  // all; 0: no time.
+  void set_event_cost (size_t instance, int64_t us);
+  // Holds the messages from one instance to another, as a cut of the network does: they arrive in
+  // order once it ends, unless their connection is closed meanwhile. No side is told of the cut,
+  // and there are no new connections between the two until it ends.
+  void set_cut (size_t from, size_t to, bool is_cut);
+  void set_cut_both_ways (size_t a, size_t b, bool is_cut);
+  // Ends the connection between two instances, which open a new one within 300 ms.
+  void reset_connection (size_t a, size_t b);
   // The process of the target ends at once, and a new incarnation starts after `down_us`.
   void crash (Target &target, int64_t down_us);
   // The platform's list of targets has changed: watches of it are answered.
@@ -176,6 +193,8 @@
   bool connects_by_address = false;
   // Delay of the messages from one instance to another, beyond the usual one: a busy link.
   std::map<std::pair<size_t, size_t>, int64_t> link_delay_us;
+  // Instances and targets between which calls and answers are lost.
+  std::set<std::pair<size_t, const Target *>> target_cuts;
   std::map<dks_msg_type_t, uint64_t> sent_msgs;
   size_t count_statuses_of = SIZE_MAX; // instance whose statuses are counted
   uint64_t statuses_to_other_data_centres = 0;
@@ -189,7 +208,9 @@
   std::map<std::string, int64_t> real_ms;
   // Tasks that crash a target 10 ms after it has started them, and the crashes of each.
   std::map<std::string, int> deadly_tasks;
-  int double_runs = 0;                // starts of a task that already had a run on some target
+  int double_runs = 0; // starts of a task that already had a run on some target
+  std::vector<std::string> double_run_reports; // one line for each
+  std::vector<std::string> double_run_log;     // log lines about the job of the first one
   dks_msg_t *last_lend_msg = nullptr; // latest message by which one leader lends tasks to another
   // Settings of the only queue. The objective of a job is `objective_extra_ms` plus its declared
   // run time times `objective_factor_milli` / 1000.
@@ -198,6 +219,7 @@
   uint32_t queue_timeout_ms = 0;                   // 0: none
   int64_t call_delay_us = 300;                     // one way to a target or the platform
   std::vector<std::string> log;                    // "INSTANCE TEXT" of each line
+  std::vector<int64_t> log_times_us;               // of each line
   bool trace = getenv ("LEASED_TRACE") != nullptr; // prints the log lines
 
 private:
@@ -219,17 +241,33 @@
   void schedule_at (int64_t us, std::function<void ()> func);
   // Calls `func` at that time, or when the instance is no longer frozen.
   void deliver (int64_t us, size_t instance, std::function<void ()> func);
+  // Calls `func` now, or once the instance has handled the events that wait there.
+  void deliver_now (size_t instance, const std::function<void ()> &func);
+  void schedule_pending_event (size_t instance, int64_t us);
   void start_instance (size_t instance);
   void execute_effect (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
   void link (size_t a, size_t b);
   void connect (size_t instance, const std::string &address);
   void unlink (size_t a, size_t b);
+  bool is_linked (size_t a, size_t b) const;
   bool
-  is_linked (size_t a, size_t b) const
+  is_cut (size_t a, size_t b) const
   {
-    return links.count (std::minmax (a, b)) > 0;
+    return cuts.count ({ a, b }) > 0 || cuts.count ({ b, a }) > 0;
   }
+  bool is_open (size_t self, size_t peer, uint64_t connection) const;
+  void close_side (size_t self, size_t peer);
+  void notify_closed (size_t self, size_t peer);
+  void reconnect_later (size_t a, size_t b);
+  void close_connection (size_t instance, const std::string &peer);
+  void send_msg (size_t from, size_t to, uint64_t connection, std::shared_ptr<dks_msg_t> msg);
+  // One side of a connection between two instances, until this side knows that it has ended.
+  struct Side
+  {
+    uint64_t connection;
+    std::string peer_member_id;
+  };
   // A read or watch of a feed that has not ended.
   struct FeedCall
   {
@@ -250,7 +288,7 @@
   void handle_lease_call (Target &target, const Call &call, bool is_answered);
   void send_lease_reply (size_t instance, uint64_t op, dks_lease_status_t status,
                          const Target *target, const Call *call);
-  dks_lease_status_t start_run (Target &target, const dks_effect_t &effect);
+  dks_lease_status_t start_run (Target &target, const dks_effect_t &effect, size_t starter);
   void end_due_runs (Target &target);
   void answer_waiting_holds (Target &target);
   void end_run (Target &target, size_t i, dks_run_end_t end);
@@ -259,8 +297,13 @@
   dks_time_t time () const;
 
   std::priority_queue<ScheduledAction, std::vector<ScheduledAction>, IsLater> queue;
-  // Pairs of instances, the lower index first: those that are connected, and those that may not be.
-  std::set<std::pair<size_t, size_t>> links;
+  std::map<std::pair<size_t, size_t>, Side> sides; // by instance and its peer
+  uint64_t next_connection = 0;
+  // By sender and receiver: cuts, the messages that they hold, and the latest arrival of a message.
+  std::set<std::pair<size_t, size_t>> cuts;
+  std::map<std::pair<size_t, size_t>, std::vector<std::function<void ()>>> held_msgs;
+  std::map<std::pair<size_t, size_t>, int64_t> last_arrival_us;
+  // Pairs of instances, the lower index first, that may not be connected.
   std::set<std::pair<size_t, size_t>> partitions;
   // With `connects_by_address`: instances and the addresses to which they try to connect.
   std::set<std::pair<size_t, std::string>> dialled;
