tests: seeded search for overlapping runs of one task

A schedule of jobs and overlapping faults is drawn from a seed and played in virtual time; the test fails on a second run of a task and on a caller without an answer. DKS_OVERLAP_SEEDS sets the range, seeds 1-100 by default.

--- /dev/null
+++ b/tests/test_leased_overlap.cc
@@ -0,0 +1,530 @@
+// Searches for two runs of one task at once: schedules of jobs and faults are drawn from seeds.
+// DKS_OVERLAP_SEEDS=FIRST-LAST sets the seeds, LEASED_TRACE prints the log.
+
+#include "leased_world.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <gtest/gtest.h>
+
+using leased::ms;
+using leased::Target;
+using leased::World;
+
+namespace
+{
+
+constexpr int64_t start_ms = 4000;  // until the leaders have learned of each other and of targets
+constexpr int64_t fault_ms = 9000;  // period in which faults begin
+constexpr int64_t settle_ms = 9000; // from the last fault until all callers have an answer
+constexpr int64_t retransmit_ms = 1300; // from the loss of an answer to the next submission
+constexpr int64_t budget_ms = 6000;
+
+// SplitMix64.
+class Random
+{
+public:
+  explicit Random (uint64_t seed) : state (seed)
+  {
+  }
+  uint64_t
+  next ()
+  {
+    state += 0x9e3779b97f4a7c15;
+    uint64_t z = state;
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+    return z ^ (z >> 31);
+  }
+  // A number from `low` to `high`.
+  int64_t
+  between (int64_t low, int64_t high)
+  {
+    return low + static_cast<int64_t> (next () % static_cast<uint64_t> (high - low + 1));
+  }
+  bool
+  chance (int percent)
+  {
+    return between (1, 100) <= percent;
+  }
+
+private:
+  uint64_t state;
+};
+
+// A caller that submits its job again when its connection breaks or its job is lost.
+struct Client
+{
+  std::string job;
+  std::vector<leased::Step> steps;
+  int64_t gives_up_us;
+  uint64_t caller = 0; // 0: waits to submit again
+  size_t entry = 0;
+  bool ended = false;
+};
+
+class Schedule
+{
+public:
+  explicit Schedule (uint64_t seed) : random (seed)
+  {
+  }
+
+  void
+  run ()
+  {
+    int data_centres = static_cast<int> (random.between (3, 4));
+
+    world.call_delay_us = random.between (200, 1500);
+    for (int i = 0; i < data_centres; i++)
+      {
+        std::string name (1, static_cast<char> ('a' + i));
+        int64_t instances = random.between (1, 4);
+
+        names.push_back (name);
+        for (int64_t j = 0; j < instances; j++)
+          world.add_instance (name);
+      }
+    for (auto &name : names)
+      {
+        int64_t targets = random.between (4, 8);
+
+        for (int64_t j = 0; j < targets; j++)
+          world.add_target (name);
+      }
+    home = names[static_cast<size_t> (random.between (0, data_centres - 1))];
+    world.start_all ();
+    world.run_for (start_ms * ms);
+
+    int64_t end_us = world.now_us + fault_ms * ms;
+    next_job_us = world.now_us;
+    next_fault_us = world.now_us + 500 * ms;
+    while (world.now_us < end_us + settle_ms * ms)
+      {
+        if (world.now_us < end_us && world.now_us >= next_job_us)
+          submit_job ();
+        if (world.now_us < end_us && world.now_us >= next_fault_us)
+          start_faults ();
+        run_due_actions ();
+        update_clients ();
+        world.run_for (step_us);
+      }
+  }
+
+  World world;
+
+  // Callers that are still connected and without an answer.
+  int
+  count_unanswered () const
+  {
+    int count = 0;
+
+    for (auto &client : clients)
+      count += !client.ended && client.caller != 0;
+    return count;
+  }
+
+private:
+  static constexpr int64_t step_us = 10 * ms;
+
+  struct Action
+  {
+    int64_t at_us;
+    std::function<void ()> func;
+  };
+
+  void
+  after (int64_t us, std::function<void ()> func)
+  {
+    actions.push_back ({ world.now_us + us, std::move (func) });
+  }
+
+  void
+  run_due_actions ()
+  {
+    for (size_t i = 0; i < actions.size ();)
+      {
+        if (actions[i].at_us > world.now_us)
+          {
+            i++;
+            continue;
+          }
+        auto func = std::move (actions[i].func);
+
+        actions.erase (actions.begin () + static_cast<long> (i));
+        func ();
+      }
+  }
+
+  size_t
+  any_instance ()
+  {
+    return static_cast<size_t> (
+        random.between (0, static_cast<int64_t> (world.instances.size ()) - 1));
+  }
+
+  // The latest instance of the data centre that began to lead.
+  size_t
+  leader_of (const std::string &data_centre) const
+  {
+    std::string text = "event=leader-start data_centre=" + data_centre + " ";
+
+    for (size_t i = world.log.size (); i-- > 0;)
+      {
+        if (world.log[i].find (text) != std::string::npos)
+          return world.find (world.log[i].substr (0, world.log[i].find (' ')));
+      }
+    return world.find (data_centre + "-1");
+  }
+
+  std::string
+  any_data_centre ()
+  {
+    return names[static_cast<size_t> (
+        random.between (0, static_cast<int64_t> (names.size ()) - 1))];
+  }
+
+  // An instance to which a fault happens: mostly the home leader or another leader.
+  size_t
+  choose_victim ()
+  {
+    int64_t kind = random.between (1, 10);
+
+    if (kind <= 4)
+      return leader_of (home);
+    return kind <= 8 ? leader_of (any_data_centre ()) : any_instance ();
+  }
+
+  void
+  submit_job ()
+  {
+    Client client;
+    char id[32];
+    static const uint32_t run_times_ms[] = { 60, 200, 900, 2000 };
+    uint32_t run_ms = run_times_ms[static_cast<size_t> (random.between (0, 3))];
+
+    snprintf (id, sizeof (id), "%016zx", clients.size () + 1);
+    client.job = id;
+    client.steps = { { static_cast<uint32_t> (random.between (1, 8)), 6800, run_ms, run_ms } };
+    client.gives_up_us = world.now_us + budget_ms * ms;
+    client.entry = choose_entry ();
+    clients.push_back (client);
+    submit (clients.back ());
+    next_job_us = world.now_us + random.between (20, 250) * ms;
+  }
+
+  size_t
+  choose_entry ()
+  {
+    std::string data_centre = random.chance (65) ? home : any_data_centre ();
+    std::vector<size_t> candidates;
+
+    for (size_t i = 0; i < world.instances.size (); i++)
+      {
+        if (world.instances[i]->data_centre == data_centre)
+          candidates.push_back (i);
+      }
+    return candidates[static_cast<size_t> (
+        random.between (0, static_cast<int64_t> (candidates.size ()) - 1))];
+  }
+
+  void
+  submit (Client &client)
+  {
+    if (!world.instances[client.entry]->up)
+      {
+        client.caller = 0;
+        submit_later (client);
+        return;
+      }
+    client.caller = world.submit (client.entry, client.job, client.steps,
+                                  (client.gives_up_us - world.now_us) / ms);
+  }
+
+  void
+  submit_later (const Client &client)
+  {
+    auto index = static_cast<size_t> (&client - clients.data ());
+
+    after (retransmit_ms * ms, [this, index] {
+      if (clients[index].ended || clients[index].gives_up_us <= world.now_us)
+        return;
+      clients[index].entry = choose_entry ();
+      submit (clients[index]);
+    });
+  }
+
+  void
+  update_clients ()
+  {
+    for (auto &client : clients)
+      {
+        if (client.ended || client.caller == 0)
+          continue;
+        if (!world.answered (client.caller))
+          continue;
+        client.ended = world.answers[client.caller].answer != DKS_BATCH_LOST;
+        client.caller = 0;
+        if (!client.ended)
+          submit_later (client);
+      }
+  }
+
+  // The connections of the callers of an instance break.
+  void
+  break_callers (size_t instance)
+  {
+    for (auto &client : clients)
+      {
+        if (client.ended || client.caller == 0 || client.entry != instance
+            || world.answered (client.caller))
+          continue;
+        if (world.instances[instance]->up)
+          world.leave (instance, client.caller);
+        client.caller = 0;
+        submit_later (client);
+      }
+  }
+
+  // Faults
+
+  void
+  kill (size_t instance, int64_t down_us)
+  {
+    if (!world.instances[instance]->up)
+      return;
+    world.kill (instance);
+    break_callers (instance);
+    after (down_us, [this, instance] { world.restart (instance); });
+  }
+
+  void
+  drain (size_t instance)
+  {
+    dks_reducer_t *reducer = world.instances[instance]->reducer;
+
+    if (!world.instances[instance]->up)
+      return;
+    world.drain (instance);
+    after (6000 * ms, [this, instance, reducer] {
+      if (world.instances[instance]->reducer == reducer)
+        kill (instance, 300 * ms);
+    });
+  }
+
+  void
+  freeze (size_t instance, int64_t us)
+  {
+    world.set_frozen (instance, true);
+    frozen_until_us[instance] = std::max (frozen_until_us[instance], world.now_us + us);
+    after (us, [this, instance] {
+      if (frozen_until_us[instance] <= world.now_us)
+        world.set_frozen (instance, false);
+    });
+  }
+
+  void
+  slow (size_t instance, int64_t us)
+  {
+    world.set_event_cost (instance, random.between (1, 60) * ms);
+    after (us, [this, instance] { world.set_event_cost (instance, 0); });
+  }
+
+  void
+  cut (size_t from, size_t to, int64_t us)
+  {
+    if (cuts[{ from, to }]++ == 0)
+      world.set_cut (from, to, true);
+    after (us, [this, from, to] {
+      if (--cuts[{ from, to }] == 0)
+        world.set_cut (from, to, false);
+    });
+  }
+
+  void
+  cut_both_ways (size_t a, size_t b, int64_t us)
+  {
+    if (a == b)
+      return;
+    cut (a, b, us);
+    cut (b, a, us);
+  }
+
+  void
+  cut_off (size_t instance, int64_t us)
+  {
+    for (size_t other = 0; other < world.instances.size (); other++)
+      cut_both_ways (instance, other, us);
+    if (random.chance (50))
+      cut_targets (instance, us);
+  }
+
+  void
+  cut_targets (size_t instance, int64_t us)
+  {
+    for (auto &target : world.targets)
+      {
+        const Target *key = target.get ();
+
+        if (target->info.data_centre != world.instances[instance]->data_centre
+            || !random.chance (60))
+          continue;
+        target_cuts[{ instance, key }]++;
+        world.target_cuts.insert ({ instance, key });
+        after (us, [this, instance, key] {
+          if (--target_cuts[{ instance, key }] == 0)
+            world.target_cuts.erase ({ instance, key });
+        });
+      }
+  }
+
+  void
+  cut_data_centre (const std::string &name, int64_t us)
+  {
+    for (size_t a = 0; a < world.instances.size (); a++)
+      {
+        for (size_t b = 0; b < world.instances.size (); b++)
+          {
+            if (world.instances[a]->data_centre == name && world.instances[b]->data_centre != name)
+              cut_both_ways (a, b, us);
+          }
+      }
+  }
+
+  void
+  start_fault ()
+  {
+    size_t victim = choose_victim ();
+    size_t other = random.chance (50) ? leader_of (any_data_centre ()) : any_instance ();
+    int64_t us = random.between (200, 3000) * ms;
+
+    switch (random.between (1, 13))
+      {
+      case 1:
+        drain (victim);
+        break;
+      case 2:
+        kill (victim, random.between (50, 1500) * ms);
+        break;
+      case 3:
+        freeze (victim, us);
+        break;
+      case 4:
+        slow (victim, us);
+        break;
+      case 5:
+        cut_off (victim, us);
+        break;
+      case 6:
+        cut_both_ways (victim, other, us);
+        break;
+      case 7:
+        if (victim != other)
+          cut (victim, other, us);
+        break;
+      case 8:
+        cut_data_centre (any_data_centre (), us);
+        break;
+      case 9:
+        world.link_delay_us[{ victim, other }] = random.between (0, 2000) * ms;
+        after (us, [this, victim, other] { world.link_delay_us[{ victim, other }] = 0; });
+        break;
+      case 10:
+        for (size_t i = 0; i < world.instances.size (); i++)
+          {
+            if (i != victim && random.chance (60))
+              world.reset_connection (i, victim);
+          }
+        break;
+      case 11:
+        cut_targets (victim, us);
+        break;
+      case 12:
+        disturb_targets (us);
+        break;
+      case 13:
+        break_callers (victim);
+        break;
+      }
+  }
+
+  void
+  disturb_targets (int64_t us)
+  {
+    std::string name = any_data_centre ();
+    int64_t kind = random.between (1, 3);
+
+    for (auto &target : world.targets)
+      {
+        Target *disturbed = target.get ();
+
+        if (target->info.data_centre != name || !random.chance (40))
+          continue;
+        if (kind == 1)
+          {
+            target->silent = true;
+            after (us, [disturbed] { disturbed->silent = false; });
+          }
+        else if (kind == 2)
+          {
+            target->start_delay_us = random.between (100, 2500) * ms;
+            target->starts_late_until_us = world.now_us + us;
+          }
+        else
+          {
+            world.crash (*target, random.between (50, 2000) * ms);
+            world.announce_targets ();
+          }
+      }
+  }
+
+  // Faults come alone or in series, so that they overlap.
+  void
+  start_faults ()
+  {
+    start_fault ();
+    if (random.chance (60))
+      next_fault_us = world.now_us + random.between (20, 600) * ms;
+    else
+      next_fault_us = world.now_us + random.between (1000, 3000) * ms;
+  }
+
+  Random random;
+  std::vector<std::string> names; // of the data centres
+  std::string home;               // data centre that gets most of the jobs
+  std::vector<Client> clients;
+  std::vector<Action> actions;
+  std::map<size_t, int64_t> frozen_until_us;
+  std::map<std::pair<size_t, size_t>, int> cuts;
+  std::map<std::pair<size_t, const Target *>, int> target_cuts;
+  int64_t next_job_us = 0;
+  int64_t next_fault_us = 0;
+};
+
+}
+
+// Guards against two runs of one task at once, over overlapping faults while tasks are lent.
+TEST (LeasedOverlap, NoTaskHasTwoRunsOnAnySchedule)
+{
+  const char *range = getenv ("DKS_OVERLAP_SEEDS");
+  unsigned long long first = 1;
+  unsigned long long last = 100;
+
+  if (range != nullptr)
+    {
+      ASSERT_EQ (sscanf (range, "%llu-%llu", &first, &last), 2) << "FIRST-LAST expected";
+    }
+  for (unsigned long long seed = first; seed <= last; seed++)
+    {
+      Schedule schedule (seed);
+
+      schedule.run ();
+      std::string text;
+      for (auto &line : schedule.world.double_run_log)
+        text += line + "\n";
+      for (auto &line : schedule.world.double_run_reports)
+        text += line + "\n";
+      EXPECT_EQ (schedule.world.double_runs, 0) << "seed " << seed << "\n" << text;
+      EXPECT_EQ (schedule.count_unanswered (), 0) << "seed " << seed;
+    }
+}
