--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -528,3 +528,291 @@
       EXPECT_EQ (schedule.count_unanswered (), 0) << "seed " << seed;
     }
 }
+
+namespace
+{
+
+const char *const task_id = "0000000000000001";
+
+// Data centres with the instances "a-1", "a-2", ..., whose leaders know their targets.
+void
+start_data_centres (World &world, const std::vector<std::pair<int, int>> &instances_and_targets)
+{
+  std::string name = "a";
+
+  for (auto [instances, targets] : instances_and_targets)
+    {
+      for (int i = 0; i < instances; i++)
+        world.add_instance (name);
+      for (int i = 0; i < targets; i++)
+        world.add_target (name);
+      name[0]++;
+    }
+  world.start_all ();
+  world.run_for (4000 * ms);
+}
+
+// Keeps the only target of data centre "a" busy, so that "a-1" lends the tasks that come next.
+void
+fill_home (World &world)
+{
+  world.submit (world.find ("a-1"), "00000000000000ff", { { 2, 6800, 4000, 4000 } }, 12000);
+  world.run_for (20 * ms);
+}
+
+uint64_t
+submit_long_task (World &world, const std::string &instance)
+{
+  return world.submit (world.find (instance), task_id, { { 1, 6800, 2000, 2000 } }, 6000);
+}
+
+// The only run of the long task's job, on a target of the data centre.
+size_t
+count_runs (const World &world, const std::string &data_centre)
+{
+  size_t count = 0;
+
+  for (auto &target : world.targets)
+    {
+      for (auto &run : target->runs)
+        count += target->info.data_centre == data_centre && run.task.find (task_id) == 0;
+    }
+  return count;
+}
+
+testing::AssertionResult
+has_no_double_run (const World &world)
+{
+  std::string text;
+
+  for (auto &line : world.double_run_reports)
+    text += line + "\n";
+  return world.double_runs == 0 ? testing::AssertionSuccess ()
+                                : testing::AssertionFailure () << text;
+}
+
+}
+
+// Guards against a remote leader that starts a lent task which a cut held up for over a second: the
+// first status after the cut, held up as long, became the reference for the delay of messages.
+TEST (LeasedOverlap, LentTaskHeldUpByACutIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 1, 4 }, { 1, 4 } });
+  fill_home (world);
+  world.set_cut_both_ways (world.find ("a-1"), world.find ("b-1"), true);
+  world.set_cut_both_ways (world.find ("a-1"), world.find ("c-1"), true);
+  world.run_for (110 * ms); // a status is held as well
+  uint64_t caller = submit_long_task (world, "a-1");
+  world.run_for (20 * ms);
+  ASSERT_NE (world.last_lend_msg, nullptr);
+  world.leave (world.find ("a-1"), caller);
+  world.run_for (1300 * ms);
+  submit_long_task (world, "c-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, "c"), 1U);
+  world.set_cut_both_ways (world.find ("a-1"), world.find ("b-1"), false);
+  world.set_cut_both_ways (world.find ("a-1"), world.find ("c-1"), false);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
+// Guards against the same start by the leader to which an entry instance sent the job: the caller
+// has left it since, and submitted the job again in another data centre.
+TEST (LeasedOverlap, JobHeldUpByACutIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 2, 4 }, { 1, 4 } });
+  size_t leader = world.find ("a-1");
+  size_t entry = world.find ("a-2");
+
+  world.set_cut (entry, leader, true);
+  world.run_for (110 * ms); // a status is held as well
+  uint64_t caller = submit_long_task (world, "a-2");
+  world.run_for (20 * ms);
+  world.leave (entry, caller);
+  world.run_for (1300 * ms);
+  submit_long_task (world, "b-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, "b"), 1U);
+  world.set_cut (entry, leader, false);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
+// Guards against the same start by a remote leader that was frozen: after a pause the first status,
+// which waited as long as the lent task, became the reference for the delay of messages.
+TEST (LeasedOverlap, LentTaskThatWaitedAtAFrozenLeaderIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 1, 4 }, { 1, 4 } });
+  fill_home (world);
+
+  world.set_frozen (world.find ("b-1"), true);
+  world.run_for (110 * ms); // a status waits as well
+  uint64_t caller = submit_long_task (world, "a-1");
+  world.run_for (20 * ms);
+  ASSERT_NE (world.last_lend_msg, nullptr);
+  world.leave (world.find ("a-1"), caller);
+  world.run_for (1300 * ms);
+  submit_long_task (world, "c-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, "c"), 1U);
+  world.set_frozen (world.find ("b-1"), false);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
+// Guards against a second run when the home leader and the remote leader are both lost: the
+// successor of the remote leader extends the lease of the run until it takes it for orphaned, which
+// is longer than the home leader's successor waits.
+TEST (LeasedOverlap, RunIsNotStartedAgainWhileTheRemoteSuccessorKeepsIt)
+{
+  for (int64_t gap_ms = 500; gap_ms <= 900; gap_ms += 50)
+    {
+      World world;
+      start_data_centres (world, { { 2, 1 }, { 2, 4 } });
+      fill_home (world);
+      world.submit (world.find ("a-2"), task_id, { { 1, 6800, 3000, 3000 } }, 8000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "b"), 1U);
+      world.link_delay_us[{ world.find ("a-1"), world.find ("b-1") }] = 400 * ms;
+      world.run_for (300 * ms);
+      world.set_frozen (world.find ("a-1"), true);
+      world.run_for (gap_ms * ms);
+      world.set_frozen (world.find ("b-1"), true);
+      world.run_for (4000 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << "gap of " << gap_ms << " ms";
+    }
+}
+
+// Guards against a successor that says "does not run here" of a task on a target that it has not
+// reached yet, while its predecessor still reaches the target.
+TEST (LeasedOverlap, SuccessorDoesNotAnswerForATargetItHasNotRead)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 2, 4 }, { 1, 4 } });
+  fill_home (world);
+  size_t former = world.find ("b-1");
+  size_t successor = world.find ("b-2");
+
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b")
+        world.target_cuts.insert ({ successor, target.get () });
+      if (std::string (target->info.data_centre) == "c")
+        target->slowness = 1.1;
+    }
+  world.set_cut_both_ways (former, successor, true);
+  world.run_for (900 * ms);
+  world.set_frozen (world.find ("c-1"), true);
+  submit_long_task (world, "a-1");
+  world.run_for (100 * ms);
+  world.set_frozen (world.find ("c-1"), false);
+  EXPECT_EQ (count_runs (world, "b"), 1U);
+  world.set_cut_both_ways (former, successor, false);
+  world.run_for (2000 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
+// Guards against a refusal by an instance that has stopped leading, taken for "does not run" in
+// answer to a query for a lent task.
+TEST (LeasedOverlap, RefusedQueryDoesNotShowThatATaskHasNoRun)
+{
+  for (int64_t drain_ms = 0; drain_ms <= 40; drain_ms++)
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 2, 4 }, { 1, 4 } });
+      for (auto &target : world.targets)
+        target->slowness = std::string (target->info.data_centre) == "c" ? 1.3 : 1;
+      fill_home (world);
+      submit_long_task (world, "a-1");
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "b"), 1U);
+      size_t home = world.find ("a-1");
+      size_t remote = world.find ("b-1");
+      world.set_cut (remote, home, true);
+      world.set_cut_both_ways (home, world.find ("b-2"), true);
+      world.run_for (800 * ms);
+      world.link_delay_us[{ home, remote }] = 20 * ms;
+      world.set_cut (remote, home, false);
+      world.run_for (drain_ms * ms);
+      world.drain (remote);
+      world.run_for (2000 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << "drained after " << drain_ms << " ms";
+    }
+}
+
+// Guards against an orphaned run that outlives the resubmission of its job: the successor extended
+// its lease, and the stop did not reach the target.
+TEST (LeasedOverlap, OrphanWhoseStopIsLostEndsBeforeTheResubmission)
+{
+  for (int64_t silent_after_ms = 650; silent_after_ms <= 1250; silent_after_ms += 50)
+    {
+      World world;
+      start_data_centres (world, { { 2, 4 }, { 1, 4 } });
+      submit_long_task (world, "a-1");
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "a"), 1U);
+      for (const char *other : { "a-2", "b-1" })
+        world.set_cut_both_ways (world.find ("a-1"), world.find (other), true);
+      world.kill (world.find ("a-1"));
+      world.run_for (silent_after_ms * ms);
+      for (auto &target : world.targets)
+        target->silent = std::string (target->info.data_centre) == "a";
+      world.run_for ((1300 - silent_after_ms) * ms);
+      submit_long_task (world, "b-1");
+      world.run_for (1000 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << "silent after " << silent_after_ms << " ms";
+    }
+}
+
+// Guards against orphaned runs of a data centre with one instance: after its restart it extended
+// their leases before it stopped them, by when the job ran in another data centre.
+TEST (LeasedOverlap, OrphanOfASingleInstanceEndsBeforeTheResubmission)
+{
+  for (int64_t down_ms = 100; down_ms <= 900; down_ms += 50)
+    {
+      World world;
+      start_data_centres (world, { { 1, 4 }, { 1, 4 } });
+      submit_long_task (world, "a-1");
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "a"), 1U);
+      world.kill (world.find ("a-1"));
+      world.run_for (down_ms * ms);
+      world.restart (world.find ("a-1"));
+      world.run_for ((1300 - down_ms) * ms);
+      submit_long_task (world, "b-1");
+      world.run_for (1000 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << "down for " << down_ms << " ms";
+    }
+}
+
+// Guards against a cancelled task that runs on: each message that lends tasks or queries for them
+// adds an entry at the remote leader, and each cancellation ends only one of those of the job.
+TEST (LeasedOverlap, CancellationStopsAllLentTasksOfAJob)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 1, 1 }, { 1, 4 } });
+  fill_home (world);
+  size_t home = world.find ("a-1");
+  size_t remote = world.find ("b-1");
+  world.set_cut_both_ways (home, world.find ("c-1"), true);
+  world.run_for (800 * ms);
+
+  world.set_cut (remote, home, true); // the refusal of the second task is held
+  world.submit (remote, "00000000000000fe", { { 1, 6800, 300, 300 } });
+  // The second lend is late for the objective, and comes after the queries in the order of jobs.
+  uint64_t caller = world.submit (home, task_id, { { 2, 6800, 1000, 3000 } }, 8000);
+  world.run_for (800 * ms);
+  ASSERT_EQ (count_runs (world, "b"), 1U);
+  world.set_cut (remote, home, false);
+  world.run_for (100 * ms);
+  ASSERT_EQ (count_runs (world, "b"), 2U);
+  world.leave (home, caller);
+  world.run_for (1300 * ms);
+  EXPECT_EQ (count_runs (world, "b"), 0U);
+  world.submit (world.find ("c-1"), task_id, { { 2, 6800, 3000, 3000 } }, 6000);
+  world.run_for (200 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
