core: a cancellation ends all messages that lent tasks of a job

Cause: callers saw one task run twice at the same time. A job's tasks may be lent to one remote leader by several messages under one id, and be asked for by more. A cancellation ended the first of them only, and there is one for each lent task that is left: with fewer of these than messages, a run went on for as long as its job's time, beside that of the resubmitted job. The class: a look-up by an id that is not unique stops at its first match. Change: all messages of the request end. Measured: LeasedOverlap.CancellationStopsAllLentTasksOfAJob failed before and passes.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -98,19 +98,6 @@
 
 /* Jobs */
 
-static dks_leased_job_t *
-job_find_by_request (const dks_leased_t *leased, const char *origin, uint64_t request)
-{
-  dks_leased_job_t *job;
-
-  APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
-    {
-      if (job->request_id == request && strcmp (job->origin, origin) == 0)
-        return job;
-    }
-  return NULL;
-}
-
 static dks_leased_job_t *
 job_find_by_batch_id (const dks_leased_t *leased, const char *id)
 {
@@ -661,14 +648,19 @@
 void
 dks_leased_jobs_handle_cancel (dks_leased_t *leased, const char *origin, uint64_t request)
 {
-  dks_leased_job_t *job = job_find_by_request (leased, origin, request);
+  dks_leased_job_t *job;
+  dks_leased_job_t *next;
 
-  if (job == NULL)
-    return;
-  if (!job->is_lent)
-    dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-cancelled job=%s done=%u tasks=%u",
-                  job->batch->id, job->done_count, job->task_count);
-  job_stop (job);
+  /* Several messages of one request may have lent tasks, or asked for them. */
+  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
+    {
+      if (job->request_id != request || strcmp (job->origin, origin) != 0)
+        continue;
+      if (!job->is_lent)
+        dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-cancelled job=%s done=%u tasks=%u",
+                      job->batch->id, job->done_count, job->task_count);
+      job_stop (job);
+    }
 }
 
 /* Outcomes */
