core: an instance that has stopped leading answers no question about a lent task

Cause: callers saw one task run twice at the same time. A home leader that has lost a remote leader asks whether a task runs there. The remote leader, asked within some ms of the end of its term, answered as for a new task: refused, not started. The home leader started the task elsewhere, and the run went on under its lease and the successor. Evidence: LeasedOverlap.RefusedQueryDoesNotShowThatATaskHasNoRun. Change: it does not answer. Its status, which follows, has the home leader ask the next leader. Measured: the test failed before, with the end of the term 0 to 3 ms before the question, and passes.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -607,6 +607,9 @@
                       "event=lend-refused job=%s from=%s query=%d term=%" PRIu64 " lag_ms=%" PRId64,
                       msg->u.work.batch->id, origin, msg->u.work.resent, leased->term,
                       lag_us / 1000);
+      /* Only a leader knows whether a task runs here. The home leader asks the next one. */
+      if (msg->u.work.resent)
+        return;
       /* An entry instance learns of the change of leader and resubmits the job to the next one; a
        * home leader lends the refused tasks elsewhere. */
       for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
