core: a successor finds runs on targets that are no longer listed

Cause: callers saw one task run twice at the same time. While the platform's store is down it drops entries of targets that are well. Their leader goes on with the runs there; other instances forgot such a target at once. After a hand-over the successor read the lists of the targets it knew, found no run, and started the task elsewhere while its run went on. The class: what is not listed is taken for gone. Change: instances that do not lead remember a target for 5 s after it has left the list, so that a successor reads its lists. Measured: Leased.SuccessorFindsRunsOnATargetThatIsNoLongerListed, one task with two runs before, none now.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -19,6 +19,9 @@
   /* Time between two holds of a target that does not answer or rejects them, and between two checks
    * whether an unlisted target still has runs. */
   RETRY_DELAY_US = 200000,
+  /* Time for which an instance that does not lead remembers a target that is not listed any more:
+     its leader may have runs there, which a successor has to find. */
+  UNLISTED_RETENTION_US = 5000000,
   /* A start without an answer is taken for lost if the call that returned a list without its run
    * was sent at least this long after the start. */
   START_LOST_AFTER_US = 20000,
@@ -178,6 +181,16 @@
   free (target);
 }
 
+/* Drops the target, which is not listed any more, after a while. */
+static void
+target_schedule_drop (dks_leased_target_t *target)
+{
+  dks_timer_set (
+      target->leased->r->timers, &target->expiry_timer,
+      target->unlisted_us
+          + (target->held ? (int64_t)DKS_LEASED_UNLISTED_GRACE_US : UNLISTED_RETENTION_US));
+}
+
 static void
 handle_expiry_timer (void *context, int64_t time_us)
 {
@@ -525,11 +538,8 @@
                 target->run_count);
   target->listed = false;
   target->unlisted_us = dks_leased_now_us (leased);
-  if (!target->held)
-    target_free (target);
-  else if (!dks_timer_is_armed (&target->expiry_timer))
-    dks_timer_set (leased->r->timers, &target->expiry_timer,
-                   dks_leased_now_us (leased) + DKS_LEASED_UNLISTED_GRACE_US);
+  if (!dks_timer_is_armed (&target->expiry_timer))
+    target_schedule_drop (target);
 }
 
 void
@@ -548,7 +558,7 @@
             dks_leased_run_free (APR_RING_FIRST (&target->runs));
           target_release_control (target);
           if (!target->listed)
-            target_free (target);
+            target_schedule_drop (target);
         }
     }
 }
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1544,6 +1544,43 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a second run of a task on a target that the platform has just ceased to list, as
+// it does while its store is down: the successor did not know the target any more, and started the
+// task elsewhere.
+TEST (Leased, SuccessorFindsRunsOnATargetThatIsNoLongerListed)
+{
+  World world;
+  start_data_centre (world, 3);
+  size_t leader = world.find (leader_of (world, "a"));
+  uint64_t caller = world.submit (1 - leader, "0000000000000001", { { 1, 6800, 900, 900 } }, 5000);
+  world.run_for (50 * ms);
+  for (auto &target : world.targets)
+    {
+      if (target->runs.empty ())
+        continue;
+      for (size_t i = 0; i < world.instances.size (); i++)
+        {
+          dks_feed_item_t item = {};
+          dks_event_t event = {};
+
+          item.key = target->info.id;
+          item.deleted = true;
+          event.type = DKS_EVENT_FEED;
+          event.u.feed.op = world.instances[i]->feed_op[DKS_FEED_TARGETS];
+          event.u.feed.status = DKS_FEED_OK;
+          event.u.feed.revision = 100;
+          event.u.feed.count = 1;
+          event.u.feed.items = &item;
+          world.apply (i, &event);
+        }
+    }
+  world.run_for (50 * ms);
+  world.drain (leader);
+  world.run_for (2000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
 // Guards against an idle target that gets no more work after it has restarted under its name.
 TEST (Leased, TargetIsUsedAgainAfterItsRestart)
 {
