core: a request is sent again to a leader that leads with a new term

Cause: callers got no answer until their time was over. A leader that is fenced, paused or late stops leading and drops its jobs, which their entry instances send to the next leader. Where that was the same instance again, they took its new term for the old one and sent nothing. Change: a request remembers the term under which it was sent, and is sent again when that changes. Measured: Leased.RequestIsSentAgainToALeaderThatLeadsAgain, no answer within 4.8 s before, completed now.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -156,6 +156,7 @@
   msg->u.work.budget_us = request->budget_us;
   msg->u.work.resent = request->send_count > 0;
   dks_strcpy (request->leader, sizeof (request->leader), leader);
+  request->leader_term = dks_leased_leader_term (leased);
   request->send_count++;
   request_schedule_timer (request);
   dks_counter_increment (&leased->r->counters, DKS_COUNTER_FORWARDS);
@@ -190,6 +191,7 @@
 dks_leased_entry_resubmit (dks_leased_t *leased)
 {
   const char *leader = dks_leased_leader_id (leased);
+  uint64_t term = dks_leased_leader_term (leased);
   dks_leased_request_t *request;
   dks_leased_request_t *next;
 
@@ -197,11 +199,12 @@
     return;
   APR_RING_FOREACH_SAFE (request, next, &leased->requests, dks_leased_request_t, link)
     {
-      if (strcmp (request->leader, leader) == 0)
+      if (strcmp (request->leader, leader) == 0 && request->leader_term == term)
         continue;
       if (request->send_count > 0)
-        dks_emit_log (leased->r, DKS_LOG_INFO, "event=request-moved job=%s from=%s to=%s",
-                      request->batch->id, request->leader, leader);
+        dks_emit_log (leased->r, DKS_LOG_INFO,
+                      "event=request-moved job=%s from=%s to=%s term=%" PRIu64, request->batch->id,
+                      request->leader, leader, term);
       request_send (request, leader);
     }
 }
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -59,6 +59,14 @@
   return leader;
 }
 
+uint64_t
+dks_leased_leader_term (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *leader = find_leading_peer (leased);
+
+  return leader != NULL && leader->term > leased->term ? leader->term : leased->term;
+}
+
 const char *
 dks_leased_leader_id (const dks_leased_t *leased)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -288,6 +288,7 @@
   int64_t caller_timeout_ms;  /**< how long the caller says that it waits, 0: not said */
   uint32_t queue_timeout_ms;  /**< time-out of its queue, 0: none */
   char leader[DKS_NAME_SIZE]; /**< member id of the leader that has the request, empty for none */
+  uint64_t leader_term;       /**< its term when it got the request; it drops its jobs with it */
   uint32_t send_count;        /**< times that the request was sent to a leader */
   dks_timer_t timer;
 };
@@ -503,6 +504,8 @@
 /* leased_leader.c */
 /** Member id of the leader of the data centre, which may be this instance; NULL: none is known. */
 const char *dks_leased_leader_id (const dks_leased_t *leased);
+/** Term of that leader, 0: none is known. */
+uint64_t dks_leased_leader_term (const dks_leased_t *leased);
 /** Whether the peer leads its data centre, where no instance is known to have a higher term. */
 bool dks_leased_peer_is_leader (const dks_leased_t *leased, const dks_leased_peer_t *peer);
 /** Stops leading after a stall of this process, as its knowledge of the others is outdated. */
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1581,6 +1581,22 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a request without an answer: a leader that stopped leading and led again dropped
+// its jobs, and entry instances took its new term for the old one.
+TEST (Leased, RequestIsSentAgainToALeaderThatLeadsAgain)
+{
+  World world;
+  start_data_centre (world, 2, 1);
+  uint64_t caller = world.submit (0, "0000000000000001", { { 1, 6800, 2000, 2000 } }, 8000);
+  world.run_for (100 * ms);
+  world.set_frozen (0, true);
+  world.run_for (700 * ms);
+  world.set_frozen (0, false);
+  world.run_for (4000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against an idle target that gets no more work after it has restarted under its name.
 TEST (Leased, TargetIsUsedAgainAfterItsRestart)
 {
