core: a successor asks the other leaders before it starts a task again

Cause: callers saw one task run twice at the same time. The successor of a leader does not know which tasks that one had lent to other data centres. It waited 0.3 s after a planned hand-over, 1.1 s otherwise, for their remote leaders to stop them. A cancellation on a busy link, a data centre cut off meanwhile, a remote leader that was lost or handed over as well, each takes longer. The class: absence of news within an interval is taken for evidence. Change: the successor asks the leader of each other data centre for the tasks of the job (core/leased_prior_runs.c), with its term. That leader knows the term from then on, and refuses what an earlier leader lends. It answers once a target has answered it under its own term after the question, so that no later leader has taken its place. A run that it has for the earlier leader goes on for the successor. Only for a data centre whose leader cannot be asked does the successor wait, until all leases there have expired: 2 s from the last sign of a leader there, or from its own term. Both waits are gone. Ruled out: longer waits; the former leader passing on what it lent (it may be dead).

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -18,15 +18,6 @@
    * has read the run lists of its targets by then. */
   PLACEMENT_WAIT_MIN_US = 100000,
   RETRY_DELAY_US = 5000, /* from the failure of a task to its next start */
-  /* Tasks of a resent job that have no run here may have been lent by an earlier leader, so they
-   * wait until their remote leader has stopped them. It does so when the earlier leader cancels
-   * them, as a leader does that hands over, which takes REMOTE_CANCEL_WAIT_US. Otherwise it notices
-   * the loss of the earlier leader, after the time-out for silence and a lease:
-   * REMOTE_LOSS_WAIT_US. If the remote leader is lost as well, its runs end with their lease. An
-   * earlier leader that was paused may have lent tasks just before it received a message of the
-   * present leader. */
-  REMOTE_CANCEL_WAIT_US = 300000,
-  REMOTE_LOSS_WAIT_US = 1100000,
   /* Number of the first run that this leader starts for a task of a resent job: above the numbers
    * of runs of earlier leaders that are not known here. */
   SUCCESSOR_FIRST_RUN = 8
@@ -120,6 +111,7 @@
   leased->waiting_tasks -= job->waiting_count;
   leased->job_count--;
   APR_RING_REMOVE (job, link);
+  dks_leased_prior_runs_clear (job);
   dks_batch_unref (job->batch);
   free (job);
   leased->placement_due = true;
@@ -148,6 +140,7 @@
       else if (task->state == DKS_LEASED_TASK_LENT)
         task_cancel_lent (job, task);
     }
+  dks_leased_prior_runs_cancel (job);
   job_free (job);
 }
 
@@ -264,6 +257,7 @@
   job->request_id = msg->u.work.request;
   job->lend_id = dks_next_id (leased->r);
   job->resent = msg->u.work.resent;
+  dks_leased_prior_runs_init (job);
   job->started = job->resent;
   job->task_count = count;
   job->waiting_count = count;
@@ -387,40 +381,77 @@
                 run->number);
 }
 
+/* Whether the run is one of a lent task whose home leader was superseded by the sender of `job`. */
+static bool
+is_lent_by_earlier_leader (const dks_leased_run_t *run, const dks_leased_job_t *job)
+{
+  const dks_leased_t *leased = job->leased;
+  const dks_leased_peer_t *earlier;
+  const dks_leased_peer_t *later = dks_leased_peer_find (leased, job->origin);
+
+  if (run->job == NULL || !run->job->is_lent || strcmp (run->job->origin, job->origin) == 0)
+    return false;
+  earlier = dks_leased_peer_find (leased, run->job->origin);
+  return earlier != NULL && later != NULL && earlier->highest_term < later->highest_term
+         && strcmp (earlier->data_centre, later->data_centre) == 0;
+}
+
+/* Has the run of a lent task go on for the successor of its home leader, which asks for it. */
+static void
+task_take_over_run (dks_leased_job_t *job, uint32_t index, dks_leased_run_t *run)
+{
+  dks_leased_task_t *task = &job->tasks[index];
+  dks_leased_task_t *earlier_task = &run->job->tasks[run->task_index];
+
+  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-taken-over task=%s run=%u from=%s to=%s",
+                run->task_name, run->number, run->job->origin, job->origin);
+  /* The earlier job stays until its sender cancels it or is lost, or its time is over. */
+  earlier_task->state = DKS_LEASED_TASK_DONE;
+  earlier_task->current_run = NULL;
+  run->job->done_count++;
+  run->job = job;
+  run->task_index = index;
+  task->current_run = run;
+  task->run_number = run->number;
+  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
+}
+
+/* Tells the successor of a home leader that the task does not run here. */
+static void
+task_answer_no_run (dks_leased_job_t *job, dks_leased_task_t *task)
+{
+  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
+  job->done_count++;
+  send_lent_done (job->leased, job->origin, job->request_id, task->index, task->lent_run_number,
+                  DKS_LENT_INTERRUPTED);
+}
+
 /* Whether a run that an earlier sender or leader started may be active for the task. Adopts the run
  * if a target of this leader is running it. */
 static bool
 task_has_prior_run (dks_leased_job_t *job, uint32_t index)
 {
-  dks_leased_t *leased = job->leased;
   dks_leased_task_t *task = &job->tasks[index];
-  int64_t wait_us = leased->planned_handover && dks_leased_leader_remotes_reported (leased)
-                        ? REMOTE_CANCEL_WAIT_US
-                        : REMOTE_LOSS_WAIT_US;
-  int64_t prior_runs_end_us =
-      max_us (leased->term_start_us + wait_us, job->received_us + REMOTE_CANCEL_WAIT_US);
   char name[DKS_TASK_NAME_SIZE];
   dks_leased_run_t *run;
 
   dks_batch_task_name (job->batch->id, task->step, task->index, name);
-  run = dks_leased_run_find (leased, name);
+  run = dks_leased_run_find (job->leased, name);
   if (run != NULL && run->job == NULL && run->state == DKS_LEASED_RUN_RUNNING)
     task_adopt_run (job, index, run);
+  else if (run != NULL && job->is_lent && job->resent && is_lent_by_earlier_leader (run, job))
+    task_take_over_run (job, index, run);
   if (run != NULL)
     return true; /* a run that is being stopped has to end first */
   if (!job->resent)
     return false;
-  if (job->is_lent)
-    {
-      /* The run lists of all targets have been read without the run, and a start of the earlier
-       * leader that arrives now is rejected for its fencing token. */
-      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
-      job->done_count++;
-      send_lent_done (leased, job->origin, job->request_id, task->index, task->lent_run_number,
-                      DKS_LENT_INTERRUPTED);
-      return true;
-    }
-  return dks_leased_now_us (leased) < prior_runs_end_us;
+  if (!job->is_lent)
+    return !dks_leased_prior_runs_exclude (job, task);
+  /* The run lists of all targets have been read without the run, and a start of an earlier leader
+   * that arrives now is rejected for its fencing token. */
+  if (dks_leased_targets_confirm_term (job->leased, job->received_us))
+    task_answer_no_run (job, task);
+  return true;
 }
 
 /* With `in_time_only`, a task that would end late on every target here keeps waiting, to be lent to
@@ -437,12 +468,10 @@
     return true;
   if (!task->no_prior_run && job->resent)
     dks_emit_log (leased->r, DKS_LOG_INFO,
-                  "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64
-                  " planned=%d remotes_reported=%d",
+                  "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64,
                   job->batch->id, task->step, task->index,
                   (dks_leased_now_us (leased) - job->received_us) / 1000,
-                  (dks_leased_now_us (leased) - leased->term_start_us) / 1000,
-                  leased->planned_handover, dks_leased_leader_remotes_reported (leased));
+                  (dks_leased_now_us (leased) - leased->term_start_us) / 1000);
   task->no_prior_run = true;
   target = dks_leased_targets_choose (leased, job, task, &choice);
   task->wants_faster_target = !choice.in_time;
@@ -598,8 +627,11 @@
   dks_leased_job_t *job = lent ? NULL : job_find_by_batch_id (leased, msg->u.work.batch->id);
   const dks_leased_peer_t *peer = dks_leased_peer_find (leased, origin);
   int64_t lag_us = peer != NULL ? dks_leased_peer_lag_us (leased, peer, msg->u.work.sent_us) : 0;
-  bool outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
+  bool outdated;
 
+  if (lent)
+    dks_leased_leader_note_term (leased, origin, msg->u.work.home_term);
+  outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
   if (leased->term == 0 || outdated || (lent && leased->drain_start_us > 0 && !msg->u.work.resent))
     {
       if (lent)
@@ -757,6 +789,30 @@
     task_retry (job, task, is_fault);
 }
 
+/* Another leader has answered about a waiting task that an earlier leader may have lent to it. */
+static void
+handle_prior_run_end (dks_leased_job_t *job, dks_leased_task_t *task, dks_lent_result_t result)
+{
+  job->leased->placement_due = true;
+  switch (result)
+    {
+    case DKS_LENT_OK:
+      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
+      task_finish (job, task);
+      break;
+    case DKS_LENT_FAILED:
+      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
+      task_retry (job, task, true);
+      break;
+    case DKS_LENT_LATE:
+      dks_leased_jobs_give_up (job, (uint32_t)(task - job->tasks));
+      break;
+    case DKS_LENT_REFUSED:
+    case DKS_LENT_INTERRUPTED:
+      break;
+    }
+}
+
 void
 dks_leased_jobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg)
 {
@@ -765,6 +821,13 @@
 
   APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
     {
+      dks_leased_task_t *task = dks_leased_prior_runs_handle_answer (job, peer, msg);
+
+      if (task != NULL)
+        {
+          handle_prior_run_end (job, task, (dks_lent_result_t)msg->u.lent_done.result);
+          return;
+        }
       if (job->lend_id == msg->u.lent_done.request)
         break;
     }
@@ -801,6 +864,7 @@
   dks_leased_job_t *next;
 
   dks_leased_lend_handle_remote_lost (leased, peer);
+  dks_leased_prior_runs_handle_peer_lost (leased, peer);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
       if (strcmp (job->origin, peer) != 0)
@@ -827,6 +891,7 @@
           else if (task->state == DKS_LEASED_TASK_LENT)
             task_cancel_lent (job, task);
         }
+      dks_leased_prior_runs_cancel (job);
       job_free (job);
     }
 }
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -25,7 +25,6 @@
   FENCED_TERM_STEP_MS = 5000,
   LAG_MAX_US = 400000, /* lag of all peers' statuses at which a leader stops leading; less than the
                           silence after which peers count an instance as lost */
-  HANDOVER_NOTICE_US = 100000, /* time until a leader that is alive has learned of a handover */
   /* Least age of a leadership that is handed over, and of the connection to its successor: each
      change costs running jobs some ms, so two must not follow in a row. */
   YIELD_MIN_AGE_US = 2000000,
@@ -88,16 +87,25 @@
     return false;
   APR_RING_FOREACH (other, &leased->peers, dks_leased_peer_t, link)
     {
-      if (other->term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0)
+      if (other->highest_term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0)
         return false;
     }
   return true;
 }
 
+void
+dks_leased_leader_note_term (dks_leased_t *leased, const char *id, uint64_t term)
+{
+  dks_leased_peer_t *peer = dks_leased_peer_find (leased, id);
+
+  if (peer != NULL && term > peer->highest_term)
+    peer->highest_term = term;
+}
+
 /* Terms */
 
 static void
-start_leading (dks_leased_t *leased, bool planned_handover)
+start_leading (dks_leased_t *leased)
 {
   /* Targets remember the highest term even after all instances have been restarted, so terms follow
    * the clock. Instances that start to lead in the same millisecond get different terms. */
@@ -109,7 +117,7 @@
   leased->term = term;
   leased->highest_term = term;
   leased->term_start_us = leased->r->now.mono_us;
-  leased->planned_handover = planned_handover;
+  leased->term_confirmed_us = 0;
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
                 leased->r->config.data_centre, term);
   dks_leased_targets_handle_leadership (leased);
@@ -129,25 +137,6 @@
   dks_leased_members_notify_all (leased);
 }
 
-bool
-dks_leased_leader_remotes_reported (const dks_leased_t *leased)
-{
-  const dks_leased_peer_t *peer;
-
-  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
-    {
-      if (dks_leased_peer_is_local (leased, peer) || peer->last_leading_us == 0
-          || leased->term_start_us - peer->last_leading_us > DKS_LEASED_ORPHAN_LIFETIME_MAX_US)
-        continue;
-      /* A remote leader that had begun to lead only shortly before may stop orphaned runs later. */
-      if (!dks_leased_peer_is_alive (leased, peer)
-          || peer->last_message_us < leased->term_start_us + HANDOVER_NOTICE_US
-          || leased->term_start_us - peer->term_received_us < DKS_LEASED_ORPHAN_LIFETIME_MAX_US)
-        return false;
-    }
-  return true;
-}
-
 /* The other instances count a leader that handles all messages this late as lost, and it does not
  * learn in time of the successor that they choose. */
 void
@@ -308,7 +297,7 @@
   update_yielding (leased);
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
       && may_lead (leased))
-    start_leading (leased, leader != NULL);
+    start_leading (leased);
   leased->leader_known = leased->term > 0 || find_leading_peer (leased) != NULL;
   dks_leased_entry_resubmit (leased);
 }
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -82,7 +82,7 @@
 }
 
 static dks_batch_t *
-single_step_batch (const dks_batch_t *batch, uint32_t step)
+single_step_batch (const dks_batch_t *batch, uint32_t step, dks_blob_t *spec)
 {
   dks_batch_t *single = dks_batch_create (1);
 
@@ -91,13 +91,35 @@
   dks_strcpy (single->queue, sizeof (single->queue), batch->queue);
   single->priority = batch->priority;
   single->max_attempts = batch->max_attempts;
-  single->spec = dks_blob_ref (batch->spec);
+  single->spec = dks_blob_ref (spec);
   single->steps[0] = batch->steps[step];
   single->steps[0].after_mask = 0;
   dks_batch_validate (single);
   return single;
 }
 
+dks_msg_t *
+dks_leased_lend_create_msg (const dks_leased_job_t *job, uint32_t batch_step, dks_blob_t *spec,
+                            const dks_leased_peer_t *peer)
+{
+  const dks_leased_t *leased = job->leased;
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+  int64_t objective_us = job->objective_end_us - job->step_tail_us[batch_step] - job->arrival_us;
+
+  msg->u.work.lent_tasks = dks_alloc (job->task_count * sizeof (msg->u.work.lent_tasks[0]));
+  msg->u.work.lent_runs = dks_alloc (job->task_count * sizeof (msg->u.work.lent_runs[0]));
+  msg->u.work.request = job->lend_id;
+  msg->u.work.batch = single_step_batch (job->batch, batch_step, spec);
+  msg->u.work.sent_us = dks_leased_now_us (leased);
+  msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
+  msg->u.work.objective_us = objective_us > 0 ? objective_us : 0;
+  msg->u.work.budget_us = job->deadline_us - job->arrival_us;
+  msg->u.work.step = batch_step;
+  msg->u.work.home_term = leased->term;
+  msg->u.work.remote_term = peer->term;
+  return msg;
+}
+
 static void
 task_set_remote_leader (dks_leased_task_t *task, const dks_leased_peer_t *peer)
 {
@@ -112,11 +134,9 @@
 {
   dks_leased_t *leased = job->leased;
   uint32_t step = job->tasks[first].batch_step;
-  dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
+  dks_msg_t *msg = dks_leased_lend_create_msg (job, step, job->batch->spec, peer);
   uint32_t count = 0;
 
-  msg->u.work.lent_tasks = dks_alloc (job->task_count * sizeof (msg->u.work.lent_tasks[0]));
-  msg->u.work.lent_runs = dks_alloc (job->task_count * sizeof (msg->u.work.lent_runs[0]));
   for (uint32_t i = first; i < job->task_count; i++)
     {
       dks_leased_task_t *task = &job->tasks[i];
@@ -134,15 +154,6 @@
       dks_strcpy (task->remote_data_centre, sizeof (task->remote_data_centre), peer->data_centre);
       dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_LENT);
     }
-  msg->u.work.request = job->lend_id;
-  msg->u.work.batch = single_step_batch (job->batch, step);
-  msg->u.work.sent_us = dks_leased_now_us (leased);
-  msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
-  msg->u.work.objective_us = job->objective_end_us - job->step_tail_us[step] - job->arrival_us;
-  msg->u.work.budget_us = job->deadline_us - job->arrival_us;
-  msg->u.work.step = job->tasks[first].step;
-  msg->u.work.home_term = leased->term;
-  msg->u.work.remote_term = peer->term;
   msg->u.work.lent_count = count;
   dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=tasks-lent job=%s step=%u tasks=%u to=%s fast=%d",
                 job->batch->id, msg->u.work.step, count, peer->id, fast);
@@ -217,20 +228,10 @@
                 job->batch->id, task->step, task->index, task->run_number, task->remote_leader,
                 task->remote_term, peer->id, peer->term);
   task_set_remote_leader (task, peer);
-  msg = dks_msg_create (DKS_MSG_WORK);
-  msg->u.work.lent_tasks = dks_alloc (sizeof (msg->u.work.lent_tasks[0]));
-  msg->u.work.lent_runs = dks_alloc (sizeof (msg->u.work.lent_runs[0]));
+  msg = dks_leased_lend_create_msg (job, task->batch_step, job->batch->spec, peer);
   msg->u.work.lent_tasks[0] = task->index;
   msg->u.work.lent_runs[0] = task->run_number;
   msg->u.work.lent_count = 1;
-  msg->u.work.request = job->lend_id;
-  msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
-  msg->u.work.sent_us = dks_leased_now_us (leased);
-  msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
-  msg->u.work.budget_us = job->deadline_us - job->arrival_us;
-  msg->u.work.step = task->step;
-  msg->u.work.home_term = leased->term;
-  msg->u.work.remote_term = peer->term;
   msg->u.work.resent = true;
   dks_emit_peer (leased->r, peer->id, msg);
 }
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -240,6 +240,7 @@
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-silent peer=%s", peer->id);
       peer->status_received = false;
       peer->term = 0;
+      leased->peers_generation++;
       dks_leased_jobs_handle_peer_lost (leased, peer->id);
     }
 }
@@ -312,6 +313,7 @@
   peer->connected = false;
   peer->status_received = false;
   peer->term = 0;
+  leased->peers_generation++;
   dks_leased_addresses_handle_down (leased, peer);
   dks_leased_jobs_handle_peer_lost (leased, id);
   dks_leased_leader_update (leased);
@@ -357,7 +359,10 @@
   peer->status_received = true;
   if (peer->term != msg->u.leased_status.term)
     peer->term_received_us = leased->r->now.mono_us;
+  if (is_new || peer->term != msg->u.leased_status.term)
+    leased->peers_generation++;
   peer->term = msg->u.leased_status.term;
+  dks_leased_leader_note_term (leased, peer->id, peer->term);
   if (peer->term > 0)
     peer->last_leading_us = leased->r->now.mono_us;
   peer->started_ms = msg->u.leased_status.started_ms;
--- /dev/null
+++ b/core/leased_prior_runs.c
@@ -0,0 +1,272 @@
+/* Runs of a job that earlier leaders of this data centre may have lent to other data centres. */
+#include "core/leased.h"
+
+#include "common/alloc.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A question to the leader of another data centre: do tasks of one step of a job run there? */
+struct dks_leased_inquiry_t
+{
+  APR_RING_ENTRY (dks_leased_inquiry_t) link; /* in the job's list */
+  uint64_t request;                           /* id of the question in messages */
+  uint32_t step;                              /* index of the step in the job */
+  char data_centre[DKS_NAME_SIZE];
+  char leader[DKS_NAME_SIZE]; /* member id of the leader that was asked, empty: none yet */
+  uint64_t term;              /* of that leader */
+  uint64_t peers_generation;  /* state of the peers in which the leader was last looked up */
+  int64_t next_look_up_us;    /* of the leader, while none is known */
+  bool excluded[];            /* by index of the task in its step: it does not run there */
+};
+
+enum
+{
+  LOOK_UP_INTERVAL_US = 20000 /* between two look-ups of a leader that is not known */
+};
+
+/* Latest time at which an instance was known to lead the data centre; 0: never. */
+static int64_t
+last_leading_us (const dks_leased_t *leased, const char *data_centre)
+{
+  const dks_leased_peer_t *peer;
+  int64_t latest_us = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (strcmp (peer->data_centre, data_centre) == 0 && peer->last_leading_us > latest_us)
+        latest_us = peer->last_leading_us;
+    }
+  return latest_us;
+}
+
+/* Whether all runs that an earlier leader had lent to the data centre have certainly ended without
+ * an answer from there. A leader there that cannot be asked stops them when it loses the earlier
+ * leader, which is fenced by its own targets at the latest; else they end with their leases. */
+static bool
+leases_have_expired (const dks_leased_t *leased, const char *data_centre)
+{
+  int64_t latest_us = last_leading_us (leased, data_centre);
+
+  if (latest_us < leased->term_start_us)
+    latest_us = leased->term_start_us;
+  return dks_leased_now_us (leased) - latest_us >= DKS_LEASED_ORPHAN_LIFETIME_MAX_US;
+}
+
+/* The leader of the data centre that knows all runs there; NULL: none can be asked now. */
+static const dks_leased_peer_t *
+find_leader (const dks_leased_t *leased, const char *data_centre)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (strcmp (peer->data_centre, data_centre) == 0 && dks_leased_peer_is_alive (leased, peer)
+          && dks_leased_peer_is_leader (leased, peer))
+        return peer;
+    }
+  return NULL;
+}
+
+static dks_leased_inquiry_t *
+find_inquiry (const dks_leased_job_t *job, uint32_t step, const char *data_centre)
+{
+  dks_leased_inquiry_t *inquiry;
+
+  APR_RING_FOREACH (inquiry, &job->inquiries, dks_leased_inquiry_t, link)
+    {
+      if (inquiry->step == step && strcmp (inquiry->data_centre, data_centre) == 0)
+        return inquiry;
+    }
+  return NULL;
+}
+
+static void
+add_inquiry (dks_leased_job_t *job, uint32_t step, const char *data_centre)
+{
+  uint32_t count = job->batch->steps[step].count;
+  dks_leased_inquiry_t *inquiry;
+
+  if (strcmp (data_centre, job->leased->r->config.data_centre) == 0
+      || find_inquiry (job, step, data_centre) != NULL)
+    return;
+  inquiry = dks_alloc (sizeof (*inquiry) + count * sizeof (inquiry->excluded[0]));
+  inquiry->request = dks_next_id (job->leased->r);
+  inquiry->step = step;
+  dks_strcpy (inquiry->data_centre, sizeof (inquiry->data_centre), data_centre);
+  APR_RING_INSERT_TAIL (&job->inquiries, inquiry, dks_leased_inquiry_t, link);
+}
+
+/* Adds an inquiry for each other data centre that is known. */
+static void
+add_inquiries (dks_leased_job_t *job, uint32_t step)
+{
+  const dks_leased_t *leased = job->leased;
+  const dks_leased_peer_t *peer;
+  const dks_leased_target_t *target;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    add_inquiry (job, step, peer->data_centre);
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    add_inquiry (job, step, target->info.data_centre);
+  job->inquired_steps |= UINT64_C (1) << step;
+}
+
+/* Asks the leader for all tasks of the step that wait here and are not excluded there. */
+static void
+send_inquiry (dks_leased_job_t *job, dks_leased_inquiry_t *inquiry, const dks_leased_peer_t *leader)
+{
+  dks_leased_t *leased = job->leased;
+  dks_blob_t *no_spec = dks_blob_create ("", 0); /* a question starts nothing */
+  dks_msg_t *msg = dks_leased_lend_create_msg (job, inquiry->step, no_spec, leader);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      const dks_leased_task_t *task = &job->tasks[i];
+
+      if (task->step != inquiry->step || task->state != DKS_LEASED_TASK_WAITING
+          || task->no_prior_run || inquiry->excluded[task->index])
+        continue;
+      msg->u.work.lent_tasks[count] = task->index;
+      msg->u.work.lent_runs[count] = task->run_number;
+      count++;
+    }
+  msg->u.work.lent_count = count;
+  msg->u.work.request = inquiry->request;
+  msg->u.work.resent = true;
+  dks_strcpy (inquiry->leader, sizeof (inquiry->leader), leader->id);
+  inquiry->term = leader->term;
+  dks_emit_log (leased->r, DKS_LOG_INFO,
+                "event=prior-runs-query job=%s step=%u tasks=%u to=%s term=%" PRIu64
+                " term_age_ms=%" PRId64,
+                job->batch->id, inquiry->step, count, leader->id, leader->term,
+                (dks_leased_now_us (leased) - leased->term_start_us) / 1000);
+  dks_emit_peer (leased->r, leader->id, msg);
+  dks_blob_unref (no_spec);
+}
+
+/* Whether it is certain that the task does not run in the data centre of the inquiry. */
+static bool
+inquiry_excludes (dks_leased_job_t *job, dks_leased_inquiry_t *inquiry,
+                  const dks_leased_task_t *task)
+{
+  const dks_leased_t *leased = job->leased;
+  const dks_leased_peer_t *leader;
+
+  if (inquiry->excluded[task->index])
+    return true;
+  if (inquiry->leader[0] != '\0' && inquiry->peers_generation == leased->peers_generation)
+    return false;
+  if (inquiry->leader[0] == '\0' && dks_leased_now_us (leased) < inquiry->next_look_up_us)
+    return false;
+  leader = find_leader (leased, inquiry->data_centre);
+  if (leader == NULL && leases_have_expired (leased, inquiry->data_centre))
+    {
+      memset (inquiry->excluded, true, job->batch->steps[inquiry->step].count);
+      return true;
+    }
+  inquiry->peers_generation = leased->peers_generation;
+  inquiry->next_look_up_us = dks_leased_now_us (leased) + LOOK_UP_INTERVAL_US;
+  if (leader == NULL)
+    {
+      inquiry->leader[0] = '\0';
+      return false;
+    }
+  if (leader->term != inquiry->term || strcmp (leader->id, inquiry->leader) != 0)
+    send_inquiry (job, inquiry, leader);
+  return false;
+}
+
+bool
+dks_leased_prior_runs_exclude (dks_leased_job_t *job, const dks_leased_task_t *task)
+{
+  dks_leased_inquiry_t *inquiry;
+  bool excluded = true;
+
+  if ((job->inquired_steps >> task->step & 1) == 0)
+    add_inquiries (job, task->step);
+  APR_RING_FOREACH (inquiry, &job->inquiries, dks_leased_inquiry_t, link)
+    {
+      if (inquiry->step == task->step)
+        excluded = inquiry_excludes (job, inquiry, task) && excluded;
+    }
+  return excluded;
+}
+
+dks_leased_task_t *
+dks_leased_prior_runs_handle_answer (dks_leased_job_t *job, const char *peer, const dks_msg_t *msg)
+{
+  dks_leased_inquiry_t *inquiry;
+
+  APR_RING_FOREACH (inquiry, &job->inquiries, dks_leased_inquiry_t, link)
+    {
+      if (inquiry->request != msg->u.lent_done.request || strcmp (inquiry->leader, peer) != 0)
+        continue;
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          dks_leased_task_t *task = &job->tasks[i];
+
+          if (task->step != inquiry->step || task->index != msg->u.lent_done.index)
+            continue;
+          /* A refusal says only that nothing was started for the question itself. */
+          if (msg->u.lent_done.result == DKS_LENT_INTERRUPTED
+              || msg->u.lent_done.result == DKS_LENT_FAILED)
+            inquiry->excluded[task->index] = true;
+          return task->state == DKS_LEASED_TASK_WAITING ? task : NULL;
+        }
+    }
+  return NULL;
+}
+
+void
+dks_leased_prior_runs_handle_peer_lost (dks_leased_t *leased, const char *peer)
+{
+  dks_leased_job_t *job;
+  dks_leased_inquiry_t *inquiry;
+
+  APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
+    {
+      APR_RING_FOREACH (inquiry, &job->inquiries, dks_leased_inquiry_t, link)
+        {
+          if (strcmp (inquiry->leader, peer) == 0)
+            inquiry->leader[0] = '\0';
+        }
+    }
+}
+
+void
+dks_leased_prior_runs_cancel (dks_leased_job_t *job)
+{
+  dks_leased_inquiry_t *inquiry;
+
+  APR_RING_FOREACH (inquiry, &job->inquiries, dks_leased_inquiry_t, link)
+    {
+      dks_msg_t *msg;
+
+      if (inquiry->leader[0] == '\0')
+        continue;
+      msg = dks_msg_create (DKS_MSG_WORK_CANCEL);
+      msg->u.work_cancel.request = inquiry->request;
+      dks_emit_peer (job->leased->r, inquiry->leader, msg);
+    }
+}
+
+void
+dks_leased_prior_runs_init (dks_leased_job_t *job)
+{
+  APR_RING_INIT (&job->inquiries, dks_leased_inquiry_t, link);
+}
+
+void
+dks_leased_prior_runs_clear (dks_leased_job_t *job)
+{
+  while (!APR_RING_EMPTY (&job->inquiries, dks_leased_inquiry_t, link))
+    {
+      dks_leased_inquiry_t *inquiry = APR_RING_FIRST (&job->inquiries);
+
+      APR_RING_REMOVE (inquiry, link);
+      free (inquiry);
+    }
+}
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -398,7 +398,9 @@
       dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
       handle_run_lists (target, event->u.lease_reply.lists, sent_us);
       target->synced = true;
-      if (!was_synced)
+      if (sent_us > leased->term_confirmed_us)
+        leased->term_confirmed_us = sent_us;
+      if (!was_synced || leased->term_confirmation_due)
         leased->placement_due = true;
       break;
     case DKS_LEASE_FENCED:
@@ -576,6 +578,25 @@
   return leased->term > 0 && dks_leased_feed_knows_targets (leased);
 }
 
+bool
+dks_leased_targets_confirm_term (dks_leased_t *leased, int64_t since_us)
+{
+  dks_leased_target_t *target;
+
+  leased->term_confirmation_due = leased->term_confirmed_us < since_us;
+  if (!leased->term_confirmation_due)
+    return true;
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      if (!target->held || !target->synced || target->unanswered_calls > 0)
+        continue;
+      if (target->poll_op == 0 || target->poll_sent_us < since_us)
+        dks_leased_target_poll (target);
+      break;
+    }
+  return false;
+}
+
 void
 dks_leased_targets_send_list (dks_leased_t *leased, const char *peer)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -7,7 +7,8 @@
  * centre (leased_targets.c, leased_runs.c) and places the tasks of jobs on them (leased_jobs.c). It
  * lends tasks to leaders of other data centres that have free capacity, and runs tasks that they
  * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
- * targets, leased_crashes.c counts the crashes of targets under each task.
+ * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
+ * finds out where tasks run that an earlier leader lent.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
@@ -80,6 +81,7 @@
   bool status_received;    /**< a status was received on this connection, with no silence since */
   int64_t last_message_us; /**< when the latest message was received */
   uint64_t term;           /**< of its leadership of its data centre, 0: it does not lead */
+  uint64_t highest_term;   /**< highest term with which it is known to have led */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
   uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
@@ -229,6 +231,11 @@
   char avoid_target[DKS_NAME_SIZE];       /**< target on which it failed last */
 } dks_leased_task_t;
 
+/** A question to the leader of another data centre about tasks that an earlier leader may have lent
+ * to it. */
+typedef struct dks_leased_inquiry_t dks_leased_inquiry_t;
+APR_RING_HEAD (dks_leased_inquiry_ring_t, dks_leased_inquiry_t);
+
 /** A job that this leader places: from an entry instance, or tasks lent by another leader. */
 struct dks_leased_job_t
 {
@@ -250,7 +257,9 @@
   uint32_t min_cpu_milli;  /**< least of its tasks, thousandths of a processor */
   double expected_run_us;  /**< mean expected run time of its tasks */
   bool prior_runs_checked; /**< runs that earlier leaders may have started for it were looked for */
-  bool resent;
+  bool resent;             /**< sent to another leader before, which may have started tasks */
+  struct dks_leased_inquiry_ring_t inquiries; /**< of a resent job */
+  uint32_t inquired_steps;                    /**< mask of the steps that have inquiries */
   bool started;          /**< a task was started or lent, or another leader may have done so */
   int64_t last_start_us; /**< when a task was last started or lent, 0 for never */
   uint32_t task_count;
@@ -344,6 +353,7 @@
 
   /* leased_members.c */
   struct dks_leased_peer_ring_t peers;
+  uint64_t peers_generation;  /**< changes with the leaders that are known and alive */
   int64_t started_ms;         /**< start of this process, Unix ms */
   int64_t start_us;           /**< start of this process */
   int64_t listening_since_us; /**< start of the wait for other instances: own start, stall or lag */
@@ -388,7 +398,8 @@
   uint32_t max_free_cpu_milli;   /**< most free on one usable target, as last updated */
   uint64_t target_scans;         /**< targets that were examined to place tasks, in all */
   int64_t term_start_us;         /**< when the latest leadership of this instance began */
-  bool planned_handover;         /**< the previous leader was alive, and handed over */
+  int64_t term_confirmed_us;     /**< when the latest call that a target answered was sent */
+  bool term_confirmation_due;    /**< a leader of another data centre waits for a later one */
   double mean_cpu_milli;         /**< of a task, thousandths of a processor, moving average */
   double mean_run_us;            /**< run time of a task, moving average */
   double mean_slowness; /**< run time over expected run time, moving average over all targets */
@@ -508,15 +519,14 @@
 uint64_t dks_leased_leader_term (const dks_leased_t *leased);
 /** Whether the peer leads its data centre, where no instance is known to have a higher term. */
 bool dks_leased_peer_is_leader (const dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Records that the instance has led its data centre with this term. */
+void dks_leased_leader_note_term (dks_leased_t *leased, const char *id, uint64_t term);
 /** Stops leading after a stall of this process, as its knowledge of the others is outdated. */
 void dks_leased_leader_handle_pause (dks_leased_t *leased, int64_t pause_us);
 /** Stops leading, since a target has seen a higher fencing token than that of this leader. */
 void dks_leased_leader_handle_fenced (dks_leased_t *leased);
 /** Begins or stops to lead, as the known state of the other instances requires. */
 void dks_leased_leader_update (dks_leased_t *leased);
-/** Whether each leader of another data centre that may run tasks of the previous leader had led for
- * some time when this instance took over, and has sent a message since. */
-bool dks_leased_leader_remotes_reported (const dks_leased_t *leased);
 /** Stops leading when the messages of all peers are handled too late. */
 void dks_leased_leader_check_lag (dks_leased_t *leased);
 
@@ -549,6 +559,9 @@
 void dks_leased_targets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
 /** Whether the run lists of all targets that may have runs were read under the present term. */
 bool dks_leased_targets_are_synced (const dks_leased_t *leased);
+/** Whether a target has answered a call under the present term that was sent at `since_us` or
+ * later: by then no later leader of the data centre has started a run. Else calls a target. */
+bool dks_leased_targets_confirm_term (dks_leased_t *leased, int64_t since_us);
 /** Reads a target's run lists at once. */
 void dks_leased_target_poll (dks_leased_target_t *target);
 
@@ -655,7 +668,27 @@
 void dks_leased_watch_init (dks_leased_t *leased);
 void dks_leased_watch_clear (dks_leased_t *leased);
 
+/* leased_prior_runs.c */
+void dks_leased_prior_runs_init (dks_leased_job_t *job);
+/** Whether it is certain that no other data centre runs the task for an earlier leader of this one,
+ * and that none will: the present leaders there have said so, or their leases have expired. Asks
+ * the leaders that were not asked yet. */
+bool dks_leased_prior_runs_exclude (dks_leased_job_t *job, const dks_leased_task_t *task);
+/** Handles an answer of a leader that was asked; returns the task that it is about if that still
+ * waits, else NULL. */
+dks_leased_task_t *
+dks_leased_prior_runs_handle_answer (dks_leased_job_t *job, const char *peer, const dks_msg_t *msg);
+/** Has the questions to a lost instance asked again. */
+void dks_leased_prior_runs_handle_peer_lost (dks_leased_t *leased, const char *peer);
+/** Tells the leaders that were asked that the job needs their runs no more. */
+void dks_leased_prior_runs_cancel (dks_leased_job_t *job);
+void dks_leased_prior_runs_clear (dks_leased_job_t *job);
+
 /* leased_lend.c */
+/** New message to a remote leader about tasks of one step, without tasks and run numbers, for which
+ * it has room. `spec` is what the tasks run. */
+dks_msg_t *dks_leased_lend_create_msg (const dks_leased_job_t *job, uint32_t batch_step,
+                                       dks_blob_t *spec, const dks_leased_peer_t *peer);
 /** Lends due tasks to leaders of other data centres that reported free capacity; with `fast`, only
  * tasks that end late here, and only to leaders with free capacity on a faster target. */
 void dks_leased_lend_waiting (dks_leased_job_t *job, bool fast);
