core: a target that a new leader has not read may be in use by a rival

Cause: callers saw one task run twice at the same time. A new leader took the lease of a target that does not answer it for expired 1.08 s after its election. A former leader that is cut off from the new one, but not from that target, goes on extending the lease until a target that both reach rejects its fencing token, or until it hears of the other. The new leader said that a lent task does not run, or started a job's task again. Change: as long as another instance of the data centre may lead, as far as is known, a target that was not read counts as such for 2 s from the receipt of the job (its sender is lost to the rival, which stops its runs), and for a lease from the moment at which the rival is known to have stopped.

--- a/core/leased_admission.c
+++ b/core/leased_admission.c
@@ -121,7 +121,7 @@
   int64_t start_us;
 
   /* A leader whose term has just begun does not know the free capacity of its targets yet. */
-  if (!dks_leased_targets_are_synced (leased))
+  if (!dks_leased_targets_are_synced (leased, 0))
     return false;
   start_us = dks_leased_now_us (leased) + expected_wait_us (job, job->objective_missed);
   if (start_us > job->latest_start_us && !job->objective_missed)
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -496,7 +496,7 @@
 {
   bool some_waiting = false;
 
-  if (job->resent && !dks_leased_targets_are_synced (job->leased))
+  if (job->resent && !dks_leased_targets_are_synced (job->leased, job->received_us))
     return;
   for (uint32_t i = 0; i < job->task_count && job->waiting_count > 0; i++)
     {
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -102,6 +102,24 @@
     peer->highest_term = term;
 }
 
+int64_t
+dks_leased_leader_rival_until_us (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+  int64_t latest_us = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (!dks_leased_peer_is_local (leased, peer))
+        continue;
+      if (peer->term > 0 || !dks_leased_peer_is_alive (leased, peer))
+        return dks_leased_now_us (leased);
+      if (peer->last_leading_us > 0 && peer->term_received_us > latest_us)
+        latest_us = peer->term_received_us;
+    }
+  return latest_us;
+}
+
 /* Terms */
 
 static void
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -52,15 +52,22 @@
   return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
 }
 
-/* Time by which all runs of a target that does not answer have ended: when its lease has expired
- * by the slowest clock allowed, plus a margin. */
+/* Time by which a lease that was extended at `extended_us` has expired, by the slowest clock
+ * allowed, plus a margin. */
 static int64_t
-target_expiry_us (const dks_leased_target_t *target)
+lease_end_us (int64_t extended_us)
 {
-  return target->lease_extended_us + INT64_C (1000) * LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100
+  return extended_us + INT64_C (1000) * LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100
          + EXPIRY_MARGIN_US;
 }
 
+/* Time by which all runs of a target that does not answer have ended. */
+static int64_t
+target_expiry_us (const dks_leased_target_t *target)
+{
+  return lease_end_us (target->lease_extended_us);
+}
+
 static bool
 may_extend_lease (const dks_leased_target_t *target)
 {
@@ -566,13 +573,21 @@
 }
 
 bool
-dks_leased_targets_are_synced (const dks_leased_t *leased)
+dks_leased_targets_are_synced (const dks_leased_t *leased, int64_t job_received_us)
 {
+  int64_t now_us = dks_leased_now_us (leased);
+  int64_t rival_until_us = dks_leased_leader_rival_until_us (leased);
   const dks_leased_target_t *target;
 
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
-      if (target->held && !target->synced && dks_leased_now_us (leased) < target_expiry_us (target))
+      if (!target->held || target->synced)
+        continue;
+      /* An earlier leader may reach the target, and extends its lease until it has stopped leading,
+       * or has noticed that the sender of the job is lost to it. */
+      if (now_us < target_expiry_us (target)
+          || (now_us < job_received_us + DKS_LEASED_ORPHAN_LIFETIME_MAX_US
+              && now_us < lease_end_us (rival_until_us)))
         return false;
     }
   return leased->term > 0 && dks_leased_feed_knows_targets (leased);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -519,6 +519,10 @@
 uint64_t dks_leased_leader_term (const dks_leased_t *leased);
 /** Whether the peer leads its data centre, where no instance is known to have a higher term. */
 bool dks_leased_peer_is_leader (const dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Time until which another instance of the data centre may have led as well, as far as is known:
+ * now for one that this instance does not hear, or that has not learned yet that it was superseded.
+ */
+int64_t dks_leased_leader_rival_until_us (const dks_leased_t *leased);
 /** Records that the instance has led its data centre with this term. */
 void dks_leased_leader_note_term (dks_leased_t *leased, const char *id, uint64_t term);
 /** Stops leading after a stall of this process, as its knowledge of the others is outdated. */
@@ -557,8 +561,9 @@
 /** Begins or stops to control the targets of the data centre, after a change of leadership. */
 void dks_leased_targets_handle_leadership (dks_leased_t *leased);
 void dks_leased_targets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
-/** Whether the run lists of all targets that may have runs were read under the present term. */
-bool dks_leased_targets_are_synced (const dks_leased_t *leased);
+/** Whether the run lists of all targets that may have runs of a job, which was received at
+ * `job_received_us`, were read under the present term. */
+bool dks_leased_targets_are_synced (const dks_leased_t *leased, int64_t job_received_us);
 /** Whether a target has answered a call under the present term that was sent at `since_us` or
  * later: by then no later leader of the data centre has started a run. Else calls a target. */
 bool dks_leased_targets_confirm_term (dks_leased_t *leased, int64_t since_us);
