core: leases of runs that no job has claimed are not extended

Cause: callers saw one task run twice at the same time. A new leader finds the runs of an earlier one, and extended the leases of all of them until it stopped those that no job had claimed, 0.4 s later. A caller that lost its connection with the earlier leader submits its job again after 1.3 s; in a data centre whose only instance came back late, or when the stop did not reach the target, the run outlasted that. The class: a holder renews what nobody asked for. Change: a lease is extended only for a target with a run that belongs to a job. Jobs claim their runs within ms of a hand-over; what is left ends with the lease that the earlier leader gave it. Measured: LeasedOverlap.OrphanOfASingleInstanceEndsBeforeTheResubmission and OrphanWhoseStopIsLostEndsBeforeTheResubmission failed before and pass.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -68,11 +68,23 @@
   return lease_end_us (target->lease_extended_us);
 }
 
+/* Whether a call may extend the lease. Runs of an earlier leader that no job has claimed end with
+ * the lease that it gave them: the callers whose connection was lost with it submit their jobs
+ * again. */
 static bool
 may_extend_lease (const dks_leased_target_t *target)
 {
-  return target->clock_known && target->synced
-         && target->unanswered_calls < DKS_LEASED_UNANSWERED_CALLS_MAX;
+  const dks_leased_run_t *run;
+
+  if (!target->clock_known || !target->synced
+      || target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX)
+    return false;
+  APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
+    {
+      if (run->job != NULL)
+        return true;
+    }
+  return false;
 }
 
 static void
@@ -86,7 +98,7 @@
   *sent_us = dks_leased_now_us (leased);
   effect->u.lease.last_end_seen = target->last_end_number;
   effect->u.lease.wait_ms = wait_ms;
-  if (may_extend_lease (target) && target->run_count > 0)
+  if (may_extend_lease (target))
     {
       effect->u.lease.deadline_ms = dks_leased_target_deadline (target, LEASE_MS);
       target->lease_extended_us = dks_leased_now_us (leased);
