--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -401,14 +401,15 @@
 task_take_over_run (dks_leased_job_t *job, uint32_t index, dks_leased_run_t *run)
 {
   dks_leased_task_t *task = &job->tasks[index];
-  dks_leased_task_t *earlier_task = &run->job->tasks[run->task_index];
+  dks_leased_job_t *earlier = run->job;
 
+  DKS_INVARIANT (earlier != NULL);
   dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-taken-over task=%s run=%u from=%s to=%s",
-                run->task_name, run->number, run->job->origin, job->origin);
+                run->task_name, run->number, earlier->origin, job->origin);
   /* The earlier job stays until its sender cancels it or is lost, or its time is over. */
-  earlier_task->state = DKS_LEASED_TASK_DONE;
-  earlier_task->current_run = NULL;
-  run->job->done_count++;
+  earlier->tasks[run->task_index].state = DKS_LEASED_TASK_DONE;
+  earlier->tasks[run->task_index].current_run = NULL;
+  earlier->done_count++;
   run->job = job;
   run->task_index = index;
   task->current_run = run;
