core: lists of a target's earlier process are ignored

Cause: a list with another incarnation counted as a restart, whichever came first. A list of the earlier process that a delayed reply brought after one of the new process made the ended run come back, and the next list of the new process made a second crash under the same task: its job was answered as failed after one crash. Change: such a list is ignored when its call was sent before the last restart was seen; the target is polled again. Measured: LeasedCrashes.ListOfAnEarlierProcessIsIgnored counted 2 crashes and 3 restarts in place of 1 and 1, and the job failed; it passes now.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -345,6 +345,16 @@
     }
 }
 
+/* Whether an earlier incarnation of the target may have written the lists, and another one has been
+ * seen since the call for them was sent. */
+static bool
+lists_are_outdated (const dks_leased_target_t *target, const dks_run_lists_t *lists,
+                    int64_t sent_us)
+{
+  return lists->incarnation_ms != 0 && target->incarnation_ms != 0
+         && lists->incarnation_ms != target->incarnation_ms && sent_us < target->restart_seen_us;
+}
+
 static void
 handle_run_lists (dks_leased_target_t *target, const dks_run_lists_t *lists, int64_t sent_us)
 {
@@ -357,6 +367,7 @@
        * lists decide which of the runs are gone. */
       dks_leased_crashes_record (target, lists);
       target_begin_incarnation (target, lists->incarnation_ms);
+      target->restart_seen_us = dks_leased_now_us (target->leased);
       target->clock_known = true; /* from the answer that contained the lists */
     }
   if (lists->incarnation_ms != 0)
@@ -392,6 +403,14 @@
   switch (event->u.lease_reply.status)
     {
     case DKS_LEASE_OK:
+      if (lists_are_outdated (target, event->u.lease_reply.lists, sent_us))
+        {
+          dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-lists-outdated target=%s",
+                        target->info.id);
+          dks_leased_target_handle_answer (target, 0);
+          target->poll_again = true;
+          break;
+        }
       dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
       handle_run_lists (target, event->u.lease_reply.lists, sent_us);
       target->synced = true;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -164,6 +164,7 @@
   uint64_t fencing_token; /**< fencing token of the calls: the term of this leader */
   int64_t incarnation_ms; /**< start of the incarnation that the members below describe, Unix ms; 0:
                              not known */
+  int64_t restart_seen_us; /**< when a list last showed another incarnation, 0: never */
   int64_t last_end_number; /**< number of the latest run end in its list that was handled */
   int64_t clock_offset_ms; /**< target's clock less the local monotonic clock, rounded down */
   bool clock_known;
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -260,6 +260,38 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against a list of a target's earlier process that arrives after one of its new process:
+// the earlier run seems to be back, and the next list seems to show a second crash under the task.
+TEST (LeasedCrashes, ListOfAnEarlierProcessIsIgnored)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+  bool polled = false;
+
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (polled || call.type != DKS_EFFECT_LEASE_HOLD || call.u.lease.wait_ms > 0)
+      return int64_t (0);
+    polled = true;
+    return 150 * ms;
+  };
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 600 && !polled; i++)
+    world.run_for (ms);
+  ASSERT_TRUE (polled);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        world.crash (*target, 0);
+    }
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-crashed"), 1u);
+  EXPECT_EQ (count_logged (world, "event=target-restarted"), 1u);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against work that is given up although its targets were only silent.
 TEST (LeasedCrashes, TaskOnTargetsThatWereOnlySilentIsNotGivenUp)
 {
