core: lists that lack a known end do not bring its run back

Cause: replies of a hold and a poll may overtake each other. A list that was written before the end of a run, and handled after the list with this end, brought the run back as one of unknown origin: it used capacity until the next list, and a crash of the target in this time counted for its task. Change: the ends in a list and the last end that its call had named tell how old it is. From lists that lack a known end only the ends are taken, and the target is polled again. Measured: LeasedCrashes.RunThatHasEndedIsNotTakenBackFromAnOlderList counted 1 crash under a task whose run had ended before; it passes now.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -66,7 +66,8 @@
 }
 
 static void
-send_hold (dks_leased_target_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us)
+send_hold (dks_leased_target_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us,
+           int64_t *last_end_seen)
 {
   dks_leased_t *leased = target->leased;
   dks_effect_t *effect = dks_leased_target_call (target, DKS_EFFECT_LEASE_HOLD,
@@ -74,7 +75,8 @@
 
   *op = effect->u.lease.op;
   *sent_us = dks_leased_now_us (leased);
-  effect->u.lease.last_end_seen = target->last_end_number;
+  *last_end_seen = target->last_end_number;
+  effect->u.lease.last_end_seen = *last_end_seen;
   effect->u.lease.wait_ms = wait_ms;
   if (may_extend_lease (target) && target->run_count > 0)
     {
@@ -93,7 +95,8 @@
     return;
   if (is_up_to_date && target->run_count == 0)
     return;
-  send_hold (target, is_up_to_date ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_sent_us);
+  send_hold (target, is_up_to_date ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_sent_us,
+             &target->hold_last_end_seen);
 }
 
 void
@@ -107,7 +110,7 @@
       return;
     }
   target->poll_again = false;
-  send_hold (target, 0, &target->poll_op, &target->poll_sent_us);
+  send_hold (target, 0, &target->poll_op, &target->poll_sent_us, &target->poll_last_end_seen);
 }
 
 static void
@@ -355,8 +358,10 @@
          && lists->incarnation_ms != target->incarnation_ms && sent_us < target->restart_seen_us;
 }
 
+/* Handles the lists that a call returned which was sent at `sent_us` and named `last_end_seen`. */
 static void
-handle_run_lists (dks_leased_target_t *target, const dks_run_lists_t *lists, int64_t sent_us)
+handle_run_lists (dks_leased_target_t *target, const dks_run_lists_t *lists, int64_t sent_us,
+                  int64_t last_end_seen)
 {
   if (lists->incarnation_ms != 0 && target->incarnation_ms != 0
       && lists->incarnation_ms != target->incarnation_ms)
@@ -369,6 +374,7 @@
       target_begin_incarnation (target, lists->incarnation_ms);
       target->restart_seen_us = dks_leased_now_us (target->leased);
       target->clock_known = true; /* from the answer that contained the lists */
+      last_end_seen = 0;
     }
   if (lists->incarnation_ms != 0)
     target->incarnation_ms = lists->incarnation_ms;
@@ -377,6 +383,7 @@
       const dks_ended_run_t *row = &lists->ended[i];
       dks_leased_run_t *run;
 
+      last_end_seen = row->number;
       if (row->number <= target->last_end_number)
         continue;
       target->last_end_number = row->number;
@@ -384,7 +391,11 @@
       if (run != NULL)
         dks_leased_run_handle_end (run, row->end);
     }
-  handle_running_list (target, lists, sent_us);
+  /* Lists that lack a known end were written before it, and may show its run as running. */
+  if (last_end_seen < target->last_end_number)
+    target->poll_again = true;
+  else
+    handle_running_list (target, lists, sent_us);
 }
 
 static void
@@ -392,6 +403,7 @@
 {
   dks_leased_t *leased = target->leased;
   int64_t sent_us = is_poll ? target->poll_sent_us : target->hold_sent_us;
+  int64_t last_end_seen = is_poll ? target->poll_last_end_seen : target->hold_last_end_seen;
   bool was_synced = target->synced;
 
   dks_metrics_increment (leased->metrics, DKS_LABELLED_HOLDS,
@@ -412,7 +424,7 @@
           break;
         }
       dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
-      handle_run_lists (target, event->u.lease_reply.lists, sent_us);
+      handle_run_lists (target, event->u.lease_reply.lists, sent_us, last_end_seen);
       target->synced = true;
       if (!was_synced)
         leased->placement_due = true;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -169,14 +169,16 @@
   int64_t clock_offset_ms; /**< target's clock less the local monotonic clock, rounded down */
   bool clock_known;
   uint64_t hold_op; /**< id of the hold under way, a long poll that extends the lease; 0 for none */
-  int64_t hold_sent_us;      /**< when the hold was sent */
-  uint64_t poll_op;          /**< id of the poll under way, a hold that does not wait; 0 for none */
-  int64_t poll_sent_us;      /**< when the poll was sent */
-  bool poll_again;           /**< another poll is wanted after the one under way */
-  int64_t last_answer_us;    /**< when the latest answer was received */
-  int64_t lease_extended_us; /**< when the latest call was sent that may have extended the lease */
-  uint32_t unanswered_calls; /**< calls without an answer since the latest answer */
-  bool connection_refused;   /**< a call sent since the latest answer: its process is gone */
+  int64_t hold_sent_us;       /**< when the hold was sent */
+  int64_t hold_last_end_seen; /**< `last_end_number` that the hold named */
+  uint64_t poll_op;     /**< id of the poll under way, a hold that does not wait; 0 for none */
+  int64_t poll_sent_us; /**< when the poll was sent */
+  int64_t poll_last_end_seen; /**< `last_end_number` that the poll named */
+  bool poll_again;            /**< another poll is wanted after the one under way */
+  int64_t last_answer_us;     /**< when the latest answer was received */
+  int64_t lease_extended_us;  /**< when the latest call was sent that may have extended the lease */
+  uint32_t unanswered_calls;  /**< calls without an answer since the latest answer */
+  bool connection_refused;    /**< a call sent since the latest answer: its process is gone */
   dks_timer_t hold_timer;
   dks_timer_t expiry_timer; /**< armed while the target does not answer or is not listed */
   struct dks_leased_run_ring_t runs;
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -292,6 +292,46 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against a list that was written before the end of a run and arrives after the one that
+// showed it: the run seems to be back, and a crash of its target seems to be one under its task.
+TEST (LeasedCrashes, RunThatHasEndedIsNotTakenBackFromAnOlderList)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+  leased::Target *first = nullptr;
+  bool polled = false;
+
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (polled || call.type != DKS_EFFECT_LEASE_HOLD || call.u.lease.wait_ms > 0)
+      return int64_t (0);
+    polled = true;
+    return 100 * ms;
+  };
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 600 && !polled; i++)
+    world.run_for (ms);
+  ASSERT_TRUE (polled);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        first = target.get ();
+    }
+  ASSERT_NE (first, nullptr);
+  // The hold under way shows that the run has failed, and the target crashes afterwards.
+  first->runs_fail = true;
+  first->runs[0].ends_us = world.now_us;
+  world.run_for (60 * ms);
+  ASSERT_TRUE (first->runs.empty ());
+  world.run_for (100 * ms);
+  world.crash (*first, 20000 * ms);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-crashed"), 0u);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against work that is given up although its targets were only silent.
 TEST (LeasedCrashes, TaskOnTargetsThatWereOnlySilentIsNotGivenUp)
 {
