damaskshored: signals are blocked before the options are read

Change: main() blocks them first. SIGHUP then reads the options again once the event loop runs, and SIGTERM drains the instance, which ends with status 0. Measured: process-start, whose instance waits for its settings on a named pipe, ended by signals 1 and 15 (status 129 and 143 in place of 0) and passes now. Not mended: a signal before main(), while the dynamic linker loads the program, still ends it.

--- a/damaskshored/main.c
+++ b/damaskshored/main.c
@@ -33,8 +33,8 @@
   return dks_options_parse (command_line->argc, command_line->argv, read_env, options, error);
 }
 
-/* The event loop reads SIGTERM, SIGINT and SIGHUP from a descriptor. SIGPIPE is ignored, so that
- * write() reports a closed connection as an error. */
+/* The event loop reads SIGTERM, SIGINT and SIGHUP from a descriptor; those that come before it runs
+ * wait for it. SIGPIPE is ignored, so that write() reports a closed connection as an error. */
 static void
 block_signals (void)
 {
@@ -57,6 +57,7 @@
   char error[DKS_OPTIONS_ERROR_SIZE];
   int status;
 
+  block_signals ();
   if (dks_options_parse (argc, argv, read_env, &options, error) != DKS_OK)
     {
       fprintf (stderr, "%s: %s\n", argv[0], error);
@@ -77,7 +78,6 @@
     }
   dks_log_set_level (options.log_level);
   dks_log_set_output (STDOUT_FILENO, options.config.id);
-  block_signals ();
   if (dks_host_create (&options, &host) != DKS_OK)
     return EXIT_FAILURE;
   dks_host_set_reload (host, reparse_options, &command_line);
