core: each step of a job has its own id in the messages that lend its tasks

Cause: the answer about a lent task names the request, the index of the task in its step and the run. A late one about the first step was taken for one about the second. Change: the request id in the messages that lend tasks is that of the step, not of the job. The remote leader returns it as it is, so both versions may run side by side. A step in the answer was weighed and not taken: an instance of the earlier version leaves it out, which reads as step 0, and the number of the protocol would have to rise.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -144,7 +144,7 @@
   if (task->remote_lost)
     job->leased->remote_lost_tasks--;
   else
-    send_cancel (job->leased, task->remote_leader, job->lend_id);
+    send_cancel (job->leased, task->remote_leader, job->step_lend_id[task->batch_step]);
 }
 
 /* Stops the job's runs on targets of this leader, cancels its tasks at remote leaders, and frees
@@ -275,7 +275,6 @@
   job->batch = dks_batch_ref (batch);
   job->is_lent = lent;
   job->request_id = msg->u.work.request;
-  job->lend_id = dks_next_id (leased->r);
   job->resent = msg->u.work.resent;
   job->started = job->resent;
   job->task_count = count;
@@ -299,6 +298,8 @@
     {
       const dks_batch_step_t *step = &batch->steps[i];
 
+      /* An answer to a lent task names its index but not its step. */
+      job->step_lend_id[i] = dks_next_id (leased->r);
       job->min_cpu_milli =
           step->cpu_milli < job->min_cpu_milli ? step->cpu_milli : job->min_cpu_milli;
       job->expected_run_us +=
@@ -742,26 +743,39 @@
     task_retry (job, task, is_fault);
 }
 
-void
-dks_leased_jobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg)
+/* The job with the step that has this lend id, or NULL. */
+static dks_leased_job_t *
+job_find_by_lend_id (const dks_leased_t *leased, uint64_t lend_id, uint32_t *step)
 {
   dks_leased_job_t *job;
-  dks_leased_peer_t *remote_peer = dks_leased_peer_find (leased, peer);
 
   APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
     {
-      if (job->lend_id == msg->u.lent_done.request)
-        break;
+      for (*step = 0; *step < job->batch->step_count; ++*step)
+        {
+          if (job->step_lend_id[*step] == lend_id)
+            return job;
+        }
     }
-  if (job == APR_RING_SENTINEL (&leased->jobs, dks_leased_job_t, link))
+  return NULL;
+}
+
+void
+dks_leased_jobs_handle_lent_done (dks_leased_t *leased, const char *peer, const dks_msg_t *msg)
+{
+  uint32_t step;
+  dks_leased_job_t *job = job_find_by_lend_id (leased, msg->u.lent_done.request, &step);
+  dks_leased_peer_t *remote_peer = dks_leased_peer_find (leased, peer);
+
+  if (job == NULL)
     return;
   for (uint32_t i = 0; i < job->task_count; i++)
     {
       dks_leased_task_t *task = &job->tasks[i];
 
-      if (task->state != DKS_LEASED_TASK_LENT || task->index != msg->u.lent_done.index
-          || task->run_number != msg->u.lent_done.run || task->remote_lost
-          || strcmp (task->remote_leader, peer) != 0)
+      if (task->state != DKS_LEASED_TASK_LENT || task->batch_step != step
+          || task->index != msg->u.lent_done.index || task->run_number != msg->u.lent_done.run
+          || task->remote_lost || strcmp (task->remote_leader, peer) != 0)
         continue;
       dks_metrics_increment (leased->metrics, DKS_LABELLED_TASKS_LENT, task->remote_data_centre,
                              dks_lent_result_name ((dks_lent_result_t)msg->u.lent_done.result));
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -134,7 +134,7 @@
       dks_strcpy (task->remote_data_centre, sizeof (task->remote_data_centre), peer->data_centre);
       dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_LENT);
     }
-  msg->u.work.request = job->lend_id;
+  msg->u.work.request = job->step_lend_id[step];
   msg->u.work.batch = single_step_batch (job->batch, step);
   msg->u.work.sent_us = dks_leased_now_us (leased);
   msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
@@ -216,7 +216,7 @@
   msg->u.work.lent_tasks[0] = task->index;
   msg->u.work.lent_runs[0] = task->run_number;
   msg->u.work.lent_count = 1;
-  msg->u.work.request = job->lend_id;
+  msg->u.work.request = job->step_lend_id[task->batch_step];
   msg->u.work.batch = single_step_batch (job->batch, task->batch_step);
   msg->u.work.sent_us = dks_leased_now_us (leased);
   msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -238,7 +238,6 @@
   dks_leased_t *leased;
   char origin[DKS_NAME_SIZE]; /**< member id of the sender: an entry instance or a home leader */
   uint64_t request_id;        /**< id of the request at the sender */
-  uint64_t lend_id;           /**< request id in the messages that lend tasks of this job */
   bool is_lent;               /**< tasks that another leader lent: placed at once or refused */
   dks_batch_t *batch;
   int64_t arrival_us;       /**< when the caller's request reached its entry instance */
@@ -258,6 +257,7 @@
   uint32_t task_count;
   uint32_t waiting_count;
   uint32_t done_count;
+  uint64_t step_lend_id[DKS_BATCH_STEPS_MAX];    /**< request id in messages that lend its tasks */
   uint32_t step_unfinished[DKS_BATCH_STEPS_MAX]; /**< tasks that have not ended */
   int64_t step_tail_us[DKS_BATCH_STEPS_MAX];     /**< expected time of the steps that follow */
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -794,6 +794,66 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against a second run of a lent task of a later step, for which a late answer about the
+// task with the same index and run number of an earlier step was taken. Soak, seed 224.
+TEST (Leased, AnswerToALentTaskOfAnEarlierStepIsIgnored)
+{
+  World world;
+  add_data_centre (world, "a", 2);
+  add_data_centre (world, "b", 4);
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.submit (0, "0000000000000001", { { 2, 6800, 100, 100 } });
+  world.run_for (200 * ms);
+  uint64_t caller = world.submit (0, "0000000000000002",
+                                  { { 10, 6800, 100, 100 }, { 10, 6800, 300, 300, 1 } }, 5000);
+  auto lend_msg_of_step = [&] (uint32_t step) {
+    for (int i = 0; i < 1000; i++)
+      {
+        if (world.last_lend_msg != nullptr && world.last_lend_msg->u.work.step == step)
+          break;
+        world.run_for (ms);
+      }
+    return dks_msg_ref (world.last_lend_msg);
+  };
+  dks_msg_t *first = lend_msg_of_step (0);
+  dks_msg_t *second = lend_msg_of_step (1);
+  ASSERT_EQ (second->u.work.step, 1u);
+  world.run_for (50 * ms);
+
+  size_t home_leader = world.find (leader_of (world, "a"));
+  size_t remote_leader = world.find (leader_of (world, "b"));
+  uint32_t sent = 0;
+  for (uint32_t i = 0; i < first->u.work.lent_count; i++)
+    {
+      for (uint32_t j = 0; j < second->u.work.lent_count; j++)
+        {
+          if (first->u.work.lent_tasks[i] != second->u.work.lent_tasks[j]
+              || first->u.work.lent_runs[i] != second->u.work.lent_runs[j])
+            continue;
+          dks_msg_t *msg = dks_msg_create (DKS_MSG_LENT_DONE);
+          dks_event_t event = {};
+
+          msg->u.lent_done.request = first->u.work.request;
+          msg->u.lent_done.index = first->u.work.lent_tasks[i];
+          msg->u.lent_done.run = first->u.work.lent_runs[i];
+          msg->u.lent_done.result = DKS_LENT_INTERRUPTED;
+          event.type = DKS_EVENT_PEER_MSG;
+          event.u.peer_msg.peer = world.instances[remote_leader]->member_id.c_str ();
+          event.u.peer_msg.msg = msg;
+          world.apply (home_leader, &event);
+          dks_msg_unref (msg);
+          sent++;
+        }
+    }
+  dks_msg_unref (first);
+  dks_msg_unref (second);
+  ASSERT_GT (sent, 0u);
+  world.run_for (2000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
 // Guards against a second run of a task: a leader that had been frozen accepted a request before it
 // learnt of its successor, and lent the tasks to another data centre; the successor started them as
 // well.
