core: the clock of a target's earlier process is not taken for that of the new one

Cause: each answer set the offset of the target's clock, in the order of receipt. A late answer of the earlier process, whose clock is ahead, put deadlines far ahead: a start that the target carries out seconds late is then not rejected as late, and its task runs twice when the target was silent in between. After a restart the clock also counted as known when the answer told none. Change: an answer to a call that was sent before the last restart was seen tells no clock. Measured: LeasedCrashes.ClockOfAnEarlierProcessIsIgnored counted one second run and none now. Targets of the test world begin a new clock when they restart.

--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -200,6 +200,7 @@
   if (run->op != 0)
     apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), NULL);
   run->state = DKS_LEASED_RUN_STOPPING;
+  run->stop_sent_us = dks_leased_now_us (run->leased);
   run->acked_us = 0;
   run->op = effect->u.lease.op;
   apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
@@ -246,7 +247,7 @@
   switch (status)
     {
     case DKS_LEASE_OK:
-      dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
+      dks_leased_target_handle_answer (target, sent_us, event->u.lease_reply.target_clock_ms);
       if (run->state == DKS_LEASED_RUN_STARTING)
         run->state = DKS_LEASED_RUN_RUNNING;
       run->acked_us = dks_leased_now_us (leased);
@@ -324,7 +325,8 @@
       return;
     default:
       run->acked_us = dks_leased_now_us (run->leased);
-      dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
+      dks_leased_target_handle_answer (target, run->stop_sent_us,
+                                       event->u.lease_reply.target_clock_ms);
       /* If the run was on the target, the run lists show its end; if not, they lack it. */
       if (target->hold_op == 0)
         dks_leased_target_hold (target);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -225,7 +225,7 @@
 }
 
 void
-dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t clock_ms)
+dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t sent_us, int64_t clock_ms)
 {
   int64_t idle_ms = (dks_leased_now_us (target->leased) - target->last_answer_us) / 1000;
   int64_t offset_ms;
@@ -238,7 +238,9 @@
   target->last_answer_us = dks_leased_now_us (target->leased);
   if (target->listed)
     dks_timer_cancel (target->leased->r->timers, &target->expiry_timer);
-  if (clock_ms == 0)
+  /* The answer to a call that was sent before a restart was seen may tell the clock of the earlier
+   * incarnation, by which deadlines would be far ahead. */
+  if (clock_ms == 0 || sent_us < target->restart_seen_us)
     return;
   /* The answer was written before it was received, so a time of the target's clock that is computed
    * with this offset is never ahead of that clock. */
@@ -360,9 +362,11 @@
 
 /* Handles the lists that a call returned which was sent at `sent_us` and named `last_end_seen`. */
 static void
-handle_run_lists (dks_leased_target_t *target, const dks_run_lists_t *lists, int64_t sent_us,
+handle_run_lists (dks_leased_target_t *target, const dks_event_t *event, int64_t sent_us,
                   int64_t last_end_seen)
 {
+  const dks_run_lists_t *lists = event->u.lease_reply.lists;
+
   if (lists->incarnation_ms != 0 && target->incarnation_ms != 0
       && lists->incarnation_ms != target->incarnation_ms)
     {
@@ -373,7 +377,7 @@
       dks_leased_crashes_record (target, lists);
       target_begin_incarnation (target, lists->incarnation_ms);
       target->restart_seen_us = dks_leased_now_us (target->leased);
-      target->clock_known = true; /* from the answer that contained the lists */
+      target->clock_known = event->u.lease_reply.target_clock_ms != 0;
       last_end_seen = 0;
     }
   if (lists->incarnation_ms != 0)
@@ -419,12 +423,12 @@
         {
           dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-lists-outdated target=%s",
                         target->info.id);
-          dks_leased_target_handle_answer (target, 0);
+          dks_leased_target_handle_answer (target, sent_us, 0);
           target->poll_again = true;
           break;
         }
-      dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
-      handle_run_lists (target, event->u.lease_reply.lists, sent_us, last_end_seen);
+      dks_leased_target_handle_answer (target, sent_us, event->u.lease_reply.target_clock_ms);
+      handle_run_lists (target, event, sent_us, last_end_seen);
       target->synced = true;
       if (!was_synced)
         leased->placement_due = true;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -558,7 +558,10 @@
 int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
 /** Keeps a hold open while the target has runs, or sends a short one until its lists were read. */
 void dks_leased_target_hold (dks_leased_target_t *target);
-void dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t clock_ms);
+/** Handles an answer to a call that was sent at `sent_us`; `clock_ms` is 0 when it tells no clock.
+ */
+void
+dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t sent_us, int64_t clock_ms);
 /** Handles a call without an answer. The target's runs end at the latest when its lease does. */
 void dks_leased_target_handle_no_answer (dks_leased_target_t *target);
 /** Handles a call, sent at `sent_us`, whose connection the target's address has refused. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -12,8 +12,9 @@
 namespace leased
 {
 
-constexpr int64_t peer_delay_us = 1 * ms;   // one way between two instances
-constexpr int64_t lease_max_us = 1000 * ms; // longest lease that the platform allows
+constexpr int64_t peer_delay_us = 1 * ms;    // one way between two instances
+constexpr int64_t process_start_us = 5 * ms; // from the start of a target to its first answer
+constexpr int64_t lease_max_us = 1000 * ms;  // longest lease that the platform allows
 
 static void
 set_text (char *to, size_t size, const std::string &text)
@@ -558,6 +559,13 @@
     }
 }
 
+// Deadline of the call, which is on the target's clock.
+static int64_t
+deadline_us (const Target &target, const dks_effect_t &effect)
+{
+  return 1000 * effect.u.lease.deadline_ms + target.clock_start_us;
+}
+
 dks_lease_status_t
 World::start_run (Target &target, const dks_effect_t &effect)
 {
@@ -571,7 +579,7 @@
       if (other.task == task && other.run_number == run)
         return DKS_LEASE_OK;
     }
-  if (1000 * effect.u.lease.deadline_ms <= now_us)
+  if (deadline_us (target, effect) <= now_us)
     return DKS_LEASE_LATE;
   if (target.highest_ended_run.count (task) > 0 && run <= target.highest_ended_run[task])
     return DKS_LEASE_OLD_RUN;
@@ -581,8 +589,8 @@
       target.rejected_starts++;
       return DKS_LEASE_NO_CAPACITY;
     }
-  target.lease_end_us = std::max (
-      target.lease_end_us, std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_max_us));
+  target.lease_end_us = std::max (target.lease_end_us,
+                                  std::min (deadline_us (target, effect), now_us + lease_max_us));
   target.starts++;
   target.runs.push_back (
       { task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us, false });
@@ -678,9 +686,8 @@
             }
         }
       else if (effect.u.lease.deadline_ms > 0)
-        target.lease_end_us =
-            std::max (target.lease_end_us,
-                      std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_max_us));
+        target.lease_end_us = std::max (
+            target.lease_end_us, std::min (deadline_us (target, effect), now_us + lease_max_us));
     }
   if (effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK && effect.u.lease.wait_ms > 0)
     {
@@ -701,6 +708,7 @@
 
   target.waiting_holds.clear ();
   target.refuses_until_us = now_us + down_us;
+  target.clock_start_us = now_us + down_us - process_start_us;
   target.info.incarnation_ms++;
   target.runs.clear ();
   target.ended.clear ();
@@ -725,7 +733,7 @@
   auto lists = std::make_shared<Lists> ();
   bool with_lists =
       call != nullptr && call->effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK;
-  int64_t clock_ms = now_us / 1000;
+  int64_t clock_ms = target != nullptr ? (now_us - target->clock_start_us) / 1000 : 0;
   dks_reducer_t *reducer = instances[index]->reducer;
 
   if (target != nullptr && target->silent)
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -332,6 +332,45 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against the clock of a target's earlier process being taken for that of its new process:
+// it puts deadlines far ahead, so that a start is carried out seconds late, after its task has
+// started elsewhere.
+TEST (LeasedCrashes, ClockOfAnEarlierProcessIsIgnored)
+{
+  World world;
+  add_data_centre (world, "a", 2, 3);
+  start (world);
+  world.deadly_tasks.clear ();
+  bool start_delayed = false;
+
+  world.submit (0, "0000000000000003", { { 1, 6800, 4000, 4000 } }, 12000);
+  world.run_for (100 * ms);
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (start_delayed || call.type != DKS_EFFECT_LEASE_START)
+      return int64_t (0);
+    start_delayed = true;
+    return 30 * ms;
+  };
+  world.submit (0, "0000000000000002", { { 1, 6800, 4000, 4000 } }, 12000);
+  for (int i = 0; i < 100 && !start_delayed; i++)
+    world.run_for (ms);
+  leased::Target &target = *world.targets[0];
+  ASSERT_EQ (target.runs.size (), 2u);
+  world.crash (target, 0);
+  world.run_for (32 * ms);
+  ASSERT_EQ (count_logged (world, "event=target-restarted"), 1u);
+  target.delayed_starts = 1;
+  target.start_delay_us = 2500 * ms;
+  world.submit (0, job, { { 1, 6800, 4000, 4000 } }, 12000);
+  world.run_for (5 * ms);
+  ASSERT_EQ (target.delayed_starts, 0);
+  target.silent = true;
+  world.run_for (2400 * ms);
+  target.silent = false;
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against work that is given up although its targets were only silent.
 TEST (LeasedCrashes, TaskOnTargetsThatWereOnlySilentIsNotGivenUp)
 {
