--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -108,7 +108,7 @@
 
   msg->u.work.lent_tasks = dks_alloc (job->task_count * sizeof (msg->u.work.lent_tasks[0]));
   msg->u.work.lent_runs = dks_alloc (job->task_count * sizeof (msg->u.work.lent_runs[0]));
-  msg->u.work.request = job->lend_id;
+  msg->u.work.request = job->step_lend_id[batch_step];
   msg->u.work.batch = single_step_batch (job->batch, batch_step, spec);
   msg->u.work.sent_us = dks_leased_now_us (leased);
   msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -88,7 +88,8 @@
 }
 
 static void
-send_hold (dks_leased_target_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us)
+send_hold (dks_leased_target_t *target, int64_t wait_ms, uint64_t *op, int64_t *sent_us,
+           int64_t *last_end_seen)
 {
   dks_leased_t *leased = target->leased;
   dks_effect_t *effect = dks_leased_target_call (target, DKS_EFFECT_LEASE_HOLD,
@@ -96,7 +97,8 @@
 
   *op = effect->u.lease.op;
   *sent_us = dks_leased_now_us (leased);
-  effect->u.lease.last_end_seen = target->last_end_number;
+  *last_end_seen = target->last_end_number;
+  effect->u.lease.last_end_seen = *last_end_seen;
   effect->u.lease.wait_ms = wait_ms;
   if (may_extend_lease (target))
     {
@@ -115,7 +117,8 @@
     return;
   if (is_up_to_date && target->run_count == 0)
     return;
-  send_hold (target, is_up_to_date ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_sent_us);
+  send_hold (target, is_up_to_date ? HOLD_WAIT_MS : 0, &target->hold_op, &target->hold_sent_us,
+             &target->hold_last_end_seen);
 }
 
 void
@@ -129,7 +132,7 @@
       return;
     }
   target->poll_again = false;
-  send_hold (target, 0, &target->poll_op, &target->poll_sent_us);
+  send_hold (target, 0, &target->poll_op, &target->poll_sent_us, &target->poll_last_end_seen);
 }
 
 static void
@@ -244,7 +247,17 @@
 }
 
 void
-dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t clock_ms)
+dks_leased_target_handle_refused (dks_leased_target_t *target, int64_t sent_us)
+{
+  /* Replies on different connections may overtake each other: the refusal of a call that was sent
+   * before the latest answer was received may be older than that answer. */
+  if (sent_us > target->last_answer_us)
+    target->connection_refused = true;
+  dks_leased_target_handle_no_answer (target);
+}
+
+void
+dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t sent_us, int64_t clock_ms)
 {
   int64_t idle_ms = (dks_leased_now_us (target->leased) - target->last_answer_us) / 1000;
   int64_t offset_ms;
@@ -257,7 +270,9 @@
   target->last_answer_us = dks_leased_now_us (target->leased);
   if (target->listed)
     dks_timer_cancel (target->leased->r->timers, &target->expiry_timer);
-  if (clock_ms == 0)
+  /* The answer to a call that was sent before a restart was seen may tell the clock of the earlier
+   * incarnation, by which deadlines would be far ahead. */
+  if (clock_ms == 0 || sent_us < target->restart_seen_us)
     return;
   /* The answer was written before it was received, so a time of the target's clock that is computed
    * with this offset is never ahead of that clock. */
@@ -367,9 +382,23 @@
     }
 }
 
+/* Whether an earlier incarnation of the target may have written the lists, and another one has been
+ * seen since the call for them was sent. */
+static bool
+lists_are_outdated (const dks_leased_target_t *target, const dks_run_lists_t *lists,
+                    int64_t sent_us)
+{
+  return lists->incarnation_ms != 0 && target->incarnation_ms != 0
+         && lists->incarnation_ms != target->incarnation_ms && sent_us < target->restart_seen_us;
+}
+
+/* Handles the lists that a call returned which was sent at `sent_us` and named `last_end_seen`. */
 static void
-handle_run_lists (dks_leased_target_t *target, const dks_run_lists_t *lists, int64_t sent_us)
+handle_run_lists (dks_leased_target_t *target, const dks_event_t *event, int64_t sent_us,
+                  int64_t last_end_seen)
 {
+  const dks_run_lists_t *lists = event->u.lease_reply.lists;
+
   if (lists->incarnation_ms != 0 && target->incarnation_ms != 0
       && lists->incarnation_ms != target->incarnation_ms)
     {
@@ -379,7 +408,9 @@
        * lists decide which of the runs are gone. */
       dks_leased_crashes_record (target, lists);
       target_begin_incarnation (target, lists->incarnation_ms);
-      target->clock_known = true; /* from the answer that contained the lists */
+      target->restart_seen_us = dks_leased_now_us (target->leased);
+      target->clock_known = event->u.lease_reply.target_clock_ms != 0;
+      last_end_seen = 0;
     }
   if (lists->incarnation_ms != 0)
     target->incarnation_ms = lists->incarnation_ms;
@@ -388,6 +419,7 @@
       const dks_ended_run_t *row = &lists->ended[i];
       dks_leased_run_t *run;
 
+      last_end_seen = row->number;
       if (row->number <= target->last_end_number)
         continue;
       target->last_end_number = row->number;
@@ -395,7 +427,11 @@
       if (run != NULL)
         dks_leased_run_handle_end (run, row->end);
     }
-  handle_running_list (target, lists, sent_us);
+  /* Lists that lack a known end were written before it, and may show its run as running. */
+  if (last_end_seen < target->last_end_number)
+    target->poll_again = true;
+  else
+    handle_running_list (target, lists, sent_us);
 }
 
 static void
@@ -403,6 +439,7 @@
 {
   dks_leased_t *leased = target->leased;
   int64_t sent_us = is_poll ? target->poll_sent_us : target->hold_sent_us;
+  int64_t last_end_seen = is_poll ? target->poll_last_end_seen : target->hold_last_end_seen;
   bool was_synced = target->synced;
 
   dks_metrics_increment (leased->metrics, DKS_LABELLED_HOLDS,
@@ -414,8 +451,16 @@
   switch (event->u.lease_reply.status)
     {
     case DKS_LEASE_OK:
-      dks_leased_target_handle_answer (target, event->u.lease_reply.target_clock_ms);
-      handle_run_lists (target, event->u.lease_reply.lists, sent_us);
+      if (lists_are_outdated (target, event->u.lease_reply.lists, sent_us))
+        {
+          dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-lists-outdated target=%s",
+                        target->info.id);
+          dks_leased_target_handle_answer (target, sent_us, 0);
+          target->poll_again = true;
+          break;
+        }
+      dks_leased_target_handle_answer (target, sent_us, event->u.lease_reply.target_clock_ms);
+      handle_run_lists (target, event, sent_us, last_end_seen);
       target->synced = true;
       if (sent_us > leased->term_confirmed_us)
         leased->term_confirmed_us = sent_us;
@@ -433,8 +478,7 @@
                      dks_leased_now_us (leased) + RETRY_DELAY_US);
       break;
     case DKS_LEASE_REFUSED:
-      target->connection_refused = true;
-      dks_leased_target_handle_no_answer (target);
+      dks_leased_target_handle_refused (target, sent_us);
       break;
     case DKS_LEASE_NOT_SENT:
     case DKS_LEASE_UNANSWERED:
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -167,18 +167,21 @@
   uint64_t fencing_token; /**< fencing token of the calls: the term of this leader */
   int64_t incarnation_ms; /**< start of the incarnation that the members below describe, Unix ms; 0:
                              not known */
+  int64_t restart_seen_us; /**< when a list last showed another incarnation, 0: never */
   int64_t last_end_number; /**< number of the latest run end in its list that was handled */
   int64_t clock_offset_ms; /**< target's clock less the local monotonic clock, rounded down */
   bool clock_known;
   uint64_t hold_op; /**< id of the hold under way, a long poll that extends the lease; 0 for none */
-  int64_t hold_sent_us;      /**< when the hold was sent */
-  uint64_t poll_op;          /**< id of the poll under way, a hold that does not wait; 0 for none */
-  int64_t poll_sent_us;      /**< when the poll was sent */
-  bool poll_again;           /**< another poll is wanted after the one under way */
-  int64_t last_answer_us;    /**< when the latest answer was received */
-  int64_t lease_extended_us; /**< when the latest call was sent that may have extended the lease */
-  uint32_t unanswered_calls; /**< calls without an answer since the latest answer */
-  bool connection_refused;   /**< since the latest answer: its process is gone */
+  int64_t hold_sent_us;       /**< when the hold was sent */
+  int64_t hold_last_end_seen; /**< `last_end_number` that the hold named */
+  uint64_t poll_op;     /**< id of the poll under way, a hold that does not wait; 0 for none */
+  int64_t poll_sent_us; /**< when the poll was sent */
+  int64_t poll_last_end_seen; /**< `last_end_number` that the poll named */
+  bool poll_again;            /**< another poll is wanted after the one under way */
+  int64_t last_answer_us;     /**< when the latest answer was received */
+  int64_t lease_extended_us;  /**< when the latest call was sent that may have extended the lease */
+  uint32_t unanswered_calls;  /**< calls without an answer since the latest answer */
+  bool connection_refused;    /**< a call sent since the latest answer: its process is gone */
   dks_timer_t hold_timer;
   dks_timer_t expiry_timer; /**< armed while the target does not answer or is not listed */
   struct dks_leased_run_ring_t runs;
@@ -243,7 +246,6 @@
   dks_leased_t *leased;
   char origin[DKS_NAME_SIZE]; /**< member id of the sender: an entry instance or a home leader */
   uint64_t request_id;        /**< id of the request at the sender */
-  uint64_t lend_id;           /**< request id in the messages that lend tasks of this job */
   bool is_lent;               /**< tasks that another leader lent: placed at once or refused */
   dks_batch_t *batch;
   int64_t arrival_us;       /**< when the caller's request reached its entry instance */
@@ -265,6 +267,7 @@
   uint32_t task_count;
   uint32_t waiting_count;
   uint32_t done_count;
+  uint64_t step_lend_id[DKS_BATCH_STEPS_MAX];    /**< request id in messages that lend its tasks */
   uint32_t step_unfinished[DKS_BATCH_STEPS_MAX]; /**< tasks that have not ended */
   int64_t step_tail_us[DKS_BATCH_STEPS_MAX];     /**< expected time of the steps that follow */
 
@@ -577,9 +580,14 @@
 int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
 /** Keeps a hold open while the target has runs, or sends a short one until its lists were read. */
 void dks_leased_target_hold (dks_leased_target_t *target);
-void dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t clock_ms);
+/** Handles an answer to a call that was sent at `sent_us`; `clock_ms` is 0 when it tells no clock.
+ */
+void
+dks_leased_target_handle_answer (dks_leased_target_t *target, int64_t sent_us, int64_t clock_ms);
 /** Handles a call without an answer. The target's runs end at the latest when its lease does. */
 void dks_leased_target_handle_no_answer (dks_leased_target_t *target);
+/** Handles a call, sent at `sent_us`, whose connection the target's address has refused. */
+void dks_leased_target_handle_refused (dks_leased_target_t *target, int64_t sent_us);
 /** Ends all runs, since another target answers at the address and none of the runs are left. */
 void dks_leased_target_handle_replaced (dks_leased_target_t *target);
 
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -15,6 +15,7 @@
 constexpr int64_t peer_delay_us = 1 * ms;       // one way between two instances
 constexpr int64_t event_lag_max_us = 2000 * ms; // longest wait of an event at a slow instance
 constexpr int64_t reconnect_min_us = 100 * ms;  // from the end of a connection to the next one
+constexpr int64_t process_start_us = 5 * ms;    // from the start of a target to its first answer
 constexpr int64_t lease_max_us = 1000 * ms;     // longest lease that the platform allows
 
 static void
@@ -782,6 +783,13 @@
     }
 }
 
+// Deadline of the call, which is on the target's clock.
+static int64_t
+deadline_us (const Target &target, const dks_effect_t &effect)
+{
+  return 1000 * effect.u.lease.deadline_ms + target.clock_start_us;
+}
+
 dks_lease_status_t
 World::start_run (Target &target, const dks_effect_t &effect, size_t starter)
 {
@@ -795,7 +803,7 @@
       if (other.task == task && other.run_number == run)
         return DKS_LEASE_OK;
     }
-  if (1000 * effect.u.lease.deadline_ms <= now_us)
+  if (deadline_us (target, effect) <= now_us)
     return DKS_LEASE_LATE;
   if (target.highest_ended_run.count (task) > 0 && run <= target.highest_ended_run[task])
     return DKS_LEASE_OLD_RUN;
@@ -805,8 +813,8 @@
       target.rejected_starts++;
       return DKS_LEASE_NO_CAPACITY;
     }
-  target.lease_end_us = std::max (
-      target.lease_end_us, std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_max_us));
+  target.lease_end_us = std::max (target.lease_end_us,
+                                  std::min (deadline_us (target, effect), now_us + lease_max_us));
   target.starts++;
   target.runs.push_back ({ task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us,
                            false, instances[starter]->id });
@@ -868,9 +876,10 @@
 
   if (target.silent)
     return;
-  if (target.refuses_until_us > now_us)
+  if (target.refuses_until_us > now_us || target.refused_calls > 0)
     {
-      send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_REFUSED, nullptr, nullptr);
+      target.refused_calls -= target.refused_calls > 0;
+      send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_REFUSED, nullptr, &call);
       return;
     }
   if (target.crash_at_start_us > 0 && effect.type == DKS_EFFECT_LEASE_START)
@@ -903,9 +912,8 @@
             }
         }
       else if (effect.u.lease.deadline_ms > 0)
-        target.lease_end_us =
-            std::max (target.lease_end_us,
-                      std::min (1000 * effect.u.lease.deadline_ms, now_us + lease_max_us));
+        target.lease_end_us = std::max (
+            target.lease_end_us, std::min (deadline_us (target, effect), now_us + lease_max_us));
     }
   if (effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK && effect.u.lease.wait_ms > 0)
     {
@@ -926,6 +934,7 @@
 
   target.waiting_holds.clear ();
   target.refuses_until_us = now_us + down_us;
+  target.clock_start_us = now_us + down_us - process_start_us;
   target.info.incarnation_ms++;
   target.runs.clear ();
   target.ended.clear ();
@@ -950,7 +959,7 @@
   auto lists = std::make_shared<Lists> ();
   bool with_lists =
       call != nullptr && call->effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK;
-  int64_t clock_ms = now_us / 1000;
+  int64_t clock_ms = target != nullptr ? (now_us - target->clock_start_us) / 1000 : 0;
   dks_reducer_t *reducer = instances[index]->reducer;
 
   if (target != nullptr && (target->silent || target_cuts.count ({ index, target }) > 0))
@@ -984,7 +993,10 @@
         }
     }
   int64_t born_ms = target != nullptr ? target->info.incarnation_ms : 0;
-  deliver (now_us + (target != nullptr ? call_delay_us : 0), index, [=, this] {
+  int64_t delay_us = target != nullptr ? call_delay_us : 0;
+  if (call != nullptr && reply_delay_us)
+    delay_us += reply_delay_us (call->effect, status);
+  deliver (now_us + delay_us, index, [=, this] {
     dks_event_t event = {};
     dks_run_lists_t view = {};
 
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -63,14 +63,16 @@
   // The next start is not carried out but makes the target crash, for this long; 0: it does not.
   int64_t crash_at_start_us = 0;
   int64_t refuses_until_us = 0; // its process is gone until then, and connections are refused
-  bool stalled = false;         // its runs make no progress and never end
-  bool runs_fail = false;       // its runs end as DKS_RUN_FAILED
+  int refused_calls = 0;  // next calls that are refused, as those just before its process is back
+  bool stalled = false;   // its runs make no progress and never end
+  bool runs_fail = false; // its runs end as DKS_RUN_FAILED
   // The next `delayed_starts` starts are carried out `start_delay_us` after they were sent, and get
   // no answer.
   int delayed_starts = 0;
   int64_t start_delay_us = 0;
   int64_t starts_late_until_us = 0; // starts that are sent before are delayed in the same way
   int64_t highest_fence = 0;        // fencing token of the latest call; lower ones are rejected
+  int64_t clock_start_us = 0;       // its clock read 0 then; a new process begins at 0 again
   int64_t lease_end_us = 0;         // runs that have not ended by then end as DKS_RUN_LEASE_EXPIRED
   int64_t next_end_number = 1;
   int64_t stop_duration_us = 20 * ms; // from the arrival of a stop to the end of the run
@@ -195,6 +197,9 @@
   std::map<std::pair<size_t, size_t>, int64_t> link_delay_us;
   // Instances and targets between which calls and answers are lost.
   std::set<std::pair<size_t, const Target *>> target_cuts;
+  // Delay of the reply to a call to a target, beyond the usual one: replies on different
+  // connections may overtake each other.
+  std::function<int64_t (const dks_effect_t &call, dks_lease_status_t status)> reply_delay_us;
   std::map<dks_msg_type_t, uint64_t> sent_msgs;
   size_t count_statuses_of = SIZE_MAX; // instance whose statuses are counted
   uint64_t statuses_to_other_data_centres = 0;
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::count_logged;
 using leased::got_answer;
 using leased::ms;
 using leased::World;
@@ -214,6 +215,162 @@
   EXPECT_EQ (crashed, 4);
 }
 
+// Guards against a refused call that is older than an answer of the target's new process being
+// taken for a crash of that process, once two later calls get no answer for another reason. Soak,
+// seeds 217 and 219.
+TEST (LeasedCrashes, RefusalOlderThanAnAnswerIsNoCrash)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+
+  uint64_t caller = world.submit (0, job, { { 2, 6800, 3000, 3000 } }, 12000);
+  world.run_for (100 * ms);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        world.crash (*target, 20000 * ms);
+      else
+        target->refused_calls = 1;
+    }
+  world.reply_delay_us = [] (const dks_effect_t &, dks_lease_status_t status) {
+    return status == DKS_LEASE_REFUSED ? 5 * ms : 0;
+  };
+  leased::Target *accepted = nullptr;
+  for (int i = 0; i < 3000 && accepted == nullptr; i++)
+    {
+      world.run_for (ms);
+      for (auto &target : world.targets)
+        accepted = target->runs.empty () ? accepted : target.get ();
+    }
+  ASSERT_NE (accepted, nullptr);
+  ASSERT_EQ (accepted->refused_calls, 0);
+  for (auto &target : world.targets)
+    target->refused_calls = 0;
+  world.run_for (20 * ms);
+  ASSERT_EQ (count_logged (world, "event=target-crashed"), 2u);
+  accepted->silent = true;
+  world.run_for (800 * ms);
+  accepted->silent = false;
+  ASSERT_EQ (count_logged (world, "event=target-silent"), 2u);
+  world.run_for (6000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-crashed"), 2u);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against a list of a target's earlier process that arrives after one of its new process:
+// the earlier run seems to be back, and the next list seems to show a second crash under the task.
+TEST (LeasedCrashes, ListOfAnEarlierProcessIsIgnored)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+  bool polled = false;
+
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (polled || call.type != DKS_EFFECT_LEASE_HOLD || call.u.lease.wait_ms > 0)
+      return int64_t (0);
+    polled = true;
+    return 150 * ms;
+  };
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 600 && !polled; i++)
+    world.run_for (ms);
+  ASSERT_TRUE (polled);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        world.crash (*target, 0);
+    }
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-crashed"), 1u);
+  EXPECT_EQ (count_logged (world, "event=target-restarted"), 1u);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against a list that was written before the end of a run and arrives after the one that
+// showed it: the run seems to be back, and a crash of its target seems to be one under its task.
+TEST (LeasedCrashes, RunThatHasEndedIsNotTakenBackFromAnOlderList)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+  leased::Target *first = nullptr;
+  bool polled = false;
+
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (polled || call.type != DKS_EFFECT_LEASE_HOLD || call.u.lease.wait_ms > 0)
+      return int64_t (0);
+    polled = true;
+    return 100 * ms;
+  };
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 600, 600 } }, 12000);
+  for (int i = 0; i < 600 && !polled; i++)
+    world.run_for (ms);
+  ASSERT_TRUE (polled);
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        first = target.get ();
+    }
+  ASSERT_NE (first, nullptr);
+  // The hold under way shows that the run has failed, and the target crashes afterwards.
+  first->runs_fail = true;
+  first->runs[0].ends_us = world.now_us;
+  world.run_for (60 * ms);
+  ASSERT_TRUE (first->runs.empty ());
+  world.run_for (100 * ms);
+  world.crash (*first, 20000 * ms);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-crashed"), 0u);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against the clock of a target's earlier process being taken for that of its new process:
+// it puts deadlines far ahead, so that a start is carried out seconds late, after its task has
+// started elsewhere.
+TEST (LeasedCrashes, ClockOfAnEarlierProcessIsIgnored)
+{
+  World world;
+  add_data_centre (world, "a", 2, 3);
+  start (world);
+  world.deadly_tasks.clear ();
+  bool start_delayed = false;
+
+  world.submit (0, "0000000000000003", { { 1, 6800, 4000, 4000 } }, 12000);
+  world.run_for (100 * ms);
+  world.reply_delay_us = [&] (const dks_effect_t &call, dks_lease_status_t) {
+    if (start_delayed || call.type != DKS_EFFECT_LEASE_START)
+      return int64_t (0);
+    start_delayed = true;
+    return 30 * ms;
+  };
+  world.submit (0, "0000000000000002", { { 1, 6800, 4000, 4000 } }, 12000);
+  for (int i = 0; i < 100 && !start_delayed; i++)
+    world.run_for (ms);
+  leased::Target &target = *world.targets[0];
+  ASSERT_EQ (target.runs.size (), 2u);
+  world.crash (target, 0);
+  world.run_for (32 * ms);
+  ASSERT_EQ (count_logged (world, "event=target-restarted"), 1u);
+  target.delayed_starts = 1;
+  target.start_delay_us = 2500 * ms;
+  world.submit (0, job, { { 1, 6800, 4000, 4000 } }, 12000);
+  world.run_for (5 * ms);
+  ASSERT_EQ (target.delayed_starts, 0);
+  target.silent = true;
+  world.run_for (2400 * ms);
+  target.silent = false;
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against work that is given up although its targets were only silent.
 TEST (LeasedCrashes, TaskOnTargetsThatWereOnlySilentIsNotGivenUp)
 {
