--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -396,17 +396,24 @@
 dks_catalog_t *
 World::create_catalog () const
 {
-  dks_catalog_t *catalog = dks_catalog_create (1, 1);
+  dks_catalog_t *catalog = dks_catalog_create (1 + further_queues.size (), 1);
 
   catalog->version = catalog_version;
-  set_text (catalog->queues[0].name, DKS_NAME_SIZE, "queue");
-  set_text (catalog->queues[0].host, DKS_HOST_SIZE, "host");
-  set_text (catalog->queues[0].prefix, DKS_PREFIX_SIZE, "/q/");
-  set_text (catalog->queues[0].service, DKS_NAME_SIZE, "words");
-  catalog->queues[0].max_attempts = 3;
-  catalog->queues[0].timeout_ms = queue_timeout_ms;
-  catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
-  catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
+  for (size_t i = 0; i <= further_queues.size (); i++)
+    {
+      dks_queue_entry_t &entry = catalog->queues[i];
+
+      set_text (entry.name, DKS_NAME_SIZE, i == 0 ? "queue" : further_queues[i - 1].first);
+      set_text (entry.host, DKS_HOST_SIZE, "host");
+      set_text (entry.prefix, DKS_PREFIX_SIZE,
+                i == 0 ? "/q/" : "/" + further_queues[i - 1].first + "/");
+      set_text (entry.service, DKS_NAME_SIZE, "words");
+      entry.priority = i == 0 ? 0 : further_queues[i - 1].second;
+      entry.max_attempts = 3;
+      entry.timeout_ms = queue_timeout_ms;
+      entry.objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
+      entry.objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
+    }
   set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
   return catalog;
 }
@@ -782,11 +789,11 @@
 
 uint64_t
 World::submit (size_t index, const std::string &id, const std::vector<Step> &steps,
-               int64_t budget_ms)
+               int64_t budget_ms, const std::string &queue_prefix)
 {
   dks_batch_t *batch = dks_batch_create (static_cast<uint32_t> (steps.size ()));
   dks_event_t event = {};
-  std::string path = "/q/" + id;
+  std::string path = "/" + queue_prefix + "/" + id;
   uint64_t caller = next_caller++;
 
   batch->spec = dks_blob_create ("spec", 4);
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -147,7 +147,7 @@
   // Submits a job whose caller waits `budget_ms` (0: the caller states no time); returns the number
   // of the caller.
   uint64_t submit (size_t instance, const std::string &id, const std::vector<Step> &steps,
-                   int64_t budget_ms = 1500);
+                   int64_t budget_ms = 1500, const std::string &queue_prefix = "q");
   // Closes the connection of a caller.
   void leave (size_t instance, uint64_t caller);
   bool
@@ -191,8 +191,10 @@
   std::map<std::string, int> deadly_tasks;
   int double_runs = 0;                // starts of a task that already had a run on some target
   dks_msg_t *last_lend_msg = nullptr; // latest message by which one leader lends tasks to another
-  // Settings of the only queue. The objective of a job is `objective_extra_ms` plus its declared
-  // run time times `objective_factor_milli` / 1000.
+  // Further queues, each below the prefix "/NAME/", with their priorities; 0 is served first.
+  std::vector<std::pair<std::string, uint32_t>> further_queues;
+  // Settings of all queues; the first has the prefix "/q/" and priority 0. The objective of a job
+  // is `objective_extra_ms` plus its declared run time times `objective_factor_milli` / 1000.
   int objective_extra_ms = 60;
   int objective_factor_milli = 1600;
   uint32_t queue_timeout_ms = 0;                   // 0: none
