leased_admission: admission by measured starts in overload

Cause: a job was admitted when its wait, from expected run times, was below a quarter of its caller's time. In overload that is longer than its objective, so the queue filled with jobs that were then served late, or refused after up to 752 ms. Nothing took into account that jobs of a higher priority arrive meanwhile.

A job of which nothing has started is refused when it can no longer end within its objective. Retry-After is spread over the time for which the overload has lasted. The log line event=estimate says by which estimate a job was refused. In a burst that passes all is as before.

Not run: cost of a decision on a slow leader, sites other than three, a crowd with other trouble beside it.

--- a/core/leased_admission.c
+++ b/core/leased_admission.c
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 enum
@@ -11,16 +12,31 @@
   WAIT_BUDGET_DIVISOR = 4,
   RETRY_AFTER_MIN_MS = 1000, /* the Retry-After header has whole seconds */
   RETRY_AFTER_MAX_MS = 30000,
-  /* Refused callers are spread over the time after which they may return, divided by this. */
+  /* Refused callers are spread over the time after which they may return, divided by this, or over
+   * the time for which the overload has lasted: as many of them have been refused since. */
   RETRY_SPREAD_DIVISOR = 2,
 };
 
+/* Factor on the measured time in which the tasks ahead start: requests of a higher priority and run
+ * times that are declared wrong make it longer, and a short queue keeps the targets as busy as a
+ * long one. */
+#define WAIT_MARGIN 2
+/* Part of the expected run time of the job's tasks that is kept for targets of less than average
+ * speed. */
+#define SLOW_TARGET_MARGIN 0.2
+
 static int64_t
 min_i64 (int64_t a, int64_t b)
 {
   return a < b ? a : b;
 }
 
+static int64_t
+max_i64 (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
 /* Whether A is served before B. Jobs that miss their objective come after those that can reach
  * theirs: else each of them would make the next job miss its objective as well. */
 static bool
@@ -114,6 +130,38 @@
   return work_time_us (leased, run_us * (waiting_tasks - free_tasks) / waiting_tasks);
 }
 
+static uint32_t
+count_tasks_ahead (const dks_leased_job_t *job)
+{
+  const dks_leased_job_t *other;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (other, &job->leased->jobs, dks_leased_job_t, link)
+    {
+      if (other != job && comes_before (other, job))
+        count += other->waiting_count;
+    }
+  return count;
+}
+
+/* Whether targets have room for all of the job's tasks now, or for some while no task waits ahead
+ * of it. Tasks ahead that fit there have been placed before. */
+static bool
+has_room (const dks_leased_job_t *job, uint32_t tasks_ahead)
+{
+  uint32_t room = dks_leased_targets_free_for (job->leased, job) + remote_free_tasks (job->leased);
+
+  return room >= job->waiting_count || (room > 0 && tasks_ahead == 0);
+}
+
+/* Time until the last of the job's tasks has started, by the measured rate of starts. */
+static int64_t
+measured_wait_us (const dks_leased_job_t *job, uint32_t tasks_ahead)
+{
+  return (int64_t)((WAIT_MARGIN * tasks_ahead + job->waiting_count) / dks_leased_drain_rate (job)
+                   + SLOW_TARGET_MARGIN * job->expected_run_us);
+}
+
 bool
 dks_leased_admission_wait_is_too_long (const dks_leased_job_t *job)
 {
@@ -123,12 +171,47 @@
   /* A leader whose term has just begun does not know the free capacity of its targets yet. */
   if (!dks_leased_targets_are_synced (leased))
     return false;
+  if (dks_leased_drain_is_overloaded (leased))
+    {
+      uint32_t tasks_ahead = count_tasks_ahead (job);
+
+      return !has_room (job, tasks_ahead)
+             && dks_leased_now_us (leased) + measured_wait_us (job, tasks_ahead)
+                    > job->latest_start_us;
+    }
   start_us = dks_leased_now_us (leased) + expected_wait_us (job, job->objective_missed);
   if (start_us > job->latest_start_us && !job->objective_missed)
     start_us = dks_leased_now_us (leased) + expected_wait_us (job, true);
   return start_us > job->refuse_at_us;
 }
 
+void
+dks_leased_admission_log_estimate (const dks_leased_job_t *job)
+{
+  const dks_leased_t *leased = job->leased;
+  uint32_t tasks_ahead = count_tasks_ahead (job);
+  bool overloaded = dks_leased_drain_is_overloaded (leased);
+
+  dks_emit_log (
+      leased->r, DKS_LOG_INFO,
+      "event=estimate job=%s by=%s ahead=%u starts_per_s=%.0f wait_ms=%" PRId64 " left_ms=%" PRId64
+      " room=%u remote_room=%u",
+      job->batch->id, overloaded ? "measured-starts" : "expected-run-times", tasks_ahead,
+      1e6 * dks_leased_drain_rate (job),
+      (overloaded ? measured_wait_us (job, tasks_ahead)
+                  : expected_wait_us (job, job->objective_missed))
+          / 1000,
+      ((overloaded ? job->latest_start_us : job->refuse_at_us) - dks_leased_now_us (leased)) / 1000,
+      dks_leased_targets_free_for (leased, job), remote_free_tasks (leased));
+}
+
+bool
+dks_leased_admission_is_hopeless (const dks_leased_job_t *job)
+{
+  return !job->started && !job->is_lent && job->objective_missed
+         && dks_leased_drain_is_overloaded (job->leased);
+}
+
 uint32_t
 dks_leased_admission_retry_after_ms (const dks_leased_job_t *job)
 {
@@ -136,13 +219,14 @@
   const dks_leased_job_t *other;
   double run_us = 0;
   int64_t wait_ms;
+  int64_t spread_ms;
 
   APR_RING_FOREACH (other, &leased->jobs, dks_leased_job_t, link)
     run_us += other->waiting_count * other->expected_run_us;
   wait_ms = min_i64 (work_time_us (leased, run_us) / 1000, RETRY_AFTER_MAX_MS);
   if (wait_ms < RETRY_AFTER_MIN_MS)
     wait_ms = RETRY_AFTER_MIN_MS;
-  return (uint32_t)wait_ms
-         + (uint32_t)(dks_hash_text (job->batch->id, 0)
-                      % (uint64_t)(wait_ms / RETRY_SPREAD_DIVISOR));
+  spread_ms = max_i64 (wait_ms / RETRY_SPREAD_DIVISOR,
+                       min_i64 (dks_leased_drain_overload_us (leased) / 1000, RETRY_AFTER_MAX_MS));
+  return (uint32_t)wait_ms + (uint32_t)(dks_hash_text (job->batch->id, 0) % (uint64_t)spread_ms);
 }
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -201,6 +201,15 @@
               dks_leased_admission_retry_after_ms (job), detail);
 }
 
+/* Refuses a job for which no capacity is expected to become free in time. */
+static void
+job_refuse_by_estimate (dks_leased_job_t *job, const char *detail)
+{
+  dks_leased_drain_record_refusal (job->leased);
+  dks_leased_admission_log_estimate (job);
+  job_refuse (job, detail);
+}
+
 void
 dks_leased_jobs_give_up (dks_leased_job_t *job, uint32_t task_index)
 {
@@ -236,7 +245,7 @@
   if (job->is_lent)
     job_stop (job);
   else if (!job->started && time_us >= job->refuse_at_us)
-    job_refuse (job, "no room in time");
+    job_refuse_by_estimate (job, "no room in time");
   else if (job->started && time_us >= job->deadline_us)
     job_answer (job, DKS_BATCH_LOST, 0, "the caller's time is over");
   else
@@ -245,6 +254,7 @@
       APR_RING_REMOVE (job, link);
       dks_leased_admission_insert (job);
       job_arm_timer (job);
+      job->leased->placement_due = true;
     }
 }
 
@@ -364,8 +374,11 @@
   job->waiting_count--;
   job->leased->waiting_tasks--;
   job->last_start_us = dks_leased_now_us (job->leased);
+  if (state != DKS_LEASED_TASK_DONE)
+    dks_leased_drain_record_start (job->leased);
   if (job->started)
     return;
+  dks_leased_drain_record_first_start (job);
   if (!job->is_lent)
     dks_metrics_observe (job->leased->metrics, DKS_HISTOGRAM_QUEUE_WAIT, job->batch->queue,
                          dks_leased_now_us (job->leased) - job->arrival_us);
@@ -492,6 +505,20 @@
     dks_leased_lend_waiting (job, false);
 }
 
+/* Refuses the jobs that found no room and would only end late, before they cost anything. */
+static void
+refuse_hopeless (dks_leased_t *leased)
+{
+  dks_leased_job_t *job;
+  dks_leased_job_t *next;
+
+  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
+    {
+      if (dks_leased_admission_is_hopeless (job))
+        job_refuse_by_estimate (job, "the objective cannot be met any more");
+    }
+}
+
 void
 dks_leased_jobs_place_waiting (dks_leased_t *leased)
 {
@@ -516,6 +543,7 @@
       if (job->is_lent && job->done_count == job->task_count)
         job_free (job);
     }
+  refuse_hopeless (leased);
 }
 
 /* Admission */
@@ -630,9 +658,10 @@
   else if (has_unplaceable_step (job))
     job_refuse (job, "no target can run it");
   else if (!job->resent && dks_leased_admission_wait_is_too_long (job))
-    job_refuse (job, "the wait would be too long");
+    job_refuse_by_estimate (job, "the wait would be too long");
   else
     {
+      dks_leased_drain_record_admission (job);
       job_arm_timer (job);
       leased->placement_due = true;
     }
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -246,6 +246,24 @@
   return count_free_tasks (leased, HUGE_VAL);
 }
 
+uint32_t
+dks_leased_targets_free_for (const dks_leased_t *leased, const dks_leased_job_t *job)
+{
+  const dks_leased_target_t *target;
+  const dks_batch_step_t *step = &job->batch->steps[0];
+  uint32_t count = 0;
+
+  if (step->cpu_milli == 0)
+    return dks_leased_targets_free_tasks (leased);
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      if (is_usable (target) && target->info.cpu_milli > target->cpu_used
+          && fits_when_idle (target, job->batch, step))
+        count += (target->info.cpu_milli - target->cpu_used) / step->cpu_milli;
+    }
+  return count;
+}
+
 uint32_t
 dks_leased_targets_free_fast_tasks (const dks_leased_t *leased, double *slowness)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -335,6 +335,29 @@
   char asked_peer[DKS_NAME_SIZE];
 } dks_leased_fetch_t;
 
+enum
+{
+  DKS_LEASED_LEVELS = 8 /**< priorities that are told apart; those below count as the last one */
+};
+
+/** Rate at which tasks of one priority have been admitted, tasks/us at `updated_us`. */
+typedef struct
+{
+  double rate;
+  int64_t updated_us;
+} dks_leased_inflow_t;
+
+/** How fast this leader's queue drains, as measured. */
+typedef struct
+{
+  int64_t queue_since_us; /**< since when jobs have had to wait without a pause */
+  int64_t last_wait_us;   /**< when a job was last started or refused that had to wait, 0: never */
+  dks_leased_inflow_t inflow[DKS_LEASED_LEVELS];
+  int64_t window_start_us;
+  uint32_t window_starts; /**< tasks started since `window_start_us` */
+  double start_rate;      /**< tasks/us while jobs wait, moving average; 0: not known */
+} dks_leased_drain_t;
+
 struct dks_leased_t
 {
   dks_reducer_t *r;
@@ -405,6 +428,8 @@
   struct dks_leased_queue_ring_t queues;
   uint32_t queue_count;
 
+  dks_leased_drain_t drain; /* leased_drain.c */
+
   /* leased_jobs.c */
   struct dks_leased_job_ring_t jobs; /**< in the order of service */
   uint32_t job_count;
@@ -605,6 +630,8 @@
                                       const dks_batch_step_t *step);
 /** Free capacity on usable targets, in tasks of mean size. */
 uint32_t dks_leased_targets_free_tasks (const dks_leased_t *leased);
+/** Free capacity on usable targets that may run the job, in tasks of its first step. */
+uint32_t dks_leased_targets_free_for (const dks_leased_t *leased, const dks_leased_job_t *job);
 /** Free capacity on about the fastest targets that have any, in tasks of mean size; sets `slowness`
  * to that of the fastest, HUGE_VAL: none. */
 uint32_t dks_leased_targets_free_fast_tasks (const dks_leased_t *leased, double *slowness);
@@ -700,12 +727,33 @@
  * limits how long this system may hold a job. `queue` may be NULL. */
 int64_t dks_leased_admission_wait_us (const dks_queue_entry_t *queue, int64_t budget_us,
                                       int64_t critical_path_us);
-/** Whether the tasks ahead of the job keep it from starting before `refuse_at_us`. */
+/** Whether the tasks ahead of the job keep it from starting before `refuse_at_us`; in overload,
+ * from ending within its objective. */
 bool dks_leased_admission_wait_is_too_long (const dks_leased_job_t *job);
-/** Expected time until the waiting tasks have been placed, plus up to half of it, by which callers
- * that are refused together are spread: else they would all return at once. */
+/** Logs the estimate by which the job is refused. */
+void dks_leased_admission_log_estimate (const dks_leased_job_t *job);
+/** Whether the job waits in overload and can no longer end within its objective. */
+bool dks_leased_admission_is_hopeless (const dks_leased_job_t *job);
+/** Expected time until the waiting tasks have been placed, plus up to half of it or up to the time
+ * for which the overload has lasted, by which refused callers are spread: else they would all
+ * return at once. */
 uint32_t dks_leased_admission_retry_after_ms (const dks_leased_job_t *job);
 
+/* leased_drain.c */
+/** Records that a task of some job was started or lent. */
+void dks_leased_drain_record_start (dks_leased_t *leased);
+/** Records that the first task of the job was started or lent. */
+void dks_leased_drain_record_first_start (const dks_leased_job_t *job);
+void dks_leased_drain_record_admission (const dks_leased_job_t *job);
+/** Records that the job was refused since it would have had to wait for too long. */
+void dks_leased_drain_record_refusal (dks_leased_t *leased);
+/** For how long jobs have had to wait, when that is longer than a burst that passes; else 0. */
+int64_t dks_leased_drain_overload_us (const dks_leased_t *leased);
+/** Whether jobs have had to wait for longer than in a burst that passes. */
+bool dks_leased_drain_is_overloaded (const dks_leased_t *leased);
+/** Tasks/us that start, less those of a higher priority that arrive meanwhile. */
+double dks_leased_drain_rate (const dks_leased_job_t *job);
+
 /* leased_estimate.c */
 void dks_leased_estimate_init (dks_leased_t *leased);
 void dks_leased_estimate_clear (dks_leased_t *leased);
--- a/tests/test_leased_overload.cc
+++ b/tests/test_leased_overload.cc
@@ -384,3 +384,24 @@
       EXPECT_GE (play (site_mix, factor).after_in_aim, 0.95) << factor;
     }
 }
+
+// Guards against a refusal whose estimate cannot be found in the log: `damaskshore explain` prints
+// the lines that name the job.
+TEST (LeasedOverload, RefusalNamesItsEstimate)
+{
+  World world;
+
+  world.add_instance ("a");
+  world.add_target ("a");
+  world.start_all ();
+  world.run_for (2000 * ms);
+  world.submit (0, "0000000000000001", { { 2, 6800, 900, 900 } });
+  world.submit (0, "0000000000000002", { { 2, 6800, 900, 900 } });
+  world.run_for (5 * ms);
+  uint64_t caller = world.submit (0, "0000000000000003", { { 2, 6800, 900, 900 } });
+  world.run_for (5 * ms);
+  EXPECT_TRUE (leased::got_answer (world, caller, DKS_BATCH_REFUSED));
+  EXPECT_EQ (leased::count_logged (world, "event=estimate job=0000000000000003 "
+                                          "by=expected-run-times"),
+             1U);
+}
