leased_metrics: gauges of the places where tasks wait

Requests without a leader, lent tasks that wait here, tasks lent away, runs whose start has no answer yet, and the age of an overload. Unsent bytes have no gauge yet: the HTTP server that writes the metrics does not know the connections between instances.

--- a/core/leased_metrics.c
+++ b/core/leased_metrics.c
@@ -32,6 +32,40 @@
     }
 }
 
+/* Tasks by the place where they wait. */
+typedef struct
+{
+  uint32_t at_entry;     /* jobs for which no leader is known */
+  uint32_t lent_to_here; /* for the run lists of targets, or for room */
+  uint32_t lent_away;
+  uint32_t starting; /* their targets have not answered the start yet */
+} waiting_t;
+
+static waiting_t
+count_waiting (const dks_leased_t *leased)
+{
+  const dks_leased_request_t *request;
+  const dks_leased_job_t *job;
+  const dks_leased_target_t *target;
+  const dks_leased_run_t *run;
+  waiting_t waiting = { 0 };
+
+  APR_RING_FOREACH (request, &leased->requests, dks_leased_request_t, link)
+    waiting.at_entry += request->send_count == 0;
+  APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
+    {
+      waiting.lent_to_here += job->is_lent ? job->waiting_count : 0;
+      for (uint32_t i = 0; i < job->task_count; i++)
+        waiting.lent_away += job->tasks[i].state == DKS_LEASED_TASK_LENT;
+    }
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
+        waiting.starting += run->state == DKS_LEASED_RUN_STARTING;
+    }
+  return waiting;
+}
+
 static void
 write_gauges (FILE *stream, const dks_leased_t *leased)
 {
@@ -40,6 +74,7 @@
   uint32_t ejected = 0;
 
   count_targets (leased, &held, &runs, &ejected);
+  const waiting_t waiting = count_waiting (leased);
   const gauge_t gauges[] = {
     { "leading", "Whether this instance leads its data centre.", leased->term > 0 },
     { "peers_alive", "Other instances that were heard of lately.",
@@ -53,6 +88,14 @@
     { "requests", "Jobs that callers of this instance wait for.", leased->request_count },
     { "jobs", "Jobs and lent tasks that this instance places.", leased->job_count },
     { "waiting_tasks", "Tasks that found no room yet.", leased->waiting_tasks },
+    { "requests_without_leader", "Jobs at this entry instance that no leader has yet.",
+      waiting.at_entry },
+    { "lent_tasks_waiting", "Tasks lent to this leader that have not started.",
+      waiting.lent_to_here },
+    { "tasks_lent_away", "Tasks that leaders of other data centres have.", waiting.lent_away },
+    { "runs_starting", "Runs whose target has not answered the start.", waiting.starting },
+    { "overload_seconds", "Time for which jobs have had to wait in overload, 0: no overload.",
+      (double)dks_leased_drain_overload_us (leased) / 1e6 },
     { "targets_held", "Targets that this instance orders.", held },
     { "targets_ejected", "Held targets that get no work for a while.", ejected },
     { "runs", "Runs on held targets.", runs },
