core: a job sent to an earlier term of its leader is not taken for new

Cause: callers saw one task run twice at the same time. A job that reached a leader after it had stopped leading and begun again was placed at once, while another leader, in between, had got it from the same entry instance and started it. Change: the message names the term of the leader for which it is; a job for an earlier term counts as sent before.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -155,6 +155,7 @@
   msg->u.work.objective_us = request->objective_us;
   msg->u.work.budget_us = request->budget_us;
   msg->u.work.resent = request->send_count > 0;
+  msg->u.work.remote_term = dks_leased_leader_term (leased);
   dks_strcpy (request->leader, sizeof (request->leader), leader);
   request->leader_term = dks_leased_leader_term (leased);
   request->send_count++;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -250,6 +250,15 @@
          + critical_path_us * queue->objective_factor_milli / 1000;
 }
 
+/* Whether a whole job was sent to an earlier term of this leader. Its sender may have sent it to
+ * another leader meanwhile. */
+static bool
+is_for_earlier_term (const dks_leased_t *leased, const dks_msg_t *msg)
+{
+  return msg->u.work.lent_count == 0 && msg->u.work.remote_term != 0
+         && msg->u.work.remote_term < leased->term;
+}
+
 static dks_leased_job_t *
 job_create (dks_leased_t *leased, const char *origin, const dks_msg_t *msg, int64_t lag_us)
 {
@@ -265,7 +274,7 @@
   job->batch = dks_batch_ref (batch);
   job->is_lent = lent;
   job->request_id = msg->u.work.request;
-  job->resent = msg->u.work.resent;
+  job->resent = msg->u.work.resent || is_for_earlier_term (leased, msg);
   dks_leased_prior_runs_init (job);
   job->started = job->resent;
   job->task_count = count;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -279,8 +279,7 @@
       uint32_t *lent_runs;  /**< run number of each lent task */
       int64_t sent_us;      /**< monotonic time of the sender */
       uint64_t home_term;   /**< lent tasks: term of the sender, 0: not stated */
-      uint64_t remote_term; /**< lent tasks: term of the receiver, as the sender knows it; 0: not
-                               stated */
+      uint64_t remote_term; /**< term of the receiver, as the sender knows it; 0: not stated */
     } work;
     struct
     {
