--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -604,6 +604,7 @@
   catalog->queues[0].objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
   catalog->queues[0].objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
   set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
+  catalog->services[0].rejects_excess_runs = rejects_excess_runs;
   return catalog;
 }
 
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -217,6 +217,7 @@
   int objective_extra_ms = 60;
   int objective_factor_milli = 1600;
   uint32_t queue_timeout_ms = 0;                   // 0: none
+  bool rejects_excess_runs = false;                // targets of the only service guard their size
   int64_t call_delay_us = 300;                     // one way to a target or the platform
   std::vector<std::string> log;                    // "INSTANCE TEXT" of each line
   std::vector<int64_t> log_times_us;               // of each line
--- /dev/null
+++ b/tests/test_leased_review.cc
@@ -0,0 +1,500 @@
+// Findings of the review of the incident TWICE, one test each.
+
+#include "leased_world.h"
+
+#include <cstdio>
+#include <ctime>
+#include <gtest/gtest.h>
+
+using leased::count_logged;
+using leased::got_answer;
+using leased::ms;
+using leased::World;
+
+namespace
+{
+
+const char *const job_id = "0000000000000002";
+
+void
+start_data_centres (World &world, const std::vector<std::pair<int, int>> &instances_and_targets)
+{
+  std::string name = "a";
+
+  for (auto [instances, targets] : instances_and_targets)
+    {
+      for (int i = 0; i < instances; i++)
+        world.add_instance (name);
+      for (int i = 0; i < targets; i++)
+        world.add_target (name);
+      name[0]++;
+    }
+  world.start_all ();
+  world.run_for (4000 * ms);
+}
+
+size_t
+count_runs (const World &world, const std::string &id, const std::string &data_centre)
+{
+  size_t count = 0;
+
+  for (auto &target : world.targets)
+    {
+      for (auto &run : target->runs)
+        count += target->info.data_centre == data_centre && run.task.find (id) == 0;
+    }
+  return count;
+}
+
+std::string
+reports (const World &world)
+{
+  std::string text;
+
+  for (auto &line : world.double_run_reports)
+    text += line + "\n";
+  for (auto &line : world.double_run_log)
+    text += line + "\n";
+  return text;
+}
+
+int64_t
+first_logged_us (const World &world, const std::string &text)
+{
+  for (size_t i = 0; i < world.log.size (); i++)
+    {
+      if (world.log[i].find (text) != std::string::npos)
+        return world.log_times_us[i];
+    }
+  return -1;
+}
+
+// The platform tells one instance of a target.
+void
+tell_target (World &world, size_t instance, const dks_target_info_t &info)
+{
+  dks_feed_item_t item = {};
+  dks_event_t event = {};
+
+  item.key = info.id;
+  item.target = &info;
+  event.type = DKS_EVENT_FEED;
+  event.u.feed.op = world.instances[instance]->feed_op[DKS_FEED_TARGETS];
+  event.u.feed.status = DKS_FEED_OK;
+  event.u.feed.revision = 100;
+  event.u.feed.count = 1;
+  event.u.feed.items = &item;
+  world.apply (instance, &event);
+}
+
+}
+
+// Guards against a second run of a task on a target that the successor has not been told of: it is
+// cut off from the platform's store, or its watch is late.
+TEST (LeasedReview, SuccessorThatDoesNotKnowATargetYetDoesNotStartItsTaskAgain)
+{
+  World world;
+  start_data_centres (world, { { 2, 1 } });
+  world.submit (0, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+  world.run_for (20 * ms);
+  size_t added = world.add_target ("a");
+  tell_target (world, 0, world.targets[added]->info);
+  world.run_for (20 * ms);
+  uint64_t caller = world.submit (1, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+  world.run_for (200 * ms);
+  ASSERT_EQ (world.targets[added]->runs.size (), 1U);
+  world.drain (0);
+  world.run_for (6000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a job that waits until its caller leaves for the answer of a data centre without
+// targets: no target there can confirm the term of its leader.
+TEST (LeasedReview, LeaderWithoutTargetsAnswersQuestions)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 0 } });
+  uint64_t caller = world.submit (1, job_id, { { 2, 6800, 200, 200 }, { 1, 6800, 200, 200, 1 } },
+                                  1500);
+  world.run_for (100 * ms);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// The same, where the targets of the data centre have all crashed.
+TEST (LeasedReview, LeaderWhoseTargetsAreAllDownAnswersQuestions)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 2 } });
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b")
+        world.crash (*target, 60000 * ms);
+    }
+  world.run_for (100 * ms);
+  uint64_t caller = world.submit (1, job_id, { { 2, 6800, 200, 200 }, { 1, 6800, 200, 200, 1 } },
+                                  1500);
+  world.run_for (100 * ms);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against an answer that waits for one silent target after the other: the leader calls the
+// first one that has not missed a call yet, 200 ms each, although other targets would answer.
+TEST (LeasedReview, SilentIdleTargetsDoNotHoldUpTheAnswerToAQuestion)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 8 } });
+  int silent = 0;
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b" && silent++ < 6)
+        target->silent = true;
+    }
+  world.run_for (100 * ms);
+  uint64_t caller = world.submit (1, job_id, { { 2, 6800, 200, 200 }, { 1, 6800, 200, 200, 1 } },
+                                  1500);
+  world.run_for (100 * ms);
+  int64_t drained_us = world.now_us;
+  world.drain (0);
+  world.run_for (3000 * ms);
+  int64_t asked_us = first_logged_us (world, "event=prior-runs-query");
+  int64_t known_us = first_logged_us (world, std::string ("event=no-prior-run job=") + job_id);
+  printf ("drained %.3f asked %.3f known %.3f s\n", drained_us / 1e6, asked_us / 1e6,
+          known_us / 1e6);
+  ASSERT_GT (known_us, 0);
+  EXPECT_LT (known_us - asked_us, 300 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against an orphaned run that outlives the resubmission of its job: a lease is that of a
+// target, and another run there that a job has claimed extends it.
+TEST (LeasedReview, OrphanBesideAClaimedRunEndsBeforeTheResubmission)
+{
+  for (int64_t down_ms = 100; down_ms <= 1000; down_ms += 50)
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 1, 1 }, { 1, 4 } });
+      world.submit (world.find ("a-1"), job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (20 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "a"), 1U);
+      for (auto &target : world.targets)
+        target->slowness = std::string (target->info.data_centre) == "c" ? 1.6 : 1;
+      world.set_cut_both_ways (world.find ("b-1"), world.find ("c-1"), true);
+      world.run_for (1000 * ms);
+      world.submit (world.find ("b-1"), "0000000000000001", { { 3, 6800, 3000, 3000 } }, 12000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "0000000000000001", "a"), 1U);
+      world.kill (world.find ("a-1"));
+      world.run_for (down_ms * ms);
+      world.restart (world.find ("a-1"));
+      world.run_for ((1300 - down_ms) * ms);
+      world.submit (world.find ("c-1"), job_id, { { 1, 6800, 3000, 3000 } }, 8000);
+      world.run_for (1000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "down for " << down_ms << " ms\n" << reports (world);
+    }
+}
+
+// Guards against a job that waits until its caller leaves after a short cut: the remote leader took
+// the home leader for lost and stopped the lent task, and the home leader heard of nothing.
+TEST (LeasedReview, LentTaskThatOnlyTheRemoteLeaderGaveUpIsKnownToTheHomeLeader)
+{
+  for (int64_t cut_ms = 500; cut_ms <= 800; cut_ms += 5)
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 1, 4 } });
+      world.run_for (cut_ms * 7 % 100 * ms); // another phase of the statuses
+      world.submit (0, "0000000000000001", { { 2, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      uint64_t caller = world.submit (0, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.set_cut (0, 1, true);
+      world.run_for (cut_ms * ms);
+      world.set_cut (0, 1, false);
+      world.run_for (6000 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << "cut for " << cut_ms
+                                                                     << " ms";
+      EXPECT_EQ (world.double_runs, 0);
+    }
+}
+
+// The same after a cut of both directions, of instances that look for silent ones at other times.
+TEST (LeasedReview, LentTaskThatOnlyTheRemoteLeaderGaveUpAfterACutOfBothDirections)
+{
+  for (int64_t cut_ms = 560; cut_ms <= 760; cut_ms += 2)
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 1, 4 } });
+      world.kill (1);
+      world.run_for (250 * ms + cut_ms * 7 % 100 * ms);
+      world.restart (1);
+      world.run_for (3000 * ms);
+      world.submit (0, "0000000000000001", { { 2, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      uint64_t caller = world.submit (0, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.set_cut_both_ways (0, 1, true);
+      world.run_for (cut_ms * ms);
+      world.set_cut_both_ways (0, 1, false);
+      world.run_for (6000 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << "cut for " << cut_ms
+                                                                     << " ms";
+      EXPECT_EQ (world.double_runs, 0);
+    }
+}
+
+// The same for a question of a successor, for which a run goes on.
+TEST (LeasedReview, QuestionThatOnlyTheRemoteLeaderForgotIsAskedAgain)
+{
+  for (int64_t cut_ms = 500; cut_ms <= 800; cut_ms += 10)
+    {
+      World world;
+      start_data_centres (world, { { 2, 2 }, { 1, 4 } });
+      world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      uint64_t caller = world.submit (1, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.set_cut (0, 2, true);
+      world.drain (0);
+      world.run_for (100 * ms);
+      world.set_cut (1, 2, true);
+      world.run_for (cut_ms * ms);
+      world.set_cut (1, 2, false);
+      world.set_cut (0, 2, false);
+      world.run_for (6000 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << "cut for " << cut_ms
+                                                                     << " ms";
+      EXPECT_EQ (world.double_runs, 0);
+    }
+}
+
+// Guards against a second run of a lent task whose home leader goes on, since neither its successor
+// nor its targets reach it; the successor cannot reach the remote leader, and waits for 2 s.
+TEST (LeasedReview, HomeLeaderThatIsCutOffFromItsDataCentreOnlyKeepsItsLentTask)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 4 } });
+  world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+  world.run_for (20 * ms);
+  world.submit (1, job_id, { { 1, 6800, 5000, 5000 } }, 20000);
+  world.run_for (100 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+  world.set_cut_both_ways (0, 1, true);
+  world.set_cut_both_ways (1, 2, true);
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "a")
+        world.target_cuts.insert ({ 0, target.get () });
+    }
+  world.run_for (5000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+}
+
+// Guards against refusals to callers of a data centre for the tasks in questions to its leader,
+// which need no capacity.
+TEST (LeasedReview, QuestionsDoNotCountAsWaitingTasks)
+{
+  bool with_handover = getenv ("CONTROL") == nullptr;
+  World world;
+  start_data_centres (world, { { 2, 8 }, { 1, 8 } });
+  int silent = 0;
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b" && silent++ < 2)
+        target->silent = true;
+    }
+  char id[32];
+  for (int i = 0; i < 30; i++)
+    {
+      snprintf (id, sizeof (id), "%016x", 0x100 + i);
+      world.submit (1, id, { { 8, 6800, 60, 60 } }, 1500);
+    }
+  world.run_for (10 * ms);
+  if (with_handover)
+    world.drain (0);
+  world.run_for (60 * ms);
+  uint64_t caller = world.submit (2, job_id, { { 2, 6800, 60, 60 } }, 1500);
+  world.run_for (3000 * ms);
+  ASSERT_TRUE (world.answered (caller));
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a second run of a job that is submitted through a second entry instance around a
+// hand-over, before the first one has sent it to the successor.
+TEST (LeasedReview, SecondSubmissionAroundAHandOverStartsNothingAgain)
+{
+  World world;
+  start_data_centres (world, { { 3, 2 }, { 1, 4 } });
+  size_t home = world.find ("a-1");
+  size_t remote = world.find ("b-1");
+  world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+  world.run_for (20 * ms);
+  world.submit (2, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+  world.run_for (400 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+  world.set_cut_both_ways (home, remote, true);
+  world.set_cut_both_ways (2, 1, true);
+  world.drain (home);
+  world.run_for (100 * ms);
+  world.submit (1, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+}
+
+// Guards against a second run of a task that lasts on a target for longer than a successor
+// remembers the target after the platform has ceased to list it.
+TEST (LeasedReview, SuccessorFindsALongRunOnATargetThatWasUnlistedLongBefore)
+{
+  World world;
+  start_data_centres (world, { { 2, 3 } });
+  uint64_t caller = world.submit (1, job_id, { { 1, 6800, 8000, 8000 } }, 20000);
+  world.run_for (50 * ms);
+  for (auto &target : world.targets)
+    {
+      if (target->runs.empty ())
+        continue;
+      for (size_t i = 0; i < world.instances.size (); i++)
+        {
+          dks_feed_item_t item = {};
+          dks_event_t event = {};
+
+          item.key = target->info.id;
+          item.deleted = true;
+          event.type = DKS_EVENT_FEED;
+          event.u.feed.op = world.instances[i]->feed_op[DKS_FEED_TARGETS];
+          event.u.feed.status = DKS_FEED_OK;
+          event.u.feed.revision = 100;
+          event.u.feed.count = 1;
+          event.u.feed.items = &item;
+          world.apply (i, &event);
+        }
+    }
+  world.run_for (5200 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "a"), 1U);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  world.run_for (9000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against runs that end with their lease although a job has claimed them: the call that is
+// under way when they are claimed extends no lease, and is waited for.
+TEST (LeasedReview, LeaseOfAnAdoptedRunIsExtendedOnceAJobHasClaimedIt)
+{
+  for (int64_t phase_ms = 0; phase_ms < 300; phase_ms += 20)
+    {
+      World world;
+      start_data_centres (world, { { 2, 2 } });
+      uint64_t caller = world.submit (1, job_id, { { 1, 6800, 2500, 2500 } }, 8000);
+      world.run_for (400 * ms + phase_ms * ms);
+      world.set_frozen (0, true);
+      world.run_for (6000 * ms);
+      EXPECT_EQ (count_logged (world, "event=run-adopted"), 1U) << "phase " << phase_ms;
+      EXPECT_EQ (count_logged (world, "end=lapsed"), 0U) << "phase " << phase_ms;
+      EXPECT_EQ (world.double_runs, 0);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+    }
+}
+
+// Guards against an orphaned run that outlives the resubmission of its job: a lease is that of a
+// target, and the start of another task there extends it.
+TEST (LeasedReview, OrphanBesideANewRunEndsBeforeTheResubmission)
+{
+  for (int64_t down_ms = 100; down_ms <= 1000; down_ms += 50)
+    {
+      World world;
+      world.rejects_excess_runs = true;
+      start_data_centres (world, { { 1, 1 }, { 1, 4 } });
+      world.submit (world.find ("a-1"), job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (1000 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "a"), 1U);
+      world.kill (world.find ("a-1"));
+      world.run_for (down_ms * ms);
+      world.restart (world.find ("a-1"));
+      world.run_for (10 * ms);
+      world.submit (world.find ("a-1"), "0000000000000001", { { 1, 6800, 1000, 1000 } }, 6000);
+      world.run_for ((1290 - down_ms) * ms);
+      world.submit (world.find ("b-1"), job_id, { { 1, 6800, 3000, 3000 } }, 8000);
+      world.run_for (1000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "down for " << down_ms << " ms\n" << reports (world);
+    }
+}
+
+// Guards against jobs that are lost at a hand-over while another data centre is out of reach, as it
+// has been for seconds: callers wait for 1.5 s, the successor for 2 s.
+TEST (LeasedReview, DataCentreThatIsLongOutOfReachDoesNotHoldUpJobs)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 2 }, { 1, 2 } });
+  for (size_t other : { 0, 1, 2 })
+    world.set_cut_both_ways (3, other, true);
+  world.run_for (5000 * ms);
+  uint64_t caller = world.submit (1, job_id, { { 2, 6800, 200, 200 }, { 1, 6800, 200, 200, 1 } },
+                                  1500);
+  world.run_for (100 * ms);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a second run of a lent task whose home leader goes on for an entry instance that
+// reaches both it and its successor, which reaches neither it nor the remote leader.
+TEST (LeasedReview, HomeLeaderThatOnlyTheEntryInstanceReachesDropsAJobSentToTheSuccessor)
+{
+  World world;
+  start_data_centres (world, { { 3, 2 }, { 1, 4 } });
+  world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+  world.run_for (20 * ms);
+  world.submit (2, job_id, { { 1, 6800, 5000, 5000 } }, 20000);
+  world.run_for (100 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+  world.set_cut_both_ways (0, 1, true);
+  world.set_cut_both_ways (1, 3, true);
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "a")
+        world.target_cuts.insert ({ 0, target.get () });
+    }
+  world.run_for (5000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+}
+
+// Not a check: the cost of questions, for two numbers of jobs.
+TEST (LeasedReview, CostOfQuestions)
+{
+  for (int jobs : { 100, 200, 400, 800 })
+    {
+      for (bool with_handover : { false, true })
+        {
+          World world;
+          start_data_centres (world, { { 2, 2 }, { 1, 2 }, { 1, 2 }, { 1, 2 }, { 1, 2 } });
+          char id[32];
+          for (int i = 0; i < jobs; i++)
+            {
+              snprintf (id, sizeof (id), "%016x", 0x100 + i);
+              world.submit (1, id, { { 8, 6800, 4000, 4000 } }, 60000);
+            }
+          world.run_for (50 * ms);
+          uint64_t done = world.sent (DKS_MSG_LENT_DONE);
+          uint64_t work = world.sent (DKS_MSG_WORK);
+          clock_t start = clock ();
+          if (with_handover)
+            world.drain (0);
+          world.run_for (100 * ms);
+          printf ("jobs %d hand-over %d: %.0f ms of processor time, %lu lent-done, %lu work\n", jobs,
+                  with_handover, 1e3 * (double)(clock () - start) / CLOCKS_PER_SEC,
+                  (unsigned long)(world.sent (DKS_MSG_LENT_DONE) - done),
+                  (unsigned long)(world.sent (DKS_MSG_WORK) - work));
+        }
+    }
+}
