--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -400,6 +400,8 @@
   task->current_run = run;
   task->run_number = run->number;
   dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
+  /* The call under way was sent when no job had the run, and extends no lease. */
+  dks_leased_target_poll (run->target);
   dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", run->task_name,
                 run->number);
 }
