core: a leader whose targets are silent answers questions about lent tasks

Cause: callers waited until their time was over. A leader answers the successor of another one once a target has answered it under its present term. With no targets, or with all of them down, none could; with some silent ones it called one after the other, 200 ms each. The jobs of that successor waited meanwhile. Change: the target that answered last is called first, and all others when it takes more than 40 ms. A leader that none of its targets answers has read them before, or their leases have expired: it answers as well.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -22,6 +22,9 @@
   /* Time for which an instance that does not lead remembers a target that is not listed any more:
      its leader may have runs there, which a successor has to find. */
   UNLISTED_RETENTION_US = 5000000,
+  /* Time without an answer to the call that is to confirm the term, after which all other targets
+   * are called as well. */
+  CONFIRMATION_OVERDUE_US = 40000,
   /* A start without an answer is taken for lost if the call that returned a list without its run
    * was sent at least this long after the start. */
   START_LOST_AFTER_US = 20000,
@@ -649,21 +652,41 @@
   return leased->term > 0 && dks_leased_feed_knows_targets (leased);
 }
 
+/* Whether a call to the target may show that no later leader has taken its place. */
+static bool
+may_confirm_term (const dks_leased_target_t *target)
+{
+  return target->held && target->synced
+         && target->unanswered_calls < DKS_LEASED_UNANSWERED_CALLS_MAX;
+}
+
 bool
 dks_leased_targets_confirm_term (dks_leased_t *leased, int64_t since_us)
 {
   dks_leased_target_t *target;
+  dks_leased_target_t *latest = NULL;
+  bool is_overdue;
 
   leased->term_confirmation_due = leased->term_confirmed_us < since_us;
   if (!leased->term_confirmation_due)
     return true;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
-      if (!target->held || !target->synced || target->unanswered_calls > 0)
-        continue;
-      if (target->poll_op == 0 || target->poll_sent_us < since_us)
+      if (may_confirm_term (target)
+          && (latest == NULL || target->last_answer_us > latest->last_answer_us))
+        latest = target;
+    }
+  /* All targets have been read under this term, and are silent since, or none was ever reached and
+   * the leases there have expired. */
+  if (latest == NULL)
+    return true;
+  is_overdue = latest->poll_sent_us >= since_us
+               && dks_leased_now_us (leased) - latest->poll_sent_us >= CONFIRMATION_OVERDUE_US;
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      if ((target == latest || (is_overdue && may_confirm_term (target)))
+          && target->poll_sent_us < since_us)
         dks_leased_target_poll (target);
-      break;
     }
   return false;
 }
