core: a leader that was superseded by an instance that is gone may lend again

Cause: callers waited until their time was over. An instance that was cut off led with a higher term for a moment and was killed; for 20 s more, all other leaders refused what the leader of its data centre lent, and asked it nothing. Measured: LeaderLendsTasksAfterARivalIsGone, 16 refusals and no answer before, none and completed now.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -87,7 +87,11 @@
     return false;
   APR_RING_FOREACH (other, &leased->peers, dks_leased_peer_t, link)
     {
-      if (other->highest_term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0)
+      /* Its runs have ended some time after the last sign of its leadership, and a leader that it
+       * has superseded has been fenced by then. */
+      if (other->highest_term > peer->term && strcmp (other->data_centre, peer->data_centre) == 0
+          && dks_leased_now_us (leased) - other->highest_term_us
+                 < DKS_LEASED_ORPHAN_LIFETIME_MAX_US)
         return false;
     }
   return true;
@@ -98,8 +102,10 @@
 {
   dks_leased_peer_t *peer = dks_leased_peer_find (leased, id);
 
-  if (peer != NULL && term > peer->highest_term)
-    peer->highest_term = term;
+  if (peer == NULL || term == 0 || term < peer->highest_term)
+    return;
+  peer->highest_term = term;
+  peer->highest_term_us = dks_leased_now_us (leased);
 }
 
 int64_t
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -82,6 +82,7 @@
   int64_t last_message_us; /**< when the latest message was received */
   uint64_t term;           /**< of its leadership of its data centre, 0: it does not lead */
   uint64_t highest_term;   /**< highest term with which it is known to have led */
+  int64_t highest_term_us; /**< when it was last known to lead with that term */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
   uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
