core: a target that is listed again is not dropped by an old timer

Cause: found by review. The timer that drops a target after it left the list went on when the target was listed again, so that a second absence could be forgotten at once. Change: the timer ends when the target is back.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -588,6 +588,8 @@
           && info->incarnation_ms > target->incarnation_ms)
         handle_new_incarnation (target);
     }
+  if (!target->listed && target->unanswered_calls < DKS_LEASED_UNANSWERED_CALLS_MAX)
+    dks_timer_cancel (leased->r->timers, &target->expiry_timer);
   target->listed = true;
   target->feed_generation = leased->feeds[DKS_FEED_TARGETS].generation;
   if (!target->held && leased->term > 0 && is_local (leased, target))
