net: terms in messages that lend tasks are bounded as in statuses

Cause: found by review. A term above INT64_MAX in a message that lends tasks was accepted, and would have shut out the leaders of its data centre. Change: such a message is malformed. Measured: test_codec passes.

--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -456,7 +456,8 @@
     return error;
   if (check_span (body->age_us) != DKS_OK || check_span (body->objective_us) != DKS_OK
       || check_span (body->budget_us) != DKS_OK || body->n_lent != body->n_runs
-      || body->n_lent > DKS_TASKS_MAX)
+      || body->n_lent > DKS_TASKS_MAX || body->home_term > INT64_MAX
+      || body->remote_term > INT64_MAX)
     return DKS_ERR_INVALID;
   if (body->n_lent > 0 && body->n_steps != 1)
     return DKS_ERR_INVALID;
