core: a home leader is told of lent tasks that were stopped while it seemed silent

Cause: callers waited until their time was over. After a cut of 0.6 to 0.8 s one side may have taken the other for lost, and not the other way round. A remote leader then stopped the lent tasks without a word, and the home leader, or the successor that had asked for them, went on waiting. Change: while the connection lasts, the remote leader tells the end of the stopped runs. Measured: LentTaskThatOnlyTheRemoteLeaderGaveUpIsKnownToTheHomeLeader and QuestionThatOnlyTheRemoteLeaderForgotIsAskedAgain failed before, for cuts of 600 and 610 to 800 ms, and pass.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -938,9 +938,23 @@
     }
 }
 
+/* Stops the runs of lent tasks whose home leader is silent but connected. It may not have noticed,
+ * so it is told once they have ended. */
+static void
+interrupt_lent (dks_leased_job_t *job)
+{
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      if (job->tasks[i].state == DKS_LEASED_TASK_PLACED)
+        dks_leased_run_stop_for_retry (job->tasks[i].current_run);
+    }
+}
+
 void
 dks_leased_jobs_handle_peer_lost (dks_leased_t *leased, const char *peer)
 {
+  const dks_leased_peer_t *lost = dks_leased_peer_find (leased, peer);
+  bool is_connected = lost != NULL && lost->connected;
   dks_leased_job_t *job;
   dks_leased_job_t *next;
 
@@ -952,7 +966,10 @@
         continue;
       dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-orphaned job=%s lent=%d sender=%s",
                     job->batch->id, job->is_lent, peer);
-      job_stop (job);
+      if (job->is_lent && is_connected)
+        interrupt_lent (job);
+      else
+        job_stop (job);
     }
 }
 
