core: runs that no job claims are stopped 0.25 s after a leader has found them

Cause: callers saw one task run twice at the same time. In a data centre whose only instance came back after 0.85 s and more, an orphan outlived the resubmission of its job at 1.3 s. Change: 0.25 s. Jobs claim their runs within ms of a hand-over. Measured: OrphanBesideANewRunEndsBeforeTheResubmission and OrphanBesideAClaimedRunEndsBeforeTheResubmission failed before, at 850 to 950 ms, and pass. It remains a wait: an instance that is back after more than 1 s is not covered.

--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  ORPHAN_GRACE_US = 400000, /* an adopted run that no job has claimed is stopped after this */
+  ORPHAN_GRACE_US = 250000, /* an adopted run that no job has claimed is stopped after this */
   WATCH_INTERVAL_US = 50000,
   START_CHECK_INTERVAL_US = 20000,
   /* A start without an answer for this long makes the target's run lists be read. Answers usually
