core: an instance that is heard again may have led until then

Cause: callers saw one task run twice at the same time. A new leader that does not reach a target takes its lease for expired once the former leader is known to have stopped. One that was cut off and comes back fenced states no term in its first status; the time for which it had led unheard was not counted. Change: an instance of the data centre counts as a rival until it was heard again.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -122,6 +122,9 @@
         return dks_leased_now_us (leased);
       if (peer->last_leading_us > 0 && peer->term_received_us > latest_us)
         latest_us = peer->term_received_us;
+      /* It may have led unheard until then. */
+      if (peer->heard_since_us > latest_us)
+        latest_us = peer->heard_since_us;
     }
   return latest_us;
 }
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -381,7 +381,10 @@
   if (dks_leased_peer_is_local (leased, peer) && peer->term > leased->highest_term)
     leased->highest_term = peer->term;
   if (is_new)
-    leased->last_join_us = leased->r->now.mono_us;
+    {
+      leased->last_join_us = leased->r->now.mono_us;
+      peer->heard_since_us = leased->r->now.mono_us;
+    }
   if (is_new && dks_leased_peer_is_local (leased, peer))
     {
       dks_leased_speeds_publish_all (leased);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -90,6 +90,7 @@
   int64_t term_received_us;  /**< when a status last changed `term` */
   int64_t connected_us;      /**< when the connection began */
   int64_t min_clock_diff_us; /**< least receipt time less sending time of its statuses */
+  int64_t heard_since_us;    /**< when its first status after a silence was received */
   int64_t last_status_us;    /**< when its latest status was received, 0: none yet */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
   bool draining;
