tests: a slow leader keeps its data centre, red

The simulation in virtual time now has instances that take processor time for each event, in which further events wait.

--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -92,14 +92,53 @@
 void
 World::deliver (int64_t us, size_t index, std::function<void ()> func)
 {
-  schedule_at (us, [this, index, func] {
-    if (instances[index]->frozen)
-      instances[index]->pending_events.push_back (func);
-    else
-      func ();
+  schedule_at (us, [this, index, func] { receive (index, func); });
+}
+
+void
+World::receive (size_t index, std::function<void ()> func)
+{
+  Instance &instance = *instances[index];
+
+  if (instance.frozen)
+    instance.pending_events.push_back (std::move (func));
+  else if (instance.event_cost_us == 0 && instance.backlog.empty ())
+    func ();
+  else
+    {
+      instance.backlog.push_back (std::move (func));
+      handle_backlog (index);
+    }
+}
+
+void
+World::handle_backlog (size_t index)
+{
+  Instance &instance = *instances[index];
+
+  if (instance.busy || instance.backlog.empty ())
+    return;
+  instance.busy = true;
+  schedule_at (now_us + instance.event_cost_us, [this, index] {
+    Instance &current = *instances[index];
+
+    current.busy = false;
+    if (current.backlog.empty ()) // it was killed meanwhile
+      return;
+    auto func = std::move (current.backlog.front ());
+
+    current.backlog.pop_front ();
+    func ();
+    handle_backlog (index);
   });
 }
 
+void
+World::set_event_cost (size_t index, int64_t cost_us)
+{
+  instances[index]->event_cost_us = cost_us;
+}
+
 void
 World::start_instance (size_t index)
 {
@@ -171,6 +210,7 @@
   Instance &instance = *instances[index];
 
   instance.up = false;
+  instance.backlog.clear ();
   dks_reducer_destroy (instance.reducer);
   instance.reducer = nullptr;
   for (size_t other = 0; other < instances.size (); other++)
@@ -270,16 +310,23 @@
   next = std::max (next, now_us);
   next_tick_us[index] = next;
   schedule_at (next, [this, index, reducer] {
-    dks_event_t event = {};
-
     if (instances[index]->reducer != reducer)
       return;
-    next_tick_us[index] = INT64_MAX;
-    event.type = DKS_EVENT_TICK;
     if (instances[index]->frozen)
-      instances[index]->pending_events.push_back ([this, index] { schedule_tick (index); });
-    else
+      {
+        next_tick_us[index] = INT64_MAX;
+        instances[index]->pending_events.push_back ([this, index] { schedule_tick (index); });
+        return;
+      }
+    receive (index, [this, index, reducer] {
+      dks_event_t event = {};
+
+      if (instances[index]->reducer != reducer)
+        return;
+      next_tick_us[index] = INT64_MAX;
+      event.type = DKS_EVENT_TICK;
       apply (index, &event);
+    });
   });
 }
 
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -90,7 +90,11 @@
   bool up = false;
   bool frozen = false;
   std::vector<std::function<void ()>> pending_events; // reached the instance while it was frozen
-  bool feed_down = false;                             // the platform's feeds are unavailable to it
+  // Processor time that it takes for each event, in which further events wait; 0: none.
+  int64_t event_cost_us = 0;
+  std::deque<std::function<void ()>> backlog; // events that wait for the processor
+  bool busy = false;                          // the first event of `backlog` is being handled
+  bool feed_down = false;                     // the platform's feeds are unavailable to it
   uint32_t processor_milli = 1000;       // processor time it may use, thousandths of a processor
   uint64_t feed_op[DKS_FEED_COUNT] = {}; // operation number of its latest call for each feed
   std::string member_id;
@@ -135,6 +139,8 @@
   void set_partitioned (size_t a, size_t b, bool is_partitioned);
   // A frozen instance handles no events; those that reach it wait until it is no longer frozen.
   void set_frozen (size_t instance, bool is_frozen);
+  // From now on the instance takes this much processor time for each event; 0: none.
+  void set_event_cost (size_t instance, int64_t cost_us);
   // The process of the target ends at once, and a new incarnation starts after `down_us`.
   void crash (Target &target, int64_t down_us);
   // The platform's list of targets has changed: watches of it are answered.
@@ -217,8 +223,11 @@
   };
 
   void schedule_at (int64_t us, std::function<void ()> func);
-  // Calls `func` at that time, or when the instance is no longer frozen.
+  // Calls `func` at that time, or when the instance is no longer frozen, and after the events that
+  // wait for its processor.
   void deliver (int64_t us, size_t instance, std::function<void ()> func);
+  void receive (size_t instance, std::function<void ()> func);
+  void handle_backlog (size_t instance);
   void start_instance (size_t instance);
   void execute_effect (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
--- /dev/null
+++ b/tests/test_leased_leader.cc
@@ -0,0 +1,143 @@
+// Leadership of a data centre while instances are slow.
+
+#include "leased_world.h"
+
+#include <gtest/gtest.h>
+
+using leased::count_logged;
+using leased::ms;
+using leased::World;
+
+namespace
+{
+
+const int64_t gap_us = 10 * ms; // between two jobs of a load
+
+void
+start_data_centre (World &world, int instances, uint32_t processor_milli = 1000)
+{
+  for (int i = 0; i < instances; i++)
+    world.add_instance ("a", false, i == 0 ? 1000 : processor_milli);
+  for (int i = 0; i < 24; i++)
+    world.add_target ("a");
+  world.start_all ();
+  world.run_for (2000 * ms);
+}
+
+// Index of the instance that was the last to become leader.
+size_t
+leader_of (const World &world)
+{
+  size_t leader = SIZE_MAX;
+
+  for (auto &line : world.log)
+    {
+      if (line.find ("event=leader-start") != std::string::npos)
+        leader = world.find (line.substr (0, line.find (' ')));
+    }
+  return leader;
+}
+
+// Submits jobs of two tasks through all instances in turn for this long, and lets them end.
+std::vector<uint64_t>
+submit_for (World &world, int64_t us)
+{
+  std::vector<uint64_t> callers;
+  int64_t end_us = world.now_us + us;
+
+  while (world.now_us < end_us)
+    {
+      char id[17];
+
+      snprintf (id, sizeof (id), "%016llx", static_cast<unsigned long long> (world.now_us));
+      callers.push_back (
+          world.submit (callers.size () % world.instances.size (), id, { { 2, 6800, 100, 100 } }));
+      world.run_for (gap_us);
+    }
+  world.run_for (300 * ms);
+  return callers;
+}
+
+// Share of the callers that have the result of their job.
+double
+completed_share (const World &world, const std::vector<uint64_t> &callers)
+{
+  size_t completed = 0;
+
+  for (uint64_t caller : callers)
+    {
+      auto found = world.answers.find (caller);
+
+      completed += found != world.answers.end () && found->second.answer == DKS_BATCH_COMPLETED;
+    }
+  return static_cast<double> (completed) / static_cast<double> (callers.size ());
+}
+
+}
+
+// Guards against a data centre that refuses most of its jobs for as long as its leader is slow: the
+// leader keeps its lag below the one at which it stops leading by refusing jobs.
+TEST (LeasedLeader, LeaderThatCannotKeepUpHandsOver)
+{
+  for (int64_t cost_us : { 300, 600, 1000, 1500 })
+    {
+      World world;
+      start_data_centre (world, 4);
+      submit_for (world, 3000 * ms);
+      size_t slow = leader_of (world);
+
+      world.set_event_cost (slow, cost_us);
+      submit_for (world, 2000 * ms);
+      EXPECT_NE (leader_of (world), slow) << "cost " << cost_us;
+      EXPECT_GT (completed_share (world, submit_for (world, 3000 * ms)), 0.6) << "cost " << cost_us;
+      EXPECT_EQ (world.double_runs, 0);
+    }
+}
+
+// Guards against a leadership that moves back and forth: the instance that was slow is the
+// preferred one by its age.
+TEST (LeasedLeader, SuccessorOfASlowLeaderStays)
+{
+  World world;
+  start_data_centre (world, 4);
+  submit_for (world, 1000 * ms);
+  size_t slow = leader_of (world);
+
+  for (int i = 0; i < 3; i++)
+    {
+      world.set_event_cost (slow, 1000);
+      submit_for (world, 2000 * ms);
+      world.set_event_cost (slow, 0);
+      submit_for (world, 5000 * ms);
+    }
+  EXPECT_EQ (count_logged (world, "event=leader-start"), 2U);
+  EXPECT_GT (completed_share (world, submit_for (world, 1000 * ms)), 0.95);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// Guards against a handover to instances that would keep up even less.
+TEST (LeasedLeader, SlowLeaderStaysAmongMuchSmallerInstances)
+{
+  World world;
+  start_data_centre (world, 4, 200);
+  submit_for (world, 1000 * ms);
+  size_t slow = leader_of (world);
+
+  world.set_event_cost (slow, 600);
+  submit_for (world, 3000 * ms);
+  EXPECT_EQ (leader_of (world), slow);
+}
+
+// Guards against a leadership that goes round while every instance is slow.
+TEST (LeasedLeader, LeadershipStaysWhereAllInstancesAreSlow)
+{
+  World world;
+  start_data_centre (world, 4);
+  submit_for (world, 1000 * ms);
+
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.set_event_cost (i, 1000);
+  submit_for (world, 10000 * ms);
+  EXPECT_LE (count_logged (world, "event=leader-start"), 4U);
+  EXPECT_EQ (world.double_runs, 0);
+}
