core: a leader that cannot keep up stops for another instance

Cause: a leader refuses work above a lag of 0.2 s, which keeps it below the 0.4 s at which it stops leading; and an instance that stops because of its lag is the preferred candidate still.

An instance that handles the messages of most peers more than 0.15 s late for 0.4 s counts as slow, until 3 s after the last late one. It states a sixteenth of its processor time, so others are preferred, and as a leader it stops when an instance of half its size or more can take over. It does so 2 s after the start of its term at the earliest, 10 s when it was late from the start: then the work is too much for any one instance. It stops first, so a successor takes it for a lost leader and waits 1.1 s for runs that may have been lent: a leader that cannot keep up may not cancel them within the 0.3 s of a planned handover.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -25,6 +25,25 @@
   FENCED_TERM_STEP_MS = 5000,
   LAG_MAX_US = 400000, /* lag of all peers' statuses at which a leader stops leading; less than the
                           silence after which peers count an instance as lost */
+  /* Lag of most peers' statuses that counts as late. 100 ms occur on an instance that uses all its
+     processor time; a leader refuses work above 200 ms, which keeps its lag from rising further. */
+  LATE_LAG_US = 150000,
+  LATE_GAP_MAX_US = 300000, /* between two late statuses of one period of lateness */
+  SLOW_AFTER_US = 400000,   /* period of lateness after which an instance cannot keep up */
+  /* Time without lateness after which an instance that could not keep up ranks as before. */
+  SLOW_CALM_US = 3000000,
+  /* Least number of peers whose lag is known: a single one may be slow to send. */
+  LATE_PEERS_MIN = 2,
+  /* By this an instance that cannot keep up is smaller to others. Well above the ratio of the sizes
+     of instances, so that it is the last choice. */
+  SLOW_RANK_DIVISOR = 16,
+  /* A leader that cannot keep up stops only for an instance with its processor time divided by
+     this, or more: a smaller one would not keep up either. */
+  SUCCESSOR_SIZE_DIVISOR = 2,
+  /* Least age of a leadership that is handed over when the leader was late from its beginning on:
+     then its data centre has more work than one instance can do, and each change only adds to it.
+   */
+  LATE_TERM_MIN_AGE_US = 10000000,
   HANDOVER_NOTICE_US = 100000, /* time until a leader that is alive has learned of a handover */
   /* Least age of a leadership that is handed over, and of the connection to its successor: each
      change costs running jobs some ms, so two must not follow in a row. */
@@ -101,6 +120,7 @@
   leased->term = term;
   leased->highest_term = term;
   leased->term_start_us = leased->r->now.mono_us;
+  leased->term_late_us = 0;
   leased->planned_handover = planned_handover;
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
                 leased->r->config.data_centre, term);
@@ -140,10 +160,91 @@
   return true;
 }
 
-/* The other instances count a leader that handles all messages this late as lost, and it does not
- * learn in time of the successor that they choose. */
-void
-dks_leased_leader_check_lag (dks_leased_t *leased)
+/* Lag */
+
+/* Whether the messages of more than half of the peers that send often are handled late. One peer
+ * that is slow to send, or whose connection is so new that its usual delay is not known, says
+ * nothing. */
+static bool
+handles_late (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+  uint32_t known = 0;
+  uint32_t late = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (!dks_leased_peer_is_alive (leased, peer) || !dks_leased_peer_sends_fast (peer))
+        continue;
+      known++;
+      late += peer->lag_us > LATE_LAG_US;
+    }
+  return known >= LATE_PEERS_MIN && 2 * late > known;
+}
+
+static void
+update_slow (dks_leased_t *leased)
+{
+  int64_t now_us = leased->r->now.mono_us;
+  bool is_slow = leased->is_slow;
+
+  if (handles_late (leased))
+    {
+      if (leased->late_until_us == 0 || now_us - leased->late_until_us > LATE_GAP_MAX_US)
+        leased->late_since_us = now_us;
+      leased->late_until_us = now_us;
+      if (leased->term_late_us == 0)
+        leased->term_late_us = now_us;
+      is_slow = is_slow || now_us - leased->late_since_us >= SLOW_AFTER_US;
+    }
+  else if (now_us - leased->late_until_us >= SLOW_CALM_US)
+    is_slow = false;
+  if (is_slow == leased->is_slow)
+    return;
+  leased->is_slow = is_slow;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=instance-slow slow=%d leads=%d", is_slow,
+                leased->term > 0);
+  dks_leased_members_notify_all (leased);
+}
+
+uint32_t
+dks_leased_leader_rank_milli (const dks_leased_t *leased)
+{
+  return leased->is_slow ? leased->r->config.processor_milli / SLOW_RANK_DIVISOR
+                         : leased->r->config.processor_milli;
+}
+
+/* Whether another instance could take over from this leader, which cannot keep up. */
+static bool
+has_able_successor (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (dks_leased_peer_is_local (leased, peer) && dks_leased_peer_is_alive (leased, peer)
+          && !peer->draining && peer->knows_targets
+          && leased->r->now.mono_us - peer->connected_us >= YIELD_MIN_AGE_US
+          && SUCCESSOR_SIZE_DIVISOR * peer->processor_milli >= leased->r->config.processor_milli)
+        return true;
+    }
+  return false;
+}
+
+/* Whether this leader has led for long enough to hand over because it cannot keep up. */
+static bool
+may_hand_over_slow (const dks_leased_t *leased)
+{
+  bool late_from_start = leased->term_late_us - leased->term_start_us < YIELD_MIN_AGE_US;
+
+  return leased->r->now.mono_us - leased->term_start_us
+         >= (late_from_start ? LATE_TERM_MIN_AGE_US : YIELD_MIN_AGE_US);
+}
+
+/* Whether all messages are handled so late that the other instances count this leader as lost, and
+ * it does not learn in time of the successor that they choose. */
+static bool
+lags_as_if_lost (const dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
   int64_t min_lag_us = INT64_MAX;
@@ -155,11 +256,27 @@
           && peer->lag_us < min_lag_us)
         min_lag_us = peer->lag_us;
     }
-  if (leased->term > 0 && min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US)
+  return min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US;
+}
+
+void
+dks_leased_leader_check_lag (dks_leased_t *leased)
+{
+  update_slow (leased);
+  if (leased->term == 0)
+    return;
+  if (lags_as_if_lost (leased))
     {
       leased->listening_since_us = leased->r->now.mono_us;
       stop_leading (leased, "lagging");
     }
+  /* Leadership ends before a successor begins: a handover from a leader that is alive relies on its
+     cancelling of lent tasks within 0.3 s, which one that cannot keep up may miss. */
+  else if (leased->is_slow && may_hand_over_slow (leased) && has_able_successor (leased))
+    {
+      leased->listening_since_us = leased->r->now.mono_us;
+      stop_leading (leased, "slow");
+    }
 }
 
 /* Whether the peer is to lead rather than this instance: the one with more processor time is
@@ -167,7 +284,7 @@
 static bool
 peer_is_preferred (const dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
-  uint32_t local_milli = leased->r->config.processor_milli;
+  uint32_t local_milli = dks_leased_leader_rank_milli (leased);
 
   if (peer->processor_milli != local_milli)
     return peer->processor_milli > local_milli;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -156,7 +156,7 @@
   msg->u.leased_status.fast_slowness_milli = leased->capacity.fast_slowness_milli;
   msg->u.leased_status.sent_us = leased->r->now.mono_us;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
-  msg->u.leased_status.processor_milli = leased->r->config.processor_milli;
+  msg->u.leased_status.processor_milli = dks_leased_leader_rank_milli (leased);
   msg->u.leased_status.draining = leased->drain_start_us > 0;
   msg->u.leased_status.yields_leadership = leased->term > 0 && leased->yields_leadership;
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -82,7 +82,7 @@
   uint64_t term;           /**< of its leadership of its data centre, 0: it does not lead */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
-  uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
+  uint32_t processor_milli;  /**< by which it ranks for leadership, thousandths of a processor */
   int64_t last_leading_us;   /**< when a status last said that it leads, 0: never */
   int64_t term_received_us;  /**< when a status last changed `term` */
   int64_t connected_us;      /**< when the connection began */
@@ -350,6 +350,10 @@
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
   bool leader_known;       /**< a leader of the data centre is known, which may be this instance */
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
+  int64_t late_since_us;   /**< when messages of most peers began to be handled late, 0: never */
+  int64_t late_until_us;   /**< when they were last seen to be handled late, 0: never */
+  int64_t term_late_us;    /**< when they were first handled late in the present term, 0: not yet */
+  bool is_slow;            /**< handles messages late for some time, or did lately */
   int64_t last_leading_us; /**< when this instance last stopped to lead, 0: never */
   uint64_t highest_term;   /**< highest term known, raised when fenced; a new term is above it */
   int64_t last_fenced_us;  /**< when a target last rejected the fencing token, 0 for never */
@@ -513,8 +517,12 @@
 /** Whether each leader of another data centre that may run tasks of the previous leader had led for
  * some time when this instance took over, and has sent a message since. */
 bool dks_leased_leader_remotes_reported (const dks_leased_t *leased);
-/** Stops leading when the messages of all peers are handled too late. */
+/** Stops leading when the messages of all peers are handled too late, or those of most for some
+ * time and another instance can lead. */
 void dks_leased_leader_check_lag (dks_leased_t *leased);
+/** Processor time by which this instance ranks among the candidates for leadership, thousandths of
+ * a processor: less than it may use while it cannot keep up. */
+uint32_t dks_leased_leader_rank_milli (const dks_leased_t *leased);
 
 /* leased_feed.c */
 void dks_leased_feed_init (dks_leased_t *leased);
