core: a large backlog no longer takes all processor time of its leader

Cause: nearly every event makes a pass over the waiting tasks due, also a job that is refused at once. When other data centres report free capacity each pass goes over all waiting tasks.

Above 100 waiting tasks, a pass is made at most once in 20 us for each of them, 20 ms in all.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -18,6 +18,12 @@
    * has read the run lists of its targets by then. */
   PLACEMENT_WAIT_MIN_US = 100000,
   RETRY_DELAY_US = 5000, /* from the failure of a task to its next start */
+  /* A pass over the waiting tasks takes some us for each of them, and nearly every event makes one
+     due. Above this many, passes are made at most once in PLACEMENT_TASK_US for each waiting task,
+     and in PLACEMENT_PAUSE_MAX_US in all, so that a backlog does not take all processor time. */
+  LARGE_BACKLOG_TASKS = 100,
+  PLACEMENT_TASK_US = 20,
+  PLACEMENT_PAUSE_MAX_US = 20000,
   /* Tasks of a resent job that have no run here may have been lent by an earlier leader, so they
    * wait until their remote leader has stopped them. It does so when the earlier leader cancels
    * them, as a leader does that hands over, which takes REMOTE_CANCEL_WAIT_US. Otherwise it notices
@@ -499,7 +505,13 @@
   dks_leased_job_t *job;
   dks_leased_job_t *next;
 
+  if (leased->waiting_tasks > LARGE_BACKLOG_TASKS
+      && dks_leased_now_us (leased) < leased->next_placement_us)
+    return; /* it stays due, and checks on runs cause an event every 20 ms */
   leased->placement_due = false;
+  leased->next_placement_us =
+      dks_leased_now_us (leased)
+      + min_us ((int64_t)PLACEMENT_TASK_US * leased->waiting_tasks, PLACEMENT_PAUSE_MAX_US);
   if (leased->term > 0 && leased->remote_lost_tasks > 0)
     dks_leased_lend_query_successors (leased);
   if (leased->term == 0 || leased->waiting_tasks == 0)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -415,6 +415,7 @@
   uint32_t waiting_tasks;
   uint32_t remote_lost_tasks; /**< lent tasks whose remote leader is lost */
   bool placement_due;
+  int64_t next_placement_us; /**< no pass over many waiting tasks is made before this */
 
   /* leased_entry.c */
   struct dks_leased_request_ring_t requests;
