core: slow instances are no candidates for leadership

Cause: only a leader has peers that send every 0.1 s, so a slow instance that does not lead did not notice it. And a leader that stopped as lagging began to lead again at once, as the first candidate, five times in 0.4 s in the test.

The lag of statuses that come every 0.2 s counts too, and a leader that stops as lagging ranks as slow.

Test SlowInstanceDoesNotSucceedASlowLeader failed before.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -32,6 +32,9 @@
   SLOW_AFTER_US = 400000,   /* period of lateness after which an instance cannot keep up */
   /* Time without lateness after which an instance that could not keep up ranks as before. */
   SLOW_CALM_US = 3000000,
+  /* Greatest interval of the statuses whose lag is used: that of two instances of one data centre.
+   */
+  LATE_INTERVAL_MAX_US = 200000,
   /* Least number of peers whose lag is known: a single one may be slow to send. */
   LATE_PEERS_MIN = 2,
   /* By this an instance that cannot keep up is smaller to others. Well above the ratio of the sizes
@@ -174,7 +177,7 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!dks_leased_peer_is_alive (leased, peer) || !dks_leased_peer_sends_fast (peer))
+      if (!dks_leased_peer_is_alive (leased, peer) || peer->interval_us > LATE_INTERVAL_MAX_US)
         continue;
       known++;
       late += peer->lag_us > LATE_LAG_US;
@@ -182,6 +185,17 @@
   return known >= LATE_PEERS_MIN && 2 * late > known;
 }
 
+static void
+set_slow (dks_leased_t *leased, bool is_slow)
+{
+  if (is_slow == leased->is_slow)
+    return;
+  leased->is_slow = is_slow;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=instance-slow slow=%d leads=%d", is_slow,
+                leased->term > 0);
+  dks_leased_members_notify_all (leased);
+}
+
 static void
 update_slow (dks_leased_t *leased)
 {
@@ -199,12 +213,7 @@
     }
   else if (now_us - leased->late_until_us >= SLOW_CALM_US)
     is_slow = false;
-  if (is_slow == leased->is_slow)
-    return;
-  leased->is_slow = is_slow;
-  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=instance-slow slow=%d leads=%d", is_slow,
-                leased->term > 0);
-  dks_leased_members_notify_all (leased);
+  set_slow (leased, is_slow);
 }
 
 uint32_t
@@ -268,6 +277,9 @@
   if (lags_as_if_lost (leased))
     {
       leased->listening_since_us = leased->r->now.mono_us;
+      /* Else it would be the first candidate again. */
+      set_slow (leased, true);
+      leased->late_until_us = leased->r->now.mono_us;
       stop_leading (leased, "lagging");
     }
   /* Leadership ends before a successor begins: a handover from a leader that is alive relies on its
--- a/tests/test_leased_leader.cc
+++ b/tests/test_leased_leader.cc
@@ -115,6 +115,25 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against a handover to an instance that is as slow.
+TEST (LeasedLeader, SlowInstanceDoesNotSucceedASlowLeader)
+{
+  World world;
+  start_data_centre (world, 4);
+  submit_for (world, 1000 * ms);
+  size_t slow = leader_of (world);
+  size_t next_oldest = (slow + 1) % 4;
+
+  // So slow that it cannot keep up with its own callers either.
+  world.set_event_cost (next_oldest, 30 * ms);
+  submit_for (world, 2000 * ms);
+  world.set_event_cost (slow, 1000);
+  submit_for (world, 2000 * ms);
+  EXPECT_NE (leader_of (world), slow);
+  EXPECT_NE (leader_of (world), next_oldest);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against a handover to instances that would keep up even less.
 TEST (LeasedLeader, SlowLeaderStaysAmongMuchSmallerInstances)
 {
