core: an instance that takes its peers for silent may be slow itself

The first status after the silence also set the usual delay anew.

Peers that seem silent count as late when none is heard in time. A slow instance counts connected peers as candidates, so it does not lead beside them. The usual delay is kept for as long as the connection lasts.

Test VerySlowInstanceDoesNotLeadAgain failed before (at 20 ms for each event the leader stayed for 8 s).

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -165,24 +165,28 @@
 
 /* Lag */
 
-/* Whether the messages of more than half of the peers that send often are handled late. One peer
- * that is slow to send, or whose connection is so new that its usual delay is not known, says
- * nothing. */
+/* Whether the messages of more than half of the peers that send often are handled late, or none in
+ * time: those of peers that seem silent may wait in the queue of this instance. One peer that is
+ * slow to send, or whose connection is so new that its usual delay is not known, says nothing. */
 static bool
 handles_late (const dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
   uint32_t known = 0;
   uint32_t late = 0;
+  uint32_t silent = 0;
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!dks_leased_peer_is_alive (leased, peer) || peer->interval_us > LATE_INTERVAL_MAX_US)
+      if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
         continue;
       known++;
-      late += peer->lag_us > LATE_LAG_US;
+      if (peer->lag_us > LATE_LAG_US)
+        late++;
+      else if (!dks_leased_peer_is_alive (leased, peer))
+        silent++;
     }
-  return known >= LATE_PEERS_MIN && 2 * late > known;
+  return known >= LATE_PEERS_MIN && (2 * late > known || late + silent == known);
 }
 
 static void
@@ -223,6 +227,14 @@
                          : leased->r->config.processor_milli;
 }
 
+/* Whether the peer counts as present. An instance that cannot keep up may take peers for silent
+ * whose messages wait in its own queue, so for it those that are connected count. */
+static bool
+peer_is_present (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return leased->is_slow ? peer->connected : dks_leased_peer_is_alive (leased, peer);
+}
+
 /* Whether another instance could take over from this leader, which cannot keep up. */
 static bool
 has_able_successor (const dks_leased_t *leased)
@@ -231,7 +243,7 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (dks_leased_peer_is_local (leased, peer) && dks_leased_peer_is_alive (leased, peer)
+      if (dks_leased_peer_is_local (leased, peer) && peer_is_present (leased, peer)
           && !peer->draining && peer->knows_targets
           && leased->r->now.mono_us - peer->connected_us >= YIELD_MIN_AGE_US
           && SUCCESSOR_SIZE_DIVISOR * peer->processor_milli >= leased->r->config.processor_milli)
@@ -315,7 +327,7 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!dks_leased_peer_is_local (leased, peer) || !dks_leased_peer_is_alive (leased, peer)
+      if (!dks_leased_peer_is_local (leased, peer) || !peer_is_present (leased, peer)
           || peer->draining || (must_know_targets && !peer->knows_targets))
         continue;
       if (leased->drain_start_us > 0 || peer_is_preferred (leased, peer))
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -323,7 +323,9 @@
 {
   int64_t clock_diff_us = leased->r->now.mono_us - sent_us;
 
-  if (!peer->status_received || clock_diff_us < peer->min_clock_diff_us)
+  /* A silence does not count as a new connection: an instance that cannot keep up takes its peers
+     for silent, and would take the lag of the next status for the usual delay. */
+  if (peer->interval_us == 0 || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
   peer->lag_us = clock_diff_us - peer->min_clock_diff_us;
 }
--- a/tests/test_leased_leader.cc
+++ b/tests/test_leased_leader.cc
@@ -115,6 +115,24 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against several leaders of one data centre: an instance so slow that it takes its peers
+// for silent, because their messages wait in its own queue, led again and again beside its
+// successor.
+TEST (LeasedLeader, VerySlowInstanceDoesNotLeadAgain)
+{
+  for (int64_t cost_us : { 3000, 5000, 8000, 12000, 20000 })
+    {
+      World world;
+      start_data_centre (world, 4);
+      submit_for (world, 3000 * ms);
+
+      world.set_event_cost (leader_of (world), cost_us);
+      submit_for (world, 8000 * ms);
+      EXPECT_EQ (count_logged (world, "event=leader-start"), 2U) << "cost " << cost_us;
+      EXPECT_EQ (world.double_runs, 0);
+    }
+}
+
 // Guards against a handover to an instance that is as slow.
 TEST (LeasedLeader, SlowInstanceDoesNotSucceedASlowLeader)
 {
