core: lateness is told from all statuses of a peer, not from the latest one

Cause: the statuses of a peer that wait in its connection are read together, and the latest of them may have arrived just before.

A peer counts as late by its late statuses, the first and the last of them 0.4 s apart at least and no more than 1.2 s between two.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -25,11 +25,16 @@
   FENCED_TERM_STEP_MS = 5000,
   LAG_MAX_US = 400000, /* lag of all peers' statuses at which a leader stops leading; less than the
                           silence after which peers count an instance as lost */
-  /* Lag of most peers' statuses that counts as late. 100 ms occur on an instance that uses all its
-     processor time; a leader refuses work above 200 ms, which keeps its lag from rising further. */
+  /* Lag of a status that counts as late. 100 ms occur on an instance that uses all its processor
+     time; a leader refuses work above 200 ms, which keeps its lag from rising further. */
   LATE_LAG_US = 150000,
-  LATE_GAP_MAX_US = 300000, /* between two late statuses of one period of lateness */
-  SLOW_AFTER_US = 400000,   /* period of lateness after which an instance cannot keep up */
+  LATE_GAP_MAX_US = 1200000, /* between two late statuses of a peer that belong together */
+  /* Time from the first to the last of them that shows that this instance cannot keep up. A single
+     stall delays statuses that are then handled together. */
+  LATE_MIN_US = 400000,
+  /* Silence of a peer that stays connected, which is taken for lateness when all peers are silent.
+   */
+  LATE_SILENCE_US = 1000000,
   /* Time without lateness after which an instance that could not keep up ranks as before. */
   SLOW_CALM_US = 3000000,
   /* Greatest interval of the statuses whose lag is used: that of two instances of one data centre.
@@ -165,6 +170,27 @@
 
 /* Lag */
 
+void
+dks_leased_leader_record_lag (dks_leased_t *leased, dks_leased_peer_t *peer)
+{
+  int64_t now_us = leased->r->now.mono_us;
+
+  if (peer->lag_us <= LATE_LAG_US)
+    return;
+  if (peer->late_until_us == 0 || now_us - peer->late_until_us > LATE_GAP_MAX_US)
+    peer->late_since_us = now_us;
+  peer->late_until_us = now_us;
+}
+
+/* Whether statuses of the peer are handled late again and again. One that waited shortly may come
+ * between them: the statuses of a peer are read together, the latest of them in time. */
+static bool
+peer_is_late (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return peer->late_until_us > 0 && peer->late_until_us - peer->late_since_us >= LATE_MIN_US
+         && leased->r->now.mono_us - peer->late_until_us <= LATE_GAP_MAX_US;
+}
+
 /* Whether the messages of more than half of the peers that send often are handled late, or none in
  * time: those of peers that seem silent may wait in the queue of this instance. One peer that is
  * slow to send, or whose connection is so new that its usual delay is not known, says nothing. */
@@ -181,9 +207,9 @@
       if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
         continue;
       known++;
-      if (peer->lag_us > LATE_LAG_US)
+      if (peer_is_late (leased, peer))
         late++;
-      else if (!dks_leased_peer_is_alive (leased, peer))
+      else if (leased->r->now.mono_us - peer->last_message_us >= LATE_SILENCE_US)
         silent++;
     }
   return known >= LATE_PEERS_MIN && (2 * late > known || late + silent == known);
@@ -208,12 +234,10 @@
 
   if (handles_late (leased))
     {
-      if (leased->late_until_us == 0 || now_us - leased->late_until_us > LATE_GAP_MAX_US)
-        leased->late_since_us = now_us;
       leased->late_until_us = now_us;
       if (leased->term_late_us == 0)
         leased->term_late_us = now_us;
-      is_slow = is_slow || now_us - leased->late_since_us >= SLOW_AFTER_US;
+      is_slow = true;
     }
   else if (now_us - leased->late_until_us >= SLOW_CALM_US)
     is_slow = false;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -328,6 +328,7 @@
   if (peer->interval_us == 0 || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
   peer->lag_us = clock_diff_us - peer->min_clock_diff_us;
+  dks_leased_leader_record_lag (leased, peer);
 }
 
 int64_t
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -88,6 +88,9 @@
   int64_t connected_us;      /**< when the connection began */
   int64_t min_clock_diff_us; /**< least receipt time less sending time of its statuses */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
+  int64_t
+      late_since_us; /**< first of its late statuses that followed each other closely, 0: none */
+  int64_t late_until_us; /**< when its latest late status was handled, 0: never */
   bool draining;
   bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
@@ -350,8 +353,7 @@
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
   bool leader_known;       /**< a leader of the data centre is known, which may be this instance */
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
-  int64_t late_since_us;   /**< when messages of most peers began to be handled late, 0: never */
-  int64_t late_until_us;   /**< when they were last seen to be handled late, 0: never */
+  int64_t late_until_us;   /**< when messages of most peers were last handled late, 0: never */
   int64_t term_late_us;    /**< when they were first handled late in the present term, 0: not yet */
   bool is_slow;            /**< handles messages late for some time, or did lately */
   int64_t last_leading_us; /**< when this instance last stopped to lead, 0: never */
@@ -521,6 +523,8 @@
 /** Stops leading when the messages of all peers are handled too late, or those of most for some
  * time and another instance can lead. */
 void dks_leased_leader_check_lag (dks_leased_t *leased);
+/** Records that a status of the peer was handled late, if it was, by its `lag_us`. */
+void dks_leased_leader_record_lag (dks_leased_t *leased, dks_leased_peer_t *peer);
 /** Processor time by which this instance ranks among the candidates for leadership, thousandths of
  * a processor: less than it may use while it cannot keep up. */
 uint32_t dks_leased_leader_rank_milli (const dks_leased_t *leased);
