--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -32,6 +32,8 @@
   /* Time from the first to the last of them that shows that this instance cannot keep up. A single
      stall delays statuses that are then handled together. */
   LATE_MIN_US = 400000,
+  /* Time after its latest late statuses for which an instance does not begin to lead. */
+  LATE_VIEW_US = 1000000,
   /* Silence of a peer that stays connected, which is taken for lateness when all peers are silent.
    */
   LATE_SILENCE_US = 1000000,
@@ -215,6 +217,26 @@
   return known >= LATE_PEERS_MIN && (2 * late > known || late + silent == known);
 }
 
+/* Whether statuses of more than half of the peers that send often were handled late just now. What
+ * this instance takes for the silence of a leader is likely its own delay then. */
+static bool
+has_late_view (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+  uint32_t known = 0;
+  uint32_t late = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
+        continue;
+      known++;
+      late +=
+          peer->late_until_us > 0 && leased->r->now.mono_us - peer->late_until_us < LATE_VIEW_US;
+    }
+  return known >= LATE_PEERS_MIN && 2 * late > known;
+}
+
 static void
 set_slow (dks_leased_t *leased, bool is_slow)
 {
@@ -409,7 +431,8 @@
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_isolated (leased) ? FENCED_ISOLATED_PAUSE_US : FENCED_PAUSE_US;
 
-  if (!dks_leased_feed_knows_targets (leased) || !is_discovery_complete (leased))
+  if (!dks_leased_feed_knows_targets (leased) || !is_discovery_complete (leased)
+      || has_late_view (leased))
     return false;
   if (leased->last_fenced_us > 0 && now_us - leased->last_fenced_us < pause_us)
     return false;
--- a/tests/test_leased_leader.cc
+++ b/tests/test_leased_leader.cc
@@ -133,6 +133,27 @@
     }
 }
 
+// Guards against an instance that becomes slow, and takes over from a sound leader whose messages
+// wait in its own queue: they are handled 0.3 s late first, and then 1 s late, with a gap between.
+TEST (LeasedLeader, SlowInstanceDoesNotTakeOverFromASoundLeader)
+{
+  World world;
+  start_data_centre (world, 6);
+  submit_for (world, 1000 * ms);
+  size_t leader = leader_of (world);
+  size_t slow = (leader + 1) % 6;
+
+  for (int64_t delay_us : { 300 * ms, 1000 * ms })
+    {
+      for (size_t i = 0; i < world.instances.size (); i++)
+        world.link_delay_us[{ i, slow }] = delay_us;
+      world.run_for (300 * ms);
+    }
+  world.run_for (2000 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), 1U);
+  EXPECT_EQ (leader_of (world), leader);
+}
+
 // Guards against a handover to an instance that is as slow.
 TEST (LeasedLeader, SlowInstanceDoesNotSucceedASlowLeader)
 {
