core: peers that fall silent together are not taken for lost

A status that is overdue by more than an interval counts as late for the view from which an instance begins to lead.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -34,6 +34,10 @@
   LATE_MIN_US = 400000,
   /* Time after its latest late statuses for which an instance does not begin to lead. */
   LATE_VIEW_US = 1000000,
+  /* Intervals, and a margin for delay, without a message after which a status is overdue. Less than
+     the silence that shows the loss of a leader, so that all are overdue when this instance is. */
+  OVERDUE_INTERVALS = 2,
+  OVERDUE_MARGIN_US = 50000,
   /* Silence of a peer that stays connected, which is taken for lateness when all peers are silent.
    */
   LATE_SILENCE_US = 1000000,
@@ -217,8 +221,10 @@
   return known >= LATE_PEERS_MIN && (2 * late > known || late + silent == known);
 }
 
-/* Whether statuses of more than half of the peers that send often were handled late just now. What
- * this instance takes for the silence of a leader is likely its own delay then. */
+/* Whether statuses of more than half of the peers that send often were handled late just now, or
+ * wait for longer than usual: peers that fall silent together are rarely all lost. What this
+ * instance takes for the silence of a leader is likely its own delay then. Peers that are lost
+ * count until their connections are closed. */
 static bool
 has_late_view (const dks_leased_t *leased)
 {
@@ -231,8 +237,10 @@
       if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
         continue;
       known++;
-      late +=
-          peer->late_until_us > 0 && leased->r->now.mono_us - peer->late_until_us < LATE_VIEW_US;
+      late += leased->r->now.mono_us - peer->last_message_us
+                  >= OVERDUE_INTERVALS * peer->interval_us + OVERDUE_MARGIN_US
+              || (peer->late_until_us > 0
+                  && leased->r->now.mono_us - peer->late_until_us < LATE_VIEW_US);
     }
   return known >= LATE_PEERS_MIN && 2 * late > known;
 }
--- a/tests/test_leased_leader.cc
+++ b/tests/test_leased_leader.cc
@@ -154,6 +154,23 @@
   EXPECT_EQ (leader_of (world), leader);
 }
 
+// Guards against an instance that takes over from a sound leader because it becomes so slow at once
+// that it handles no status for 0.7 s.
+TEST (LeasedLeader, SuddenlySlowInstanceDoesNotTakeOverFromASoundLeader)
+{
+  World world;
+  start_data_centre (world, 6);
+  submit_for (world, 1000 * ms);
+  size_t leader = leader_of (world);
+  size_t slow = (leader + 1) % 6;
+
+  for (size_t i = 0; i < world.instances.size (); i++)
+    world.link_delay_us[{ i, slow }] = 700 * ms;
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), 1U);
+  EXPECT_EQ (leader_of (world), leader);
+}
+
 // Guards against a handover to an instance that is as slow.
 TEST (LeasedLeader, SlowInstanceDoesNotSucceedASlowLeader)
 {
