core: the line for each task that is known not to run is a debug line

Cause: a successor wrote one for each task of each job that it got, hundreds within some ms, on an eighth of a processor. Change: debug. The line for each question and each run taken over stays. Measured: test_leased passes; the cost of the lines was not measured.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -496,7 +496,7 @@
   if (!task->no_prior_run && task_has_prior_run (job, index))
     return true;
   if (!task->no_prior_run && job->resent)
-    dks_emit_log (leased->r, DKS_LOG_INFO,
+    dks_emit_log (leased->r, DKS_LOG_DEBUG,
                   "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64,
                   job->batch->id, task->step, task->index,
                   (dks_leased_now_us (leased) - job->received_us) / 1000,
