--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -21,6 +21,12 @@
    * of another leader about one of its tasks causes a pass over all jobs. */
   PRIOR_RUNS_CHECK_INTERVAL_US = 20000,
   RETRY_DELAY_US = 5000, /* from the failure of a task to its next start */
+  /* A pass over the waiting tasks takes some us for each of them, and nearly every event makes one
+     due. Above this many, passes are made at most once in PLACEMENT_TASK_US for each waiting task,
+     and in PLACEMENT_PAUSE_MAX_US in all, so that a backlog does not take all processor time. */
+  LARGE_BACKLOG_TASKS = 100,
+  PLACEMENT_TASK_US = 20,
+  PLACEMENT_PAUSE_MAX_US = 20000,
   /* Number of the first run that this leader starts for a task of a resent job: above the numbers
    * of runs of earlier leaders that are not known here. */
   SUCCESSOR_FIRST_RUN = 8
@@ -570,8 +576,14 @@
   dks_leased_job_t *job;
   dks_leased_job_t *next;
 
+  if (leased->waiting_tasks > LARGE_BACKLOG_TASKS
+      && dks_leased_now_us (leased) < leased->next_placement_us)
+    return; /* it stays due, and checks on runs cause an event every 20 ms */
   leased->placement_due = false;
   leased->prior_check_due = false;
+  leased->next_placement_us =
+      dks_leased_now_us (leased)
+      + min_us ((int64_t)PLACEMENT_TASK_US * leased->waiting_tasks, PLACEMENT_PAUSE_MAX_US);
   if (leased->term > 0 && leased->remote_lost_tasks > 0)
     dks_leased_lend_query_successors (leased);
   if (leased->term == 0 || leased->waiting_tasks == 0)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -456,6 +456,7 @@
   uint32_t waiting_tasks;
   uint32_t remote_lost_tasks; /**< lent tasks whose remote leader is lost */
   bool placement_due;
+  int64_t next_placement_us; /**< no pass over many waiting tasks is made before this */
   bool prior_check_due; /**< a pass has left out a resent job, or an answer about one has arrived */
 
   /* leased_entry.c */
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1214,6 +1214,34 @@
     EXPECT_EQ (answer.second.answer, DKS_BATCH_COMPLETED);
 }
 
+// Guards against a leader that is kept busy by its backlog: each job that arrived made a pass over
+// all waiting tasks, also one that was refused at once, so a successor that began with 800 waiting
+// tasks answered late for 2 s.
+TEST (Leased, JobsThatArriveDuringABacklogDoNotEachCauseAPass)
+{
+  World world;
+  add_data_centre (world, "a", 100, 1);
+  world.objective_factor_milli = 20000;
+  world.start_all ();
+  world.run_for (2000 * ms);
+  // 200 tasks run, and 600 wait.
+  for (int i = 0; i < 100; i++)
+    world.submit (0, "00000000000001" + std::to_string (10 + i), { { 8, 6800, 500, 500 } }, 20000);
+  world.run_for (10 * ms);
+  uint64_t before = dks_reducer_targets_scanned (world.instances[0]->reducer);
+  for (int i = 0; i < 500; i++)
+    {
+      world.submit (0, "0000000000002" + std::to_string (100 + i), { { 1, 6800, 500, 500 } }, 400);
+      world.run_for (ms / 5);
+    }
+  uint64_t scans = dks_reducer_targets_scanned (world.instances[0]->reducer) - before;
+  // A pass looks for free capacity on each of the 100 targets. In these 100 ms one is made every 12
+  // ms.
+  EXPECT_LE (scans, 10U * 100U);
+  world.run_for (5000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Sends a lent task to `remote_leader` as if from the instance `home_leader`; returns how many runs
 // have started on all targets so far.
 uint32_t
