--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -25,6 +25,39 @@
   FENCED_TERM_STEP_MS = 5000,
   LAG_MAX_US = 400000, /* lag of all peers' statuses at which a leader stops leading; less than the
                           silence after which peers count an instance as lost */
+  /* Lag of a status that counts as late. 100 ms occur on an instance that uses all its processor
+     time; a leader refuses work above 200 ms, which keeps its lag from rising further. */
+  LATE_LAG_US = 150000,
+  LATE_GAP_MAX_US = 1200000, /* between two late statuses of a peer that belong together */
+  /* Time from the first to the last of them that shows that this instance cannot keep up. A single
+     stall delays statuses that are then handled together. */
+  LATE_MIN_US = 400000,
+  /* Time after its latest late statuses for which an instance does not begin to lead. */
+  LATE_VIEW_US = 1000000,
+  /* Intervals, and a margin for delay, without a message after which a status is overdue. Less than
+     the silence that shows the loss of a leader, so that all are overdue when this instance is. */
+  OVERDUE_INTERVALS = 2,
+  OVERDUE_MARGIN_US = 50000,
+  /* Silence of a peer that stays connected, which is taken for lateness when all peers are silent.
+   */
+  LATE_SILENCE_US = 1000000,
+  /* Time without lateness after which an instance that could not keep up ranks as before. */
+  SLOW_CALM_US = 3000000,
+  /* Greatest interval of the statuses whose lag is used: that of two instances of one data centre.
+   */
+  LATE_INTERVAL_MAX_US = 200000,
+  /* Least number of peers whose lag is known: a single one may be slow to send. */
+  LATE_PEERS_MIN = 2,
+  /* By this an instance that cannot keep up is smaller to others. Well above the ratio of the sizes
+     of instances, so that it is the last choice. */
+  SLOW_RANK_DIVISOR = 16,
+  /* A leader that cannot keep up stops only for an instance with its processor time divided by
+     this, or more: a smaller one would not keep up either. */
+  SUCCESSOR_SIZE_DIVISOR = 2,
+  /* Least age of a leadership that is handed over when the leader was late from its beginning on:
+     then its data centre has more work than one instance can do, and each change only adds to it.
+   */
+  LATE_TERM_MIN_AGE_US = 10000000,
   /* Least age of a leadership that is handed over, and of the connection to its successor: each
      change costs running jobs some ms, so two must not follow in a row. */
   YIELD_MIN_AGE_US = 2000000,
@@ -145,6 +178,7 @@
   leased->highest_term = term;
   leased->term_start_us = leased->r->now.mono_us;
   leased->term_confirmed_us = 0;
+  leased->term_late_us = 0;
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
                 leased->r->config.data_centre, term);
   dks_leased_targets_handle_leadership (leased);
@@ -164,10 +198,163 @@
   dks_leased_members_notify_all (leased);
 }
 
-/* The other instances count a leader that handles all messages this late as lost, and it does not
- * learn in time of the successor that they choose. */
+/* Lag */
+
 void
-dks_leased_leader_check_lag (dks_leased_t *leased)
+dks_leased_leader_record_lag (dks_leased_t *leased, dks_leased_peer_t *peer)
+{
+  int64_t now_us = leased->r->now.mono_us;
+
+  if (peer->lag_us <= LATE_LAG_US)
+    return;
+  if (peer->late_until_us == 0 || now_us - peer->late_until_us > LATE_GAP_MAX_US)
+    peer->late_since_us = now_us;
+  peer->late_until_us = now_us;
+}
+
+/* Whether statuses of the peer are handled late again and again. One that waited shortly may come
+ * between them: the statuses of a peer are read together, the latest of them in time. */
+static bool
+peer_is_late (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return peer->late_until_us > 0 && peer->late_until_us - peer->late_since_us >= LATE_MIN_US
+         && leased->r->now.mono_us - peer->late_until_us <= LATE_GAP_MAX_US;
+}
+
+/* Whether the messages of more than half of the peers that send often are handled late; or none in
+ * time, and the timers of this instance late as well: those of peers that seem silent may wait in
+ * its own queue then. One peer that is slow to send, or whose connection is so new that its usual
+ * delay is not known, says nothing. */
+static bool
+handles_late (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+  uint32_t known = 0;
+  uint32_t late = 0;
+  uint32_t silent = 0;
+  bool timers_are_late = leased->timer_late_us > 0
+                         && leased->r->now.mono_us - leased->timer_late_us <= LATE_GAP_MAX_US;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
+        continue;
+      known++;
+      if (peer_is_late (leased, peer))
+        late++;
+      else if (leased->r->now.mono_us - peer->last_message_us >= LATE_SILENCE_US)
+        silent++;
+    }
+  return known >= LATE_PEERS_MIN
+         && (2 * late > known || (timers_are_late && late + silent == known));
+}
+
+/* Whether the peer's next status waits for longer than usual, or its latest one has. */
+static bool
+peer_is_overdue (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return peer->lag_us > LATE_LAG_US
+         || leased->r->now.mono_us - peer->last_message_us
+                >= OVERDUE_INTERVALS * peer->interval_us + OVERDUE_MARGIN_US;
+}
+
+/* Whether statuses of more than half of the peers that send often were handled late just now, or
+ * those of all wait for longer than usual: peers that fall silent together are rarely all lost.
+ * What this instance takes for the silence of a leader is likely its own delay then. Peers that are
+ * lost count until their connections are closed. */
+static bool
+has_late_view (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+  uint32_t known = 0;
+  uint32_t late = 0;
+  uint32_t overdue = 0;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (!peer->connected || peer->interval_us == 0 || peer->interval_us > LATE_INTERVAL_MAX_US)
+        continue;
+      known++;
+      late +=
+          peer->late_until_us > 0 && leased->r->now.mono_us - peer->late_until_us < LATE_VIEW_US;
+      overdue += peer_is_overdue (leased, peer);
+    }
+  return known >= LATE_PEERS_MIN && (2 * late > known || overdue == known);
+}
+
+static void
+set_slow (dks_leased_t *leased, bool is_slow)
+{
+  if (is_slow == leased->is_slow)
+    return;
+  leased->is_slow = is_slow;
+  dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=instance-slow slow=%d leads=%d", is_slow,
+                leased->term > 0);
+  dks_leased_members_notify_all (leased);
+}
+
+static void
+update_slow (dks_leased_t *leased)
+{
+  int64_t now_us = leased->r->now.mono_us;
+
+  if (handles_late (leased))
+    {
+      leased->late_until_us = now_us;
+      if (leased->term_late_us == 0)
+        leased->term_late_us = now_us;
+      set_slow (leased, true);
+    }
+  else if (now_us - leased->late_until_us >= SLOW_CALM_US)
+    set_slow (leased, false);
+}
+
+uint32_t
+dks_leased_leader_rank_milli (const dks_leased_t *leased)
+{
+  return leased->is_slow ? leased->r->config.processor_milli / SLOW_RANK_DIVISOR
+                         : leased->r->config.processor_milli;
+}
+
+/* Whether the peer counts as present. An instance that cannot keep up may take peers for silent
+ * whose messages wait in its own queue, so for it those that are connected count. */
+static bool
+peer_is_present (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return leased->is_slow ? peer->connected : dks_leased_peer_is_alive (leased, peer);
+}
+
+/* Whether another instance could take over from this leader, which cannot keep up. */
+static bool
+has_able_successor (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (dks_leased_peer_is_local (leased, peer) && peer_is_present (leased, peer)
+          && !peer->draining && peer->knows_targets
+          && leased->r->now.mono_us - peer->connected_us >= YIELD_MIN_AGE_US
+          && SUCCESSOR_SIZE_DIVISOR * peer->processor_milli >= leased->r->config.processor_milli)
+        return true;
+    }
+  return false;
+}
+
+/* Whether this leader has led for long enough to hand over because it cannot keep up. */
+static bool
+may_hand_over_slow (const dks_leased_t *leased)
+{
+  bool late_from_start = leased->term_late_us - leased->term_start_us < YIELD_MIN_AGE_US;
+
+  return leased->r->now.mono_us - leased->term_start_us
+         >= (late_from_start ? LATE_TERM_MIN_AGE_US : YIELD_MIN_AGE_US);
+}
+
+/* Whether all messages are handled so late that the other instances count this leader as lost, and
+ * it does not learn in time of the successor that they choose. */
+static bool
+lags_as_if_lost (const dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
   int64_t min_lag_us = INT64_MAX;
@@ -179,11 +366,36 @@
           && peer->lag_us < min_lag_us)
         min_lag_us = peer->lag_us;
     }
-  if (leased->term > 0 && min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US)
+  return min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US;
+}
+
+void
+dks_leased_leader_record_timer (dks_leased_t *leased, int64_t due_us)
+{
+  if (leased->r->now.mono_us - due_us > LATE_LAG_US)
+    leased->timer_late_us = leased->r->now.mono_us;
+}
+
+void
+dks_leased_leader_check_lag (dks_leased_t *leased)
+{
+  update_slow (leased);
+  if (leased->term == 0)
+    return;
+  if (lags_as_if_lost (leased))
     {
       leased->listening_since_us = leased->r->now.mono_us;
+      /* Else it would be the first candidate again. */
+      set_slow (leased, true);
+      leased->late_until_us = leased->r->now.mono_us;
       stop_leading (leased, "lagging");
     }
+  /* Leadership ends before a successor begins: one that cannot keep up may learn late of it. */
+  else if (leased->is_slow && may_hand_over_slow (leased) && has_able_successor (leased))
+    {
+      leased->listening_since_us = leased->r->now.mono_us;
+      stop_leading (leased, "slow");
+    }
 }
 
 /* Whether the peer is to lead rather than this instance: the one with more processor time is
@@ -191,7 +403,7 @@
 static bool
 peer_is_preferred (const dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
-  uint32_t local_milli = leased->r->config.processor_milli;
+  uint32_t local_milli = dks_leased_leader_rank_milli (leased);
 
   if (peer->processor_milli != local_milli)
     return peer->processor_milli > local_milli;
@@ -210,7 +422,7 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!dks_leased_peer_is_local (leased, peer) || !dks_leased_peer_is_alive (leased, peer)
+      if (!dks_leased_peer_is_local (leased, peer) || !peer_is_present (leased, peer)
           || peer->draining || (must_know_targets && !peer->knows_targets))
         continue;
       if (leased->drain_start_us > 0 || peer_is_preferred (leased, peer))
@@ -268,7 +480,8 @@
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_isolated (leased) ? FENCED_ISOLATED_PAUSE_US : FENCED_PAUSE_US;
 
-  if (!dks_leased_feed_knows_targets (leased) || !is_discovery_complete (leased))
+  if (!dks_leased_feed_knows_targets (leased) || !is_discovery_complete (leased)
+      || has_late_view (leased))
     return false;
   if (leased->last_fenced_us > 0 && now_us - leased->last_fenced_us < pause_us)
     return false;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -157,7 +157,7 @@
   msg->u.leased_status.fast_slowness_milli = leased->capacity.fast_slowness_milli;
   msg->u.leased_status.sent_us = leased->r->now.mono_us;
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
-  msg->u.leased_status.processor_milli = leased->r->config.processor_milli;
+  msg->u.leased_status.processor_milli = dks_leased_leader_rank_milli (leased);
   msg->u.leased_status.draining = leased->drain_start_us > 0;
   msg->u.leased_status.yields_leadership = leased->term > 0 && leased->yields_leadership;
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
@@ -201,6 +201,7 @@
   if ((leased->status_due_to_leaders || leased->status_due_to_all)
       && leased->last_status_us + STATUS_MIN_INTERVAL_US < at_us)
     at_us = leased->last_status_us + STATUS_MIN_INTERVAL_US;
+  leased->status_due_us = at_us;
   dks_timer_set (leased->r->timers, &leased->status_timer, at_us);
 }
 
@@ -252,6 +253,7 @@
 
   dks_leased_addresses_tick (leased);
   check_silent_peers (leased);
+  dks_leased_leader_record_timer (leased, leased->status_due_us);
   dks_leased_leader_check_lag (leased);
   drop_lost_peers (leased);
   dks_leased_leader_update (leased);
@@ -333,6 +335,7 @@
     peer->min_clock_diff_us = clock_diff_us;
   peer->last_status_us = leased->r->now.mono_us;
   peer->lag_us = clock_diff_us - peer->min_clock_diff_us;
+  dks_leased_leader_record_lag (leased, peer);
 }
 
 int64_t
@@ -412,6 +415,7 @@
   leased->start_us = leased->r->now.mono_us;
   leased->listening_since_us = leased->r->now.mono_us;
   dks_timer_init (&leased->status_timer, handle_status_timer, leased);
+  leased->status_due_us = leased->r->now.mono_us;
   dks_timer_set (leased->r->timers, &leased->status_timer, leased->r->now.mono_us);
 }
 
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -85,7 +85,7 @@
   int64_t highest_term_us; /**< when it was last known to lead with that term */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
-  uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
+  uint32_t processor_milli;  /**< by which it ranks for leadership, thousandths of a processor */
   int64_t last_leading_us;   /**< when a status last said that it leads, 0: never */
   int64_t term_received_us;  /**< when a status last changed `term` */
   int64_t connected_us;      /**< when the connection began */
@@ -93,6 +93,9 @@
   int64_t heard_since_us;    /**< when its first status after a silence was received */
   int64_t last_status_us;    /**< when its latest status was received, 0: none yet */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
+  int64_t
+      late_since_us; /**< first of its late statuses that followed each other closely, 0: none */
+  int64_t late_until_us; /**< when its latest late status was handled, 0: never */
   bool draining;
   bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
@@ -391,6 +394,10 @@
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
   bool leader_known;       /**< a leader of the data centre is known, which may be this instance */
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
+  int64_t late_until_us;   /**< when messages of most peers were last handled late, 0: never */
+  int64_t term_late_us;    /**< when they were first handled late in the present term, 0: not yet */
+  int64_t timer_late_us;   /**< when the timer of statuses was last handled late, 0: never */
+  bool is_slow;            /**< handles messages late for some time, or did lately */
   int64_t last_leading_us; /**< when this instance last stopped to lead, 0: never */
   uint64_t highest_term;   /**< highest term known, raised when fenced; a new term is above it */
   int64_t last_fenced_us;  /**< when a target last rejected the fencing token, 0 for never */
@@ -400,6 +407,7 @@
   dks_leased_capacity_t capacity; /**< as last computed, for statuses */
   dks_leased_capacity_t stated_capacity; /**< as last sent to all other leaders at once */
   dks_timer_t status_timer;
+  int64_t status_due_us; /**< when `status_timer` is due */
 
   /* leased_addresses.c */
   struct dks_leased_address_ring_t addresses;
@@ -565,8 +573,16 @@
 void dks_leased_leader_handle_fenced (dks_leased_t *leased);
 /** Begins or stops to lead, as the known state of the other instances requires. */
 void dks_leased_leader_update (dks_leased_t *leased);
-/** Stops leading when the messages of all peers are handled too late. */
+/** Stops leading when the messages of all peers are handled too late, or those of most for some
+ * time and another instance can lead. */
 void dks_leased_leader_check_lag (dks_leased_t *leased);
+/** Records that a status of the peer was handled late, if it was, by its `lag_us`. */
+void dks_leased_leader_record_lag (dks_leased_t *leased, dks_leased_peer_t *peer);
+/** Records that a timer that was due at `due_us` is handled now, if that is late. */
+void dks_leased_leader_record_timer (dks_leased_t *leased, int64_t due_us);
+/** Processor time by which this instance ranks among the candidates for leadership, thousandths of
+ * a processor: less than it may use while it cannot keep up. */
+uint32_t dks_leased_leader_rank_milli (const dks_leased_t *leased);
 
 /* leased_feed.c */
 void dks_leased_feed_init (dks_leased_t *leased);
