--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -108,6 +108,37 @@
   peer->highest_term_us = dks_leased_now_us (leased);
 }
 
+void
+dks_leased_leader_note_local_terms (dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  if (!dks_leased_peer_is_local (leased, peer))
+    return;
+  if (peer->term > leased->heard_term)
+    leased->heard_term = peer->term;
+  if (peer->term > leased->highest_term)
+    leased->highest_term = peer->term;
+  if (peer->leader_term > leased->highest_term)
+    leased->highest_term = peer->leader_term;
+}
+
+/* Whether an instance of the data centre hears a leader with a higher term than any that this one
+ * has heard itself: the two leaders, or this instance and that leader, do not reach each other.
+ * Statements tell what their sender hears, not what others state, so they end with the leader that
+ * they are about. */
+static bool
+is_superseded_unheard (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (peer->leader_term > leased->heard_term && dks_leased_peer_is_local (leased, peer)
+          && dks_leased_peer_is_alive (leased, peer))
+        return true;
+    }
+  return false;
+}
+
 int64_t
 dks_leased_leader_rival_until_us (const dks_leased_t *leased)
 {
@@ -143,6 +174,7 @@
     term = (leased->highest_term / TERMS_PER_MS + 1) * TERMS_PER_MS + unique;
   leased->term = term;
   leased->highest_term = term;
+  leased->heard_term = term;
   leased->term_start_us = leased->r->now.mono_us;
   leased->term_confirmed_us = 0;
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
@@ -317,13 +349,16 @@
 dks_leased_leader_update (dks_leased_t *leased)
 {
   const dks_leased_peer_t *leader = find_leading_peer (leased);
+  bool superseded_unheard = is_superseded_unheard (leased);
 
-  if (leased->term > 0 && leader != NULL
-      && leadership_precedes (leader->term, leader->id, leased->term, leased->r->self))
+  if (leased->term > 0
+      && (superseded_unheard
+          || (leader != NULL
+              && leadership_precedes (leader->term, leader->id, leased->term, leased->r->self))))
     stop_leading (leased, "higher-term");
   update_yielding (leased);
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
-      && may_lead (leased))
+      && !superseded_unheard && may_lead (leased))
     start_leading (leased);
   leased->leader_known = leased->term > 0 || find_leading_peer (leased) != NULL;
   dks_leased_entry_resubmit (leased);
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -163,6 +163,7 @@
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
   msg->u.leased_status.address_digest = leased->address_digest;
+  msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   peer->next_status_us = leased->r->now.mono_us + interval_us;
   peer->stated_interval_us = interval_us;
   dks_emit_peer (leased->r, peer->id, msg);
@@ -349,6 +350,7 @@
 {
   bool is_new = !peer->status_received;
   bool changed = is_new || peer->term != msg->u.leased_status.term
+                 || peer->leader_term != msg->u.leased_status.leader_term
                  || peer->draining != msg->u.leased_status.draining
                  || peer->yields_leadership != msg->u.leased_status.yields_leadership
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
@@ -362,6 +364,7 @@
   if (is_new || peer->term != msg->u.leased_status.term)
     leased->peers_generation++;
   peer->term = msg->u.leased_status.term;
+  peer->leader_term = msg->u.leased_status.leader_term;
   dks_leased_leader_note_term (leased, peer->id, peer->term);
   if (peer->term > 0)
     peer->last_leading_us = leased->r->now.mono_us;
@@ -378,8 +381,7 @@
   peer->interval_us = INT64_C (1000) * msg->u.leased_status.interval_ms;
   peer->address_digest = msg->u.leased_status.address_digest;
   dks_leased_addresses_handle_status (leased, peer, is_new);
-  if (dks_leased_peer_is_local (leased, peer) && peer->term > leased->highest_term)
-    leased->highest_term = peer->term;
+  dks_leased_leader_note_local_terms (leased, peer);
   if (is_new)
     {
       leased->last_join_us = leased->r->now.mono_us;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -83,7 +83,8 @@
   uint64_t term;           /**< of its leadership of its data centre, 0: it does not lead */
   uint64_t highest_term;   /**< highest term with which it is known to have led */
   int64_t highest_term_us; /**< when it was last known to lead with that term */
-  int64_t started_ms;      /**< start of its process, Unix ms */
+  uint64_t leader_term; /**< of the leader of its data centre that it hears, by its latest status */
+  int64_t started_ms;   /**< start of its process, Unix ms */
   int64_t catalog_version;
   uint32_t processor_milli;  /**< processor time that it may use, thousandths of a processor */
   int64_t last_leading_us;   /**< when a status last said that it leads, 0: never */
@@ -393,6 +394,8 @@
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
   int64_t last_leading_us; /**< when this instance last stopped to lead, 0: never */
   uint64_t highest_term;   /**< highest term known, raised when fenced; a new term is above it */
+  uint64_t heard_term;     /**< highest term of this instance or heard from a leader of its data
+                              centre itself */
   int64_t last_fenced_us;  /**< when a target last rejected the fencing token, 0 for never */
   bool status_due_to_leaders;     /**< a status is due to other leaders, as free capacity changed */
   bool status_due_to_all;         /**< a status is due to all peers */
@@ -552,6 +555,8 @@
 uint64_t dks_leased_leader_term (const dks_leased_t *leased);
 /** Whether the peer leads its data centre, where no instance is known to have a higher term. */
 bool dks_leased_peer_is_leader (const dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Records the terms that the latest status of an instance of the data centre names. */
+void dks_leased_leader_note_local_terms (dks_leased_t *leased, const dks_leased_peer_t *peer);
 /** Time until which another instance of the data centre may have led as well, as far as is known:
  * now for one that this instance does not hear, or that has not learned yet that it was superseded.
  */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -243,6 +243,8 @@
       int64_t sent_us;         /**< monotonic time of the sender */
       uint32_t interval_ms;    /**< the next status follows within this time, 0: not stated */
       uint64_t address_digest; /**< of the addresses that the sender knows */
+      uint64_t leader_term;    /**< of the leader of its data centre that the sender hears itself,
+                                  or is; 0: not stated */
     } leased_status;
     struct
     {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -41,6 +41,7 @@
   body.sent_us = msg->u.leased_status.sent_us;
   body.interval_ms = msg->u.leased_status.interval_ms;
   body.address_digest = msg->u.leased_status.address_digest;
+  body.leader_term = msg->u.leased_status.leader_term;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -273,6 +274,7 @@
   msg->u.leased_status.sent_us = body->sent_us;
   msg->u.leased_status.interval_ms = body->interval_ms;
   msg->u.leased_status.address_digest = body->address_digest;
+  msg->u.leased_status.leader_term = body->leader_term;
   return body->term <= INT64_MAX && body->interval_ms <= STATUS_INTERVAL_MAX_MS ? DKS_OK
                                                                                 : DKS_ERR_INVALID;
 }
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[15] =
 {
   {
     "term",
@@ -3491,6 +3491,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader_term",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, leader_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
@@ -3501,6 +3513,7 @@
   3,   /* field[3] = free_tasks */
   12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
+  14,   /* field[14] = leader_term */
   9,   /* field[9] = processor_milli */
   11,   /* field[11] = sent_us */
   1,   /* field[1] = started_ms */
@@ -3508,10 +3521,11 @@
   4,   /* field[4] = waiting_tasks */
   10,   /* field[10] = yields */
 };
-static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
+static const ProtobufCIntRange dks__leased_status__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 20, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3521,10 +3535,10 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  14,
+  15,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
-  1,  dks__leased_status__number_ranges,
+  2,  dks__leased_status__number_ranges,
   (ProtobufCMessageInit) dks__leased_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -376,10 +376,14 @@
    */
   uint32_t interval_ms;
   uint64_t address_digest;
+  /*
+   * Term of the leader of the sender's data centre that the sender hears itself, 0: not stated.
+   */
+  uint64_t leader_term;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
@@ -527,7 +531,7 @@
   char *queue;
   int64_t sent_us;
   /*
-   * Lent tasks: terms of the home leader and of the remote leader for which they are; 0: not stated.
+   * Term of the home leader that lends tasks, and of the receiver; 0: not stated.
    */
   uint64_t home_term;
   uint64_t remote_term;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -181,8 +181,9 @@
       set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17,   40,   11, 870, 3,
-                               120,       true,      true, true, 77, 200, UINT64_MAX };
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17,  40,         11,
+                               870,       3,         120, true,       true,
+                               true,      77,        200, UINT64_MAX, INT64_MAX - 1 };
       break;
     case DKS_MSG_TARGETS:
       msg->u.targets.count = 2;
@@ -389,6 +390,7 @@
       add (msg->u.leased_status.sent_us);
       add (msg->u.leased_status.interval_ms);
       add (msg->u.leased_status.address_digest);
+      add (msg->u.leased_status.leader_term);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1526,11 +1526,15 @@
   ASSERT_NE (successor, remote);
   size_t third = 6 - remote - successor; // of the instances 1 to 3
   world.set_cut_both_ways (remote, third, false);
-  world.run_for (300 * ms);
+  world.run_for (10 * ms);
+  // As long as the third instance hears the successor, the remote leader does not lead again.
+  world.set_partitioned (third, successor, true);
+  world.run_for (290 * ms);
   ASSERT_EQ (leader_of (world, "b"), world.instances[remote]->id);
   world.set_cut_both_ways (remote, home, false);
   world.run_for (100 * ms);
   world.set_cut_both_ways (remote, successor, false);
+  world.set_partitioned (third, successor, false);
   world.run_for (6000 * ms);
   EXPECT_EQ (world.double_runs, 0);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -520,3 +520,66 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
   EXPECT_EQ (count_logged (world, "event=lend-refused"), 0U);
 }
+
+// Guards against two leaders of a data centre that do not hear each other and take the leadership
+// from each other again and again, while a third instance hears both.
+TEST (LeasedHandover, LeadersThatDoNotHearEachOtherSettle)
+{
+  for (bool targets_are_cut : { false, true })
+    {
+      World world;
+      start_data_centres (world, { { 4, 2 }, { 1, 1 } });
+      size_t starts = count_logged (world, "event=leader-start data_centre=a");
+      world.set_cut_both_ways (0, 1, true);
+      if (targets_are_cut)
+        world.target_cuts.insert ({ 0, world.targets[0].get () });
+      for (int i = 0; i < 100; i++)
+        {
+          char id[32];
+          snprintf (id, sizeof (id), "%016x", 0x100 + i);
+          world.submit (i % 4, id, { { 1, 6800, 50, 50 } }, 1500);
+          world.run_for (150 * ms);
+        }
+      EXPECT_EQ (count_logged (world, "event=leader-start data_centre=a"), starts + 1);
+      EXPECT_EQ (count_logged (world, "event=leader-stop"), 1U);
+      uint64_t caller = world.submit (2, job_id, { { 2, 6800, 200, 200 } }, 1500);
+      world.run_for (1000 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+      world.set_cut_both_ways (0, 1, false);
+      world.run_for (5000 * ms);
+      EXPECT_EQ (count_logged (world, "event=leader-start data_centre=a"), starts + 1);
+    }
+}
+
+// Guards against a data centre without a leader: the one that superseded the other is gone, and the
+// instances that heard it stated its term until they noticed.
+TEST (LeasedHandover, LeaderThatWasSupersededUnheardLeadsOnceItsSuccessorIsGone)
+{
+  for (bool is_silent : { false, true })
+    {
+      World world;
+      start_data_centres (world, { { 3, 2 } });
+      world.set_cut_both_ways (0, 1, true);
+      world.run_for (3000 * ms);
+      size_t starts = count_logged (world, "event=leader-start");
+      ASSERT_EQ (count_logged (world, "a-1 event=leader-stop"), 1U);
+      int64_t lost_us = world.now_us;
+      if (is_silent)
+        world.set_frozen (1, true);
+      else
+        world.kill (1);
+      world.run_for (3000 * ms);
+      ASSERT_EQ (count_logged (world, "event=leader-start"), starts + 1);
+      int64_t led_us = 0;
+      for (size_t i = 0; i < world.log.size (); i++)
+        {
+          if (world.log[i].find ("a-1 event=leader-start") != std::string::npos)
+            led_us = world.log_times_us[i];
+        }
+      EXPECT_GT (led_us, lost_us);
+      EXPECT_LT (led_us - lost_us, 900 * ms);
+      uint64_t caller = world.submit (0, job_id, { { 1, 6800, 200, 200 } }, 1500);
+      world.run_for (1000 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+    }
+}
