--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -164,6 +164,7 @@
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
   msg->u.leased_status.address_digest = leased->address_digest;
   msg->u.leased_status.states_prior_jobs = true;
+  msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   peer->next_status_us = leased->r->now.mono_us + interval_us;
   peer->stated_interval_us = interval_us;
   return msg;
@@ -374,6 +375,7 @@
 {
   bool is_new = !peer->status_received;
   bool changed = is_new || peer->term != msg->u.leased_status.term
+                 || peer->leader_term != msg->u.leased_status.leader_term
                  || peer->draining != msg->u.leased_status.draining
                  || peer->yields_leadership != msg->u.leased_status.yields_leadership
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
@@ -390,6 +392,7 @@
     dks_leased_prior_jobs_request (leased, peer);
   peer->term = msg->u.leased_status.term;
   peer->states_prior_jobs = msg->u.leased_status.states_prior_jobs;
+  peer->leader_term = msg->u.leased_status.leader_term;
   dks_leased_leader_note_term (leased, peer->id, peer->term);
   if (peer->term > 0)
     peer->last_leading_us = leased->r->now.mono_us;
@@ -407,8 +410,7 @@
   peer->address_digest = msg->u.leased_status.address_digest;
   dks_leased_prior_jobs_handle_status (leased, peer, msg);
   dks_leased_addresses_handle_status (leased, peer, is_new);
-  if (dks_leased_peer_is_local (leased, peer) && peer->term > leased->highest_term)
-    leased->highest_term = peer->term;
+  dks_leased_leader_note_local_terms (leased, peer);
   if (is_new)
     {
       leased->last_join_us = leased->r->now.mono_us;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[17] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[18] =
 {
   {
     "term",
@@ -3527,6 +3527,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader_term",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, leader_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
@@ -3537,6 +3549,7 @@
   3,   /* field[3] = free_tasks */
   12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
+  17,   /* field[17] = leader_term */
   16,   /* field[16] = prior_jobs */
   15,   /* field[15] = prior_jobs_term */
   9,   /* field[9] = processor_milli */
@@ -3547,10 +3560,11 @@
   4,   /* field[4] = waiting_tasks */
   10,   /* field[10] = yields */
 };
-static const ProtobufCIntRange dks__leased_status__number_ranges[1 + 1] =
+static const ProtobufCIntRange dks__leased_status__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 20, 17 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3560,10 +3574,10 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  17,
+  18,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
-  1,  dks__leased_status__number_ranges,
+  2,  dks__leased_status__number_ranges,
   (ProtobufCMessageInit) dks__leased_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -389,10 +389,14 @@
    */
   size_t n_prior_jobs;
   uint64_t *prior_jobs;
+  /*
+   * Term of the leader of the sender's data centre that the sender hears itself, 0: not stated.
+   */
+  uint64_t leader_term;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dks__TargetSpeed
