--- a/core/leased.c
+++ b/core/leased.c
@@ -150,6 +150,7 @@
   if (leased->last_event_us > 0 && pause_us > PAUSE_MIN_US)
     dks_leased_leader_handle_pause (leased, pause_us);
   leased->last_event_us = event->now.mono_us;
+  dks_leased_load_record_event (leased, event);
   switch (event->type)
     {
     case DKS_EVENT_BATCH:
--- a/core/leased_admission.c
+++ b/core/leased_admission.c
@@ -58,6 +58,7 @@
 
   APR_RING_FOREACH (other, &leased->jobs, dks_leased_job_t, link)
     {
+      job->leased->load.counts.job_visits++;
       if (comes_before (job, other))
         break;
     }
@@ -118,6 +119,7 @@
 
   APR_RING_FOREACH (other, &leased->jobs, dks_leased_job_t, link)
     {
+      job->leased->load.counts.job_visits++;
       if (other == job
           || !(after_miss ? other->batch->priority <= job->batch->priority
                           : comes_before (other, job)))
@@ -138,6 +140,7 @@
 
   APR_RING_FOREACH (other, &job->leased->jobs, dks_leased_job_t, link)
     {
+      job->leased->load.counts.job_visits++;
       if (other != job && comes_before (other, job))
         count += other->waiting_count;
     }
@@ -222,7 +225,10 @@
   int64_t spread_ms;
 
   APR_RING_FOREACH (other, &leased->jobs, dks_leased_job_t, link)
-    run_us += other->waiting_count * other->expected_run_us;
+    {
+      job->leased->load.counts.job_visits++;
+      run_us += other->waiting_count * other->expected_run_us;
+    }
   wait_ms = min_i64 (work_time_us (leased, run_us) / 1000, RETRY_AFTER_MAX_MS);
   if (wait_ms < RETRY_AFTER_MIN_MS)
     wait_ms = RETRY_AFTER_MIN_MS;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -93,12 +93,13 @@
 /* Jobs */
 
 static dks_leased_job_t *
-job_find_by_batch_id (const dks_leased_t *leased, const char *id)
+job_find_by_batch_id (dks_leased_t *leased, const char *id)
 {
   dks_leased_job_t *job;
 
   APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       if (!job->is_lent && strcmp (job->batch->id, id) == 0)
         return job;
     }
@@ -558,6 +559,7 @@
 
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       if (dks_leased_admission_is_hopeless (job))
         job_refuse_by_estimate (job, "the objective cannot be met any more");
     }
@@ -572,6 +574,7 @@
 
   leased->placement_due = false;
   leased->prior_check_due = false;
+  leased->load.counts.passes++;
   if (leased->term > 0 && leased->remote_lost_tasks > 0)
     dks_leased_lend_query_successors (leased);
   if (leased->term == 0 || leased->waiting_tasks == 0)
@@ -579,6 +582,7 @@
   dks_leased_targets_update_free_cpu (leased);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       if (job->resent && !job->is_lent && dks_leased_now_us (leased) < job->next_prior_check_us)
         {
           leased->prior_check_due = true;
@@ -744,6 +748,7 @@
   /* Several messages of one request may have lent tasks, or asked for them. */
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       if (job->request_id != request || strcmp (job->origin, origin) != 0)
         continue;
       if (!job->is_lent)
@@ -875,6 +880,7 @@
 
   APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       dks_leased_task_t *task = dks_leased_prior_runs_handle_answer (job, peer, msg);
 
       if (task != NULL)
@@ -887,12 +893,13 @@
 
 /* The job with the step that has this lend id, or NULL. */
 static dks_leased_job_t *
-job_find_by_lend_id (const dks_leased_t *leased, uint64_t lend_id, uint32_t *step)
+job_find_by_lend_id (dks_leased_t *leased, uint64_t lend_id, uint32_t *step)
 {
   dks_leased_job_t *job;
 
   APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       for (*step = 0; *step < job->batch->step_count; ++*step)
         {
           if (job->step_lend_id[*step] == lend_id)
@@ -962,6 +969,7 @@
   dks_leased_prior_runs_handle_peer_lost (leased, peer);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
+      leased->load.counts.job_visits++;
       if (strcmp (job->origin, peer) != 0)
         continue;
       dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-orphaned job=%s lent=%d sender=%s",
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -164,10 +164,8 @@
   dks_leased_members_notify_all (leased);
 }
 
-/* The other instances count a leader that handles all messages this late as lost, and it does not
- * learn in time of the successor that they choose. */
-void
-dks_leased_leader_check_lag (dks_leased_t *leased)
+int64_t
+dks_leased_leader_lag_us (const dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
   int64_t min_lag_us = INT64_MAX;
@@ -179,7 +177,15 @@
           && peer->lag_us < min_lag_us)
         min_lag_us = peer->lag_us;
     }
-  if (leased->term > 0 && min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US)
+  return min_lag_us != INT64_MAX ? min_lag_us : 0;
+}
+
+/* The other instances count a leader that handles all messages this late as lost, and it does not
+ * learn in time of the successor that they choose. */
+void
+dks_leased_leader_check_lag (dks_leased_t *leased)
+{
+  if (leased->term > 0 && dks_leased_leader_lag_us (leased) > LAG_MAX_US)
     {
       leased->listening_since_us = leased->r->now.mono_us;
       stop_leading (leased, "lagging");
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -250,6 +250,7 @@
 {
   dks_leased_t *leased = context;
 
+  dks_leased_load_tick (leased);
   dks_leased_addresses_tick (leased);
   check_silent_peers (leased);
   dks_leased_leader_check_lag (leased);
--- a/core/leased_metrics.c
+++ b/core/leased_metrics.c
@@ -96,6 +96,8 @@
     { "runs_starting", "Runs whose target has not answered the start.", waiting.starting },
     { "overload_seconds", "Time for which jobs have had to wait in overload, 0: no overload.",
       (double)dks_leased_drain_overload_us (leased) / 1e6 },
+    { "lag_seconds", "Delay with which messages of other instances are handled.",
+      (double)dks_leased_leader_lag_us (leased) / 1e6 },
     { "targets_held", "Targets that this instance orders.", held },
     { "targets_ejected", "Held targets that get no work for a while.", ejected },
     { "runs", "Runs on held targets.", runs },
@@ -119,6 +121,7 @@
 
   DKS_INVARIANT (stream != NULL);
   write_gauges (stream, leased);
+  dks_leased_load_write (stream, leased);
   fputs (labelled, stream);
   DKS_INVARIANT (fclose (stream) == 0);
   free (labelled);
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -154,7 +154,7 @@
     {
       double cost;
 
-      leased->target_scans++;
+      leased->load.counts.target_scans++;
       if (!is_usable (target) || !fits_when_idle (target, job->batch, step)
           || !has_free_capacity (target, step))
         continue;
@@ -183,7 +183,7 @@
     {
       uint32_t used = target->cpu_used;
 
-      leased->target_scans++;
+      leased->load.counts.target_scans++;
       if (used < target->info.cpu_milli
           && target->info.cpu_milli - used > leased->max_free_cpu_milli && is_usable (target))
         leased->max_free_cpu_milli = target->info.cpu_milli - used;
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -47,6 +47,8 @@
 
   dks_strcpy (effect->u.peer_send.peer, sizeof (effect->u.peer_send.peer), peer);
   effect->u.peer_send.msg = msg;
+  if (r->leased != NULL)
+    dks_leased_load_record_sent (r->leased, msg);
   if (msg->type != DKS_MSG_HEARTBEAT)
     dks_counter_increment (&r->counters, DKS_COUNTER_PEER_MESSAGES);
 }
--- a/core/status.c
+++ b/core/status.c
@@ -85,7 +85,7 @@
 uint64_t
 dks_reducer_targets_scanned (const dks_reducer_t *r)
 {
-  return r->leased != NULL ? r->leased->target_scans : 0;
+  return r->leased != NULL ? r->leased->load.counts.target_scans : 0;
 }
 
 uint64_t
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -21,6 +21,7 @@
 #include "common/metrics.h"
 #include "core/state.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -375,10 +376,35 @@
   double start_rate;      /**< tasks/us while jobs wait, moving average; 0: not known */
 } dks_leased_drain_t;
 
+enum
+{
+  DKS_LEASED_EVENT_TYPES = DKS_EVENT_LEASE_REPLY + 1 /**< size of a table by event type */
+};
+
+/** What an instance has handled and sent since its start. */
+typedef struct
+{
+  uint64_t events[DKS_LEASED_EVENT_TYPES];
+  uint64_t received[DKS_MSG_TYPE_COUNT]; /**< messages of other instances, by type */
+  uint64_t sent[DKS_MSG_TYPE_COUNT];     /**< messages to other instances, by type */
+  uint64_t passes;                       /**< over all jobs, to place waiting tasks */
+  uint64_t job_visits;                   /**< jobs that were looked at one by one */
+  uint64_t target_scans;                 /**< targets that were examined to place tasks */
+} dks_leased_counts_t;
+
+typedef struct
+{
+  dks_leased_counts_t counts;
+  int64_t max_lag_us;           /**< delay with which messages were handled since `reported_us` */
+  int64_t reported_us;          /**< when `reported` was taken */
+  dks_leased_counts_t reported; /**< `counts` at the latest report */
+} dks_leased_load_t;
+
 struct dks_leased_t
 {
   dks_reducer_t *r;
   dks_metrics_t *metrics;
+  dks_leased_load_t load; /* leased_load.c */
 
   /* leased_members.c */
   struct dks_leased_peer_ring_t peers;
@@ -426,7 +452,6 @@
   apr_hash_t *runs_by_task_name; /**< task name -> its latest run on a controlled target */
   uint32_t max_free_cpu_milli;   /**< most free on one usable target, as last updated */
   uint64_t prior_run_checks;     /**< checks of tasks for runs of earlier leaders, in all */
-  uint64_t target_scans;         /**< targets that were examined to place tasks, in all */
   int64_t term_start_us;         /**< when the latest leadership of this instance began */
   int64_t term_confirmed_us;     /**< when the latest call that a target answered was sent */
   bool term_confirmation_due;    /**< a leader of another data centre waits for a later one */
@@ -494,6 +519,14 @@
 /** State for operators, a JSON object; malloc'ed. */
 char *dks_leased_status_json (const dks_leased_t *leased);
 
+/* leased_load.c */
+void dks_leased_load_record_event (dks_leased_t *leased, const dks_event_t *event);
+void dks_leased_load_record_sent (dks_leased_t *leased, const dks_msg_t *msg);
+/** Once a second, logs what was handled and sent meanwhile if this instance was late. */
+void dks_leased_load_tick (dks_leased_t *leased);
+/** Writes the counts in the Prometheus text format. */
+void dks_leased_load_write (FILE *stream, const dks_leased_t *leased);
+
 /* leased_metrics.c */
 /** Counters, histograms and gauges in the Prometheus text format; malloc'ed. */
 char *dks_leased_metrics_format (const dks_leased_t *leased);
@@ -564,6 +597,9 @@
 void dks_leased_leader_handle_fenced (dks_leased_t *leased);
 /** Begins or stops to lead, as the known state of the other instances requires. */
 void dks_leased_leader_update (dks_leased_t *leased);
+/** Least lag of the latest statuses of the peers that send them fast: the delay with which this
+ * instance handles its messages; 0 when there are none. */
+int64_t dks_leased_leader_lag_us (const dks_leased_t *leased);
 /** Stops leading when the messages of all peers are handled too late. */
 void dks_leased_leader_check_lag (dks_leased_t *leased);
 
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1138,10 +1138,32 @@
          "damaskshore_leased_starts_total{result=\"ok\"} 2\n",
          "damaskshore_run_ends_total{queue=\"queue\",end=\"done\"} 2\n",
          "damaskshore_run_seconds_count{queue=\"queue\"} 2\n",
+         "damaskshore_events_by_kind_total{kind=\"batch\"} 2\n", "damaskshore_lag_seconds 0\n",
          "damaskshore_queue_wait_seconds_bucket{queue=\"queue\",le=\"0.001\"} 1\n" })
     EXPECT_NE (metrics.find (line), std::string::npos) << line;
 }
 
+// An instance that cannot keep up says what it handles; others do not.
+TEST (Leased, LateInstanceLogsWhatItHandles)
+{
+  World world;
+  start_data_centre (world, 4);
+  EXPECT_EQ (count_logged (world, "event=late "), 0U);
+  size_t leader = world.find (leader_of (world, "a"));
+  world.set_event_cost (leader, 8 * ms);
+  for (int i = 0; i < 200; i++)
+    {
+      world.submit (1 - leader, "000000000000" + std::to_string (1000 + i), { { 1, 800, 50, 50 } });
+      world.run_for (5 * ms);
+    }
+  world.run_for (1000 * ms);
+  EXPECT_GE (count_logged (world, "event=late lag_ms="), 1U);
+  EXPECT_GE (count_logged (world, "event=late-events tick="), 1U);
+  EXPECT_GE (count_logged (world, "event=late-received leased_status="), 1U);
+  EXPECT_GE (count_logged (world, "event=late-sent leased_status="), 1U);
+  EXPECT_LE (count_logged (world, "event=late lag_ms="), 4U);
+}
+
 // Guards against short jobs that miss their objective when a start gets no answer and is carried
 // out seconds later. The task waited 150 ms for the answer before it could start elsewhere, which
 // made every short job late.
