--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -384,10 +384,8 @@
          >= (late_from_start ? LATE_TERM_MIN_AGE_US : YIELD_MIN_AGE_US);
 }
 
-/* Whether all messages are handled so late that the other instances count this leader as lost, and
- * it does not learn in time of the successor that they choose. */
-static bool
-lags_as_if_lost (const dks_leased_t *leased)
+int64_t
+dks_leased_leader_lag_us (const dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
   int64_t min_lag_us = INT64_MAX;
@@ -399,7 +397,7 @@
           && peer->lag_us < min_lag_us)
         min_lag_us = peer->lag_us;
     }
-  return min_lag_us != INT64_MAX && min_lag_us > LAG_MAX_US;
+  return min_lag_us != INT64_MAX ? min_lag_us : 0;
 }
 
 void
@@ -415,7 +413,9 @@
   update_slow (leased);
   if (leased->term == 0)
     return;
-  if (lags_as_if_lost (leased))
+  /* The other instances count a leader that handles all messages this late as lost, and it does not
+   * learn in time of the successor that they choose. */
+  if (dks_leased_leader_lag_us (leased) > LAG_MAX_US)
     {
       leased->listening_since_us = leased->r->now.mono_us;
       /* Else it would be the first candidate again. */
