--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -164,6 +164,7 @@
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
   msg->u.leased_status.address_digest = leased->address_digest;
   msg->u.leased_status.states_prior_jobs = true;
+  msg->u.leased_status.heard_us = peer->last_sent_us;
   msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   peer->next_status_us = leased->r->now.mono_us + interval_us;
   peer->stated_interval_us = interval_us;
@@ -384,6 +385,7 @@
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
     dks_leased_lend_handle_remote_lost (leased, peer->id);
   record_lag (leased, peer, msg->u.leased_status.sent_us);
+  peer->last_sent_us = msg->u.leased_status.sent_us;
   peer->status_received = true;
   if (peer->term != msg->u.leased_status.term)
     peer->term_received_us = leased->r->now.mono_us;
--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -9,6 +9,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  /* From the sending of a status that a remote leader has handled to the end of its refusal of what
+   * an earlier leader lends, less an allowance for the drift of clocks. */
+  STATEMENT_LEASE_US = DKS_LEASED_ORPHAN_LIFETIME_MAX_US / 100 * 95
+};
+
 uint64_t
 dks_leased_prior_jobs_hash (const char *id)
 {
@@ -148,23 +155,16 @@
   return data_centre;
 }
 
-void
-dks_leased_prior_jobs_handle_status (dks_leased_t *leased, const dks_leased_peer_t *peer,
-                                     const dks_msg_t *msg)
+/* Stores the jobs that the status of the leader `peer` states. */
+static void
+store_jobs (dks_leased_data_centre_t *data_centre, const dks_leased_peer_t *peer,
+            const dks_msg_t *msg)
 {
   uint32_t count = msg->u.leased_status.prior_job_count;
-  dks_leased_data_centre_t *data_centre;
 
-  if (leased->term == 0 || msg->u.leased_status.prior_jobs_term != leased->term || peer->term == 0
-      || dks_leased_peer_is_local (leased, peer))
-    return;
-  data_centre = dks_leased_data_centre_add (leased, peer->data_centre);
-  /* One that was superseded states nothing about its successor's runs. */
-  if (data_centre->home_term == leased->term && data_centre->leader_term > peer->term)
-    return;
   dks_strcpy (data_centre->leader, sizeof (data_centre->leader), peer->id);
   data_centre->leader_term = peer->term;
-  data_centre->home_term = leased->term;
+  data_centre->home_term = msg->u.leased_status.prior_jobs_term;
   free (data_centre->jobs);
   data_centre->job_count = count;
   data_centre->jobs = dks_alloc ((count + 1) * sizeof (data_centre->jobs[0]));
@@ -172,8 +172,34 @@
     memcpy (data_centre->jobs, msg->u.leased_status.prior_jobs,
             count * sizeof (data_centre->jobs[0]));
   qsort (data_centre->jobs, count, sizeof (data_centre->jobs[0]), compare_hashes);
-  leased->peers_generation++;
-  leased->placement_due = true;
+}
+
+void
+dks_leased_prior_jobs_handle_status (dks_leased_t *leased, const dks_leased_peer_t *peer,
+                                     const dks_msg_t *msg)
+{
+  int64_t valid_until_us = msg->u.leased_status.heard_us + STATEMENT_LEASE_US;
+  dks_leased_data_centre_t *data_centre;
+
+  if (leased->term == 0 || peer->term == 0 || dks_leased_peer_is_local (leased, peer))
+    return;
+  data_centre = dks_leased_data_centre_add (leased, peer->data_centre);
+  if (msg->u.leased_status.prior_jobs_term == leased->term)
+    {
+      /* One that was superseded states nothing about its successor's runs. */
+      if (data_centre->home_term == leased->term && data_centre->leader_term > peer->term)
+        return;
+      store_jobs (data_centre, peer, msg);
+      data_centre->valid_until_us = valid_until_us;
+      leased->peers_generation++;
+      leased->placement_due = true;
+    }
+  /* A lease that has lapsed is not renewed: an earlier leader may have lent tasks meanwhile. */
+  else if (data_centre->home_term == leased->term && data_centre->leader_term == peer->term
+           && strcmp (data_centre->leader, peer->id) == 0
+           && dks_leased_now_us (leased) <= data_centre->valid_until_us
+           && valid_until_us > data_centre->valid_until_us)
+    data_centre->valid_until_us = valid_until_us;
 }
 
 static bool
@@ -210,6 +236,8 @@
     return DKS_LEASED_PRIOR_JOBS_NOT_COVERED;
   if (!is_stated (data_centre, job->leased))
     return DKS_LEASED_PRIOR_JOBS_NOT_STATED;
+  if (dks_leased_now_us (job->leased) > data_centre->valid_until_us)
+    return DKS_LEASED_PRIOR_JOBS_NOT_COVERED;
   return has_job (data_centre, job->id_hash) ? DKS_LEASED_PRIOR_JOBS_RUNNING
                                              : DKS_LEASED_PRIOR_JOBS_ABSENT;
 }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -105,6 +105,7 @@
   bool addresses_received;       /**< it has sent the addresses that it knows, or knows the same */
   uint64_t address_digest;       /**< of the addresses that it knows, by its latest status */
   uint64_t addresses_sent;       /**< `sequence` up to which addresses were sent to it */
+  int64_t last_sent_us;          /**< its own time at which it sent its latest status */
   bool states_prior_jobs;        /**< it states the jobs that have runs on its targets */
   int64_t prior_jobs_due_us; /**< since when this leader owes it a statement of its jobs, 0: not */
   int64_t interval_us;       /**< within which it sends its next status, as stated; 0: not stated */
@@ -230,6 +231,7 @@
   uint64_t home_term;         /**< term of this leader for which they were stated, 0: none were */
   uint32_t job_count;
   uint64_t *jobs; /**< hashes of the ids of the jobs that had runs there, in ascending order */
+  int64_t valid_until_us;    /**< until then its leader refuses what earlier leaders lend */
   bool leader_is_present;    /**< `leader` is the present leader there, as last looked up */
   uint64_t peers_generation; /**< state of the peers in which it was last looked up */
 };
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -249,6 +249,8 @@
                                    is stated */
       uint32_t prior_job_count;
       uint64_t *prior_jobs; /**< hashes of the ids of the jobs that have runs on its targets */
+      int64_t heard_us;     /**< `sent_us` of the latest status of the receiver that the sender has
+                               handled, 0: none, or not stated */
       uint64_t leader_term; /**< of the leader of its data centre that the sender hears itself,
                                or is; 0: not stated */
     } leased_status;
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -46,6 +46,7 @@
   body.prior_jobs_term = msg->u.leased_status.prior_jobs_term;
   body.n_prior_jobs = msg->u.leased_status.prior_job_count;
   body.prior_jobs = msg->u.leased_status.prior_jobs;
+  body.heard_us = msg->u.leased_status.heard_us;
   body.leader_term = msg->u.leased_status.leader_term;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
@@ -282,6 +283,7 @@
   msg->u.leased_status.address_digest = body->address_digest;
   msg->u.leased_status.states_prior_jobs = body->states_prior_jobs;
   msg->u.leased_status.prior_jobs_term = body->prior_jobs_term;
+  msg->u.leased_status.heard_us = body->heard_us;
   msg->u.leased_status.leader_term = body->leader_term;
   if (body->n_prior_jobs > MSG_PRIOR_JOBS_MAX)
     return DKS_ERR_TOO_LARGE;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[18] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[19] =
 {
   {
     "term",
@@ -3527,6 +3527,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_us",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, heard_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "leader_term",
     20,
@@ -3547,9 +3559,10 @@
   8,   /* field[8] = fast_slowness_milli */
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
+  17,   /* field[17] = heard_us */
   12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
-  17,   /* field[17] = leader_term */
+  18,   /* field[18] = leader_term */
   16,   /* field[16] = prior_jobs */
   15,   /* field[15] = prior_jobs_term */
   9,   /* field[9] = processor_milli */
@@ -3563,8 +3576,8 @@
 static const ProtobufCIntRange dks__leased_status__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 17 },
-  { 0, 18 }
+  { 20, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3574,7 +3587,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  18,
+  19,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   2,  dks__leased_status__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -389,6 +389,10 @@
    */
   size_t n_prior_jobs;
   uint64_t *prior_jobs;
+  /*
+   * `sent_us` of the latest status of the receiver that the sender has handled, 0: none, or not stated.
+   */
+  int64_t heard_us;
   /*
    * Term of the leader of the sender's data centre that the sender hears itself, 0: not stated.
    */
@@ -396,7 +400,7 @@
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Dks__TargetSpeed
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -181,9 +181,9 @@
       set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17,   40,      11,           870, 3,
-                               120,       true,      true, true,    77,           200, UINT64_MAX,
-                               true,      78,        2,    nullptr, INT64_MAX - 1 };
+      msg->u.leased_status = { INT64_MAX, issued_ms, 17,   40,      11, 870,          3,
+                               120,       true,      true, true,    77, 200,          UINT64_MAX,
+                               true,      78,        2,    nullptr, 79, INT64_MAX - 1 };
       msg->u.leased_status.prior_jobs = static_cast<uint64_t *> (calloc (2, sizeof (uint64_t)));
       msg->u.leased_status.prior_jobs[1] = UINT64_MAX;
       break;
@@ -396,6 +396,7 @@
       add (msg->u.leased_status.prior_jobs_term);
       for (uint32_t i = 0; i < msg->u.leased_status.prior_job_count; i++)
         add (msg->u.leased_status.prior_jobs[i]);
+      add (msg->u.leased_status.heard_us);
       add (msg->u.leased_status.leader_term);
       break;
     case DKS_MSG_SPEEDS:
