--- a/core/leased.c
+++ b/core/leased.c
@@ -98,7 +98,10 @@
       dks_leased_jobs_handle_lent_done (leased, from, msg);
       break;
     case DKS_MSG_TARGETS:
-      dks_leased_feed_handle_targets (leased, from, msg);
+      if (msg->u.targets.may_have_runs)
+        dks_leased_share_handle_msg (leased, peer, msg);
+      else
+        dks_leased_feed_handle_targets (leased, from, msg);
       break;
     case DKS_MSG_SPEEDS:
       dks_leased_speeds_handle_msg (leased, msg);
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -353,6 +353,7 @@
   feed->last_answer_us = leased->r->now.mono_us;
   for (size_t i = 0; i < event->u.feed.count; i++)
     handle_item (leased, which, &event->u.feed.items[i]);
+  dks_leased_share_new (leased);
   if (!feed->is_watch)
     {
       handle_read (leased, which, event);
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -180,6 +180,7 @@
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-start data_centre=%s term=%" PRIu64,
                 leased->r->config.data_centre, term);
   dks_leased_targets_handle_leadership (leased);
+  dks_leased_share_all (leased);
   dks_leased_members_notify_all (leased);
 }
 
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -164,6 +164,7 @@
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
   msg->u.leased_status.address_digest = leased->address_digest;
   msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
+  msg->u.leased_status.targets_digest = leased->targets_digest;
   peer->next_status_us = leased->r->now.mono_us + interval_us;
   peer->stated_interval_us = interval_us;
   dks_emit_peer (leased->r, peer->id, msg);
@@ -349,6 +350,7 @@
                                   const dks_msg_t *msg)
 {
   bool is_new = !peer->status_received;
+  bool learns_targets = msg->u.leased_status.knows_targets && (is_new || !peer->knows_targets);
   bool changed = is_new || peer->term != msg->u.leased_status.term
                  || peer->leader_term != msg->u.leased_status.leader_term
                  || peer->draining != msg->u.leased_status.draining
@@ -380,6 +382,7 @@
   peer->knows_targets = msg->u.leased_status.knows_targets;
   peer->interval_us = INT64_C (1000) * msg->u.leased_status.interval_ms;
   peer->address_digest = msg->u.leased_status.address_digest;
+  peer->targets_digest = msg->u.leased_status.targets_digest;
   dks_leased_addresses_handle_status (leased, peer, is_new);
   dks_leased_leader_note_local_terms (leased, peer);
   if (is_new)
@@ -392,6 +395,8 @@
       dks_leased_speeds_publish_all (leased);
       dks_leased_crashes_send_all (leased, peer->id);
     }
+  if (learns_targets)
+    dks_leased_share_with (leased, peer);
   if (changed)
     dks_leased_leader_update (leased);
   dks_leased_feed_fetch_from_peers (leased);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -2,6 +2,7 @@
 
 #include "common/alloc.h"
 #include "common/error.h"
+#include "common/hash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -22,6 +23,9 @@
   /* Time for which an instance that does not lead remembers a target that is not listed any more:
      its leader may have runs there, which a successor has to find. */
   UNLISTED_RETENTION_US = 5000000,
+  /* Likewise, from the latest statement of a leader that it may have runs there. Leaders repeat it
+   * once a second while they have runs on a target that is not listed. */
+  NOTED_RETENTION_US = 3000000,
   /* Time without an answer to the call that is to confirm the term, after which all other targets
    * are called as well. */
   CONFIRMATION_OVERDUE_US = 40000,
@@ -206,6 +210,24 @@
   free (target);
 }
 
+/* Whether a target that is not listed is of no use any more. */
+static bool
+may_drop (const dks_leased_target_t *target)
+{
+  const dks_leased_t *leased = target->leased;
+  int64_t now_us = dks_leased_now_us (leased);
+
+  if (target->listed || target->run_count > 0)
+    return false;
+  /* An earlier leader may have runs there until their leases have expired. */
+  if (target->held)
+    return target->synced || now_us - leased->term_start_us >= DKS_LEASED_ORPHAN_LIFETIME_MAX_US;
+  /* The platform may list it, but has not answered since a leader stated that it is in use. */
+  return target->noted_us == 0
+         || (now_us - target->noted_us >= NOTED_RETENTION_US
+             && leased->feeds[DKS_FEED_TARGETS].last_answer_us > target->noted_us);
+}
+
 /* Drops the target, which is not listed any more, after a while. */
 static void
 target_schedule_drop (dks_leased_target_t *target)
@@ -224,7 +246,7 @@
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX
       && time_us >= target_expiry_us (target))
     target_end_all_runs (target, target->connection_refused ? "crashed" : "silent");
-  if (!target->listed && target->run_count == 0)
+  if (may_drop (target))
     target_free (target);
   else if (!target->listed)
     dks_timer_set (target->leased->r->timers, &target->expiry_timer, time_us + RETRY_DELAY_US);
@@ -524,6 +546,15 @@
   return strcmp (target->info.data_centre, leased->r->config.data_centre) == 0;
 }
 
+/* Adds the target to the digest of the listed ones, or removes it. */
+static void
+toggle_in_digest (const dks_leased_target_t *target)
+{
+  if (is_local (target->leased, target))
+    target->leased->targets_digest ^=
+        dks_hash_text (target->info.id, (uint64_t)target->info.incarnation_ms);
+}
+
 static void
 target_take_control (dks_leased_target_t *target)
 {
@@ -572,15 +603,29 @@
   dks_leased_target_poll (target);
 }
 
+/* Whether a successor may not find the runs that this leader will start on the target. */
+static bool
+is_new_to_others (const dks_leased_t *leased, const dks_leased_target_t *target,
+                  const dks_target_info_t *info)
+{
+  if (leased->term == 0 || strcmp (info->data_centre, leased->r->config.data_centre) != 0)
+    return false;
+  return target == NULL || !target->listed || info->incarnation_ms > target->info.incarnation_ms
+         || strcmp (info->address, target->info.address) != 0;
+}
+
 void
 dks_leased_targets_put (dks_leased_t *leased, const dks_target_info_t *info)
 {
   dks_leased_target_t *target = apr_hash_get (leased->targets_by_id, info->id, APR_HASH_KEY_STRING);
+  bool share_due = is_new_to_others (leased, target, info);
 
   if (target == NULL)
     target = target_create (leased, info);
   else
     {
+      if (target->listed)
+        toggle_in_digest (target);
       if (info->leaving && !target->info.leaving)
         dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-leaving target=%s", info->id);
       target->info = *info;
@@ -591,12 +636,45 @@
   if (!target->listed && target->unanswered_calls < DKS_LEASED_UNANSWERED_CALLS_MAX)
     dks_timer_cancel (leased->r->timers, &target->expiry_timer);
   target->listed = true;
+  toggle_in_digest (target);
+  target->share_due = target->share_due || share_due;
+  leased->targets_share_due = leased->targets_share_due || share_due;
   target->feed_generation = leased->feeds[DKS_FEED_TARGETS].generation;
   if (!target->held && leased->term > 0 && is_local (leased, target))
     target_take_control (target);
   leased->placement_due = true;
 }
 
+void
+dks_leased_targets_note (dks_leased_t *leased, const dks_target_info_t *info)
+{
+  dks_leased_target_t *target = apr_hash_get (leased->targets_by_id, info->id, APR_HASH_KEY_STRING);
+
+  if (strcmp (info->data_centre, leased->r->config.data_centre) != 0)
+    return;
+  if (target == NULL)
+    {
+      dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-noted target=%s", info->id);
+      target = target_create (leased, info);
+      target->unlisted_us = dks_leased_now_us (leased) - DKS_LEASED_UNLISTED_GRACE_US;
+      dks_timer_set (leased->r->timers, &target->expiry_timer,
+                     dks_leased_now_us (leased) + UNLISTED_RETENTION_US);
+      if (leased->term > 0)
+        target_take_control (target);
+    }
+  else if (info->incarnation_ms > target->info.incarnation_ms)
+    {
+      if (target->listed)
+        toggle_in_digest (target);
+      target->info = *info;
+      if (target->listed)
+        toggle_in_digest (target);
+      if (target->incarnation_ms != 0 && info->incarnation_ms > target->incarnation_ms)
+        handle_new_incarnation (target);
+    }
+  target->noted_us = dks_leased_now_us (leased);
+}
+
 void
 dks_leased_targets_remove (dks_leased_t *leased, const char *id)
 {
@@ -607,6 +685,7 @@
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-unlisted target=%s runs=%u", id,
                 target->run_count);
   target->listed = false;
+  toggle_in_digest (target);
   target->unlisted_us = dks_leased_now_us (leased);
   if (!dks_timer_is_armed (&target->expiry_timer))
     target_schedule_drop (target);
@@ -715,6 +794,7 @@
 dks_leased_targets_init (dks_leased_t *leased)
 {
   APR_RING_INIT (&leased->targets, dks_leased_target_t, link);
+  leased->targets_digest = dks_hash_text (leased->r->config.data_centre, 0) | 1;
   leased->targets_by_id = apr_hash_make (leased->r->pool);
   leased->targets_by_op = apr_hash_make (leased->r->pool);
   leased->runs_by_op = apr_hash_make (leased->r->pool);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -8,7 +8,8 @@
  * lends tasks to leaders of other data centres that have free capacity, and runs tasks that they
  * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
  * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
- * finds out where tasks run that an earlier leader lent.
+ * finds out where tasks run that an earlier leader lent, leased_share.c tells a successor of
+ * targets that it may not know.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
@@ -97,6 +98,7 @@
   bool draining;
   bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
+  uint64_t targets_digest;       /**< of the targets that the platform lists to it, 0: not stated */
   dks_leased_address_t *address; /**< as it has stated, NULL: not yet */
   bool addresses_received;       /**< it has sent the addresses that it knows, or knows the same */
   uint64_t address_digest;       /**< of the addresses that it knows, by its latest status */
@@ -164,6 +166,8 @@
   dks_target_info_t info;
   bool listed;         /**< the platform lists it; else it is dropped once its runs have ended */
   int64_t unlisted_us; /**< when it left the platform's list */
+  int64_t noted_us;    /**< when a leader last stated that it may have runs there, 0: never */
+  bool share_due;      /**< the other instances of the data centre have to be told of it */
   uint32_t feed_generation; /**< of the latest read of the feed that contained it */
   bool held;              /**< controlled by this instance, as leader of the target's data centre */
   bool synced;            /**< its run lists have been read under `fencing_token` */
@@ -430,6 +434,8 @@
   uint32_t max_free_cpu_milli;   /**< most free on one usable target, as last updated */
   uint64_t prior_run_checks;     /**< checks of tasks for runs of earlier leaders, in all */
   uint64_t target_scans;         /**< targets that were examined to place tasks, in all */
+  uint64_t targets_digest;       /**< of the listed targets of the data centre */
+  bool targets_share_due;        /**< some target has `share_due` */
   int64_t term_start_us;         /**< when the latest leadership of this instance began */
   int64_t term_confirmed_us;     /**< when the latest call that a target answered was sent */
   bool term_confirmation_due;    /**< a leader of another data centre waits for a later one */
@@ -596,6 +602,9 @@
 void dks_leased_targets_put (dks_leased_t *leased, const dks_target_info_t *info);
 /** Marks a target as not listed any more, and drops it unless this leader controls it. */
 void dks_leased_targets_remove (dks_leased_t *leased, const char *id);
+/** Remembers a target on which a leader of the data centre may have runs. It gets no work unless
+ * the platform lists it. */
+void dks_leased_targets_note (dks_leased_t *leased, const dks_target_info_t *info);
 /** Begins or stops to control the targets of the data centre, after a change of leadership. */
 void dks_leased_targets_handle_leadership (dks_leased_t *leased);
 void dks_leased_targets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
@@ -694,6 +703,19 @@
 /** Moves `mean` towards `sample` by `weight` (0 to 1) of their difference. */
 void dks_leased_update_mean (double *mean, double sample, double weight);
 
+/* leased_share.c */
+/** Tells the data centre of the targets that have become known to this leader; before it uses
+ * them, so that the message precedes any other from which a successor learns of the end of its
+ * term. */
+void dks_leased_share_new (dks_leased_t *leased);
+/** Tells the instances of the data centre, as the term of this leader begins, what they may lack.
+ */
+void dks_leased_share_all (dks_leased_t *leased);
+/** Tells an instance of the targets of this leader that it may lack: all if it has another list. */
+void dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer);
+void dks_leased_share_handle_msg (dks_leased_t *leased, const dks_leased_peer_t *peer,
+                                  const dks_msg_t *msg);
+
 /* leased_speeds.c */
 void dks_leased_speeds_init (dks_leased_t *leased);
 void dks_leased_speeds_clear (dks_leased_t *leased);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -245,6 +245,8 @@
       uint64_t address_digest; /**< of the addresses that the sender knows */
       uint64_t leader_term;    /**< of the leader of its data centre that the sender hears itself,
                                   or is; 0: not stated */
+      uint64_t targets_digest; /**< of the targets of its data centre that the platform lists to the
+                                  sender, 0: not stated */
     } leased_status;
     struct
     {
@@ -255,6 +257,7 @@
     {
       uint32_t count;
       dks_target_info_t *items;
+      bool may_have_runs; /**< not the whole list: targets on which the sender may have runs */
     } targets;
     struct
     {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -42,6 +42,7 @@
   body.interval_ms = msg->u.leased_status.interval_ms;
   body.address_digest = msg->u.leased_status.address_digest;
   body.leader_term = msg->u.leased_status.leader_term;
+  body.targets_digest = msg->u.leased_status.targets_digest;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -102,6 +103,7 @@
     }
   body.n_items = count;
   body.items = list;
+  body.may_have_runs = msg->u.targets.may_have_runs;
   wire->targets = &body;
   dks_codec_pack (wire, frame, len);
   free (labels);
@@ -275,6 +277,7 @@
   msg->u.leased_status.interval_ms = body->interval_ms;
   msg->u.leased_status.address_digest = body->address_digest;
   msg->u.leased_status.leader_term = body->leader_term;
+  msg->u.leased_status.targets_digest = body->targets_digest;
   return body->term <= INT64_MAX && body->interval_ms <= STATUS_INTERVAL_MAX_MS ? DKS_OK
                                                                                 : DKS_ERR_INVALID;
 }
@@ -335,6 +338,7 @@
 
   if (body->n_items > MSG_TARGETS_MAX)
     return DKS_ERR_TOO_LARGE;
+  msg->u.targets.may_have_runs = body->may_have_runs;
   msg->u.targets.count = (uint32_t)body->n_items;
   msg->u.targets.items = dks_alloc ((body->n_items + 1) * sizeof (msg->u.targets.items[0]));
   for (size_t i = 0; i < body->n_items && error == DKS_OK; i++)
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[16] =
 {
   {
     "term",
@@ -3503,6 +3503,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets_digest",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, targets_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
@@ -3517,6 +3529,7 @@
   9,   /* field[9] = processor_milli */
   11,   /* field[11] = sent_us */
   1,   /* field[1] = started_ms */
+  15,   /* field[15] = targets_digest */
   0,   /* field[0] = term */
   4,   /* field[4] = waiting_tasks */
   10,   /* field[10] = yields */
@@ -3525,7 +3538,7 @@
 {
   { 1, 0 },
   { 20, 14 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3535,7 +3548,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  15,
+  16,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   2,  dks__leased_status__number_ranges,
@@ -3953,7 +3966,7 @@
   (ProtobufCMessageInit) dks__target_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__targets__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dks__targets__field_descriptors[2] =
 {
   {
     "items",
@@ -3967,14 +3980,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_have_runs",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Targets, may_have_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__targets__field_indices_by_name[] = {
   0,   /* field[0] = items */
+  1,   /* field[1] = may_have_runs */
 };
-static const ProtobufCIntRange dks__targets__number_ranges[1 + 1] =
+static const ProtobufCIntRange dks__targets__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 20, 1 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dks__targets__descriptor =
 {
@@ -3984,10 +4011,10 @@
   "Dks__Targets",
   "dks",
   sizeof(Dks__Targets),
-  1,
+  2,
   dks__targets__field_descriptors,
   dks__targets__field_indices_by_name,
-  1,  dks__targets__number_ranges,
+  2,  dks__targets__number_ranges,
   (ProtobufCMessageInit) dks__targets__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -380,10 +380,14 @@
    * Term of the leader of the sender's data centre that the sender hears itself, 0: not stated.
    */
   uint64_t leader_term;
+  /*
+   * Of the targets of its data centre that the platform lists to the sender, 0: not stated.
+   */
+  uint64_t targets_digest;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
@@ -465,10 +469,14 @@
   ProtobufCMessage base;
   size_t n_items;
   Dks__TargetInfo **items;
+  /*
+   * Not the whole list: targets on which the sender, a leader, may have runs.
+   */
+  protobuf_c_boolean may_have_runs;
 };
 #define DKS__TARGETS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__targets__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 /*
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -181,11 +181,12 @@
       set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17,  40,         11,
-                               870,       3,         120, true,       true,
-                               true,      77,        200, UINT64_MAX, INT64_MAX - 1 };
+      msg->u.leased_status = { INT64_MAX,     issued_ms,     17,   40,   11, 870, 3,
+                               120,           true,          true, true, 77, 200, UINT64_MAX,
+                               INT64_MAX - 1, UINT64_MAX - 2 };
       break;
     case DKS_MSG_TARGETS:
+      msg->u.targets.may_have_runs = true;
       msg->u.targets.count = 2;
       msg->u.targets.items =
           static_cast<dks_target_info_t *> (calloc (2, sizeof (dks_target_info_t)));
@@ -391,6 +392,7 @@
       add (msg->u.leased_status.interval_ms);
       add (msg->u.leased_status.address_digest);
       add (msg->u.leased_status.leader_term);
+      add (msg->u.leased_status.targets_digest);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -413,6 +415,7 @@
         }
       break;
     case DKS_MSG_TARGETS:
+      add (msg->u.targets.may_have_runs);
       for (uint32_t i = 0; i < msg->u.targets.count; i++)
         {
           const dks_target_info_t *info = &msg->u.targets.items[i];
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -109,6 +109,55 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// The same for a target that its leader knew before it led.
+TEST (LeasedHandover, SuccessorIsToldOfATargetThatOnlyItsPredecessorKnew)
+{
+  World world;
+  start_data_centres (world, { { 3, 1 } });
+  size_t added = world.add_target ("a");
+  tell_target (world, 1, world.targets[added]->info);
+  world.run_for (300 * ms);
+  world.drain (0);
+  world.run_for (300 * ms);
+  ASSERT_EQ (count_logged (world, "a-2 event=leader-start"), 1U);
+  world.submit (1, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+  world.run_for (20 * ms);
+  uint64_t caller = world.submit (2, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+  world.run_for (200 * ms);
+  ASSERT_EQ (world.targets[added]->runs.size (), 1U);
+  world.drain (1);
+  world.run_for (6000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a target that is used although the platform does not list it to the leader, which
+// was only told of it by its predecessor, and against one that is gone and remembered for ever.
+TEST (LeasedHandover, TargetThatOnlyThePredecessorKnewGetsNoWorkAndIsForgotten)
+{
+  World world;
+  start_data_centres (world, { { 2, 1 } });
+  size_t added = world.add_target ("a");
+  tell_target (world, 0, world.targets[added]->info);
+  world.run_for (100 * ms);
+  ASSERT_EQ (count_logged (world, "a-2 event=target-noted"), 1U);
+  world.targets[added]->silent = true;
+  world.run_for (200 * ms);
+  world.kill (0);
+  world.run_for (100 * ms);
+  world.submit (1, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+  uint64_t caller = world.submit (1, job_id, { { 2, 6800, 150, 150 } }, 12000);
+  world.run_for (2000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.targets[added]->starts, 0U);
+  world.run_for (8000 * ms);
+  size_t calls = count_logged (world, "event=target-silent");
+  world.targets[added]->silent = false;
+  world.run_for (2000 * ms);
+  EXPECT_EQ (count_logged (world, "event=target-silent"), calls);
+  EXPECT_EQ (count_logged (world, "event=target-back"), 0U);
+}
+
 // Guards against a job that waits until its caller leaves for the answer of a data centre without
 // targets: no target there can confirm the term of its leader.
 TEST (LeasedHandover, LeaderWithoutTargetsAnswersQuestions)
