--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -215,6 +215,7 @@
                 leased->r->config.data_centre, term);
   dks_leased_targets_handle_leadership (leased);
   dks_leased_prior_jobs_request_all (leased);
+  dks_leased_share_all (leased);
   dks_leased_members_notify_all (leased);
 }
 
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -48,6 +48,7 @@
   body.prior_jobs = msg->u.leased_status.prior_jobs;
   body.heard_us = msg->u.leased_status.heard_us;
   body.leader_term = msg->u.leased_status.leader_term;
+  body.targets_digest = msg->u.leased_status.targets_digest;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -108,6 +109,7 @@
     }
   body.n_items = count;
   body.items = list;
+  body.may_have_runs = msg->u.targets.may_have_runs;
   wire->targets = &body;
   dks_codec_pack (wire, frame, len);
   free (labels);
@@ -285,6 +287,7 @@
   msg->u.leased_status.prior_jobs_term = body->prior_jobs_term;
   msg->u.leased_status.heard_us = body->heard_us;
   msg->u.leased_status.leader_term = body->leader_term;
+  msg->u.leased_status.targets_digest = body->targets_digest;
   if (body->n_prior_jobs > MSG_PRIOR_JOBS_MAX)
     return DKS_ERR_TOO_LARGE;
   if (body->term > INT64_MAX || body->prior_jobs_term > INT64_MAX || body->leader_term > INT64_MAX
@@ -356,6 +359,7 @@
 
   if (body->n_items > MSG_TARGETS_MAX)
     return DKS_ERR_TOO_LARGE;
+  msg->u.targets.may_have_runs = body->may_have_runs;
   msg->u.targets.count = (uint32_t)body->n_items;
   msg->u.targets.items = dks_alloc ((body->n_items + 1) * sizeof (msg->u.targets.items[0]));
   for (size_t i = 0; i < body->n_items && error == DKS_OK; i++)
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -181,13 +181,16 @@
       set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = { INT64_MAX, issued_ms, 17,   40,      11, 870,          3,
-                               120,       true,      true, true,    77, 200,          UINT64_MAX,
-                               true,      78,        2,    nullptr, 79, INT64_MAX - 1 };
+      msg->u.leased_status = {
+        INT64_MAX, issued_ms, 17,   40,      11, 870,           3,
+        120,       true,      true, true,    77, 200,           UINT64_MAX,
+        true,      78,        2,    nullptr, 79, INT64_MAX - 1, UINT64_MAX - 2
+      };
       msg->u.leased_status.prior_jobs = static_cast<uint64_t *> (calloc (2, sizeof (uint64_t)));
       msg->u.leased_status.prior_jobs[1] = UINT64_MAX;
       break;
     case DKS_MSG_TARGETS:
+      msg->u.targets.may_have_runs = true;
       msg->u.targets.count = 2;
       msg->u.targets.items =
           static_cast<dks_target_info_t *> (calloc (2, sizeof (dks_target_info_t)));
@@ -398,6 +401,7 @@
         add (msg->u.leased_status.prior_jobs[i]);
       add (msg->u.leased_status.heard_us);
       add (msg->u.leased_status.leader_term);
+      add (msg->u.leased_status.targets_digest);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -420,6 +424,7 @@
         }
       break;
     case DKS_MSG_TARGETS:
+      add (msg->u.targets.may_have_runs);
       for (uint32_t i = 0; i < msg->u.targets.count; i++)
         {
           const dks_target_info_t *info = &msg->u.targets.items[i];
