--- a/core/leased.c
+++ b/core/leased.c
@@ -170,6 +170,9 @@
     case DKS_EVENT_PEER_DOWN:
       dks_leased_members_handle_down (leased, event->u.peer.peer);
       break;
+    case DKS_EVENT_PEER_REFUSED:
+      dks_leased_members_handle_refused (leased, event->u.peer_refused.address);
+      break;
     case DKS_EVENT_PEER_MSG:
       handle_peer_msg (leased, event->u.peer_msg.peer, event->u.peer_msg.msg);
       break;
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -422,7 +422,8 @@
 
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (!dks_leased_peer_is_local (leased, peer) || !peer_is_present (leased, peer)
+      if (!dks_leased_peer_is_local (leased, peer)
+          || (!peer_is_present (leased, peer) && !dks_leased_peer_may_be_present (leased, peer))
           || peer->draining || (must_know_targets && !peer->knows_targets))
         continue;
       if (leased->drain_start_us > 0 || peer_is_preferred (leased, peer))
@@ -474,6 +475,21 @@
   return now_us - quiet_since_us >= JOIN_QUIET_US;
 }
 
+/* Whether the leader is disconnected for the moment only, as far as is known. */
+static bool
+leader_may_return (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (dks_leased_peer_is_local (leased, peer) && peer->led_at_loss
+          && dks_leased_peer_may_be_present (leased, peer))
+        return true;
+    }
+  return false;
+}
+
 static bool
 may_lead (const dks_leased_t *leased)
 {
@@ -481,7 +497,7 @@
   int64_t pause_us = is_isolated (leased) ? FENCED_ISOLATED_PAUSE_US : FENCED_PAUSE_US;
 
   if (!dks_leased_feed_knows_targets (leased) || !is_discovery_complete (leased)
-      || has_late_view (leased))
+      || has_late_view (leased) || leader_may_return (leased))
     return false;
   if (leased->last_fenced_us > 0 && now_us - leased->last_fenced_us < pause_us)
     return false;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -66,6 +66,12 @@
          && leased->r->now.mono_us - peer->last_message_us < silence_timeout_us (peer);
 }
 
+bool
+dks_leased_peer_may_be_present (const dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  return leased->r->now.mono_us < peer->unproven_until_us;
+}
+
 uint32_t
 dks_leased_members_count_alive (const dks_leased_t *leased)
 {
@@ -280,6 +286,28 @@
 
 /* Connections */
 
+/* Whether both member ids "INSTANCE#INCARNATION" are of one instance. */
+static bool
+is_same_instance (const char *id_a, const char *id_b)
+{
+  size_t len = strcspn (id_a, "#");
+
+  return strncmp (id_a, id_b, len + 1) == 0;
+}
+
+/* A new process of an instance shows that its earlier one has ended. */
+static void
+end_earlier_process (dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  dks_leased_peer_t *other;
+
+  APR_RING_FOREACH (other, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (other != peer && !other->connected && is_same_instance (other->id, peer->id))
+        other->unproven_until_us = 0;
+    }
+}
+
 void
 dks_leased_members_handle_up (dks_leased_t *leased, const char *id, const char *data_centre)
 {
@@ -298,12 +326,26 @@
   peer->interval_us = 0;
   peer->last_message_us = leased->r->now.mono_us;
   peer->connected_us = leased->r->now.mono_us;
+  end_earlier_process (leased, peer);
   dks_emit_log (leased->r, DKS_LOG_INFO, "event=peer-up peer=%s data_centre=%s", id, data_centre);
   dks_leased_addresses_handle_up (leased, peer);
   update_capacity (leased);
   send_status (leased, peer);
 }
 
+/* Records that the connection to the peer has closed, which does not show that its process has
+ * ended. One that shuts down has said so. */
+static void
+note_unproven_loss (const dks_leased_t *leased, dks_leased_peer_t *peer)
+{
+  if (peer->address != NULL)
+    dks_strcpy (peer->lost_address, sizeof (peer->lost_address), peer->address->text);
+  if (!dks_leased_peer_is_alive (leased, peer))
+    return;
+  peer->unproven_until_us = peer->draining ? 0 : peer->last_message_us + SILENCE_TIMEOUT_US;
+  peer->led_at_loss = peer->term > 0;
+}
+
 void
 dks_leased_members_handle_down (dks_leased_t *leased, const char *id)
 {
@@ -312,6 +354,7 @@
   if (peer == NULL)
     return;
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-down peer=%s", id);
+  note_unproven_loss (leased, peer);
   peer->connected = false;
   peer->status_received = false;
   peer->term = 0;
@@ -321,6 +364,22 @@
   dks_leased_leader_update (leased);
 }
 
+void
+dks_leased_members_handle_refused (dks_leased_t *leased, const char *address)
+{
+  dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (peer->connected || !dks_leased_peer_may_be_present (leased, peer)
+          || strcmp (peer->lost_address, address) != 0)
+        continue;
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=peer-gone peer=%s", peer->id);
+      peer->unproven_until_us = 0;
+      dks_leased_leader_update (leased);
+    }
+}
+
 /* Records how much later than usual a status was handled. The least difference of the two clocks is
  * that of a status which was not delayed. It outlasts silence and connections: the first status
  * after a cut has been held up as long as the messages that follow it. */
@@ -360,6 +419,7 @@
     dks_leased_lend_handle_remote_lost (leased, peer->id);
   record_lag (leased, peer, msg->u.leased_status.sent_us);
   peer->status_received = true;
+  peer->unproven_until_us = 0;
   if (peer->term != msg->u.leased_status.term)
     peer->term_received_us = leased->r->now.mono_us;
   if (is_new || peer->term != msg->u.leased_status.term)
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -289,6 +289,7 @@
       break;
     case DKS_EVENT_CONFIG: /* only leased targets have configuration that may change at run time */
     case DKS_EVENT_BATCH:
+    case DKS_EVENT_PEER_REFUSED: /* other members are known by the platform's list */
     case DKS_EVENT_FEED:
     case DKS_EVENT_LEASE_REPLY:
       /* Sent only by hosts of leased targets. */
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -227,6 +227,15 @@
   apply_event (context, &event);
 }
 
+static void
+handle_peer_refused (void *context, const char *address)
+{
+  dks_event_t event = { .type = DKS_EVENT_PEER_REFUSED };
+
+  event.u.peer_refused.address = address;
+  apply_event (context, &event);
+}
+
 static void
 handle_peer_message (void *context, const char *member, dks_msg_t *msg)
 {
@@ -476,6 +485,7 @@
     .up = handle_peer_up,
     .down = handle_peer_down,
     .message = handle_peer_message,
+    .refused = handle_peer_refused,
     .context = host,
   };
   int error = dks_peers_create (host->loop, &config, &callbacks, &host->peers);
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -101,6 +101,7 @@
   DKS_EVENT_PEER_UP,     /**< a connection to an instance is ready for messages */
   DKS_EVENT_PEER_DOWN,   /**< the connection to an instance closed */
   DKS_EVENT_PEER_MSG,
+  DKS_EVENT_PEER_REFUSED,  /**< an address refused a connection: no process listens there */
   DKS_EVENT_TARGET_REPLY,  /**< outcome of a TARGET_SEND */
   DKS_EVENT_STORE_REPLY,   /**< outcome of a STORE_GET or STORE_CAS */
   DKS_EVENT_STORE_RECORD,  /**< a watch delivered a record */
@@ -145,6 +146,10 @@
       const char *data_centre; /**< PEER_UP only */
     } peer;
     struct
+    {
+      const char *address;
+    } peer_refused;
+    struct
     {
       const char *peer;
       dks_msg_t *msg;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -85,13 +85,19 @@
   int64_t highest_term_us; /**< when it was last known to lead with that term */
   int64_t started_ms;      /**< start of its process, Unix ms */
   int64_t catalog_version;
-  uint32_t processor_milli;  /**< by which it ranks for leadership, thousandths of a processor */
-  int64_t last_leading_us;   /**< when a status last said that it leads, 0: never */
-  int64_t term_received_us;  /**< when a status last changed `term` */
-  int64_t connected_us;      /**< when the connection began */
-  int64_t min_clock_diff_us; /**< least receipt time less sending time of its statuses */
-  int64_t heard_since_us;    /**< when its first status after a silence was received */
-  int64_t last_status_us;    /**< when its latest status was received, 0: none yet */
+  uint32_t processor_milli; /**< by which it ranks for leadership, thousandths of a processor */
+  int64_t last_leading_us;  /**< when a status last said that it leads, 0: never */
+  int64_t term_received_us; /**< when a status last changed `term` */
+  int64_t connected_us;     /**< when the connection began */
+  /** Before this its process counts as running though the connection has closed: it may return. 0:
+   * it is connected, or its process has ended. */
+  int64_t unproven_until_us;
+  bool led_at_loss;                    /**< it led when the connection closed */
+  char lost_address[DKS_ADDRESS_SIZE]; /**< its address when the connection closed, if it was known
+                                        */
+  int64_t min_clock_diff_us;           /**< least receipt time less sending time of its statuses */
+  int64_t heard_since_us;              /**< when its first status after a silence was received */
+  int64_t last_status_us;              /**< when its latest status was received, 0: none yet */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
   int64_t
       late_since_us; /**< first of its late statuses that followed each other closely, 0: none */
@@ -517,11 +523,16 @@
 uint32_t dks_leased_members_count_alive (const dks_leased_t *leased);
 /** Whether the peer is connected, has sent a status, and its last message is recent. */
 bool dks_leased_peer_is_alive (const dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Whether the connection to the peer has closed, or has opened again without a status so far, and
+ * nothing shows that its process has ended. */
+bool dks_leased_peer_may_be_present (const dks_leased_t *leased, const dks_leased_peer_t *peer);
 /** Delay of a message, sent at `sent_us` by the peer, in transit and in this instance's queue. */
 int64_t
 dks_leased_peer_lag_us (const dks_leased_t *leased, const dks_leased_peer_t *peer, int64_t sent_us);
 void dks_leased_members_handle_up (dks_leased_t *leased, const char *id, const char *data_centre);
 void dks_leased_members_handle_down (dks_leased_t *leased, const char *id);
+/** No process listens at the address. */
+void dks_leased_members_handle_refused (dks_leased_t *leased, const char *address);
 void dks_leased_members_handle_status (dks_leased_t *leased, dks_leased_peer_t *peer,
                                        const dks_msg_t *msg);
 /** Sends a status to the other leaders soon, since the free capacity has changed. */
--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -28,6 +28,8 @@
   void (*up) (void *context, const char *member, const char *data_centre);
   void (*down) (void *context, const char *member);
   void (*message) (void *context, const char *member, dks_msg_t *msg);
+  /** The address refused an attempt to connect: no process listens there. */
+  void (*refused) (void *context, const char *address);
   void *context;
 } dks_peer_callbacks_t;
 
@@ -43,9 +45,10 @@
 int dks_peers_create (dks_loop_t *loop, const dks_peer_config_t *config,
                       const dks_peer_callbacks_t *callbacks, dks_peers_t **peers);
 void dks_peers_destroy (dks_peers_t *peers);
-/** Keeps a connection to the instance at `address`, with reconnects after 100 ms doubling to 2 s.
- * The attempts end when they have failed for 60 s; a call with the same address restarts the 60 s
- * or the attempts, and has no other effect. */
+/** Keeps a connection to the instance at `address`, with reconnects after 100 ms doubling to 2 s;
+ * the first one at once, when the connection was up for 2 s. The attempts end when they have failed
+ * for 60 s; a call with the same address restarts the 60 s or the attempts, and has no other
+ * effect. */
 void dks_peers_connect (dks_peers_t *peers, const char *address);
 /** Closes the connection to `member` in the next turn; for a member that sends nothing any more. If
  * its address was passed to dks_peers_connect(), a new connection is opened. */
--- a/net/peer.c
+++ b/net/peer.c
@@ -112,6 +112,7 @@
 
 static void handle_link (void *context, int fd, int events);
 static void endpoint_schedule_connect (endpoint_t *endpoint);
+static void endpoint_connect_now (endpoint_t *endpoint);
 
 /* Buffers */
 
@@ -238,6 +239,7 @@
   dks_peers_t *peers = link->peers;
   endpoint_t *own_endpoint = link->endpoint;
   bool was_up = link->up;
+  bool was_stable = was_up && dks_loop_now ().mono_us - link->up_us >= STABLE_CONNECTION_US;
   char member[DKS_NAME_SIZE];
   endpoint_t *endpoint;
 
@@ -247,17 +249,20 @@
   dks_log (was_up || !link->outgoing ? DKS_LOG_NOTICE : DKS_LOG_DEBUG,
            "event=peer-closed address=%s member=%s up=%d reason=\"%s\"", link->address,
            member[0] != '\0' ? member : "-", was_up, reason);
-  if (own_endpoint != NULL && was_up
-      && dks_loop_now ().mono_us - link->up_us >= STABLE_CONNECTION_US)
+  if (own_endpoint != NULL && was_stable)
     own_endpoint->backoff_us = BACKOFF_MIN_US;
   link_free (link);
-  if (own_endpoint != NULL)
+  if (own_endpoint != NULL && was_stable)
+    endpoint_connect_now (own_endpoint);
+  else if (own_endpoint != NULL)
     endpoint_schedule_connect (own_endpoint);
   if (!was_up)
     return;
   APR_RING_FOREACH (endpoint, &peers->endpoints, endpoint_t, link)
     {
-      if (strcmp (endpoint->member, member) == 0)
+      if (strcmp (endpoint->member, member) == 0 && was_stable)
+        endpoint_connect_now (endpoint);
+      else if (strcmp (endpoint->member, member) == 0)
         endpoint_schedule_connect (endpoint);
     }
   peers->callbacks.down (peers->callbacks.context, member);
@@ -557,6 +562,15 @@
     }
 }
 
+static void
+endpoint_report_refused (const endpoint_t *endpoint)
+{
+  const dks_peer_callbacks_t *callbacks = &endpoint->peers->callbacks;
+
+  if (callbacks->refused != NULL)
+    callbacks->refused (callbacks->context, endpoint->address);
+}
+
 static void
 link_handle_connected (link_t *link)
 {
@@ -568,7 +582,11 @@
   getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &error_size);
   if (error != 0)
     {
+      endpoint_t *endpoint = link->endpoint;
+
       link_close (link, strerror (error));
+      if (error == ECONNREFUSED)
+        endpoint_report_refused (endpoint);
       return;
     }
   /* Not connected yet: the event can be one of an earlier connection with the same descriptor. */
@@ -642,6 +660,8 @@
     {
       apr_pool_destroy (pool);
       endpoint_schedule_connect (endpoint);
+      if (APR_STATUS_IS_ECONNREFUSED (status))
+        endpoint_report_refused (endpoint);
       return;
     }
   if (link_create (peers, pool, socket, endpoint, endpoint->address) == NULL)
@@ -664,6 +684,20 @@
       2 * endpoint->backoff_us < BACKOFF_MAX_US ? 2 * endpoint->backoff_us : BACKOFF_MAX_US;
 }
 
+/* Connects in the next turn, after the end of a connection that had been up for a while: a refusal
+ * shows that the other process has ended. */
+static void
+endpoint_connect_now (endpoint_t *endpoint)
+{
+  int64_t now_us = dks_loop_now ().mono_us;
+
+  if (endpoint->connection != NULL || dks_timer_is_armed (&endpoint->timer))
+    return;
+  if (endpoint->failing_since_us == 0)
+    endpoint->failing_since_us = now_us;
+  dks_timer_set (dks_loop_timers (endpoint->peers->loop), &endpoint->timer, now_us);
+}
+
 static void
 handle_endpoint_timer (void *context, int64_t now_us)
 {
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -311,6 +311,7 @@
     return;
   std::string member_id = side->second.peer_member_id;
   sides.erase (side);
+  refuse_later (self, peer);
   deliver_now (self, [=, this] {
     dks_event_t event = {};
 
@@ -321,6 +322,24 @@
   });
 }
 
+// `self` tries to connect again at once. The address of a peer that is not up refuses.
+void
+World::refuse_later (size_t self, size_t peer)
+{
+  dks_reducer_t *reducer = instances[self]->reducer;
+
+  deliver (now_us + 2 * peer_delay_us, self, [=, this] {
+    dks_event_t event = {};
+
+    if (!instances[self]->up || instances[self]->reducer != reducer || instances[peer]->up
+        || is_cut (self, peer) || partitions.count (std::minmax (self, peer)) > 0)
+      return;
+    event.type = DKS_EVENT_PEER_REFUSED;
+    event.u.peer_refused.address = instances[peer]->id.c_str ();
+    apply (self, &event);
+  });
+}
+
 // The connection has ended at `self`: the peer learns of it as soon as the way to it is open.
 void
 World::notify_closed (size_t self, size_t peer)
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -267,6 +267,7 @@
   bool is_open (size_t self, size_t peer, uint64_t connection) const;
   void close_side (size_t self, size_t peer);
   void notify_closed (size_t self, size_t peer);
+  void refuse_later (size_t self, size_t peer);
   void reconnect_later (size_t a, size_t b);
   void close_connection (size_t instance, const std::string &peer);
   void send_msg (size_t from, size_t to, uint64_t connection, std::shared_ptr<dks_msg_t> msg);
--- a/tests/test_leased_leader.cc
+++ b/tests/test_leased_leader.cc
@@ -237,3 +237,96 @@
   for (int64_t cost_us : { 2000, 3000 })
     EXPECT_LE (count_starts_where_all_are_slow (cost_us), 4U) << "cost " << cost_us;
 }
+
+// Resets the connections between all instances at the same moment.
+static void
+reset_all_connections (World &world)
+{
+  for (size_t a = 0; a < world.instances.size (); a++)
+    {
+      for (size_t b = a + 1; b < world.instances.size (); b++)
+        world.reset_connection (a, b);
+    }
+}
+
+static void
+start_by_address (World &world, int instances)
+{
+  world.connects_by_address = true;
+  start_data_centre (world, instances);
+  world.run_for (3000 * ms);
+}
+
+// Guards against many leaders at once: each instance whose connections were closed took all others
+// for gone, and began to lead before it could connect again.
+TEST (LeasedLeader, ResetOfAllConnectionsStartsNoLeadership)
+{
+  World world;
+  start_by_address (world, 13);
+  size_t starts = count_logged (world, "event=leader-start");
+
+  for (int i = 0; i < 4; i++)
+    {
+      reset_all_connections (world);
+      world.run_for (2000 * ms);
+    }
+  EXPECT_EQ (count_logged (world, "event=leader-start"), starts);
+  EXPECT_EQ (count_logged (world, "event=leader-stop"), 0U);
+  submit_for (world, 1000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// The leader ends at that moment: its address refuses connections, so only one takes over, at once.
+TEST (LeasedLeader, OneInstanceSucceedsALeaderThatEndsWhenAllConnectionsAreReset)
+{
+  World world;
+  start_by_address (world, 13);
+  size_t leader = leader_of (world);
+  size_t starts = count_logged (world, "event=leader-start");
+
+  reset_all_connections (world);
+  world.kill (leader);
+  world.run_for (10 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), starts + 1);
+  EXPECT_NE (leader_of (world), leader);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), starts + 1);
+  EXPECT_EQ (count_logged (world, "event=leader-stop"), 0U);
+}
+
+// Most instances restart together, among them the leader and those that come next.
+TEST (LeasedLeader, RestartOfMostInstancesStartsOneLeadership)
+{
+  World world;
+  start_by_address (world, 13);
+  size_t starts = count_logged (world, "event=leader-start");
+
+  for (size_t i = 0; i < 9; i++)
+    world.kill (i);
+  reset_all_connections (world);
+  world.run_for (300 * ms);
+  for (size_t i = 0; i < 9; i++)
+    world.restart (i);
+  world.run_for (5000 * ms);
+  EXPECT_EQ (count_logged (world, "event=leader-start"), starts + 1);
+  EXPECT_EQ (count_logged (world, "event=leader-stop"), 0U);
+}
+
+// A leader whose process does not end, but which no connection reaches any more, is gone after the
+// time of missed heartbeats.
+TEST (LeasedLeader, LeaderThatDoesNotReturnIsSucceededAfterItsSilence)
+{
+  World world;
+  start_by_address (world, 5);
+  size_t leader = leader_of (world);
+
+  for (size_t i = 0; i < world.instances.size (); i++)
+    {
+      if (i != leader)
+        world.set_partitioned (i, leader, true);
+    }
+  world.run_for (400 * ms);
+  EXPECT_EQ (leader_of (world), leader);
+  world.run_for (300 * ms);
+  EXPECT_NE (leader_of (world), leader);
+}
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -22,7 +22,8 @@
   Instance (dks_loop_t *loop, const std::string &name, int listen_port)
       : member (name), port (listen_port), address ("127.0.0.1:" + std::to_string (listen_port))
   {
-    dks_peer_callbacks_t callbacks = { handle_up, handle_down, handle_message, this };
+    dks_peer_callbacks_t callbacks = { handle_up, handle_down, handle_message, handle_refused,
+                                       this };
     dks_peer_config_t config = { member.c_str (), "dc1", address.c_str () };
 
     error = dks_peers_create (loop, &config, &callbacks, &peers);
@@ -52,6 +53,14 @@
     self->events.push_back (std::string ("-") + peer);
   }
 
+  static void
+  handle_refused (void *context, const char *peer_address)
+  {
+    auto *self = static_cast<Instance *> (context);
+    EXPECT_FALSE (self->in_peers_call) << "callback from within a call";
+    self->refusals.emplace_back (peer_address);
+  }
+
   static void
   handle_message (void *context, const char *peer, dks_msg_t *msg)
   {
@@ -110,6 +119,7 @@
   int error = 0;
   bool in_peers_call = false;
   std::vector<std::string> events;
+  std::vector<std::string> refusals;
   std::vector<std::pair<std::string, uint32_t>> messages;
 };
 
@@ -371,6 +381,22 @@
   EXPECT_EQ (a.events, (std::vector<std::string>{ "+b#1", "-b#1", "+b#2" }));
 }
 
+TEST_F (Peer, ReportsARefusedConnectionOfAnEndedProcess)
+{
+  Instance &a = add ("a#1");
+  Instance &b = add ("b#1");
+  std::string address = b.address;
+
+  a.connect (address);
+  ASSERT_TRUE (run_until ([&] { return a.is_up ("b#1"); }));
+  run_for (300);
+  EXPECT_TRUE (a.refusals.empty ());
+  remove (b);
+  ASSERT_TRUE (run_until ([&] { return !a.refusals.empty (); }));
+  EXPECT_EQ (a.refusals.front (), address);
+  EXPECT_FALSE (a.is_up ("b#1"));
+}
+
 // Guards against invalid bytes on one connection that affect others: a connection with a bad hello,
 // frame or message is closed, and all other connections stay up.
 TEST_F (Peer, ClosesBadConnectionsOnly)
