--- a/include/net/loop.h
+++ b/include/net/loop.h
@@ -32,6 +32,9 @@
 /** Sets the function that is called at the end of every turn, after all callbacks of descriptors
  * and timers. A loop has one such function; a second call replaces it. */
 void dks_loop_set_turn_end (dks_loop_t *loop, void (*func) (void *context), void *context);
+/** Monotonic time at which the latest turn had the descriptors polled: what arrived before has been
+ * handled, or is being handled in this turn. */
+int64_t dks_loop_polled_us (const dks_loop_t *loop);
 /** Runs until dks_loop_stop() is called. */
 void dks_loop_run (dks_loop_t *loop);
 /** Runs one turn and waits at most `wait_us` microseconds. For tests. */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -355,7 +355,14 @@
 handle_request_timeout (void *context, int64_t now_us)
 {
   http_request_t *request = context;
+  dks_loop_t *loop = request->client->loop;
 
+  /* The reply may have arrived in time, and wait in its socket since. */
+  if (dks_loop_polled_us (loop) < request->timeout.deadline_us)
+    {
+      dks_timer_set (dks_loop_timers (loop), &request->timeout, request->timeout.deadline_us);
+      return;
+    }
   if (request->active && request_is_sent (request))
     suspect_idle_connections (request);
   request_finish (request, request->active && request_is_sent (request) ? DKS_ERR_TIMEOUT
--- a/net/loop.c
+++ b/net/loop.c
@@ -36,6 +36,7 @@
   int watch_count;
   void (*turn_end) (void *context);
   void *turn_end_context;
+  int64_t polled_us;
   bool running;
 };
 
@@ -187,6 +188,7 @@
   int64_t until_timer_us = dks_timers_next_us (loop->timers);
   const apr_pollfd_t *ready = NULL;
   apr_int32_t count = 0;
+  apr_status_t status;
 
   if (until_timer_us != INT64_MAX)
     until_timer_us -= dks_loop_now ().mono_us;
@@ -195,7 +197,9 @@
   /* APR rounds the wait down to milliseconds. Rounding up avoids a busy loop in the last
    * millisecond before a timer is due. */
   wait_us = (wait_us + 999) / 1000 * 1000;
-  if (apr_pollset_poll (loop->pollset, wait_us, &count, &ready) == APR_SUCCESS)
+  status = apr_pollset_poll (loop->pollset, wait_us, &count, &ready);
+  loop->polled_us = dks_loop_now ().mono_us;
+  if (status == APR_SUCCESS)
     {
       for (apr_int32_t i = 0; i < count; i++)
         dispatch (loop, &ready[i]);
@@ -205,6 +209,12 @@
     loop->turn_end (loop->turn_end_context);
 }
 
+int64_t
+dks_loop_polled_us (const dks_loop_t *loop)
+{
+  return loop->polled_us;
+}
+
 void
 dks_loop_run (dks_loop_t *loop)
 {
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -305,6 +305,52 @@
   EXPECT_EQ (replies[id].error, DKS_ERR_TIMEOUT);
 }
 
+// Guards against time-outs of requests whose replies have arrived but were not read yet, because
+// this process was busy: each of them closes a connection and is taken for a silent server.
+TEST_F (HttpClient, ReplyThatArrivedWhileTheLoopWasBusyIsNoTimeout)
+{
+  std::atomic<int> answered (0);
+  NetServer server ([&] (int fd, int) {
+    HttpRequest request;
+    while (http_read (fd, &request))
+      {
+        net_write (fd, http_reply (200, "ok"));
+        answered++;
+      }
+  });
+  int wake[2];
+  ASSERT_EQ (pipe (wake), 0);
+  // Handles its event until the reply has arrived and the time-out is over.
+  struct Busy
+  {
+    std::atomic<int> *answered;
+    int64_t end_us;
+  } busy = { &answered, 0 };
+  auto handle_wake = [] (void *context, int fd, int) {
+    auto *self = static_cast<Busy *> (context);
+    char byte;
+
+    EXPECT_EQ (read (fd, &byte, 1), 1);
+    for (int i = 0; i < 10000 && (*self->answered < 2 || dks_loop_now ().mono_us < self->end_us);
+         i++)
+      usleep (1000);
+    usleep (20000); // the reply is on its way over loopback
+  };
+  dks_loop_watch (loop, wake[0], DKS_LOOP_READ, handle_wake, &busy);
+
+  send ("GET", server.url ("/first"));
+  run_until (1);
+  uint64_t id = send ("GET", server.url ("/second"), nullptr, 50);
+  busy.end_us = dks_loop_now ().mono_us + 60000;
+  dks_loop_turn (loop, 0); // sends the request
+  ASSERT_EQ (write (wake[1], "x", 1), 1);
+  run_until (2);
+  EXPECT_EQ (replies[id].error, DKS_OK);
+  dks_loop_watch (loop, wake[0], 0, nullptr, nullptr);
+  close (wake[0]);
+  close (wake[1]);
+}
+
 // Guards against an outage that goes on for as many time-outs as there are idle connections: when
 // connections to a server have gone silent without a reset, a request that times out on one of them
 // must not be followed by one on another.
