--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -95,15 +95,72 @@
 static dks_leased_job_t *
 job_find_by_batch_id (dks_leased_t *leased, const char *id)
 {
-  dks_leased_job_t *job;
+  leased->load.counts.jobs_compared++;
+  return apr_hash_get (leased->jobs_by_batch_id, id, APR_HASH_KEY_STRING);
+}
 
-  APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
+static void
+job_add_to_request (dks_leased_job_t *job)
+{
+  apr_hash_t *by_request = job->leased->jobs_by_request;
+  dks_leased_job_t *last = apr_hash_get (by_request, &job->request_id, sizeof (job->request_id));
+
+  job->next_of_request = NULL;
+  if (last == NULL)
     {
-      leased->load.counts.job_visits++;
-      if (!job->is_lent && strcmp (job->batch->id, id) == 0)
-        return job;
+      apr_hash_set (by_request, &job->request_id, sizeof (job->request_id), job);
+      return;
     }
-  return NULL;
+  while (last->next_of_request != NULL)
+    last = last->next_of_request;
+  last->next_of_request = job;
+}
+
+static void
+job_remove_from_request (dks_leased_job_t *job)
+{
+  apr_hash_t *by_request = job->leased->jobs_by_request;
+  dks_leased_job_t *next = job->next_of_request;
+  dks_leased_job_t *other = apr_hash_get (by_request, &job->request_id, sizeof (job->request_id));
+
+  if (other == job)
+    {
+      /* The entry is removed first, as its key is stored in the job. */
+      apr_hash_set (by_request, &job->request_id, sizeof (job->request_id), NULL);
+      if (next != NULL)
+        apr_hash_set (by_request, &next->request_id, sizeof (next->request_id), next);
+      return;
+    }
+  while (other->next_of_request != job)
+    other = other->next_of_request;
+  other->next_of_request = next;
+}
+
+/* Makes the job known to look-ups by the ids in messages. */
+static void
+job_add_to_tables (dks_leased_job_t *job)
+{
+  dks_leased_t *leased = job->leased;
+
+  if (!job->is_lent)
+    apr_hash_set (leased->jobs_by_batch_id, job->batch->id, APR_HASH_KEY_STRING, job);
+  for (uint32_t i = 0; i < job->batch->step_count; i++)
+    apr_hash_set (leased->jobs_by_lend_id, &job->step_lend_id[i], sizeof (job->step_lend_id[i]),
+                  job);
+  job_add_to_request (job);
+}
+
+static void
+job_remove_from_tables (dks_leased_job_t *job)
+{
+  dks_leased_t *leased = job->leased;
+
+  if (!job->is_lent)
+    apr_hash_set (leased->jobs_by_batch_id, job->batch->id, APR_HASH_KEY_STRING, NULL);
+  for (uint32_t i = 0; i < job->batch->step_count; i++)
+    apr_hash_set (leased->jobs_by_lend_id, &job->step_lend_id[i], sizeof (job->step_lend_id[i]),
+                  NULL);
+  job_remove_from_request (job);
 }
 
 static void
@@ -114,6 +171,7 @@
   dks_timer_cancel (leased->r->timers, &job->timer);
   leased->waiting_tasks -= job->waiting_count;
   leased->job_count--;
+  job_remove_from_tables (job);
   APR_RING_REMOVE (job, link);
   dks_leased_prior_runs_clear (job);
   dks_batch_unref (job->batch);
@@ -313,6 +371,7 @@
   dks_timer_init (&job->timer, handle_job_timer, job);
   leased->waiting_tasks += count;
   leased->job_count++;
+  job_add_to_tables (job);
   dks_leased_admission_insert (job);
   return job;
 }
@@ -661,7 +720,9 @@
   if (strcmp (job->origin, origin) != 0 || job->request_id != msg->u.work.request)
     send_done (job->leased, job->origin, job->request_id, DKS_BATCH_LOST, 0, "submitted again");
   dks_strcpy (job->origin, sizeof (job->origin), origin);
+  job_remove_from_request (job);
   job->request_id = msg->u.work.request;
+  job_add_to_request (job);
   job->deadline_us = dks_leased_now_us (job->leased) - msg->u.work.age_us + msg->u.work.budget_us;
   job_arm_timer (job);
 }
@@ -746,10 +807,12 @@
   dks_leased_job_t *next;
 
   /* Several messages of one request may have lent tasks, or asked for them. */
-  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
+  for (job = apr_hash_get (leased->jobs_by_request, &request, sizeof (request)); job != NULL;
+       job = next)
     {
-      leased->load.counts.job_visits++;
-      if (job->request_id != request || strcmp (job->origin, origin) != 0)
+      leased->load.counts.jobs_compared++;
+      next = job->next_of_request;
+      if (strcmp (job->origin, origin) != 0)
         continue;
       if (!job->is_lent)
         dks_emit_log (leased->r, DKS_LOG_INFO, "event=job-cancelled job=%s done=%u tasks=%u",
@@ -895,18 +958,12 @@
 static dks_leased_job_t *
 job_find_by_lend_id (dks_leased_t *leased, uint64_t lend_id, uint32_t *step)
 {
-  dks_leased_job_t *job;
+  dks_leased_job_t *job = apr_hash_get (leased->jobs_by_lend_id, &lend_id, sizeof (lend_id));
 
-  APR_RING_FOREACH (job, &leased->jobs, dks_leased_job_t, link)
-    {
-      leased->load.counts.job_visits++;
-      for (*step = 0; *step < job->batch->step_count; ++*step)
-        {
-          if (job->step_lend_id[*step] == lend_id)
-            return job;
-        }
-    }
-  return NULL;
+  leased->load.counts.jobs_compared++;
+  for (*step = 0; job != NULL && job->step_lend_id[*step] != lend_id; ++*step)
+    continue;
+  return job;
 }
 
 void
@@ -1006,6 +1063,9 @@
 dks_leased_jobs_init (dks_leased_t *leased)
 {
   APR_RING_INIT (&leased->jobs, dks_leased_job_t, link);
+  leased->jobs_by_batch_id = apr_hash_make (leased->r->pool);
+  leased->jobs_by_lend_id = apr_hash_make (leased->r->pool);
+  leased->jobs_by_request = apr_hash_make (leased->r->pool);
 }
 
 void
--- a/core/status.c
+++ b/core/status.c
@@ -88,6 +88,12 @@
   return r->leased != NULL ? r->leased->load.counts.target_scans : 0;
 }
 
+uint64_t
+dks_reducer_jobs_compared (const dks_reducer_t *r)
+{
+  return r->leased != NULL ? r->leased->load.counts.jobs_compared : 0;
+}
+
 uint64_t
 dks_reducer_prior_run_checks (const dks_reducer_t *r)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -249,7 +249,8 @@
   dks_leased_t *leased;
   char origin[DKS_NAME_SIZE]; /**< member id of the sender: an entry instance or a home leader */
   uint64_t request_id;        /**< id of the request at the sender */
-  bool is_lent;               /**< tasks that another leader lent: placed at once or refused */
+  dks_leased_job_t *next_of_request; /**< next job with this `request_id`, of any sender */
+  bool is_lent; /**< tasks that another leader lent: placed at once or refused */
   dks_batch_t *batch;
   int64_t arrival_us;       /**< when the caller's request reached its entry instance */
   int64_t received_us;      /**< when this leader received the job */
@@ -389,6 +390,7 @@
   uint64_t sent[DKS_MSG_TYPE_COUNT];     /**< messages to other instances, by type */
   uint64_t passes;                       /**< over all jobs, to place waiting tasks */
   uint64_t job_visits;                   /**< jobs that were looked at one by one */
+  uint64_t jobs_compared;                /**< to find those that a message is about */
   uint64_t target_scans;                 /**< targets that were examined to place tasks */
 } dks_leased_counts_t;
 
@@ -477,6 +479,9 @@
 
   /* leased_jobs.c */
   struct dks_leased_job_ring_t jobs; /**< in the order of service */
+  apr_hash_t *jobs_by_batch_id;      /**< without lent tasks */
+  apr_hash_t *jobs_by_lend_id;       /**< id of each step in messages that lend its tasks -> job */
+  apr_hash_t *jobs_by_request;       /**< `request_id` -> first job with it, see next_of_request */
   uint32_t job_count;
   uint32_t waiting_tasks;
   uint32_t remote_lost_tasks; /**< lent tasks whose remote leader is lost */
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -68,6 +68,9 @@
 char *dks_reducer_metrics (const dks_reducer_t *reducer);
 /** How many targets were examined to place tasks; measures the work of a leader. */
 uint64_t dks_reducer_targets_scanned (const dks_reducer_t *reducer);
+/** Jobs that were compared to find those which messages are about, in all; for tests of the cost.
+ */
+uint64_t dks_reducer_jobs_compared (const dks_reducer_t *r);
 /** Checks of tasks for runs that earlier leaders started, in all; for tests of the cost. */
 uint64_t dks_reducer_prior_run_checks (const dks_reducer_t *r);
 /** State for operators as a JSON object: members, shards, targets, queue; malloc'ed. */
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1236,6 +1236,42 @@
     EXPECT_EQ (answer.second.answer, DKS_BATCH_COMPLETED);
 }
 
+// Guards against a leader that is kept busy by cancellations and by answers about lent tasks, which
+// come in hundreds a second after a hand-over: each of them looked at all jobs.
+TEST (Leased, MessagesDoNotLookAtAllJobs)
+{
+  World world;
+  add_data_centre (world, "a", 2, 2);
+  add_data_centre (world, "b", 6, 1);
+  world.objective_factor_milli = 200000;
+  world.start_all ();
+  world.run_for (2000 * ms);
+  size_t leader = world.find (leader_of (world, "a"));
+  std::vector<uint64_t> callers;
+  char id[32];
+  for (int i = 0; i < 200; i++)
+    {
+      snprintf (id, sizeof (id), "%016x", 0x100 + i);
+      callers.push_back (world.submit (1 - leader, id, { { 2, 6800, 300, 300 } }, 60000));
+    }
+  world.run_for (5000 * ms);
+  EXPECT_GT (world.sent (DKS_MSG_LENT_DONE), 50U);
+  for (size_t i = 100; i < 200; i++)
+    world.leave (1 - leader, callers[i]);
+  world.run_for (50 * ms);
+  EXPECT_GT (world.sent (DKS_MSG_WORK_CANCEL), 50U);
+  uint64_t compared = 0;
+  for (auto &instance : world.instances)
+    compared += dks_reducer_jobs_compared (instance->reducer);
+  // Each message is about one job.
+  EXPECT_LE (compared,
+             200U + world.sent (DKS_MSG_LENT_DONE) + 2 * world.sent (DKS_MSG_WORK_CANCEL));
+  world.run_for (20000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  for (size_t i = 0; i < 100; i++)
+    EXPECT_TRUE (got_answer (world, callers[i], DKS_BATCH_COMPLETED));
+}
+
 // Sends a lent task to `remote_leader` as if from the instance `home_leader`; returns how many runs
 // have started on all targets so far.
 uint32_t
