--- a/include/net/loop.h
+++ b/include/net/loop.h
@@ -30,7 +30,8 @@
 /** Current time of both clocks. */
 dks_time_t dks_loop_now (void);
 /** Sets the function that is called at the end of every turn, after all callbacks of descriptors
- * and timers. A loop has one such function; a second call replaces it. */
+ * and timers, and in a turn with many ready descriptors now and then between their callbacks. A
+ * loop has one such function; a second call replaces it. */
 void dks_loop_set_turn_end (dks_loop_t *loop, void (*func) (void *context), void *context);
 /** Monotonic time at which the latest turn had the descriptors polled: what arrived before has been
  * handled, or is being handled in this turn. */
--- a/net/loop.c
+++ b/net/loop.c
@@ -13,7 +13,10 @@
 enum
 {
   POLLSET_SIZE = 16384, /* descriptors: connections of one process to callers, targets and peers */
-  TURN_WAIT_MAX_US = 1000000 /* longest wait of one turn */
+  TURN_WAIT_MAX_US = 1000000, /* longest wait of one turn */
+  /* Ready descriptors after which the end of the turn is due, which passes messages to other
+   * instances on: on a slow machine they must not wait for the work on all connections. */
+  TURN_DESCRIPTORS_MAX = 16
 };
 
 /* A watched descriptor. Each watch is allocated on its own, because the pollset keeps the address
@@ -182,6 +185,13 @@
   watch->func (watch->context, fd, events_from_apr (ready->rtnevents));
 }
 
+static void
+call_turn_end (dks_loop_t *loop)
+{
+  if (loop->turn_end != NULL)
+    loop->turn_end (loop->turn_end_context);
+}
+
 void
 dks_loop_turn (dks_loop_t *loop, int64_t wait_us)
 {
@@ -202,11 +212,14 @@
   if (status == APR_SUCCESS)
     {
       for (apr_int32_t i = 0; i < count; i++)
-        dispatch (loop, &ready[i]);
+        {
+          dispatch (loop, &ready[i]);
+          if ((i + 1) % TURN_DESCRIPTORS_MAX == 0)
+            call_turn_end (loop);
+        }
     }
   dks_timers_run (loop->timers, dks_loop_now ().mono_us);
-  if (loop->turn_end != NULL)
-    loop->turn_end (loop->turn_end_context);
+  call_turn_end (loop);
 }
 
 int64_t
