--- a/net/loop.c
+++ b/net/loop.c
@@ -13,7 +13,10 @@
 enum
 {
   POLLSET_SIZE = 16384, /* descriptors: connections of one process to callers, targets and peers */
-  TURN_WAIT_MAX_US = 1000000 /* longest wait of one turn */
+  TURN_WAIT_MAX_US = 1000000, /* longest wait of one turn */
+  /* Ready descriptors after which the end of the turn is due, which passes messages to other
+   * instances on: on a slow machine they must not wait for the work on all connections. */
+  TURN_DESCRIPTORS_MAX = 16
 };
 
 /* A watched descriptor. Each watch is allocated on its own, because the pollset keeps the address
@@ -36,6 +39,7 @@
   int watch_count;
   void (*turn_end) (void *context);
   void *turn_end_context;
+  int64_t polled_us;
   bool running;
 };
 
@@ -181,12 +185,20 @@
   watch->func (watch->context, fd, events_from_apr (ready->rtnevents));
 }
 
+static void
+call_turn_end (dks_loop_t *loop)
+{
+  if (loop->turn_end != NULL)
+    loop->turn_end (loop->turn_end_context);
+}
+
 void
 dks_loop_turn (dks_loop_t *loop, int64_t wait_us)
 {
   int64_t until_timer_us = dks_timers_next_us (loop->timers);
   const apr_pollfd_t *ready = NULL;
   apr_int32_t count = 0;
+  apr_status_t status;
 
   if (until_timer_us != INT64_MAX)
     until_timer_us -= dks_loop_now ().mono_us;
@@ -195,14 +207,25 @@
   /* APR rounds the wait down to milliseconds. Rounding up avoids a busy loop in the last
    * millisecond before a timer is due. */
   wait_us = (wait_us + 999) / 1000 * 1000;
-  if (apr_pollset_poll (loop->pollset, wait_us, &count, &ready) == APR_SUCCESS)
+  status = apr_pollset_poll (loop->pollset, wait_us, &count, &ready);
+  loop->polled_us = dks_loop_now ().mono_us;
+  if (status == APR_SUCCESS)
     {
       for (apr_int32_t i = 0; i < count; i++)
-        dispatch (loop, &ready[i]);
+        {
+          dispatch (loop, &ready[i]);
+          if ((i + 1) % TURN_DESCRIPTORS_MAX == 0)
+            call_turn_end (loop);
+        }
     }
   dks_timers_run (loop->timers, dks_loop_now ().mono_us);
-  if (loop->turn_end != NULL)
-    loop->turn_end (loop->turn_end_context);
+  call_turn_end (loop);
+}
+
+int64_t
+dks_loop_polled_us (const dks_loop_t *loop)
+{
+  return loop->polled_us;
 }
 
 void
