--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -581,3 +581,154 @@
       EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
     }
 }
+
+// Guards against a second run of a job whose first submission at the successor comes before the
+// other leaders have stated which jobs run there.
+TEST (LeasedHandover, SecondSubmissionBeforeTheStatementsStartsNothingAgain)
+{
+  for (int64_t after_ms = 0; after_ms <= 30; after_ms++)
+    {
+      World world;
+      start_data_centres (world, { { 3, 2 }, { 1, 4 } });
+      size_t home = world.find ("a-1");
+      size_t remote = world.find ("b-1");
+      world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      world.submit (2, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (400 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.set_cut_both_ways (home, remote, true);
+      world.set_cut_both_ways (2, 1, true);
+      world.drain (home);
+      world.run_for (after_ms * ms);
+      world.submit (1, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (3000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "after " << after_ms << " ms\n" << reports (world);
+    }
+}
+
+// Guards against jobs that wait for a statement which has been received, and counted for nothing as
+// its sender was not yet known to be the only leader.
+TEST (LeasedHandover, StatementHoldsOnceARivalOfItsSenderIsLongGone)
+{
+  World world;
+  start_data_centres (world, { { 2, 4 }, { 2, 2 } });
+  size_t remote = world.find ("b-1");
+  size_t rival = world.find ("b-2");
+
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b")
+        world.target_cuts.insert ({ rival, target.get () });
+    }
+  world.set_cut_both_ways (remote, rival, true);
+  world.set_cut_both_ways (0, rival, true);
+  world.run_for (1000 * ms);
+  ASSERT_EQ (count_logged (world, "b-2 event=leader-start"), 1U);
+  uint64_t caller =
+      world.submit (1, job_id, { { 2, 6800, 300, 300 }, { 1, 6800, 300, 300, 1 } }, 6000);
+  world.run_for (50 * ms);
+  world.kill (rival);
+  world.drain (0);
+  world.run_for (7000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a second run of a lent task of whose data centre a superseded leader states the
+// jobs, which has lost all its targets and does not hear its successor.
+TEST (LeasedHandover, LeaderThatHasLostAllTargetsDoesNotStateWhichJobsRun)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 2, 4 } });
+  size_t superseded = world.find ("b-1");
+  size_t remote = world.find ("b-2");
+
+  world.set_cut_both_ways (1, remote, true);
+  world.set_cut_both_ways (superseded, remote, true);
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b")
+        world.target_cuts.insert ({ superseded, target.get () });
+    }
+  world.run_for (15000 * ms);
+  ASSERT_EQ (count_logged (world, "b-2 event=leader-start"), 1U);
+  // The leader that has lost its targets is not told of tasks before it notices.
+  world.submit (superseded, "0000000000000003", { { 8, 6800, 300, 300 } }, 12000);
+  world.run_for (1000 * ms);
+  world.submit (1, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+  world.run_for (20 * ms);
+  world.submit (1, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+  world.run_for (400 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+  world.set_cut_both_ways (0, remote, true);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+}
+
+// Guards against a second run of a lent task whose home leader is superseded by an instance that
+// led alone while it was cut off from everything, and has not heard of the remote leader for long.
+TEST (LeasedHandover, LeaderThatComesBackFromALongCutWaitsForLentTasks)
+{
+  for (int64_t after_ms = 0; after_ms <= 300; after_ms += 5)
+    {
+      World world;
+      start_data_centres (world, { { 3, 2 }, { 1, 4 } });
+
+      for (auto &target : world.targets)
+        world.target_cuts.insert ({ 1, target.get () });
+      for (size_t other : { 0, 2, 3 })
+        world.set_cut_both_ways (1, other, true);
+      world.run_for (5000 * ms);
+      ASSERT_EQ (count_logged (world, "a-2 event=leader-start"), 1U);
+      world.submit (2, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      world.submit (2, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (400 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.target_cuts.clear ();
+      world.run_for (after_ms * ms);
+      world.set_cut_both_ways (1, 2, false);
+      world.run_for (300 * ms);
+      for (size_t other : { 0, 3 })
+        world.set_cut_both_ways (1, other, false);
+      world.run_for (4000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "after " << after_ms << " ms\n" << reports (world);
+    }
+}
+
+// Guards against statements that are put off by each further leader of any data centre: a leader
+// that cannot read a target waits for 2 s before it states its jobs.
+TEST (LeasedHandover, FurtherHandOversDoNotPutOffAStatement)
+{
+  World world;
+  start_data_centres (world, { { 2, 4 }, { 2, 2 }, { 1, 1 }, { 1, 1 } });
+  for (auto &target : world.targets)
+    {
+      if (std::string (target->info.data_centre) == "b")
+        {
+          target->silent = true;
+          break;
+        }
+    }
+  world.run_for (500 * ms);
+  world.kill (world.find ("b-1"));
+  world.run_for (4000 * ms);
+  ASSERT_EQ (count_logged (world, "b-2 event=leader-start"), 1U);
+  uint64_t caller =
+      world.submit (1, job_id, { { 2, 6800, 300, 300 }, { 1, 6800, 300, 300, 1 } }, 6000);
+  world.run_for (50 * ms);
+  world.drain (0);
+  for (int i = 0; i < 8; i++)
+    {
+      size_t restarted = world.find (i % 2 == 0 ? "c-1" : "d-1");
+
+      world.kill (restarted);
+      world.run_for (100 * ms);
+      world.restart (restarted);
+      world.run_for (700 * ms);
+    }
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
