--- a/core/leased_prior_runs.c
+++ b/core/leased_prior_runs.c
@@ -45,12 +45,16 @@
  * an answer from there. A leader there that cannot be asked stops them when it loses the earlier
  * leader, which is fenced by its own targets at the latest; else they end with their leases. */
 static bool
-leases_have_expired (const dks_leased_t *leased, const char *data_centre)
+leases_have_expired (const dks_leased_job_t *job, const char *data_centre)
 {
+  const dks_leased_t *leased = job->leased;
   int64_t latest_us = last_leading_us (leased, data_centre);
 
   if (latest_us < leased->term_start_us)
     latest_us = leased->term_start_us;
+  /* The earlier leader may not have known of this one until the sender of the job did. */
+  if (latest_us < job->received_us)
+    latest_us = job->received_us;
   return dks_leased_now_us (leased) - latest_us >= DKS_LEASED_ORPHAN_LIFETIME_MAX_US;
 }
 
@@ -148,7 +152,7 @@
   if (inquiry->leader[0] == '\0' && dks_leased_now_us (leased) < inquiry->next_look_up_us)
     return false;
   leader = dks_leased_data_centre_leader (leased, inquiry->data_centre->name);
-  if (leader == NULL && leases_have_expired (leased, inquiry->data_centre->name))
+  if (leader == NULL && leases_have_expired (job, inquiry->data_centre->name))
     {
       memset (inquiry->excluded, true, job->batch->steps[inquiry->step].count);
       return true;
