--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -193,12 +193,16 @@
 
   if (data_centre->home_term != leased->term)
     return false;
-  if (data_centre->peers_generation != leased->peers_generation)
+  /* A leader that has lost a rival counts as the present one some time after that. */
+  if (data_centre->peers_generation != leased->peers_generation
+      || (!data_centre->leader_is_present
+          && dks_leased_now_us (leased) >= data_centre->next_look_up_us))
     {
       leader = dks_leased_data_centre_leader (leased, data_centre->name);
       data_centre->leader_is_present = leader != NULL && leader->term == data_centre->leader_term
                                        && strcmp (leader->id, data_centre->leader) == 0;
       data_centre->peers_generation = leased->peers_generation;
+      data_centre->next_look_up_us = dks_leased_now_us (leased) + DKS_LEASED_LOOK_UP_INTERVAL_US;
     }
   return data_centre->leader_is_present;
 }
--- a/core/leased_prior_runs.c
+++ b/core/leased_prior_runs.c
@@ -21,11 +21,6 @@
   bool excluded[];            /* by index of the task in its step: it does not run there */
 };
 
-enum
-{
-  LOOK_UP_INTERVAL_US = 20000 /* between two look-ups of a leader that is not known */
-};
-
 /* Latest time at which an instance was known to lead the data centre; 0: never. */
 static int64_t
 last_leading_us (const dks_leased_t *leased, const char *data_centre)
@@ -158,7 +153,7 @@
       return true;
     }
   inquiry->peers_generation = leased->peers_generation;
-  inquiry->next_look_up_us = dks_leased_now_us (leased) + LOOK_UP_INTERVAL_US;
+  inquiry->next_look_up_us = dks_leased_now_us (leased) + DKS_LEASED_LOOK_UP_INTERVAL_US;
   if (leader == NULL)
     {
       inquiry->leader[0] = '\0';
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -35,7 +35,9 @@
    * that expired while the platform's store was unavailable return within 2 s. */
   DKS_LEASED_UNLISTED_GRACE_US = 2500000,
   /** Well over the time for which runs continue after the leader of their target is lost. */
-  DKS_LEASED_ORPHAN_LIFETIME_MAX_US = 2000000
+  DKS_LEASED_ORPHAN_LIFETIME_MAX_US = 2000000,
+  /** Between two look-ups of the leader of a data centre while none is known. */
+  DKS_LEASED_LOOK_UP_INTERVAL_US = 20000
 };
 
 #define DKS_LEASED_MEAN_WEIGHT 0.02  /**< of a new sample in the moving averages of all targets */
@@ -232,6 +234,7 @@
   uint64_t *jobs; /**< hashes of the ids of the jobs that had runs there, in ascending order */
   bool leader_is_present;    /**< `leader` is the present leader there, as last looked up */
   uint64_t peers_generation; /**< state of the peers in which it was last looked up */
+  int64_t next_look_up_us;   /**< while it is not present */
 };
 APR_RING_HEAD (dks_leased_data_centre_ring_t, dks_leased_data_centre_t);
 
