--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -91,41 +91,54 @@
   return peer->prior_jobs_due_us > 0 && peer->term > 0 && dks_leased_peer_is_alive (leased, peer);
 }
 
+/* Whether this leader can state its jobs to a leader that it has known since then: the lists have
+ * been read under this term, and a target has confirmed the term after the new leader became known.
+ * From then on this leader refuses what an earlier one lends, and no later leader has started
+ * anything. */
+static bool
+can_state_jobs (dks_leased_t *leased, int64_t since_us)
+{
+  return dks_leased_targets_are_synced (leased, since_us)
+         && dks_leased_targets_confirm_term (leased, since_us);
+}
+
+static void
+state_jobs (dks_leased_t *leased, dks_leased_peer_t *peer)
+{
+  uint32_t count;
+  uint64_t *jobs = list_jobs (leased, &count);
+
+  dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=prior-jobs-stated to=%s term=%" PRIu64 " jobs=%u",
+                peer->id, peer->term, count);
+  dks_leased_members_send_prior_jobs (leased, peer, jobs, count);
+  peer->prior_jobs_due_us = 0;
+}
+
 void
 dks_leased_prior_jobs_send_due (dks_leased_t *leased)
 {
   dks_leased_peer_t *peer;
-  int64_t since_us = 0;
+  int64_t checked_us = 0;
+  bool can_state = false;
 
   if (!leased->prior_jobs_due || leased->term == 0)
     return;
+  leased->prior_jobs_due = false;
   APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
     {
-      if (is_due (leased, peer) && peer->prior_jobs_due_us > since_us)
-        since_us = peer->prior_jobs_due_us;
-    }
-  leased->prior_jobs_due = since_us > 0;
-  /* The lists must have been read under this term, and a target must have confirmed the term after
-   * the new leader became known: from then on this leader refuses what an earlier one lends, and no
-   * later leader has started anything. */
-  if (since_us == 0 || !dks_leased_targets_are_synced (leased, since_us)
-      || !dks_leased_targets_confirm_term (leased, since_us))
-    return;
-  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
-    {
-      uint64_t *jobs;
-      uint32_t count;
-
       if (!is_due (leased, peer))
         continue;
-      jobs = list_jobs (leased, &count);
-      dks_emit_log (leased->r, DKS_LOG_DEBUG,
-                    "event=prior-jobs-stated to=%s term=%" PRIu64 " jobs=%u", peer->id, peer->term,
-                    count);
-      dks_leased_members_send_prior_jobs (leased, peer, jobs, count);
-      peer->prior_jobs_due_us = 0;
+      /* All that were known at the election are due since then. */
+      if (peer->prior_jobs_due_us != checked_us)
+        {
+          checked_us = peer->prior_jobs_due_us;
+          can_state = can_state_jobs (leased, checked_us);
+        }
+      if (can_state)
+        state_jobs (leased, peer);
+      else
+        leased->prior_jobs_due = true;
     }
-  leased->prior_jobs_due = false;
 }
 
 /* The home leader */
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -469,6 +469,8 @@
         leased->term_confirmed_us = sent_us;
       if (!was_synced || leased->term_confirmation_due)
         leased->placement_due = true;
+      /* Who still waits for a later answer says so again. */
+      leased->term_confirmation_due = false;
       break;
     case DKS_LEASE_FENCED:
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=fenced target=%s fence=%" PRIu64,
@@ -670,9 +672,9 @@
   dks_leased_target_t *latest = NULL;
   bool is_overdue;
 
-  leased->term_confirmation_due = leased->term_confirmed_us < since_us;
-  if (!leased->term_confirmation_due)
+  if (leased->term_confirmed_us >= since_us)
     return true;
+  leased->term_confirmation_due = true;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
       if (may_confirm_term (target)
