--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -636,22 +636,31 @@
     }
 }
 
+/* Whether another leader of the data centre may have runs for the sender of a job or question that
+ * was received at `since_us`: it extends their leases until it has stopped leading, or has noticed
+ * that the sender is lost to it. */
+static bool
+may_have_rival (const dks_leased_t *leased, int64_t since_us)
+{
+  int64_t now_us = dks_leased_now_us (leased);
+
+  return now_us < since_us + DKS_LEASED_ORPHAN_LIFETIME_MAX_US
+         && now_us < lease_end_us (dks_leased_leader_rival_until_us (leased));
+}
+
 bool
 dks_leased_targets_are_synced (const dks_leased_t *leased, int64_t job_received_us)
 {
   int64_t now_us = dks_leased_now_us (leased);
-  int64_t rival_until_us = dks_leased_leader_rival_until_us (leased);
+  bool may_be_used = may_have_rival (leased, job_received_us);
   const dks_leased_target_t *target;
 
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
       if (!target->held || target->synced)
         continue;
-      /* An earlier leader may reach the target, and extends its lease until it has stopped leading,
-       * or has noticed that the sender of the job is lost to it. */
-      if (now_us < target_expiry_us (target)
-          || (now_us < job_received_us + DKS_LEASED_ORPHAN_LIFETIME_MAX_US
-              && now_us < lease_end_us (rival_until_us)))
+      /* An earlier leader may reach the target. */
+      if (may_be_used || now_us < target_expiry_us (target))
         return false;
     }
   return leased->term > 0 && dks_leased_feed_knows_targets (leased);
@@ -670,6 +679,7 @@
 {
   dks_leased_target_t *target;
   dks_leased_target_t *latest = NULL;
+  bool has_synced = false;
   bool is_overdue;
 
   if (leased->term_confirmed_us >= since_us)
@@ -677,14 +687,15 @@
   leased->term_confirmation_due = true;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
+      has_synced = has_synced || (target->held && target->synced);
       if (may_confirm_term (target)
           && (latest == NULL || target->last_answer_us > latest->last_answer_us))
         latest = target;
     }
-  /* All targets have been read under this term, and are silent since, or none was ever reached and
-   * the leases there have expired. */
+  /* None was ever reached, and the leases there have expired; or all that were are silent since,
+   * and a later leader may reach them, unless all instances that could lead are heard. */
   if (latest == NULL)
-    return true;
+    return !has_synced || !may_have_rival (leased, since_us);
   is_overdue = latest->poll_sent_us >= since_us
                && dks_leased_now_us (leased) - latest->poll_sent_us >= CONFIRMATION_OVERDUE_US;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
