--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -732,3 +732,40 @@
   EXPECT_EQ (world.double_runs, 0) << reports (world);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
+
+// Guards against a statement that is trusted on a later connection: its sender has not heard of
+// this leader for long, and has taken tasks of an earlier one meanwhile.
+TEST (LeasedHandover, StatementEndsWithItsConnection)
+{
+  for (int64_t after_ms = 0; after_ms <= 300; after_ms += 5)
+    {
+      World world;
+      start_data_centres (world, { { 3, 2 }, { 1, 4 } });
+      size_t remote = world.find ("b-1");
+
+      // "a-2" leads without targets, and at first only "b-1" hears it.
+      for (auto &target : world.targets)
+        world.target_cuts.insert ({ 1, target.get () });
+      world.set_cut_both_ways (0, 1, true);
+      world.set_cut_both_ways (1, 2, true);
+      world.run_for (2500 * ms);
+      ASSERT_EQ (count_logged (world, "a-2 event=leader-start"), 1U);
+      ASSERT_EQ (count_logged (world, "b-1 event=prior-jobs-stated to=a-2"), 1U);
+      world.set_cut_both_ways (1, remote, true);
+      world.run_for (4000 * ms);
+      world.submit (2, "0000000000000001", { { 4, 6800, 300, 300 } }, 12000);
+      world.run_for (20 * ms);
+      world.submit (2, job_id, { { 1, 6800, 3000, 3000 } }, 12000);
+      world.run_for (400 * ms);
+      ASSERT_EQ (count_runs (world, job_id, "b"), 1U);
+      world.target_cuts.clear ();
+      world.run_for (400 * ms);
+      // The targets of "b" hold up the next statement, but not the run.
+      world.call_delay_us = 10 * ms;
+      world.set_cut_both_ways (1, remote, false);
+      world.run_for (after_ms * ms);
+      world.set_cut_both_ways (1, 2, false);
+      world.run_for (4000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "after " << after_ms << " ms\n" << reports (world);
+    }
+}
