--- a/core/leased_prior_runs.c
+++ b/core/leased_prior_runs.c
@@ -21,11 +21,6 @@
   bool excluded[];            /* by index of the task in its step: it does not run there */
 };
 
-enum
-{
-  LOOK_UP_INTERVAL_US = 20000 /* between two look-ups of a leader that is not known */
-};
-
 /* Latest time at which an instance was known to lead the data centre; 0: never. */
 static int64_t
 last_leading_us (const dks_leased_t *leased, const char *data_centre)
@@ -45,12 +40,16 @@
  * an answer from there. A leader there that cannot be asked stops them when it loses the earlier
  * leader, which is fenced by its own targets at the latest; else they end with their leases. */
 static bool
-leases_have_expired (const dks_leased_t *leased, const char *data_centre)
+leases_have_expired (const dks_leased_job_t *job, const char *data_centre)
 {
+  const dks_leased_t *leased = job->leased;
   int64_t latest_us = last_leading_us (leased, data_centre);
 
   if (latest_us < leased->term_start_us)
     latest_us = leased->term_start_us;
+  /* The earlier leader may not have known of this one until the sender of the job did. */
+  if (latest_us < job->received_us)
+    latest_us = job->received_us;
   return dks_leased_now_us (leased) - latest_us >= DKS_LEASED_ORPHAN_LIFETIME_MAX_US;
 }
 
@@ -148,13 +147,13 @@
   if (inquiry->leader[0] == '\0' && dks_leased_now_us (leased) < inquiry->next_look_up_us)
     return false;
   leader = dks_leased_data_centre_leader (leased, inquiry->data_centre->name);
-  if (leader == NULL && leases_have_expired (leased, inquiry->data_centre->name))
+  if (leader == NULL && leases_have_expired (job, inquiry->data_centre->name))
     {
       memset (inquiry->excluded, true, job->batch->steps[inquiry->step].count);
       return true;
     }
   inquiry->peers_generation = leased->peers_generation;
-  inquiry->next_look_up_us = dks_leased_now_us (leased) + LOOK_UP_INTERVAL_US;
+  inquiry->next_look_up_us = dks_leased_now_us (leased) + DKS_LEASED_LOOK_UP_INTERVAL_US;
   if (leader == NULL)
     {
       inquiry->leader[0] = '\0';
