--- a/core/leased_share.c
+++ b/core/leased_share.c
@@ -97,6 +97,12 @@
     dks_leased_share_with (leased, peer);
 }
 
+void
+dks_leased_share_unlisted (dks_leased_t *leased)
+{
+  send_to_all (leased, is_unlisted_in_use);
+}
+
 void
 dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -26,6 +26,9 @@
   /* Likewise, from the latest statement of a leader that it may have runs there. Leaders repeat it
    * once a second while they have runs on a target that is not listed. */
   NOTED_RETENTION_US = 3000000,
+  /* Targets of this data centre that are remembered although the platform does not list them, on
+   * an instance that does not lead: one that the platform does not answer drops none by age. */
+  UNLISTED_TARGETS_MAX = 1024,
   /* Time without an answer to the call that is to confirm the term, after which all other targets
    * are called as well. */
   CONFIRMATION_OVERDUE_US = 40000,
@@ -645,6 +648,27 @@
   leased->placement_due = true;
 }
 
+/* Drops the target of which no leader has stated for the longest time that it may have runs there,
+ * when there are too many that are not listed. */
+static void
+make_room_for_unlisted (dks_leased_t *leased)
+{
+  dks_leased_target_t *target;
+  dks_leased_target_t *oldest = NULL;
+  uint32_t count = 0;
+
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      if (target->listed || target->held || !is_local (leased, target))
+        continue;
+      count++;
+      if (oldest == NULL || target->noted_us < oldest->noted_us)
+        oldest = target;
+    }
+  if (count >= UNLISTED_TARGETS_MAX)
+    target_free (oldest);
+}
+
 void
 dks_leased_targets_note (dks_leased_t *leased, const dks_target_info_t *info)
 {
@@ -655,6 +679,7 @@
   if (target == NULL)
     {
       dks_emit_log (leased->r, DKS_LOG_INFO, "event=target-noted target=%s", info->id);
+      make_room_for_unlisted (leased);
       target = target_create (leased, info);
       target->unlisted_us = dks_leased_now_us (leased) - DKS_LEASED_UNLISTED_GRACE_US;
       dks_timer_set (leased->r->timers, &target->expiry_timer,
@@ -706,6 +731,7 @@
           while (!APR_RING_EMPTY (&target->runs, dks_leased_run_t, link))
             dks_leased_run_free (APR_RING_FIRST (&target->runs));
           target_release_control (target);
+          target->noted_us = dks_leased_now_us (leased);
           if (!target->listed)
             target_schedule_drop (target);
         }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -711,6 +711,8 @@
 /** Tells the instances of the data centre, as the term of this leader begins, what they may lack.
  */
 void dks_leased_share_all (dks_leased_t *leased);
+/** Tells the data centre of the targets in use that the platform does not list any more. */
+void dks_leased_share_unlisted (dks_leased_t *leased);
 /** Tells an instance of the targets of this leader that it may lack: all if it has another list. */
 void dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer);
 void dks_leased_share_handle_msg (dks_leased_t *leased, const dks_leased_peer_t *peer,
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -9,6 +9,7 @@
 using leased::count_logged;
 using leased::got_answer;
 using leased::ms;
+using leased::Target;
 using leased::World;
 
 namespace
@@ -87,6 +88,24 @@
   world.apply (instance, &event);
 }
 
+// The platform ceases to list a target, and tells one instance.
+void
+unlist_target (World &world, size_t instance, const Target &target)
+{
+  dks_feed_item_t item = {};
+  dks_event_t event = {};
+
+  item.key = target.info.id;
+  item.deleted = true;
+  event.type = DKS_EVENT_FEED;
+  event.u.feed.op = world.instances[instance]->feed_op[DKS_FEED_TARGETS];
+  event.u.feed.status = DKS_FEED_OK;
+  event.u.feed.revision = 100;
+  event.u.feed.count = 1;
+  event.u.feed.items = &item;
+  world.apply (instance, &event);
+}
+
 }
 
 // Guards against a second run of a task on a target that the successor has not been told of: it is
@@ -435,6 +454,77 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// Guards against jobs that a target which is gone for good holds up for longer than a lease from
+// the election, and against one that is passed on from leader to leader for ever.
+TEST (LeasedHandover, UnlistedTargetThatIsGoneHoldsUpJobsForALeaseOnly)
+{
+  World world;
+  start_data_centres (world, { { 3, 3 } });
+  uint64_t caller = world.submit (2, job_id, { { 1, 6800, 8000, 8000 } }, 30000);
+  world.run_for (50 * ms);
+  Target *gone = nullptr;
+  for (auto &target : world.targets)
+    {
+      if (!target->runs.empty ())
+        gone = target.get ();
+    }
+  ASSERT_NE (gone, nullptr);
+  for (size_t i = 0; i < 3; i++)
+    unlist_target (world, i, *gone);
+  world.run_for (5200 * ms);
+  ASSERT_EQ (gone->runs.size (), 1U);
+  gone->silent = true;
+  world.drain (0);
+  world.run_for (3000 * ms);
+  int64_t led_us = first_logged_us (world, "a-2 event=leader-start");
+  int64_t known_us = first_logged_us (world, std::string ("event=no-prior-run job=") + job_id);
+  ASSERT_GT (led_us, 0);
+  ASSERT_GT (known_us, led_us);
+  EXPECT_LT (known_us - led_us, 1200 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  world.run_for (5000 * ms);
+  size_t noted = count_logged (world, "event=target-noted");
+  world.drain (1);
+  world.run_for (300 * ms);
+  EXPECT_TRUE (world.instances[2]->up);
+  EXPECT_EQ (count_logged (world, "a-3 event=leader-start"), 1U);
+  EXPECT_EQ (count_logged (world, "event=target-noted"), noted);
+  world.run_for (9000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against a table that grows without a bound: an instance that the platform does not answer
+// keeps the targets of which leaders tell it.
+TEST (LeasedHandover, TargetsThatLeadersTellOfAreBounded)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 } });
+  dks_msg_t *msg = dks_msg_create (DKS_MSG_TARGETS);
+  dks_event_t event = {};
+  msg->u.targets.may_have_runs = true;
+  msg->u.targets.count = 1500;
+  msg->u.targets.items =
+      static_cast<dks_target_info_t *> (calloc (1500, sizeof (dks_target_info_t)));
+  for (uint32_t i = 0; i < 1500; i++)
+    {
+      msg->u.targets.items[i] = world.targets[0]->info;
+      snprintf (msg->u.targets.items[i].id, sizeof (msg->u.targets.items[i].id), "gone-%u", i);
+      snprintf (msg->u.targets.items[i].address, sizeof (msg->u.targets.items[i].address),
+                "gone-%u", i);
+    }
+  event.type = DKS_EVENT_PEER_MSG;
+  event.u.peer_msg.peer = world.instances[0]->member_id.c_str ();
+  event.u.peer_msg.msg = msg;
+  world.apply (1, &event);
+  dks_msg_unref (msg);
+  world.kill (0);
+  world.run_for (100 * ms);
+  ASSERT_EQ (count_logged (world, "a-2 event=leader-start"), 1U);
+  char *text = dks_reducer_metrics (world.instances[1]->reducer);
+  EXPECT_NE (std::string (text).find ("targets_held 1026\n"), std::string::npos);
+  free (text);
+}
+
 // Guards against runs that end with their lease although a job has claimed them: the call that is
 // under way when they are claimed extends no lease, and is waited for.
 TEST (LeasedHandover, LeaseOfAnAdoptedRunIsExtendedOnceAJobHasClaimedIt)
