--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -350,6 +350,7 @@
                                   const dks_msg_t *msg)
 {
   bool is_new = !peer->status_received;
+  bool begins_to_lead = msg->u.leased_status.term > 0 && msg->u.leased_status.term != peer->term;
   bool learns_targets = msg->u.leased_status.knows_targets && (is_new || !peer->knows_targets);
   bool changed = is_new || peer->term != msg->u.leased_status.term
                  || peer->leader_term != msg->u.leased_status.leader_term
@@ -395,6 +396,8 @@
       dks_leased_speeds_publish_all (leased);
       dks_leased_crashes_send_all (leased, peer->id);
     }
+  if (begins_to_lead)
+    dks_leased_share_lately_noted (leased, peer);
   if (learns_targets)
     dks_leased_share_with (leased, peer);
   if (changed)
--- a/core/leased_share.c
+++ b/core/leased_share.c
@@ -27,6 +27,13 @@
   return target->held && !target->listed && (target->run_count > 0 || !target->synced);
 }
 
+static bool
+is_lately_noted (const dks_leased_target_t *target)
+{
+  return target->noted_us > 0
+         && dks_leased_now_us (target->leased) - target->noted_us < DKS_LEASED_NOTED_RETENTION_US;
+}
+
 /* New message with the targets that pass the filter, or NULL: there are none. */
 static dks_msg_t *
 create_msg (const dks_leased_t *leased, target_filter_t filter)
@@ -85,7 +92,11 @@
   leased->targets_share_due = false;
   send_to_all (leased, is_due);
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
-    target->share_due = false;
+    {
+      if (target->share_due)
+        target->noted_us = dks_leased_now_us (leased);
+      target->share_due = false;
+    }
 }
 
 void
@@ -116,6 +127,15 @@
     dks_emit_peer (leased->r, peer->id, msg);
 }
 
+void
+dks_leased_share_lately_noted (dks_leased_t *leased, const dks_leased_peer_t *peer)
+{
+  dks_msg_t *msg = is_receiver (leased, peer) ? create_msg (leased, is_lately_noted) : NULL;
+
+  if (msg != NULL)
+    dks_emit_peer (leased->r, peer->id, msg);
+}
+
 void
 dks_leased_share_handle_msg (dks_leased_t *leased, const dks_leased_peer_t *peer,
                              const dks_msg_t *msg)
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -23,9 +23,6 @@
   /* Time for which an instance that does not lead remembers a target that is not listed any more:
      its leader may have runs there, which a successor has to find. */
   UNLISTED_RETENTION_US = 5000000,
-  /* Likewise, from the latest statement of a leader that it may have runs there. Leaders repeat it
-   * once a second while they have runs on a target that is not listed. */
-  NOTED_RETENTION_US = 3000000,
   /* Targets of this data centre that are remembered although the platform does not list them, on
    * an instance that does not lead: one that the platform does not answer drops none by age. */
   UNLISTED_TARGETS_MAX = 1024,
@@ -227,7 +224,7 @@
     return target->synced || now_us - leased->term_start_us >= DKS_LEASED_ORPHAN_LIFETIME_MAX_US;
   /* The platform may list it, but has not answered since a leader stated that it is in use. */
   return target->noted_us == 0
-         || (now_us - target->noted_us >= NOTED_RETENTION_US
+         || (now_us - target->noted_us >= DKS_LEASED_NOTED_RETENTION_US
              && leased->feeds[DKS_FEED_TARGETS].last_answer_us > target->noted_us);
 }
 
@@ -731,9 +728,10 @@
           while (!APR_RING_EMPTY (&target->runs, dks_leased_run_t, link))
             dks_leased_run_free (APR_RING_FIRST (&target->runs));
           target_release_control (target);
+          if (target->listed)
+            continue;
           target->noted_us = dks_leased_now_us (leased);
-          if (!target->listed)
-            target_schedule_drop (target);
+          target_schedule_drop (target);
         }
     }
 }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -34,6 +34,9 @@
   /** Time after which a target that the platform does not list any more gets no more work. Entries
    * that expired while the platform's store was unavailable return within 2 s. */
   DKS_LEASED_UNLISTED_GRACE_US = 2500000,
+  /** Time for which a target counts as possibly in use since a leader last stated so. Leaders
+   * repeat it once a second while they have runs on a target that is not listed. */
+  DKS_LEASED_NOTED_RETENTION_US = 3000000,
   /** Well over the time for which runs continue after the leader of their target is lost. */
   DKS_LEASED_ORPHAN_LIFETIME_MAX_US = 2000000
 };
@@ -715,6 +718,9 @@
 void dks_leased_share_unlisted (dks_leased_t *leased);
 /** Tells an instance of the targets of this leader that it may lack: all if it has another list. */
 void dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Passes on to an instance that begins to lead what leaders have stated lately: it may not have
+ * reached them. Goes before the jobs that are sent to it. */
+void dks_leased_share_lately_noted (dks_leased_t *leased, const dks_leased_peer_t *peer);
 void dks_leased_share_handle_msg (dks_leased_t *leased, const dks_leased_peer_t *peer,
                                   const dks_msg_t *msg);
 
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -150,6 +150,26 @@
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
 
+// The same for one of which a cut keeps the leader from telling its successor, but not others.
+TEST (LeasedHandover, SuccessorThatItsPredecessorCouldNotTellOfATargetIsToldByOthers)
+{
+  World world;
+  start_data_centres (world, { { 3, 1 } });
+  world.set_cut_both_ways (0, 1, true);
+  world.run_for (50 * ms);
+  size_t added = world.add_target ("a");
+  tell_target (world, 0, world.targets[added]->info);
+  world.submit (2, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+  world.run_for (20 * ms);
+  uint64_t caller = world.submit (2, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+  world.run_for (100 * ms);
+  ASSERT_EQ (world.targets[added]->runs.size (), 1U);
+  world.run_for (6000 * ms);
+  ASSERT_EQ (count_logged (world, "a-2 event=leader-start"), 1U);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
 // Guards against a target that is used although the platform does not list it to the leader, which
 // was only told of it by its predecessor, and against one that is gone and remembered for ever.
 TEST (LeasedHandover, TargetThatOnlyThePredecessorKnewGetsNoWorkAndIsForgotten)
