--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -439,7 +439,7 @@
   size_t old_leader = world.find (leader_of (world, "b"));
   size_t new_leader = other_instance (world, "b", leader_of (world, "b"));
   world.set_partitioned (old_leader, new_leader, true);
-  world.run_for (850 * ms);
+  world.run_for (700 * ms);
   ASSERT_EQ (leader_of (world, "b"), world.instances[new_leader]->id);
   world.set_partitioned (home_leader, old_leader, true);
   world.submit (home_leader, "0000000000000001", { { 2, 6800, 100, 100 } }, 8000);
