--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -316,6 +316,7 @@
     }
   dks_strcpy (peer->data_centre, sizeof (peer->data_centre), data_centre);
   dks_leased_data_centre_add (leased, data_centre);
+  dks_leased_prior_jobs_handle_up (leased, id);
   peer->connected = true;
   peer->status_received = false;
   peer->term = 0;
--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -161,6 +161,22 @@
   return data_centre;
 }
 
+void
+dks_leased_prior_jobs_handle_up (dks_leased_t *leased, const char *peer)
+{
+  dks_leased_data_centre_t *data_centre;
+
+  APR_RING_FOREACH (data_centre, &leased->data_centres, dks_leased_data_centre_t, link)
+    {
+      if (strcmp (data_centre->leader, peer) != 0)
+        continue;
+      /* The peer may have forgotten this leader meanwhile, and have taken tasks of an earlier one.
+       * The jobs stay: a first submission of one of them still counts as resent. */
+      data_centre->leader[0] = '\0';
+      data_centre->leader_is_present = false;
+    }
+}
+
 void
 dks_leased_prior_jobs_handle_status (dks_leased_t *leased, const dks_leased_peer_t *peer,
                                      const dks_msg_t *msg)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -227,7 +227,8 @@
 {
   APR_RING_ENTRY (dks_leased_data_centre_t) link;
   char name[DKS_NAME_SIZE];
-  char leader[DKS_NAME_SIZE]; /**< member id of the leader that has stated the jobs */
+  char leader[DKS_NAME_SIZE]; /**< member id of the leader that has stated the jobs, empty: none on
+                                 its present connection */
   uint64_t leader_term;       /**< its term then */
   uint64_t home_term;         /**< term of this leader for which they were stated, 0: none were */
   uint32_t job_count;
@@ -827,6 +828,8 @@
 void dks_leased_prior_jobs_request_all (dks_leased_t *leased);
 /** Sends the statements that are due, once they hold. */
 void dks_leased_prior_jobs_send_due (dks_leased_t *leased);
+/** Ends the statement of the peer, which states its jobs anew on each connection. */
+void dks_leased_prior_jobs_handle_up (dks_leased_t *leased, const char *peer);
 /** Stores the jobs that the status of a leader of another data centre states. */
 void dks_leased_prior_jobs_handle_status (dks_leased_t *leased, const dks_leased_peer_t *peer,
                                           const dks_msg_t *msg);
--- a/tests/test_leased_prior_runs.cc
+++ b/tests/test_leased_prior_runs.cc
@@ -106,6 +106,9 @@
 {
   World world;
   start (world);
+  // The run that the lost connection ends is still there when the question is repeated.
+  for (auto &target : world.targets)
+    target->stop_duration_us = 1000 * ms;
   uint64_t caller = submit_lent_job (world, 300);
   world.drain (0);
   for (int i = 0; i < 500 && count_logged (world, "event=prior-runs-query") == 0; i++)
