--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -769,3 +769,20 @@
       EXPECT_EQ (world.double_runs, 0) << "after " << after_ms << " ms\n" << reports (world);
     }
 }
+
+// Guards against jobs that are lost at each hand-over for a data centre that has been gone for long,
+// with all its instances and targets.
+TEST (LeasedHandover, DataCentreThatIsGoneDoesNotHoldUpJobs)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 }, { 1, 2 }, { 1, 0 } });
+  world.kill (3);
+  world.run_for (40000 * ms);
+  uint64_t caller =
+      world.submit (1, job_id, { { 2, 6800, 200, 200 }, { 1, 6800, 200, 200, 1 } }, 1500);
+  world.run_for (100 * ms);
+  world.drain (0);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
