--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -239,6 +239,7 @@
           || leased->r->now.mono_us - peer->last_message_us < LOST_PEER_RETENTION_US)
         continue;
       APR_RING_REMOVE (peer, link);
+      dks_leased_data_centre_check (leased, peer->data_centre);
       free (peer);
     }
 }
--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -152,8 +152,10 @@
     return NULL;
   APR_RING_FOREACH (data_centre, &leased->data_centres, dks_leased_data_centre_t, link)
     {
-      if (strcmp (data_centre->name, name) == 0)
-        return data_centre;
+      if (strcmp (data_centre->name, name) != 0)
+        continue;
+      data_centre->is_gone = false;
+      return data_centre;
     }
   data_centre = dks_alloc (sizeof (*data_centre));
   dks_strcpy (data_centre->name, sizeof (data_centre->name), name);
@@ -161,6 +163,30 @@
   return data_centre;
 }
 
+void
+dks_leased_data_centre_check (dks_leased_t *leased, const char *name)
+{
+  dks_leased_data_centre_t *data_centre;
+  const dks_leased_peer_t *peer;
+  const dks_leased_target_t *target;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (strcmp (peer->data_centre, name) == 0)
+        return;
+    }
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      if (strcmp (target->info.data_centre, name) == 0)
+        return;
+    }
+  APR_RING_FOREACH (data_centre, &leased->data_centres, dks_leased_data_centre_t, link)
+    {
+      if (strcmp (data_centre->name, name) == 0)
+        data_centre->is_gone = true;
+    }
+}
+
 void
 dks_leased_prior_jobs_handle_up (dks_leased_t *leased, const char *peer)
 {
@@ -254,7 +280,8 @@
 
   APR_RING_FOREACH (data_centre, &job->leased->data_centres, dks_leased_data_centre_t, link)
     {
-      if (dks_leased_prior_jobs_ask (job, data_centre) != DKS_LEASED_PRIOR_JOBS_ABSENT)
+      if (!data_centre->is_gone
+          && dks_leased_prior_jobs_ask (job, data_centre) != DKS_LEASED_PRIOR_JOBS_ABSENT)
         return false;
     }
   return job->sent_to_earlier_terms;
--- a/core/leased_prior_runs.c
+++ b/core/leased_prior_runs.c
@@ -87,7 +87,10 @@
   dks_leased_data_centre_t *data_centre;
 
   APR_RING_FOREACH (data_centre, &job->leased->data_centres, dks_leased_data_centre_t, link)
-    add_inquiry (job, step, data_centre);
+    {
+      if (!data_centre->is_gone)
+        add_inquiry (job, step, data_centre);
+    }
   job->inquired_steps |= UINT64_C (1) << step;
 }
 
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -220,12 +220,18 @@
 handle_expiry_timer (void *context, int64_t time_us)
 {
   dks_leased_target_t *target = context;
+  dks_leased_t *leased = target->leased;
+  char data_centre[DKS_NAME_SIZE];
 
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX
       && time_us >= target_expiry_us (target))
     target_end_all_runs (target, target->connection_refused ? "crashed" : "silent");
   if (!target->listed && target->run_count == 0)
-    target_free (target);
+    {
+      dks_strcpy (data_centre, sizeof (data_centre), target->info.data_centre);
+      target_free (target);
+      dks_leased_data_centre_check (leased, data_centre);
+    }
   else if (!target->listed)
     dks_timer_set (target->leased->r->timers, &target->expiry_timer, time_us + RETRY_DELAY_US);
 }
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -233,6 +233,7 @@
   uint64_t home_term;         /**< term of this leader for which they were stated, 0: none were */
   uint32_t job_count;
   uint64_t *jobs; /**< hashes of the ids of the jobs that had runs there, in ascending order */
+  bool is_gone;   /**< no instance and no target of it is known any more */
   bool leader_is_present;    /**< `leader` is the present leader there, as last looked up */
   uint64_t peers_generation; /**< state of the peers in which it was last looked up */
   int64_t next_look_up_us;   /**< while it is not present */
@@ -828,6 +829,8 @@
 void dks_leased_prior_jobs_request_all (dks_leased_t *leased);
 /** Sends the statements that are due, once they hold. */
 void dks_leased_prior_jobs_send_due (dks_leased_t *leased);
+/** Notes whether the data centre is gone, as one of its instances or targets has been forgotten. */
+void dks_leased_data_centre_check (dks_leased_t *leased, const char *name);
 /** Ends the statement of the peer, which states its jobs anew on each connection. */
 void dks_leased_prior_jobs_handle_up (dks_leased_t *leased, const char *peer);
 /** Stores the jobs that the status of a leader of another data centre states. */
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -770,8 +770,8 @@
     }
 }
 
-// Guards against jobs that are lost at each hand-over for a data centre that has been gone for long,
-// with all its instances and targets.
+// Guards against jobs that are lost at each hand-over for a data centre that has been gone for
+// long, with all its instances and targets.
 TEST (LeasedHandover, DataCentreThatIsGoneDoesNotHoldUpJobs)
 {
   World world;
