--- /dev/null
+++ b/tests/leased_processor.cc
@@ -0,0 +1,134 @@
+#include "leased_processor.h"
+
+#include <cmath>
+
+namespace leased
+{
+
+Processors::Processors (World &in_world) : world (in_world)
+{
+  world.work_us
+      = [this] (size_t instance, const dks_event_t &event, const dks_effects_t &effects) {
+          return work_us (instance, event, effects);
+        };
+}
+
+double
+Processors::charge (size_t instance, const std::string &kind, double us)
+{
+  Use &use = uses[instance][kind];
+
+  use.count++;
+  use.us += us;
+  return us;
+}
+
+double
+Processors::charge_event (size_t instance, const dks_event_t &event)
+{
+  switch (event.type)
+    {
+    case DKS_EVENT_TICK:
+      return charge (instance, "tick", tick_us);
+    case DKS_EVENT_PEER_MSG:
+      return charge (instance, std::string ("received ") + dks_msg_name (event.u.peer_msg.msg->type),
+                     event_us + msg_received_us
+                         + (event.u.peer_msg.msg->type == DKS_MSG_WORK
+                                ? msg_task_us * event.u.peer_msg.msg->u.work.lent_count
+                                : 0));
+    case DKS_EVENT_LEASE_REPLY:
+      if (event.u.lease_reply.status == DKS_LEASE_UNANSWERED)
+        return charge (instance, "call unanswered", event_us);
+      return charge (
+          instance, event.u.lease_reply.lists != nullptr ? "lists answered" : "call answered",
+          event_us + call_answered_us
+              + (event.u.lease_reply.lists != nullptr
+                     ? listed_run_us
+                           * static_cast<double> (event.u.lease_reply.lists->running_count
+                                                  + event.u.lease_reply.lists->ended_count)
+                     : 0));
+    case DKS_EVENT_BATCH:
+      return charge (instance, "submission",
+                     event_us + submission_us
+                         + submission_step_us * event.u.batch.batch->step_count);
+    case DKS_EVENT_CALLER_GONE:
+      return charge (instance, "caller gone", event_us + caller_gone_us);
+    case DKS_EVENT_FEED:
+      return charge (instance, "feed", event_us + feed_us);
+    case DKS_EVENT_PEER_UP:
+      return charge (instance, "peer up", event_us + peer_up_us);
+    default:
+      return charge (instance, "other event", event_us);
+    }
+}
+
+double
+Processors::charge_effect (size_t instance, const dks_effect_t &effect)
+{
+  switch (effect.type)
+    {
+    case DKS_EFFECT_PEER_SEND:
+      return charge (instance, std::string ("sent ") + dks_msg_name (effect.u.peer_send.msg->type),
+                     msg_sent_us
+                         + (effect.u.peer_send.msg->type == DKS_MSG_WORK
+                                ? msg_task_us * effect.u.peer_send.msg->u.work.lent_count
+                                : 0));
+    case DKS_EFFECT_LEASE_START:
+      return charge (instance, "start sent", call_sent_us);
+    case DKS_EFFECT_LEASE_STOP:
+      return charge (instance, "stop sent", call_sent_us);
+    case DKS_EFFECT_LEASE_HOLD:
+      return charge (instance, effect.u.lease.wait_ms > 0 ? "hold sent" : "poll sent",
+                     call_sent_us);
+    case DKS_EFFECT_BATCH_REPLY:
+      return charge (instance, "caller answered", caller_answer_us);
+    case DKS_EFFECT_FEED_READ:
+    case DKS_EFFECT_FEED_WATCH:
+      return charge (instance, "feed", feed_us);
+    case DKS_EFFECT_LOG:
+      return effect.u.log.level <= DKS_LOG_INFO ? charge (instance, "log line", log_line_us) : 0;
+    default:
+      return 0;
+    }
+}
+
+double
+Processors::charge_counts (size_t instance)
+{
+  const dks_reducer_t *reducer = world.instances[instance]->reducer;
+  Counts now = { reducer, dks_reducer_targets_scanned (reducer),
+                 dks_reducer_prior_run_checks (reducer) };
+  Counts &last = counts[instance];
+  double us = 0;
+
+  if (last.reducer != reducer || now.targets_scanned < last.targets_scanned)
+    last = { reducer, 0, 0 };
+  if (now.targets_scanned > last.targets_scanned)
+    us += charge (instance, "targets scanned",
+                  target_scanned_us
+                      * static_cast<double> (now.targets_scanned - last.targets_scanned));
+  if (now.prior_run_checks > last.prior_run_checks)
+    us += charge (instance, "prior run checks",
+                  prior_run_check_us
+                      * static_cast<double> (now.prior_run_checks - last.prior_run_checks));
+  last = now;
+  return us;
+}
+
+int64_t
+Processors::work_us (size_t instance, const dks_event_t &event, const dks_effects_t &effects)
+{
+  double us = charge_event (instance, event) + charge_counts (instance);
+  double share = world.instances[instance]->processor_milli / 1000.0;
+  auto slow = slow_factors.find (instance);
+  double &rest = rests[instance];
+  double whole;
+
+  for (size_t i = 0; i < effects.count; i++)
+    us += charge_effect (instance, effects.items[i]);
+  us = us / share * (slow != slow_factors.end () ? slow->second : 1) + rest;
+  rest = std::modf (us, &whole);
+  return static_cast<int64_t> (whole);
+}
+
+}
--- /dev/null
+++ b/tests/leased_processor.h
@@ -0,0 +1,81 @@
+// The processor time that instances of the simulation take for what they do. Costs are those of a
+// full core; an instance has a share of one, and may be slow for a while.
+#ifndef DKS_TESTS_LEASED_PROCESSOR_H
+#define DKS_TESTS_LEASED_PROCESSOR_H
+
+#include "leased_world.h"
+
+namespace leased
+{
+
+// Microseconds of a full core, measured with `build/tests/costs`, see docs/recovery.md.
+constexpr double event_us = 3;            // an event in the reducer, with its timers
+constexpr double tick_us = 5;             // a turn of the loop for timers only
+constexpr double msg_sent_us = 4;         // encoded and written, with its part of a write
+constexpr double msg_received_us = 5;     // read and decoded
+constexpr double msg_task_us = 0.05;      // each lent task in a message
+constexpr double call_sent_us = 25;       // request to a target, written
+constexpr double call_answered_us = 35;   // its answer, read and parsed
+constexpr double listed_run_us = 1.5;     // each run in the lists of an answer
+constexpr double submission_us = 60;      // request of a caller, read and parsed
+constexpr double submission_step_us = 3;  // each step in it
+constexpr double caller_answer_us = 30;   // answer to a caller
+constexpr double caller_gone_us = 10;     // a caller that closes its connection
+constexpr double log_line_us = 4;         // a line that is written
+constexpr double peer_up_us = 60;         // connection to another instance opened
+constexpr double feed_us = 100;           // call of the platform's feeds
+constexpr double target_scanned_us = 0.02; // target looked at to place a task
+constexpr double prior_run_check_us = 0.1; // check of a task for runs of earlier leaders
+
+// Where processor time has gone.
+struct Use
+{
+  uint64_t count = 0;
+  double us = 0; // of a full core
+};
+
+class Processors
+{
+public:
+  // Makes the events of all instances of the world take time from now on.
+  explicit Processors (World &in_world);
+
+  // All that the instance does takes `factor` times as long.
+  void
+  set_slow (size_t instance, double factor)
+  {
+    slow_factors[instance] = factor;
+  }
+
+  // Of one instance since the last reset_uses (), by kind of work.
+  std::map<size_t, std::map<std::string, Use>> uses;
+
+private:
+  struct Work
+  {
+    const char *kind;
+    double us;
+  };
+  // Work that the reducer counts itself.
+  struct Counts
+  {
+    const dks_reducer_t *reducer = nullptr;
+    uint64_t targets_scanned = 0;
+    uint64_t prior_run_checks = 0;
+  };
+
+  int64_t work_us (size_t instance, const dks_event_t &event, const dks_effects_t &effects);
+  double charge (size_t instance, const std::string &kind, double us);
+  double charge_event (size_t instance, const dks_event_t &event);
+  double charge_effect (size_t instance, const dks_effect_t &effect);
+  double charge_counts (size_t instance);
+
+  World &world;
+  std::map<size_t, double> slow_factors;
+  std::map<size_t, Counts> counts;
+  std::map<size_t, double> rests; // of a microsecond, not charged yet
+};
+
+}
+
+#endif
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace leased
 {
@@ -77,6 +78,7 @@
   target->info.cpu_milli = cpu_milli;
   target->info.memory_mb = 32768;
   target->info.incarnation_ms = 1;
+  targets_by_address[id] = target.get ();
   targets.push_back (std::move (target));
   return targets.size () - 1;
 }
@@ -99,16 +101,22 @@
 }
 
 void
-World::deliver_now (size_t index, const std::function<void ()> &func)
+World::deliver_now (size_t index, const std::function<void ()> &func, size_t peer, size_t bytes)
 {
   Instance &instance = *instances[index];
 
+  if (work_us)
+    {
+      instance.pending_events.push_back ({ func, peer, bytes });
+      schedule_turn (index, now_us);
+      return;
+    }
   if (!instance.frozen && instance.event_cost_us == 0 && instance.pending_events.empty ())
     {
       func ();
       return;
     }
-  instance.pending_events.push_back (func);
+  instance.pending_events.push_back ({ func, peer, bytes });
   schedule_pending_event (index, std::max (now_us, instance.busy_until_us));
 }
 
@@ -128,7 +136,7 @@
     at.event_scheduled = false;
     if (at.frozen || at.pending_events.empty ())
       return;
-    std::function<void ()> func = std::move (at.pending_events.front ());
+    std::function<void ()> func = std::move (at.pending_events.front ().func);
     at.pending_events.pop_front ();
     // With many events waiting, each takes less time, so that none waits for more than 2 s.
     at.busy_until_us =
@@ -140,6 +148,90 @@
   });
 }
 
+// The next step of the instance's loop, when it has done its present work.
+void
+World::schedule_turn (size_t index, int64_t us)
+{
+  Instance &instance = *instances[index];
+
+  if (instance.event_scheduled || instance.frozen
+      || (!instance.in_turn && instance.pending_events.empty () && !instance.turn_tick))
+    return;
+  instance.event_scheduled = true;
+  schedule_at (std::max (us, instance.busy_until_us),
+               [this, index, generation = instance.generation] {
+                 if (instances[index]->generation != generation)
+                   return;
+                 instances[index]->event_scheduled = false;
+                 if (!instances[index]->frozen)
+                   continue_turn (index);
+               });
+}
+
+void
+World::begin_turn (Instance &instance)
+{
+  std::map<size_t, size_t> bytes; // by peer
+  std::deque<PendingEvent> left;
+
+  for (auto &event : instance.pending_events)
+    {
+      bool fits = event.peer == SIZE_MAX || bytes[event.peer] < window_bytes;
+
+      if (event.peer != SIZE_MAX)
+        bytes[event.peer] += event.bytes;
+      (fits ? instance.turn_events : left).push_back (std::move (event));
+    }
+  instance.pending_events = std::move (left);
+  instance.in_turn = true;
+}
+
+void
+World::continue_turn (size_t index)
+{
+  Instance &instance = *instances[index];
+
+  if (!instance.in_turn)
+    begin_turn (instance);
+  if (!instance.turn_events.empty ())
+    {
+      PendingEvent event = std::move (instance.turn_events.front ());
+
+      instance.turn_events.pop_front ();
+      if (event.peer != SIZE_MAX)
+        unread_bytes[{ event.peer, index }] -= event.bytes;
+      event.func ();
+    }
+  else if (instance.turn_tick)
+    std::exchange (instance.turn_tick, nullptr) ();
+  else
+    end_turn (index);
+  schedule_turn (index, now_us);
+}
+
+void
+World::end_turn (size_t index)
+{
+  Instance &instance = *instances[index];
+  std::vector<OutgoingMsg> output = std::move (instance.turn_output);
+
+  instance.turn_output.clear ();
+  instance.in_turn = false;
+  for (auto &out : output)
+    send_msg (index, out.to, out.connection, out.msg);
+}
+
+// A sender closes a connection over which too much waits.
+void
+World::limit_backlog (size_t from, size_t to)
+{
+  auto side = sides.find ({ from, to });
+
+  if (unread_bytes[{ from, to }] <= backlog_max_bytes || side == sides.end ())
+    return;
+  close_connection (from, side->second.peer_member_id);
+}
+
 void
 World::start_instance (size_t index)
 {
@@ -213,8 +305,26 @@
   instance.up = false;
   dks_reducer_destroy (instance.reducer);
   instance.reducer = nullptr;
+  for (auto *events : { &instance.pending_events, &instance.turn_events })
+    {
+      for (auto &event : *events)
+        {
+          if (event.peer != SIZE_MAX)
+            unread_bytes[{ event.peer, index }] -= event.bytes;
+        }
+    }
   instance.pending_events.clear ();
   instance.tick_pending = false;
+  instance.turn_events.clear ();
+  instance.turn_tick = nullptr;
+  instance.turn_output.clear ();
+  instance.in_turn = false;
+  instance.generation++;
+  if (work_us)
+    {
+      instance.event_scheduled = false;
+      instance.busy_until_us = now_us;
+    }
   for (size_t other = 0; other < instances.size (); other++)
     {
       sides.erase ({ index, other });
@@ -346,8 +456,8 @@
       return;
     auto held = std::move (held_msgs[{ from, to }]);
     held_msgs[{ from, to }].clear ();
-    for (auto &func : held)
-      deliver_now (to, func);
+    for (auto &[func, bytes] : held)
+      deliver_now (to, func, from, bytes);
   });
   reconnect_later (from, to);
 }
@@ -399,7 +509,10 @@
 World::set_frozen (size_t index, bool is_frozen)
 {
   instances[index]->frozen = is_frozen;
-  schedule_pending_event (index, now_us + ms);
+  if (work_us)
+    schedule_turn (index, now_us + ms);
+  else
+    schedule_pending_event (index, now_us + ms);
 }
 
 void
@@ -423,7 +536,7 @@
       return;
     next_tick_us[index] = INT64_MAX;
     instances[index]->tick_pending = true;
-    deliver_now (index, [this, index, reducer] {
+    auto tick = [this, index, reducer] {
       dks_event_t event = {};
 
       if (instances[index]->reducer != reducer)
@@ -431,7 +544,14 @@
       instances[index]->tick_pending = false;
       event.type = DKS_EVENT_TICK;
       apply (index, &event);
-    });
+    };
+    if (!work_us)
+      {
+        deliver_now (index, tick);
+        return;
+      }
+    instances[index]->turn_tick = tick;
+    schedule_turn (index, now_us);
   });
 }
 
@@ -444,6 +564,20 @@
     return;
   event->now = time ();
   dks_reducer_apply (instances[index]->reducer, event, &effects);
+  if (work_us)
+    {
+      Instance &instance = *instances[index];
+
+      instance.busy_until_us
+          = std::max (now_us, instance.busy_until_us) + work_us (index, *event, effects);
+      execute_effects_at (instance.busy_until_us, index,
+                          { new dks_effects_t (effects), [] (dks_effects_t *given) {
+                             dks_effects_destroy (given);
+                             delete given;
+                           } });
+      schedule_tick (index);
+      return;
+    }
   for (size_t i = 0; i < effects.count; i++)
     execute_effect (index, effects.items[i]);
   dks_effects_destroy (&effects);
@@ -451,6 +585,15 @@
     schedule_tick (index);
 }
 
+void
+World::execute_effects_at (int64_t us, size_t index, std::shared_ptr<dks_effects_t> effects)
+{
+  schedule_at (us, [this, index, effects, generation = instances[index]->generation] {
+    for (size_t i = 0; i < effects->count && instances[index]->generation == generation; i++)
+      execute_effect (index, effects->items[i]);
+  });
+}
+
 void
 World::execute_effect (size_t index, const dks_effect_t &effect)
 {
@@ -459,6 +602,8 @@
     case DKS_EFFECT_BATCH_REPLY:
       answers[effect.u.batch_reply.caller] = { effect.u.batch_reply.answer,
                                                effect.u.batch_reply.retry_after_ms, now_us };
+      if (on_answer)
+        on_answer (effect.u.batch_reply.caller, answers[effect.u.batch_reply.caller]);
       break;
     case DKS_EFFECT_PEER_CONNECT:
       connect (index, effect.u.peer_connect.address);
@@ -473,17 +618,21 @@
           dks_msg_unref (last_lend_msg);
           last_lend_msg = dks_msg_ref (effect.u.peer_send.msg);
         }
-      for (size_t other = 0; other < instances.size (); other++)
+      for (auto side = sides.lower_bound ({ index, 0 });
+           side != sides.end () && side->first.first == index; side++)
         {
-          auto side = sides.find ({ index, other });
+          size_t other = side->first.second;
 
-          if (side == sides.end () || side->second.peer_member_id != effect.u.peer_send.peer)
+          if (side->second.peer_member_id != effect.u.peer_send.peer)
             continue;
           std::shared_ptr<dks_msg_t> msg (dks_msg_ref (effect.u.peer_send.msg), dks_msg_unref);
           statuses_to_other_data_centres +=
               index == count_statuses_of && msg->type == DKS_MSG_LEASED_STATUS
               && instances[other]->data_centre != instances[index]->data_centre;
-          send_msg (index, other, side->second.connection, msg);
+          if (work_us)
+            instances[index]->turn_output.push_back ({ other, side->second.connection, msg });
+          else
+            send_msg (index, other, side->second.connection, msg);
         }
       break;
     case DKS_EFFECT_PEER_CLOSE:
@@ -513,6 +662,25 @@
     }
 }
 
+// About the length of the message on the wire.
+static size_t
+msg_bytes (const dks_msg_t &msg)
+{
+  switch (msg.type)
+    {
+    case DKS_MSG_WORK:
+      return 300 + 8 * msg.u.work.lent_count;
+    case DKS_MSG_TARGETS:
+      return 100 * msg.u.targets.count;
+    case DKS_MSG_SPEEDS:
+      return 40 * (msg.u.speeds.target_count + msg.u.speeds.queue_count);
+    case DKS_MSG_ADDRESSES:
+      return 60 * msg.u.addresses.count;
+    default:
+      return 100;
+    }
+}
+
 // Messages of one connection arrive in the order in which they were sent. Those that arrive during
 // a cut are held until it ends.
 void
@@ -531,15 +699,22 @@
       apply (to, &event);
   };
 
+  size_t bytes = msg_bytes (*msg);
+
+  if (work_us)
+    {
+      unread_bytes[{ from, to }] += bytes;
+      limit_backlog (from, to);
+    }
   last_arrival = std::max (last_arrival, now_us + peer_delay_us
                                              + (delay != link_delay_us.end () ? delay->second : 0));
-  schedule_at (last_arrival, [this, from, to, handle] {
+  schedule_at (last_arrival, [this, from, to, bytes, handle] {
     auto &held = held_msgs[{ from, to }];
 
     if (cuts.count ({ from, to }) > 0 || !held.empty ())
-      held.push_back (handle);
+      held.push_back ({ handle, bytes });
     else
-      deliver_now (to, handle);
+      deliver_now (to, handle, from, bytes);
   });
 }
 
@@ -746,6 +921,7 @@
   Run run = target.runs[i];
 
   target.runs.erase (target.runs.begin () + static_cast<long> (i));
+  listed_runs[run.task]--;
   target.ended.push_back ({ target.next_end_number++, run.task, run.run_number, end });
   target.highest_ended_run[run.task] =
       std::max (target.highest_ended_run[run.task], run.run_number);
@@ -826,7 +1002,8 @@
   target.starts++;
   target.runs.push_back ({ task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us,
                            false, instances[starter]->id });
-  check_double_runs (task);
+  if (++listed_runs[task] > 1)
+    check_double_runs (task);
   if (deadly_tasks.count (task) > 0)
     {
       int64_t incarnation_ms = target.info.incarnation_ms;
@@ -846,16 +1023,19 @@
 void
 World::send_lease_call (size_t index, const dks_effect_t &effect)
 {
-  for (auto &target : targets)
+  auto found = targets_by_address.find (effect.u.lease.address);
+
+  if (found != targets_by_address.end ())
     {
-      if (strcmp (target->info.address, effect.u.lease.address) != 0)
-        continue;
       Call call = { index, effect, 0 };
       dks_reducer_t *reducer = instances[index]->reducer;
-      Target *at_target = target.get ();
+      Target *target = found->second;
+      Target *at_target = target;
       bool delayed = false;
 
       call.effect.u.lease.spec = nullptr;
+      if (work_us)
+        open_calls.insert ({ index, effect.u.lease.op });
       if (effect.type == DKS_EFFECT_LEASE_START && target->delayed_starts > 0)
         {
           target->delayed_starts--;
@@ -875,10 +1055,10 @@
         }
       // The reducer ignores this timeout when the call has been answered before.
       schedule_at (now_us + 1000 * effect.u.lease.timeout_ms, [=, this] {
-        if (instances[index]->reducer == reducer)
+        if (instances[index]->reducer == reducer
+            && (!work_us || open_calls.erase ({ index, call.effect.u.lease.op }) > 0))
           send_lease_reply (index, call.effect.u.lease.op, DKS_LEASE_UNANSWERED, nullptr, nullptr);
       });
-      return;
     }
 }
 
@@ -951,6 +1131,8 @@
   target.refuses_until_us = now_us + down_us;
   target.clock_start_us = now_us + down_us - process_start_us;
   target.info.incarnation_ms++;
+  for (auto &run : target.runs)
+    listed_runs[run.task]--;
   target.runs.clear ();
   target.ended.clear ();
   target.next_end_number = 1;
@@ -1011,7 +1193,7 @@
   int64_t delay_us = target != nullptr ? call_delay_us : 0;
   if (call != nullptr && reply_delay_us)
     delay_us += reply_delay_us (call->effect, status);
-  deliver (now_us + delay_us, index, [=, this] {
+  auto handle = [=, this] {
     dks_event_t event = {};
     dks_run_lists_t view = {};
 
@@ -1028,6 +1210,11 @@
     view.ended = lists->ended.data ();
     event.u.lease_reply.lists = with_lists ? &view : nullptr;
     apply (index, &event);
+  };
+  schedule_at (now_us + delay_us, [=, this] {
+    // The answer to a call that has timed out is not read.
+    if (!work_us || target == nullptr || open_calls.erase ({ index, op }) > 0)
+      deliver_now (index, handle);
   });
 }
 
@@ -1093,7 +1280,8 @@
 
   while (!queue.empty () && queue.top ().at_us <= until_us)
     {
-      ScheduledAction item = queue.top ();
+      // The queue compares only the members that a move leaves as they are.
+      ScheduledAction item = std::move (const_cast<ScheduledAction &> (queue.top ()));
 
       queue.pop ();
       now_us = std::max (now_us, item.at_us);
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -86,6 +86,22 @@
   uint32_t rejected_starts = 0;    // for lack of free processor capacity
 };
 
+// An event that has reached an instance.
+struct PendingEvent
+{
+  std::function<void ()> func;
+  size_t peer;  // instance that sent it over their connection, SIZE_MAX: not a message
+  size_t bytes; // length of the message
+};
+
+// A message that leaves at the end of the turn in which it was sent.
+struct OutgoingMsg
+{
+  size_t to;
+  uint64_t connection;
+  std::shared_ptr<dks_msg_t> msg;
+};
+
 struct Instance
 {
   std::string id;
@@ -96,7 +112,14 @@
   int64_t event_cost_us = 0; // time that the handling of an event takes, on a slow instance
   int64_t busy_until_us = 0; // end of the handling of the latest event
   // Have reached the instance and wait until it is no longer frozen or busy.
-  std::deque<std::function<void ()>> pending_events;
+  std::deque<PendingEvent> pending_events;
+  // With World::work_us: what the loop has read in its present turn, the timers that are due at the
+  // end of it, and the messages that leave then.
+  std::deque<PendingEvent> turn_events;
+  std::function<void ()> turn_tick;
+  std::vector<OutgoingMsg> turn_output;
+  bool in_turn = false;
+  uint64_t generation = 0; // rises with each end of its process
   bool event_scheduled = false;          // the handling of the first pending event
   bool tick_pending = false;             // a tick is among the pending events
   bool feed_down = false;                // the platform's feeds are unavailable to it
@@ -190,6 +213,15 @@
 
   int64_t now_us = 1000 * ms;
   int64_t catalog_version = 1;
+  // Time that an instance takes for an event and the effects that came of it. When set, each
+  // instance works through its events one after the other in turns, as the loop of the real one
+  // does: a turn takes from each connection what was there at its beginning, up to `window_bytes`,
+  // then runs the timers and then sends the messages to peers. Effects leave when the work for them
+  // is done. Nothing is lost for being late.
+  std::function<int64_t (size_t instance, const dks_event_t &event, const dks_effects_t &effects)>
+      work_us;
+  size_t window_bytes = 64 << 10;
+  size_t backlog_max_bytes = 24 << 20; // held by a sender before it closes the connection
   // Instances connect only to the addresses to which their reducers ask to connect, and know three
   // seeds at the start; else all are connected to each other.
   bool connects_by_address = false;
@@ -208,6 +240,7 @@
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Target>> targets;
   std::map<uint64_t, Answer> answers; // by number of the caller
+  std::function<void (uint64_t caller, const Answer &answer)> on_answer; // called for each
   // Run time of a task on a target of slowness 1, by the task's name without its index:
   // "ID.0.STEP".
   std::map<std::string, int64_t> real_ms;
@@ -250,7 +283,14 @@
   // Calls `func` at that time, or when the instance is no longer frozen.
   void deliver (int64_t us, size_t instance, std::function<void ()> func);
   // Calls `func` now, or once the instance has handled the events that wait there.
-  void deliver_now (size_t instance, const std::function<void ()> &func);
+  void deliver_now (size_t instance, const std::function<void ()> &func, size_t peer = SIZE_MAX,
+                    size_t bytes = 0);
+  void schedule_turn (size_t instance, int64_t us);
+  void continue_turn (size_t instance);
+  void begin_turn (Instance &instance);
+  void end_turn (size_t instance);
+  void execute_effects_at (int64_t us, size_t instance, std::shared_ptr<dks_effects_t> effects);
+  void limit_backlog (size_t from, size_t to);
   void schedule_pending_event (size_t instance, int64_t us);
   void start_instance (size_t instance);
   void execute_effect (size_t instance, const dks_effect_t &effect);
@@ -309,8 +349,17 @@
   uint64_t next_connection = 0;
   // By sender and receiver: cuts, the messages that they hold, and the latest arrival of a message.
   std::set<std::pair<size_t, size_t>> cuts;
-  std::map<std::pair<size_t, size_t>, std::vector<std::function<void ()>>> held_msgs;
+  struct HeldMsg
+  {
+    std::function<void ()> func;
+    size_t bytes;
+  };
+  std::map<std::pair<size_t, size_t>, std::vector<HeldMsg>> held_msgs;
   std::map<std::pair<size_t, size_t>, int64_t> last_arrival_us;
+  std::map<std::pair<size_t, size_t>, size_t> unread_bytes; // by sender and receiver
+  std::set<std::pair<size_t, uint64_t>> open_calls; // to targets, by instance and operation
+  std::map<std::string, Target *> targets_by_address;
+  std::map<std::string, int> listed_runs; // by task: entries in the lists of active runs
   // Pairs of instances, the lower index first, that may not be connected.
   std::set<std::pair<size_t, size_t>> partitions;
   // With `connects_by_address`: instances and the addresses to which they try to connect.
