--- a/tests/leased_processor.cc
+++ b/tests/leased_processor.cc
@@ -7,10 +7,14 @@
 
 Processors::Processors (World &in_world) : world (in_world)
 {
-  world.work_us
-      = [this] (size_t instance, const dks_event_t &event, const dks_effects_t &effects) {
-          return work_us (instance, event, effects);
-        };
+  world.work_us = [this] (size_t instance, const dks_event_t &event, const dks_effects_t &effects) {
+    return work_us (instance, event, effects);
+  };
+  world.turn_us = [this] (size_t instance, size_t read, size_t written) {
+    return scale (instance, charge (instance, "turn",
+                                    turn_us + peer_read_us * static_cast<double> (read)
+                                        + peer_write_us * static_cast<double> (written)));
+  };
 }
 
 double
@@ -31,10 +35,11 @@
     case DKS_EVENT_TICK:
       return charge (instance, "tick", tick_us);
     case DKS_EVENT_PEER_MSG:
-      return charge (instance, std::string ("received ") + dks_msg_name (event.u.peer_msg.msg->type),
+      return charge (instance,
+                     std::string ("received ") + dks_msg_name (event.u.peer_msg.msg->type),
                      event_us + msg_received_us
                          + (event.u.peer_msg.msg->type == DKS_MSG_WORK
-                                ? msg_task_us * event.u.peer_msg.msg->u.work.lent_count
+                                ? job_us + msg_task_us * event.u.peer_msg.msg->u.work.lent_count
                                 : 0));
     case DKS_EVENT_LEASE_REPLY:
       if (event.u.lease_reply.status == DKS_LEASE_UNANSWERED)
@@ -48,9 +53,7 @@
                                                   + event.u.lease_reply.lists->ended_count)
                      : 0));
     case DKS_EVENT_BATCH:
-      return charge (instance, "submission",
-                     event_us + submission_us
-                         + submission_step_us * event.u.batch.batch->step_count);
+      return charge (instance, "submission", event_us + submission_us);
     case DKS_EVENT_CALLER_GONE:
       return charge (instance, "caller gone", event_us + caller_gone_us);
     case DKS_EVENT_FEED:
@@ -116,19 +119,26 @@
 }
 
 int64_t
-Processors::work_us (size_t instance, const dks_event_t &event, const dks_effects_t &effects)
+Processors::scale (size_t instance, double us)
 {
-  double us = charge_event (instance, event) + charge_counts (instance);
   double share = world.instances[instance]->processor_milli / 1000.0;
   auto slow = slow_factors.find (instance);
   double &rest = rests[instance];
   double whole;
 
-  for (size_t i = 0; i < effects.count; i++)
-    us += charge_effect (instance, effects.items[i]);
   us = us / share * (slow != slow_factors.end () ? slow->second : 1) + rest;
   rest = std::modf (us, &whole);
   return static_cast<int64_t> (whole);
 }
 
+int64_t
+Processors::work_us (size_t instance, const dks_event_t &event, const dks_effects_t &effects)
+{
+  double us = charge_event (instance, event) + charge_counts (instance);
+
+  for (size_t i = 0; i < effects.count; i++)
+    us += charge_effect (instance, effects.items[i]);
+  return scale (instance, us);
+}
+
 }
--- a/tests/leased_processor.h
+++ b/tests/leased_processor.h
@@ -8,23 +8,28 @@
 namespace leased
 {
 
-// Microseconds of a full core, measured with `build/tests/costs`, see docs/recovery.md.
-constexpr double event_us = 3;            // an event in the reducer, with its timers
-constexpr double tick_us = 5;             // a turn of the loop for timers only
-constexpr double msg_sent_us = 4;         // encoded and written, with its part of a write
-constexpr double msg_received_us = 5;     // read and decoded
-constexpr double msg_task_us = 0.05;      // each lent task in a message
-constexpr double call_sent_us = 25;       // request to a target, written
-constexpr double call_answered_us = 35;   // its answer, read and parsed
-constexpr double listed_run_us = 1.5;     // each run in the lists of an answer
-constexpr double submission_us = 60;      // request of a caller, read and parsed
-constexpr double submission_step_us = 3;  // each step in it
-constexpr double caller_answer_us = 30;   // answer to a caller
-constexpr double caller_gone_us = 10;     // a caller that closes its connection
-constexpr double log_line_us = 4;         // a line that is written
-constexpr double peer_up_us = 60;         // connection to another instance opened
-constexpr double feed_us = 100;           // call of the platform's feeds
-constexpr double target_scanned_us = 0.02; // target looked at to place a task
+// Microseconds of a full core on the users' platform: what `build/tests/costs` prints, and the
+// reducer's own time, with `system_call_us` for each system call. See docs/recovery.md.
+constexpr double system_call_us = 8;                // charged for one, beyond the time of the code
+constexpr double turn_us = 15;                      // a turn of the loop that finds something to do
+constexpr double peer_read_us = 2 + system_call_us; // connection read in a turn
+constexpr double peer_write_us = 2 + system_call_us; // connection written in a turn
+constexpr double tick_us = 5;                        // timers that are due
+constexpr double event_us = 3;                       // an event in the reducer
+constexpr double msg_sent_us = 1;                    // encoded
+constexpr double msg_received_us = 1;                // decoded
+constexpr double msg_task_us = 0.03;                 // each lent task in a message
+constexpr double job_us = 8; // a job that a leader gets, without its placement
+constexpr double call_sent_us = 8 + 2 * system_call_us;      // request to a target
+constexpr double call_answered_us = 40 + 3 * system_call_us; // its answer, read and parsed
+constexpr double listed_run_us = 1.5;                        // each run in the lists of an answer
+constexpr double submission_us = 42 + 4 * system_call_us;    // connection and job of a caller
+constexpr double caller_answer_us = 3 + 2 * system_call_us;  // answer to a caller
+constexpr double caller_gone_us = 2 + 2 * system_call_us;    // a caller that closes its connection
+constexpr double log_line_us = 2 + system_call_us;           // a line that is written
+constexpr double peer_up_us = 10 + 4 * system_call_us;       // connection to another instance
+constexpr double feed_us = 50 + 5 * system_call_us;          // call of the platform's feeds
+constexpr double target_scanned_us = 0.02;                   // target looked at to place a task
 constexpr double prior_run_check_us = 0.1; // check of a task for runs of earlier leaders
 
 // Where processor time has gone.
@@ -64,6 +69,7 @@
     uint64_t prior_run_checks = 0;
   };
 
+  int64_t scale (size_t instance, double us);
   int64_t work_us (size_t instance, const dks_event_t &event, const dks_effects_t &effects);
   double charge (size_t instance, const std::string &kind, double us);
   double charge_event (size_t instance, const dks_event_t &event);
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -183,6 +183,7 @@
       (fits ? instance.turn_events : left).push_back (std::move (event));
     }
   instance.pending_events = std::move (left);
+  instance.peers_read = bytes.size ();
   instance.in_turn = true;
 }
 
@@ -217,8 +218,19 @@
 
   instance.turn_output.clear ();
   instance.in_turn = false;
+  if (!turn_us)
+    return;
+  std::set<size_t> written;
   for (auto &out : output)
-    send_msg (index, out.to, out.connection, out.msg);
+    written.insert (out.to);
+  instance.busy_until_us = std::max (now_us, instance.busy_until_us)
+                           + turn_us (index, instance.peers_read, written.size ());
+  schedule_at (instance.busy_until_us, [this, index, output, generation = instance.generation] {
+    if (instances[index]->generation != generation)
+      return;
+    for (auto &out : output)
+      send_msg (index, out.to, out.connection, out.msg);
+  });
 }
 
 // A sender closes a connection over which too much waits.
@@ -568,8 +580,8 @@
     {
       Instance &instance = *instances[index];
 
-      instance.busy_until_us
-          = std::max (now_us, instance.busy_until_us) + work_us (index, *event, effects);
+      instance.busy_until_us =
+          std::max (now_us, instance.busy_until_us) + work_us (index, *event, effects);
       execute_effects_at (instance.busy_until_us, index,
                           { new dks_effects_t (effects), [] (dks_effects_t *given) {
                              dks_effects_destroy (given);
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -119,7 +119,8 @@
   std::function<void ()> turn_tick;
   std::vector<OutgoingMsg> turn_output;
   bool in_turn = false;
-  uint64_t generation = 0; // rises with each end of its process
+  size_t peers_read = 0;                 // connections read in this turn
+  uint64_t generation = 0;               // rises with each end of its process
   bool event_scheduled = false;          // the handling of the first pending event
   bool tick_pending = false;             // a tick is among the pending events
   bool feed_down = false;                // the platform's feeds are unavailable to it
@@ -220,6 +221,8 @@
   // is done. Nothing is lost for being late.
   std::function<int64_t (size_t instance, const dks_event_t &event, const dks_effects_t &effects)>
       work_us;
+  // Time that a turn takes besides, by the connections to peers that it reads and writes.
+  std::function<int64_t (size_t instance, size_t read, size_t written)> turn_us;
   size_t window_bytes = 64 << 10;
   size_t backlog_max_bytes = 24 << 20; // held by a sender before it closes the connection
   // Instances connect only to the addresses to which their reducers ask to connect, and know three
@@ -239,7 +242,7 @@
   uint64_t sent_addresses = 0;             // in all messages of type DKS_MSG_ADDRESSES
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Target>> targets;
-  std::map<uint64_t, Answer> answers; // by number of the caller
+  std::map<uint64_t, Answer> answers;                                    // by number of the caller
   std::function<void (uint64_t caller, const Answer &answer)> on_answer; // called for each
   // Run time of a task on a target of slowness 1, by the task's name without its index:
   // "ID.0.STEP".
@@ -357,7 +360,7 @@
   std::map<std::pair<size_t, size_t>, std::vector<HeldMsg>> held_msgs;
   std::map<std::pair<size_t, size_t>, int64_t> last_arrival_us;
   std::map<std::pair<size_t, size_t>, size_t> unread_bytes; // by sender and receiver
-  std::set<std::pair<size_t, uint64_t>> open_calls; // to targets, by instance and operation
+  std::set<std::pair<size_t, uint64_t>> open_calls;         // to targets, by instance and operation
   std::map<std::string, Target *> targets_by_address;
   std::map<std::string, int> listed_runs; // by task: entries in the lists of active runs
   // Pairs of instances, the lower index first, that may not be connected.
--- a/tests/test_leased_recovery.cc
+++ b/tests/test_leased_recovery.cc
@@ -32,7 +32,7 @@
 constexpr double goodput_min = 0.9; // of that before the trigger
 constexpr double slow_factor = 8;
 constexpr int64_t slow_ms = 4000;
-constexpr int64_t roll_delay_ms = 500;   // from the beginning of the slow time to the first stop
+constexpr int64_t roll_delay_ms = 500;    // from the beginning of the slow time to the first stop
 constexpr int64_t roll_interval_ms = 400; // between two stops
 constexpr int64_t grace_ms = 6000;        // from a stop to the kill of an instance that still runs
 constexpr int64_t exit_linger_ms = 100;   // from the end of a drain to that of the process
@@ -170,7 +170,7 @@
   std::map<uint64_t, Job> open;               // by number of the caller
   std::multimap<int64_t, uint64_t> waits;     // callers by the end of their wait
   std::multimap<int64_t, std::function<void ()>> actions;
-  std::vector<double> next_arrival_us; // by data centre
+  std::vector<double> next_arrival_us;  // by data centre
   std::vector<std::vector<double>> due; // by data centre and kind
   int64_t start_us = 0;
   int64_t next_readiness_us = 0;
@@ -293,14 +293,14 @@
       send_again (job, resend_ms * ms);
       return;
     }
-  job.leave_us = world.now_us
-                 + (caller_ms
-                    + static_cast<int64_t> (
-                        draw () * static_cast<double> (caller_patience_ms - caller_ms)))
-                       * ms;
-  uint64_t caller = world.submit (job.entry, job.id,
-                                  { { job.kind->tasks, 6800, job.declared_ms, job.real_ms } },
-                                  caller_ms, job.kind->queue_prefix);
+  job.leave_us =
+      world.now_us
+      + (caller_ms
+         + static_cast<int64_t> (draw () * static_cast<double> (caller_patience_ms - caller_ms)))
+            * ms;
+  uint64_t caller =
+      world.submit (job.entry, job.id, { { job.kind->tasks, 6800, job.declared_ms, job.real_ms } },
+                    caller_ms, job.kind->queue_prefix);
   waits.insert ({ job.leave_us, caller });
   open[caller] = job;
 }
@@ -429,9 +429,9 @@
 void
 Play::end_process (size_t instance, std::function<void ()> then)
 {
-  int64_t start = restart_ms * ms
-                  + static_cast<int64_t> (process_start_ms * 1e6
-                                          / world.instances[instance]->processor_milli);
+  int64_t start =
+      restart_ms * ms
+      + static_cast<int64_t> (process_start_ms * 1e6 / world.instances[instance]->processor_milli);
 
   world.kill (instance);
   for (auto it = open.begin (); it != open.end ();)
@@ -487,10 +487,10 @@
   for (size_t i = 0; i < world.instances.size (); i++)
     after ((roll_delay_ms + static_cast<int64_t> (i) * roll_interval_ms) * ms,
            [this, i] { stop (i); });
-  run_for (std::max (slow_ms, roll_delay_ms
-                                  + static_cast<int64_t> (world.instances.size ())
-                                        * roll_interval_ms)
-           * ms);
+  run_for (
+      std::max (slow_ms,
+                roll_delay_ms + static_cast<int64_t> (world.instances.size ()) * roll_interval_ms)
+      * ms);
   while (stopping > 0)
     run_for (10 * ms);
 }
