--- a/tests/test_leased_recovery.cc
+++ b/tests/test_leased_recovery.cc
@@ -3,7 +3,7 @@
 // so that work which is late makes more work.
 //
 // DKS_RECOVERY_TRACE prints goodput, log lines by kind and where the leaders' processor time went,
-// for each 2 s. DKS_RECOVERY_SIZES names the sizes to run, e.g. "7,37,97".
+// for each 2 s. DKS_RECOVERY_SITES names the sites to run, e.g. "7,37small,37,97".
 
 #include "leased_processor.h"
 
@@ -64,6 +64,7 @@
 
 struct Site
 {
+  const char *name;
   int instances;
   uint32_t large_milli; // processor time, thousandths of a core
   uint32_t small_milli;
@@ -71,9 +72,12 @@
 };
 
 const std::vector<Site> sites = {
-  { 7, 250, 250, { { 3, 0, 16, 44.8 }, { 2, 0, 16, 50.6 }, { 2, 0, 16, 45.3 } } },
-  { 37, 500, 120, { { 2, 11, 117, 268 }, { 2, 10, 117, 304 }, { 2, 10, 116, 271 } } },
-  { 97,
+  { "7", 7, 250, 250, { { 3, 0, 16, 44.8 }, { 2, 0, 16, 50.6 }, { 2, 0, 16, 45.3 } } },
+  // As the next one, with small instances only.
+  { "37small", 37, 120, 120, { { 13, 0, 45, 62 }, { 12, 0, 45, 70 }, { 12, 0, 45, 63 } } },
+  { "37", 37, 500, 120, { { 2, 11, 117, 268 }, { 2, 10, 117, 304 }, { 2, 10, 116, 271 } } },
+  { "97",
+    97,
     500,
     120,
     { { 3, 15, 120, 283 },
@@ -159,6 +163,11 @@
   void stop (size_t instance);
   void end_process (size_t instance, std::function<void ()> then);
   void end_window ();
+  size_t
+  windows_ended () const
+  {
+    return static_cast<size_t> ((next_window_us - start_us) / (window_ms * ms)) - 1;
+  }
   void print_window (size_t i);
   void print_log ();
 
@@ -647,59 +656,56 @@
   double before = 0;
   std::string text;
 
-  run_for ((settle_ms + (checked_windows + 1) * window_ms) * ms);
   for (int i = 0; i < baseline_windows; i++)
     before += windows[static_cast<size_t> (warm_up_ms / window_ms + 1 + i)].in_aim;
   before /= baseline_windows;
+  // One window that misses the bound decides, and what follows takes long.
+  for (size_t i = first; i < first + checked_windows; i++)
+    {
+      run_for (next_window_us + static_cast<int64_t> (i + 1 - windows_ended ()) * window_ms * ms
+               - window_ms * ms - world.now_us);
+      if (windows[i].in_aim < goodput_min * before && !trace)
+        break;
+    }
   for (size_t i = 0; i < windows.size (); i++)
     text += " " + std::to_string (windows[i].in_aim);
-  for (size_t i = first; i < first + checked_windows; i++)
+  for (size_t i = first; i < std::min (first + checked_windows, windows_ended ()); i++)
     EXPECT_GE (windows[i].in_aim, goodput_min * before)
-        << site.instances << " instances, seed " << seed << ", window " << i
+        << "site " << site.name << ", seed " << seed << ", window " << i
         << ", answered in the objective in each 2 s:" << text;
   EXPECT_EQ (world.double_runs, 0);
   for (auto &line : world.double_run_reports)
     printf ("%s\n", line.c_str ());
-  printf ("instances=%d seed=%d before=%.0f goodput:%s\n", site.instances, static_cast<int> (seed),
-          before, text.c_str ());
+  printf ("site=%s seed=%d before=%.0f goodput:%s\n", site.name, static_cast<int> (seed), before,
+          text.c_str ());
   if (trace)
     print_log ();
 }
 
-const Site &
-site_of (int count)
-{
-  for (auto &site : sites)
-    {
-      if (site.instances == count)
-        return site;
-    }
-  abort ();
-}
-
+// Sites are chosen by DKS_RECOVERY_SITES; else those run whose plays end soon.
 bool
-runs_size (int count)
+runs_site (const Site &site, const char *default_sites)
 {
-  const char *sizes = getenv ("DKS_RECOVERY_SIZES");
+  const char *names = getenv ("DKS_RECOVERY_SITES");
+  std::string wanted = names != nullptr ? names : default_sites;
 
-  return ("," + std::string (sizes != nullptr ? sizes : "7,37") + ",")
-             .find ("," + std::to_string (count) + ",")
-         != std::string::npos;
+  return ("," + wanted + ",").find ("," + std::string (site.name) + ",") != std::string::npos;
 }
 
 void
-play (int size, uint64_t seed, const std::function<void (Play &)> &trigger)
+play (const Site &site, uint64_t seed, const std::function<void (Play &)> &trigger,
+      const char *default_sites = "7")
 {
-  if (!runs_size (size))
-    GTEST_SKIP () << "not among DKS_RECOVERY_SIZES";
-  Play play (site_of (size), seed);
+  if (!runs_site (site, default_sites))
+    GTEST_SKIP () << "not among DKS_RECOVERY_SITES";
+  Play play (site, seed);
 
   play.run_for ((warm_up_ms / window_ms + 1 + baseline_windows) * window_ms * ms);
   trigger (play);
   play.check ();
 }
 
-class LeasedRecovery : public testing::TestWithParam<int>
+class LeasedRecovery : public testing::TestWithParam<Site>
 {
 };
 
@@ -717,7 +723,8 @@
 
 TEST_P (LeasedRecovery, ServesAgainAfterHalfOfTheInstancesWereSlow)
 {
-  play (GetParam (), 6, [] (Play &p) { p.slow_half (); });
+  play (
+      GetParam (), 6, [] (Play &p) { p.slow_half (); }, "7,37");
 }
 
 TEST_P (LeasedRecovery, ServesAgainAfterAResetOfAllConnections)
@@ -743,4 +750,7 @@
   });
 }
 
-INSTANTIATE_TEST_SUITE_P (Instances, LeasedRecovery, testing::Values (7, 37, 97));
+INSTANTIATE_TEST_SUITE_P (Site, LeasedRecovery, testing::ValuesIn (sites),
+                          [] (const testing::TestParamInfo<Site> &info) {
+                            return std::string ("Of") + info.param.name;
+                          });
