--- a/tests/test_leased_recovery.cc
+++ b/tests/test_leased_recovery.cc
@@ -71,6 +71,13 @@
   std::vector<DataCentre> data_centres;
 };
 
+// For the names of the tests in reports.
+void
+PrintTo (const Site &site, std::ostream *out)
+{
+  *out << site.name;
+}
+
 const std::vector<Site> sites = {
   { "7", 7, 250, 250, { { 3, 0, 16, 44.8 }, { 2, 0, 16, 50.6 }, { 2, 0, 16, 45.3 } } },
   // As the next one, with small instances only.
