--- a/tests/leased_processor.cc
+++ b/tests/leased_processor.cc
@@ -34,7 +34,7 @@
     }
 }
 
-Processors::Processors (World &in_world) : world (in_world)
+Processors::Processors (World &in_world) : world (in_world), counted_blocks (executed_blocks)
 {
   world.work_us = [this] (size_t instance, const dks_event_t &event, const dks_effects_t &effects) {
     return work_us (instance, event, effects);
--- a/tests/leased_processor.h
+++ b/tests/leased_processor.h
@@ -66,7 +66,7 @@
 
   World &world;
   std::map<size_t, double> slow_factors;
-  uint64_t counted_blocks = 0;    // up to the latest event
+  uint64_t counted_blocks;        // up to the latest event
   std::map<size_t, double> rests; // of a microsecond, not charged yet
 };
 
