--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -594,12 +594,12 @@
 {
   bool some_waiting = false;
 
+  job->next_prior_check_us = dks_leased_now_us (job->leased) + PRIOR_RUNS_CHECK_INTERVAL_US;
   if (job->resent && !dks_leased_targets_are_synced (job->leased, job->received_us))
     return;
   if (job->resent && job->is_lent
       && !dks_leased_targets_confirm_term (job->leased, job->received_us))
     return;
-  job->next_prior_check_us = dks_leased_now_us (job->leased) + PRIOR_RUNS_CHECK_INTERVAL_US;
   for (uint32_t i = 0; i < job->task_count && job->waiting_count > 0; i++)
     {
       if (dks_leased_task_is_due (job, &job->tasks[i]) && !task_place (job, i, !job->is_lent))
@@ -658,7 +658,7 @@
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
       leased->load.counts.job_visits++;
-      if (job->resent && !job->is_lent && dks_leased_now_us (leased) < job->next_prior_check_us)
+      if (job->resent && dks_leased_now_us (leased) < job->next_prior_check_us)
         {
           leased->prior_check_due = true;
           continue;
