--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -20,6 +20,10 @@
  * such durations cannot overflow an int64_t. */
 #define SPAN_MAX_US (INT64_C (86400) * 1000000)
 
+/* Latest monotonic time in a message that is accepted, in microseconds: a sum with a duration
+ * cannot overflow an int64_t. */
+#define MONOTONIC_MAX_US (INT64_MAX / 2)
+
 /* Encoding */
 
 void
@@ -291,7 +295,8 @@
   if (body->n_prior_jobs > MSG_PRIOR_JOBS_MAX)
     return DKS_ERR_TOO_LARGE;
   if (body->term > INT64_MAX || body->prior_jobs_term > INT64_MAX || body->leader_term > INT64_MAX
-      || body->interval_ms > STATUS_INTERVAL_MAX_MS)
+      || body->interval_ms > STATUS_INTERVAL_MAX_MS || body->heard_us < 0
+      || body->heard_us > MONOTONIC_MAX_US)
     return DKS_ERR_INVALID;
   if (body->n_prior_jobs == 0)
     return DKS_OK;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -639,6 +639,14 @@
          [] (dks_msg_t *m) { m->u.snapshot.floor_ms = INT64_MAX; });
   check (DKS_MSG_SNAPSHOT_ACK, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.snapshot_ack.shard = DKS_SHARDS; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.leader_term = UINT64_MAX; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.prior_jobs_term = UINT64_MAX; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.heard_us = -1; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.heard_us = INT64_MAX; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.heartbeat.wall_ms = INT64_MIN; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
