--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -8,8 +8,9 @@
  * lends tasks to leaders of other data centres that have free capacity, and runs tasks that they
  * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
  * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
- * finds out where tasks run that an earlier leader lent, leased_share.c tells a successor of
- * targets that it may not know.
+ * finds out where tasks run that an earlier leader lent, leased_prior_jobs.c which jobs run in
+ * other data centres at all, leased_share.c tells a successor of targets that it may not know.
+ * leased_load.c counts what keeps an instance busy.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
