--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -503,12 +503,14 @@
 
     # The whole
 
-    def publish(self, **service):
+    def publish(self, version=7, dropped=False, **service):
+        """The operator writes a configuration; `dropped`: without the route of the clients."""
+        routes = [{"name": name, "host": HOST, "prefix": prefix, "service": "words",
+                   "priority": 0, "max_attempts": 3, "timeout_ms": 30000, "target_factor": 1.6,
+                   "target_latency_ms": 60}
+                  for name, prefix in (("words", "/q/"), ("other", "/other/"))]
         self.store.put("op/config", {
-            "version": 7, "limits": {},
-            "routes": [{"name": "words", "host": HOST, "prefix": "/q/", "service": "words",
-                        "priority": 0, "max_attempts": 3, "timeout_ms": 30000,
-                        "target_factor": 1.6, "target_latency_ms": 60}],
+            "version": version, "limits": {}, "routes": routes[1:] if dropped else routes,
             "services": [{"name": "words", "enforces_capacity": True, **service}]})
 
     async def start(self, make_executor=None, probe=None, **service):
