--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,6 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/play.py"
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+../build.sh || exit 2
+exec python3 play.py
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -17,7 +17,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 import zlib
 
@@ -375,8 +374,8 @@
         self.jobs = {}
         self.tasks = []
         self.on_start = []  # checks that are called with (executor, run, cpu in use) at each start
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as stream:
-            self.role = tomllib.load(stream)["roles"]["dispatcher"]
+        with open(os.path.join(ROOT, "deploy", "system.toml")) as stream:
+            self.role = dict(re.findall(r'^(run|template) = "([^"]*)"$', stream.read(), re.M))
         if not os.path.exists(os.path.join(ROOT, self.role["run"].split(" ")[0])):
             raise CannotRun("the program is not built")
         self.net = "127.%d.%d" % (self.rng.randrange(64, 120), os.getpid() % 250)
@@ -559,8 +558,11 @@
 
     async def whole():
         rig = Rig(case, seed)
+        played = asyncio.ensure_future(play(rig))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, played.cancel)
         try:
-            await asyncio.wait_for(play(rig), 110)
+            await asyncio.wait_for(played, 110)
             for instance in rig.instances:
                 if instance.process.returncode is not None:
                     raise CannotRun("%s has ended" % instance.name)
@@ -573,7 +575,7 @@
 
     try:
         status = asyncio.run(whole())
-    except Exception as error:  # whatever it is, the case did not run
+    except (Exception, asyncio.CancelledError) as error:  # the case did not run to its end
         print("could not run: %r" % error)
         status = 2
     sys.exit(status)
