--- a/review/rig/rig.py
+++ b/review/rig.py
@@ -20,7 +20,7 @@
 import urllib.parse
 import zlib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ZONES = {"zone-a": 3, "zone-b": 2, "zone-c": 2}  # instances of a small deployment
 EXECUTORS_PER_ZONE = 16
 HEARTBEAT_S = 1.5
