http-server: drop a job whose caller has left before it is handled

Callers saw: a task ran twice at the same time. A caller sent its job to an instance that stood still, left, and sent it again 1.3 s later to another one, which started it. The first instance woke, read the job from its socket, took it for new and had it started as well.

Cause: the server looked whether a caller is still there only once its request waited for the answer. Until then the age of a request counted from when it was handled, so one that had waited in a socket buffer for the length of a freeze counted as new.

Change: a route can state that its requests are void without their caller (needs_caller; the platform's POST). Such a request is handled only if the connection is still open, asked from the kernel right before, and dropped with event=request-abandoned otherwise. POLLRDHUP tells the end of the stream also behind unread input. The routes of this project's own interface, whose jobs are identified by their key, and cancels are handled as before.

Not covered: a request that the network held up, and its end of stream longer still.

--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -20,6 +20,9 @@
   void (*handle) (dks_http_exchange_t *exchange);
   size_t body_max_bytes; /**< a longer body is answered with 413 */
   bool submits;          /**< submits work: takes the caller's idempotency key or generates one */
+  /** The request is void once its caller has left: it is dropped if the caller has closed the
+   * connection before it is handled. */
+  bool needs_caller;
 } dks_http_route_t;
 
 /** The interface of a server: its routes, and how it turns effects of the reducer into replies. */
--- a/net/http_routes.c
+++ b/net/http_routes.c
@@ -364,19 +364,19 @@
 
 /* Sorted by path and method. */
 static const dks_http_route_t routes[] = {
-  { "/healthz", "GET", handle_get_healthz, 0, false },
-  { "/metrics", "GET", handle_get_metrics, 0, false },
-  { "/v1/audit", "GET", handle_get_audit, 0, false },
-  { "/v1/drain", "POST", handle_post_drain, SMALL_BODY_MAX_BYTES, false },
-  { "/v1/jobs", "POST", handle_post_jobs, DKS_SUBMISSION_MAX, true },
-  { "/v1/jobs/", "DELETE", handle_delete_job, 0, false },
-  { "/v1/jobs/", "GET", handle_get_job, 0, false },
-  { "/v1/requests", "POST", handle_post_requests, DKS_SUBMISSION_MAX, true },
-  { "/v1/settings", "GET", handle_get_settings, 0, false },
-  { "/v1/settings/", "DELETE", handle_delete_setting, 0, false },
-  { "/v1/settings/", "GET", handle_get_setting, 0, false },
-  { "/v1/settings/", "PUT", handle_put_setting, SMALL_BODY_MAX_BYTES, false },
-  { "/v1/status", "GET", handle_get_status, 0, false },
+  { "/healthz", "GET", handle_get_healthz, 0, false, false },
+  { "/metrics", "GET", handle_get_metrics, 0, false, false },
+  { "/v1/audit", "GET", handle_get_audit, 0, false, false },
+  { "/v1/drain", "POST", handle_post_drain, SMALL_BODY_MAX_BYTES, false, false },
+  { "/v1/jobs", "POST", handle_post_jobs, DKS_SUBMISSION_MAX, true, false },
+  { "/v1/jobs/", "DELETE", handle_delete_job, 0, false, false },
+  { "/v1/jobs/", "GET", handle_get_job, 0, false, false },
+  { "/v1/requests", "POST", handle_post_requests, DKS_SUBMISSION_MAX, true, false },
+  { "/v1/settings", "GET", handle_get_settings, 0, false, false },
+  { "/v1/settings/", "DELETE", handle_delete_setting, 0, false, false },
+  { "/v1/settings/", "GET", handle_get_setting, 0, false, false },
+  { "/v1/settings/", "PUT", handle_put_setting, SMALL_BODY_MAX_BYTES, false, false },
+  { "/v1/status", "GET", handle_get_status, 0, false, false },
 };
 
 static bool
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -10,6 +10,7 @@
 #include <apr_pools.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -286,6 +287,16 @@
   callbacks->event (callbacks->context, &event);
 }
 
+/* Whether the caller has closed its connection, also when there is unread input before the end of
+ * the stream. */
+static bool
+exchange_is_caller_gone (const dks_http_exchange_t *exchange)
+{
+  struct pollfd connection = { .fd = exchange_fd (exchange), .events = POLLRDHUP };
+
+  return poll (&connection, 1, 0) > 0;
+}
+
 /* Notices that a waiting caller disconnects; libmicrohttpd does not watch suspended connections. */
 static void
 handle_caller_readable (void *context, int fd, int events)
@@ -528,6 +539,13 @@
 {
   if (exchange->response == NULL && exchange->caller_id == 0)
     {
+      /* The request may have waited in the socket for longer than its caller did, while this
+       * process stood still, and the caller may have sent it again elsewhere. */
+      if (exchange->route->needs_caller && exchange_is_caller_gone (exchange))
+        {
+          dks_log (DKS_LOG_INFO, "event=request-abandoned method=%s", exchange->route->method);
+          return MHD_NO;
+        }
       exchange->route->handle (exchange);
       exchange_drop_body (exchange);
       if (exchange->response == NULL)
--- a/tests/net_server.h
+++ b/tests/net_server.h
@@ -33,6 +33,21 @@
   return fd;
 }
 
+// Connects to a port on 127.0.0.1; returns the socket.
+inline int
+net_connect (int port)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in address = {};
+
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (static_cast<uint16_t> (port));
+  if (connect (fd, reinterpret_cast<struct sockaddr *> (&address), sizeof (address)) != 0)
+    abort ();
+  return fd;
+}
+
 // A port on which nothing listens.
 inline int
 net_free_port ()
