http-server: notice a caller that leaves after it has sent more input

A caller that sent anything beyond its request (its next request, or an empty line) and then left was never reported to the reducer, as the unread input hides the end of the stream and the descriptor is not watched from then on.

Change: the server asks the kernel for the end of the stream of such connections every 100 ms (POLLRDHUP); the others are watched as before.

Evidence: HttpServer.ReportsCallersThatDisconnectAfterAFurtherRequest fails without the change (no event in 2 s) and passes with it.

--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -54,6 +54,7 @@
   uint64_t random_state;
   uint32_t connection_count;
   uint32_t open_requests;
+  dks_timer_t callers_timer;
   size_t body_bytes_held;   /**< allocated for the bodies of all open requests */
   uint64_t bad_input_total; /**< requests that could not be decoded */
 };
@@ -71,12 +72,13 @@
   uint8_t *body;
   size_t body_len;
   size_t body_capacity;
-  size_t body_received; /**< bytes received of the body, those that were dropped included */
-  uint64_t caller_id;   /**< identifies the caller to the reducer; 0 before it is registered */
-  bool waiting;         /**< registered, and the reducer has not replied yet */
-  bool suspended;       /**< the connection is suspended in libmicrohttpd */
-  bool caller_gone;     /**< the caller closed the connection */
-  bool over_limit;      /**< the connection is above max_connections; closed after the reply */
+  size_t body_received;  /**< bytes received of the body, those that were dropped included */
+  uint64_t caller_id;    /**< identifies the caller to the reducer; 0 before it is registered */
+  bool waiting;          /**< registered, and the reducer has not replied yet */
+  bool suspended;        /**< the connection is suspended in libmicrohttpd */
+  bool caller_gone;      /**< the caller closed the connection */
+  bool has_unread_input; /**< the caller has sent more than this request */
+  bool over_limit;       /**< the connection is above max_connections; closed after the reply */
   struct MHD_Response *response;
   unsigned status;
 };
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -29,6 +29,9 @@
   BODY_READ_MAX_BYTES = 4 * DKS_SUBMISSION_MAX,
   BODY_INITIAL_CAPACITY = 4096,      /* bytes */
   BODIES_HELD_MAX_BYTES = 256 << 20, /* allocated for the bodies of all open requests */
+  /* Between two checks of waiting callers whose connections have unread input: the input hides the
+   * end of the stream from the event loop. */
+  CALLERS_CHECK_INTERVAL_US = 100000,
   MS_PER_S = 1000
 };
 
@@ -297,25 +300,79 @@
   return poll (&connection, 1, 0) > 0;
 }
 
+static void
+exchange_drop_caller (dks_http_exchange_t *exchange)
+{
+  exchange_report_caller_gone (exchange);
+  exchange_resume (exchange);
+}
+
+static void
+server_schedule_callers_check (dks_http_server_t *server)
+{
+  if (!dks_timer_is_armed (&server->callers_timer))
+    dks_timer_set (dks_loop_timers (server->loop), &server->callers_timer,
+                   dks_loop_now ().mono_us + CALLERS_CHECK_INTERVAL_US);
+}
+
+/* Reports the waiting callers that have left; with `unread_only`, looks only at those whose
+ * connections are not watched because of unread input. Returns how many of these are left. */
+static uint32_t
+server_check_callers (dks_http_server_t *server, bool unread_only)
+{
+  uint64_t *gone = dks_alloc ((apr_hash_count (server->callers) + 1) * sizeof (gone[0]));
+  uint32_t gone_count = 0;
+  uint32_t unread_count = 0;
+
+  for (apr_hash_index_t *i = apr_hash_first (server->pool, server->callers); i != NULL;
+       i = apr_hash_next (i))
+    {
+      const dks_http_exchange_t *exchange = apr_hash_this_val (i);
+
+      if (unread_only && !exchange->has_unread_input)
+        continue;
+      if (exchange_is_caller_gone (exchange))
+        gone[gone_count++] = exchange->caller_id;
+      else
+        unread_count += exchange->has_unread_input;
+    }
+  /* Each report may end further requests. */
+  for (uint32_t i = 0; i < gone_count; i++)
+    {
+      dks_http_exchange_t *exchange = apr_hash_get (server->callers, &gone[i], sizeof (gone[i]));
+
+      if (exchange != NULL)
+        exchange_drop_caller (exchange);
+    }
+  free (gone);
+  return unread_count;
+}
+
+static void
+handle_callers_timer (void *context, int64_t now_us)
+{
+  dks_http_server_t *server = context;
+
+  if (server_check_callers (server, true) > 0)
+    server_schedule_callers_check (server);
+}
+
 /* Notices that a waiting caller disconnects; libmicrohttpd does not watch suspended connections. */
 static void
 handle_caller_readable (void *context, int fd, int events)
 {
   dks_http_exchange_t *exchange = context;
-  char byte;
-  ssize_t len = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-  if (len > 0)
+  if (exchange_is_caller_gone (exchange) || events & DKS_LOOP_ERROR)
     {
-      /* The caller has already sent its next request, which is read after the reply. The descriptor
-       * is no longer watched, since the unread data would wake the loop continuously. */
-      dks_loop_watch (exchange->server->loop, fd, 0, NULL, NULL);
+      exchange_drop_caller (exchange);
       return;
     }
-  if (len < 0 && (errno == EAGAIN || errno == EINTR) && !(events & DKS_LOOP_ERROR))
-    return;
-  exchange_report_caller_gone (exchange);
-  exchange_resume (exchange);
+  /* The caller has already sent its next request, which is read after the reply. The descriptor
+   * is no longer watched, since the unread data would wake the loop continuously. */
+  dks_loop_watch (exchange->server->loop, fd, 0, NULL, NULL);
+  exchange->has_unread_input = true;
+  server_schedule_callers_check (exchange->server);
 }
 
 static void
@@ -712,6 +769,7 @@
   created->callers = apr_hash_make (created->pool);
   created->epoll_fd = MHD_get_daemon_info (created->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   dks_timer_init (&created->run_timer, handle_run_timer, created);
+  dks_timer_init (&created->callers_timer, handle_callers_timer, created);
   if (dks_loop_watch (loop, created->epoll_fd, DKS_LOOP_READ, handle_epoll, created) != DKS_OK)
     {
       dks_http_server_destroy (created);
@@ -737,6 +795,7 @@
   dks_loop_watch (server->loop, server->epoll_fd, 0, NULL, NULL);
   MHD_stop_daemon (server->daemon);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
+  dks_timer_cancel (dks_loop_timers (server->loop), &server->callers_timer);
   apr_pool_destroy (server->pool);
   free (server);
 }
--- a/tests/test_http_server.cc
+++ b/tests/test_http_server.cc
@@ -923,6 +923,23 @@
   EXPECT_EQ (events.size (), 3u);
 }
 
+/* Guards against a run that goes on for a caller that sent its next request early and then left. */
+TEST_F (HttpServer, ReportsCallersThatDisconnectAfterAFurtherRequest)
+{
+  start ();
+  Client client (port);
+  send_text (client, request ("POST", "/v1/jobs", job_body));
+  ASSERT_TRUE (run_until ([&] { return events.size () == 1; }));
+  send_text (client, request ("POST", "/v1/jobs", job_body));
+  for (int i = 0; i < 5; i++)
+    turn ();
+  client.disconnect ();
+  ASSERT_TRUE (run_until ([&] { return events.size () == 2; }, 2000000));
+  EXPECT_EQ (events[1].type, DKS_EVENT_CALLER_GONE);
+  EXPECT_EQ (events[1].caller, events[0].caller);
+  EXPECT_TRUE (run_until ([&] { return dks_http_server_open_requests (server) == 0; }));
+}
+
 /* Guards against an event for a request whose body was cut off by a disconnect. */
 TEST_F (HttpServer, IgnoresRequestsThatAreCutOff)
 {
