leased-entry: check the callers before requests that waited are sent

A request waits at its entry instance for a leader; the process stands still, the caller leaves and submits the job in another data centre; the process wakes and handles the status of a new leader before the end of the caller's connection, and sends the job as a first submission.

Cause: what waited in the sockets of a process is handled in any order after a pause or on a slow machine, and the reducer takes a caller for present until it is told otherwise.

Change: the effect CALLERS_CHECK has the host ask the kernel for all waiting callers; the event CALLERS_CHECKED follows the CALLER_GONE events. Requests that waited are sent only then, and none is sent from the end of a pause until then. A check that is older than 0.5 s when it is handled is made again.

--- a/core/leased.c
+++ b/core/leased.c
@@ -153,7 +153,10 @@
   int64_t pause_us = event->now.mono_us - leased->last_event_us;
 
   if (leased->last_event_us > 0 && pause_us > PAUSE_MIN_US)
-    dks_leased_leader_handle_pause (leased, pause_us);
+    {
+      dks_leased_leader_handle_pause (leased, pause_us);
+      dks_leased_entry_handle_pause (leased);
+    }
   leased->last_event_us = event->now.mono_us;
   dks_leased_load_record_event (leased, event);
   switch (event->type)
@@ -164,6 +167,9 @@
     case DKS_EVENT_CALLER_GONE:
       dks_leased_entry_handle_caller_gone (leased, event->u.caller_gone.caller);
       break;
+    case DKS_EVENT_CALLERS_CHECKED:
+      dks_leased_entry_handle_callers_checked (leased, event->u.callers_checked.checked_us);
+      break;
     case DKS_EVENT_FEED:
       dks_leased_feed_handle_event (leased, event);
       break;
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -16,6 +16,9 @@
   NO_CATALOG_RETRY_AFTER_MS = 1000,
   /* Wait beyond a request's budget, in which its leader ends the request by itself. */
   LEADER_ANSWER_MARGIN_US = 50000,
+  /* Age of a check of the callers above which it is made again: the process may have stood still
+   * since. Less than the time after which a caller that left submits its job again. */
+  CALLERS_CHECK_AGE_MAX_US = 500000,
   /* Times after the start of the drain. The instance serves until DRAIN_MIN_US at least: the load
      balancer needs two failed checks to send callers elsewhere. */
   DRAIN_MIN_US = 2500000,
@@ -191,19 +194,68 @@
                                                                   : "no answer in time");
 }
 
+/* Whether the request has not been sent to the present leader in its present term. */
+static bool
+request_is_unsent (const dks_leased_request_t *request)
+{
+  const char *leader = dks_leased_leader_id (request->leased);
+
+  return leader != NULL
+         && (strcmp (request->leader, leader) != 0
+             || request->leader_term != dks_leased_leader_term (request->leased));
+}
+
+/* A request that has waited is sent only once it is known that its caller still does: one that left
+ * may have submitted the job elsewhere, and its departure may be among the events that wait. */
+static void
+check_callers (dks_leased_t *leased)
+{
+  if (leased->callers_check_pending)
+    return;
+  leased->callers_check_pending = true;
+  dks_effects_add (leased->r->effects, DKS_EFFECT_CALLERS_CHECK);
+}
+
+void
+dks_leased_entry_handle_pause (dks_leased_t *leased)
+{
+  /* A check that is under way may have looked before the pause. */
+  leased->callers_check_pending = false;
+  check_callers (leased);
+}
+
 void
 dks_leased_entry_resubmit (dks_leased_t *leased)
+{
+  dks_leased_request_t *request;
+
+  APR_RING_FOREACH (request, &leased->requests, dks_leased_request_t, link)
+    {
+      if (request_is_unsent (request))
+        {
+          check_callers (leased);
+          return;
+        }
+    }
+}
+
+void
+dks_leased_entry_handle_callers_checked (dks_leased_t *leased, int64_t checked_us)
 {
   const char *leader = dks_leased_leader_id (leased);
   uint64_t term = dks_leased_leader_term (leased);
   dks_leased_request_t *request;
   dks_leased_request_t *next;
 
-  if (leader == NULL)
-    return;
+  leased->callers_check_pending = false;
+  if (dks_leased_now_us (leased) - checked_us > CALLERS_CHECK_AGE_MAX_US)
+    {
+      check_callers (leased);
+      return;
+    }
   APR_RING_FOREACH_SAFE (request, next, &leased->requests, dks_leased_request_t, link)
     {
-      if (strcmp (request->leader, leader) == 0 && request->leader_term == term)
+      if (!request_is_unsent (request))
         continue;
       if (request->send_count > 0)
         dks_emit_log (leased->r, DKS_LOG_INFO,
@@ -299,7 +351,7 @@
   leased->request_count++;
   request_add_caller (request, event->u.batch.caller);
   request_schedule_timer (request);
-  if (leader != NULL)
+  if (leader != NULL && !leased->callers_check_pending)
     request_send (request, leader);
 }
 
--- a/core/leased_load.c
+++ b/core/leased_load.c
@@ -26,6 +26,7 @@
     [DKS_EVENT_BATCH] = "batch",
     [DKS_EVENT_FEED] = "feed",
     [DKS_EVENT_LEASE_REPLY] = "lease_reply",
+    [DKS_EVENT_CALLERS_CHECKED] = "callers_checked",
   };
 
   return names[type] != NULL ? names[type] : "other";
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -294,6 +294,7 @@
     case DKS_EVENT_PEER_REFUSED: /* other members are known by the platform's list */
     case DKS_EVENT_FEED:
     case DKS_EVENT_LEASE_REPLY:
+    case DKS_EVENT_CALLERS_CHECKED:
       /* Sent only by hosts of leased targets. */
       break;
     }
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -96,6 +96,18 @@
 {
 }
 
+static void apply_event (dks_host_t *host, dks_event_t *event);
+
+static void
+check_callers (dks_host_t *host)
+{
+  dks_event_t event = { .type = DKS_EVENT_CALLERS_CHECKED };
+
+  event.u.callers_checked.checked_us = dks_loop_now ().mono_us;
+  dks_http_server_check_callers (host->front);
+  apply_event (host, &event);
+}
+
 static void
 execute_effect (dks_host_t *host, const dks_effect_t *effect)
 {
@@ -143,6 +155,9 @@
     case DKS_EFFECT_LOG:
       dks_log (effect->u.log.level, "%s", effect->u.log.text);
       break;
+    case DKS_EFFECT_CALLERS_CHECK:
+      check_callers (host);
+      break;
     case DKS_EFFECT_EXIT:
       handle_drained (host);
       break;
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -101,17 +101,19 @@
   DKS_EVENT_PEER_UP,     /**< a connection to an instance is ready for messages */
   DKS_EVENT_PEER_DOWN,   /**< the connection to an instance closed */
   DKS_EVENT_PEER_MSG,
-  DKS_EVENT_PEER_REFUSED,  /**< an address refused a connection: no process listens there */
-  DKS_EVENT_TARGET_REPLY,  /**< outcome of a TARGET_SEND */
-  DKS_EVENT_STORE_REPLY,   /**< outcome of a STORE_GET or STORE_CAS */
-  DKS_EVENT_STORE_RECORD,  /**< a watch delivered a record */
-  DKS_EVENT_INSTANCE_LIST, /**< the platform's list was read */
-  DKS_EVENT_SETTINGS_EDIT, /**< an operator edits the settings tree */
-  DKS_EVENT_DRAIN,         /**< shut down gracefully */
-  DKS_EVENT_CONFIG,        /**< the configuration of this instance was reloaded */
-  DKS_EVENT_BATCH,         /**< a caller submits, queries or cancels a batch */
-  DKS_EVENT_FEED,          /**< outcome of a FEED_READ or FEED_WATCH */
-  DKS_EVENT_LEASE_REPLY,   /**< outcome of a LEASE_START, LEASE_STOP or LEASE_HOLD */
+  DKS_EVENT_PEER_REFUSED,    /**< an address refused a connection: no process listens there */
+  DKS_EVENT_TARGET_REPLY,    /**< outcome of a TARGET_SEND */
+  DKS_EVENT_STORE_REPLY,     /**< outcome of a STORE_GET or STORE_CAS */
+  DKS_EVENT_STORE_RECORD,    /**< a watch delivered a record */
+  DKS_EVENT_INSTANCE_LIST,   /**< the platform's list was read */
+  DKS_EVENT_SETTINGS_EDIT,   /**< an operator edits the settings tree */
+  DKS_EVENT_DRAIN,           /**< shut down gracefully */
+  DKS_EVENT_CONFIG,          /**< the configuration of this instance was reloaded */
+  DKS_EVENT_BATCH,           /**< a caller submits, queries or cancels a batch */
+  DKS_EVENT_FEED,            /**< outcome of a FEED_READ or FEED_WATCH */
+  DKS_EVENT_LEASE_REPLY,     /**< outcome of a LEASE_START, LEASE_STOP or LEASE_HOLD */
+  DKS_EVENT_CALLERS_CHECKED, /**< outcome of a CALLERS_CHECK: a CALLER_GONE has come for each caller
+                                that had left by then */
 } dks_event_type_t;
 
 /** Input to dks_reducer_apply(). The reducer takes its own references to what it keeps; the
@@ -198,6 +200,10 @@
                             say */
     } batch;
     struct
+    {
+      int64_t checked_us; /**< monotonic time at which the check began */
+    } callers_checked;
+    struct
     {
       uint64_t op;
       dks_feed_status_t status;
@@ -230,14 +236,15 @@
   DKS_EFFECT_STORE_GET,
   DKS_EFFECT_STORE_CAS,
   DKS_EFFECT_LOG,
-  DKS_EFFECT_EXIT,        /**< drained: nothing is left to do */
-  DKS_EFFECT_BATCH_REPLY, /**< answer to a BATCH event; exactly one per caller id */
-  DKS_EFFECT_FEED_READ,   /**< read a part of a feed */
-  DKS_EFFECT_FEED_WATCH,  /**< long poll for changes of a feed */
-  DKS_EFFECT_LEASE_START, /**< start a run at a target */
-  DKS_EFFECT_LEASE_STOP,  /**< stop a run; if its start arrives after the stop, the target rejects
-                             the start */
-  DKS_EFFECT_LEASE_HOLD,  /**< read a target's lists of runs; may extend its lease */
+  DKS_EFFECT_EXIT,          /**< drained: nothing is left to do */
+  DKS_EFFECT_BATCH_REPLY,   /**< answer to a BATCH event; exactly one per caller id */
+  DKS_EFFECT_FEED_READ,     /**< read a part of a feed */
+  DKS_EFFECT_FEED_WATCH,    /**< long poll for changes of a feed */
+  DKS_EFFECT_LEASE_START,   /**< start a run at a target */
+  DKS_EFFECT_LEASE_STOP,    /**< stop a run; if its start arrives after the stop, the target rejects
+                               the start */
+  DKS_EFFECT_LEASE_HOLD,    /**< read a target's lists of runs; may extend its lease */
+  DKS_EFFECT_CALLERS_CHECK, /**< look which waiting callers have left */
 } dks_effect_type_t;
 
 /** Output of dks_reducer_apply(). All that an effect refers to stays valid until the effects are
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -436,7 +436,7 @@
 
 enum
 {
-  DKS_LEASED_EVENT_TYPES = DKS_EVENT_LEASE_REPLY + 1 /**< size of a table by event type */
+  DKS_LEASED_EVENT_TYPES = DKS_EVENT_CALLERS_CHECKED + 1 /**< size of a table by event type */
 };
 
 /** What an instance has handled and sent since its start. */
@@ -563,7 +563,8 @@
   struct dks_leased_request_ring_t requests;
   uint32_t request_count;
   apr_hash_t *callers_by_id;
-  int64_t drain_start_us; /**< when the drain began, 0 before */
+  bool callers_check_pending; /* requests wait for the outcome of a CALLERS_CHECK */
+  int64_t drain_start_us;     /**< when the drain began, 0 before */
 };
 
 static inline int64_t
@@ -1019,6 +1020,10 @@
 void dks_leased_entry_handle_done (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Sends the present leader the requests that were sent to another leader, or to none yet. */
 void dks_leased_entry_resubmit (dks_leased_t *leased);
+/** The process has stood still: what its callers did meanwhile is not known. */
+void dks_leased_entry_handle_pause (dks_leased_t *leased);
+/** All callers that had left at `checked_us` have been reported. */
+void dks_leased_entry_handle_callers_checked (dks_leased_t *leased, int64_t checked_us);
 void dks_leased_entry_handle_drain (dks_leased_t *leased);
 /** Whether a draining instance has no requests and jobs left, or the time of its drain is over. */
 bool dks_leased_entry_is_drained (const dks_leased_t *leased);
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -44,6 +44,8 @@
 /** Sends the reply of a DKS_EFFECT_REPLY, EDIT_REPLY or BATCH_REPLY; ignored when the caller has
  * disconnected. */
 void dks_http_server_reply (dks_http_server_t *server, const dks_effect_t *effect);
+/** Emits CALLER_GONE for each waiting caller that has closed its connection by now. */
+void dks_http_server_check_callers (dks_http_server_t *server);
 /** From now on every reply closes its connection, and /healthz reports that the instance is
  * draining. */
 void dks_http_server_set_draining (dks_http_server_t *server);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -348,6 +348,12 @@
   return unread_count;
 }
 
+void
+dks_http_server_check_callers (dks_http_server_t *server)
+{
+  server_check_callers (server, false);
+}
+
 static void
 handle_callers_timer (void *context, int64_t now_us)
 {
@@ -605,7 +611,7 @@
         }
       exchange->route->handle (exchange);
       exchange_drop_body (exchange);
-      if (exchange->response == NULL)
+      if (exchange->response == NULL && !exchange->caller_gone)
         {
           exchange_suspend (exchange);
           return MHD_YES;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -298,6 +298,8 @@
   void start_instance (size_t instance);
   void execute_effect (size_t instance, const dks_effect_t &effect);
   void schedule_tick (size_t instance);
+  void report_caller_gone (size_t instance, uint64_t caller);
+  void check_callers (size_t instance);
   void link (size_t a, size_t b);
   void connect (size_t instance, const std::string &address);
   void unlink (size_t a, size_t b);
@@ -371,6 +373,9 @@
   std::map<std::pair<size_t, uint64_t>, FeedCall> feed_calls; // by instance and operation
   uint64_t sequence = 0;
   uint64_t next_caller = 1;
+  std::set<uint64_t> left_callers; // have closed their connections
+  // Those of them of which their instance does not know yet.
+  std::set<std::pair<size_t, uint64_t>> unreported_callers;
   std::map<size_t, int64_t> next_tick_us;  // by index of the instance, INT64_MAX: none scheduled
   std::map<std::string, int> incarnations; // starts so far, by id of the instance
 };
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -168,6 +168,7 @@
     case DKS_EFFECT_LEASE_START:
     case DKS_EFFECT_LEASE_STOP:
     case DKS_EFFECT_LEASE_HOLD:
+    case DKS_EFFECT_CALLERS_CHECK:
     case DKS_EFFECT_PEER_CLOSE:
       DKS_INVARIANT (!"an effect for leased targets in a world without them");
       break;
--- /dev/null
+++ b/tests/test_leased_entry.cc
@@ -0,0 +1,69 @@
+// Requests of callers at an entry instance whose process stands still for a while.
+
+#include "leased_world.h"
+
+#include <gtest/gtest.h>
+
+using leased::count_logged;
+using leased::got_answer;
+using leased::ms;
+using leased::World;
+
+namespace
+{
+
+const char *const job_id = "0000000000000001";
+constexpr int64_t retransmit_us = 1300 * ms; // from when a caller leaves to its next submission
+constexpr int64_t budget_ms = 12000;         // how long a caller that stays waits for its answer
+
+// Data centre "a" with the instances 0 to 2, of which the first leads, and "b" with instance 3.
+void
+start_data_centres (World &world)
+{
+  for (int i = 0; i < 3; i++)
+    world.add_instance ("a");
+  world.add_instance ("b");
+  for (int i = 0; i < 2; i++)
+    {
+      world.add_target ("a");
+      world.add_target ("b");
+    }
+  world.start_all ();
+  world.run_for (4000 * ms);
+}
+
+bool
+knows_leader (const World &world, size_t instance)
+{
+  return dks_reducer_is_ready (world.instances[instance]->reducer);
+}
+
+}
+
+// Guards against a job that runs twice: its request waits for a leader at an instance that stands
+// still, its caller leaves and submits the job elsewhere, and the instance learns of a leader
+// before it learns that the caller has left.
+TEST (LeasedEntry, RequestOfACallerThatLeftDuringAPauseIsNotSent)
+{
+  World world;
+  start_data_centres (world);
+  world.kill (0);
+  for (int i = 0; i < 1000 && knows_leader (world, 2); i++)
+    world.run_for (ms);
+  ASSERT_FALSE (knows_leader (world, 2));
+  uint64_t first = world.submit (2, job_id, { { 1, 6800, 900, 900 } }, budget_ms);
+  world.set_frozen (2, true);
+  for (int i = 0; i < 1000 && !knows_leader (world, 1); i++)
+    world.run_for (ms);
+  ASSERT_TRUE (knows_leader (world, 1));
+  world.run_for (10 * ms);
+  world.leave (2, first);
+  world.run_for (retransmit_us);
+  uint64_t second = world.submit (3, job_id, { { 1, 6800, 900, 900 } }, budget_ms);
+  world.run_for (20 * ms);
+  world.set_frozen (2, false);
+  world.run_for (3000 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+  EXPECT_EQ (count_logged (world, "event=caller-gone"), 1U);
+  EXPECT_TRUE (got_answer (world, second, DKS_BATCH_COMPLETED));
+}
