leased-jobs: cancel lent tasks also at leaders that count as lost

Callers saw (in virtual time): two runs of one task in different data centres. A home leader that is slow, or hears nothing of a remote leader, counts this one as lost; the remote leader hears it all the time and goes on with the lent run. When the job ended or the home leader stopped leading, no cancellation was sent, as the leader was lost, and the run went on to its end while the caller had submitted the job elsewhere.

Change: the cancellation is sent whether or not the leader counts as lost; without a connection it goes nowhere, as before.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -190,8 +190,8 @@
 {
   if (task->remote_lost)
     job->leased->remote_lost_tasks--;
-  else
-    send_cancel (job->leased, task->remote_leader, job->step_lend_id[task->batch_step]);
+  /* A leader that counts as lost here may still run the task. */
+  send_cancel (job->leased, task->remote_leader, job->step_lend_id[task->batch_step]);
 }
 
 /* Stops the job's runs on targets of this leader, cancels its tasks at remote leaders, and frees
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -19,6 +19,8 @@
 constexpr int64_t settle_ms = 9000; // from the last fault until all callers have an answer
 constexpr int64_t retransmit_ms = 1300; // from the loss of an answer to the next submission
 constexpr int64_t budget_ms = 6000;
+// Time for which an impatient caller waits for the answer to one submission.
+constexpr int64_t patience_ms = 1500;
 
 // SplitMix64.
 class Random
@@ -61,12 +63,16 @@
   uint64_t caller = 0; // 0: waits to submit again
   size_t entry = 0;
   bool ended = false;
+  int64_t leaves_us = INT64_MAX; // closes its present connection then, and submits again later
 };
 
 class Schedule
 {
 public:
-  explicit Schedule (uint64_t seed) : random (seed)
+  // Impatient callers leave before their job has ended, some of them right after they submitted it,
+  // and submit it again.
+  explicit Schedule (uint64_t seed, bool callers_are_impatient = false)
+      : random (seed), patience (seed), callers_are_impatient (callers_are_impatient)
   {
   }
 
@@ -237,8 +243,12 @@
         submit_later (client);
         return;
       }
+    if (callers_are_impatient)
+      client.leaves_us =
+          world.now_us + (patience.chance (30) ? patience.between (10, 400) : patience_ms) * ms;
     client.caller = world.submit (client.entry, client.job, client.steps,
-                                  (client.gives_up_us - world.now_us) / ms);
+                                  callers_are_impatient ? patience_ms
+                                                        : (client.gives_up_us - world.now_us) / ms);
   }
 
   void
@@ -261,8 +271,16 @@
       {
         if (client.ended || client.caller == 0)
           continue;
-        if (!world.answered (client.caller))
+        if (!world.answered (client.caller) && world.now_us < client.leaves_us)
           continue;
+        if (!world.answered (client.caller))
+          {
+            if (world.instances[client.entry]->up)
+              world.leave (client.entry, client.caller);
+            client.caller = 0;
+            submit_later (client);
+            continue;
+          }
         client.ended = world.answers[client.caller].answer != DKS_BATCH_LOST;
         client.caller = 0;
         if (!client.ended)
@@ -398,7 +416,14 @@
     size_t other = random.chance (50) ? leader_of (any_data_centre ()) : any_instance ();
     int64_t us = random.between (200, 3000) * ms;
 
-    switch (random.between (1, 13))
+    int64_t kind = random.between (1, 13);
+
+    if (world.trace)
+      printf ("%9.3f fault %d at %s, other instance %s, for %d ms\n",
+              static_cast<double> (world.now_us) / 1e6, static_cast<int> (kind),
+              world.instances[victim]->id.c_str (), world.instances[other]->id.c_str (),
+              static_cast<int> (us / ms));
+    switch (kind)
       {
       case 1:
         drain (victim);
@@ -490,6 +515,8 @@
   }
 
   Random random;
+  Random patience; // of the callers
+  bool callers_are_impatient;
   std::vector<std::string> names; // of the data centres
   std::string home;               // data centre that gets most of the jobs
   std::vector<Client> clients;
@@ -503,8 +530,11 @@
 
 }
 
-// Guards against two runs of one task at once, over overlapping faults while tasks are lent.
-TEST (LeasedOverlap, NoTaskHasTwoRunsOnAnySchedule)
+namespace
+{
+
+void
+play_schedules (bool callers_are_impatient)
 {
   const char *range = getenv ("DKS_OVERLAP_SEEDS");
   unsigned long long first = 1;
@@ -516,7 +546,7 @@
     }
   for (unsigned long long seed = first; seed <= last; seed++)
     {
-      Schedule schedule (seed);
+      Schedule schedule (seed, callers_are_impatient);
 
       schedule.run ();
       std::string text;
@@ -529,6 +559,21 @@
     }
 }
 
+}
+
+// Guards against two runs of one task at once, over overlapping faults while tasks are lent.
+TEST (LeasedOverlap, NoTaskHasTwoRunsOnAnySchedule)
+{
+  play_schedules (false);
+}
+
+// The same while callers leave early and submit their jobs again, also to instances that stand
+// still meanwhile.
+TEST (LeasedOverlap, NoTaskHasTwoRunsWhenCallersLeaveEarly)
+{
+  play_schedules (true);
+}
+
 namespace
 {
 
@@ -816,3 +861,22 @@
   world.run_for (200 * ms);
   EXPECT_TRUE (has_no_double_run (world));
 }
+
+// Guards against a run that goes on in another data centre after its job was cancelled: the home
+// leader hears nothing of the remote one, which still hears it.
+TEST (LeasedOverlap, LentTaskIsCancelledAtALeaderThatCountsAsLost)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 1, 4 }, { 1, 4 } });
+  fill_home (world);
+  uint64_t caller = submit_long_task (world, "a-1");
+  world.run_for (50 * ms);
+  ASSERT_EQ (count_runs (world, "b") + count_runs (world, "c"), 1U);
+  std::string remote = count_runs (world, "b") > 0 ? "b" : "c";
+  world.set_cut (world.find (remote + "-1"), world.find ("a-1"), true);
+  world.run_for (750 * ms);
+  ASSERT_EQ (count_runs (world, remote), 1U);
+  world.leave (world.find ("a-1"), caller);
+  world.run_for (100 * ms);
+  EXPECT_EQ (count_runs (world, remote), 0U);
+}
