leased-members: bound the age of jobs and lent tasks by echoes

Callers saw (in virtual time): two runs of one task in different data centres. A home leader had restarted while its connection to a remote leader was slow; its lent task arrived 1.4 s after it was sent, when the caller had left and submitted the job elsewhere, and was started.

Cause: the age of a message was taken as its delay beyond that of the fastest message so far. When all messages of a process have been delayed alike, none seems to be late.

Change: statuses echo the sending time of the latest status that was handled, so the sender's clock is bounded from the other side too. Lent tasks are started only if it is certain that they were sent within 0.5 s (leaders send statuses every 100 ms), and jobs are refused if they may be older. A sender that has not yet answered any status is trusted for jobs, not for lent tasks.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -14,6 +14,9 @@
    * task is refused: some ms are usual, 100 ms occur on an instance that uses all its processor
    * time. */
   WORK_LAG_MAX_US = 200000,
+  /* Greatest age that the message may have, above which the job or lent task is refused. It
+   * includes the interval between the statuses of a leader, 100 ms. */
+  WORK_AGE_MAX_US = 500000,
   /* Least time from the receipt of a job to its refusal because no task could start; a new leader
    * has read the run lists of its targets by then. */
   PLACEMENT_WAIT_MIN_US = 100000,
@@ -745,14 +748,26 @@
 
 /* Whether lent tasks must not be started: they were lent to another leadership than the present one
  * of this instance, for whose tasks the home leader has asked a successor; or by a home leader that
- * was superseded; or so long ago that it may have given them up, with its cancellation still on the
- * way. */
+ * was superseded; or possibly so long ago that it has given them up, with its cancellation still on
+ * the way. */
 static bool
 is_lend_outdated (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg,
                   int64_t lag_us)
 {
   return (msg->u.work.remote_term != 0 && msg->u.work.remote_term != leased->term)
-         || lag_us > WORK_LAG_MAX_US || !dks_leased_peer_is_leader (leased, peer);
+         || lag_us > WORK_LAG_MAX_US || !dks_leased_peer_is_leader (leased, peer)
+         || !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US);
+}
+
+/* Whether a job has been under way for so long that its caller may have left meanwhile. A sender
+ * that has not yet answered a status of this leader is trusted. */
+static bool
+is_job_late (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg,
+             int64_t lag_us)
+{
+  return lag_us > WORK_LAG_MAX_US
+         || (peer != NULL && peer->echo_known
+             && !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US));
 }
 
 void
@@ -801,7 +816,7 @@
       place_lent (job);
       return;
     }
-  if (!job->resent && lag_us > WORK_LAG_MAX_US)
+  if (!job->resent && is_job_late (leased, peer, msg, lag_us))
     job_refuse (job, "the leader cannot keep up");
   else if (has_forbidden_task (job))
     job_answer (job, DKS_BATCH_FAILED, 0, crash_reason);
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -412,12 +412,20 @@
  * that of a status which was not delayed. It outlasts silence and connections: the first status
  * after a cut has been held up as long as the messages that follow it. */
 static void
-record_lag (dks_leased_t *leased, dks_leased_peer_t *peer, int64_t sent_us)
+record_lag (dks_leased_t *leased, dks_leased_peer_t *peer, int64_t sent_us, int64_t heard_us)
 {
   int64_t clock_diff_us = leased->r->now.mono_us - sent_us;
+  int64_t drift_us = peer->last_status_us > 0
+                         ? (leased->r->now.mono_us - peer->last_status_us) / CLOCK_DRIFT_PART
+                         : 0;
 
-  if (peer->last_status_us > 0)
-    peer->min_clock_diff_us += (leased->r->now.mono_us - peer->last_status_us) / CLOCK_DRIFT_PART;
+  peer->min_clock_diff_us += drift_us;
+  peer->max_echo_diff_us -= drift_us;
+  if (heard_us > 0 && (!peer->echo_known || heard_us - sent_us > peer->max_echo_diff_us))
+    {
+      peer->max_echo_diff_us = heard_us - sent_us;
+      peer->echo_known = true;
+    }
   if (peer->last_status_us == 0 || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
   peer->last_status_us = leased->r->now.mono_us;
@@ -425,6 +433,13 @@
   dks_leased_leader_record_lag (leased, peer);
 }
 
+bool
+dks_leased_peer_sent_within (const dks_leased_t *leased, const dks_leased_peer_t *peer,
+                             int64_t sent_us, int64_t age_us)
+{
+  return peer->echo_known && leased->r->now.mono_us - sent_us - peer->max_echo_diff_us < age_us;
+}
+
 int64_t
 dks_leased_peer_lag_us (const dks_leased_t *leased, const dks_leased_peer_t *peer, int64_t sent_us)
 {
@@ -448,7 +463,7 @@
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
     dks_leased_lend_handle_remote_lost (leased, peer->id);
-  record_lag (leased, peer, msg->u.leased_status.sent_us);
+  record_lag (leased, peer, msg->u.leased_status.sent_us, msg->u.leased_status.heard_us);
   peer->last_sent_us = msg->u.leased_status.sent_us;
   peer->status_received = true;
   peer->unproven_until_us = 0;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -105,8 +105,12 @@
   char lost_address[DKS_ADDRESS_SIZE]; /**< its address when the connection closed, if it was known
                                         */
   int64_t min_clock_diff_us;           /**< least receipt time less sending time of its statuses */
-  int64_t heard_since_us;              /**< when its first status after a silence was received */
-  int64_t last_status_us;              /**< when its latest status was received, 0: none yet */
+  /** Greatest time at which this instance sent a status, less the time at which the peer, having
+   * handled it, sent one: a bound for the difference of the two clocks. */
+  int64_t max_echo_diff_us;
+  bool echo_known;        /**< `max_echo_diff_us` is known */
+  int64_t heard_since_us; /**< when its first status after a silence was received */
+  int64_t last_status_us; /**< when its latest status was received, 0: none yet */
   int64_t lag_us; /**< delay of its latest status in transit and in the queue of this instance */
   int64_t
       late_since_us; /**< first of its late statuses that followed each other closely, 0: none */
@@ -621,7 +625,13 @@
 /** Whether the connection to the peer has closed, or has opened again without a status so far, and
  * nothing shows that its process has ended. */
 bool dks_leased_peer_may_be_present (const dks_leased_t *leased, const dks_leased_peer_t *peer);
-/** Delay of a message, sent at `sent_us` by the peer, in transit and in this instance's queue. */
+/** Whether it is certain that a message which the peer sent at `sent_us` has been on its way and in
+ * this instance's queue for less than `age_us`. Unlike the delay below, this also holds for a
+ * connection on which all messages so far have been delayed. */
+bool dks_leased_peer_sent_within (const dks_leased_t *leased, const dks_leased_peer_t *peer,
+                                  int64_t sent_us, int64_t age_us);
+/** Delay of a message, sent at `sent_us` by the peer, in transit and in this instance's queue,
+ * beyond that of the fastest message so far. */
 int64_t
 dks_leased_peer_lag_us (const dks_leased_t *leased, const dks_leased_peer_t *peer, int64_t sent_us);
 void dks_leased_members_handle_up (dks_leased_t *leased, const char *id, const char *data_centre);
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -880,3 +880,51 @@
   world.run_for (100 * ms);
   EXPECT_EQ (count_runs (world, remote), 0U);
 }
+
+// Guards against a remote leader that starts a lent task over a second after it was lent: all
+// messages on the connection have been delayed since the home leader's process started, so none
+// seems to be late.
+TEST (LeasedOverlap, LentTaskOnAConnectionThatWasAlwaysSlowIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 1, 1 }, { 1, 4 }, { 1, 4 } });
+  size_t home = world.find ("a-1");
+  world.kill (home);
+  for (auto other : { "b-1", "c-1" })
+    world.link_delay_us[{ home, world.find (other) }] = 1400 * ms;
+  world.restart (home);
+  world.run_for (6000 * ms);
+  fill_home (world);
+  uint64_t caller = submit_long_task (world, "a-1");
+  world.run_for (20 * ms);
+  ASSERT_NE (world.last_lend_msg, nullptr);
+  std::string other = leased::count_logged (world, "tasks=1 to=b-1") > 0 ? "c" : "b";
+  world.leave (home, caller);
+  world.run_for (1300 * ms);
+  submit_long_task (world, other + "-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, other), 1U);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
+// The same for a job that an entry instance passes to its leader.
+TEST (LeasedOverlap, JobOnAConnectionThatWasAlwaysSlowIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 2, 4 }, { 1, 4 } });
+  size_t entry = world.find ("a-2");
+  world.kill (entry);
+  world.link_delay_us[{ entry, world.find ("a-1") }] = 1400 * ms;
+  world.restart (entry);
+  world.run_for (6000 * ms);
+  uint64_t caller = submit_long_task (world, "a-2");
+  world.run_for (20 * ms);
+  world.leave (entry, caller);
+  world.run_for (1300 * ms);
+  submit_long_task (world, "b-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, "b"), 1U);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
