leased-targets: end leases soon after the sender of a job falls silent

Callers saw (in virtual time): two runs of one task in different data centres. A remote leader was cut off; for the 0.5 s that it took to notice, it extended the lease of a lent run by 1 s each time. It was then fenced by a successor, and could not stop the run; the successor lost the target at once. So the run went on until 1.5 s after the home leader's cancellation, which the cut held up, and the caller had submitted the job elsewhere after 1.3 s.

Cause: a lease was granted for its full length as long as its sender did not count as lost, so the time to notice and the length of the lease added up (1.6 s) where nobody could stop the run.

Change: no lease ends later than 1.1 s after the latest message of the instance for which a run on that target works, the entry instance or the home leader. With statuses every 100 ms it has its full length as before.

Open: over two hops (entry instance, home leader, remote leader) the bounds add up.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -10,7 +10,11 @@
 
 enum
 {
-  LEASE_MS = 1000,    /* length of a lease, the longest that the platform allows */
+  LEASE_MS = 1000, /* length of a lease, the longest that the platform allows */
+  /* Longest time from the latest message of the instance that a run works for to the end of the
+   * run's lease: this leader may lose the target before it notices that the instance is lost, and a
+   * caller submits its job again 1.3 s after it left. */
+  LEASE_AFTER_MESSAGE_MAX_MS = 1100,
   HOLD_WAIT_MS = 300, /* time that a hold waits for a run end; three holds fit into a lease */
   /* A target whose clock falls back by more than this is taken for a new incarnation. */
   CLOCK_JUMP_MS = 500,
@@ -53,9 +57,33 @@
   return effect;
 }
 
+/* How far ahead a lease for the job may end, at most `ahead_ms`. */
+static int64_t
+limit_lease_ms (const dks_leased_job_t *job, int64_t ahead_ms)
+{
+  const dks_leased_t *leased = job->leased;
+  const dks_leased_peer_t *origin = dks_leased_peer_find (leased, job->origin);
+  int64_t limit_ms;
+
+  if (origin == NULL)
+    return ahead_ms; /* this instance itself */
+  limit_ms =
+      LEASE_AFTER_MESSAGE_MAX_MS - (dks_leased_now_us (leased) - origin->last_message_us) / 1000;
+  if (limit_ms < 0)
+    limit_ms = 0;
+  return limit_ms < ahead_ms ? limit_ms : ahead_ms;
+}
+
 int64_t
 dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms)
 {
+  const dks_leased_run_t *run;
+
+  APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
+    {
+      if (run->job != NULL)
+        ahead_ms = limit_lease_ms (run->job, ahead_ms);
+    }
   return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
 }
 
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -928,3 +928,50 @@
   world.run_for (500 * ms);
   EXPECT_TRUE (has_no_double_run (world));
 }
+
+// Guards against a lent run that outlasts its caller's next submission: the remote leader was cut
+// off, went on extending the lease for as long as it took to notice, and was then superseded by one
+// that loses the target at once, so that nobody could stop the run.
+TEST (LeasedOverlap, LeaseOfALentRunEndsSoonAfterTheHomeLeaderIsLost)
+{
+  for (int64_t delay_ms = 0; delay_ms <= 500; delay_ms += 10)
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 2, 4 }, { 2, 4 } });
+      fill_home (world);
+      uint64_t caller = submit_long_task (world, "a-1");
+      world.run_for (50 * ms);
+      ASSERT_EQ (count_runs (world, "b") + count_runs (world, "c"), 1U);
+      std::string remote = count_runs (world, "b") > 0 ? "b" : "c";
+      size_t leader = world.find (remote + "-1");
+      size_t successor = world.find (remote + "-2");
+      world.run_for (delay_ms * ms);
+      world.set_cut_both_ways (leader, successor, true);
+      world.run_for (100 * ms);
+      for (size_t other = 0; other < world.instances.size (); other++)
+        {
+          if (other != leader && other != successor)
+            world.set_cut_both_ways (leader, other, true);
+        }
+      world.leave (world.find ("a-1"), caller);
+      int64_t left_us = world.now_us;
+      std::string start = remote + "-2 event=leader-start";
+      for (int i = 0; i < 1000 && leased::count_logged (world, start) == 0; i++)
+        world.run_for (ms);
+      for (size_t other = 0; other < world.instances.size (); other++)
+        {
+          if (other != leader && other != successor)
+            world.set_cut_both_ways (successor, other, true);
+        }
+      for (int i = 0; i < 1000 && leased::count_logged (world, "reason=fenced") == 0; i++)
+        world.run_for (ms);
+      ASSERT_GT (leased::count_logged (world, "reason=fenced"), 0U);
+      for (auto &target : world.targets)
+        world.target_cuts.insert ({ successor, target.get () });
+      ASSERT_EQ (count_runs (world, remote), 1U);
+      world.run_for (left_us + 1300 * ms - world.now_us);
+      submit_long_task (world, remote == "b" ? "c-1" : "b-1");
+      world.run_for (500 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << delay_ms;
+    }
+}
