platform, leased-entry: bad input ends no process and no connection

Callers saw: one request took a data centre's instances down in turn. POST PREFIX + "%ff%fe" ended the leader by SIGABRT (invariant in platform/executor.c, as json_pack() rejects a task name that is no UTF-8), then each successor to which the entry instance submitted the job. Found with it: a label of a job, or a label, service or place in an entry of a target, that contains a control character, and an entry with an empty id, are rejected by the codec of the receiver, which closes the connection between two instances for it, with all its jobs.

Cause: the ways in checked lengths only; what the codec between instances or JSON rejects was found out behind them.

Change: a job id has 1 to 39 letters, digits, '-' and '_', else 400. Sums of declared run times saturate.

--- a/common/alloc.c
+++ b/common/alloc.c
@@ -42,6 +42,17 @@
   return len < size ? DKS_OK : DKS_ERR_TOO_LARGE;
 }
 
+int
+dks_copy_text (char *dst, size_t size, const char *src)
+{
+  for (const char *c = src; *c != '\0'; c++)
+    {
+      if ((unsigned char)*c < ' ' || *c == 0x7f)
+        return DKS_ERR_INVALID;
+    }
+  return dks_strcpy (dst, size, src);
+}
+
 void
 dks_invariant_failed (const char *condition, const char *file, int line)
 {
--- a/core/batch.c
+++ b/core/batch.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define SPAN_MAX_US (INT64_C (1000000) * DKS_BATCH_SPAN_MAX_S)
+
 dks_batch_t *
 dks_batch_create (uint32_t step_count)
 {
@@ -34,6 +36,15 @@
   free (batch);
 }
 
+bool
+dks_batch_id_is_valid (const char *id)
+{
+  static const char allowed[] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+  size_t len = strspn (id, allowed);
+
+  return len > 0 && len < DKS_BATCH_ID_SIZE && id[len] == '\0';
+}
+
 int
 dks_batch_validate (dks_batch_t *batch)
 {
@@ -57,6 +68,14 @@
   return DKS_OK;
 }
 
+int64_t
+dks_batch_limit_span_us (int64_t us)
+{
+  if (us < 0)
+    return 0;
+  return us < SPAN_MAX_US ? us : SPAN_MAX_US;
+}
+
 uint32_t
 dks_batch_critical_path_ms (const dks_batch_t *batch)
 {
@@ -70,7 +89,9 @@
           if ((batch->steps[i].after_mask >> j & 1) != 0 && ends_ms[j] > ends_ms[i])
             ends_ms[i] = ends_ms[j];
         }
-      ends_ms[i] += batch->steps[i].estimate_ms;
+      ends_ms[i] = ends_ms[i] > UINT32_MAX - batch->steps[i].estimate_ms
+                       ? UINT32_MAX
+                       : ends_ms[i] + batch->steps[i].estimate_ms;
       if (ends_ms[i] > longest_ms)
         longest_ms = ends_ms[i];
     }
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -28,6 +28,7 @@
 };
 
 static const char shutdown_reason[] = "the instance shuts down";
+static const char malformed_reason[] = "the job is malformed";
 
 static void
 reply (dks_leased_t *leased, uint64_t caller, dks_batch_answer_t answer, uint32_t retry_after_ms,
@@ -373,6 +374,11 @@
   dks_batch_t *batch = event->u.batch.batch;
 
   dks_counter_increment (&leased->r->counters, DKS_COUNTER_SUBMISSIONS);
+  if (!dks_batch_id_is_valid (id))
+    {
+      answer_at_once (leased, event, queue->name, "", DKS_BATCH_INVALID, 0, malformed_reason);
+      return;
+    }
   if (event->u.batch.unsupported != NULL || queue->needs_advice)
     {
       answer_at_once (leased, event, queue->name, id, DKS_BATCH_REFUSED, 0,
@@ -382,7 +388,7 @@
     }
   if (batch == NULL || dks_strcpy (batch->id, sizeof (batch->id), id) != DKS_OK)
     {
-      answer_at_once (leased, event, queue->name, id, DKS_BATCH_INVALID, 0, "the job is malformed");
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_INVALID, 0, malformed_reason);
       return;
     }
   dks_strcpy (batch->service, sizeof (batch->service), queue->service);
--- a/include/common/alloc.h
+++ b/include/common/alloc.h
@@ -16,6 +16,9 @@
 /** Copies `src` into `dst` of `size` bytes and always terminates it with NUL. Returns
  * DKS_ERR_TOO_LARGE if `src` was truncated. */
 int dks_strcpy (char *dst, size_t size, const char *src);
+/** The same for text from outside, which may contain no control characters: it stands in messages,
+ * headers and log lines. Returns DKS_ERR_INVALID if it does. */
+int dks_copy_text (char *dst, size_t size, const char *src);
 
 /** Logs `condition` and aborts the process when it does not hold. */
 #define DKS_INVARIANT(condition)                                                                   \
--- a/include/core/batch.h
+++ b/include/core/batch.h
@@ -13,6 +13,7 @@
   DKS_BATCH_ID_SIZE = 40,                     /**< bytes of a job's id with NUL */
   DKS_BATCH_SPEC_MAX = 16384,                 /**< bytes of a specification */
   DKS_BATCH_STEPS_MAX = 32,                   /**< steps of one job; a mask of steps has 32 bits */
+  DKS_BATCH_SPAN_MAX_S = 86400,               /**< longest age, objective or time of its caller */
   DKS_LABEL_SIZE = 32,                        /**< bytes of a label with NUL */
   DKS_TASK_NAME_SIZE = DKS_BATCH_ID_SIZE + 40 /**< "ID.OCCURRENCE.STEP.INDEX" with NUL */
 };
@@ -49,10 +50,16 @@
 dks_batch_t *dks_batch_ref (dks_batch_t *batch);
 /** Drops a reference; accepts NULL. */
 void dks_batch_unref (dks_batch_t *batch);
+/** Whether `id` may name a job: 1 to DKS_BATCH_ID_SIZE - 1 letters, digits, '-' and '_' (ASCII).
+ * The names of tasks, log lines and messages to targets contain it. */
+bool dks_batch_id_is_valid (const char *id);
 /** Checks the bounds of all steps and sets `task_count`. Returns DKS_ERR_INVALID or
  * DKS_ERR_TOO_LARGE. */
 int dks_batch_validate (dks_batch_t *batch);
-/** Critical path: sum of the declared run times on the longest chain of dependent steps, ms. */
+/** Limits a duration in microseconds to 0 to DKS_BATCH_SPAN_MAX_S, as messages require. */
+int64_t dks_batch_limit_span_us (int64_t us);
+/** Critical path: sum of the declared run times on the longest chain of dependent steps, ms;
+ * UINT32_MAX when it is longer than that. */
 uint32_t dks_batch_critical_path_ms (const dks_batch_t *batch);
 /** Name of a task, "ID.0.STEP.INDEX". */
 void
--- a/net/codec.c
+++ b/net/codec.c
@@ -377,17 +377,6 @@
 
 /* Decoding */
 
-int
-dks_codec_copy_text (char *to, size_t size, const char *from)
-{
-  for (const char *c = from; *c != '\0'; c++)
-    {
-      if ((unsigned char)*c < ' ' || *c == 0x7f)
-        return DKS_ERR_INVALID;
-    }
-  return dks_strcpy (to, size, from);
-}
-
 /* Copies `from` if it is a valid idempotency key whose issue time is `issued_ms`. */
 static int
 copy_key_issued_at (char to[DKS_KEY_SIZE], const char *from, int64_t issued_ms)
@@ -468,8 +457,8 @@
   to->respond_async = from->respond_async;
   to->digest = from->digest;
   if ((error = copy_key_issued_at (to->key, from->key, from->issued_ms)) != DKS_OK
-      || (error = dks_codec_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
-      || (error = dks_codec_copy_text (to->team, sizeof (to->team), from->team)) != DKS_OK
+      || (error = dks_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
+      || (error = dks_copy_text (to->team, sizeof (to->team), from->team)) != DKS_OK
       || (error = check_time (from->deadline_ms)) != DKS_OK)
     return error;
   for (uint32_t i = 0; i < to->task_count && error == DKS_OK; i++)
@@ -514,7 +503,7 @@
                           (uint32_t)from->n_tasks);
   *out = to;
   to->retry_after_ms = from->retry_after_ms;
-  error = dks_codec_copy_text (to->detail, sizeof (to->detail), from->detail);
+  error = dks_copy_text (to->detail, sizeof (to->detail), from->detail);
   for (uint32_t i = 0; i < to->task_count && error == DKS_OK; i++)
     error = read_result (&to->tasks[i], from->tasks[i]);
   return error;
@@ -530,7 +519,7 @@
   to->issued_ms = from->issued_ms;
   to->digest = from->digest;
   if ((error = copy_key_issued_at (to->key, from->key, from->issued_ms)) != DKS_OK
-      || (error = dks_codec_copy_text (to->runner, sizeof (to->runner), from->runner)) != DKS_OK)
+      || (error = dks_copy_text (to->runner, sizeof (to->runner), from->runner)) != DKS_OK)
     return error;
   if (from->answer == NULL)
     return DKS_OK;
@@ -683,8 +672,7 @@
   if (body->index >= DKS_TASKS_MAX || body->number == 0 || body->spec == NULL)
     return DKS_ERR_INVALID;
   if ((error = copy_key (msg->u.run.key, body->key)) != DKS_OK
-      || (error =
-              dks_codec_copy_text (msg->u.run.service, sizeof (msg->u.run.service), body->service))
+      || (error = dks_copy_text (msg->u.run.service, sizeof (msg->u.run.service), body->service))
              != DKS_OK
       || (error = check_time (body->deadline_ms)) != DKS_OK)
     return error;
@@ -714,8 +702,7 @@
   int error;
 
   msg->u.record.version = body->version;
-  if ((error = dks_codec_copy_text (msg->u.record.key, sizeof (msg->u.record.key), body->key))
-          != DKS_OK
+  if ((error = dks_copy_text (msg->u.record.key, sizeof (msg->u.record.key), body->key)) != DKS_OK
       || (error = check_version (body->version)) != DKS_OK)
     return error;
   return msg->u.record.key[0] != '\0' ? read_blob (&msg->u.record.value, &body->value)
@@ -725,8 +712,8 @@
 static int
 decode_record_ask (const Dks__PeerMessage *wire, dks_msg_t *msg)
 {
-  return dks_codec_copy_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key),
-                              wire->record_ask->key);
+  return dks_copy_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key),
+                        wire->record_ask->key);
 }
 
 /* Codecs of all messages but the hello, indexed by dks_msg_type_t. */
@@ -868,8 +855,8 @@
     return DKS_ERR_INVALID;
   if (wire->body_case == DKS__PEER_MESSAGE__BODY_HELLO && wire->hello->protocol == PROTOCOL_VERSION
       && wire->hello->member[0] != '\0' && wire->hello->data_centre[0] != '\0'
-      && dks_codec_copy_text (member, DKS_NAME_SIZE, wire->hello->member) == DKS_OK
-      && dks_codec_copy_text (data_centre, DKS_NAME_SIZE, wire->hello->data_centre) == DKS_OK)
+      && dks_copy_text (member, DKS_NAME_SIZE, wire->hello->member) == DKS_OK
+      && dks_copy_text (data_centre, DKS_NAME_SIZE, wire->hello->data_centre) == DKS_OK)
     error = DKS_OK;
   if (error == DKS_OK)
     *duplicate = wire->hello->duplicate;
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -325,7 +325,7 @@
       dks_member_address_t *to = &msg->u.addresses.items[i];
 
       to->unseen_s = i < body->n_unseen_s ? body->unseen_s[i] : 0;
-      error = dks_codec_copy_text (to->text, sizeof (to->text), body->items[i]);
+      error = dks_copy_text (to->text, sizeof (to->text), body->items[i]);
     }
   return error;
 }
@@ -345,15 +345,15 @@
   to->label_count = (uint32_t)from->n_labels;
   for (size_t i = 0; i < from->n_labels; i++)
     {
-      error = dks_codec_copy_text (to->labels[i], sizeof (to->labels[i]), from->labels[i]);
+      error = dks_copy_text (to->labels[i], sizeof (to->labels[i]), from->labels[i]);
       if (error != DKS_OK)
         return error;
     }
-  if ((error = dks_codec_copy_text (to->id, sizeof (to->id), from->id)) != DKS_OK
-      || (error = dks_codec_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
-      || (error = dks_codec_copy_text (to->address, sizeof (to->address), from->address)) != DKS_OK)
+  if ((error = dks_copy_text (to->id, sizeof (to->id), from->id)) != DKS_OK
+      || (error = dks_copy_text (to->service, sizeof (to->service), from->service)) != DKS_OK
+      || (error = dks_copy_text (to->address, sizeof (to->address), from->address)) != DKS_OK)
     return error;
-  return dks_codec_copy_text (to->data_centre, sizeof (to->data_centre), from->data_centre);
+  return dks_copy_text (to->data_centre, sizeof (to->data_centre), from->data_centre);
 }
 
 int
@@ -392,7 +392,7 @@
       to->incarnation_ms = body->targets[i]->born_ms;
       to->slowness_milli = body->targets[i]->slowness_milli;
       to->samples = body->targets[i]->samples;
-      error = dks_codec_copy_text (to->id, sizeof (to->id), body->targets[i]->id);
+      error = dks_copy_text (to->id, sizeof (to->id), body->targets[i]->id);
     }
   for (size_t i = 0; i < body->n_queues && error == DKS_OK; i++)
     {
@@ -401,7 +401,7 @@
       to->mean_run_us = body->queues[i]->run_us;
       to->samples = body->queues[i]->samples;
       error = to->mean_run_us > 0
-                  ? dks_codec_copy_text (to->name, sizeof (to->name), body->queues[i]->name)
+                  ? dks_copy_text (to->name, sizeof (to->name), body->queues[i]->name)
                   : DKS_ERR_INVALID;
     }
   msg->u.speeds.task_crashes_count = (uint32_t)body->n_task_crashes;
@@ -412,8 +412,7 @@
       dks_task_crashes_t *to = &msg->u.speeds.task_crashes[i];
 
       to->weight = body->task_crashes[i]->weight;
-      error =
-          dks_codec_copy_text (to->task_name, sizeof (to->task_name), body->task_crashes[i]->task);
+      error = dks_copy_text (to->task_name, sizeof (to->task_name), body->task_crashes[i]->task);
     }
   return error;
 }
@@ -428,10 +427,10 @@
   to->estimate_ms = from->estimate_ms;
   to->after_mask = from->after;
   to->max_per_target = from->max_per_target;
-  if (dks_codec_copy_text (to->required_label, sizeof (to->required_label), from->required_label)
+  if (dks_copy_text (to->required_label, sizeof (to->required_label), from->required_label)
       != DKS_OK)
     return DKS_ERR_INVALID;
-  return dks_codec_copy_text (to->preferred_label, sizeof (to->preferred_label), from->near_label);
+  return dks_copy_text (to->preferred_label, sizeof (to->preferred_label), from->near_label);
 }
 
 static int
@@ -453,11 +452,10 @@
       if ((error = read_step (&created->steps[i], body->steps[i])) != DKS_OK)
         return error;
     }
-  if ((error = dks_codec_copy_text (created->id, sizeof (created->id), body->id)) != DKS_OK
-      || (error = dks_codec_copy_text (created->service, sizeof (created->service), body->service))
+  if ((error = dks_copy_text (created->id, sizeof (created->id), body->id)) != DKS_OK
+      || (error = dks_copy_text (created->service, sizeof (created->service), body->service))
              != DKS_OK
-      || (error = dks_codec_copy_text (created->queue, sizeof (created->queue), body->queue))
-             != DKS_OK)
+      || (error = dks_copy_text (created->queue, sizeof (created->queue), body->queue)) != DKS_OK)
     return error;
   return dks_batch_validate (created);
 }
@@ -519,8 +517,7 @@
   msg->u.work_done.request = body->request;
   msg->u.work_done.answer = body->answer;
   msg->u.work_done.retry_after_ms = body->retry_after_ms;
-  return dks_codec_copy_text (msg->u.work_done.detail, sizeof (msg->u.work_done.detail),
-                              body->detail);
+  return dks_copy_text (msg->u.work_done.detail, sizeof (msg->u.work_done.detail), body->detail);
 }
 
 int
--- a/net/codec_leased.h
+++ b/net/codec_leased.h
@@ -14,8 +14,6 @@
 
 /** Packs `wire` with the length prefix into a new frame of `*len` bytes; release it with free(). */
 void dks_codec_pack (const Dks__PeerMessage *wire, uint8_t **frame, size_t *len);
-/** Copies text; DKS_ERR_INVALID if it has control characters, or the error of dks_strcpy(). */
-int dks_codec_copy_text (char *to, size_t size, const char *from);
 
 void dks_encode_leased_status (const dks_msg_t *msg, Dks__PeerMessage *wire, uint8_t **frame,
                                size_t *len);
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -216,6 +216,26 @@
   dks_blob_unref (effect.u.lease.spec);
 }
 
+// Guards against the end of the process for a task name or a specification that is no UTF-8.
+TEST_F (Adapter, CallThatCannotBeEncodedIsAFailedCall)
+{
+  for (bool bad_spec : { false, true })
+    {
+      dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_START);
+      int before = event_count;
+
+      effect.u.lease.spec = dks_blob_create (bad_spec ? "\xff" : "x", 1);
+      if (!bad_spec)
+        snprintf (effect.u.lease.task, sizeof (effect.u.lease.task), "\xff\xfe.0.0.0");
+      dks_executor_call (client, &effect, handle_event, this);
+      EXPECT_EQ (event_count, before + 1);
+      EXPECT_EQ (op, 7U);
+      EXPECT_EQ (status, DKS_LEASE_INVALID);
+      dks_blob_unref (effect.u.lease.spec);
+    }
+  EXPECT_EQ (platform.take_request (), "");
+}
+
 // Guards against taking a target that is only cut off for one that has crashed: only the address of
 // the latter refuses connections.
 TEST_F (Adapter, RefusedConnectionIsToldFromATargetThatDoesNotAnswer)
--- a/tests/test_leased_entry.cc
+++ b/tests/test_leased_entry.cc
@@ -67,3 +67,23 @@
   EXPECT_EQ (count_logged (world, "event=caller-gone"), 1U);
   EXPECT_TRUE (got_answer (world, second, DKS_BATCH_COMPLETED));
 }
+
+// Guards against an id that ends the leader, or forges a line of its log or a name of a task.
+TEST (LeasedEntry, IdsThatCannotNameAJobAreRefused)
+{
+  World world;
+  start_data_centres (world);
+  for (const char *id : { "\xff\xfe", "a b", "a.0.0.1", "a\nevent=x", "a/b", "a\"", "\xc3\xa9", "",
+                          "0123456789012345678901234567890123456789" })
+    {
+      uint64_t caller = world.submit (1, id, { { 1, 6800, 60, 60 } });
+
+      world.run_for (100 * ms);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_INVALID)) << id;
+    }
+  EXPECT_EQ (world.sent (DKS_MSG_WORK), 0U);
+  uint64_t caller =
+      world.submit (1, "012345678901234567890123456789-_abcDEFG", { { 1, 6800, 60, 60 } });
+  world.run_for (200 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
