codec, leased-jobs: refuse a job that breaks a bound, not its connection

A job whose estimate_ms times target_factor is above 86,400 s was accepted by its entry instance; its leader took the message for a bad one and closed the connection, and all jobs of that entry instance were lost.

Cause: the bound stood in the codec of the receiver only.

Declared run times beyond it are refused with 400 that names field and bound; objectives, which no caller's time reaches, are limited to it at the entry instance, at the leader and for lent tasks. A job that breaks a bound all the same (a peer of another version) is decoded as malformed and refused alone, with event=work-malformed: 400 for a job, "not started" for lent tasks.

Evidence: RunTimesBeyondTheBoundAreRefused fails without the change; MalformedJobOfAPeerIsRefusedAlone and JobThatBreaksABoundIsMalformedAndNoError need the new outcome (such a message was an error).

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -334,9 +334,9 @@
   request->id = dks_next_id (leased->r);
   request->batch = dks_batch_ref (batch);
   request->arrival_us = dks_leased_now_us (leased);
-  request->objective_us =
-      INT64_C (1000) * queue->objective_extra_ms
-      + (int64_t)dks_batch_critical_path_ms (batch) * queue->objective_factor_milli;
+  request->objective_us = dks_batch_limit_span_us (INT64_C (1000) * queue->objective_extra_ms
+                                                   + (int64_t)dks_batch_critical_path_ms (batch)
+                                                         * queue->objective_factor_milli);
   request->budget_us = compute_budget_us (queue, event->u.batch.budget_ms);
   if (request->arrival_us + request->budget_us > answer_deadline_us (leased))
     request->budget_us = answer_deadline_us (leased) - request->arrival_us;
@@ -391,6 +391,12 @@
       answer_at_once (leased, event, queue->name, id, DKS_BATCH_INVALID, 0, malformed_reason);
       return;
     }
+  if (dks_batch_critical_path_ms (batch) > DKS_BATCH_SPAN_MAX_S * UINT32_C (1000))
+    {
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_INVALID, 0,
+                      "estimate_ms: the longest chain of steps is above 86400 s");
+      return;
+    }
   dks_strcpy (batch->service, sizeof (batch->service), queue->service);
   dks_strcpy (batch->queue, sizeof (batch->queue), queue->name);
   batch->priority = queue->priority;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -317,8 +317,8 @@
 {
   if (queue == NULL)
     return msg->u.work.objective_us;
-  return INT64_C (1000) * queue->objective_extra_ms
-         + critical_path_us * queue->objective_factor_milli / 1000;
+  return dks_batch_limit_span_us (INT64_C (1000) * queue->objective_extra_ms
+                                  + critical_path_us * queue->objective_factor_milli / 1000);
 }
 
 /* Whether a whole job was sent to an earlier term of this leader. Its sender sends it again once it
@@ -770,6 +770,26 @@
              && !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US));
 }
 
+/* Answers that the lent tasks of a message were not started. */
+static void
+refuse_lent (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
+{
+  for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
+    send_lent_done (leased, origin, msg->u.work.request, msg->u.work.lent_tasks[i],
+                    msg->u.work.lent_runs[i], DKS_LENT_REFUSED);
+}
+
+static void
+refuse_malformed (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
+{
+  dks_emit_log (leased->r, DKS_LOG_WARNING, "event=work-malformed from=%s lent=%u", origin,
+                msg->u.work.lent_count);
+  if (msg->u.work.lent_count == 0)
+    send_done (leased, origin, msg->u.work.request, DKS_BATCH_INVALID, 0, "the job is malformed");
+  else if (!msg->u.work.resent)
+    refuse_lent (leased, origin, msg);
+}
+
 void
 dks_leased_jobs_handle_work (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
 {
@@ -779,6 +799,11 @@
   int64_t lag_us = peer != NULL ? dks_leased_peer_lag_us (leased, peer, msg->u.work.sent_us) : 0;
   bool outdated;
 
+  if (msg->u.work.malformed)
+    {
+      refuse_malformed (leased, origin, msg);
+      return;
+    }
   if (lent)
     dks_leased_leader_note_term (leased, origin, msg->u.work.home_term);
   outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
@@ -795,9 +820,7 @@
         return;
       /* An entry instance learns of the change of leader and resubmits the job to the next one; a
        * home leader lends the refused tasks elsewhere. */
-      for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
-        send_lent_done (leased, origin, msg->u.work.request, msg->u.work.lent_tasks[i],
-                        msg->u.work.lent_runs[i], DKS_LENT_REFUSED);
+      refuse_lent (leased, origin, msg);
       return;
     }
   if (job != NULL)
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -295,6 +295,8 @@
       uint64_t remote_term; /**< term of the receiver, as the sender knows it; 0: not stated */
       uint64_t sent_term;   /**< highest term of the leaders to which the sender has sent the work
                                before, 0: not stated */
+      bool malformed; /**< broke a bound when it was received: `batch` is empty, nothing is started
+                       */
     } work;
     struct
     {
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -16,10 +16,6 @@
   MSG_PRIOR_JOBS_MAX = 65536 /* jobs in one status */
 };
 
-/* Longest duration in a message that check_span() accepts, in microseconds: one day. Sums of a few
- * such durations cannot overflow an int64_t. */
-#define SPAN_MAX_US (INT64_C (86400) * 1000000)
-
 /* Latest monotonic time in a message that is accepted, in microseconds: a sum with a duration
  * cannot overflow an int64_t. */
 #define MONOTONIC_MAX_US (INT64_MAX / 2)
@@ -460,10 +456,11 @@
   return dks_batch_validate (created);
 }
 
-static int
-check_span (int64_t us)
+/* Sums of a few valid durations cannot overflow an int64_t. */
+static bool
+is_span_valid (int64_t us)
 {
-  return us >= 0 && us <= SPAN_MAX_US ? DKS_OK : DKS_ERR_INVALID;
+  return us == dks_batch_limit_span_us (us);
 }
 
 static uint32_t *
@@ -476,21 +473,32 @@
   return to;
 }
 
+/* Whether the job and its times are within their bounds. */
+static bool
+is_work_valid (const Dks__Work *body, const dks_batch_t *batch)
+{
+  return dks_batch_id_is_valid (batch->id) && is_span_valid (body->age_us)
+         && is_span_valid (body->objective_us) && is_span_valid (body->budget_us)
+         && body->sent_us >= 0 && body->sent_us <= MONOTONIC_MAX_US
+         && (body->n_lent == 0 || body->n_steps == 1);
+}
+
 int
 dks_decode_work (const Dks__PeerMessage *wire, dks_msg_t *msg)
 {
   const Dks__Work *body = wire->work;
-  int error = read_batch (&msg->u.work.batch, body);
 
-  if (error != DKS_OK)
-    return error;
-  if (check_span (body->age_us) != DKS_OK || check_span (body->objective_us) != DKS_OK
-      || check_span (body->budget_us) != DKS_OK || body->n_lent != body->n_runs
-      || body->n_lent > DKS_TASKS_MAX || body->home_term > INT64_MAX
+  if (body->n_lent != body->n_runs || body->n_lent > DKS_TASKS_MAX || body->home_term > INT64_MAX
       || body->remote_term > INT64_MAX || body->sent_term > INT64_MAX)
     return DKS_ERR_INVALID;
-  if (body->n_lent > 0 && body->n_steps != 1)
-    return DKS_ERR_INVALID;
+  /* A job that breaks a bound is refused for itself: the connection carries other jobs. */
+  if (read_batch (&msg->u.work.batch, body) != DKS_OK || !is_work_valid (body, msg->u.work.batch))
+    {
+      dks_batch_unref (msg->u.work.batch);
+      msg->u.work.batch = dks_batch_create (0);
+      msg->u.work.batch->spec = dks_blob_create ("", 0);
+      msg->u.work.malformed = true;
+    }
   msg->u.work.request = body->request;
   msg->u.work.age_us = body->age_us;
   msg->u.work.objective_us = body->objective_us;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -222,8 +222,8 @@
       msg->u.addresses.items[1] = { "10.0.0.2:7000", 7200 };
       break;
     case DKS_MSG_WORK:
-      msg->u.work = { 7, make_batch (), 1500,    60000, 1500000, true, 3,
-                      2, nullptr,       nullptr, 78,    79,      80,   81 };
+      msg->u.work = { 7,       make_batch (), 1500, 60000, 1500000, true, 3,    2,
+                      nullptr, nullptr,       78,   79,    80,      81,   false };
       msg->u.work.lent_tasks = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.lent_runs = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.lent_tasks[1] = 479;
@@ -814,6 +814,41 @@
     }
 }
 
+// Guards against the loss of all jobs on a connection for one that breaks a bound: only this job is
+// refused.
+TEST (Codec, JobThatBreaksABoundIsMalformedAndNoError)
+{
+  const int64_t day_us = INT64_C (86400) * 1000000;
+  std::vector<std::function<void (dks_msg_t *)>> faults = {
+    [=] (dks_msg_t *m) { m->u.work.age_us = day_us + 1; },
+    [=] (dks_msg_t *m) { m->u.work.objective_us = day_us + 1; },
+    [=] (dks_msg_t *m) { m->u.work.budget_us = day_us + 1; },
+    [] (dks_msg_t *m) { m->u.work.objective_us = -1; },
+    [] (dks_msg_t *m) { m->u.work.sent_us = INT64_MAX; },
+    [] (dks_msg_t *m) { m->u.work.sent_us = -1; },
+    [] (dks_msg_t *m) { set_text (m->u.work.batch->id, DKS_BATCH_ID_SIZE, "\xff\xfe"); },
+    [] (dks_msg_t *m) { set_text (m->u.work.batch->id, DKS_BATCH_ID_SIZE, ""); },
+    [] (dks_msg_t *m) { m->u.work.batch->steps[0].count = 0; },
+    [] (dks_msg_t *m) { m->u.work.batch->steps[0].count = DKS_TASKS_MAX + 1; },
+  };
+
+  for (auto &fault : faults)
+    {
+      dks_msg_t *msg = make_msg (DKS_MSG_WORK);
+      dks_msg_t *decoded = nullptr;
+
+      msg->u.work.lent_count = 0;
+      fault (msg);
+      std::vector<uint8_t> frame = encode (msg);
+      dks_msg_unref (msg);
+      ASSERT_EQ (dks_codec_decode (frame.data () + 4, frame.size () - 4, &decoded), DKS_OK);
+      EXPECT_TRUE (decoded->u.work.malformed);
+      EXPECT_EQ (decoded->u.work.request, 7U);
+      EXPECT_EQ (decoded->u.work.batch->step_count, 0U);
+      dks_msg_unref (decoded);
+    }
+}
+
 // Guards against a frame that takes a large multiple of its size in memory: each empty sub-message
 // has two bytes in the frame, but a whole struct when it is unpacked.
 TEST (Codec, BoundsMemoryOfNestedEmptyMessages)
--- a/tests/test_leased_entry.cc
+++ b/tests/test_leased_entry.cc
@@ -87,3 +87,45 @@
   world.run_for (200 * ms);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
+
+// Guards against a job whose times the leader rejects: its declared run times are refused where
+// they enter, with the bound.
+TEST (LeasedEntry, RunTimesBeyondTheBoundAreRefused)
+{
+  World world;
+  start_data_centres (world);
+  const uint32_t day_ms = 86400 * 1000;
+  uint64_t longest = world.submit (1, "longest", { { 1, 6800, day_ms, 60 } });
+  uint64_t beyond = world.submit (1, "beyond", { { 1, 6800, day_ms + 1, 60 } });
+  uint64_t chain =
+      world.submit (1, "chain", { { 1, 6800, UINT32_MAX, 60 }, { 1, 6800, UINT32_MAX, 60, 1 } });
+  world.run_for (2000 * ms);
+  EXPECT_TRUE (world.answered (longest));
+  EXPECT_NE (world.answers[longest].answer, DKS_BATCH_INVALID);
+  EXPECT_TRUE (got_answer (world, beyond, DKS_BATCH_INVALID));
+  EXPECT_TRUE (got_answer (world, chain, DKS_BATCH_INVALID));
+}
+
+// Guards against an entry instance of another version: a job that broke a bound on the way is
+// answered alone, and others of the connection go on.
+TEST (LeasedEntry, MalformedJobOfAPeerIsRefusedAlone)
+{
+  World world;
+  start_data_centres (world);
+  uint64_t caller = world.submit (1, job_id, { { 1, 6800, 200, 200 } });
+  world.run_for (20 * ms);
+  dks_event_t event = {};
+  event.type = DKS_EVENT_PEER_MSG;
+  event.u.peer_msg.peer = world.instances[1]->member_id.c_str ();
+  event.u.peer_msg.msg = dks_msg_create (DKS_MSG_WORK);
+  event.u.peer_msg.msg->u.work.batch = dks_batch_create (0);
+  event.u.peer_msg.msg->u.work.request = 12345;
+  event.u.peer_msg.msg->u.work.malformed = true;
+  uint64_t answers = world.sent (DKS_MSG_WORK_DONE);
+  world.apply (0, &event);
+  dks_msg_unref (event.u.peer_msg.msg);
+  EXPECT_EQ (world.sent (DKS_MSG_WORK_DONE), answers + 1);
+  EXPECT_EQ (count_logged (world, "event=work-malformed"), 1U);
+  world.run_for (500 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
