leased-prior-jobs: first submissions wait for the statements at an election

Cause: a statement was looked at only when a job arrived, so one that arrived first counted as new for good.

Change: for 100 ms from its election a leader starts first submissions only once the leaders of all other data centres that are present have made their statements; and the statements are looked at when a job is about to start for the first time. It costs the jobs of a hand-over one round trip and a call to a target, and at most 100 ms while a data centre that is being cut off still counts as present. Not covered: a statement that takes longer.

The other tests test_leased* pass as before.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -590,6 +590,27 @@
   return true;
 }
 
+/* Whether a job that came as a first submission may start, as far as other leaders are concerned.
+ * An earlier leader may have had it nevertheless: their statements tell. */
+static bool
+job_may_start_first_time (dks_leased_job_t *job)
+{
+  dks_leased_t *leased = job->leased;
+
+  if (dks_leased_prior_jobs_are_awaited (leased))
+    {
+      leased->prior_check_due = true;
+      return false;
+    }
+  if (dks_leased_prior_jobs_contain (leased, job->batch->id))
+    {
+      job->resent = true;
+      job->started = true;
+      job_arm_timer (job);
+    }
+  return true;
+}
+
 /* Starts due tasks for which targets of this leader have free capacity; with `can_lend`, which says
  * that other leaders reported free capacity, lends tasks to leaders of other data centres. */
 static void
@@ -597,6 +618,8 @@
 {
   bool some_waiting = false;
 
+  if (!job->started && !job->is_lent && !job_may_start_first_time (job))
+    return;
   job->next_prior_check_us = dks_leased_now_us (job->leased) + PRIOR_RUNS_CHECK_INTERVAL_US;
   if (job->resent && !dks_leased_targets_are_synced (job->leased, job->received_us))
     return;
--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -13,7 +13,10 @@
 {
   /* From the sending of a status that a remote leader has handled to the end of its refusal of what
    * an earlier leader lends, less an allowance for the drift of clocks. */
-  STATEMENT_LEASE_US = DKS_LEASED_ORPHAN_LIFETIME_MAX_US / 100 * 95
+  STATEMENT_LEASE_US = DKS_LEASED_ORPHAN_LIFETIME_MAX_US / 100 * 95,
+  /* Longest time from an election for which first submissions wait for the statements of the other
+   * leaders, which take a call to a target and a round trip. */
+  STATEMENTS_WAIT_US = 100000
 };
 
 uint64_t
@@ -315,6 +318,22 @@
   return job->sent_to_earlier_terms;
 }
 
+bool
+dks_leased_prior_jobs_are_awaited (const dks_leased_t *leased)
+{
+  dks_leased_data_centre_t *data_centre;
+
+  if (dks_leased_now_us (leased) - leased->term_start_us >= STATEMENTS_WAIT_US)
+    return false;
+  APR_RING_FOREACH (data_centre, &leased->data_centres, dks_leased_data_centre_t, link)
+    {
+      if (!data_centre->is_gone && !is_stated (data_centre, leased)
+          && dks_leased_data_centre_leader (leased, data_centre->name) != NULL)
+        return true;
+    }
+  return false;
+}
+
 bool
 dks_leased_prior_jobs_contain (const dks_leased_t *leased, const char *id)
 {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -901,6 +901,9 @@
 dks_leased_prior_jobs_ask (const dks_leased_job_t *job, dks_leased_data_centre_t *data_centre);
 /** Whether the leaders of all other data centres have stated that no task of the job runs there. */
 bool dks_leased_prior_jobs_exclude_all (const dks_leased_job_t *job);
+/** Whether this leader has begun to lead so lately that other leaders have yet to state which jobs
+ * run there. */
+bool dks_leased_prior_jobs_are_awaited (const dks_leased_t *leased);
 /** Whether a leader of another data centre has stated a run of the job with this id. */
 bool dks_leased_prior_jobs_contain (const dks_leased_t *leased, const char *id);
 
