--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -104,7 +104,8 @@
   dks_event_t event = { .type = DKS_EVENT_CALLERS_CHECKED };
 
   event.u.callers_checked.checked_us = dks_loop_now ().mono_us;
-  dks_http_server_check_callers (host->front);
+  if (host->front != NULL)
+    dks_http_server_check_callers (host->front);
   apply_event (host, &event);
 }
 
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -567,7 +567,7 @@
   struct dks_leased_request_ring_t requests;
   uint32_t request_count;
   apr_hash_t *callers_by_id;
-  bool callers_check_pending; /* requests wait for the outcome of a CALLERS_CHECK */
+  bool callers_check_pending; /**< requests wait for the outcome of a CALLERS_CHECK */
   int64_t drain_start_us;     /**< when the drain began, 0 before */
 };
 
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -54,9 +54,9 @@
   uint64_t random_state;
   uint32_t connection_count;
   uint32_t open_requests;
-  dks_timer_t callers_timer;
-  size_t body_bytes_held;   /**< allocated for the bodies of all open requests */
-  uint64_t bad_input_total; /**< requests that could not be decoded */
+  dks_timer_t callers_timer; /**< looks for callers that left behind unread input */
+  size_t body_bytes_held;    /**< allocated for the bodies of all open requests */
+  uint64_t bad_input_total;  /**< requests that could not be decoded */
 };
 
 /** One request and its reply. */
