--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -625,6 +625,18 @@
   return count;
 }
 
+// The caller closes its connection and submits its job again in another data centre, which starts
+// it.
+void
+submit_elsewhere (World &world, size_t instance, uint64_t caller, const std::string &data_centre)
+{
+  world.leave (instance, caller);
+  world.run_for (retransmit_ms * ms);
+  submit_long_task (world, data_centre + "-1");
+  world.run_for (10 * ms);
+  ASSERT_EQ (count_runs (world, data_centre), 1U);
+}
+
 testing::AssertionResult
 has_no_double_run (const World &world)
 {
@@ -651,11 +663,7 @@
   uint64_t caller = submit_long_task (world, "a-1");
   world.run_for (20 * ms);
   ASSERT_NE (world.last_lend_msg, nullptr);
-  world.leave (world.find ("a-1"), caller);
-  world.run_for (1300 * ms);
-  submit_long_task (world, "c-1");
-  world.run_for (10 * ms);
-  ASSERT_EQ (count_runs (world, "c"), 1U);
+  submit_elsewhere (world, world.find ("a-1"), caller, "c");
   world.set_cut_both_ways (world.find ("a-1"), world.find ("b-1"), false);
   world.set_cut_both_ways (world.find ("a-1"), world.find ("c-1"), false);
   world.run_for (500 * ms);
@@ -675,11 +683,7 @@
   world.run_for (110 * ms); // a status is held as well
   uint64_t caller = submit_long_task (world, "a-2");
   world.run_for (20 * ms);
-  world.leave (entry, caller);
-  world.run_for (1300 * ms);
-  submit_long_task (world, "b-1");
-  world.run_for (10 * ms);
-  ASSERT_EQ (count_runs (world, "b"), 1U);
+  submit_elsewhere (world, entry, caller, "b");
   world.set_cut (entry, leader, false);
   world.run_for (500 * ms);
   EXPECT_TRUE (has_no_double_run (world));
@@ -698,11 +702,7 @@
   uint64_t caller = submit_long_task (world, "a-1");
   world.run_for (20 * ms);
   ASSERT_NE (world.last_lend_msg, nullptr);
-  world.leave (world.find ("a-1"), caller);
-  world.run_for (1300 * ms);
-  submit_long_task (world, "c-1");
-  world.run_for (10 * ms);
-  ASSERT_EQ (count_runs (world, "c"), 1U);
+  submit_elsewhere (world, world.find ("a-1"), caller, "c");
   world.set_frozen (world.find ("b-1"), false);
   world.run_for (500 * ms);
   EXPECT_TRUE (has_no_double_run (world));
@@ -899,11 +899,7 @@
   world.run_for (20 * ms);
   ASSERT_NE (world.last_lend_msg, nullptr);
   std::string other = leased::count_logged (world, "tasks=1 to=b-1") > 0 ? "c" : "b";
-  world.leave (home, caller);
-  world.run_for (1300 * ms);
-  submit_long_task (world, other + "-1");
-  world.run_for (10 * ms);
-  ASSERT_EQ (count_runs (world, other), 1U);
+  submit_elsewhere (world, home, caller, other);
   world.run_for (500 * ms);
   EXPECT_TRUE (has_no_double_run (world));
 }
@@ -920,11 +916,7 @@
   world.run_for (6000 * ms);
   uint64_t caller = submit_long_task (world, "a-2");
   world.run_for (20 * ms);
-  world.leave (entry, caller);
-  world.run_for (1300 * ms);
-  submit_long_task (world, "b-1");
-  world.run_for (10 * ms);
-  ASSERT_EQ (count_runs (world, "b"), 1U);
+  submit_elsewhere (world, entry, caller, "b");
   world.run_for (500 * ms);
   EXPECT_TRUE (has_no_double_run (world));
 }
