--- a/review/stand-2/rig.py
+++ b/review/stand-2/rig.py
@@ -286,6 +286,8 @@
     async def start(self):
         """Starts the program with the command of deploy/system.toml and the settings of its
         template, deploy/settings.conf."""
+        if not self.rig.beating:
+            raise asyncio.CancelledError  # the case has ended
         settings = os.path.join(self.rig.folder, self.name + ".conf")
         seeds = ["127.0.0.1:%d" % i.peer for i in self.rig.instances[:3]]
         with open(settings, "w") as stream:
