--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,8 +5,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-2"))
-import rig as stand  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+import rig_2 as stand  # noqa: E402
 
 GREY_SHARE = float(os.environ.get("GREY", "0.1"))  # of the requests of that executor; `x` of srv_grey
 TRAFFIC_S = 90
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,12 +7,13 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-2"))
-import rig as stand  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+import rig_2 as stand  # noqa: E402
 
 BEAT_S = 1.5
 EXECUTORS = 30
 CUT = 3  # a share of 0.1
+RACK = 5
 END_S = 96
 
 
@@ -91,14 +92,17 @@
 
 
 async def scenario(rig):
-    await rig.open([("na", 2)], EXECUTORS)
+    await rig.open([("na", 2)], EXECUTORS, lambda zone, i: ["a", "r%d" % (i // RACK)])
     for instance in rig.instances:
         instance.in_rotation = True
     rolls, clients = asyncio.create_task(trouble(rig)), []
     while not rolls.done():
-        await asyncio.sleep(rig.rng.expovariate(60))
+        await asyncio.sleep(rig.rng.expovariate(28))
         work = 0.25 * rig.rng.uniform(0.7, 1.4)
-        job = rig.new_job([{"count": 2, "cpu": 6800, "mem_mb": 64, "estimate_ms": 250}], [work])
+        # Each job needs the workers of one rack, so that the load of each rack varies.
+        rack = "r%d" % rig.rng.randrange(EXECUTORS // RACK)
+        job = rig.new_job([{"count": 2, "cpu": 10000, "mem_mb": 64, "estimate_ms": 250,
+                            "required_label": rack}], [work])
         clients.append(asyncio.create_task(client(rig, job)))
     await rolls
     await asyncio.gather(*clients)
--- a/review/stand-2/rig.py
+++ b/review/rig_2.py
@@ -19,7 +19,7 @@
 import traceback
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 DAEMON = os.path.join(ROOT, "target", "damaskshored", "damaskshored")
 HOLD_MAX_MS = 1000  # `hold_max_ms`
 STOP_MS = 50  # `stop_ms`
