--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,8 +11,8 @@
 import rig_2 as stand  # noqa: E402
 
 BEAT_S = 1.5
-EXECUTORS = 30
-CUT = 3  # a share of 0.1
+EXECUTORS = 40
+CUT = 4  # a share of 0.1
 RACK = 5
 END_S = 96
 
@@ -81,9 +81,9 @@
         cut = asyncio.create_task(cut_off(rig)) if stand.TROUBLE else None
         await asyncio.sleep(1.6)
         await stop(rig, first)
-        await asyncio.sleep(0.4)
+        await asyncio.sleep(0.8)
         await start(rig, first)
-        await asyncio.sleep(rig.rng.uniform(0.1, 0.6))
+        await asyncio.sleep(rig.rng.uniform(0.05, 0.35))
         await stop(rig, second)
         await asyncio.sleep(0.4)
         await start(rig, second)
@@ -97,7 +97,7 @@
         instance.in_rotation = True
     rolls, clients = asyncio.create_task(trouble(rig)), []
     while not rolls.done():
-        await asyncio.sleep(rig.rng.expovariate(28))
+        await asyncio.sleep(rig.rng.expovariate(37))
         work = 0.25 * rig.rng.uniform(0.7, 1.4)
         # Each job needs the workers of one rack, so that the load of each rack varies.
         rack = "r%d" % rig.rng.randrange(EXECUTORS // RACK)
