leased-runs: send a stop again that its target rejected

A job was answered as lost, one of its runs answered the stop with 503, and the caller submitted the job again 1.3 s later.

Cause: handle_stop_reply() took each answer but a few for an acknowledged stop: 429 and 503, 400, and 409 with a reason. Nothing sent the stop again, although each list went on showing the run, and the holds for other runs on the target extended its lease. The trace of the run shows it: run-stop answered 503 at 5.4632, no further stop, end "lapsed" at 7.4918, second start at 6.7648.

Change: a target that rejects a stop has done nothing. The run stays in DKS_LEASED_RUN_STOPPING and the stop is sent again every 50 ms (run_watch_timer); the target gets no starts meanwhile. As every stop may be rejected, no call extends a lease beyond 1.1 s after the run was released by its job. A run that was never listed is forgotten once its start is too late. event=stop-rejected and stops_rejected_total tell of it. "old" in answer to a stop counts as an acknowledgement, as the target then rejects the run.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -470,6 +470,7 @@
 
   dks_leased_run_set_resources (run, &job->batch->steps[task->batch_step]);
   run->job = job;
+  run->released_us = 0;
   run->task_index = index;
   run->expected_us = dks_leased_estimate_run_us (job->leased, job->batch, task->batch_step);
   task->current_run = run;
--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -47,6 +47,18 @@
   return run;
 }
 
+static void
+run_set_stop_rejected (dks_leased_run_t *run, bool is_rejected)
+{
+  if (run->stop_rejected == is_rejected)
+    return;
+  run->stop_rejected = is_rejected;
+  if (is_rejected)
+    run->target->rejected_stops++;
+  else
+    run->target->rejected_stops--;
+}
+
 void
 dks_leased_run_free (dks_leased_run_t *run)
 {
@@ -57,6 +69,7 @@
     apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
   if (apr_hash_get (leased->runs_by_task_name, run->task_name, APR_HASH_KEY_STRING) == run)
     apr_hash_set (leased->runs_by_task_name, run->task_name, APR_HASH_KEY_STRING, NULL);
+  run_set_stop_rejected (run, false);
   target->run_count--;
   target->cpu_used -= run->cpu_milli;
   target->memory_used -= run->memory_mb;
@@ -202,6 +215,7 @@
   run->state = DKS_LEASED_RUN_STOPPING;
   run->stop_sent_us = dks_leased_now_us (run->leased);
   run->acked_us = 0;
+  run_set_stop_rejected (run, false);
   run->op = effect->u.lease.op;
   apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
   dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), run->task_name);
@@ -212,6 +226,8 @@
 dks_leased_run_stop (dks_leased_run_t *run)
 {
   run->job = NULL;
+  if (run->released_us == 0)
+    run->released_us = dks_leased_now_us (run->leased);
   if (run->state != DKS_LEASED_RUN_STOPPING)
     send_stop (run);
 }
@@ -223,6 +239,13 @@
     send_stop (run);
 }
 
+void
+dks_leased_run_retry_stop (dks_leased_run_t *run)
+{
+  if (run->stop_rejected)
+    send_stop (run);
+}
+
 /* Ends a run that was certainly not started, so that its task may start elsewhere. */
 static void
 run_handle_not_started (dks_leased_run_t *run, dks_lease_status_t status)
@@ -305,8 +328,9 @@
 handle_stop_reply (dks_leased_run_t *run, const dks_event_t *event)
 {
   dks_leased_target_t *target = run->target;
+  dks_lease_status_t status = event->u.lease_reply.status;
 
-  switch (event->u.lease_reply.status)
+  switch (status)
     {
     case DKS_LEASE_FENCED:
       dks_leased_leader_handle_fenced (run->leased);
@@ -323,7 +347,20 @@
     case DKS_LEASE_OTHER_INCARNATION:
       dks_leased_target_handle_replaced (target);
       return;
-    default:
+    case DKS_LEASE_UNHEALTHY:
+    case DKS_LEASE_INVALID:
+    case DKS_LEASE_NO_CAPACITY:
+    case DKS_LEASE_LATE:
+      /* The target has done nothing. `run_watch_timer` sends the stop again. */
+      run_set_stop_rejected (run, true);
+      dks_metrics_increment (run->leased->metrics, DKS_LABELLED_STOPS_REJECTED,
+                             dks_lease_status_name (status), "");
+      dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                    "event=stop-rejected task=%s run=%u target=%s reason=%s", run->task_name,
+                    run->number, target->info.id, dks_lease_status_name (status));
+      return;
+    case DKS_LEASE_OK:
+    case DKS_LEASE_OLD_RUN:
       run->acked_us = dks_leased_now_us (run->leased);
       dks_leased_target_handle_answer (target, run->stop_sent_us,
                                        event->u.lease_reply.target_clock_ms);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -15,6 +15,10 @@
    * run's lease: this leader may lose the target before it notices that the instance is lost, and a
    * caller submits its job again 1.3 s after it left. */
   LEASE_AFTER_MESSAGE_MAX_MS = 1100,
+  /* Longest time from the stop of a run, of which its caller has been told or has left, to the end
+   * of its lease: the target may reject every stop, and the caller submits its job again after 1.3
+   * s. */
+  LEASE_AFTER_STOP_MAX_MS = 1100,
   HOLD_WAIT_MS = 300, /* time that a hold waits for a run end; three holds fit into a lease */
   /* A target whose clock falls back by more than this is taken for a new incarnation. */
   CLOCK_JUMP_MS = 500,
@@ -57,18 +61,22 @@
   return effect;
 }
 
-/* How far ahead a lease for the job may end, at most `ahead_ms`. */
+/* How far ahead a lease for the run may end, at most `ahead_ms`. */
 static int64_t
-limit_lease_ms (const dks_leased_job_t *job, int64_t ahead_ms)
+limit_lease_ms (const dks_leased_run_t *run, int64_t ahead_ms)
 {
-  const dks_leased_t *leased = job->leased;
-  const dks_leased_peer_t *origin = dks_leased_peer_find (leased, job->origin);
+  const dks_leased_t *leased = run->leased;
+  const dks_leased_peer_t *origin =
+      run->job != NULL ? dks_leased_peer_find (leased, run->job->origin) : NULL;
   int64_t limit_ms;
 
-  if (origin == NULL)
-    return ahead_ms; /* this instance itself */
-  limit_ms =
-      LEASE_AFTER_MESSAGE_MAX_MS - (dks_leased_now_us (leased) - origin->last_message_us) / 1000;
+  if (origin != NULL)
+    limit_ms =
+        LEASE_AFTER_MESSAGE_MAX_MS - (dks_leased_now_us (leased) - origin->last_message_us) / 1000;
+  else if (run->job == NULL && run->released_us > 0)
+    limit_ms = LEASE_AFTER_STOP_MAX_MS - (dks_leased_now_us (leased) - run->released_us) / 1000;
+  else
+    return ahead_ms; /* adopted, or for this instance itself */
   if (limit_ms < 0)
     limit_ms = 0;
   return limit_ms < ahead_ms ? limit_ms : ahead_ms;
@@ -80,10 +88,7 @@
   const dks_leased_run_t *run;
 
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
-    {
-      if (run->job != NULL)
-        ahead_ms = limit_lease_ms (run->job, ahead_ms);
-    }
+    ahead_ms = limit_lease_ms (run, ahead_ms);
   return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
 }
 
@@ -429,6 +434,9 @@
       if ((run->state == DKS_LEASED_RUN_RUNNING || run->state == DKS_LEASED_RUN_STOPPING)
           && run->acked_us > 0 && run->acked_us <= sent_us)
         dks_leased_run_end (run, false, false);
+      /* No stop was carried out, but a start that did not arrive by now is too late. */
+      else if (run->stop_rejected && sent_us >= lease_end_us (run->start_sent_us))
+        dks_leased_run_end (run, false, false);
       else if (run->state == DKS_LEASED_RUN_STARTING
                && sent_us - run->start_sent_us >= START_LOST_AFTER_US)
         {
--- a/core/leased_watch.c
+++ b/core/leased_watch.c
@@ -182,6 +182,7 @@
   int64_t elapsed_us = dks_leased_now_us (run->leased) - run->start_sent_us;
   dks_leased_task_t *task;
 
+  dks_leased_run_retry_stop (run);
   if (run->job == NULL)
     {
       if (run->state != DKS_LEASED_RUN_STOPPING && run->adopted_us > 0
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -1118,6 +1118,13 @@
       send_lease_reply (call.instance, effect.u.lease.op, DKS_LEASE_UNANSWERED, nullptr, nullptr);
       return;
     }
+  if (target.rejection)
+    status = target.rejection (effect);
+  if (status != DKS_LEASE_OK)
+    {
+      send_lease_reply (call.instance, effect.u.lease.op, status, &target, &call);
+      return;
+    }
   end_due_runs (target);
   if (effect.u.lease.fencing_token < target.highest_fence)
     status = DKS_LEASE_FENCED;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -63,7 +63,9 @@
   // The next start is not carried out but makes the target crash, for this long; 0: it does not.
   int64_t crash_at_start_us = 0;
   int64_t refuses_until_us = 0; // its process is gone until then, and connections are refused
-  int refused_calls = 0;  // next calls that are refused, as those just before its process is back
+  int refused_calls = 0; // next calls that are refused, as those just before its process is back
+  // Status with which it rejects a call, of which it does nothing; DKS_LEASE_OK: none.
+  std::function<dks_lease_status_t (const dks_effect_t &call)> rejection;
   bool stalled = false;   // its runs make no progress and never end
   bool runs_fail = false; // its runs end as DKS_RUN_FAILED
   // The next `delayed_starts` starts are carried out `start_delay_us` after they were sent, and get
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -66,13 +66,20 @@
   int64_t leaves_us = INT64_MAX; // closes its present connection then, and submits again later
 };
 
+struct Options
+{
+  // Callers leave before their job has ended, some of them right after they submitted it, and
+  // submit it again.
+  bool callers_are_impatient = false;
+  // A quarter of the targets reject part of the calls, of which they do nothing.
+  bool targets_reject_calls = false;
+};
+
 class Schedule
 {
 public:
-  // Impatient callers leave before their job has ended, some of them right after they submitted it,
-  // and submit it again.
-  explicit Schedule (uint64_t seed, bool callers_are_impatient = false)
-      : random (seed), patience (seed), callers_are_impatient (callers_are_impatient)
+  Schedule (uint64_t seed, const Options &options)
+      : random (seed), patience (seed), rejections (seed), options (options)
   {
   }
 
@@ -98,6 +105,8 @@
         for (int64_t j = 0; j < targets; j++)
           world.add_target (name);
       }
+    if (options.targets_reject_calls)
+      make_targets_reject_calls ();
     home = names[static_cast<size_t> (random.between (0, data_centres - 1))];
     world.start_all ();
     world.run_for (start_ms * ms);
@@ -162,6 +171,21 @@
       }
   }
 
+  void
+  make_targets_reject_calls ()
+  {
+    for (auto &target : world.targets)
+      {
+        if (!rejections.chance (25))
+          continue;
+        int share = static_cast<int> (rejections.between (5, 60));
+
+        target->rejection = [this, share] (const dks_effect_t &call) {
+          return rejections.chance (share) ? DKS_LEASE_UNHEALTHY : DKS_LEASE_OK;
+        };
+      }
+  }
+
   size_t
   any_instance ()
   {
@@ -243,12 +267,12 @@
         submit_later (client);
         return;
       }
-    if (callers_are_impatient)
+    if (options.callers_are_impatient)
       client.leaves_us =
           world.now_us + (patience.chance (30) ? patience.between (10, 400) : patience_ms) * ms;
-    client.caller = world.submit (client.entry, client.job, client.steps,
-                                  callers_are_impatient ? patience_ms
-                                                        : (client.gives_up_us - world.now_us) / ms);
+    client.caller = world.submit (
+        client.entry, client.job, client.steps,
+        options.callers_are_impatient ? patience_ms : (client.gives_up_us - world.now_us) / ms);
   }
 
   void
@@ -515,8 +539,9 @@
   }
 
   Random random;
-  Random patience; // of the callers
-  bool callers_are_impatient;
+  Random patience;   // of the callers
+  Random rejections; // of calls, by targets
+  Options options;
   std::vector<std::string> names; // of the data centres
   std::string home;               // data centre that gets most of the jobs
   std::vector<Client> clients;
@@ -534,7 +559,7 @@
 {
 
 void
-play_schedules (bool callers_are_impatient)
+play_schedules (const Options &options)
 {
   const char *range = getenv ("DKS_OVERLAP_SEEDS");
   unsigned long long first = 1;
@@ -546,7 +571,7 @@
     }
   for (unsigned long long seed = first; seed <= last; seed++)
     {
-      Schedule schedule (seed, callers_are_impatient);
+      Schedule schedule (seed, options);
 
       schedule.run ();
       std::string text;
@@ -564,14 +589,20 @@
 // Guards against two runs of one task at once, over overlapping faults while tasks are lent.
 TEST (LeasedOverlap, NoTaskHasTwoRunsOnAnySchedule)
 {
-  play_schedules (false);
+  play_schedules ({});
 }
 
 // The same while callers leave early and submit their jobs again, also to instances that stand
 // still meanwhile.
 TEST (LeasedOverlap, NoTaskHasTwoRunsWhenCallersLeaveEarly)
 {
-  play_schedules (true);
+  play_schedules ({ .callers_are_impatient = true });
+}
+
+// The same while targets reject starts, stops and holds.
+TEST (LeasedOverlap, NoTaskHasTwoRunsWhileTargetsRejectCalls)
+{
+  play_schedules ({ .callers_are_impatient = true, .targets_reject_calls = true });
 }
 
 namespace
