leased-lend: do not lend a task whose run is being stopped here

A caller that submitted its job again had a task whose earlier run was still at work on a target of its home leader. The leader knew the run, and lent the task.

Cause: a task waits in its home data centre until its earlier run has ended, but lend_tasks() looked only at whether a task was due. When another task of the job found no room, or only on targets that were too slow, all its waiting tasks were lent.

Change: only tasks for which no earlier run was found are lent.

Evidence: TaskWhoseRunIsBeingStoppedIsNotLent failed at each of its delays (1, 10 and 30 ms) and passes.

--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -128,6 +128,13 @@
   task->remote_lost = false;
 }
 
+/* Whether the task may be lent: a run of it that is being stopped here has to end first. */
+static bool
+may_lend (const dks_leased_job_t *job, const dks_leased_task_t *task)
+{
+  return task->no_prior_run && dks_leased_task_is_due (job, task);
+}
+
 /* Lends due tasks of the step of task `first` to the peer, as many as fit there. */
 static void
 lend_tasks (dks_leased_job_t *job, dks_leased_peer_t *peer, uint32_t first, bool fast)
@@ -141,8 +148,7 @@
     {
       dks_leased_task_t *task = &job->tasks[i];
 
-      if (task->batch_step != step || !dks_leased_task_is_due (job, task)
-          || !has_capacity_for (peer, task, fast))
+      if (task->batch_step != step || !may_lend (job, task) || !has_capacity_for (peer, task, fast))
         continue;
       task->run_number++;
       msg->u.work.lent_tasks[count] = task->index;
@@ -174,8 +180,7 @@
     {
       dks_leased_peer_t *peer;
 
-      if (!dks_leased_task_is_due (job, &job->tasks[i])
-          || (fast && !job->tasks[i].wants_faster_target))
+      if (!may_lend (job, &job->tasks[i]) || (fast && !job->tasks[i].wants_faster_target))
         continue;
       peer = choose_remote_leader (leased, &job->tasks[i], fast);
       if (peer == NULL)
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -998,3 +998,28 @@
       EXPECT_TRUE (has_no_double_run (world)) << delay_ms;
     }
 }
+
+// Guards against a task that is lent while its earlier run is being stopped here: another task of
+// the job, without a run, found no room.
+TEST (LeasedOverlap, TaskWhoseRunIsBeingStoppedIsNotLent)
+{
+  for (int64_t away_ms : { 1, 10, 30 })
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 1, 4 } });
+      size_t home = world.find ("a-1");
+
+      world.targets[0]->stop_duration_us = 50 * ms;
+      world.submit (home, "0000000000000003", { { 1, 6800, 4000, 4000 } }, 12000);
+      uint64_t caller = world.submit (home, task_id, { { 2, 6800, 2000, 2000 } }, 6000);
+      world.run_for (100 * ms);
+      ASSERT_EQ (count_runs (world, "a"), 1U);
+      ASSERT_EQ (count_runs (world, "b"), 1U);
+      world.leave (home, caller);
+      world.run_for (away_ms * ms);
+      world.submit (home, task_id, { { 2, 6800, 2000, 2000 } }, 6000);
+      world.run_for (1000 * ms);
+      EXPECT_TRUE (has_no_double_run (world)) << "after " << away_ms << " ms";
+      EXPECT_EQ (count_runs (world, "a") + count_runs (world, "b"), 2U);
+    }
+}
