executor, leased-runs: a server error does not show that nothing was done

A start that a target answered with 500, 502 or 504 counted as a start that was certainly not carried out, and as a failed attempt of the task, which then started elsewhere. A stop without an answer took its run out of DKS_LEASED_RUN_STOPPING, and where such answers come at once, a stop and a poll followed each other without a pause.

Change: only 4xx says that nothing was done; other unexpected statuses count as calls without an answer, which the target's lists or a stop settle. Stops that were rejected and those without an answer are handled alike: the run stays in DKS_LEASED_RUN_STOPPING and the stop is sent again every 50 ms while the target answers calls (event=stop-failed, stops_failed_total).

--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -27,7 +27,7 @@
   int64_t time_us = dks_leased_now_us (leased);
 
   return target->held && target->synced && target->clock_known && !target->info.leaving
-         && target->unanswered_calls == 0 && target->rejected_stops == 0
+         && target->unanswered_calls == 0 && target->failed_stops == 0
          && (target->listed || time_us - target->unlisted_us < DKS_LEASED_UNLISTED_GRACE_US)
          && target->ejected_until_us <= time_us && target->full_until_us <= time_us;
 }
--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -48,15 +48,15 @@
 }
 
 static void
-run_set_stop_rejected (dks_leased_run_t *run, bool is_rejected)
+run_set_stop_failed (dks_leased_run_t *run, bool is_failed)
 {
-  if (run->stop_rejected == is_rejected)
+  if (run->stop_failed == is_failed)
     return;
-  run->stop_rejected = is_rejected;
-  if (is_rejected)
-    run->target->rejected_stops++;
+  run->stop_failed = is_failed;
+  if (is_failed)
+    run->target->failed_stops++;
   else
-    run->target->rejected_stops--;
+    run->target->failed_stops--;
 }
 
 void
@@ -69,7 +69,7 @@
     apr_hash_set (leased->runs_by_op, &run->op, sizeof (run->op), NULL);
   if (apr_hash_get (leased->runs_by_task_name, run->task_name, APR_HASH_KEY_STRING) == run)
     apr_hash_set (leased->runs_by_task_name, run->task_name, APR_HASH_KEY_STRING, NULL);
-  run_set_stop_rejected (run, false);
+  run_set_stop_failed (run, false);
   target->run_count--;
   target->cpu_used -= run->cpu_milli;
   target->memory_used -= run->memory_mb;
@@ -215,7 +215,7 @@
   run->state = DKS_LEASED_RUN_STOPPING;
   run->stop_sent_us = dks_leased_now_us (run->leased);
   run->acked_us = 0;
-  run_set_stop_rejected (run, false);
+  run_set_stop_failed (run, false);
   run->op = effect->u.lease.op;
   apr_hash_set (run->leased->runs_by_op, &run->op, sizeof (run->op), run);
   dks_strcpy (effect->u.lease.task, sizeof (effect->u.lease.task), run->task_name);
@@ -242,7 +242,7 @@
 void
 dks_leased_run_retry_stop (dks_leased_run_t *run)
 {
-  if (run->stop_rejected)
+  if (run->stop_failed)
     send_stop (run);
 }
 
@@ -324,6 +324,21 @@
   run_handle_not_started (run, status);
 }
 
+/* The target has done nothing, or it is not known what it has done. `run_watch_timer` sends the
+ * stop again. */
+static void
+handle_failed_stop (dks_leased_run_t *run, dks_lease_status_t status)
+{
+  run_set_stop_failed (run, true);
+  dks_metrics_increment (run->leased->metrics, DKS_LABELLED_STOPS_FAILED,
+                         dks_lease_status_name (status), "");
+  dks_emit_log (run->leased->r, DKS_LOG_INFO,
+                "event=stop-failed task=%s run=%u target=%s reason=%s", run->task_name, run->number,
+                run->target->info.id, dks_lease_status_name (status));
+  /* Calls without an answer show a silent target, which gets no further stops. */
+  dks_leased_target_poll (run->target);
+}
+
 static void
 handle_stop_reply (dks_leased_run_t *run, const dks_event_t *event)
 {
@@ -335,29 +350,17 @@
     case DKS_LEASE_FENCED:
       dks_leased_leader_handle_fenced (run->leased);
       return;
-    case DKS_LEASE_NOT_SENT:
-    case DKS_LEASE_REFUSED:
-    case DKS_LEASE_UNANSWERED:
-      /* The stop is sent again when `run_watch_timer` expires. */
-      run->state = DKS_LEASED_RUN_UNCONFIRMED;
-      if (run->job == NULL)
-        run->adopted_us = run->adopted_us > 0 ? run->adopted_us : 1;
-      dks_leased_target_poll (target);
-      return;
     case DKS_LEASE_OTHER_INCARNATION:
       dks_leased_target_handle_replaced (target);
       return;
+    case DKS_LEASE_NOT_SENT:
+    case DKS_LEASE_REFUSED:
+    case DKS_LEASE_UNANSWERED:
     case DKS_LEASE_UNHEALTHY:
     case DKS_LEASE_INVALID:
     case DKS_LEASE_NO_CAPACITY:
     case DKS_LEASE_LATE:
-      /* The target has done nothing. `run_watch_timer` sends the stop again. */
-      run_set_stop_rejected (run, true);
-      dks_metrics_increment (run->leased->metrics, DKS_LABELLED_STOPS_REJECTED,
-                             dks_lease_status_name (status), "");
-      dks_emit_log (run->leased->r, DKS_LOG_INFO,
-                    "event=stop-rejected task=%s run=%u target=%s reason=%s", run->task_name,
-                    run->number, target->info.id, dks_lease_status_name (status));
+      handle_failed_stop (run, status);
       return;
     case DKS_LEASE_OK:
     case DKS_LEASE_OLD_RUN:
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -435,7 +435,7 @@
           && run->acked_us > 0 && run->acked_us <= sent_us)
         dks_leased_run_end (run, false, false);
       /* No stop was carried out, but a start that did not arrive by now is too late. */
-      else if (run->stop_rejected && sent_us >= lease_end_us (run->start_sent_us))
+      else if (run->stop_failed && sent_us >= lease_end_us (run->start_sent_us))
         dks_leased_run_end (run, false, false);
       else if (run->state == DKS_LEASED_RUN_STARTING
                && sent_us - run->start_sent_us >= START_LOST_AFTER_US)
--- a/include/common/metrics.h
+++ b/include/common/metrics.h
@@ -13,8 +13,8 @@
   X (REFUSALS, "refusals_total", "reason", "", "Jobs refused without being run, by reason.")       \
   X (LEASED_STARTS, "leased_starts_total", "result", "",                                           \
      "Starts of runs, by the target's answer.")                                                    \
-  X (STOPS_REJECTED, "stops_rejected_total", "reason", "",                                         \
-     "Stops of runs that targets rejected, by the target's answer.")                               \
+  X (STOPS_FAILED, "stops_failed_total", "reason", "",                                             \
+     "Stops of runs that targets rejected or did not answer, by the reason.")                      \
   X (RUN_ENDS, "run_ends_total", "queue", "end", "Ends of runs, as reported by their targets.")    \
   X (RUNS_MOVED, "runs_moved_total", "reason", "",                                                 \
      "Runs stopped to run their task on another target, by reason.")                               \
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -168,7 +168,7 @@
   int64_t last_progress_us;  /**< when `progress_percent` last rose */
   int64_t adopted_us;        /**< when it was found in a target's list, 0: started by this leader */
   int64_t stop_sent_us;      /**< when the stop was last sent */
-  bool stop_rejected;        /**< the target rejected the latest stop; it is sent again */
+  bool stop_failed;          /**< the latest stop was rejected or got no answer; it is sent again */
   int64_t released_us;       /**< when it was first stopped without a job that waits, 0: not */
   uint64_t op;               /**< id of the start or stop under way, 0 for none */
   bool crash_recorded;       /**< the crash of its target was counted */
@@ -218,7 +218,7 @@
   dks_timer_t expiry_timer; /**< armed while the target does not answer or is not listed */
   struct dks_leased_run_ring_t runs;
   uint32_t run_count;
-  uint32_t rejected_stops; /**< runs with `stop_rejected` */
+  uint32_t failed_stops; /**< runs with `stop_failed` */
   uint32_t cpu_used;
   uint32_t memory_used;
   uint32_t accelerators_used;
@@ -795,7 +795,7 @@
 void dks_leased_run_stop (dks_leased_run_t *run);
 /** Stops a run but keeps its job: the task starts elsewhere once the run has certainly ended. */
 void dks_leased_run_stop_for_retry (dks_leased_run_t *run);
-/** Sends the stop of the run again if the target rejected the latest one. */
+/** Sends the stop of the run again if the latest one failed. */
 void dks_leased_run_retry_stop (dks_leased_run_t *run);
 /** Latest run of the task here that has not certainly ended, or NULL. */
 dks_leased_run_t *dks_leased_run_find (dks_leased_t *leased, const char *name);
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -276,6 +276,7 @@
     { 409, R"({"clock_ms":1,"reason":"room"})", DKS_LEASE_NO_CAPACITY },
     { 409, R"({"clock_ms":1,"reason":"new one"})", DKS_LEASE_INVALID },
     { 400, "", DKS_LEASE_INVALID },
+    { 404, "", DKS_LEASE_INVALID },
     { 421, "", DKS_LEASE_OTHER_INCARNATION },
     { 429, "", DKS_LEASE_UNHEALTHY },
     { 503, "", DKS_LEASE_UNHEALTHY },
@@ -293,6 +294,27 @@
     }
 }
 
+// Guards against a second run of a task: a start that was answered with a server error may have
+// been carried out, and a stop with one may not, so both count as calls without an answer.
+TEST_F (Adapter, ServerErrorDoesNotShowThatNothingWasDone)
+{
+  for (dks_effect_type_t type : { DKS_EFFECT_LEASE_START, DKS_EFFECT_LEASE_STOP })
+    {
+      for (int code : { 202, 204, 500, 502, 504 })
+        {
+          dks_effect_t effect = lease_effect (type);
+
+          if (type == DKS_EFFECT_LEASE_START)
+            effect.u.lease.spec = dks_blob_create ("x", 1);
+          platform.queue_reply (code, "");
+          dks_executor_call (client, &effect, handle_event, this);
+          wait_for_event ();
+          EXPECT_EQ (status, DKS_LEASE_UNANSWERED) << code;
+          dks_blob_unref (effect.u.lease.spec);
+        }
+    }
+}
+
 TEST_F (Adapter, HoldDecodesRunningAndEndedRuns)
 {
   dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -149,3 +149,20 @@
   world.run_for (200 * ms);
   EXPECT_EQ (count_runs (world, neighbour_id, "a"), 1U);
 }
+
+// Guards against a stop and a poll that follow each other without a pause: a target that answers
+// starts and stops with server errors lists no run, which shows nothing.
+TEST (LeasedRuns, StopsThatFailAtOnceAreNotRepeatedWithoutAPause)
+{
+  World world;
+  int stops = 0;
+  start_data_centres (world, 1);
+  world.targets[0]->rejection = [&] (const dks_effect_t &call) {
+    stops += call.type == DKS_EFFECT_LEASE_STOP;
+    return call.type == DKS_EFFECT_LEASE_HOLD ? DKS_LEASE_OK : DKS_LEASE_UNANSWERED;
+  };
+  world.submit (0, job_id, { { 1, 6800, 900, 900 } }, 5000);
+  world.run_for (1000 * ms);
+  EXPECT_GE (stops, 1);
+  EXPECT_LE (stops, 25);
+}
