leased-share: tell successors of unlisted targets before they are used

Cause: a leader may start tasks on a target for 2.5 s after the platform has ceased to list it. It told the other instances of such a target only if it had runs at that moment, when they joined and once a second. An instance that had started after the target left the list did not know of it, took over, found all targets that it knew read, and started the task again.

Related, found with it: a leader that the platform's store turns away goes on using a target that all others have seen leave the list, and forgot 5 s later; lists were compared only when an instance joined. And an instance passed on to a new leader what leaders had stated, but not which targets it had itself seen leave.

Change: a leader tells of an unlisted target as long as it may get work or has runs, to each instance that joins and once a second; to an instance whose list differs it repeats all its targets once a second, while they are remembered for 3 s. Instances pass on to a new leader the targets that have lately left the list as well.

Evidence: SuccessorIsToldOfATargetThatWasUnlistedBeforeItStarted, SuccessorIsToldOfATargetThatOnlyItsPredecessorStillLists and InstanceThatStartsDuringADrainIsToldOfTheTargetsInUse failed before and pass. The tests test_leased* pass. Cost: a message of all targets of a data centre once a second for each instance with another list.

--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -506,7 +506,7 @@
       dks_leased_crashes_send_all (leased, peer->id);
     }
   if (begins_to_lead)
-    dks_leased_share_lately_noted (leased, peer);
+    dks_leased_share_lately_known (leased, peer);
   if (learns_targets)
     dks_leased_share_with (leased, peer);
   if (changed)
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -20,6 +20,13 @@
 /* An objective that only a target of less slowness could meet counts as missed. */
 #define OBJECTIVE_SLOWNESS_MIN 0.5
 
+bool
+dks_leased_target_is_in_unlisted_grace (const dks_leased_target_t *target)
+{
+  return !target->listed
+         && dks_leased_now_us (target->leased) - target->unlisted_us < DKS_LEASED_UNLISTED_GRACE_US;
+}
+
 static bool
 is_usable (const dks_leased_target_t *target)
 {
@@ -28,7 +35,7 @@
 
   return target->held && target->synced && target->clock_known && !target->info.leaving
          && target->unanswered_calls == 0 && target->failed_stops == 0
-         && (target->listed || time_us - target->unlisted_us < DKS_LEASED_UNLISTED_GRACE_US)
+         && (target->listed || dks_leased_target_is_in_unlisted_grace (target))
          && target->ejected_until_us <= time_us && target->full_until_us <= time_us;
 }
 
--- a/core/leased_share.c
+++ b/core/leased_share.c
@@ -5,6 +5,7 @@
 #include "common/alloc.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Which of its targets a leader tells. */
 typedef bool (*target_filter_t) (const dks_leased_target_t *target);
@@ -21,17 +22,26 @@
   return target->held && target->share_due;
 }
 
+/* Whether the target is not listed but has runs, or may get some before the next message. */
 static bool
 is_unlisted_in_use (const dks_leased_target_t *target)
 {
-  return target->held && !target->listed && (target->run_count > 0 || !target->synced);
+  return target->held && !target->listed
+         && (target->run_count > 0 || !target->synced
+             || dks_leased_target_is_in_unlisted_grace (target));
 }
 
+/* Whether a successor that has started lately may not know of the target. */
 static bool
-is_lately_noted (const dks_leased_target_t *target)
+is_lately_noted_or_unlisted (const dks_leased_target_t *target)
 {
-  return target->noted_us > 0
-         && dks_leased_now_us (target->leased) - target->noted_us < DKS_LEASED_NOTED_RETENTION_US;
+  const dks_leased_t *leased = target->leased;
+
+  if (strcmp (target->info.data_centre, leased->r->config.data_centre) != 0)
+    return false;
+  return !target->listed
+         || (target->noted_us > 0
+             && dks_leased_now_us (leased) - target->noted_us < DKS_LEASED_NOTED_RETENTION_US);
 }
 
 /* New message with the targets that pass the filter, or NULL: there are none. */
@@ -108,12 +118,6 @@
     dks_leased_share_with (leased, peer);
 }
 
-void
-dks_leased_share_unlisted (dks_leased_t *leased)
-{
-  send_to_all (leased, is_unlisted_in_use);
-}
-
 void
 dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
@@ -128,9 +132,10 @@
 }
 
 void
-dks_leased_share_lately_noted (dks_leased_t *leased, const dks_leased_peer_t *peer)
+dks_leased_share_lately_known (dks_leased_t *leased, const dks_leased_peer_t *peer)
 {
-  dks_msg_t *msg = is_receiver (leased, peer) ? create_msg (leased, is_lately_noted) : NULL;
+  dks_msg_t *msg =
+      is_receiver (leased, peer) ? create_msg (leased, is_lately_noted_or_unlisted) : NULL;
 
   if (msg != NULL)
     dks_emit_peer (leased->r, peer->id, msg);
--- a/core/leased_speeds.c
+++ b/core/leased_speeds.c
@@ -85,7 +85,7 @@
   dks_timer_set (leased->r->timers, &leased->publish_timer, time_us + PUBLISH_INTERVAL_US);
   if (leased->term == 0)
     return;
-  dks_leased_share_unlisted (leased);
+  dks_leased_share_all (leased);
   msg = dks_msg_create (DKS_MSG_SPEEDS);
   msg->u.speeds.targets = dks_alloc ((MESSAGE_ENTRIES_MAX + 1) * sizeof (msg->u.speeds.targets[0]));
   msg->u.speeds.queues = dks_alloc ((MESSAGE_ENTRIES_MAX + 1) * sizeof (msg->u.speeds.queues[0]));
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -801,6 +801,8 @@
 dks_leased_run_t *dks_leased_run_find (dks_leased_t *leased, const char *name);
 
 /* leased_place.c */
+/** Whether the platform does not list the target any more, but it may still get work. */
+bool dks_leased_target_is_in_unlisted_grace (const dks_leased_target_t *target);
 /** Updates `max_free_cpu_milli`. */
 void dks_leased_targets_update_free_cpu (dks_leased_t *leased);
 /** Best target with free capacity for the task now, or NULL. */
@@ -843,16 +845,16 @@
  * them, so that the message precedes any other from which a successor learns of the end of its
  * term. */
 void dks_leased_share_new (dks_leased_t *leased);
-/** Tells the instances of the data centre, as the term of this leader begins, what they may lack.
- */
+/** Tells each instance of the data centre what it may lack, as the term of this leader begins and
+ * once a second: an instance forgets what was not repeated for DKS_LEASED_NOTED_RETENTION_US. */
 void dks_leased_share_all (dks_leased_t *leased);
-/** Tells the data centre of the targets in use that the platform does not list any more. */
-void dks_leased_share_unlisted (dks_leased_t *leased);
-/** Tells an instance of the targets of this leader that it may lack: all if it has another list. */
+/** Tells an instance of the targets of this leader that it may lack: all if it has another list,
+ * else those that the platform does not list any more. */
 void dks_leased_share_with (dks_leased_t *leased, const dks_leased_peer_t *peer);
-/** Passes on to an instance that begins to lead what leaders have stated lately: it may not have
- * reached them. Goes before the jobs that are sent to it. */
-void dks_leased_share_lately_noted (dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Tells an instance that begins to lead of the targets that leaders have lately stated, and of
+ * those that have lately left the platform's list: it may have started since. Goes before the jobs
+ * that are sent to it. */
+void dks_leased_share_lately_known (dks_leased_t *leased, const dks_leased_peer_t *peer);
 void dks_leased_share_handle_msg (dks_leased_t *leased, const dks_leased_peer_t *peer,
                                   const dks_msg_t *msg);
 
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -851,7 +851,10 @@
   if (call.is_answered && call.feed == DKS_FEED_TARGETS && (!call.is_watch || call.has_targets))
     {
       for (auto &target : targets)
-        items.push_back ({ target->info.id, false, nullptr, &target->info });
+        {
+          if (target->listed)
+            items.push_back ({ target->info.id, false, nullptr, &target->info });
+        }
     }
   event.u.feed.count = items.size ();
   event.u.feed.items = items.data ();
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -58,6 +58,7 @@
 struct Target
 {
   dks_target_info_t info;
+  bool listed = true;  // by the platform, to an instance that reads its list
   double slowness = 1; // run time over that on a target of usual speed
   bool silent = false; // receives no calls and answers none
   // The next start is not carried out but makes the target crash, for this long; 0: it does not.
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -945,3 +945,89 @@
   EXPECT_EQ (world.double_runs, 0);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
+
+namespace
+{
+
+// Fills the first target of data centre "a" for 150 ms and has a job of 2 s start on the second
+// one. Returns the job's caller, at the instance `entry`.
+uint64_t
+start_on_second_target (World &world, size_t leader, size_t entry)
+{
+  world.submit (leader, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+  world.run_for (20 * ms);
+  uint64_t caller = world.submit (entry, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+  world.run_for (10 * ms);
+  EXPECT_EQ (world.targets[1]->runs.size (), 1U);
+  world.run_for (150 * ms);
+  return caller;
+}
+
+}
+
+// Guards against a second run of a task on a target that has just left the platform's list: the
+// leader may still use it, a successor that started afterwards has not read of it, and is told only
+// of targets with runs (review/8).
+TEST (LeasedHandover, SuccessorIsToldOfATargetThatWasUnlistedBeforeItStarted)
+{
+  for (int64_t joined_ms : { 300, 500, 900, 1400 })
+    {
+      World world;
+      start_data_centres (world, { { 2, 2 } });
+      world.kill (1);
+      world.targets[1]->listed = false;
+      unlist_target (world, 0, *world.targets[1]);
+      world.run_for (100 * ms);
+      world.restart (1);
+      world.run_for (joined_ms * ms);
+      uint64_t caller = start_on_second_target (world, 0, 1);
+      world.drain (0);
+      world.run_for (6000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << joined_ms << " ms\n" << reports (world);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << joined_ms << " ms";
+    }
+}
+
+// The same where the platform's store turns the leader away, which therefore goes on using a target
+// that all others have seen leave.
+TEST (LeasedHandover, SuccessorIsToldOfATargetThatOnlyItsPredecessorStillLists)
+{
+  World world;
+  start_data_centres (world, { { 2, 2 } });
+  world.targets[1]->listed = false;
+  unlist_target (world, 1, *world.targets[1]);
+  world.run_for (9000 * ms);
+  uint64_t caller = start_on_second_target (world, 0, 1);
+  world.drain (0);
+  world.run_for (6000 * ms);
+  EXPECT_EQ (world.double_runs, 0) << reports (world);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// The same where a successor that has just started can lead before its predecessor, to which the
+// connection is slow, tells it of the targets in use; another instance sends it the job.
+TEST (LeasedHandover, InstanceThatStartsDuringADrainIsToldOfTheTargetsInUse)
+{
+  for (int64_t joining_ms = 0; joining_ms <= 400; joining_ms += 10)
+    {
+      World world;
+      world.add_instance ("a");
+      world.add_instance ("a", false, 2000);
+      world.add_instance ("a");
+      start_data_centres (world, { { 0, 2 } });
+      world.kill (1);
+      world.run_for (1500 * ms);
+      ASSERT_EQ (count_logged (world, "a-1 event=leader-start"), 1U);
+      world.targets[1]->listed = false;
+      for (size_t i : { 0, 2 })
+        unlist_target (world, i, *world.targets[1]);
+      uint64_t caller = start_on_second_target (world, 0, 2);
+      world.link_delay_us[{ 1, 0 }] = 100 * ms;
+      world.restart (1);
+      world.run_for (joining_ms * ms);
+      world.drain (0);
+      world.run_for (6000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << joining_ms << " ms\n" << reports (world);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << joining_ms << " ms";
+    }
+}
