leased-leader: take over only when told of the targets in use

The leader tells an instance of its targets when it handles the first status that says that the instance knows the list; an instance whose status was still on the way led at once.

Cause: the order of messages guards only what the leader sends after it has handled that status.

Change: an instance takes over from a leader that is alive once a status of this leader shows that it has handled one of this connection which said that the instance knows the targets. Statuses carry the sending time of the latest one handled already.

Not covered: an instance that starts just before its leader is lost, and whose own jobs this leader started on a target that only it still used.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -564,11 +564,21 @@
   dks_leased_members_notify_all (leased);
 }
 
+/* Whether the leader has told this instance of the targets on which it has runs, which the platform
+ * may not list: it does so when it handles the first status on a connection that says that this
+ * instance knows the targets. */
+static bool
+has_been_told_of_targets (const dks_leased_t *leased, const dks_leased_peer_t *leader)
+{
+  return leased->targets_stated_us > 0 && leader->heard_us >= leased->targets_stated_us
+         && leader->heard_us >= leader->connected_us;
+}
+
 /* Whether this instance may take over from a leader that is alive. */
 static bool
 may_take_over_from (const dks_leased_t *leased, const dks_leased_peer_t *leader)
 {
-  if (leased->drain_start_us > 0)
+  if (leased->drain_start_us > 0 || !has_been_told_of_targets (leased, leader))
     return false;
   return leader->draining
          || (leader->yields_leadership
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -173,6 +173,8 @@
   msg->u.leased_status.heard_us = peer->last_sent_us;
   msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   msg->u.leased_status.targets_digest = leased->targets_digest;
+  if (msg->u.leased_status.knows_targets && leased->targets_stated_us == 0)
+    leased->targets_stated_us = leased->r->now.mono_us;
   peer->next_status_us = leased->r->now.mono_us + interval_us;
   peer->stated_interval_us = interval_us;
   return msg;
@@ -465,6 +467,7 @@
     dks_leased_lend_handle_remote_lost (leased, peer->id);
   record_lag (leased, peer, msg->u.leased_status.sent_us, msg->u.leased_status.heard_us);
   peer->last_sent_us = msg->u.leased_status.sent_us;
+  peer->heard_us = msg->u.leased_status.heard_us;
   peer->status_received = true;
   peer->unproven_until_us = 0;
   if (peer->term != msg->u.leased_status.term)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -124,7 +124,9 @@
   uint64_t address_digest;       /**< of the addresses that it knows, by its latest status */
   uint64_t addresses_sent;       /**< `sequence` up to which addresses were sent to it */
   int64_t last_sent_us;          /**< its own time at which it sent its latest status */
-  bool states_prior_jobs;        /**< it states the jobs that have runs on its targets */
+  int64_t heard_us; /**< when this instance sent the latest status that the peer had handled, by its
+                       own latest status; 0: none on this connection */
+  bool states_prior_jobs;    /**< it states the jobs that have runs on its targets */
   int64_t prior_jobs_due_us; /**< since when this leader owes it a statement of its jobs, 0: not */
   int64_t interval_us;       /**< within which it sends its next status, as stated; 0: not stated */
   int64_t stated_interval_us; /**< interval that the latest status to it stated */
@@ -492,10 +494,11 @@
   uint64_t heard_term;     /**< highest term of this instance or heard from a leader of its data
                               centre itself */
   int64_t last_fenced_us;  /**< when a target last rejected the fencing token, 0 for never */
-  bool status_due_to_leaders;     /**< a status is due to other leaders, as free capacity changed */
-  bool status_due_to_all;         /**< a status is due to all peers */
-  int64_t last_status_us;         /**< when a status was last sent to any peer */
-  dks_leased_capacity_t capacity; /**< as last computed, for statuses */
+  bool status_due_to_leaders; /**< a status is due to other leaders, as free capacity changed */
+  bool status_due_to_all;     /**< a status is due to all peers */
+  int64_t last_status_us;     /**< when a status was last sent to any peer */
+  int64_t targets_stated_us;  /**< when a status first said that this instance knows the targets */
+  dks_leased_capacity_t capacity;        /**< as last computed, for statuses */
   dks_leased_capacity_t stated_capacity; /**< as last sent to all other leaders at once */
   dks_timer_t status_timer;
   int64_t status_due_us; /**< when `status_timer` is due */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -783,8 +783,11 @@
   uint64_t op = effect.u.feed.op;
   int64_t timeout_us = 1000 * effect.u.feed.timeout_ms;
   bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
-  FeedCall call = { index,    instances[index]->reducer, effect.u.feed.feed,
-                    is_watch, effect.u.feed.revision,    !instances[index]->feed_down };
+  const Instance &instance = *instances[index];
+  bool is_answered = !instance.feed_down
+                     && !(instance.targets_feed_down && effect.u.feed.feed == DKS_FEED_TARGETS);
+  FeedCall call = { index,    instance.reducer,       effect.u.feed.feed,
+                    is_watch, effect.u.feed.revision, is_answered };
 
   instances[index]->feed_op[effect.u.feed.feed] = op;
   feed_calls[{ index, op }] = call;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -127,6 +127,7 @@
   bool event_scheduled = false;          // the handling of the first pending event
   bool tick_pending = false;             // a tick is among the pending events
   bool feed_down = false;                // the platform's feeds are unavailable to it
+  bool targets_feed_down = false;        // that of targets is
   uint32_t processor_milli = 1000;       // processor time it may use, thousandths of a processor
   uint64_t feed_op[DKS_FEED_COUNT] = {}; // operation number of its latest call for each feed
   std::string member_id;
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -1031,3 +1031,30 @@
       EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << joining_ms << " ms";
     }
 }
+
+// The same for a job of the successor's own, which it sent to its predecessor before it had read
+// any list of targets.
+TEST (LeasedHandover, InstanceThatReadsTheTargetsDuringADrainIsToldOfThoseInUse)
+{
+  for (int64_t drain_ms = 106; drain_ms <= 200; drain_ms += 2)
+    {
+      World world;
+      start_data_centres (world, { { 2, 2 } });
+      world.kill (1);
+      world.targets[1]->listed = false;
+      unlist_target (world, 0, *world.targets[1]);
+      world.instances[1]->targets_feed_down = true;
+      world.link_delay_us[{ 1, 0 }] = 100 * ms;
+      world.submit (0, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
+      world.run_for (30 * ms);
+      world.restart (1);
+      world.run_for (2 * ms);
+      uint64_t caller = world.submit (1, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (drain_ms * ms);
+      ASSERT_EQ (world.targets[1]->runs.size (), 1U);
+      world.drain (0);
+      world.run_for (6000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << drain_ms << " ms\n" << reports (world);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << drain_ms << " ms";
+    }
+}
