--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -17,6 +17,9 @@
   CONFIG   an old configuration in force long after a change
   BUDGET   a task started three times more after three executors have crashed under it
   EXIT     an instance that ended by itself, or with an unexpected exit status
+  CUT      a request that an instance cut off when it shut down
+
+Callers keep using their open connections to an instance until its process is gone.
 
 The exit status is 0 when no check is violated. The seed determines all random choices, but not the
 timing of the processes.
@@ -49,7 +52,8 @@
 SETTLE_S = 3.0  # from the end of the traffic until no run may be left: a lease and a stop
 CONFIG_S = 2.0  # within which a change of the configuration must be in force
 # Checks that also fail when the machine is too slow.
-TIMED_RULES = ("SILENT", "RECOVER", "HASTY", "CONFIG")
+TIMED_RULES = ("SILENT", "RECOVER", "HASTY", "CONFIG", "CUT")
+CUT_AFTER_S = 0.25  # a request that is cut off within this may not have been read
 DEADLY_SHARE = 0.02  # of the jobs: their first task crashes each executor that starts it
 CRASH_DELAY_S = 0.01  # from the start of such a task to the crash
 SERVED_SHARE_MIN = 0.9  # of the callers after the faults; executors fail 2 of 1000 runs
@@ -118,6 +122,7 @@
         self.settings = os.path.join(soak.folder, self.name + ".conf")
         self.start_count = 0
         self.is_ready = False  # by the latest readiness check
+        self.idle_connections = []  # of callers: (reader, writer)
 
     async def start(self):
         seeds = ",".join("127.0.0.1:%d" % i.peer_port for i in self.soak.instances[:3])
@@ -136,7 +141,7 @@
         log = open(os.path.join(self.soak.folder, "%s.log" % self.name), "ab")
         self.process = await asyncio.create_subprocess_exec(*arguments, stdout=log, stderr=log)
         log.close()
-        self.is_paused = self.killed = False
+        self.is_paused = self.killed = self.was_paused = False
         self.sigterm_count = 0
         self.started_at_s = time.monotonic()
 
@@ -165,12 +170,27 @@
                 and self.process.returncode is None)
 
 
+    def is_only_terminated(self):
+        """Whether its process has got one SIGTERM and no signal that may cut requests off."""
+        return self.sigterm_count == 1 and not self.killed and not self.was_paused
+
+    def take_connection(self):
+        """Returns an open connection that no request uses, or None."""
+        while self.idle_connections:
+            reader, writer = self.idle_connections.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.close()
+        return None
+
+
 class Soak:
     def __init__(self, options, seed):
         self.options = options
         self.seed = seed
         self.rng = random.Random(seed)
         self.crash_rng = random.Random(seed + 2)
+        self.connection_rng = random.Random(seed + 3)
         self.folder = options.keep and os.path.join(options.keep, "seed-%d" % seed)
         if self.folder:
             os.makedirs(self.folder, exist_ok=True)
@@ -297,6 +317,8 @@
                 if executor.mode != "hang":
                     last_report_s[executor.name] = now
                 key = "servers/" + executor.name
+                if not executor.reaches_store:
+                    continue
                 if now - last_report_s.get(executor.name, now) > 4.5:
                     if key in self.store.items:
                         self.store.put(key, None)
@@ -317,11 +339,14 @@
 
         async def exchange():
             nonlocal writer
-            reader, writer = await asyncio.open_connection("127.0.0.1", instance.front_port)
+            reader, writer = (instance.take_connection()
+                              or await asyncio.open_connection("127.0.0.1", instance.front_port))
             writer.write(("%s %s HTTP/1.1\r\nHost: words.example\r\n%s"
                           "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                           % (method, path, deadline_header, len(body))).encode() + body)
             line, _, answer = await read_message(reader)
+            instance.idle_connections.append((reader, writer))
+            writer = None
             return int(line.split(" ")[1]), answer
 
         try:
@@ -335,7 +360,11 @@
                 writer.close()
 
     def choose_instance(self):
-        """Chooses as a load balancer does: a ready instance, or any when none is ready."""
+        """Chooses as a load balancer does, a ready instance, or any when none is ready; or one to
+        which a connection is open."""
+        connected = [i for i in self.instances if i.idle_connections]
+        if connected and self.connection_rng.random() < 0.5:
+            return self.connection_rng.choice(connected)
         ready = [i for i in self.instances if i.is_ready]
         return self.rng.choice(ready or self.instances)
 
@@ -357,6 +386,7 @@
         body = job.body(self.rng)
         for attempt in range(2):
             instance = self.choose_instance()
+            start_count = instance.start_count
             sent = time.monotonic()
             leaves_early = job.caller_left = self.rng.random() < 0.03
             limit = 0.2 if leaves_early else job.wait_ms / 1000 + ANSWER_SLACK_S
@@ -380,6 +410,11 @@
             if status == "silent" and not leaves_early and instance.is_undisturbed(sent - 0.5):
                 self.report_violation("SILENT", "%s got no answer from %s" % (
                     job.name, instance.name))
+            if (status == "broken" and instance.start_count == start_count
+                    and instance.is_only_terminated()
+                    and time.monotonic() - sent > CUT_AFTER_S):
+                self.report_violation("CUT", "%s was cut off by %s after %d ms" % (
+                    job.name, instance.name, 1000 * (time.monotonic() - sent)))
             if leaves_early or status not in ("broken", "silent", 502, 504):
                 return
             await asyncio.sleep(RESEND_DELAY_S)
@@ -415,7 +450,7 @@
     async def fault_pause(self, rng):
         instance = rng.choice(self.instances)
         process = instance.process
-        instance.is_paused = True
+        instance.is_paused = instance.was_paused = True
         instance.send(signal.SIGSTOP)
         await asyncio.sleep(rng.choice([0.15, 0.7, 1.5, 3]))
         if instance.process is process:
@@ -482,6 +517,26 @@
         for executor in chosen:
             executor.mode = "" if executor.mode == "late" else executor.mode
 
+    async def fault_reject(self, rng):
+        """Some executors reject a part of the calls as unhealthy."""
+        chosen = rng.sample(self.executors, rng.choice([1, 1, 2, len(self.executors) // 2]))
+        for executor in chosen:
+            executor.reject_share = rng.uniform(0.1, 0.6)
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        for executor in chosen:
+            executor.reject_share = 0.0
+
+    async def fault_unlist(self, rng):
+        """The entries of some executors expire, which go on working and report again later."""
+        chosen = rng.sample(self.executors, rng.choice([1, 2, len(self.executors) // 2]))
+        for executor in chosen:
+            executor.reaches_store = False
+            self.store.put("servers/" + executor.name, None)
+        await asyncio.sleep(rng.uniform(0.3, 4))
+        for executor in chosen:
+            executor.reaches_store = True
+            self.store.put("servers/" + executor.name, executor.entry())
+
     async def fault_cut(self, rng):
         """Holds back the bytes between two instances, one way or both; may reset connections."""
         a, b = rng.sample(self.instances, 2)
@@ -579,7 +634,9 @@
     # The whole run
 
     async def open(self):
-        zones = ["za", "za", "zb", "zb", "zc"][:self.options.instances]
+        count = self.options.instances
+        zones = (["za", "za", "zb", "zb", "zc"][:count] if count <= 5
+                 else ["z" + "abc"[3 * i // count] for i in range(count)])
         ports = free_ports(6 * len(zones) + 2 * self.options.executors)
         for i, zone in enumerate(zones):
             self.instances.append(Instance(self, i + 1, zone, [ports.pop() for _ in range(6)]))
--- a/tests/platform/soak/standins.py
+++ b/tests/platform/soak/standins.py
@@ -172,6 +172,8 @@
         self.cpu = 16000
         self.run_time_factor = rng.choice([0.8, 1.0, 1.25])
         self.mode = ""  # "hang", "errors", "stall" or "late"
+        self.reject_share = 0.0  # of the calls, which it rejects as unhealthy and does not carry out
+        self.reaches_store = True
         self.server = HttpServer(self.handle)
         self.restart()
 
@@ -237,6 +239,8 @@
     async def handle(self, method, path, query, headers, body):
         if self.mode == "hang":
             raise NoAnswer
+        if self.rng.random() < self.reject_share:
+            return self.rng.choice([429, 503]), {}
         body = json.loads(body)
         if path != "/api/hold" and self.mode == "late" and self.rng.random() < 0.3:
             delay = self.rng.uniform(0.3, 3)
