tests: schedules in which targets that go on working leave the list

Targets of a data centre leave the platform's list and come back, which its instances learn at different times (NoTaskHasTwoRunsWhileTargetsAreUnlisted). World::tell_of_target() replaces four copies of the same event.

--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -879,6 +879,31 @@
     }
 }
 
+void
+World::tell_of_target (size_t index, const Target &target, bool is_listed)
+{
+  dks_reducer_t *reducer = instances[index]->reducer;
+  dks_target_info_t info = target.info;
+
+  deliver_now (index, [=, this] {
+    dks_feed_item_t item = {};
+    dks_event_t event = {};
+
+    if (!instances[index]->up || instances[index]->reducer != reducer)
+      return;
+    item.key = info.id;
+    item.deleted = !is_listed;
+    item.target = is_listed ? &info : nullptr;
+    event.type = DKS_EVENT_FEED;
+    event.u.feed.op = instances[index]->feed_op[DKS_FEED_TARGETS];
+    event.u.feed.status = DKS_FEED_OK;
+    event.u.feed.revision = 100;
+    event.u.feed.count = 1;
+    event.u.feed.items = &item;
+    apply (index, &event);
+  });
+}
+
 void
 World::announce_targets ()
 {
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -186,6 +186,9 @@
   void crash (Target &target, int64_t down_us);
   // The platform's list of targets has changed: watches of it are answered.
   void announce_targets ();
+  // The platform tells one instance that it lists the target, or lists it no more; whether it does
+  // so for instances that read the list is up to the target.
+  void tell_of_target (size_t instance, const Target &target, bool is_listed);
   // Puts a new version of the configuration into the platform's store.
   void change_catalog ();
   // The open connections to the platform's store go silent: calls under way get no answer.
--- a/tests/test_leased.cc
+++ b/tests/test_leased.cc
@@ -1709,20 +1709,7 @@
       if (target->runs.empty ())
         continue;
       for (size_t i = 0; i < world.instances.size (); i++)
-        {
-          dks_feed_item_t item = {};
-          dks_event_t event = {};
-
-          item.key = target->info.id;
-          item.deleted = true;
-          event.type = DKS_EVENT_FEED;
-          event.u.feed.op = world.instances[i]->feed_op[DKS_FEED_TARGETS];
-          event.u.feed.status = DKS_FEED_OK;
-          event.u.feed.revision = 100;
-          event.u.feed.count = 1;
-          event.u.feed.items = &item;
-          world.apply (i, &event);
-        }
+        world.tell_of_target (i, *target, false);
     }
   world.run_for (50 * ms);
   world.drain (leader);
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -70,42 +70,6 @@
   return -1;
 }
 
-// The platform tells one instance of a target.
-void
-tell_target (World &world, size_t instance, const dks_target_info_t &info)
-{
-  dks_feed_item_t item = {};
-  dks_event_t event = {};
-
-  item.key = info.id;
-  item.target = &info;
-  event.type = DKS_EVENT_FEED;
-  event.u.feed.op = world.instances[instance]->feed_op[DKS_FEED_TARGETS];
-  event.u.feed.status = DKS_FEED_OK;
-  event.u.feed.revision = 100;
-  event.u.feed.count = 1;
-  event.u.feed.items = &item;
-  world.apply (instance, &event);
-}
-
-// The platform ceases to list a target, and tells one instance.
-void
-unlist_target (World &world, size_t instance, const Target &target)
-{
-  dks_feed_item_t item = {};
-  dks_event_t event = {};
-
-  item.key = target.info.id;
-  item.deleted = true;
-  event.type = DKS_EVENT_FEED;
-  event.u.feed.op = world.instances[instance]->feed_op[DKS_FEED_TARGETS];
-  event.u.feed.status = DKS_FEED_OK;
-  event.u.feed.revision = 100;
-  event.u.feed.count = 1;
-  event.u.feed.items = &item;
-  world.apply (instance, &event);
-}
-
 }
 
 // Guards against a second run of a task on a target that the successor has not been told of: it is
@@ -117,7 +81,7 @@
   world.submit (0, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
   world.run_for (20 * ms);
   size_t added = world.add_target ("a");
-  tell_target (world, 0, world.targets[added]->info);
+  world.tell_of_target (0, *world.targets[added], true);
   world.run_for (20 * ms);
   uint64_t caller = world.submit (1, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
   world.run_for (200 * ms);
@@ -134,7 +98,7 @@
   World world;
   start_data_centres (world, { { 3, 1 } });
   size_t added = world.add_target ("a");
-  tell_target (world, 1, world.targets[added]->info);
+  world.tell_of_target (1, *world.targets[added], true);
   world.run_for (300 * ms);
   world.drain (0);
   world.run_for (300 * ms);
@@ -158,7 +122,7 @@
   world.set_cut_both_ways (0, 1, true);
   world.run_for (50 * ms);
   size_t added = world.add_target ("a");
-  tell_target (world, 0, world.targets[added]->info);
+  world.tell_of_target (0, *world.targets[added], true);
   world.submit (2, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
   world.run_for (20 * ms);
   uint64_t caller = world.submit (2, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
@@ -177,7 +141,7 @@
   World world;
   start_data_centres (world, { { 2, 1 } });
   size_t added = world.add_target ("a");
-  tell_target (world, 0, world.targets[added]->info);
+  world.tell_of_target (0, *world.targets[added], true);
   world.run_for (100 * ms);
   ASSERT_EQ (count_logged (world, "a-2 event=target-noted"), 1U);
   world.targets[added]->silent = true;
@@ -448,20 +412,7 @@
       if (target->runs.empty ())
         continue;
       for (size_t i = 0; i < world.instances.size (); i++)
-        {
-          dks_feed_item_t item = {};
-          dks_event_t event = {};
-
-          item.key = target->info.id;
-          item.deleted = true;
-          event.type = DKS_EVENT_FEED;
-          event.u.feed.op = world.instances[i]->feed_op[DKS_FEED_TARGETS];
-          event.u.feed.status = DKS_FEED_OK;
-          event.u.feed.revision = 100;
-          event.u.feed.count = 1;
-          event.u.feed.items = &item;
-          world.apply (i, &event);
-        }
+        world.tell_of_target (i, *target, false);
     }
   world.run_for (5200 * ms);
   ASSERT_EQ (count_runs (world, job_id, "a"), 1U);
@@ -488,7 +439,7 @@
     }
   ASSERT_NE (gone, nullptr);
   for (size_t i = 0; i < 3; i++)
-    unlist_target (world, i, *gone);
+    world.tell_of_target (i, *gone, false);
   world.run_for (5200 * ms);
   ASSERT_EQ (gone->runs.size (), 1U);
   gone->silent = true;
@@ -976,7 +927,7 @@
       start_data_centres (world, { { 2, 2 } });
       world.kill (1);
       world.targets[1]->listed = false;
-      unlist_target (world, 0, *world.targets[1]);
+      world.tell_of_target (0, *world.targets[1], false);
       world.run_for (100 * ms);
       world.restart (1);
       world.run_for (joined_ms * ms);
@@ -995,7 +946,7 @@
   World world;
   start_data_centres (world, { { 2, 2 } });
   world.targets[1]->listed = false;
-  unlist_target (world, 1, *world.targets[1]);
+  world.tell_of_target (1, *world.targets[1], false);
   world.run_for (9000 * ms);
   uint64_t caller = start_on_second_target (world, 0, 1);
   world.drain (0);
@@ -1020,7 +971,7 @@
       ASSERT_EQ (count_logged (world, "a-1 event=leader-start"), 1U);
       world.targets[1]->listed = false;
       for (size_t i : { 0, 2 })
-        unlist_target (world, i, *world.targets[1]);
+        world.tell_of_target (i, *world.targets[1], false);
       uint64_t caller = start_on_second_target (world, 0, 2);
       world.link_delay_us[{ 1, 0 }] = 100 * ms;
       world.restart (1);
@@ -1042,7 +993,7 @@
       start_data_centres (world, { { 2, 2 } });
       world.kill (1);
       world.targets[1]->listed = false;
-      unlist_target (world, 0, *world.targets[1]);
+      world.tell_of_target (0, *world.targets[1], false);
       world.instances[1]->targets_feed_down = true;
       world.link_delay_us[{ 1, 0 }] = 100 * ms;
       world.submit (0, "0000000000000001", { { 2, 6800, 150, 150 } }, 12000);
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -73,13 +73,16 @@
   bool callers_are_impatient = false;
   // A quarter of the targets reject part of the calls, of which they do nothing.
   bool targets_reject_calls = false;
+  // Targets that go on working leave the platform's list and come back, which instances learn at
+  // different times.
+  bool targets_are_unlisted = false;
 };
 
 class Schedule
 {
 public:
   Schedule (uint64_t seed, const Options &options)
-      : random (seed), patience (seed), rejections (seed), options (options)
+      : random (seed), patience (seed), rejections (seed), listings (seed), options (options)
   {
   }
 
@@ -527,11 +530,56 @@
       }
   }
 
+  // Tells the instances of the data centre, each after a delay of its own.
+  void
+  announce (Target *target, bool is_listed)
+  {
+    target->listed = is_listed;
+    for (size_t i = 0; i < world.instances.size (); i++)
+      {
+        if (world.instances[i]->data_centre != target->info.data_centre)
+          continue;
+        // Some are turned away by the platform's store for long.
+        int64_t delay_ms = listings.between (0, listings.chance (20) ? 7000 : 600);
+
+        after (delay_ms * ms, [this, i, target, is_listed] {
+          if (world.instances[i]->up && target->listed == is_listed)
+            world.tell_of_target (i, *target, is_listed);
+        });
+      }
+  }
+
+  void
+  unlist_targets ()
+  {
+    std::string name = listings.chance (65) ? home : any_data_centre_of_list ();
+    int64_t us = listings.between (300, 6000) * ms;
+
+    for (auto &one : world.targets)
+      {
+        Target *target = one.get ();
+
+        if (target->info.data_centre != name || !target->listed || !listings.chance (40))
+          continue;
+        announce (target, false);
+        after (us, [this, target] { announce (target, true); });
+      }
+  }
+
+  std::string
+  any_data_centre_of_list ()
+  {
+    return names[static_cast<size_t> (
+        listings.between (0, static_cast<int64_t> (names.size ()) - 1))];
+  }
+
   // Faults come alone or in series, so that they overlap.
   void
   start_faults ()
   {
     start_fault ();
+    if (options.targets_are_unlisted && listings.chance (40))
+      unlist_targets ();
     if (random.chance (60))
       next_fault_us = world.now_us + random.between (20, 600) * ms;
     else
@@ -541,6 +589,7 @@
   Random random;
   Random patience;   // of the callers
   Random rejections; // of calls, by targets
+  Random listings;   // of targets
   Options options;
   std::vector<std::string> names; // of the data centres
   std::string home;               // data centre that gets most of the jobs
@@ -605,6 +654,12 @@
   play_schedules ({ .callers_are_impatient = true, .targets_reject_calls = true });
 }
 
+// The same while targets that go on working leave the platform's list.
+TEST (LeasedOverlap, NoTaskHasTwoRunsWhileTargetsAreUnlisted)
+{
+  play_schedules ({ .targets_are_unlisted = true });
+}
+
 namespace
 {
 
