leased-targets: a new leader may not know all targets in use

Callers saw (in virtual time): two runs of one task when the only instance of a data centre, or all of them, were restarted while a target that was at work was missing in the platform's list. The new leader answered the home leader of a lent task that it does not run there.

Cause: a new leader takes the targets that it knows for all that there are. One that was told of the targets in use by its predecessor may do so; one that has just started, or has not heard its predecessor for long, may not: runs on other targets go on until their lease expires.

Change: a leader that was not told within 3 s before its term (by a leader that had handled its status with the list) says for a while only which runs it has found: until a lease has expired since its process started, or, where other instances of its data centre are known, since 0.3 s after its election. Until then it does not start tasks of resent jobs that it has not found, does not answer that a task does not run, and states no jobs; its statuses say so, so that others do not wait for a statement.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -548,6 +548,8 @@
     return true; /* a run that is being stopped has to end first */
   if (!job->resent)
     return false;
+  if (dks_leased_targets_may_be_unknown (job->leased))
+    return true;
   if (!job->is_lent)
     return !dks_leased_prior_runs_exclude (job, task);
   /* The run lists of all targets have been read without the run, and a start of an earlier leader
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -172,6 +172,13 @@
   return false;
 }
 
+bool
+dks_leased_leader_has_told_targets (const dks_leased_t *leased, const dks_leased_peer_t *leader)
+{
+  return leased->targets_stated_us > 0 && leader->heard_us >= leased->targets_stated_us
+         && leader->heard_us >= leader->connected_us;
+}
+
 int64_t
 dks_leased_leader_rival_until_us (const dks_leased_t *leased)
 {
@@ -220,13 +227,16 @@
 }
 
 static void
-stop_leading (dks_leased_t *leased, const char *reason)
+stop_leading (dks_leased_t *leased, const char *reason, bool is_superseded)
 {
   dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=leader-stop term=%" PRIu64 " reason=%s",
                 leased->term, reason);
   dks_metrics_increment (leased->metrics, DKS_LABELLED_LEADER_ENDS, reason, "");
   leased->term = 0;
   leased->last_leading_us = leased->r->now.mono_us;
+  /* A leader that it did not hear may have used further targets. */
+  if (!is_superseded)
+    leased->targets_told_us = leased->r->now.mono_us;
   dks_leased_jobs_drop_all (leased);
   dks_leased_targets_handle_leadership (leased);
   dks_leased_members_notify_all (leased);
@@ -422,13 +432,13 @@
       /* Else it would be the first candidate again. */
       set_slow (leased, true);
       leased->late_until_us = leased->r->now.mono_us;
-      stop_leading (leased, "lagging");
+      stop_leading (leased, "lagging", false);
     }
   /* Leadership ends before a successor begins: one that cannot keep up may learn late of it. */
   else if (leased->is_slow && may_hand_over_slow (leased) && has_able_successor (leased))
     {
       leased->listening_since_us = leased->r->now.mono_us;
-      stop_leading (leased, "slow");
+      stop_leading (leased, "slow", false);
     }
 }
 
@@ -564,21 +574,11 @@
   dks_leased_members_notify_all (leased);
 }
 
-/* Whether the leader has told this instance of the targets on which it has runs, which the platform
- * may not list: it does so when it handles the first status on a connection that says that this
- * instance knows the targets. */
-static bool
-has_been_told_of_targets (const dks_leased_t *leased, const dks_leased_peer_t *leader)
-{
-  return leased->targets_stated_us > 0 && leader->heard_us >= leased->targets_stated_us
-         && leader->heard_us >= leader->connected_us;
-}
-
 /* Whether this instance may take over from a leader that is alive. */
 static bool
 may_take_over_from (const dks_leased_t *leased, const dks_leased_peer_t *leader)
 {
-  if (leased->drain_start_us > 0 || !has_been_told_of_targets (leased, leader))
+  if (leased->drain_start_us > 0 || !dks_leased_leader_has_told_targets (leased, leader))
     return false;
   return leader->draining
          || (leader->yields_leadership
@@ -596,7 +596,7 @@
       && (superseded_unheard
           || (leader != NULL
               && leadership_precedes (leader->term, leader->id, leased->term, leased->r->self))))
-    stop_leading (leased, "higher-term");
+    stop_leading (leased, "higher-term", true);
   update_yielding (leased);
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
       && !superseded_unheard && may_lead (leased))
@@ -620,7 +620,7 @@
       peer->last_message_us = leased->r->now.mono_us;
     }
   if (leased->term > 0)
-    stop_leading (leased, "paused");
+    stop_leading (leased, "paused", false);
 }
 
 void
@@ -630,6 +630,6 @@
     return;
   leased->last_fenced_us = leased->r->now.mono_us;
   leased->highest_term = leased->term + (uint64_t)FENCED_TERM_STEP_MS * TERMS_PER_MS;
-  stop_leading (leased, "fenced");
+  stop_leading (leased, "fenced", true);
   dks_leased_entry_resubmit (leased);
 }
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -72,6 +72,19 @@
   return leased->r->now.mono_us < peer->unproven_until_us;
 }
 
+bool
+dks_leased_members_has_local_peer (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (dks_leased_peer_is_local (leased, peer))
+        return true;
+    }
+  return false;
+}
+
 uint32_t
 dks_leased_members_count_alive (const dks_leased_t *leased)
 {
@@ -169,7 +182,7 @@
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
   msg->u.leased_status.address_digest = leased->address_digest;
-  msg->u.leased_status.states_prior_jobs = true;
+  msg->u.leased_status.states_prior_jobs = !dks_leased_targets_may_be_unknown (leased);
   msg->u.leased_status.heard_us = peer->last_sent_us;
   msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   msg->u.leased_status.targets_digest = leased->targets_digest;
@@ -468,6 +481,9 @@
   record_lag (leased, peer, msg->u.leased_status.sent_us, msg->u.leased_status.heard_us);
   peer->last_sent_us = msg->u.leased_status.sent_us;
   peer->heard_us = msg->u.leased_status.heard_us;
+  if (msg->u.leased_status.term > 0 && dks_leased_peer_is_local (leased, peer)
+      && dks_leased_leader_has_told_targets (leased, peer))
+    leased->targets_told_us = leased->r->now.mono_us;
   peer->status_received = true;
   peer->unproven_until_us = 0;
   if (peer->term != msg->u.leased_status.term)
--- a/core/leased_prior_jobs.c
+++ b/core/leased_prior_jobs.c
@@ -108,7 +108,8 @@
 static bool
 can_state_jobs (dks_leased_t *leased, int64_t since_us)
 {
-  return dks_leased_targets_are_synced (leased, since_us)
+  return !dks_leased_targets_may_be_unknown (leased)
+         && dks_leased_targets_are_synced (leased, since_us)
          && dks_leased_targets_confirm_term (leased, since_us);
 }
 
@@ -327,8 +328,12 @@
     return false;
   APR_RING_FOREACH (data_centre, &leased->data_centres, dks_leased_data_centre_t, link)
     {
-      if (!data_centre->is_gone && !is_stated (data_centre, leased)
-          && dks_leased_data_centre_leader (leased, data_centre->name) != NULL)
+      const dks_leased_peer_t *leader;
+
+      if (data_centre->is_gone || is_stated (data_centre, leased))
+        continue;
+      leader = dks_leased_data_centre_leader (leased, data_centre->name);
+      if (leader != NULL && leader->states_prior_jobs)
         return true;
     }
   return false;
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -758,12 +758,36 @@
     target_schedule_drop (target);
 }
 
+/* Until when runs of earlier leaders may go on unknown to this one, whose term begins. The earlier
+ * leader may have been this instance before it was restarted. Any other one that was lost before it
+ * could tell of its targets, or that is not heard, extends leases until one of its calls is
+ * rejected for its fencing token. */
+static int64_t
+unknown_runs_until_us (const dks_leased_t *leased)
+{
+  int64_t now_us = dks_leased_now_us (leased);
+
+  if (leased->targets_told_us > 0
+      && now_us - leased->targets_told_us < DKS_LEASED_NOTED_RETENTION_US)
+    return 0;
+  if (!dks_leased_members_has_local_peer (leased))
+    return lease_end_us (leased->start_us);
+  return lease_end_us (now_us + INT64_C (1000) * HOLD_WAIT_MS);
+}
+
+bool
+dks_leased_targets_may_be_unknown (const dks_leased_t *leased)
+{
+  return dks_leased_now_us (leased) < leased->unknown_runs_until_us;
+}
+
 void
 dks_leased_targets_handle_leadership (dks_leased_t *leased)
 {
   dks_leased_target_t *target;
   dks_leased_target_t *next;
 
+  leased->unknown_runs_until_us = leased->term > 0 ? unknown_runs_until_us (leased) : 0;
   APR_RING_FOREACH_SAFE (target, next, &leased->targets, dks_leased_target_t, link)
     {
       if (leased->term > 0 && !target->held && is_local (leased, target))
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -529,6 +529,10 @@
   uint32_t max_free_cpu_milli;   /**< most free on one usable target, as last updated */
   uint64_t prior_run_checks;     /**< checks of tasks for runs of earlier leaders, in all */
   uint64_t targets_digest;       /**< of the listed targets of the data centre */
+  int64_t targets_told_us; /**< when this instance last led, or heard a leader that had told it of
+                              all targets in use; 0: never */
+  int64_t unknown_runs_until_us; /**< runs of earlier leaders may go on until then on targets that
+                                    this leader does not know; 0: it knows all */
   bool targets_share_due;        /**< some target has `share_due` */
   int64_t term_start_us;         /**< when the latest leadership of this instance began */
   int64_t term_confirmed_us;     /**< when the latest call that a target answered was sent */
@@ -626,6 +630,8 @@
 bool dks_leased_peer_sends_fast (const dks_leased_peer_t *peer);
 /** Number of other instances that are alive. */
 uint32_t dks_leased_members_count_alive (const dks_leased_t *leased);
+/** Whether another instance of this data centre is known, alive or not. */
+bool dks_leased_members_has_local_peer (const dks_leased_t *leased);
 /** Whether the peer is connected, has sent a status, and its last message is recent. */
 bool dks_leased_peer_is_alive (const dks_leased_t *leased, const dks_leased_peer_t *peer);
 /** Whether the connection to the peer has closed, or has opened again without a status so far, and
@@ -688,6 +694,11 @@
 bool dks_leased_peer_is_leader (const dks_leased_t *leased, const dks_leased_peer_t *peer);
 /** Records the terms that the latest status of an instance of the data centre names. */
 void dks_leased_leader_note_local_terms (dks_leased_t *leased, const dks_leased_peer_t *peer);
+/** Whether the leader has told this instance of the targets on which it has runs, which the
+ * platform may not list: it does so when it handles the first status on a connection that says that
+ * this instance knows the targets. */
+bool
+dks_leased_leader_has_told_targets (const dks_leased_t *leased, const dks_leased_peer_t *leader);
 /** Time until which another instance of the data centre may have led as well, as far as is known:
  * now for one that this instance does not hear, or that has not learned yet that it was superseded.
  */
@@ -743,6 +754,9 @@
 void dks_leased_targets_note (dks_leased_t *leased, const dks_target_info_t *info);
 /** Begins or stops to control the targets of the data centre, after a change of leadership. */
 void dks_leased_targets_handle_leadership (dks_leased_t *leased);
+/** Whether earlier leaders may have runs on targets that this leader does not know: the platform
+ * does not list them, and no leader has told of them. */
+bool dks_leased_targets_may_be_unknown (const dks_leased_t *leased);
 void dks_leased_targets_handle_reply (dks_leased_t *leased, const dks_event_t *event);
 /** Whether the run lists of all targets that may have runs of a job, which was received at
  * `job_received_us`, were read under the present term. */
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -1009,3 +1009,36 @@
       EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << drain_ms << " ms";
     }
 }
+
+// Guards against a second run of a lent task: the only instance of its data centre was restarted,
+// the platform did not list the task's target at that moment, and the instance said that the task
+// does not run there.
+TEST (LeasedHandover, RestartedInstanceDoesNotAnswerForTargetsItMayNotKnow)
+{
+  for (int64_t down_ms : { 50, 200, 500, 800 })
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 1, 2 }, { 1, 2 } });
+      size_t remote = world.find ("b-1");
+      Target &target = *world.targets[1];
+      for (size_t i : { 3, 4 })
+        world.targets[i]->slowness = 1.2;
+      world.targets[2]->info.leaving = true;
+      world.tell_of_target (remote, *world.targets[2], true);
+      world.submit (0, "0000000000000001", { { 2, 6800, 4000, 4000 } }, 12000);
+      world.run_for (100 * ms);
+      uint64_t caller = world.submit (0, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (500 * ms);
+      bool is_lent_to_b = target.runs.size () == 1;
+      EXPECT_TRUE (is_lent_to_b);
+      target.listed = false;
+      world.tell_of_target (remote, target, false);
+      world.run_for (100 * ms);
+      world.kill (remote);
+      world.run_for (down_ms * ms);
+      world.restart (remote);
+      world.run_for (8000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << "down for " << down_ms << " ms\n" << reports (world);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+    }
+}
