leased-members: only a leader that knows all targets has told of them

Callers saw (in virtual time): two runs of one task when an instance took over from one that had itself just been restarted, and could tell only of the targets that it knew.

Cause: an instance counted as told as soon as any leader had handled its status.

Change: a leader that may not know all targets in use says so already, as it states no jobs; what it tells does not count, and neither does its own knowledge when it stops leading.

Evidence: SuccessorOfARestartedInstanceDoesNotKnowAllTargetsEither had double runs and has none.

--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -235,7 +235,7 @@
   leased->term = 0;
   leased->last_leading_us = leased->r->now.mono_us;
   /* A leader that it did not hear may have used further targets. */
-  if (!is_superseded)
+  if (!is_superseded && !dks_leased_targets_may_be_unknown (leased))
     leased->targets_told_us = leased->r->now.mono_us;
   dks_leased_jobs_drop_all (leased);
   dks_leased_targets_handle_leadership (leased);
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -481,7 +481,9 @@
   record_lag (leased, peer, msg->u.leased_status.sent_us, msg->u.leased_status.heard_us);
   peer->last_sent_us = msg->u.leased_status.sent_us;
   peer->heard_us = msg->u.leased_status.heard_us;
-  if (msg->u.leased_status.term > 0 && dks_leased_peer_is_local (leased, peer)
+  /* A leader that may not know all targets itself states no jobs. */
+  if (msg->u.leased_status.term > 0 && msg->u.leased_status.states_prior_jobs
+      && dks_leased_peer_is_local (leased, peer)
       && dks_leased_leader_has_told_targets (leased, peer))
     leased->targets_told_us = leased->r->now.mono_us;
   peer->status_received = true;
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -1042,3 +1042,36 @@
       EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
     }
 }
+
+// The same where a further instance takes over from the restarted one, which cannot tell it of all
+// targets.
+TEST (LeasedHandover, SuccessorOfARestartedInstanceDoesNotKnowAllTargetsEither)
+{
+  for (int64_t drain_ms : { 100, 200, 300 })
+    {
+      World world;
+      start_data_centres (world, { { 1, 1 }, { 2, 2 }, { 1, 2 } });
+      Target &target = *world.targets[1];
+      for (size_t i : { 3, 4 })
+        world.targets[i]->slowness = 1.2;
+      world.targets[2]->info.leaving = true;
+      for (const char *remote : { "b-1", "b-2" })
+        world.tell_of_target (world.find (remote), *world.targets[2], true);
+      world.submit (0, "0000000000000001", { { 2, 6800, 4000, 4000 } }, 12000);
+      world.run_for (100 * ms);
+      uint64_t caller = world.submit (0, job_id, { { 1, 6800, 2000, 2000 } }, 12000);
+      world.run_for (500 * ms);
+      EXPECT_EQ (target.runs.size (), 1U);
+      target.listed = false;
+      for (const char *remote : { "b-1", "b-2" })
+        world.kill (world.find (remote));
+      world.run_for (20 * ms);
+      for (const char *remote : { "b-1", "b-2" })
+        world.restart (world.find (remote));
+      world.run_for (drain_ms * ms);
+      world.drain (world.find (count_logged (world, "b-2 event=leader-start") > 0 ? "b-2" : "b-1"));
+      world.run_for (8000 * ms);
+      EXPECT_EQ (world.double_runs, 0) << drain_ms << " ms\n" << reports (world);
+      EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+    }
+}
