leased-targets, tests: one condition for runs that a list lacks

The tests share one count_runs(). No behaviour is changed; the tests test_leased* and the linter pass.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -396,6 +396,19 @@
   dks_leased_run_reserve_resources (run);
 }
 
+/* Whether a run has ended that is missing in the list which a call sent at `sent_us` returned. */
+static bool
+unlisted_run_has_ended (const dks_leased_run_t *run, int64_t sent_us)
+{
+  /* Its start was answered before the call was sent; or its stop was, after which it cannot start.
+   */
+  if ((run->state == DKS_LEASED_RUN_RUNNING || run->state == DKS_LEASED_RUN_STOPPING)
+      && run->acked_us > 0 && run->acked_us <= sent_us)
+    return true;
+  /* No stop was carried out, but a start that did not arrive by now is too late. */
+  return run->stop_failed && sent_us >= lease_end_us (run->start_sent_us);
+}
+
 /* Updates the known runs of the target by the list of running ones that a call sent at `sent_us`
  * returned. */
 static void
@@ -429,13 +442,7 @@
       if (run->last_list_sent_us == sent_us
           || run->adopted_us == dks_leased_now_us (target->leased))
         continue;
-      /* The list lacks the run although its start was answered before the call for the list was
-       * sent, so it has ended; or its stop was answered by then, after which it cannot start. */
-      if ((run->state == DKS_LEASED_RUN_RUNNING || run->state == DKS_LEASED_RUN_STOPPING)
-          && run->acked_us > 0 && run->acked_us <= sent_us)
-        dks_leased_run_end (run, false, false);
-      /* No stop was carried out, but a start that did not arrive by now is too late. */
-      else if (run->stop_failed && sent_us >= lease_end_us (run->start_sent_us))
+      if (unlisted_run_has_ended (run, sent_us))
         dks_leased_run_end (run, false, false);
       else if (run->state == DKS_LEASED_RUN_STARTING
                && sent_us - run->start_sent_us >= START_LOST_AFTER_US)
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -1404,6 +1404,19 @@
   return testing::AssertionSuccess ();
 }
 
+size_t
+count_runs (const World &world, const std::string &id, const std::string &data_centre)
+{
+  size_t count = 0;
+
+  for (auto &target : world.targets)
+    {
+      for (auto &run : target->runs)
+        count += target->info.data_centre == data_centre && run.task.find (id) == 0;
+    }
+  return count;
+}
+
 size_t
 count_logged (const World &world, const std::string &text)
 {
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -389,6 +389,8 @@
 
 testing::AssertionResult
 got_answer (const World &world, uint64_t caller, dks_batch_answer_t answer);
+// Runs of the job on targets of the data centre.
+size_t count_runs (const World &world, const std::string &id, const std::string &data_centre);
 // Lines of the log that contain the text.
 size_t count_logged (const World &world, const std::string &text);
 
--- a/tests/test_leased_handover.cc
+++ b/tests/test_leased_handover.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 using leased::count_logged;
+using leased::count_runs;
 using leased::got_answer;
 using leased::ms;
 using leased::Target;
@@ -34,19 +35,6 @@
   world.run_for (4000 * ms);
 }
 
-size_t
-count_runs (const World &world, const std::string &id, const std::string &data_centre)
-{
-  size_t count = 0;
-
-  for (auto &target : world.targets)
-    {
-      for (auto &run : target->runs)
-        count += target->info.data_centre == data_centre && run.task.find (id) == 0;
-    }
-  return count;
-}
-
 std::string
 reports (const World &world)
 {
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -697,18 +697,11 @@
   return world.submit (world.find (instance), task_id, { { 1, 6800, 2000, 2000 } }, 6000);
 }
 
-// The only run of the long task's job, on a target of the data centre.
+// Runs of the long task's job on targets of the data centre.
 size_t
 count_runs (const World &world, const std::string &data_centre)
 {
-  size_t count = 0;
-
-  for (auto &target : world.targets)
-    {
-      for (auto &run : target->runs)
-        count += target->info.data_centre == data_centre && run.task.find (task_id) == 0;
-    }
-  return count;
+  return leased::count_runs (world, task_id, data_centre);
 }
 
 // The caller closes its connection and submits its job again in another data centre, which starts
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+using leased::count_runs;
 using leased::got_answer;
 using leased::ms;
 using leased::Target;
@@ -30,20 +31,6 @@
   world.run_for (4000 * ms);
 }
 
-// Runs of the job on targets of the data centre.
-size_t
-count_runs (const World &world, const std::string &id, const std::string &data_centre)
-{
-  size_t count = 0;
-
-  for (auto &target : world.targets)
-    {
-      for (auto &run : target->runs)
-        count += target->info.data_centre == data_centre && run.task.find (id) == 0;
-    }
-  return count;
-}
-
 // Rejects the first `count` stops of runs of the job.
 void
 reject_stops (Target &target, const std::string &id, dks_lease_status_t status, int count)
