http-client: free the contexts of calls that are open at the end

Cause: dks_http_client_destroy() cancels open requests without a callback, and the callback is what frees the contexts of these calls. The leak sanitizer reports them and ends the process with status 1; without it the memory goes with the process.

Change: a request may name a function that frees its context when it is cancelled.

--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -35,6 +35,8 @@
   int64_t timeout_ms;         /**< counted from dks_http_client_send(); 1 or more */
   dks_http_func_t func;
   void *context;
+  /** Called with `context` for a request that is cancelled, in place of `func`; may be NULL. */
+  void (*context_free) (void *context);
 } dks_http_request_t;
 
 /** Opens at most `max_connections_per_host` connections to one address; further requests wait until
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -54,6 +54,7 @@
   dks_timer_t timeout;
   dks_http_func_t func;
   void *context;
+  void (*context_free) (void *context); /* may be NULL */
   uint8_t *reply_body;
   size_t reply_body_len;
   size_t reply_body_capacity;
@@ -673,6 +674,7 @@
   entry->id = client->next_id++;
   entry->func = request->func;
   entry->context = request->context;
+  entry->context_free = request->context_free;
   entry->body = dks_blob_ref (request->body);
   entry->easy = curl_easy_init ();
   DKS_INVARIANT (entry->easy != NULL);
@@ -700,5 +702,7 @@
   if (request == NULL)
     return;
   request_detach (request);
+  if (request->context_free != NULL)
+    request->context_free (request->context);
   request_free (request);
 }
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -315,6 +315,23 @@
     }
 }
 
+// Guards against an instance that ends with status 1 under the address sanitizer: the calls that
+// were under way when it shut down were not freed.
+TEST_F (Adapter, OpenCallsAreFreedWithTheClient)
+{
+  dks_http_client_t *closed = dks_http_client_create (loop, 4);
+  dks_effect_t hold = lease_effect (DKS_EFFECT_LEASE_HOLD);
+  dks_effect_t watch = {};
+
+  watch.type = DKS_EFFECT_FEED_WATCH;
+  watch.u.feed.timeout_ms = 1500;
+  dks_executor_call (closed, &hold, handle_event, this);
+  dks_platform_feed_call (closed, ("http://" + platform.address ()).c_str (), &watch, handle_event,
+                          this);
+  dks_http_client_destroy (closed);
+  EXPECT_EQ (event_count, 0);
+}
+
 TEST_F (Adapter, HoldDecodesRunningAndEndedRuns)
 {
   dks_effect_t effect = lease_effect (DKS_EFFECT_LEASE_HOLD);
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -450,6 +450,39 @@
   EXPECT_EQ (replies.count (first), 0U);
 }
 
+// Guards against contexts that leak: those of requests that were open when their client was
+// destroyed, or were cancelled.
+TEST_F (HttpClient, ContextOfACancelledRequestIsFreedOnce)
+{
+  NetServer server ([&] (int fd, int number) {
+    HttpRequest request;
+    while (http_read (fd, &request))
+      continue;
+  });
+  dks_http_client_t *other = dks_http_client_create (loop, 1);
+  int freed = 0;
+  uint64_t ids[3];
+
+  for (auto &id : ids)
+    {
+      std::string url = server.url ("/run");
+      dks_http_request_t request = {};
+      request.method = "POST";
+      request.url = url.c_str ();
+      request.timeout_ms = 5000;
+      request.func = handle_reply;
+      request.context = &freed;
+      request.context_free = [] (void *context) { ++*static_cast<int *> (context); };
+      id = dks_http_client_send (other, &request);
+    }
+  turn_for (20000);
+  dks_http_client_abort (other, ids[1]);
+  dks_http_client_abort (other, ids[1]);
+  EXPECT_EQ (freed, 1);
+  dks_http_client_destroy (other);
+  EXPECT_EQ (freed, 3);
+}
+
 TEST_F (HttpClient, ReadsHeadersAndDoesNotFollowRedirects)
 {
   NetServer server ([&] (int fd, int) {
