leased-runs: tasks without processors do not change the mean size

Cause: a leader counts free capacity in tasks of mean size. Each start of a task that asks for no processors moved the mean towards 0, and after some 2,100 starts the quotient no longer fitted the integer: it became 0 on x86-64, and the leader refused every job ("the wait would be too long") while its targets were idle.

Change: only tasks that ask for processors count in the mean.

--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -197,7 +197,9 @@
   effect->u.lease.spec = dks_blob_ref (job->batch->spec);
   effect->u.lease.deadline_ms = dks_leased_target_deadline (target, START_LEASE_MS);
   target->lease_extended_us = dks_leased_now_us (leased);
-  dks_leased_update_mean (&leased->mean_cpu_milli, step->cpu_milli, DKS_LEASED_MEAN_WEIGHT);
+  /* Capacity is counted in tasks of this size, so those that take none are left out. */
+  if (step->cpu_milli > 0)
+    dks_leased_update_mean (&leased->mean_cpu_milli, step->cpu_milli, DKS_LEASED_MEAN_WEIGHT);
   dks_counter_increment (&leased->r->counters, DKS_COUNTER_TASK_STARTS);
   dks_emit_log (leased->r, DKS_LOG_DEBUG, "event=run-sent task=%s run=%u target=%s", name,
                 run->number, target->info.id);
--- a/tests/test_leased_entry.cc
+++ b/tests/test_leased_entry.cc
@@ -129,3 +129,20 @@
   world.run_for (500 * ms);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
+
+// Guards against a mean size of tasks that decays to 0: no capacity can be counted in tasks of that
+// size, and a leader takes idle targets for full.
+TEST (LeasedEntry, TasksWithoutProcessorsDoNotMakeIdleTargetsFull)
+{
+  World world;
+  world.add_instance ("a");
+  world.add_target ("a");
+  world.start_all ();
+  world.run_for (4000 * ms);
+  for (int i = 0; i < 2500; i++)
+    {
+      uint64_t caller = world.submit (0, "without-" + std::to_string (i), { { 1, 0, 1, 1 } });
+      world.run_for (5 * ms);
+      ASSERT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << "job " << i;
+    }
+}
