leased-crashes: withdraw crashes of targets that were only cut off

Cause: a target whose connections are reset and then refused was taken for crashed, and the crash counted against each task that ran there.

Change: a crash whose only sign is a refused connection is remembered with its target. When the target answers as the same incarnation, the leader takes the weight off and tells the other instances and leaders, by a new field of the message that tells of crashes. A sign of another incarnation keeps the count, as before.

Ruled out: answering such jobs as lost until the crash is proven. A task that does crash its targets would no longer be answered as failed at the second crash.

--- a/core/leased_crashes.c
+++ b/core/leased_crashes.c
@@ -26,6 +26,12 @@
   char task_name[DKS_TASK_NAME_SIZE];
   uint32_t weight; /* of its crashes */
   int64_t last_crash_us;
+  struct
+  {
+    char target[DKS_NAME_SIZE];
+    uint32_t weight;
+  } supposed[WEIGHT_MAX]; /* parts of `weight`: targets that refused connections */
+  uint32_t supposed_count;
 };
 
 static void
@@ -45,7 +51,7 @@
 
 /* Sets the weight of the task's crashes, which never falls, and ends its job when it is too high.
  */
-static const dks_leased_task_crashes_t *
+static dks_leased_task_crashes_t *
 entry_put (dks_leased_t *leased, const char *task_name, uint32_t weight)
 {
   int64_t now_us = leased->r->now.mono_us;
@@ -77,6 +83,44 @@
   return entry;
 }
 
+/* Takes `weight` off that of the task's crashes. */
+static void
+entry_withdraw (dks_leased_t *leased, const char *task_name, uint32_t weight)
+{
+  dks_leased_task_crashes_t *entry = entry_find (leased, task_name);
+
+  if (entry != NULL)
+    entry->weight -= weight < entry->weight ? weight : entry->weight;
+}
+
+/* Notes that `weight` was counted for a target that may not have crashed. */
+static void
+entry_suppose (dks_leased_task_crashes_t *entry, const char *target, uint32_t weight)
+{
+  if (entry->supposed_count == WEIGHT_MAX)
+    return;
+  dks_strcpy (entry->supposed[entry->supposed_count].target, DKS_NAME_SIZE, target);
+  entry->supposed[entry->supposed_count++].weight = weight;
+}
+
+/* Weight that was counted for the target by supposition, which is forgotten. */
+static uint32_t
+entry_take_supposed (dks_leased_task_crashes_t *entry, const char *target)
+{
+  uint32_t weight = 0;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < entry->supposed_count; i++)
+    {
+      if (strcmp (entry->supposed[i].target, target) == 0)
+        weight += entry->supposed[i].weight;
+      else
+        entry->supposed[kept++] = entry->supposed[i];
+    }
+  entry->supposed_count = kept;
+  return weight;
+}
+
 /* Messages */
 
 /* Message with room for `count` tasks. */
@@ -91,13 +135,15 @@
   return msg;
 }
 
+/* Adds the task with the weight of its crashes, or, with `withdrawn`, what is taken off it. */
 static void
-add_to_msg (dks_msg_t *msg, const dks_leased_task_crashes_t *entry)
+add_to_msg (dks_msg_t *msg, const dks_leased_task_crashes_t *entry, uint32_t withdrawn)
 {
   dks_task_crashes_t *to = &msg->u.speeds.task_crashes[msg->u.speeds.task_crashes_count++];
 
   dks_strcpy (to->task_name, sizeof (to->task_name), entry->task_name);
-  to->weight = entry->weight;
+  to->weight = withdrawn > 0 ? 0 : entry->weight;
+  to->withdrawn = withdrawn;
 }
 
 void
@@ -110,7 +156,7 @@
     return;
   msg = create_msg (leased->task_crashes_count);
   APR_RING_FOREACH (entry, &leased->task_crashes, dks_leased_task_crashes_t, link)
-    add_to_msg (msg, entry);
+    add_to_msg (msg, entry, 0);
   dks_emit_peer (leased->r, peer, msg);
 }
 
@@ -118,8 +164,14 @@
 dks_leased_crashes_handle_msg (dks_leased_t *leased, const dks_msg_t *msg)
 {
   for (uint32_t i = 0; i < msg->u.speeds.task_crashes_count; i++)
-    entry_put (leased, msg->u.speeds.task_crashes[i].task_name,
-               msg->u.speeds.task_crashes[i].weight);
+    {
+      const dks_task_crashes_t *task = &msg->u.speeds.task_crashes[i];
+
+      if (task->withdrawn > 0)
+        entry_withdraw (leased, task->task_name, task->withdrawn);
+      else
+        entry_put (leased, task->task_name, task->weight);
+    }
 }
 
 /* Tells those that may start the task next: the instances of the data centre, one of which succeeds
@@ -152,7 +204,8 @@
 }
 
 void
-dks_leased_crashes_record (dks_leased_target_t *target, const dks_run_lists_t *new_lists)
+dks_leased_crashes_record (dks_leased_target_t *target, const dks_run_lists_t *new_lists,
+                           bool is_supposed)
 {
   dks_leased_t *leased = target->leased;
   dks_leased_run_t *run;
@@ -164,7 +217,8 @@
   msg = create_msg (target->run_count);
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
     {
-      const dks_leased_task_crashes_t *entry = entry_find (leased, run->task_name);
+      dks_leased_task_crashes_t *entry = entry_find (leased, run->task_name);
+      uint32_t weight;
       bool proven;
 
       /* A start without an answer yet may be refused, as it came after the crash. */
@@ -173,13 +227,47 @@
         continue;
       run->crash_recorded = true;
       proven = run->state == DKS_LEASED_RUN_RUNNING && run->acked_us > 0;
-      entry = entry_put (leased, run->task_name,
-                         (entry != NULL ? entry->weight : 0)
-                             + (proven ? PROVEN_WEIGHT : POSSIBLE_WEIGHT));
+      weight = proven ? PROVEN_WEIGHT : POSSIBLE_WEIGHT;
+      entry = entry_put (leased, run->task_name, (entry != NULL ? entry->weight : 0) + weight);
+      if (is_supposed)
+        entry_suppose (entry, target->info.id, weight);
       dks_emit_log (leased->r, DKS_LOG_NOTICE,
                     "event=target-crashed target=%s task=%s run=%u proven=%d weight=%u",
                     target->info.id, run->task_name, run->number, proven, entry->weight);
-      add_to_msg (msg, entry);
+      add_to_msg (msg, entry, 0);
+    }
+  if (msg->u.speeds.task_crashes_count > 0)
+    {
+      target->crash_supposed = target->crash_supposed || is_supposed;
+      send_to_starters (leased, msg);
+    }
+  dks_msg_unref (msg);
+}
+
+void
+dks_leased_crashes_withdraw (dks_leased_target_t *target)
+{
+  dks_leased_t *leased = target->leased;
+  dks_leased_task_crashes_t *entry;
+  dks_leased_run_t *run;
+  dks_msg_t *msg;
+
+  if (!target->crash_supposed)
+    return;
+  target->crash_supposed = false;
+  APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
+    run->crash_recorded = false;
+  msg = create_msg (leased->task_crashes_count);
+  APR_RING_FOREACH (entry, &leased->task_crashes, dks_leased_task_crashes_t, link)
+    {
+      uint32_t weight = entry_take_supposed (entry, target->info.id);
+
+      if (weight == 0)
+        continue;
+      entry_withdraw (leased, entry->task_name, weight);
+      dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=crash-withdrawn target=%s task=%s weight=%u",
+                    target->info.id, entry->task_name, entry->weight);
+      add_to_msg (msg, entry, weight);
     }
   if (msg->u.speeds.task_crashes_count > 0)
     send_to_starters (leased, msg);
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -301,7 +301,7 @@
     dks_emit_log (target->leased->r, DKS_LOG_NOTICE, "event=target-silent target=%s runs=%u",
                   target->info.id, target->run_count);
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX && target->connection_refused)
-    dks_leased_crashes_record (target, NULL);
+    dks_leased_crashes_record (target, NULL, true);
   if (target->unanswered_calls >= DKS_LEASED_UNANSWERED_CALLS_MAX
       && !dks_timer_is_armed (&target->expiry_timer))
     dks_timer_set (timers, &target->expiry_timer, target_expiry_us (target));
@@ -354,6 +354,7 @@
 target_begin_incarnation (dks_leased_target_t *target, int64_t incarnation_ms)
 {
   target->incarnation_ms = incarnation_ms;
+  target->crash_supposed = false;
   target->last_end_number = 0;
   target->clock_known = false;
   target->synced = false;
@@ -367,7 +368,7 @@
 void
 dks_leased_target_handle_replaced (dks_leased_target_t *target)
 {
-  dks_leased_crashes_record (target, NULL);
+  dks_leased_crashes_record (target, NULL, false);
   target_end_all_runs (target, "replaced");
   target_begin_incarnation (target, 0);
 }
@@ -480,12 +481,14 @@
                     target->info.id, target->run_count);
       /* A start may have reached the new incarnation before this leader knew of it, so the run
        * lists decide which of the runs are gone. */
-      dks_leased_crashes_record (target, lists);
+      dks_leased_crashes_record (target, lists, false);
       target_begin_incarnation (target, lists->incarnation_ms);
       target->restart_seen_us = dks_leased_now_us (target->leased);
       target->clock_known = event->u.lease_reply.target_clock_ms != 0;
       last_end_seen = 0;
     }
+  else if (lists->incarnation_ms != 0 && target->incarnation_ms != 0)
+    dks_leased_crashes_withdraw (target);
   if (lists->incarnation_ms != 0)
     target->incarnation_ms = lists->incarnation_ms;
   for (size_t i = 0; i < lists->ended_count; i++)
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -216,6 +216,8 @@
   int64_t lease_extended_us;  /**< when the latest call was sent that may have extended the lease */
   uint32_t unanswered_calls;  /**< calls without an answer since the latest answer */
   bool connection_refused;    /**< a call sent since the latest answer: its process is gone */
+  bool crash_supposed; /**< crashes were counted because it refused connections, with no sign yet of
+                          another incarnation */
   dks_timer_t hold_timer;
   dks_timer_t expiry_timer; /**< armed while the target does not answer or is not listed */
   struct dks_leased_run_ring_t runs;
@@ -887,8 +889,13 @@
 void dks_leased_crashes_init (dks_leased_t *leased);
 void dks_leased_crashes_clear (dks_leased_t *leased);
 /** Counts a crash of the target for the tasks of its runs, except those that its new incarnation
- * lists, and tells other instances. `new_lists` may be NULL. */
-void dks_leased_crashes_record (dks_leased_target_t *target, const dks_run_lists_t *new_lists);
+ * lists, and tells other instances. `new_lists` may be NULL. With `is_supposed` the only sign of it
+ * is that connections are refused, as they are also where the network resets them. */
+void dks_leased_crashes_record (dks_leased_target_t *target, const dks_run_lists_t *new_lists,
+                                bool is_supposed);
+/** Takes back the crashes that were counted because the target refused connections: it has answered
+ * as the same incarnation, so its process did not end. */
+void dks_leased_crashes_withdraw (dks_leased_target_t *target);
 /** Whether so many targets have crashed under the task that it is not started again. */
 bool dks_leased_crashes_forbid_start (const dks_leased_job_t *job, const dks_leased_task_t *task);
 void dks_leased_crashes_handle_msg (dks_leased_t *leased, const dks_msg_t *msg);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -88,6 +88,8 @@
 {
   char task_name[DKS_TASK_NAME_SIZE];
   uint32_t weight; /**< 2 for each crash under a confirmed run, 1 for each other one */
+  uint32_t
+      withdrawn; /**< weight of supposed crashes that turned out to be none; `weight` is 0 then */
 } dks_task_crashes_t;
 
 const char *dks_lent_result_name (dks_lent_result_t result);
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -153,6 +153,7 @@
       dks__task_crashes__init (&tasks[i]);
       tasks[i].task = msg->u.speeds.task_crashes[i].task_name;
       tasks[i].weight = msg->u.speeds.task_crashes[i].weight;
+      tasks[i].withdrawn = msg->u.speeds.task_crashes[i].withdrawn;
       task_list[i] = &tasks[i];
     }
   body.n_targets = target_count;
@@ -408,6 +409,7 @@
       dks_task_crashes_t *to = &msg->u.speeds.task_crashes[i];
 
       to->weight = body->task_crashes[i]->weight;
+      to->withdrawn = body->task_crashes[i]->withdrawn;
       error = dks_copy_text (to->task_name, sizeof (to->task_name), body->task_crashes[i]->task);
     }
   return error;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3748,7 +3748,7 @@
   (ProtobufCMessageInit) dks__queue_run_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__task_crashes__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dks__task_crashes__field_descriptors[3] =
 {
   {
     "task",
@@ -3774,15 +3774,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "withdrawn",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__TaskCrashes, withdrawn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__task_crashes__field_indices_by_name[] = {
   0,   /* field[0] = task */
   1,   /* field[1] = weight */
+  2,   /* field[2] = withdrawn */
 };
 static const ProtobufCIntRange dks__task_crashes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor dks__task_crashes__descriptor =
 {
@@ -3792,7 +3805,7 @@
   "Dks__TaskCrashes",
   "dks",
   sizeof(Dks__TaskCrashes),
-  2,
+  3,
   dks__task_crashes__field_descriptors,
   dks__task_crashes__field_indices_by_name,
   1,  dks__task_crashes__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -437,10 +437,14 @@
   ProtobufCMessage base;
   char *task;
   uint32_t weight;
+  /*
+   * weight of supposed crashes that turned out to be none
+   */
+  uint32_t withdrawn;
 };
 #define DKS__TASK_CRASHES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__task_crashes__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -393,6 +393,33 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against a cut of the network that resets connections being taken for a crash: the targets
+// answer again as the same incarnation.
+TEST (LeasedCrashes, TaskOnTargetsWhoseConnectionsWereResetIsNotGivenUp)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+
+  uint64_t caller = world.submit (0, job, { { 1, 6800, 2000, 2000 } }, 12000);
+  for (int i = 0; i < 3; i++)
+    {
+      world.run_for (100 * ms);
+      for (auto &target : world.targets)
+        target->refused_calls = target->runs.empty () ? 0 : 1000;
+      world.run_for (1500 * ms);
+      for (auto &target : world.targets)
+        target->refused_calls = 0;
+      world.run_for (100 * ms);
+    }
+  EXPECT_GE (count_logged (world, "event=target-crashed"), 2u);
+  EXPECT_FALSE (world.answered (caller));
+  world.run_for (3000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against runs on a target that leaves and ends its process being taken for crashes.
 TEST (LeasedCrashes, EndOfATargetThatLeavesIsNoCrash)
 {
