core, platform: evacuate a data centre on the operator's request

The operator asks that the targets of a data centre get no new tasks, by a key in the platform's store.

The read and the watch of the configuration now cover all keys of the operator, with the same calls. Every instance keeps the set of evacuated data centres with the revision of the store up to which it is known, and states both in its statuses; the higher revision wins. A target of such a data centre is not usable for any choice, and its leader reports no free capacity, nor does a leader count that of one that does not know yet. The leader goes on with present runs and serves its callers by lending. An instance leads only once it knows the evacuations. When a data centre is taken back, what was learned of the speeds of its targets is forgotten.

--- a/core/leased.c
+++ b/core/leased.c
@@ -221,16 +221,19 @@
 dks_leased_status_json (const dks_leased_t *leased)
 {
   const char *leader = dks_leased_leader_id (leased);
+  json_t *evacuated = json_array ();
   json_t *json;
   char *text;
 
+  for (uint32_t i = 0; i < leased->evacuations.count; i++)
+    json_array_append_new (evacuated, json_string (leased->evacuations.names[i]));
   json = json_pack (
-      "{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:I}", "member", leased->r->self, "leader",
+      "{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:I,s:o}", "member", leased->r->self, "leader",
       leader != NULL ? leader : "", "term", (json_int_t)leased->term, "catalog_version",
       (json_int_t)(leased->catalog != NULL ? leased->catalog->version : 0), "ready",
       (int)dks_leased_is_ready (leased), "requests", (json_int_t)leased->request_count, "jobs",
       (json_int_t)leased->job_count, "waiting_tasks", (json_int_t)leased->waiting_tasks,
-      "free_tasks", (json_int_t)dks_leased_targets_free_tasks (leased));
+      "free_tasks", (json_int_t)dks_leased_targets_free_tasks (leased), "evacuated", evacuated);
   text = json_dumps (json, JSON_COMPACT);
   DKS_INVARIANT (text != NULL);
   json_decref (json);
--- a/core/leased_admission.c
+++ b/core/leased_admission.c
@@ -79,12 +79,33 @@
   return wait_max_us;
 }
 
+/* Whether the data centre is evacuated and leaders of others are present that may run its tasks. */
+static bool
+lends_all_tasks (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  if (!dks_leased_evacuation_covers (leased, leased->r->config.data_centre))
+    return false;
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (peer->term > 0 && dks_leased_peer_is_alive (leased, peer)
+          && !dks_leased_evacuation_covers (leased, peer->data_centre))
+        return true;
+    }
+  return false;
+}
+
 /* Time in which the usable targets complete tasks whose run times add up to `run_us`. */
 static int64_t
 work_time_us (const dks_leased_t *leased, double run_us)
 {
   uint32_t capacity = dks_leased_targets_capacity (leased);
 
+  /* The capacity of other data centres is not known. Once jobs have had to wait, the measured rate
+   * of starts tells how fast they take tasks. */
+  if (lends_all_tasks (leased))
+    return 0;
   if (capacity == 0)
     return INT64_C (1000) * RETRY_AFTER_MAX_MS;
   return (int64_t)(run_us / capacity);
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -75,6 +75,8 @@
   feed->after_key[0] = '\0';
   feed->generation++;
   feed->revision = 0;
+  if (which == DKS_FEED_CATALOG)
+    dks_leased_evacuation_begin_read (leased);
   send_call (leased, which);
 }
 
@@ -144,7 +146,7 @@
 bool
 dks_leased_feed_knows_targets (const dks_leased_t *leased)
 {
-  return leased->feeds[DKS_FEED_TARGETS].is_loaded;
+  return leased->feeds[DKS_FEED_TARGETS].is_loaded && dks_leased_evacuation_is_known (leased);
 }
 
 void
@@ -171,7 +173,7 @@
   int64_t version = leased->catalog != NULL ? leased->catalog->version : 0;
 
   return which == DKS_FEED_CATALOG ? peer->catalog_version > version
-                                   : peer->knows_targets && !dks_leased_feed_knows_targets (leased);
+                                   : peer->knows_targets && !leased->feeds[which].is_loaded;
 }
 
 /* The peer to ask: one that was not asked last, then one of the own data centre, then its leader,
@@ -260,7 +262,9 @@
 {
   if (which == DKS_FEED_CATALOG)
     {
-      if (item->catalog != NULL)
+      if (item->data_centre != NULL)
+        dks_leased_evacuation_add_item (leased, item);
+      else if (item->catalog != NULL)
         dks_leased_feed_apply_catalog (leased, item->catalog, "platform");
       else
         dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-%s key=%s",
@@ -296,16 +300,17 @@
    * changes made between two parts. */
   if (feed->revision == 0)
     feed->revision = event->u.feed.revision;
-  if (event->u.feed.more_items_follow && event->u.feed.count > 0)
+  if (event->u.feed.more_items_follow && event->u.feed.last_key != NULL)
     {
-      dks_strcpy (feed->after_key, sizeof (feed->after_key),
-                  event->u.feed.items[event->u.feed.count - 1].key);
+      dks_strcpy (feed->after_key, sizeof (feed->after_key), event->u.feed.last_key);
       send_call (leased, which);
       return;
     }
   feed->is_loaded = true;
   if (which == DKS_FEED_TARGETS)
     remove_unlisted (leased, feed->generation);
+  else
+    dks_leased_evacuation_apply_items (leased, feed->revision);
   begin_watch (leased, which);
 }
 
@@ -351,6 +356,8 @@
     dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=feed-back feed=%s", feed_name (which));
   feed->failures = 0;
   feed->last_answer_us = leased->r->now.mono_us;
+  if (which == DKS_FEED_CATALOG && feed->is_watch)
+    dks_leased_evacuation_begin_changes (leased);
   for (size_t i = 0; i < event->u.feed.count; i++)
     handle_item (leased, which, &event->u.feed.items[i]);
   dks_leased_share_new (leased);
@@ -361,6 +368,8 @@
     }
   if (event->u.feed.revision > feed->revision)
     feed->revision = event->u.feed.revision;
+  if (which == DKS_FEED_CATALOG)
+    dks_leased_evacuation_apply_items (leased, event->u.feed.revision);
   if (which == DKS_FEED_TARGETS && event->u.feed.count > 0)
     dks_timer_set (leased->r->timers, &feed->timer,
                    leased->r->now.mono_us + TARGETS_WATCH_PAUSE_US);
--- a/core/leased_health.c
+++ b/core/leased_health.c
@@ -85,6 +85,13 @@
   *mean += weight * (sample - *mean);
 }
 
+void
+dks_leased_target_forget_slowness (dks_leased_target_t *target)
+{
+  target->slowness_samples = 0;
+  target->slow_run_ends = 0;
+}
+
 void
 dks_leased_target_record_slowness (dks_leased_target_t *target, double slowness)
 {
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -186,6 +186,7 @@
   msg->u.leased_status.heard_us = peer->last_sent_us;
   msg->u.leased_status.leader_term = dks_leased_leader_term (leased);
   msg->u.leased_status.targets_digest = leased->targets_digest;
+  dks_leased_evacuation_state (leased, msg);
   if (msg->u.leased_status.knows_targets && leased->targets_stated_us == 0)
     leased->targets_stated_us = leased->r->now.mono_us;
   peer->next_status_us = leased->r->now.mono_us + interval_us;
@@ -475,6 +476,7 @@
                  || peer->draining != msg->u.leased_status.draining
                  || peer->yields_leadership != msg->u.leased_status.yields_leadership
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
+  bool peer_is_evacuated;
 
   if (peer->term > 0 && msg->u.leased_status.term != peer->term)
     dks_leased_lend_handle_remote_lost (leased, peer->id);
@@ -502,8 +504,11 @@
     peer->last_leading_us = leased->r->now.mono_us;
   peer->started_ms = msg->u.leased_status.started_ms;
   peer->catalog_version = msg->u.leased_status.catalog_version;
-  peer->free_tasks = msg->u.leased_status.free_tasks;
-  peer->free_fast_tasks = msg->u.leased_status.free_fast_tasks;
+  dks_leased_evacuation_handle_status (leased, peer, msg);
+  /* A leader may not know yet that its data centre is evacuated. */
+  peer_is_evacuated = dks_leased_evacuation_covers (leased, peer->data_centre);
+  peer->free_tasks = peer_is_evacuated ? 0 : msg->u.leased_status.free_tasks;
+  peer->free_fast_tasks = peer_is_evacuated ? 0 : msg->u.leased_status.free_fast_tasks;
   peer->fast_slowness = msg->u.leased_status.fast_slowness_milli / 1000.0;
   peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
   peer->processor_milli = msg->u.leased_status.processor_milli;
--- a/core/leased_metrics.c
+++ b/core/leased_metrics.c
@@ -98,6 +98,8 @@
       (double)dks_leased_drain_overload_us (leased) / 1e6 },
     { "lag_seconds", "Delay with which messages of other instances are handled.",
       (double)dks_leased_leader_lag_us (leased) / 1e6 },
+    { "evacuated_data_centres", "Data centres whose targets get no new tasks.",
+      leased->evacuations.count },
     { "targets_held", "Targets that this instance orders.", held },
     { "targets_ejected", "Held targets that get no work for a while.", ejected },
     { "runs", "Runs on held targets.", runs },
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -36,7 +36,8 @@
   return target->held && target->synced && target->clock_known && !target->info.leaving
          && target->unanswered_calls == 0 && target->failed_stops == 0
          && (target->listed || dks_leased_target_is_in_unlisted_grace (target))
-         && target->ejected_until_us <= time_us && target->full_until_us <= time_us;
+         && target->ejected_until_us <= time_us && target->full_until_us <= time_us
+         && !dks_leased_evacuation_covers (leased, target->info.data_centre);
 }
 
 static bool
--- a/core/msg.c
+++ b/core/msg.c
@@ -54,6 +54,7 @@
       break;
     case DKS_MSG_LEASED_STATUS:
       free (msg->u.leased_status.prior_jobs);
+      free (msg->u.leased_status.evacuated);
       break;
     case DKS_MSG_ADDRESSES:
       free (msg->u.addresses.items);
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -23,7 +23,8 @@
 /** Lists kept by the platform that instances read and then watch for changes. */
 typedef enum
 {
-  DKS_FEED_CATALOG = 1, /**< the operator's configuration: at most one item */
+  DKS_FEED_CATALOG = 1, /**< what the operator writes: the configuration, in at most one item, and
+                           the evacuated data centres */
   DKS_FEED_TARGETS,     /**< targets under lease */
   DKS_FEED_COUNT
 } dks_feed_t;
@@ -44,10 +45,12 @@
 {
   const char *key; /**< identifies the item within its feed */
   bool deleted;
-  /** Catalog only; NULL when deleted or not readable. */
+  /** Configuration only; NULL when deleted or not readable. */
   dks_catalog_t *catalog;
   /** Target only; NULL when deleted or not readable. */
   const dks_target_info_t *target;
+  /** Evacuation only, else NULL: name of the data centre, which is taken back when deleted. */
+  const char *data_centre;
 } dks_feed_item_t;
 
 /** Operation that a caller requests for a batch. */
@@ -208,7 +211,9 @@
       uint64_t op;
       dks_feed_status_t status;
       int64_t revision;       /**< revision after which to watch for changes */
-      bool more_items_follow; /**< FEED_READ only: further items follow after the last key */
+      bool more_items_follow; /**< FEED_READ only: further items follow after `last_key` */
+      const char *last_key;   /**< FEED_READ only, key of the last item, also of one that was left
+                                 out;   NULL: none */
       size_t count;
       const dks_feed_item_t *items;
     } feed;
@@ -323,9 +328,9 @@
     {
       uint64_t op; /**< never reused */
       dks_feed_t feed;
-      int64_t revision;             /**< FEED_WATCH: reports changes after this revision */
-      char after_key[DKS_KEY_SIZE]; /**< FEED_READ: returns items after this key; empty: from the
-                                       first item */
+      int64_t revision;                  /**< FEED_WATCH: reports changes after this revision */
+      char after_key[DKS_FEED_KEY_SIZE]; /**< FEED_READ: returns items after this key; empty: from
+                                            the first item */
       int64_t timeout_ms; /**< timeout of the call; the platform is asked to answer a FEED_WATCH a
                              margin earlier */
     } feed;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -9,7 +9,8 @@
  * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
  * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
  * finds out where tasks run that an earlier leader lent, leased_prior_jobs.c which jobs run in
- * other data centres at all, leased_share.c tells a successor of targets that it may not know.
+ * other data centres at all, leased_share.c tells a successor of targets that it may not know,
+ * leased_evacuation.c keeps which data centres get no work.
  * leased_load.c counts what keeps an instance busy.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
@@ -397,7 +398,7 @@
   bool is_watch;
   int64_t revision;
   bool is_loaded; /**< the feed has been read to its end, or a peer has sent its items */
-  char after_key[DKS_KEY_SIZE]; /**< key after which a read in several parts goes on */
+  char after_key[DKS_FEED_KEY_SIZE]; /**< key after which a read in several parts goes on */
   uint32_t generation;    /**< number of the latest read; targets not contained in it are removed */
   int64_t last_answer_us; /**< when the platform's store last answered, 0: never */
   uint32_t failures;
@@ -412,6 +413,15 @@
   uint32_t fast_slowness_milli; /**< slowness of those, thousandths */
 } dks_leased_capacity_t;
 
+/** The evacuated data centres, whose targets get no new tasks. */
+typedef struct
+{
+  int64_t revision; /**< of the platform's store, up to which all changes are contained; 0: not
+                       known yet */
+  uint32_t count;
+  char names[DKS_EVACUATIONS_MAX][DKS_NAME_SIZE];
+} dks_leased_evacuations_t;
+
 /** Request of a record from a peer that has it, while the platform has not delivered it. */
 typedef struct
 {
@@ -520,6 +530,10 @@
   dks_leased_fetch_t catalog_fetch; /**< of a newer configuration from a peer */
   dks_leased_fetch_t targets_fetch; /**< of the list of targets from a peer */
 
+  /* leased_evacuation.c */
+  dks_leased_evacuations_t evacuations;       /**< as they are known */
+  dks_leased_evacuations_t evacuations_draft; /**< of a read or watch that is being handled */
+
   /* leased_targets.c */
   struct dks_leased_target_ring_t targets;
   apr_hash_t *targets_by_id;
@@ -725,11 +739,32 @@
  * a processor: less than it may use while it cannot keep up. */
 uint32_t dks_leased_leader_rank_milli (const dks_leased_t *leased);
 
+/* leased_evacuation.c */
+/** Whether it is known which data centres are evacuated. */
+bool dks_leased_evacuation_is_known (const dks_leased_t *leased);
+/** Whether targets of the data centre get no new tasks. */
+bool dks_leased_evacuation_covers (const dks_leased_t *leased, const char *data_centre);
+/** Begins to collect the items of a read. */
+void dks_leased_evacuation_begin_read (dks_leased_t *leased);
+/** Begins to collect the items of an answer to a watch. */
+void dks_leased_evacuation_begin_changes (dks_leased_t *leased);
+/** Adds an item to what is collected. */
+void dks_leased_evacuation_add_item (dks_leased_t *leased, const dks_feed_item_t *item);
+/** Puts what was collected in force: all that has changed up to the revision of the store. Without
+ * effect when changes after this revision are in force already. */
+void dks_leased_evacuation_apply_items (dks_leased_t *leased, int64_t revision);
+/** Puts the evacuations in force that the status of a peer states, if they are newer. */
+void dks_leased_evacuation_handle_status (dks_leased_t *leased, const dks_leased_peer_t *peer,
+                                          const dks_msg_t *msg);
+/** States the evacuations in a status. */
+void dks_leased_evacuation_state (const dks_leased_t *leased, dks_msg_t *msg);
+
 /* leased_feed.c */
 void dks_leased_feed_init (dks_leased_t *leased);
 void dks_leased_feed_clear (dks_leased_t *leased);
 void dks_leased_feed_handle_event (dks_leased_t *leased, const dks_event_t *event);
-/** Whether the list of targets is known, from the platform or from a peer. */
+/** Whether the list of targets is known, from the platform or from a peer, and which data centres
+ * are evacuated: what a leader has to know. */
 bool dks_leased_feed_knows_targets (const dks_leased_t *leased);
 /** Asks peers for what they have and the platform has not delivered for a while. */
 void dks_leased_feed_fetch_from_peers (dks_leased_t *leased);
@@ -852,6 +887,8 @@
 void dks_leased_target_record_run_end (dks_leased_target_t *target, bool failed);
 /** Records that a run took `slowness` times its expected run time. */
 void dks_leased_target_record_slowness (dks_leased_target_t *target, double slowness);
+/** Forgets how fast the target was. */
+void dks_leased_target_forget_slowness (dks_leased_target_t *target);
 /** Mean run time over expected run time; that of all targets while there are too few samples. */
 double dks_leased_target_slowness (const dks_leased_target_t *target);
 /** Moves `mean` towards `sample` by `weight` (0 to 1) of their difference. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -255,6 +255,10 @@
                                or is; 0: not stated */
       uint64_t targets_digest; /**< of the targets of its data centre that the platform lists to the
                                   sender, 0: not stated */
+      int64_t evacuations_revision; /**< of the store, up to which `evacuated` contains all changes;
+                                       0: the sender does not know the evacuations */
+      uint32_t evacuated_count;
+      char (*evacuated)[DKS_NAME_SIZE]; /**< evacuated data centres */
     } leased_status;
     struct
     {
--- a/include/core/types.h
+++ b/include/core/types.h
@@ -10,11 +10,13 @@
 
 enum
 {
-  DKS_NAME_SIZE = 48,    /**< bytes of an instance, data centre, team or service name with NUL */
-  DKS_KEY_SIZE = 160,    /**< bytes of an idempotency key with NUL */
-  DKS_ADDRESS_SIZE = 64, /**< bytes of "IP:port" with NUL */
-  DKS_TEXT_SIZE = 160,   /**< bytes of a human-readable detail with NUL */
-  DKS_TASKS_MAX = 480,   /**< tasks of one submission */
+  DKS_NAME_SIZE = 48,       /**< bytes of an instance, data centre, team or service name with NUL */
+  DKS_KEY_SIZE = 160,       /**< bytes of an idempotency key with NUL */
+  DKS_FEED_KEY_SIZE = 208,  /**< bytes of a key in the platform's store, 200 at most, with NUL */
+  DKS_EVACUATIONS_MAX = 64, /**< data centres that can be evacuated at the same time */
+  DKS_ADDRESS_SIZE = 64,    /**< bytes of "IP:port" with NUL */
+  DKS_TEXT_SIZE = 160,      /**< bytes of a human-readable detail with NUL */
+  DKS_TASKS_MAX = 480,      /**< tasks of one submission */
   DKS_DATA_CENTRES_MAX = 16,
   DKS_MEMBERS_MAX = 64,         /**< instances of one data centre */
   DKS_FORMER_MAX = 32,          /**< former members in one view */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -27,6 +27,7 @@
                           size_t *len)
 {
   Dks__LeasedStatus body = DKS__LEASED_STATUS__INIT;
+  char *evacuated[DKS_EVACUATIONS_MAX];
 
   body.term = msg->u.leased_status.term;
   body.started_ms = msg->u.leased_status.started_ms;
@@ -49,6 +50,11 @@
   body.heard_us = msg->u.leased_status.heard_us;
   body.leader_term = msg->u.leased_status.leader_term;
   body.targets_digest = msg->u.leased_status.targets_digest;
+  body.evacuations_revision = msg->u.leased_status.evacuations_revision;
+  for (uint32_t i = 0; i < msg->u.leased_status.evacuated_count; i++)
+    evacuated[i] = msg->u.leased_status.evacuated[i];
+  body.n_evacuated = msg->u.leased_status.evacuated_count;
+  body.evacuated = evacuated;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -264,10 +270,34 @@
 
 /* Decoding */
 
+static int
+read_evacuated (const Dks__LeasedStatus *body, dks_msg_t *msg)
+{
+  size_t count = body->n_evacuated;
+
+  msg->u.leased_status.evacuations_revision = body->evacuations_revision;
+  if (count > DKS_EVACUATIONS_MAX)
+    return DKS_ERR_TOO_LARGE;
+  if (body->evacuations_revision < 0)
+    return DKS_ERR_INVALID;
+  if (count == 0)
+    return DKS_OK;
+  msg->u.leased_status.evacuated = dks_alloc (count * sizeof (msg->u.leased_status.evacuated[0]));
+  msg->u.leased_status.evacuated_count = (uint32_t)count;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (dks_copy_text (msg->u.leased_status.evacuated[i], DKS_NAME_SIZE, body->evacuated[i])
+          != DKS_OK)
+        return DKS_ERR_INVALID;
+    }
+  return DKS_OK;
+}
+
 int
 dks_decode_leased_status (const Dks__PeerMessage *wire, dks_msg_t *msg)
 {
   const Dks__LeasedStatus *body = wire->leased_status;
+  int error;
 
   msg->u.leased_status.term = body->term;
   msg->u.leased_status.started_ms = body->started_ms;
@@ -294,8 +324,8 @@
       || body->interval_ms > STATUS_INTERVAL_MAX_MS || body->heard_us < 0
       || body->heard_us > MONOTONIC_MAX_US)
     return DKS_ERR_INVALID;
-  if (body->n_prior_jobs == 0)
-    return DKS_OK;
+  if ((error = read_evacuated (body, msg)) != DKS_OK || body->n_prior_jobs == 0)
+    return error;
   msg->u.leased_status.prior_job_count = (uint32_t)body->n_prior_jobs;
   msg->u.leased_status.prior_jobs =
       dks_alloc (body->n_prior_jobs * sizeof (msg->u.leased_status.prior_jobs[0]));
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[20] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[22] =
 {
   {
     "term",
@@ -3563,11 +3563,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations_revision",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, evacuations_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Dks__LeasedStatus, n_evacuated),
+    offsetof(Dks__LeasedStatus, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
   2,   /* field[2] = catalog_version */
   5,   /* field[5] = draining */
+  21,   /* field[21] = evacuated */
+  20,   /* field[20] = evacuations_revision */
   8,   /* field[8] = fast_slowness_milli */
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
@@ -3590,7 +3616,7 @@
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3600,7 +3626,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  20,
+  22,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   2,  dks__leased_status__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -401,10 +401,16 @@
    * Of the targets of its data centre that the platform lists to the sender, 0: not stated.
    */
   uint64_t targets_digest;
+  /*
+   * Evacuated data centres, with all changes up to this revision of the platform's store, 0: not known.
+   */
+  int64_t evacuations_revision;
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Dks__TargetSpeed
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -785,7 +785,8 @@
   bool is_watch = effect.type == DKS_EFFECT_FEED_WATCH;
   const Instance &instance = *instances[index];
   bool is_answered = !instance.feed_down
-                     && !(instance.targets_feed_down && effect.u.feed.feed == DKS_FEED_TARGETS);
+                     && !(instance.targets_feed_down && effect.u.feed.feed == DKS_FEED_TARGETS)
+                     && !(instance.catalog_feed_down && effect.u.feed.feed == DKS_FEED_CATALOG);
   FeedCall call = { index,    instance.reducer,       effect.u.feed.feed,
                     is_watch, effect.u.feed.revision, is_answered };
 
@@ -799,7 +800,33 @@
 bool
 World::has_change (const FeedCall &call) const
 {
-  return call.feed == DKS_FEED_CATALOG && call.after_revision < catalog_version;
+  return call.feed == DKS_FEED_CATALOG && call.after_revision < feed_revision ();
+}
+
+int64_t
+World::feed_revision () const
+{
+  return catalog_version + static_cast<int64_t> (evacuation_changes.size ());
+}
+
+// A read has the evacuations that are present, a watch the changes since its revision.
+void
+World::add_evacuations (const FeedCall &call, std::vector<dks_feed_item_t> *items) const
+{
+  std::map<std::string, const EvacuationChange *> latest;
+
+  for (auto &change : evacuation_changes)
+    {
+      if (call.is_watch && change.revision > call.after_revision)
+        items->push_back (
+            { "evacuation", !change.is_evacuated, nullptr, nullptr, change.data_centre.c_str () });
+      latest[change.data_centre] = &change;
+    }
+  for (auto &[data_centre, change] : latest)
+    {
+      if (!call.is_watch && change->is_evacuated)
+        items->push_back ({ "evacuation", false, nullptr, nullptr, data_centre.c_str () });
+    }
 }
 
 dks_catalog_t *
@@ -845,18 +872,27 @@
   event.type = DKS_EVENT_FEED;
   event.u.feed.op = op;
   event.u.feed.status = call.is_answered ? DKS_FEED_OK : DKS_FEED_UNANSWERED;
-  event.u.feed.revision = catalog_version;
+  event.u.feed.revision = feed_revision ();
+  if (call.is_answered && call.is_watch && call.feed == DKS_FEED_CATALOG
+      && instances[index]->history_gone)
+    {
+      instances[index]->history_gone = false;
+      event.u.feed.status = DKS_FEED_HISTORY_GONE;
+      apply (index, &event);
+      return;
+    }
   if (call.is_answered && call.feed == DKS_FEED_CATALOG && (!call.is_watch || has_change (call)))
     {
       catalog = create_catalog ();
-      items.push_back ({ "catalog", false, catalog, nullptr });
+      items.push_back ({ "catalog", false, catalog, nullptr, nullptr });
+      add_evacuations (call, &items);
     }
   if (call.is_answered && call.feed == DKS_FEED_TARGETS && (!call.is_watch || call.has_targets))
     {
       for (auto &target : targets)
         {
           if (target->listed)
-            items.push_back ({ target->info.id, false, nullptr, &target->info });
+            items.push_back ({ target->info.id, false, nullptr, &target->info, nullptr });
         }
     }
   event.u.feed.count = items.size ();
@@ -869,6 +905,19 @@
 World::change_catalog ()
 {
   catalog_version++;
+  answer_catalog_watches ();
+}
+
+void
+World::set_evacuated (const std::string &data_centre, bool is_evacuated)
+{
+  evacuation_changes.push_back ({ feed_revision () + 1, data_centre, is_evacuated });
+  answer_catalog_watches ();
+}
+
+void
+World::answer_catalog_watches ()
+{
   for (auto &[id, call] : feed_calls)
     {
       auto [index, op] = id;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -128,6 +128,8 @@
   bool tick_pending = false;             // a tick is among the pending events
   bool feed_down = false;                // the platform's feeds are unavailable to it
   bool targets_feed_down = false;        // that of targets is
+  bool catalog_feed_down = false;        // that of the operator's configuration is
+  bool history_gone = false;             // the history that its next watch of that needs is gone
   uint32_t processor_milli = 1000;       // processor time it may use, thousandths of a processor
   uint64_t feed_op[DKS_FEED_COUNT] = {}; // operation number of its latest call for each feed
   std::string member_id;
@@ -191,6 +193,8 @@
   void tell_of_target (size_t instance, const Target &target, bool is_listed);
   // Puts a new version of the configuration into the platform's store.
   void change_catalog ();
+  // The operator evacuates a data centre, or takes it back.
+  void set_evacuated (const std::string &data_centre, bool is_evacuated);
   // The open connections to the platform's store go silent: calls under way get no answer.
   void silence_feed_calls ();
   void run_for (int64_t us);
@@ -221,6 +225,14 @@
 
   int64_t now_us = 1000 * ms;
   int64_t catalog_version = 1;
+  // Evacuations and their ends in the platform's store, in order.
+  struct EvacuationChange
+  {
+    int64_t revision;
+    std::string data_centre;
+    bool is_evacuated;
+  };
+  std::vector<EvacuationChange> evacuation_changes;
   // Time that an instance takes for an event and the effects that came of it. When set, each
   // instance works through its events one after the other in turns, as the loop of the real one
   // does: a turn takes from each connection what was there at its beginning, up to `window_bytes`,
@@ -344,6 +356,9 @@
   void send_feed_call (size_t instance, const dks_effect_t &effect);
   void end_feed_call (size_t instance, uint64_t op);
   bool has_change (const FeedCall &call) const;
+  int64_t feed_revision () const;
+  void answer_catalog_watches ();
+  void add_evacuations (const FeedCall &call, std::vector<dks_feed_item_t> *items) const;
   dks_catalog_t *create_catalog () const;
   void send_lease_call (size_t instance, const dks_effect_t &effect);
   void handle_lease_call (Target &target, const Call &call, bool is_answered);
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -129,7 +129,10 @@
           self->targets.push_back (*item.target);
         if (item.catalog != nullptr)
           self->versions.push_back (item.catalog->version);
+        if (item.data_centre != nullptr)
+          self->evacuations.push_back ((item.deleted ? "-" : "+") + std::string (item.data_centre));
       }
+    self->last_key = event->u.feed.last_key != nullptr ? event->u.feed.last_key : "";
   }
 
   void
@@ -177,6 +180,8 @@
   std::vector<bool> deleted;
   std::vector<dks_target_info_t> targets;
   std::vector<int64_t> versions;
+  std::vector<std::string> evacuations; // "+NAME", or "-NAME" for an end
+  std::string last_key;
 };
 
 std::string
@@ -491,6 +496,120 @@
   EXPECT_EQ (keys.size (), 1U);
 }
 
+// One call each reads and watches all that the operator writes.
+TEST_F (Adapter, ReadHasTheConfigurationAndTheEvacuations)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  platform.queue_reply (
+      200,
+      R"({"items":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"},)"
+      R"({"key":"op/evacuate/dc-a","rev":2,"value":"e30="},)"
+      R"({"key":"op/evacuate/dc-b","rev":2,"value":"e30="},)"
+      R"({"key":"op/wave/3","rev":4,"value":"e30="}],"store_revision":9})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (platform.take_request ().find ("GET /api/kv-range?prefix=op/ HTTP"), 0U);
+  EXPECT_EQ (versions, std::vector<int64_t> ({ 3 }));
+  EXPECT_EQ (evacuations, std::vector<std::string> ({ "+dc-a", "+dc-b" }));
+  EXPECT_EQ (revision, 9);
+}
+
+TEST_F (Adapter, WatchHasEvacuationsAndTheirEndsInOrder)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.revision = 4;
+  effect.u.feed.timeout_ms = 1500;
+  platform.queue_reply (200, R"({"events":[{"key":"op/evacuate/dc-a","rev":5,"value":"e30="},)"
+                             R"({"key":"op/evacuate/dc-a","rev":6,"deleted":true},)"
+                             R"({"key":"op/evacuate/dc-b","rev":7,"value":"e30="}],)"
+                             R"("store_revision":8})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (
+      platform.take_request ().find ("GET /api/kv-watch?prefix=op/&after=4&wait_ms=1000 HTTP"), 0U);
+  EXPECT_EQ (evacuations, std::vector<std::string> ({ "+dc-a", "-dc-a", "+dc-b" }));
+}
+
+// Guards against an evacuation that is ignored for its value: the key alone counts.
+TEST_F (Adapter, ValueOfAnEvacuationMayBeAnything)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 1500;
+  platform.queue_reply (200, R"({"events":[{"key":"op/evacuate/dc-a","rev":5,"value":""},)"
+                             R"({"key":"op/evacuate/dc-b","rev":6,"value":"////"},)"
+                             R"({"key":"op/evacuate/dc-c","rev":6,"value":"!"},)"
+                             R"({"key":"op/evacuate/dc-d","rev":6,"value":7},)"
+                             R"({"key":"op/evacuate/dc-e","rev":7}],"store_revision":8})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (evacuations,
+             std::vector<std::string> ({ "+dc-a", "+dc-b", "+dc-c", "+dc-d", "+dc-e" }));
+}
+
+// Guards against names that no data centre has and that cannot stand in a log line.
+TEST_F (Adapter, KeysThatNameNoDataCentreAreNoEvacuations)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_WATCH;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 1500;
+  platform.queue_reply (200, R"({"events":[{"key":"op/evacuate/","rev":5,"value":"e30="},)"
+                             R"({"key":"op/evacuate/)"
+                                 + std::string (DKS_NAME_SIZE, 'a')
+                                 + R"(","rev":6,"value":"e30="},)"
+                                   R"({"key":"op/evacuate/dc\na","rev":6,"value":"e30="},)"
+                                   R"({"key":"op/evacuated","rev":6,"value":"e30="},)"
+                                   R"({"rev":6},7],"store_revision":8})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_OK);
+  EXPECT_TRUE (keys.empty ());
+}
+
+// Guards against a read that ends, or begins again, at a page of keys that are not used here.
+TEST_F (Adapter, ReadGoesOnAfterAPageOfOtherKeysOfTheOperator)
+{
+  dks_effect_t effect = {};
+  std::string longest = "op/wave/" + std::string (192, '7');
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  platform.queue_reply (200, R"({"items":[{"key":"op/wave/1","rev":4,"value":"e30="},{"key":")"
+                                 + longest
+                                 + R"(","rev":4,"value":"e30="}],)"
+                                   R"("store_revision":9,"has_more":true})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_TRUE (more);
+  EXPECT_EQ (last_key, longest);
+  platform.take_request ();
+  snprintf (effect.u.feed.after_key, sizeof (effect.u.feed.after_key), "%s", last_key.c_str ());
+  platform.queue_reply (200, R"({"items":[],"store_revision":9})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (
+      platform.take_request ().find ("GET /api/kv-range?prefix=op/&after=" + longest + " HTTP"),
+      0U);
+}
+
 TEST_F (Adapter, TargetRecordsThatCannotBeDecodedAreSkipped)
 {
   dks_effect_t effect = {};
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -182,12 +182,19 @@
       break;
     case DKS_MSG_LEASED_STATUS:
       msg->u.leased_status = {
-        INT64_MAX, issued_ms, 17,   40,      11, 870,           3,
-        120,       true,      true, true,    77, 200,           UINT64_MAX,
-        true,      78,        2,    nullptr, 79, INT64_MAX - 1, UINT64_MAX - 2
+        INT64_MAX,      issued_ms, 17,  40,         11,   870, 3, 120,     true, true,
+        true,           77,        200, UINT64_MAX, true, 78,  2, nullptr, 79,   INT64_MAX - 1,
+        UINT64_MAX - 2, 0,         0,   nullptr
       };
       msg->u.leased_status.prior_jobs = static_cast<uint64_t *> (calloc (2, sizeof (uint64_t)));
       msg->u.leased_status.prior_jobs[1] = UINT64_MAX;
+      msg->u.leased_status.evacuations_revision = INT64_MAX - 3;
+      msg->u.leased_status.evacuated_count = 2;
+      msg->u.leased_status.evacuated =
+          static_cast<char (*)[DKS_NAME_SIZE]> (calloc (2, DKS_NAME_SIZE));
+      set_text (msg->u.leased_status.evacuated[0], DKS_NAME_SIZE, "dc1");
+      set_text (msg->u.leased_status.evacuated[1], DKS_NAME_SIZE,
+                std::string (DKS_NAME_SIZE - 1, 'd').c_str ());
       break;
     case DKS_MSG_TARGETS:
       msg->u.targets.may_have_runs = true;
@@ -402,6 +409,9 @@
       add (msg->u.leased_status.heard_us);
       add (msg->u.leased_status.leader_term);
       add (msg->u.leased_status.targets_digest);
+      add (msg->u.leased_status.evacuations_revision);
+      for (uint32_t i = 0; i < msg->u.leased_status.evacuated_count; i++)
+        text += std::string (",") + msg->u.leased_status.evacuated[i];
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -645,6 +655,10 @@
          [] (dks_msg_t *m) { m->u.leased_status.prior_jobs_term = UINT64_MAX; });
   check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.leased_status.heard_us = -1; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.evacuations_revision = -1; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.evacuated[1][0] = '\n'; });
   check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.leased_status.heard_us = INT64_MAX; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
