core: lend the tasks of a lost leader's jobs in an evacuated data centre

Tasks of a job that an earlier leader had are not lent. In an evacuated data centre its successor could not start them either, so such a job waited until its caller's time was over. Its tasks are now lent there, once it is certain that they run nowhere (the evidence with which they would be started otherwise), with the run numbers of a successor.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -432,6 +432,12 @@
   return true;
 }
 
+uint32_t
+dks_leased_task_next_run_number (const dks_leased_job_t *job, const dks_leased_task_t *task)
+{
+  return job->resent && task->run_number == 0 ? SUCCESSOR_FIRST_RUN : task->run_number + 1;
+}
+
 void
 dks_leased_task_leave_waiting (dks_leased_job_t *job, dks_leased_task_t *task,
                                dks_leased_task_state_t state)
@@ -585,7 +591,7 @@
     return false;
   /* The run number of a lent task was chosen by its home leader. */
   if (!job->is_lent)
-    task->run_number += job->resent && task->run_number == 0 ? SUCCESSOR_FIRST_RUN : 1;
+    task->run_number = dks_leased_task_next_run_number (job, task);
   dks_leased_run_start (leased, target, job, index);
   dks_leased_targets_update_free_cpu (leased);
 
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -150,7 +150,7 @@
 
       if (task->batch_step != step || !may_lend (job, task) || !has_capacity_for (peer, task, fast))
         continue;
-      task->run_number++;
+      task->run_number = dks_leased_task_next_run_number (job, task);
       msg->u.work.lent_tasks[count] = task->index;
       msg->u.work.lent_runs[count] = task->run_number;
       count++;
@@ -173,8 +173,9 @@
   uint32_t messages = 0;
 
   /* A job that another leader had may have runs on any target of this data centre, so its tasks are
-   * not lent to further ones. */
-  if (job->resent)
+   * not lent to further ones. In an evacuated one they would never run, so that those are lent that
+   * certainly have no run. */
+  if (job->resent && !dks_leased_evacuation_covers (leased, leased->r->config.data_centre))
     return;
   for (uint32_t i = 0; i < job->task_count && messages < LEND_MESSAGES_MAX; i++)
     {
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -1007,6 +1007,9 @@
 /* leased_jobs.c */
 /** Whether the task may start now: it waits, and the steps before it have ended. */
 bool dks_leased_task_is_due (const dks_leased_job_t *job, const dks_leased_task_t *task);
+/** Number of the next run of the task, of a job that was not lent to this leader. */
+uint32_t
+dks_leased_task_next_run_number (const dks_leased_job_t *job, const dks_leased_task_t *task);
 /** Moves a waiting task that was started, lent or ended to `state`. */
 void dks_leased_task_leave_waiting (dks_leased_job_t *job, dks_leased_task_t *task,
                                     dks_leased_task_state_t state);
--- a/tests/test_leased_evacuation.cc
+++ b/tests/test_leased_evacuation.cc
@@ -299,6 +299,23 @@
   EXPECT_EQ (count_starts (world, "a"), 0U);
 }
 
+// Guards against jobs that nobody runs after their leader was lost: the tasks of a job that an
+// earlier leader had are otherwise not lent.
+TEST (LeasedEvacuation, JobOfALostLeaderRunsElsewhere)
+{
+  World world;
+  start_two (world);
+  evacuate (world, "a");
+  uint64_t caller = world.submit (1, job_id, { { 2, 10000, 300, 300 } }, 6000);
+  world.run_for (50 * ms);
+  ASSERT_EQ (leased::count_runs (world, job_id, "b"), 2U);
+  world.kill (0);
+  world.run_for (3000 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (count_starts (world, "a"), 0U);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against instances that start while the store turns them away, and lead without knowing.
 TEST (LeasedEvacuation, InstancesThatStartWithoutTheStoreAreToldByPeers)
 {
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -76,13 +76,16 @@
   // Targets that go on working leave the platform's list and come back, which instances learn at
   // different times.
   bool targets_are_unlisted = false;
+  // The operator evacuates data centres and takes them back.
+  bool data_centres_are_evacuated = false;
 };
 
 class Schedule
 {
 public:
   Schedule (uint64_t seed, const Options &options)
-      : random (seed), patience (seed), rejections (seed), listings (seed), options (options)
+      : random (seed), patience (seed), rejections (seed), listings (seed), evacuations (seed),
+        options (options)
   {
   }
 
@@ -549,6 +552,18 @@
       }
   }
 
+  void
+  evacuate ()
+  {
+    std::string name = evacuations.chance (65) ? home
+                                               : names[static_cast<size_t> (evacuations.between (
+                                                   0, static_cast<int64_t> (names.size ()) - 1))];
+
+    world.set_evacuated (name, true);
+    after (evacuations.between (300, 5000) * ms,
+           [this, name] { world.set_evacuated (name, false); });
+  }
+
   void
   unlist_targets ()
   {
@@ -578,6 +593,8 @@
   start_faults ()
   {
     start_fault ();
+    if (options.data_centres_are_evacuated && evacuations.chance (40))
+      evacuate ();
     if (options.targets_are_unlisted && listings.chance (40))
       unlist_targets ();
     if (random.chance (60))
@@ -590,6 +607,7 @@
   Random patience;   // of the callers
   Random rejections; // of calls, by targets
   Random listings;   // of targets
+  Random evacuations;
   Options options;
   std::vector<std::string> names; // of the data centres
   std::string home;               // data centre that gets most of the jobs
@@ -660,6 +678,13 @@
   play_schedules ({ .targets_are_unlisted = true });
 }
 
+// Guards against a task of a job that an earlier leader had, which is lent although it may run: in
+// an evacuated data centre such tasks are lent.
+TEST (LeasedOverlap, NoTaskHasTwoRunsWhileDataCentresAreEvacuated)
+{
+  play_schedules ({ .data_centres_are_evacuated = true });
+}
+
 namespace
 {
 
