leased_handover: a draining leader leads on until an able successor is there

A leader that drained was taken over at once by any instance. When both large instances (0.5 of a core) of a data centre drained, an instance of 0.12 of a core led 117 targets for up to 5.3 s and refused what it could not keep up with.

A draining instance now states for how long it can lead (until 4.8 s of its drain). While a leader states some, only an instance of half its processor time or more takes over, connected for 0.3 s; in the last 0.3 s also one that drains and can lead for 0.4 s longer and has twice what those have that do not drain; then any. Where an able one is there the handover is as before, at once. A leader that leads on goes on taking lent tasks until 0.5 s before its end, and does not exit before it has handed over. Instances of earlier versions state no time and are taken over at once.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -23,6 +23,9 @@
      balancer needs two failed checks to send callers elsewhere. */
   DRAIN_MIN_US = 2500000,
   DRAIN_ACCEPT_MAX_US = 3800000, /* requests that arrive later are refused */
+  /* A leader hands over by then: its successor needs some 0.3 s at an eighth of a core until it can
+     answer what the callers here wait for. */
+  DRAIN_HANDOVER_US = 4800000,
   DRAIN_ANSWER_MAX_US = 5300000, /* open requests are answered by then, which takes some ms */
   DRAIN_MAX_US = 5500000         /* the platform's grace period is 6 s */
 };
@@ -536,6 +539,16 @@
   dks_leased_members_notify_all (leased);
 }
 
+int64_t
+dks_leased_entry_handover_left_us (const dks_leased_t *leased)
+{
+  int64_t end_us = leased->drain_start_us + DRAIN_HANDOVER_US;
+
+  return leased->drain_start_us > 0 && end_us > dks_leased_now_us (leased)
+             ? end_us - dks_leased_now_us (leased)
+             : 0;
+}
+
 bool
 dks_leased_entry_is_drained (const dks_leased_t *leased)
 {
@@ -545,7 +558,8 @@
     return false;
   elapsed_us = dks_leased_now_us (leased) - leased->drain_start_us;
   return elapsed_us >= DRAIN_MAX_US
-         || (elapsed_us >= DRAIN_MIN_US && leased->request_count == 0 && leased->job_count == 0);
+         || (elapsed_us >= DRAIN_MIN_US && leased->request_count == 0 && leased->job_count == 0
+             && !dks_leased_handover_is_awaited (leased));
 }
 
 void
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -834,7 +834,8 @@
     dks_leased_leader_note_term (leased, origin, msg->u.work.home_term);
   outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
   outdated = outdated || is_for_earlier_term (leased, msg);
-  if (leased->term == 0 || outdated || (lent && leased->drain_start_us > 0 && !msg->u.work.resent))
+  if (leased->term == 0 || outdated
+      || (lent && !dks_leased_handover_takes_lent (leased) && !msg->u.work.resent))
     {
       if (lent)
         dks_emit_log (leased->r, DKS_LOG_INFO,
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -534,8 +534,9 @@
   return false;
 }
 
+/* Whether this instance may lead, where `leader` leads now; NULL: none does. */
 static bool
-may_lead (const dks_leased_t *leased)
+may_lead (const dks_leased_t *leased, const dks_leased_peer_t *leader)
 {
   int64_t now_us = leased->r->now.mono_us;
   int64_t pause_us = is_isolated (leased) ? FENCED_ISOLATED_PAUSE_US : FENCED_PAUSE_US;
@@ -545,7 +546,8 @@
     return false;
   if (leased->last_fenced_us > 0 && now_us - leased->last_fenced_us < pause_us)
     return false;
-  return !has_better_candidate (leased, true);
+  /* A draining instance succeeds only another one, by dks_leased_handover_may_take_over(). */
+  return (leased->drain_start_us > 0 && leader != NULL) || !has_better_candidate (leased, true);
 }
 
 /* Offers the leadership to an instance that has clearly more processor time, and has been connected
@@ -578,12 +580,12 @@
 static bool
 may_take_over_from (const dks_leased_t *leased, const dks_leased_peer_t *leader)
 {
-  if (leased->drain_start_us > 0 || !dks_leased_leader_has_told_targets (leased, leader))
+  if (!dks_leased_leader_has_told_targets (leased, leader))
     return false;
-  return leader->draining
-         || (leader->yields_leadership
-             && leased->r->config.processor_milli
-                    >= YIELD_PROCESSOR_RATIO * leader->processor_milli);
+  if (leader->draining)
+    return dks_leased_handover_may_take_over (leased, leader);
+  return leased->drain_start_us == 0 && leader->yields_leadership
+         && leased->r->config.processor_milli >= YIELD_PROCESSOR_RATIO * leader->processor_milli;
 }
 
 void
@@ -599,8 +601,9 @@
     stop_leading (leased, "higher-term", true);
   update_yielding (leased);
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
-      && !superseded_unheard && may_lead (leased))
+      && !superseded_unheard && may_lead (leased, leader))
     start_leading (leased);
+  dks_leased_handover_update (leased);
   leased->leader_known = leased->term > 0 || find_leading_peer (leased) != NULL;
   dks_leased_entry_resubmit (leased);
 }
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -126,15 +126,15 @@
                                                                      : LOCAL_INTERVAL_US;
 }
 
-/* Computes the free capacity that statuses state. A draining leader without a successor states
- * none, so that it gets no more lent tasks and can finish. */
+/* Computes the free capacity that statuses state. A draining leader that is alone, or at the end of
+ * its time, states none, so that it gets no more lent tasks and can finish. */
 static void
 update_capacity (dks_leased_t *leased)
 {
   double slowness;
 
   leased->capacity = (dks_leased_capacity_t){ 0 };
-  if (leased->term == 0 || leased->drain_start_us > 0)
+  if (leased->term == 0 || !dks_leased_handover_takes_lent (leased))
     return;
   leased->capacity.free_tasks = dks_leased_targets_free_tasks (leased);
   leased->capacity.free_fast_tasks = dks_leased_targets_free_fast_tasks (leased, &slowness);
@@ -178,6 +178,8 @@
   msg->u.leased_status.waiting_tasks = leased->waiting_tasks;
   msg->u.leased_status.processor_milli = dks_leased_leader_rank_milli (leased);
   msg->u.leased_status.draining = leased->drain_start_us > 0;
+  msg->u.leased_status.handover_ms =
+      (uint32_t)((dks_leased_entry_handover_left_us (leased) + 999) / 1000);
   msg->u.leased_status.yields_leadership = leased->term > 0 && leased->yields_leadership;
   msg->u.leased_status.knows_targets = dks_leased_feed_knows_targets (leased);
   msg->u.leased_status.interval_ms = (uint32_t)(interval_us / 1000);
@@ -473,6 +475,7 @@
   bool changed = is_new || peer->term != msg->u.leased_status.term
                  || peer->leader_term != msg->u.leased_status.leader_term
                  || peer->draining != msg->u.leased_status.draining
+                 || (msg->u.leased_status.draining && msg->u.leased_status.term > 0)
                  || peer->yields_leadership != msg->u.leased_status.yields_leadership
                  || peer->knows_targets != msg->u.leased_status.knows_targets;
 
@@ -508,6 +511,9 @@
   peer->waiting_tasks = msg->u.leased_status.waiting_tasks;
   peer->processor_milli = msg->u.leased_status.processor_milli;
   peer->draining = msg->u.leased_status.draining;
+  peer->handover_left_us = INT64_C (1000) * msg->u.leased_status.handover_ms;
+  peer->handover_end_us =
+      peer->handover_left_us > 0 ? leased->r->now.mono_us + peer->handover_left_us : 0;
   peer->yields_leadership = msg->u.leased_status.yields_leadership;
   peer->knows_targets = msg->u.leased_status.knows_targets;
   peer->interval_us = INT64_C (1000) * msg->u.leased_status.interval_ms;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -116,7 +116,11 @@
       late_since_us; /**< first of its late statuses that followed each other closely, 0: none */
   int64_t late_until_us; /**< when its latest late status was handled, 0: never */
   bool draining;
-  bool yields_leadership; /**< leads, and offers to hand over to a larger instance */
+  /** Time for which it can lead while it drains, as its latest status states; 0: none, or it hands
+   * over at once. */
+  int64_t handover_left_us;
+  int64_t handover_end_us; /**< when that time ends, 0: none */
+  bool yields_leadership;  /**< leads, and offers to hand over to a larger instance */
   bool knows_targets;
   uint64_t targets_digest;       /**< of the targets that the platform lists to it, 0: not stated */
   dks_leased_address_t *address; /**< as it has stated, NULL: not yet */
@@ -432,6 +436,15 @@
   int64_t updated_us;
 } dks_leased_inflow_t;
 
+/** Who may take over from this leader, which drains. */
+typedef enum
+{
+  DKS_LEASED_HANDOVER_NONE,     /**< it does not lead, or does not drain, or is alone */
+  DKS_LEASED_HANDOVER_ABLE,     /**< an instance of half its processor time that does not drain */
+  DKS_LEASED_HANDOVER_DRAINING, /**< also one that drains and can lead for longer */
+  DKS_LEASED_HANDOVER_ANY       /**< any that does not drain: its time is over */
+} dks_leased_handover_t;
+
 /** How fast this leader's queue drains, as measured. */
 typedef struct
 {
@@ -483,7 +496,8 @@
   int64_t last_join_us;       /**< when an instance last became known by its first status */
   int64_t last_event_us;      /**< time of the latest event */
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
-  bool leader_known;       /**< a leader of the data centre is known, which may be this instance */
+  bool leader_known; /**< a leader of the data centre is known, which may be this instance */
+  dks_leased_handover_t handover;
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
   int64_t late_until_us;   /**< when messages of most peers were last handled late, 0: never */
   int64_t term_late_us;    /**< when they were first handled late in the present term, 0: not yet */
@@ -857,6 +871,19 @@
 /** Moves `mean` towards `sample` by `weight` (0 to 1) of their difference. */
 void dks_leased_update_mean (double *mean, double sample, double weight);
 
+/* leased_handover.c */
+/** States to all instances who may take over from this draining leader, when that changes. */
+void dks_leased_handover_update (dks_leased_t *leased);
+/** Whether this instance may take over from the leader, which drains. */
+bool
+dks_leased_handover_may_take_over (const dks_leased_t *leased, const dks_leased_peer_t *leader);
+/** Whether this leader is not to exit yet although it has drained: an instance of its data centre
+ * is to take over first. */
+bool dks_leased_handover_is_awaited (const dks_leased_t *leased);
+/** Whether this leader takes tasks from other leaders: it does not drain, or leads on for a while.
+ */
+bool dks_leased_handover_takes_lent (const dks_leased_t *leased);
+
 /* leased_share.c */
 /** Tells the data centre of the targets that have become known to this leader; before it uses
  * them, so that the message precedes any other from which a successor learns of the end of its
@@ -1062,6 +1089,8 @@
 /** All callers that had left at `checked_us` have been reported. */
 void dks_leased_entry_handle_callers_checked (dks_leased_t *leased, int64_t checked_us);
 void dks_leased_entry_handle_drain (dks_leased_t *leased);
+/** Time for which this draining instance can lead, 0: its time is over, or it does not drain. */
+int64_t dks_leased_entry_handover_left_us (const dks_leased_t *leased);
 /** Whether a draining instance has no requests and jobs left, or the time of its drain is over. */
 bool dks_leased_entry_is_drained (const dks_leased_t *leased);
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -237,8 +237,10 @@
       uint32_t waiting_tasks;   /**< leader: tasks for which there is no free capacity yet */
       uint32_t processor_milli; /**< processor time of the sender, thousandths of a processor */
       bool draining;            /**< shutting down; the sender is no candidate for leader */
-      bool knows_targets; /**< the sender knows the list of targets; otherwise it is no candidate
-                             for leader */
+      uint32_t handover_ms; /**< draining: time for which the sender can lead on, 0: none. While a
+                               leader states some, only able instances take over from it */
+      bool knows_targets;   /**< the sender knows the list of targets; otherwise it is no candidate
+                               for leader */
       bool yields_leadership;  /**< leader: it will hand leadership to a clearly larger instance */
       int64_t sent_us;         /**< monotonic time of the sender */
       uint32_t interval_ms;    /**< the next status follows within this time, 0: not stated */
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -12,6 +12,7 @@
   MSG_ADDRESSES_MAX = 4096, /* addresses in one message */
   /* A longer interval would keep a lost instance from being noticed. */
   STATUS_INTERVAL_MAX_MS = 10000,
+  HANDOVER_MAX_MS = 600000,
   MSG_TARGETS_MAX = 8192,    /* targets in one message; queues and tasks in one DKS_MSG_SPEEDS */
   MSG_PRIOR_JOBS_MAX = 65536 /* jobs in one status */
 };
@@ -49,6 +50,7 @@
   body.heard_us = msg->u.leased_status.heard_us;
   body.leader_term = msg->u.leased_status.leader_term;
   body.targets_digest = msg->u.leased_status.targets_digest;
+  body.handover_ms = msg->u.leased_status.handover_ms;
   wire->leased_status = &body;
   dks_codec_pack (wire, frame, len);
 }
@@ -288,11 +290,12 @@
   msg->u.leased_status.heard_us = body->heard_us;
   msg->u.leased_status.leader_term = body->leader_term;
   msg->u.leased_status.targets_digest = body->targets_digest;
+  msg->u.leased_status.handover_ms = body->handover_ms;
   if (body->n_prior_jobs > MSG_PRIOR_JOBS_MAX)
     return DKS_ERR_TOO_LARGE;
   if (body->term > INT64_MAX || body->prior_jobs_term > INT64_MAX || body->leader_term > INT64_MAX
-      || body->interval_ms > STATUS_INTERVAL_MAX_MS || body->heard_us < 0
-      || body->heard_us > MONOTONIC_MAX_US)
+      || body->interval_ms > STATUS_INTERVAL_MAX_MS || body->handover_ms > HANDOVER_MAX_MS
+      || body->heard_us < 0 || body->heard_us > MONOTONIC_MAX_US)
     return DKS_ERR_INVALID;
   if (body->n_prior_jobs == 0)
     return DKS_OK;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[20] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[21] =
 {
   {
     "term",
@@ -3563,6 +3563,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, handover_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
@@ -3571,6 +3583,7 @@
   8,   /* field[8] = fast_slowness_milli */
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
+  20,   /* field[20] = handover_ms */
   17,   /* field[17] = heard_us */
   12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
@@ -3586,11 +3599,12 @@
   4,   /* field[4] = waiting_tasks */
   10,   /* field[10] = yields */
 };
-static const ProtobufCIntRange dks__leased_status__number_ranges[2 + 1] =
+static const ProtobufCIntRange dks__leased_status__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 20 }
+  { 24, 20 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3600,10 +3614,10 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  20,
+  21,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
-  2,  dks__leased_status__number_ranges,
+  3,  dks__leased_status__number_ranges,
   (ProtobufCMessageInit) dks__leased_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -401,10 +401,15 @@
    * Of the targets of its data centre that the platform lists to the sender, 0: not stated.
    */
   uint64_t targets_digest;
+  /*
+   * Time for which the sender, which drains, can lead on, 0: none. While a leader states some, only
+   * able instances take over from it.
+   */
+  uint32_t handover_ms;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Dks__TargetSpeed
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -181,11 +181,10 @@
       set_text (msg->u.record_ask.key, sizeof (msg->u.record_ask.key), "catalog");
       break;
     case DKS_MSG_LEASED_STATUS:
-      msg->u.leased_status = {
-        INT64_MAX, issued_ms, 17,   40,      11, 870,           3,
-        120,       true,      true, true,    77, 200,           UINT64_MAX,
-        true,      78,        2,    nullptr, 79, INT64_MAX - 1, UINT64_MAX - 2
-      };
+      msg->u.leased_status = { INT64_MAX,     issued_ms, 17,   40,   11,      870, 3,
+                               120,           true,      4800, true, true,    77,  200,
+                               UINT64_MAX,    true,      78,   2,    nullptr, 79,  INT64_MAX - 1,
+                               UINT64_MAX - 2 };
       msg->u.leased_status.prior_jobs = static_cast<uint64_t *> (calloc (2, sizeof (uint64_t)));
       msg->u.leased_status.prior_jobs[1] = UINT64_MAX;
       break;
@@ -402,6 +401,7 @@
       add (msg->u.leased_status.heard_us);
       add (msg->u.leased_status.leader_term);
       add (msg->u.leased_status.targets_digest);
+      add (msg->u.leased_status.handover_ms);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -647,6 +647,8 @@
          [] (dks_msg_t *m) { m->u.leased_status.heard_us = -1; });
   check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.leased_status.heard_us = INT64_MAX; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.handover_ms = UINT32_MAX; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.heartbeat.wall_ms = INT64_MIN; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
