--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3321,7 +3321,7 @@
   (ProtobufCMessageInit) dks__record_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dks__leased_status__field_descriptors[23] =
 {
   {
     "term",
@@ -3587,6 +3587,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dks__LeasedStatus, handover_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__leased_status__field_indices_by_name[] = {
   13,   /* field[13] = address_digest */
@@ -3597,6 +3609,7 @@
   8,   /* field[8] = fast_slowness_milli */
   7,   /* field[7] = free_fast_tasks */
   3,   /* field[3] = free_tasks */
+  22,   /* field[22] = handover_ms */
   17,   /* field[17] = heard_us */
   12,   /* field[12] = interval_ms */
   6,   /* field[6] = knows_targets */
@@ -3616,7 +3629,7 @@
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor dks__leased_status__descriptor =
 {
@@ -3626,7 +3639,7 @@
   "Dks__LeasedStatus",
   "dks",
   sizeof(Dks__LeasedStatus),
-  22,
+  23,
   dks__leased_status__field_descriptors,
   dks__leased_status__field_indices_by_name,
   2,  dks__leased_status__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -407,10 +407,15 @@
   int64_t evacuations_revision;
   size_t n_evacuated;
   char **evacuated;
+  /*
+   * Time for which the sender, which drains, can lead on, 0: none. While a leader states some, only
+   * able instances take over from it.
+   */
+  uint32_t handover_ms;
 };
 #define DKS__LEASED_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__leased_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dks__TargetSpeed
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -182,9 +182,9 @@
       break;
     case DKS_MSG_LEASED_STATUS:
       msg->u.leased_status = {
-        INT64_MAX,      issued_ms, 17,  40,         11,   870, 3, 120,     true, true,
-        true,           77,        200, UINT64_MAX, true, 78,  2, nullptr, 79,   INT64_MAX - 1,
-        UINT64_MAX - 2, 0,         0,   nullptr
+        INT64_MAX,     issued_ms,      17, 40,  11,         870,  3,  120, true,    4800,
+        true,          true,           77, 200, UINT64_MAX, true, 78, 2,   nullptr, 79,
+        INT64_MAX - 1, UINT64_MAX - 2, 0,  0,   nullptr
       };
       msg->u.leased_status.prior_jobs = static_cast<uint64_t *> (calloc (2, sizeof (uint64_t)));
       msg->u.leased_status.prior_jobs[1] = UINT64_MAX;
@@ -412,6 +412,7 @@
       add (msg->u.leased_status.evacuations_revision);
       for (uint32_t i = 0; i < msg->u.leased_status.evacuated_count; i++)
         text += std::string (",") + msg->u.leased_status.evacuated[i];
+      add (msg->u.leased_status.handover_ms);
       break;
     case DKS_MSG_SPEEDS:
       for (uint32_t i = 0; i < msg->u.speeds.target_count; i++)
@@ -662,6 +663,8 @@
          [] (dks_msg_t *m) { m->u.leased_status.evacuated[1][0] = '\n'; });
   check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.leased_status.heard_us = INT64_MAX; });
+  check (DKS_MSG_LEASED_STATUS, DKS_ERR_INVALID,
+         [] (dks_msg_t *m) { m->u.leased_status.handover_ms = UINT32_MAX; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
          [] (dks_msg_t *m) { m->u.heartbeat.wall_ms = INT64_MIN; });
   check (DKS_MSG_HEARTBEAT, DKS_ERR_INVALID,
