--- a/core/leased.c
+++ b/core/leased.c
@@ -43,6 +43,7 @@
     return;
   dks_leased_entry_clear (leased);
   dks_leased_jobs_clear (leased);
+  dks_leased_plan_clear (leased);
   dks_leased_watch_clear (leased);
   dks_leased_targets_clear (leased);
   dks_leased_crashes_clear (leased);
@@ -193,6 +194,7 @@
       break;
     case DKS_EVENT_CONFIG:
       leased->r->config.remote_factor = event->u.config.config->remote_factor;
+      leased->r->config.fill_gaps = event->u.config.config->fill_gaps;
       dks_leased_addresses_add_seeds (leased, event->u.config.config);
       break;
     case DKS_EVENT_SUBMIT:
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -558,18 +558,15 @@
   return true;
 }
 
-/* With `in_time_only`, a task that would end late on every target here keeps waiting, to be lent to
- * another data centre; a task of a resent job is placed all the same. */
+/* Whether the task may start, as far as runs of earlier leaders are concerned. */
 static bool
-task_place (dks_leased_job_t *job, uint32_t index, bool in_time_only)
+task_is_free_of_prior_runs (dks_leased_job_t *job, uint32_t index)
 {
   dks_leased_t *leased = job->leased;
   dks_leased_task_t *task = &job->tasks[index];
-  dks_leased_target_t *target;
-  dks_leased_choice_t choice;
 
   if (!task->no_prior_run && task_has_prior_run (job, index))
-    return true;
+    return false;
   if (!task->no_prior_run && job->resent)
     dks_emit_log (leased->r, DKS_LOG_DEBUG,
                   "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64,
@@ -577,26 +574,56 @@
                   (dks_leased_now_us (leased) - job->received_us) / 1000,
                   (dks_leased_now_us (leased) - leased->term_start_us) / 1000);
   task->no_prior_run = true;
-  target = dks_leased_targets_choose (leased, job, task, &choice);
-  task->wants_faster_target = !choice.in_time;
-  task->best_slowness = choice.slowness;
+  return true;
+}
+
+static void
+task_start (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target)
+{
+  dks_leased_task_t *task = &job->tasks[index];
 
-  if (target == NULL || (in_time_only && task->wants_faster_target && !job->resent))
-    return false;
   /* The run number of a lent task was chosen by its home leader. */
   if (!job->is_lent)
     task->run_number += job->resent && task->run_number == 0 ? SUCCESSOR_FIRST_RUN : 1;
-  dks_leased_run_start (leased, target, job, index);
-  dks_leased_targets_update_free_cpu (leased);
-
+  dks_leased_run_start (job->leased, target, job, index);
+  dks_leased_targets_update_free_cpu (job->leased);
   dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
+}
+
+bool
+dks_leased_job_start_on (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target)
+{
+  if (!task_is_free_of_prior_runs (job, index))
+    return false;
+  task_start (job, index, target);
   return true;
 }
 
-/* Whether a job that came as a first submission may start, as far as other leaders are concerned.
- * An earlier leader may have had it nevertheless: their statements tell. */
+/* With `in_time_only`, a task that would end late on every target here keeps waiting, to be lent to
+ * another data centre; a task of a resent job is placed all the same. */
 static bool
-job_may_start_first_time (dks_leased_job_t *job)
+task_place (dks_leased_job_t *job, uint32_t index, bool in_time_only)
+{
+  dks_leased_t *leased = job->leased;
+  dks_leased_task_t *task = &job->tasks[index];
+  dks_leased_target_t *target;
+  dks_leased_choice_t choice;
+
+  if (!task_is_free_of_prior_runs (job, index))
+    return true;
+  target = dks_leased_targets_choose (leased, job, task, &choice);
+  task->wants_faster_target = !choice.in_time;
+  task->best_slowness = choice.slowness;
+
+  if (target == NULL || (in_time_only && task->wants_faster_target && !job->resent))
+    return false;
+  task_start (job, index, target);
+  dks_leased_plan_count_start (leased, task);
+  return true;
+}
+
+bool
+dks_leased_job_may_start_first_time (dks_leased_job_t *job)
 {
   dks_leased_t *leased = job->leased;
 
@@ -621,7 +648,7 @@
 {
   bool some_waiting = false;
 
-  if (!job->started && !job->is_lent && !job_may_start_first_time (job))
+  if (!job->started && !job->is_lent && !dks_leased_job_may_start_first_time (job))
     return;
   job->next_prior_check_us = dks_leased_now_us (job->leased) + PRIOR_RUNS_CHECK_INTERVAL_US;
   if (job->resent && !dks_leased_targets_are_synced (job->leased, job->received_us))
@@ -684,6 +711,7 @@
   if (leased->term == 0 || leased->waiting_tasks == 0)
     return;
   dks_leased_targets_update_free_cpu (leased);
+  dks_leased_plan_place (leased, can_lend);
   APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
     {
       leased->load.counts.job_visits++;
@@ -701,6 +729,7 @@
       if (job->is_lent && job->done_count == job->task_count)
         job_free (job);
     }
+  dks_leased_plan_end_pass (leased);
   refuse_hopeless (leased);
 }
 
--- a/core/leased_metrics.c
+++ b/core/leased_metrics.c
@@ -75,6 +75,8 @@
 
   count_targets (leased, &held, &runs, &ejected);
   const waiting_t waiting = count_waiting (leased);
+  double kept_share;
+  const uint32_t kept_targets = dks_leased_plan_kept_targets (leased, &kept_share);
   const gauge_t gauges[] = {
     { "leading", "Whether this instance leads its data centre.", leased->term > 0 },
     { "peers_alive", "Other instances that were heard of lately.",
@@ -101,6 +103,8 @@
     { "targets_held", "Targets that this instance orders.", held },
     { "targets_ejected", "Held targets that get no work for a while.", ejected },
     { "runs", "Runs on held targets.", runs },
+    { "targets_kept", "Targets whose room is kept for a waiting task.", kept_targets },
+    { "kept_room", "Free room on them over the room of all held targets.", kept_share },
     { "free_tasks", "Tasks of the usual size that fit on held targets now.",
       dks_leased_targets_free_tasks (leased) },
   };
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -87,9 +87,8 @@
   return count;
 }
 
-/* Greatest slowness of a target on which the task is expected to end in time. */
-static double
-slowness_limit (const dks_leased_job_t *job, const dks_leased_task_t *task)
+double
+dks_leased_targets_slowness_limit (const dks_leased_job_t *job, const dks_leased_task_t *task)
 {
   const dks_leased_t *leased = job->leased;
   bool observed = task->observed_run_us > 0;
@@ -119,25 +118,50 @@
   return slowness;
 }
 
-/* Cost of placing the task on the target; the least is chosen. Fast targets are kept for tasks that
- * need them: a task goes to the slowest target on which it ends in time, near its data; when there
- * is none, to the fastest. Of equal targets, the one that has the least capacity left over is
- * chosen. */
+/* Cost of placing the task on the target, without regard to its free capacity. Fast targets are
+ * kept for tasks that need them: a task goes to the slowest target on which it ends in time, near
+ * its data; when there is none, to the fastest. */
 static double
-placement_cost (const dks_leased_target_t *target, const dks_leased_task_t *task,
-                const dks_batch_step_t *step, double limit)
+speed_cost (const dks_leased_target_t *target, const dks_leased_task_t *task,
+            const dks_batch_step_t *step, double limit)
 {
   double slowness = step_slowness (target, step);
   double base_slowness = dks_leased_target_slowness (target);
   double cost = slowness <= limit
                     ? slowness - base_slowness + SPARE_SPEED_WEIGHT * (limit - base_slowness)
                     : LATE_COST + slowness;
-  uint32_t left_milli = target->info.cpu_milli - target->cpu_used - step->cpu_milli;
 
   if (strcmp (task->avoid_target, target->info.id) == 0)
     cost += DKS_LEASED_SLOWNESS_MAX;
-  cost += target->failure_rate;
-  return cost + 0.1 * left_milli / (target->info.cpu_milli + 1.0);
+  return cost + target->failure_rate;
+}
+
+/* Cost of placing the task on the target; the least is chosen. Of equal targets, the one that has
+ * the least capacity left over is chosen. */
+static double
+placement_cost (const dks_leased_target_t *target, const dks_leased_task_t *task,
+                const dks_batch_step_t *step, double limit)
+{
+  uint32_t left_milli = target->info.cpu_milli - target->cpu_used - step->cpu_milli;
+
+  return speed_cost (target, task, step, limit) + 0.1 * left_milli / (target->info.cpu_milli + 1.0);
+}
+
+double
+dks_leased_targets_cost (const dks_leased_target_t *target, const dks_leased_job_t *job,
+                         const dks_leased_task_t *task, double limit, bool allow_late,
+                         uint32_t planned)
+{
+  const dks_batch_step_t *step = &job->batch->steps[task->batch_step];
+
+  target->leased->load.counts.target_scans++;
+  if (!is_usable (target) || !fits_when_idle (target, job->batch, step)
+      || (!allow_late && step_slowness (target, step) > limit))
+    return HUGE_VAL;
+  if (step->max_per_target > 0
+      && count_step_runs (target, job, task) + planned >= step->max_per_target)
+    return HUGE_VAL;
+  return speed_cost (target, task, step, limit);
 }
 
 dks_leased_target_t *
@@ -155,7 +179,7 @@
   /* Without this check, each of many waiting tasks would scan all full targets again and again. */
   if (step->cpu_milli > leased->max_free_cpu_milli)
     return NULL;
-  limit = slowness_limit (job, task);
+  limit = dks_leased_targets_slowness_limit (job, task);
 
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
@@ -163,7 +187,7 @@
 
       leased->load.counts.target_scans++;
       if (!is_usable (target) || !fits_when_idle (target, job->batch, step)
-          || !has_free_capacity (target, step))
+          || !has_free_capacity (target, step) || !dks_leased_plan_may_use (target, job, task))
         continue;
       if (step->max_per_target > 0 && count_step_runs (target, job, task) >= step->max_per_target)
         continue;
--- a/core/plan.c
+++ b/core/plan.c
@@ -98,13 +98,22 @@
   return largest > LARGE_SHARE && largest > SIZES_DIFFER * smallest;
 }
 
+/* Whether room is to be kept for the task: it was overtaken so often, or at all and its latest
+ * start is no further ahead than the time in which targets turn over. */
+static bool
+is_overdue (const dks_plan_t *plan, const dks_plan_task_t *task)
+{
+  return task->overtaken >= dks_plan_overtaken_max (plan->pool_count)
+         || (task->overtaken > 0
+             && (double)(task->latest_start_us - plan->now_us) < plan->mean_run_us);
+}
+
 bool
 dks_plan_wants_holds (const dks_plan_t *plan)
 {
   for (uint32_t i = 0; i < plan->task_count; i++)
     {
-      if (plan->tasks[i].hold >= 0
-          || plan->tasks[i].overtaken >= dks_plan_overtaken_max (plan->pool_count))
+      if (plan->tasks[i].hold >= 0 || is_overdue (plan, &plan->tasks[i]))
         return true;
     }
   return false;
@@ -344,8 +353,7 @@
 static bool
 is_due_for_hold (const dks_plan_t *plan, const dks_plan_task_t *task, uint32_t held)
 {
-  return task->target < 0 && task->hold < 0
-         && task->overtaken >= dks_plan_overtaken_max (plan->pool_count)
+  return task->target < 0 && task->hold < 0 && is_overdue (plan, task)
          && held < 1 + plan->pool_count / DKS_PLAN_TARGETS_PER_HOLD;
 }
 
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -204,6 +204,13 @@
   return true;
 }
 
+static bool
+set_placement (const option_t *option, const char *value, dks_options_t *options)
+{
+  options->config.fill_gaps = strcmp (value, "fill") == 0;
+  return options->config.fill_gaps || strcmp (value, "order") == 0;
+}
+
 static bool
 set_processors (const option_t *option, const char *value, dks_options_t *options)
 {
@@ -297,6 +304,9 @@
     FIELD (peer_listen_address), "a numeric IP address and a port from 1 to 65535",
     "address to listen on when the other instances reach it at --peer-address by way of a "
     "forwarder" },
+  { "placement", "RULE", set_placement, "order", false, 0, 0, 0, FIELD (config.fill_gaps),
+    "order or fill",
+    "which waiting task starts first: by the order of service, or the one that fills a gap", true },
   { "platform-url", "URL", set_url, NULL, true, 0, 0, 0, FIELD (platform_url),
     "http://IP[:PORT] with a numeric IP address, no path and at most 255 characters",
     "base URL of the platform" },
--- a/include/common/metrics.h
+++ b/include/common/metrics.h
@@ -24,6 +24,9 @@
      "Calls that extend a target's lease or read its lists of runs.")                              \
   X (TASKS_LENT, "tasks_lent_total", "data_centre", "result",                                      \
      "Tasks lent to other data centres, by result.")                                               \
+  X (PLANNED_STARTS, "planned_starts_total", "kind", "",                                           \
+     "Starts by a plan: in-order, gap (before an earlier task that would fit less well) or "       \
+     "in-kept-room; room-kept: targets that were kept for a task.")                                \
   X (LEADER_ENDS, "leader_ends_total", "reason", "",                                               \
      "Leadership terms of this instance that ended, by reason.")                                   \
   X (FEED_CALLS, "feed_calls_total", "feed", "result", "Calls to the platform's store.")
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -10,7 +10,8 @@
  * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
  * finds out where tasks run that an earlier leader lent, leased_prior_jobs.c which jobs run in
  * other data centres at all, leased_share.c tells a successor of targets that it may not know.
- * leased_load.c counts what keeps an instance busy.
+ * leased_load.c counts what keeps an instance busy. leased_plan.c places tasks by plans (plan.h),
+ * where the settings ask for it.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
@@ -58,6 +59,7 @@
 typedef struct dks_leased_job_t dks_leased_job_t;
 typedef struct dks_leased_caller_t dks_leased_caller_t;
 typedef struct dks_leased_request_t dks_leased_request_t;
+typedef struct dks_leased_plan_t dks_leased_plan_t;
 
 /** A task under which targets have crashed. */
 typedef struct dks_leased_task_crashes_t dks_leased_task_crashes_t;
@@ -233,6 +235,9 @@
   int64_t ejected_until_us; /**< gets no work before this */
   uint32_t ejections;
   int64_t full_until_us; /**< no start is sent before this: it rejected one for lack of resources */
+  bool kept;             /**< the latest plan keeps its room for a waiting task */
+  uint32_t kept_for;     /**< position of that task in the latest plan */
+  int64_t kept_until_us; /**< when that task is expected to fit */
 };
 APR_RING_HEAD (dks_leased_target_ring_t, dks_leased_target_t);
 
@@ -297,6 +302,10 @@
   char remote_data_centre[DKS_NAME_SIZE]; /**< LENT: data centre of the targets that run it */
   int64_t retry_not_before_us;            /**< time before which the task is not started again */
   char avoid_target[DKS_NAME_SIZE];       /**< target on which it failed last */
+  uint32_t overtaken;              /**< later tasks that started before it while plans were made */
+  char hold_target[DKS_NAME_SIZE]; /**< target that is kept for it, empty: none */
+  int64_t hold_until_us;           /**< when that lapses */
+  uint32_t lapses;                 /**< holds that have lapsed */
 } dks_leased_task_t;
 
 /** A question to the leader of another data centre about tasks that an earlier leader may have lent
@@ -561,6 +570,8 @@
 
   dks_leased_drain_t drain; /* leased_drain.c */
 
+  dks_leased_plan_t *plan; /**< leased_plan.c; NULL: starts go in the order of service */
+
   /* leased_jobs.c */
   struct dks_leased_job_ring_t jobs; /**< in the order of service */
   apr_hash_t *jobs_by_batch_id;      /**< without lent tasks */
@@ -826,6 +837,15 @@
 dks_leased_target_t *dks_leased_targets_choose (dks_leased_t *leased, const dks_leased_job_t *job,
                                                 const dks_leased_task_t *task,
                                                 dks_leased_choice_t *choice);
+/** Greatest slowness of a target on which the task is expected to end in time. */
+double
+dks_leased_targets_slowness_limit (const dks_leased_job_t *job, const dks_leased_task_t *task);
+/** Cost of the task on the target without regard to its free room; HUGE_VAL: it must not start
+ * there, or would end late and `allow_late` is not set. `planned`: starts of its step there that
+ * are not among its runs yet. */
+double dks_leased_targets_cost (const dks_leased_target_t *target, const dks_leased_job_t *job,
+                                const dks_leased_task_t *task, double limit, bool allow_late,
+                                uint32_t planned);
 /** Slowness of the fastest usable target of the data centre, also of a full one; HUGE_VAL: none. */
 double dks_leased_targets_min_slowness (const dks_leased_t *leased);
 /** Whether any known target could run a task of the step if it were idle. */
@@ -845,6 +865,22 @@
 /** Capacity of the usable targets when idle, in tasks of mean size. */
 uint32_t dks_leased_targets_capacity (const dks_leased_t *leased);
 
+/* leased_plan.c */
+void dks_leased_plan_clear (dks_leased_t *leased);
+/** Starts waiting tasks by a plan (core/plan.h) if the settings ask for it and the sizes of the
+ * tasks call for it; else does nothing. What it leaves waiting is placed in the order of service.
+ */
+void dks_leased_plan_place (dks_leased_t *leased, bool can_lend);
+/** Ends the pass over all jobs that dks_leased_plan_place() began. */
+void dks_leased_plan_end_pass (dks_leased_t *leased);
+/** Counts the start of a task that the plan did not look at, which overtakes those that wait. */
+void dks_leased_plan_count_start (dks_leased_t *leased, const dks_leased_task_t *task);
+/** Whether the target's room is not kept for another task. */
+bool dks_leased_plan_may_use (const dks_leased_target_t *target, const dks_leased_job_t *job,
+                              const dks_leased_task_t *task);
+/** Number of targets whose room is kept; sets `share` to that room over all room. */
+uint32_t dks_leased_plan_kept_targets (const dks_leased_t *leased, double *share);
+
 /* leased_health.c */
 /** Gives the target no work for a while, unless more than half of the targets would be ejected. */
 void dks_leased_target_eject (dks_leased_target_t *target, const char *reason);
@@ -973,6 +1009,12 @@
 /** Moves a waiting task that was started, lent or ended to `state`. */
 void dks_leased_task_leave_waiting (dks_leased_job_t *job, dks_leased_task_t *task,
                                     dks_leased_task_state_t state);
+/** Whether a job that came as a first submission may start, as far as other leaders are concerned.
+ * An earlier leader may have had it nevertheless: their statements tell. */
+bool dks_leased_job_may_start_first_time (dks_leased_job_t *job);
+/** Starts a waiting task on the target, unless a run that an earlier leader started may be active.
+ */
+bool dks_leased_job_start_on (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target);
 void dks_leased_jobs_init (dks_leased_t *leased);
 void dks_leased_jobs_clear (dks_leased_t *leased);
 /** Accepts or refuses a job of an entry instance, which may be this one, or tasks lent to it. */
--- a/include/core/plan.h
+++ b/include/core/plan.h
@@ -80,6 +80,7 @@
   dks_plan_target_t *targets; /**< those that have room, and with tasks due for a hold all */
   uint32_t target_count;
   uint32_t pool_count;    /**< targets in all */
+  double mean_run_us;     /**< expected run time of tasks */
   dks_plan_task_t *tasks; /**< in the order of service, up to DKS_PLAN_TASKS_MAX */
   uint32_t task_count;
   dks_plan_cost_t cost;
@@ -92,7 +93,8 @@
 /** Whether the order of starts matters: a task takes more than a quarter of the binding resource of
  * the largest target, and the sizes of the waiting tasks differ by more than a tenth. */
 bool dks_plan_is_worthwhile (const dks_plan_t *plan, const dks_plan_room_t *largest_target);
-/** Whether some task has a hold, or has been overtaken so often that it is due for one. */
+/** Whether some task has a hold, or is due for one: it was overtaken often, or its latest start is
+ * less than a run time ahead. */
 bool dks_plan_wants_holds (const dks_plan_t *plan);
 /** Starts of later tasks before room is kept for a task: so many, or some on each target. */
 uint32_t dks_plan_overtaken_max (uint32_t target_count);
--- a/include/core/reducer.h
+++ b/include/core/reducer.h
@@ -39,6 +39,8 @@
                              thousandths of a processor; the largest instance leads */
   double remote_factor; /**< leased targets: run time on a rack without the task's data, relative to
                            one with it */
+  bool fill_gaps; /**< leased targets: starts are chosen by a plan (core/plan.h) where the sizes of
+                     tasks call for it; false: in the order of service */
   size_t seed_address_count; /**< leased targets: instances to connect to at the start */
   char seed_addresses[DKS_SEEDS_MAX][DKS_ADDRESS_SIZE]; /**< their peer ports, IP:port */
 } dks_config_t;
--- a/include/damaskshored/host.h
+++ b/include/damaskshored/host.h
@@ -18,7 +18,7 @@
 typedef int (*dks_host_reload_t) (void *context, dks_options_t *options,
                                   char error[DKS_OPTIONS_ERROR_SIZE]);
 /** Makes the host call `func` on SIGHUP and when the settings file has changed, and apply the
- * options that need no restart: log level, seeds and remote factor. */
+ * options that need no restart: log level, seeds, placement and remote factor. */
 void dks_host_set_reload (dks_host_t *host, dks_host_reload_t func, void *context);
 /** Runs the event loop. SIGTERM or SIGINT starts the drain; returns 0 when the instance has
  * drained, 1 when such a signal arrives during the drain and asks for an immediate exit. The caller
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -260,6 +260,7 @@
   config.seed = index + 1;
   config.leased_targets = true;
   config.remote_factor = 1;
+  config.fill_gaps = fills_gaps;
   config.processor_milli = instance.processor_milli;
 
   for (size_t other = 0; other < instances.size (); other++)
@@ -937,6 +938,14 @@
   return found != real_ms.end () ? found->second : 100;
 }
 
+uint32_t
+World::task_cpu_milli (const std::string &task) const
+{
+  auto found = cpu_milli.find (task.substr (0, task.rfind ('.')));
+
+  return found != cpu_milli.end () ? found->second : 6800;
+}
+
 // Called after each start of the task.
 void
 World::check_double_runs (const std::string &task)
@@ -1046,18 +1055,19 @@
   uint32_t run = effect.u.lease.run;
   int64_t length_us = static_cast<int64_t> (static_cast<double> (task_run_ms (task))
                                             * target.slowness * static_cast<double> (ms));
+  uint32_t used_milli = task_cpu_milli (task);
 
   for (auto &other : target.runs)
     {
       if (other.task == task && other.run_number == run)
         return DKS_LEASE_OK;
+      used_milli += other.cpu_milli;
     }
   if (deadline_us (target, effect) <= now_us)
     return DKS_LEASE_LATE;
   if (target.highest_ended_run.count (task) > 0 && run <= target.highest_ended_run[task])
     return DKS_LEASE_OLD_RUN;
-  // All tasks that the tests start take 6800 thousandths of a processor.
-  if ((target.runs.size () + 1) * 6800 > target.info.cpu_milli)
+  if (used_milli > target.info.cpu_milli)
     {
       target.rejected_starts++;
       return DKS_LEASE_NO_CAPACITY;
@@ -1066,7 +1076,7 @@
                                   std::min (deadline_us (target, effect), now_us + lease_max_us));
   target.starts++;
   target.runs.push_back ({ task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us,
-                           false, instances[starter]->id });
+                           false, instances[starter]->id, task_cpu_milli (task) });
   if (++listed_runs[task] > 1)
     check_double_runs (task);
   if (deadly_tasks.count (task) > 0)
@@ -1311,6 +1321,7 @@
       batch->steps[i].after_mask = steps[i].after;
       batch->steps[i].max_per_target = steps[i].max_per_target;
       real_ms[id + ".0." + std::to_string (i)] = steps[i].real_ms;
+      cpu_milli[id + ".0." + std::to_string (i)] = steps[i].cpu_milli;
     }
   dks_batch_validate (batch);
   event.type = DKS_EVENT_BATCH;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -36,6 +36,7 @@
   int64_t ends_us;       // INT64_MAX: never, its target is stalled
   bool stopping = false; // a stop has arrived; the run ends at `ends_us`
   std::string starter;   // id of the instance that sent the start
+  uint32_t cpu_milli;    // thousandths of a processor
 };
 
 struct EndedRun
@@ -254,6 +255,8 @@
   // Run time of a task on a target of slowness 1, by the task's name without its index:
   // "ID.0.STEP".
   std::map<std::string, int64_t> real_ms;
+  // Size of a task in thousandths of a processor, likewise.
+  std::map<std::string, uint32_t> cpu_milli;
   // Tasks that crash a target 10 ms after it has started them, and the crashes of each.
   std::map<std::string, int> deadly_tasks;
   int double_runs = 0; // starts of a task that already had a run on some target
@@ -267,6 +270,7 @@
   int objective_extra_ms = 60;
   int objective_factor_milli = 1600;
   uint32_t queue_timeout_ms = 0;                   // 0: none
+  bool fills_gaps = false;                         // setting of instances that start
   bool rejects_excess_runs = false;                // targets of the only service guard their size
   int64_t call_delay_us = 300;                     // one way to a target or the platform
   std::vector<std::string> log;                    // "INSTANCE TEXT" of each line
@@ -354,6 +358,7 @@
   void answer_waiting_holds (Target &target);
   void end_run (Target &target, size_t i, dks_run_end_t end);
   int64_t task_run_ms (const std::string &task) const;
+  uint32_t task_cpu_milli (const std::string &task) const;
   void check_double_runs (const std::string &task);
   dks_time_t time () const;
 
--- a/tests/test_options.cc
+++ b/tests/test_options.cc
@@ -360,6 +360,12 @@
   dks_options_t before = options;
   ASSERT_EQ (parse_file ("log-level = debug\nremote-factor = 2\n"), DKS_OK) << error;
   EXPECT_EQ (dks_options_needs_restart (&before, &options), nullptr);
+  EXPECT_FALSE (options.config.fill_gaps);
+  ASSERT_EQ (parse_file ("log-level = debug\nplacement = fill\n"), DKS_OK) << error;
+  EXPECT_TRUE (options.config.fill_gaps);
+  EXPECT_EQ (dks_options_needs_restart (&before, &options), nullptr);
+  EXPECT_EQ (parse_file ("placement = best\n"), DKS_ERR_INVALID);
+  EXPECT_NE (std::string (error).find ("order or fill"), std::string::npos) << error;
   ASSERT_EQ (parse_file ("http-address = 127.0.0.1:9\n"), DKS_OK) << error;
   EXPECT_STREQ (dks_options_needs_restart (&before, &options), "http-address");
   ASSERT_EQ (parse_file ("data-centres = dc1,dc2\n"), DKS_OK) << error;
