--- a/include/core/plan.h
+++ b/include/core/plan.h
@@ -9,7 +9,8 @@
  *
  * Bound: at most dks_plan_overtaken_max() tasks that come later in the order start before a task,
  * until it is first, or in turn, among the tasks for which room is kept (one in
- * DKS_PLAN_TARGETS_PER_HOLD targets at a time). From then on it starts when the runs end that are
+ * DKS_PLAN_TARGETS_PER_HOLD targets at a time); fewer if its latest start is less than a mean run
+ * time ahead. From then on it starts when the runs end that are
  * present on its target, or earlier elsewhere: of what comes later in the order, only tasks that
  * are expected to end by then start there. A hold lapses when the runs last longer than expected,
  * and another target is kept. After DKS_PLAN_LAPSES_MAX lapses nothing starts on the target before
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -619,6 +619,23 @@
   EXPECT_EQ (tasks[short_task].target, 1);
 }
 
+TEST_F (PlanCase, KeepsRoomForAnOvertakenTaskWhoseLatestStartIsNear)
+{
+  add_target (20, { { { { 44, 1, 0 } }, now_us + 100000 } });
+  uint32_t large = add_task (60);
+  plan.mean_run_us = 100000;
+  tasks[large].latest_start_us = now_us + 90000;
+  make ();
+  EXPECT_EQ (tasks[large].hold, -1);
+  tasks[large].overtaken = 1;
+  tasks[large].latest_start_us = now_us + 110000;
+  make ();
+  EXPECT_EQ (tasks[large].hold, -1);
+  tasks[large].latest_start_us = now_us + 90000;
+  make ();
+  EXPECT_EQ (tasks[large].hold, 0);
+}
+
 TEST_F (PlanCase, AHigherPriorityUsesKeptRoom)
 {
   add_target (20, { { { { 44, 1, 0 } }, now_us + 100000 } });
