tests: crowds of clients that hold requests open

Cause: clients that nobody controls ended a process, which ran out of memory.

Change: process-crowd starts an instance with its platform on loopback, tells it of 64 MB (DAMASKSHORE_MEMORY_MB) and 400 connections (100 and 2,000 where the crowd is idle connections, stopped headers or unread answers), and checks that it lives, that its peak memory stays below 64 MB, its descriptors below the connections and 128 more, and that an ordinary request is answered while the crowd is still connected. Both interfaces, the readiness check and the address for other instances; one test of a stop with the platform gone; one of the largest job in calm. Crowds and bounds are fixed here.

--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -57,6 +57,11 @@
   /** Waits for the end of the process. Returns its exit status, or 128 + the signal that ended it,
    * or -1 when it still runs after DEADLINE. */
   int wait ();
+  pid_t
+  pid () const
+  {
+    return pid_;
+  }
 
 private:
   std::string name_;
@@ -77,6 +82,12 @@
   std::string url (const std::string &path = "") const;
   void control (const std::string &query) const;
   int64_t stat (const char *name) const;
+  /** Ends the platform without a warning. */
+  void
+  kill ()
+  {
+    process_->signal (9);
+  }
 
 private:
   int port_;
@@ -119,6 +130,16 @@
    * takes longer than DEADLINE. */
   void wait_until_ready () const;
   std::string url (int instance, const std::string &path) const;
+  int
+  http_port (int instance) const
+  {
+    return http_port_ + instance;
+  }
+  int
+  peer_port (int instance) const
+  {
+    return http_port_ + instance_count () + instance;
+  }
   /** Value of a counter of an instance; `name` is without the prefix "damaskshore_". */
   int64_t metric (int instance, const std::string &name) const;
   Process &
