common, net: one account of the memory that clients make a process hold

Cause: bodies were bounded by 256 MB whatever the machine, buffers doubled, and decoded bodies, answers, frames of other instances and what libmicrohttpd holds for a connection were in no account. Idle connections used up the limit of connections.

The larger a claim, the smaller the share that may be in use after it has grown, so small requests fit when large ones do not. When memory is short, what has made no progress for 1 s gives way, the largest first, incomplete requests before answers that nobody takes; an incomplete request is answered with 408 and its connection closed. Above 64 KiB buffers grow by a quarter, and never beyond a stated length; nothing is allocated for a stated length. Decoding takes its estimated memory before it starts; a text of more than 131,072 values is answered with 413. A connection above the limit takes the place of the one whose client has kept the server waiting for longest. The limits of the backlog between instances follow from the same account. Refused for memory at the users' front address: 504, since 503 would say of a job sent before that it never runs.

Not mended here: the stop with the platform gone.

--- /dev/null
+++ b/common/memory_account.c
@@ -0,0 +1,247 @@
+#include "common/memory_account.h"
+
+#include "common/alloc.h"
+#include "common/blob.h"
+
+#include <stdlib.h>
+
+enum
+{
+  PROCESS_BYTES = 20 << 20, /* of a process that serves no client */
+  LIMIT_MIN_BYTES = 8 << 20,
+  LIMIT_MAX_BYTES = 512 << 20,
+  /* A claim gives way only to one up to this many times as large: closing many idle connections for
+   * one large body would not help. */
+  YIELD_RATIO_MAX = 64
+};
+
+struct dks_memory_account_t
+{
+  APR_RING_HEAD (dks_memory_groups_t, dks_memory_group_t) groups;
+  size_t limit;
+  size_t claimed;
+  uint64_t refused_total;
+  uint64_t yielded_total;
+};
+
+/* A quarter of the rest is for what the allocator wastes and what belongs to no client. */
+size_t
+dks_memory_limit (uint64_t memory_bytes)
+{
+  uint64_t limit = memory_bytes > PROCESS_BYTES ? (memory_bytes - PROCESS_BYTES) / 4 * 3 : 0;
+
+  if (limit < LIMIT_MIN_BYTES)
+    return LIMIT_MIN_BYTES;
+  return limit < LIMIT_MAX_BYTES ? (size_t)limit : (size_t)LIMIT_MAX_BYTES;
+}
+
+dks_memory_account_t *
+dks_memory_account_create (size_t limit)
+{
+  dks_memory_account_t *account = dks_alloc (sizeof (*account));
+
+  APR_RING_INIT (&account->groups, dks_memory_group_t, link);
+  account->limit = limit;
+  return account;
+}
+
+void
+dks_memory_account_destroy (dks_memory_account_t *account)
+{
+  if (account == NULL)
+    return;
+  DKS_INVARIANT (APR_RING_EMPTY (&account->groups, dks_memory_group_t, link));
+  DKS_INVARIANT (account->claimed == 0);
+  free (account);
+}
+
+size_t
+dks_memory_account_limit (const dks_memory_account_t *account)
+{
+  return account->limit;
+}
+
+size_t
+dks_memory_account_used (const dks_memory_account_t *account)
+{
+  return account->claimed + dks_blob_bytes ();
+}
+
+uint64_t
+dks_memory_account_refused_total (const dks_memory_account_t *account)
+{
+  return account->refused_total;
+}
+
+uint64_t
+dks_memory_account_yielded_total (const dks_memory_account_t *account)
+{
+  return account->yielded_total;
+}
+
+void
+dks_memory_group_init (dks_memory_group_t *group, dks_memory_account_t *account,
+                       dks_memory_yield_t yield, void *context)
+{
+  group->account = account;
+  group->yield = yield;
+  group->context = context;
+  for (int i = 0; i < DKS_MEMORY_STATES; i++)
+    APR_RING_INIT (&group->rings[i], dks_memory_claim_t, link);
+  APR_RING_INSERT_TAIL (&account->groups, group, dks_memory_group_t, link);
+}
+
+void
+dks_memory_group_remove (dks_memory_group_t *group)
+{
+  for (int i = 0; i < DKS_MEMORY_STATES; i++)
+    DKS_INVARIANT (APR_RING_EMPTY (&group->rings[i], dks_memory_claim_t, link));
+  APR_RING_REMOVE (group, link);
+}
+
+static void
+claim_insert (dks_memory_claim_t *claim, int64_t now_us)
+{
+  claim->progress_us = now_us;
+  claim->progress_bytes = 0;
+  APR_RING_INSERT_TAIL (&claim->group->rings[claim->state], claim, dks_memory_claim_t, link);
+}
+
+void
+dks_memory_claim_add (dks_memory_claim_t *claim, dks_memory_group_t *group, int64_t now_us)
+{
+  claim->group = group;
+  claim->state = DKS_MEMORY_INCOMPLETE;
+  claim->bytes = 0;
+  claim_insert (claim, now_us);
+}
+
+void
+dks_memory_claim_remove (dks_memory_claim_t *claim)
+{
+  if (claim->group == NULL)
+    return;
+  dks_memory_claim_set (claim, 0);
+  APR_RING_REMOVE (claim, link);
+  claim->group = NULL;
+}
+
+void
+dks_memory_claim_set_state (dks_memory_claim_t *claim, dks_memory_state_t state, int64_t now_us)
+{
+  APR_RING_REMOVE (claim, link);
+  claim->state = state;
+  claim_insert (claim, now_us);
+}
+
+void
+dks_memory_claim_progress (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
+{
+  claim->progress_bytes += bytes;
+  if (claim->progress_bytes >= DKS_MEMORY_PROGRESS_BYTES)
+    dks_memory_claim_set_state (claim, claim->state, now_us);
+}
+
+void
+dks_memory_claim_set (dks_memory_claim_t *claim, size_t bytes)
+{
+  claim->group->account->claimed += bytes - claim->bytes;
+  claim->bytes = bytes;
+}
+
+/* The largest claim in `state` that has stalled and holds more than `min_bytes`, other than
+ * `asking`. */
+static dks_memory_claim_t *
+account_find_stalled (dks_memory_account_t *account, dks_memory_state_t state,
+                      const dks_memory_claim_t *asking, size_t min_bytes, int64_t now_us)
+{
+  dks_memory_claim_t *largest = NULL;
+  dks_memory_group_t *group;
+  dks_memory_claim_t *claim;
+
+  APR_RING_FOREACH (group, &account->groups, dks_memory_group_t, link)
+    {
+      APR_RING_FOREACH (claim, &group->rings[state], dks_memory_claim_t, link)
+        {
+          if (now_us - claim->progress_us < DKS_MEMORY_STALL_US)
+            break;
+          if (claim != asking && claim->bytes > (largest != NULL ? largest->bytes : min_bytes))
+            largest = claim;
+        }
+    }
+  return largest;
+}
+
+static void
+claim_yield (dks_memory_claim_t *claim)
+{
+  claim->group->account->yielded_total++;
+  claim->group->yield (claim->group->context, claim);
+}
+
+/* Bytes that may be in use after a claim has grown to `bytes`. */
+static size_t
+account_allowance (const dks_memory_account_t *account, size_t bytes)
+{
+  size_t eighth = account->limit / 8;
+
+  if (bytes <= DKS_MEMORY_SMALL_BYTES)
+    return 7 * eighth;
+  return bytes <= DKS_MEMORY_MEDIUM_BYTES ? 6 * eighth : 5 * eighth;
+}
+
+bool
+dks_memory_claim_grow (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
+{
+  dks_memory_account_t *account = claim->group->account;
+  size_t allowance = account_allowance (account, bytes);
+  size_t min_bytes = bytes / YIELD_RATIO_MAX;
+
+  while (bytes > claim->bytes
+         && dks_memory_account_used (account) + (bytes - claim->bytes) > allowance)
+    {
+      dks_memory_claim_t *stalled =
+          account_find_stalled (account, DKS_MEMORY_INCOMPLETE, claim, min_bytes, now_us);
+
+      if (stalled == NULL)
+        stalled = account_find_stalled (account, DKS_MEMORY_UNTAKEN, claim, min_bytes, now_us);
+      if (stalled == NULL)
+        {
+          account->refused_total++;
+          return false;
+        }
+      claim_yield (stalled);
+    }
+  dks_memory_claim_set (claim, bytes);
+  return true;
+}
+
+bool
+dks_memory_claim_finish (dks_memory_claim_t *claim, size_t bytes)
+{
+  dks_memory_account_t *account = claim->group->account;
+
+  if (bytes > claim->bytes
+      && dks_memory_account_used (account) + (bytes - claim->bytes) > account->limit)
+    {
+      account->refused_total++;
+      return false;
+    }
+  dks_memory_claim_set (claim, bytes);
+  return true;
+}
+
+bool
+dks_memory_group_yield_oldest (dks_memory_group_t *group, const dks_memory_claim_t *claim)
+{
+  dks_memory_claim_t *oldest;
+
+  APR_RING_FOREACH (oldest, &group->rings[DKS_MEMORY_INCOMPLETE], dks_memory_claim_t, link)
+    {
+      if (oldest == claim)
+        continue;
+      claim_yield (oldest);
+      return true;
+    }
+  return false;
+}
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -19,6 +19,7 @@
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <sys/stat.h>
+#include <sys/sysinfo.h>
 #include <unistd.h>
 
 enum
@@ -48,6 +49,7 @@
 struct dks_host_t
 {
   dks_loop_t *loop;
+  dks_memory_account_t *memory;
   dks_reducer_t *reducer;
   dks_peers_t *peers;
   dks_store_client_t *store;
@@ -496,6 +498,7 @@
     .data_centre = options->config.data_centre,
     .address = options->peer_listen_address[0] != '\0' ? options->peer_listen_address
                                                        : options->config.address,
+    .memory = host->memory,
   };
   const dks_peer_callbacks_t callbacks = {
     .up = handle_peer_up,
@@ -521,6 +524,8 @@
     .idle_timeout_s = options->http_idle_timeout_s,
     .data_centre = options->config.data_centre,
     .deadline_default_ms = options->deadline_default_ms,
+    .memory = host->memory,
+    .replaces_waiting = true,
     /* Instances with the same --seed must not generate the same keys. */
     .key_seed = options->config.seed ^ options->config.incarnation,
   };
@@ -548,6 +553,8 @@
     .idle_timeout_s = options->http_idle_timeout_s,
     .data_centre = options->config.data_centre,
     .caller_id_base = is_front ? FRONT_CALLER_ID_BASE : 0,
+    .memory = host->memory,
+    .replaces_waiting = true,
     .interface = interface,
   };
   const dks_http_server_callbacks_t callbacks = {
@@ -603,6 +610,16 @@
   host->store = dks_store_client_create (host->loop, &config, &callbacks);
 }
 
+static uint64_t
+memory_bytes (const dks_options_t *options)
+{
+  struct sysinfo info;
+
+  if (options->memory_mb > 0)
+    return (uint64_t)options->memory_mb << 20;
+  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : UINT64_MAX;
+}
+
 int
 dks_host_create (const dks_options_t *options, dks_host_t **host_out)
 {
@@ -615,6 +632,7 @@
 
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
+  host->memory = dks_memory_account_create (dks_memory_limit (memory_bytes (options)));
   dks_timer_init (&host->tick_timer, handle_tick, host);
   dks_timer_init (&host->settings_timer, handle_settings_timer, host);
   dks_timer_init (&host->exit_timer, handle_exit_timer, host);
@@ -671,6 +689,7 @@
   dks_effects_destroy (&host->effects);
   dks_reducer_destroy (host->reducer);
   dks_loop_destroy (host->loop);
+  dks_memory_account_destroy (host->memory);
   free (host);
 }
 
--- a/damaskshored/main.c
+++ b/damaskshored/main.c
@@ -2,6 +2,7 @@
 #include "damaskshored/host.h"
 #include "damaskshored/options.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +11,11 @@
 
 enum
 {
-  EXIT_USAGE = 2
+  EXIT_USAGE = 2,
+  /* A block of this size or more is a mapping of its own, which returns to the system when it is
+   * freed, and grows without a copy. The C library raises the threshold on its own unless it is
+   * set. */
+  MAPPED_BLOCK_BYTES = 128 << 10
 };
 
 static const char *
@@ -58,6 +63,7 @@
   int status;
 
   block_signals ();
+  mallopt (M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
   if (dks_options_parse (argc, argv, read_env, &options, error) != DKS_OK)
     {
       fprintf (stderr, "%s: %s\n", argv[0], error);
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -289,6 +289,8 @@
     "number that differs at every start; 0: take the time of the start" },
   { "log-level", "LEVEL", set_log_level, "info", false, 0, 0, 0, FIELD (log_level),
     "error, warning, notice, info or debug", "least important log lines to write", true },
+  { "memory-mb", "MB", set_number, "0", false, 0, 1 << 20, 1, FIELD (memory_mb), NULL,
+    "memory in MiB that the process may use; 0: that of the machine" },
   { "peer-address", "IP:PORT", set_peer_address, "127.0.0.1:8081", false, 0, 0, 0,
     FIELD (config.address),
     "a numeric IP address that is not a wildcard, and a port from 1 to 65535",
--- a/include/common/blob.h
+++ b/include/common/blob.h
@@ -25,5 +25,7 @@
 dks_blob_t *dks_blob_ref (dks_blob_t *blob);
 /** Drops a reference; accepts NULL. */
 void dks_blob_unref (dks_blob_t *blob);
+/** Bytes of all blobs of the process. */
+size_t dks_blob_bytes (void);
 
 #endif
--- a/include/damaskshored/options.h
+++ b/include/damaskshored/options.h
@@ -33,6 +33,7 @@
   uint32_t target_connections;                /**< maximum of connections to one target */
   uint32_t http_connections;                  /**< maximum of connections of callers */
   uint32_t http_idle_timeout_s; /**< idle connections of callers are closed after this time */
+  uint32_t memory_mb;           /**< MiB that the process may use; 0: all of the machine */
   int64_t deadline_default_ms;  /**< deadline of submissions that give none */
   char front_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port for callers' batches */
   char ready_address[DKS_ADDRESS_SIZE]; /**< leased targets: IP:port of the readiness check */
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -12,6 +12,7 @@
 #include <microhttpd.h>
 
 typedef struct dks_http_exchange_t dks_http_exchange_t;
+typedef struct dks_http_connection_t dks_http_connection_t;
 
 typedef struct
 {
@@ -55,8 +56,25 @@
   uint32_t connection_count;
   uint32_t open_requests;
   dks_timer_t callers_timer; /**< looks for callers that left behind unread input */
-  size_t body_bytes_held;    /**< allocated for the bodies of all open requests */
-  uint64_t bad_input_total;  /**< requests that could not be decoded */
+  dks_memory_account_t *memory;
+  dks_memory_account_t *own_memory; /**< `memory` when the configuration gave none, or NULL */
+  dks_memory_group_t memory_group;
+  size_t connection_bytes;  /**< of libmicrohttpd for one connection */
+  uint32_t closing_count;   /**< connections that had to give way and are not closed yet */
+  uint64_t yielded_total;   /**< connections that had to give way */
+  int64_t yield_logged_us;  /**< monotonic time of the last log line about them */
+  uint64_t bad_input_total; /**< requests that could not be decoded */
+};
+
+/** A connection of a client. */
+struct dks_http_connection_t
+{
+  dks_memory_claim_t claim; /**< INCOMPLETE while the server waits for the client */
+  dks_http_server_t *server;
+  struct MHD_Connection *connection;
+  dks_http_exchange_t *exchange; /**< the present request, once its headers have arrived */
+  bool over_limit;               /**< above max_connections; closed after the reply */
+  bool closing;                  /**< had to give way */
 };
 
 /** One request and its reply. */
@@ -64,6 +82,7 @@
 {
   dks_http_server_t *server;
   struct MHD_Connection *connection;
+  dks_http_connection_t *client;
   const dks_http_route_t *route;
   char *subpath;          /**< path below the route, without a leading slash */
   char key[DKS_KEY_SIZE]; /**< given by the caller or generated; empty when there is none */
@@ -72,6 +91,9 @@
   uint8_t *body;
   size_t body_len;
   size_t body_capacity;
+  size_t body_stated;    /**< length that the caller has stated; 0 when it has not */
+  size_t decode_bytes;   /**< estimate of what decoding takes, while it is under way */
+  size_t answer_bytes;   /**< of the reply */
   size_t body_received;  /**< bytes received of the body, those that were dropped included */
   uint64_t caller_id;    /**< identifies the caller to the reducer; 0 before it is registered */
   bool waiting;          /**< registered, and the reducer has not replied yet */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -5,6 +5,7 @@
 #ifndef DKS_NET_HTTP_SERVER_H
 #define DKS_NET_HTTP_SERVER_H
 
+#include "common/memory_account.h"
 #include "core/event.h"
 #include "core/reducer.h"
 #include "net/loop.h"
@@ -24,14 +25,18 @@
 
 typedef struct
 {
-  const char *address;         /**< IP:port to listen on */
-  uint32_t max_connections;    /**< further connections are answered with 503 and closed */
-  uint32_t idle_timeout_s;     /**< idle connections are closed after this time */
-  const char *data_centre;     /**< own data centre, for generated keys */
-  int64_t deadline_default_ms; /**< used when a submission gives no deadline */
-  uint64_t key_seed;           /**< seed of the generator of idempotency keys */
-  uint64_t caller_id_base;     /**< caller ids start one above this; servers that share a reducer
-                                    need disjoint ranges */
+  const char *address;          /**< IP:port to listen on */
+  uint32_t max_connections;     /**< further connections are answered with 503 and closed */
+  uint32_t idle_timeout_s;      /**< idle connections are closed after this time */
+  const char *data_centre;      /**< own data centre, for generated keys */
+  int64_t deadline_default_ms;  /**< used when a submission gives no deadline */
+  uint64_t key_seed;            /**< seed of the generator of idempotency keys */
+  uint64_t caller_id_base;      /**< caller ids start one above this; servers that share a reducer
+                                     need disjoint ranges */
+  dks_memory_account_t *memory; /**< of the process; NULL: an own one of the largest limit */
+  /** A connection above max_connections takes the place of the one whose client has kept the server
+   * waiting for longest, if there is one, instead of being answered with 503. */
+  bool replaces_waiting;
   const dks_http_interface_t *interface; /**< NULL: the default, docs/design.md section 7 */
 } dks_http_server_config_t;
 
--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -6,6 +6,7 @@
 #ifndef DKS_NET_PEER_H
 #define DKS_NET_PEER_H
 
+#include "common/memory_account.h"
 #include "core/msg.h"
 #include "net/loop.h"
 
@@ -14,10 +15,11 @@
 enum
 {
   DKS_FRAME_MAX = 16 << 20, /**< bytes of one frame without its length prefix */
-  /** Unsent bytes queued for one peer; its connection is closed above this. Room for one frame of
-   * the largest size and what follows it. */
+  /** Unsent bytes queued for one peer; its connection is closed above this, or above half of the
+   * limit of the memory account. Room for one frame of the largest size and what follows it. */
   DKS_PEER_BACKLOG_MAX = 24 << 20,
-  /** Unsent bytes queued for all peers; above this the connection with the most is closed. */
+  /** Unsent bytes queued for all peers; above this, or three quarters of the limit of the memory
+   * account, the connection with the most is closed. */
   DKS_PEERS_BACKLOG_MAX = 48 << 20
 };
 
@@ -35,9 +37,10 @@
 
 typedef struct
 {
-  const char *member;      /**< own member id "INSTANCE#INCARNATION" */
-  const char *data_centre; /**< own data centre */
-  const char *address;     /**< IP:port to listen on */
+  const char *member;           /**< own member id "INSTANCE#INCARNATION" */
+  const char *data_centre;      /**< own data centre */
+  const char *address;          /**< IP:port to listen on */
+  dks_memory_account_t *memory; /**< of the process; NULL: an own one of the largest limit */
 } dks_peer_config_t;
 
 /** Starts to listen. Returns 0, DKS_ERR_INVALID for a malformed address, member id or data centre,
--- a/net/http_routes.c
+++ b/net/http_routes.c
@@ -13,6 +13,7 @@
 enum
 {
   SMALL_BODY_MAX_BYTES = 1024, /* of bodies like {"value":N} */
+  SERVER_VALUES_SIZE = 160,    /* digits of the server's own metrics */
   PATH_LEVELS_MAX = 3          /* of the settings tree: service, data centre, job */
 };
 
@@ -330,7 +331,20 @@
       "damaskshore_http_open_requests %" PRIu32 "\n"
       "# HELP damaskshore_log_lines_dropped_total Log lines that the reader had no room for.\n"
       "# TYPE damaskshore_log_lines_dropped_total counter\n"
-      "damaskshore_log_lines_dropped_total %" PRIu64 "\n";
+      "damaskshore_log_lines_dropped_total %" PRIu64 "\n"
+      "# HELP damaskshore_memory_held_bytes Memory held for clients and other instances.\n"
+      "# TYPE damaskshore_memory_held_bytes gauge\n"
+      "damaskshore_memory_held_bytes %zu\n"
+      "# HELP damaskshore_memory_limit_bytes Limit of the memory held.\n"
+      "# TYPE damaskshore_memory_limit_bytes gauge\n"
+      "damaskshore_memory_limit_bytes %zu\n"
+      "# HELP damaskshore_memory_refused_total Requests and frames refused for want of memory.\n"
+      "# TYPE damaskshore_memory_refused_total counter\n"
+      "damaskshore_memory_refused_total %" PRIu64 "\n"
+      "# HELP damaskshore_connections_yielded_total Connections that made no progress and were "
+      "closed, for want of memory or connections.\n"
+      "# TYPE damaskshore_connections_yielded_total counter\n"
+      "damaskshore_connections_yielded_total %" PRIu64 "\n";
   const dks_http_server_t *server = exchange->server;
   char *reducer_metrics = dks_reducer_metrics (exchange_reducer (exchange));
   dks_counters_t counters = *dks_reducer_counters (exchange_reducer (exchange));
@@ -341,11 +355,14 @@
   counters.values[DKS_COUNTER_BAD_INPUT] += server->bad_input_total;
   text = dks_counters_format (&counters);
   len = strlen (text);
-  size =
-      len + sizeof (server_metrics) + 64 + (reducer_metrics != NULL ? strlen (reducer_metrics) : 0);
+  size = len + sizeof (server_metrics) + SERVER_VALUES_SIZE
+         + (reducer_metrics != NULL ? strlen (reducer_metrics) : 0);
   text = dks_realloc (text, size);
-  len += (size_t)snprintf (text + len, size - len, server_metrics, server->connection_count,
-                           server->open_requests, dks_log_dropped ());
+  len += (size_t)snprintf (
+      text + len, size - len, server_metrics, server->connection_count, server->open_requests,
+      dks_log_dropped (), dks_memory_account_used (server->memory),
+      dks_memory_account_limit (server->memory), dks_memory_account_refused_total (server->memory),
+      dks_memory_account_yielded_total (server->memory));
   if (reducer_metrics != NULL)
     dks_strcpy (text + len, size - len, reducer_metrics);
   free (reducer_metrics);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -27,14 +27,56 @@
   /* A body longer than its route allows is read and dropped up to this length, because closing a
    * connection with unread data resets it, and the caller may lose the reply. */
   BODY_READ_MAX_BYTES = 4 * DKS_SUBMISSION_MAX,
-  BODY_INITIAL_CAPACITY = 4096,      /* bytes */
-  BODIES_HELD_MAX_BYTES = 256 << 20, /* allocated for the bodies of all open requests */
+  BODY_INITIAL_CAPACITY = 4096, /* bytes */
+  BODY_PAGE_BYTES = 4096,
+  /* Up to this capacity a body doubles its buffer, above it the buffer grows by a quarter. */
+  BODY_DOUBLING_MAX_BYTES = 64 << 10,
+  /* Values of a JSON text. No submission needs as many; a parser takes up to 50 times the length of
+   * a text of small values. */
+  VALUES_MAX = 131072,
+  /* Allocated by the parser for one object, array, and member or value of another kind. */
+  OBJECT_BYTES = 256,
+  ARRAY_BYTES = 136,
+  VALUE_BYTES = 64,
+  /* What libmicrohttpd holds for one connection: headers and unread input. */
+  CONNECTION_MIN_BYTES = 8 << 10,
+  CONNECTION_MAX_BYTES = 32 << 10,
+  YIELD_LOG_INTERVAL_US = 1000000,
   /* Between two checks of waiting callers whose connections have unread input: the input hides the
    * end of the stream from the event loop. */
   CALLERS_CHECK_INTERVAL_US = 100000,
   MS_PER_S = 1000
 };
 
+/* ---- Memory ---- */
+
+/* States what the connection holds. A connection that had to give way counts as freed. */
+static size_t
+connection_bytes (const dks_http_connection_t *client)
+{
+  const dks_http_exchange_t *exchange = client->exchange;
+  size_t bytes = client->server->connection_bytes;
+
+  if (client->closing)
+    return 0;
+  if (exchange != NULL)
+    bytes += exchange->body_capacity + exchange->decode_bytes + exchange->answer_bytes;
+  return bytes;
+}
+
+static void
+connection_account (dks_http_connection_t *client)
+{
+  dks_memory_claim_set (&client->claim, connection_bytes (client));
+}
+
+static void
+connection_set_state (dks_http_connection_t *client, dks_memory_state_t state)
+{
+  if (!client->closing)
+    dks_memory_claim_set_state (&client->claim, state, dks_loop_now ().mono_us);
+}
+
 /* ---- Replies ---- */
 
 const char *
@@ -58,8 +100,11 @@
       return;
     }
   exchange->status = (unsigned)status;
-  exchange->response = MHD_create_response_from_buffer (strlen (body), body, MHD_RESPMEM_MUST_FREE);
+  exchange->answer_bytes = strlen (body);
+  exchange->response =
+      MHD_create_response_from_buffer (exchange->answer_bytes, body, MHD_RESPMEM_MUST_FREE);
   DKS_INVARIANT (exchange->response != NULL);
+  connection_account (exchange->client);
   dks_http_exchange_add_header (exchange, MHD_HTTP_HEADER_CONTENT_TYPE, type);
   if (exchange->key[0] != '\0')
     dks_http_exchange_add_header (exchange, "Idempotency-Key", exchange->key);
@@ -89,14 +134,14 @@
   dks_http_exchange_add_retry_after (exchange, problem->retry_after_ms);
 }
 
-/* Prepares an error reply to a request that the reducer has not received. The server does not know
+/* Returns the problem of a request that the reducer has not received. The server does not know
  * whether an earlier submission with the caller's key has run, so the reply says "not_run" only
  * when the key has just been generated. */
-static void
-exchange_fail (dks_http_exchange_t *exchange, int status, const char *name, const char *detail,
-               uint32_t retry_after_ms)
+static dks_http_problem_t
+exchange_problem (const dks_http_exchange_t *exchange, int status, const char *name,
+                  const char *detail, uint32_t retry_after_ms)
 {
-  const dks_http_problem_t problem = {
+  return (dks_http_problem_t){
     .name = name,
     .status = status,
     .detail = detail,
@@ -107,10 +152,27 @@
                    : 0,
     .retry_after_ms = retry_after_ms,
   };
+}
+
+static void
+exchange_fail (dks_http_exchange_t *exchange, int status, const char *name, const char *detail,
+               uint32_t retry_after_ms)
+{
+  const dks_http_problem_t problem =
+      exchange_problem (exchange, status, name, detail, retry_after_ms);
 
   dks_http_exchange_reply_problem (exchange, &problem);
 }
 
+/* Refuses a request for want of memory. Where the status itself says that a job never runs, as of a
+ * job that may have been sent before, it says that the outcome is unknown. */
+static void
+exchange_fail_for_memory (dks_http_exchange_t *exchange)
+{
+  exchange_fail (exchange, exchange->route->needs_caller ? 504 : 503, "overloaded",
+                 "too many bytes of requests are held", OVERLOAD_RETRY_MS);
+}
+
 void
 dks_http_exchange_reject (dks_http_exchange_t *exchange, int status, const char *name,
                           const char *detail)
@@ -434,19 +496,38 @@
 static void
 exchange_drop_body (dks_http_exchange_t *exchange)
 {
-  exchange->server->body_bytes_held -= exchange->body_capacity;
   free (exchange->body);
   exchange->body = NULL;
   exchange->body_len = 0;
   exchange->body_capacity = 0;
+  connection_account (exchange->client);
+}
+
+/* Returns the capacity for a body of `needed` bytes or more. Nothing is allocated for bytes that
+ * have only been announced. */
+static size_t
+exchange_body_capacity (const dks_http_exchange_t *exchange, size_t needed)
+{
+  size_t capacity = exchange->body_capacity;
+  size_t most = exchange->body_stated > 0 ? exchange->body_stated : exchange->route->body_max_bytes;
+
+  if (needed <= capacity)
+    return capacity;
+  if (capacity < BODY_DOUBLING_MAX_BYTES)
+    capacity = capacity > 0 ? 2 * capacity : (size_t)BODY_INITIAL_CAPACITY;
+  else
+    capacity += capacity / 4;
+  if (capacity < needed)
+    capacity = needed;
+  capacity = (capacity + BODY_PAGE_BYTES - 1) / BODY_PAGE_BYTES * BODY_PAGE_BYTES;
+  return capacity > most && most >= needed ? most : capacity;
 }
 
 static void
 exchange_append_body (dks_http_exchange_t *exchange, const char *data, size_t len)
 {
   dks_http_server_t *server = exchange->server;
-  size_t capacity =
-      exchange->body_capacity > 0 ? exchange->body_capacity : (size_t)BODY_INITIAL_CAPACITY;
+  size_t capacity;
 
   if (exchange->response != NULL)
     return;
@@ -460,18 +541,16 @@
       dks_http_exchange_reject (exchange, 413, "too-large", detail);
       return;
     }
-  while (capacity < exchange->body_len + len)
-    capacity *= 2;
-  if (server->body_bytes_held - exchange->body_capacity + capacity > BODIES_HELD_MAX_BYTES)
-    {
-      exchange_drop_body (exchange);
-      exchange_fail (exchange, 503, "overloaded", "too many bytes of requests are held",
-                     OVERLOAD_RETRY_MS);
-      return;
-    }
+  capacity = exchange_body_capacity (exchange, exchange->body_len + len);
   if (capacity != exchange->body_capacity)
     {
-      server->body_bytes_held += capacity - exchange->body_capacity;
+      if (!dks_memory_claim_grow (&exchange->client->claim, server->connection_bytes + capacity,
+                                  dks_loop_now ().mono_us))
+        {
+          exchange_drop_body (exchange);
+          exchange_fail_for_memory (exchange);
+          return;
+        }
       exchange->body = dks_realloc (exchange->body, capacity);
       exchange->body_capacity = capacity;
     }
@@ -530,13 +609,10 @@
     dks_http_exchange_reject (exchange, 404, "not-found", "there is nothing at this path");
 }
 
-static bool
-connection_is_over_limit (struct MHD_Connection *connection)
+static dks_http_connection_t *
+connection_client (struct MHD_Connection *connection)
 {
-  const union MHD_ConnectionInfo *info =
-      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-
-  return info != NULL && info->socket_context != NULL;
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
 }
 
 static dks_http_exchange_t *
@@ -547,7 +623,10 @@
 
   exchange->server = server;
   exchange->connection = connection;
-  exchange->over_limit = connection_is_over_limit (connection);
+  exchange->client = connection_client (connection);
+  exchange->client->exchange = exchange;
+  exchange->over_limit = exchange->client->over_limit;
+  connection_set_state (exchange->client, DKS_MEMORY_INCOMPLETE);
   server->open_requests++;
   exchange_set_route (exchange, method, url);
   if (exchange->over_limit)
@@ -559,8 +638,13 @@
 static void
 exchange_destroy (dks_http_exchange_t *exchange)
 {
+  dks_http_connection_t *client = exchange->client;
+
   exchange->server->open_requests--;
   exchange_drop_body (exchange);
+  client->exchange = NULL;
+  connection_set_state (client, DKS_MEMORY_INCOMPLETE);
+  connection_account (client);
   if (exchange->response != NULL)
     MHD_destroy_response (exchange->response);
   free (exchange->subpath);
@@ -570,6 +654,7 @@
 static enum MHD_Result
 exchange_queue_response (dks_http_exchange_t *exchange)
 {
+  connection_set_state (exchange->client, DKS_MEMORY_UNTAKEN);
   return MHD_queue_response (exchange->connection, exchange->status, exchange->response);
 }
 
@@ -582,6 +667,7 @@
   const char *expect = dks_http_exchange_request_header (exchange, MHD_HTTP_HEADER_EXPECT);
   uint64_t size = length != NULL ? strtoull (length, NULL, 10) : 0;
 
+  exchange->body_stated = (size_t)size;
   if (exchange->response == NULL && size > exchange->route->body_max_bytes
       && exchange->route->body_max_bytes > 0)
     {
@@ -597,6 +683,41 @@
   return size > BODY_READ_MAX_BYTES || (expect != NULL && strcasecmp (expect, "100-continue") == 0);
 }
 
+/* Takes the memory for decoding the body, as far as its text shows what that takes: the text itself
+ * as values and again as the request that is made of it, and the structures of the parser. Refuses
+ * the request when there is not enough. */
+static void
+exchange_reserve_decoding (dks_http_exchange_t *exchange)
+{
+  const uint8_t *end = exchange->body + exchange->body_len;
+  size_t bytes = 2 * exchange->body_len;
+  size_t values = 0;
+  bool quoted = false;
+
+  for (const uint8_t *c = exchange->body; c < end; c++)
+    {
+      if (*c == '"')
+        quoted = !quoted;
+      else if (*c == '\\' && quoted)
+        c++;
+      else if (!quoted && (*c == ',' || *c == ':' || *c == '[' || *c == '{'))
+        {
+          values++;
+          bytes += *c == '{' ? OBJECT_BYTES : *c == '[' ? ARRAY_BYTES : VALUE_BYTES;
+        }
+    }
+  if (values > VALUES_MAX)
+    {
+      dks_http_exchange_reject (exchange, 413, "too-large", "the body has too many values");
+      return;
+    }
+  if (dks_memory_claim_finish (&exchange->client->claim,
+                               connection_bytes (exchange->client) + bytes))
+    exchange->decode_bytes = bytes;
+  else
+    exchange_fail_for_memory (exchange);
+}
+
 static enum MHD_Result
 exchange_process (dks_http_exchange_t *exchange)
 {
@@ -609,7 +730,12 @@
           dks_log (DKS_LOG_INFO, "event=request-abandoned method=%s", exchange->route->method);
           return MHD_NO;
         }
-      exchange->route->handle (exchange);
+      connection_set_state (exchange->client, DKS_MEMORY_HELD);
+      if (exchange->body_len > 0)
+        exchange_reserve_decoding (exchange);
+      if (exchange->response == NULL)
+        exchange->route->handle (exchange);
+      exchange->decode_bytes = 0;
       exchange_drop_body (exchange);
       if (exchange->response == NULL && !exchange->caller_gone)
         {
@@ -638,6 +764,9 @@
   if (*upload_data_size == 0)
     return exchange_process (exchange);
   exchange->body_received += *upload_data_size;
+  if (!exchange->client->closing)
+    dks_memory_claim_progress (&exchange->client->claim, *upload_data_size,
+                               dks_loop_now ().mono_us);
   if (exchange->body_received > BODY_READ_MAX_BYTES)
     return MHD_NO;
   exchange_append_body (exchange, upload_data, *upload_data_size);
@@ -664,21 +793,88 @@
                    enum MHD_ConnectionNotificationCode code)
 {
   dks_http_server_t *server = context;
+  dks_http_connection_t *client = *socket_context;
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
       server->connection_count--;
+      server->closing_count -= client->closing;
+      dks_memory_claim_remove (&client->claim);
+      free (client);
+      *socket_context = NULL;
       return;
     }
+  client = dks_alloc (sizeof (*client));
+  client->server = server;
+  client->connection = connection;
+  dks_memory_claim_add (&client->claim, &server->memory_group, dks_loop_now ().mono_us);
+  connection_account (client);
+  *socket_context = client;
   server->connection_count++;
-  if (server->connection_count > server->config.max_connections)
+  if (server->connection_count - server->closing_count <= server->config.max_connections)
+    return;
+  if (!server->config.replaces_waiting
+      || !dks_memory_group_yield_oldest (&server->memory_group, &client->claim))
     {
-      *socket_context = server;
+      client->over_limit = true;
       MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                  (unsigned)OVER_LIMIT_TIMEOUT_S);
     }
 }
 
+/* Answers a request whose body has not arrived completely. libmicrohttpd can answer only complete
+ * ones, and nothing has been written for this one. */
+static void
+exchange_send_timeout (const dks_http_exchange_t *exchange, int fd)
+{
+  const dks_http_problem_t problem =
+      exchange_problem (exchange, 408, "request-timeout",
+                        "the request did not arrive while others waited", OVERLOAD_RETRY_MS);
+  char *body = dks_http_json_encode_problem (&problem);
+  char reply[1024];
+  int len = snprintf (reply, sizeof (reply),
+                      "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nRetry-After: %d\r\n"
+                      "Content-Type: application/problem+json\r\nContent-Length: %zu\r\n\r\n%s",
+                      OVERLOAD_RETRY_MS / MS_PER_S, strlen (body), body);
+
+  if (len < (int)sizeof (reply) && send (fd, reply, (size_t)len, MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+    dks_log (DKS_LOG_DEBUG, "event=request-timeout sent=0 errno=%d", errno);
+  free (body);
+}
+
+/* Closes a connection whose client keeps the server waiting, and frees what it holds. */
+static void
+handle_yield (void *context, dks_memory_claim_t *claim)
+{
+  dks_http_server_t *server = context;
+  dks_http_connection_t *client = (dks_http_connection_t *)claim;
+  int fd =
+      MHD_get_connection_info (client->connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+  bool incomplete = claim->state == DKS_MEMORY_INCOMPLETE;
+  int64_t now_us = dks_loop_now ().mono_us;
+
+  connection_set_state (client, DKS_MEMORY_HELD);
+  client->closing = true;
+  server->closing_count++;
+  server->yielded_total++;
+  if (incomplete && client->exchange != NULL)
+    {
+      exchange_send_timeout (client->exchange, fd);
+      exchange_drop_body (client->exchange);
+    }
+  connection_account (client);
+  /* libmicrohttpd notices the end of the stream and closes the connection. */
+  shutdown (fd, SHUT_RDWR);
+  if (now_us - server->yield_logged_us < YIELD_LOG_INTERVAL_US)
+    return;
+  server->yield_logged_us = now_us;
+  dks_log (DKS_LOG_WARNING,
+           "event=connections-yielded address=%s total=%" PRIu64 " connections=%" PRIu32
+           " memory_bytes=%zu memory_limit_bytes=%zu",
+           server->config.address, server->yielded_total, server->connection_count,
+           dks_memory_account_used (server->memory), dks_memory_account_limit (server->memory));
+}
+
 /* ---- Server ---- */
 
 static void
@@ -733,6 +929,7 @@
     { MHD_OPTION_SOCK_ADDR, 0, (void *)&address->any },
     { MHD_OPTION_CONNECTION_LIMIT,
       (intptr_t)server->config.max_connections + OVER_LIMIT_CONNECTIONS_MAX, NULL },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t)server->connection_bytes, NULL },
     { MHD_OPTION_CONNECTION_TIMEOUT, server->config.idle_timeout_s, NULL },
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)handle_completed, server },
     { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)handle_connection, server },
@@ -745,6 +942,26 @@
                            MHD_OPTION_END);
 }
 
+/* The connections of one server may take half of the limit. */
+static size_t
+server_connection_bytes (const dks_http_server_t *server)
+{
+  size_t bytes = dks_memory_account_limit (server->memory) / 2 / server->config.max_connections;
+
+  if (bytes < CONNECTION_MIN_BYTES)
+    return CONNECTION_MIN_BYTES;
+  return bytes < CONNECTION_MAX_BYTES ? bytes / BODY_PAGE_BYTES * BODY_PAGE_BYTES
+                                      : (size_t)CONNECTION_MAX_BYTES;
+}
+
+static void
+server_free (dks_http_server_t *server)
+{
+  dks_memory_group_remove (&server->memory_group);
+  dks_memory_account_destroy (server->own_memory);
+  free (server);
+}
+
 int
 dks_http_server_create (dks_loop_t *loop, const dks_http_server_config_t *config,
                         const dks_http_server_callbacks_t *callbacks, dks_http_server_t **server)
@@ -764,10 +981,15 @@
   if (config->interface == NULL)
     created->config.interface = &default_interface;
   dks_strcpy (created->data_centre, sizeof (created->data_centre), config->data_centre);
+  if (config->memory == NULL)
+    created->own_memory = dks_memory_account_create (dks_memory_limit (UINT64_MAX));
+  created->memory = config->memory != NULL ? config->memory : created->own_memory;
+  dks_memory_group_init (&created->memory_group, created->memory, handle_yield, created);
+  created->connection_bytes = server_connection_bytes (created);
   created->daemon = start_daemon (created, &address);
   if (created->daemon == NULL)
     {
-      free (created);
+      server_free (created);
       return DKS_ERR_IO;
     }
   status = apr_pool_create (&created->pool, NULL);
@@ -803,7 +1025,7 @@
   dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->callers_timer);
   apr_pool_destroy (server->pool);
-  free (server);
+  server_free (server);
 }
 
 void
--- a/net/peer.c
+++ b/net/peer.c
@@ -32,8 +32,9 @@
   ACCEPT_PAUSE_US = 100000,         /* delay after an error of accept(), e.g. no free descriptor */
   PENDING_HELLOS_MAX = 256,         /* accepted connections that have sent no hello yet */
   READ_CHUNK_BYTES = 32 << 10,
-  READ_PER_TURN_BYTES = 1 << 20, /* bound of the reads from one connection in one turn */
-  BUFFER_KEEP_BYTES = 64 << 10,  /* an empty buffer with a larger capacity is freed */
+  READ_PER_TURN_BYTES = 1 << 20,        /* bound of the reads from one connection in one turn */
+  BUFFER_DOUBLING_MAX_BYTES = 64 << 10, /* a larger buffer grows by a quarter */
+  BUFFER_KEEP_BYTES = 64 << 10,         /* an empty buffer with a larger capacity is freed */
   LISTEN_BACKLOG = 64,
   MEMBER_BUCKETS = 64,
   /* TCP_USER_TIMEOUT: without it, a connection that broke during a network partition is detected
@@ -55,6 +56,7 @@
 /* A TCP connection to another instance, opened by either side. */
 struct link_t
 {
+  dks_memory_claim_t claim; /* of `in`; INCOMPLETE while a large frame arrives */
   APR_RING_ENTRY (link_t) all_link;
   APR_RING_ENTRY (link_t) dirty_link; /* in `dirty` of dks_peers_t, while `dirty` */
   link_t *next;                       /* next in the bucket of `member`, while `up` */
@@ -108,6 +110,11 @@
   APR_RING_HEAD (endpoint_ring_t, endpoint_t) endpoints;
   link_t *members[MEMBER_BUCKETS];
   size_t backlog; /* unsent bytes of all connections */
+  size_t backlog_max;
+  size_t link_backlog_max;
+  dks_memory_account_t *own_memory; /* when the configuration gave none, or NULL */
+  dks_memory_group_t memory_group;
+  dks_memory_claim_t backlog_claim;
 };
 
 static void handle_link (void *context, int fd, int events);
@@ -139,7 +146,7 @@
       size_t capacity = buffer->capacity > 0 ? buffer->capacity : READ_CHUNK_BYTES;
 
       while (capacity < buffer->end + size)
-        capacity *= 2;
+        capacity += capacity < BUFFER_DOUBLING_MAX_BYTES ? capacity : capacity / 4;
       buffer->data = dks_realloc (buffer->data, capacity);
       buffer->capacity = capacity;
     }
@@ -226,6 +233,7 @@
   if (link->endpoint != NULL)
     link->endpoint->connection = NULL;
   peers->backlog -= buffer_len (&link->out);
+  dks_memory_claim_remove (&link->claim);
   apr_pool_destroy (link->pool);
   free (link->in.data);
   free (link->out.data);
@@ -292,6 +300,34 @@
   dks_timer_set (dks_loop_timers (link->peers->loop), &link->timer, dks_loop_now ().mono_us);
 }
 
+/* Closes a connection over which a large frame has stopped, for want of memory. */
+static void
+handle_yield (void *context, dks_memory_claim_t *claim)
+{
+  link_t *link = (link_t *)claim;
+
+  dks_memory_claim_set_state (claim, DKS_MEMORY_HELD, dks_loop_now ().mono_us);
+  dks_memory_claim_set (claim, 0);
+  free (link->in.data);
+  link->in = (buffer_t){ 0 };
+  link_close_later (link, "no progress while memory is short");
+}
+
+/* Accounts for the input buffer after it may have changed. Returns false if there is no memory. */
+static bool
+link_account (link_t *link)
+{
+  dks_memory_state_t state =
+      buffer_len (&link->in) > DKS_MEMORY_SMALL_BYTES ? DKS_MEMORY_INCOMPLETE : DKS_MEMORY_HELD;
+
+  if (link->claim.state != state)
+    dks_memory_claim_set_state (&link->claim, state, dks_loop_now ().mono_us);
+  if (link->in.capacity > link->claim.bytes)
+    return dks_memory_claim_grow (&link->claim, link->in.capacity, dks_loop_now ().mono_us);
+  dks_memory_claim_set (&link->claim, link->in.capacity);
+  return true;
+}
+
 static int
 link_watch (link_t *link)
 {
@@ -343,6 +379,8 @@
       return NULL;
     }
   APR_RING_INSERT_TAIL (&peers->links, link, link_t, all_link);
+  dks_memory_claim_add (&link->claim, &peers->memory_group, dks_loop_now ().mono_us);
+  dks_memory_claim_set_state (&link->claim, DKS_MEMORY_HELD, dks_loop_now ().mono_us);
   if (endpoint != NULL)
     endpoint->connection = link;
   else
@@ -544,8 +582,14 @@
   for (size_t total = 0; total < READ_PER_TURN_BYTES;)
     {
       uint8_t *space = buffer_reserve (&link->in, READ_CHUNK_BYTES);
-      ssize_t n = recv (link->fd, space, READ_CHUNK_BYTES, MSG_DONTWAIT);
+      ssize_t n;
 
+      if (!link_account (link))
+        {
+          link_close (link, "memory is short");
+          return;
+        }
+      n = recv (link->fd, space, READ_CHUNK_BYTES, MSG_DONTWAIT);
       if (n < 0 && errno == EINTR)
         continue;
       if (n < 0 && errno == EAGAIN)
@@ -557,8 +601,14 @@
         }
       link->in.end += (size_t)n;
       total += (size_t)n;
-      if (!link_handle_frames (link) || n < READ_CHUNK_BYTES)
+      dks_memory_claim_progress (&link->claim, (size_t)n, dks_loop_polled_us (link->peers->loop));
+      if (!link_handle_frames (link))
         return;
+      if (n < READ_CHUNK_BYTES)
+        {
+          link_account (link);
+          return;
+        }
     }
 }
 
@@ -842,6 +892,32 @@
   return dks_loop_watch (peers->loop, peers->listener_fd, DKS_LOOP_READ, handle_listener, peers);
 }
 
+static void
+peers_open_account (dks_peers_t *peers, dks_memory_account_t *memory)
+{
+  size_t limit;
+
+  if (memory == NULL)
+    memory = peers->own_memory = dks_memory_account_create (dks_memory_limit (UINT64_MAX));
+  limit = dks_memory_account_limit (memory);
+  peers->link_backlog_max =
+      limit / 2 < DKS_PEER_BACKLOG_MAX ? limit / 2 : (size_t)DKS_PEER_BACKLOG_MAX;
+  peers->backlog_max =
+      limit / 4 * 3 < DKS_PEERS_BACKLOG_MAX ? limit / 4 * 3 : (size_t)DKS_PEERS_BACKLOG_MAX;
+  dks_memory_group_init (&peers->memory_group, memory, handle_yield, peers);
+  dks_memory_claim_add (&peers->backlog_claim, &peers->memory_group, 0);
+  dks_memory_claim_set_state (&peers->backlog_claim, DKS_MEMORY_HELD, 0);
+}
+
+static void
+peers_free (dks_peers_t *peers)
+{
+  dks_memory_claim_remove (&peers->backlog_claim);
+  dks_memory_group_remove (&peers->memory_group);
+  dks_memory_account_destroy (peers->own_memory);
+  free (peers);
+}
+
 int
 dks_peers_create (dks_loop_t *loop, const dks_peer_config_t *config,
                   const dks_peer_callbacks_t *callbacks, dks_peers_t **peers)
@@ -857,6 +933,7 @@
   APR_RING_INIT (&p->endpoints, endpoint_t, link);
   dks_timer_init (&p->accept_timer, handle_accept_timer, p);
   DKS_INVARIANT (apr_pool_create (&p->pool, NULL) == APR_SUCCESS);
+  peers_open_account (p, config->memory);
   if (config->member[0] == '\0' || config->data_centre[0] == '\0'
       || dks_strcpy (p->member, sizeof (p->member), config->member) != DKS_OK
       || dks_strcpy (p->data_centre, sizeof (p->data_centre), config->data_centre) != DKS_OK)
@@ -866,7 +943,7 @@
   if (error != DKS_OK)
     {
       apr_pool_destroy (p->pool);
-      free (p);
+      peers_free (p);
       return error;
     }
   *peers = p;
@@ -894,7 +971,7 @@
   dks_timer_cancel (dks_loop_timers (peers->loop), &peers->accept_timer);
   dks_loop_watch (peers->loop, peers->listener_fd, 0, NULL, NULL);
   apr_pool_destroy (peers->pool);
-  free (peers);
+  peers_free (peers);
 }
 
 /* The bytes of a connection that is about to be closed count until then, so that one is closed for
@@ -913,7 +990,7 @@
       else if (largest == NULL || buffer_len (&link->out) > buffer_len (&largest->out))
         largest = link;
     }
-  if (largest != NULL && peers->backlog - closing_bytes > DKS_PEERS_BACKLOG_MAX)
+  if (largest != NULL && peers->backlog - closing_bytes > peers->backlog_max)
     link_close_later (largest, "largest of too large backlogs");
 }
 
@@ -939,7 +1016,7 @@
       dks_log (DKS_LOG_ERROR, "event=peer-message-dropped member=%s type=%s bytes=%zu", member,
                dks_msg_name (msg->type), len);
     }
-  else if (buffer_len (&link->out) + len > DKS_PEER_BACKLOG_MAX)
+  else if (buffer_len (&link->out) + len > peers->link_backlog_max)
     link_close_later (link, "backlog too large");
   else
     {
@@ -949,7 +1026,7 @@
           link->dirty = true;
           APR_RING_INSERT_TAIL (&peers->dirty, link, link_t, dirty_link);
         }
-      if (peers->backlog > DKS_PEERS_BACKLOG_MAX)
+      if (peers->backlog > peers->backlog_max)
         close_largest_backlog (peers);
     }
   free (frame);
@@ -968,4 +1045,5 @@
       if (link->close_reason == NULL && !link->awaits_writable && !link_write (link))
         link_close_later (link, "write error");
     }
+  dks_memory_claim_set (&peers->backlog_claim, peers->backlog);
 }
--- a/tests/platform/costs.cc
+++ b/tests/platform/costs.cc
@@ -274,7 +274,7 @@
   auto *state = new Peers;
   char member[32];
   char address[32];
-  dks_peer_config_t config = { member, "dc1", address };
+  dks_peer_config_t config = { member, "dc1", address, nullptr };
   dks_peer_callbacks_t callbacks = {};
 
   snprintf (member, sizeof (member), "e%d#0000000000000001", self);
--- a/tests/process/test_crowd.cc
+++ b/tests/process/test_crowd.cc
@@ -26,12 +26,13 @@
 constexpr int CONNECTIONS = 400;       /* limit of the instance */
 constexpr int MANY_CONNECTIONS = 2000; /* the same where each holds little */
 constexpr int FEW_CONNECTIONS = 100;   /* the same where the crowd is larger than the limit */
-constexpr int OTHER_DESCRIPTORS = 128; /* refused callers, peers, the platform, the process itself */
+constexpr int OTHER_DESCRIPTORS =
+    128; /* refused callers, peers, the platform, the process itself */
 constexpr size_t LARGE_BODY = 8388000; /* the largest of the own interface has 8,388,608 bytes */
 constexpr size_t FRONT_BODY = 262000;  /* the largest of the users' front address has 262,144 */
 constexpr size_t SMALL_BODY = 250000;
 constexpr size_t FRAME_SIZE = 15 << 20; /* the largest between instances has 16 MiB */
-constexpr int SMALL_BUFFER = 4096;       /* bytes that wait at a client that reads nothing */
+constexpr int SMALL_BUFFER = 4096;      /* bytes that wait at a client that reads nothing */
 /* Requests one after the other: the server reads on from all connections between them, so that it
  * has read what the crowd has sent. */
 constexpr int TURNS = 300;
@@ -154,10 +155,11 @@
       {
         descriptors.clear ();
         for (const Client &client : clients_)
-          descriptors.push_back ({ client.done && !reads_ ? -1 : client.closed ? -1 : client.fd,
-                                   static_cast<short> ((client.done ? 0 : POLLOUT)
-                                                       | (reads_ ? POLLIN : 0)),
-                                   0 });
+          descriptors.push_back (
+              { client.done && !reads_ ? -1
+                : client.closed        ? -1
+                                       : client.fd,
+                static_cast<short> ((client.done ? 0 : POLLOUT) | (reads_ ? POLLIN : 0)), 0 });
         if (std::all_of (clients_.begin (), clients_.end (),
                          [] (const Client &client) { return client.done || client.closed; })
             || poll (descriptors.data (), descriptors.size (), QUIET_MS) <= 0)
@@ -344,8 +346,8 @@
       return reply.status == calm_.status && reply.field ("detail") == calm_.field ("detail");
     }));
     for (int i = 0; i < TURNS; i++)
-      EXPECT_NE (0, http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + "/api/ready")
-                        .status);
+      EXPECT_NE (
+          0, http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + "/api/ready").status);
     expect_within_limits (instance_->pid (), connections_);
   }
 
@@ -464,7 +466,8 @@
   std::string requests;
   for (int i = 0; i < 200; i++)
     requests += request;
-  Crowd crowd (cluster_->http_port (0), 1900, [&] (int) { return text (requests); }, false);
+  Crowd crowd (
+      cluster_->http_port (0), 1900, [&] (int) { return text (requests); }, false);
   expect_bears (crowd);
 }
 
@@ -503,8 +506,8 @@
 std::string
 field (int number, const std::string &value)
 {
-  return std::string (1, static_cast<char> (number << 3 | 2))
-         + static_cast<char> (value.size ()) + value;
+  return std::string (1, static_cast<char> (number << 3 | 2)) + static_cast<char> (value.size ())
+         + value;
 }
 
 std::string
@@ -536,7 +539,8 @@
     size_t left = FRAME_SIZE - 1;
 
     return source_t ([=] () mutable {
-      std::string block = start.empty () ? std::string (std::min<size_t> (left, 65536), 'x') : start;
+      std::string block =
+          start.empty () ? std::string (std::min<size_t> (left, 65536), 'x') : start;
       left -= start.empty () ? block.size () : 0;
       start.clear ();
       return block;
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -24,7 +24,7 @@
   {
     dks_peer_callbacks_t callbacks = { handle_up, handle_down, handle_message, handle_refused,
                                        this };
-    dks_peer_config_t config = { member.c_str (), "dc1", address.c_str () };
+    dks_peer_config_t config = { member.c_str (), "dc1", address.c_str (), nullptr };
 
     error = dks_peers_create (loop, &config, &callbacks, &peers);
   }
@@ -573,7 +573,7 @@
   Instance &a = add ("a#1");
   dks_peer_callbacks_t callbacks = {};
   dks_peers_t *peers = nullptr;
-  dks_peer_config_t config = { "c#1", "dc1", a.address.c_str () };
+  dks_peer_config_t config = { "c#1", "dc1", a.address.c_str (), nullptr };
 
   a.connect (a.address);
   a.connect ("localhost:80");
