reducer, host: bound the stop of an instance whose platform is gone

Cause: a draining instance exits once it has left the view, which is a write to the platform; while the platform is gone it stays for ever. This is what was seen after SIGTERM to an instance and its platform at the same moment. Besides, requests that have not arrived completely held the exit up for 30 s.

Change: an instance that has no work left waits 20 s for the platform, logs why, and exits; the others treat it as failed. What has made no progress for 1 s does not delay the exit. A leased instance was bounded already (DRAIN_MAX_US).

--- a/core/reducer.c
+++ b/core/reducer.c
@@ -12,6 +12,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  /* Longest wait of an instance without work until it has left the view, while the platform is
+   * down. After it, the others treat the instance as failed. */
+  LEAVE_MAX_US = 20000000
+};
+
 #define VIEW_KEY_PREFIX "view/"
 
 /* Functions used by the other source files of the reducer */
@@ -233,10 +240,22 @@
 static void
 exit_if_drained (dks_reducer_t *r)
 {
-  if (!r->draining || r->exit_sent || r->request_count > 0 || r->attempt_count > 0
-      || dks_jobs_backlog (r) > 0 || dks_view_member (dks_own_view (r), r->self) != NULL
+  bool is_member = dks_view_member (dks_own_view (r), r->self) != NULL;
+
+  if (!r->draining || r->exit_sent)
+    return;
+  if (r->request_count > 0 || r->attempt_count > 0 || dks_jobs_backlog (r) > 0
       || !APR_RING_EMPTY (&r->edits, dks_edit_t, link))
+    {
+      r->work_done_us = 0;
+      return;
+    }
+  if (r->work_done_us == 0)
+    r->work_done_us = r->now.mono_us;
+  if (is_member && r->now.mono_us - r->work_done_us < LEAVE_MAX_US)
     return;
+  if (is_member)
+    dks_emit_log (r, DKS_LOG_WARNING, "event=drain-end reason=\"the view cannot be left\"");
   r->exit_sent = true;
   dks_emit_log (r, DKS_LOG_NOTICE, "event=drain-end");
   dks_effects_add (r->effects, DKS_EFFECT_EXIT);
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -436,9 +436,9 @@
   schedule_tick (host);
   if (host->drained_us == 0 || now_us < host->drained_us + EXIT_LINGER_US)
     return;
-  open_requests = dks_http_server_open_requests (host->server);
+  open_requests = dks_http_server_active_requests (host->server);
   if (host->front != NULL)
-    open_requests += dks_http_server_open_requests (host->front);
+    open_requests += dks_http_server_active_requests (host->front);
   if (open_requests > 0 && now_us < host->drained_us + EXIT_TIMEOUT_US)
     return;
   dks_log (DKS_LOG_NOTICE, "event=exit reason=drained open_requests=%u", open_requests);
--- a/include/core/state.h
+++ b/include/core/state.h
@@ -223,6 +223,7 @@
 
   bool draining;
   int64_t drain_start_us; /**< monotonic time at which the drain began */
+  int64_t work_done_us;   /**< the same of the end of the last work while draining, 0 before */
   bool exit_sent;
 
   struct dks_leased_t *leased; /**< state of targets that run tasks under leases; NULL when tasks
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -59,6 +59,8 @@
 void dks_http_server_stop_listening (dks_http_server_t *server);
 /** Number of requests whose reply has not been sent completely. */
 uint32_t dks_http_server_open_requests (const dks_http_server_t *server);
+/** The same without those whose clients have kept the server waiting for DKS_MEMORY_STALL_US. */
+uint32_t dks_http_server_active_requests (const dks_http_server_t *server);
 /** Number of requests that could not be decoded. */
 uint64_t dks_http_server_bad_input_total (const dks_http_server_t *server);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -869,9 +869,9 @@
     return;
   server->yield_logged_us = now_us;
   dks_log (DKS_LOG_WARNING,
-           "event=connections-yielded address=%s total=%" PRIu64 " connections=%" PRIu32
+           "event=connections-yielded total=%" PRIu64 " connections=%" PRIu32
            " memory_bytes=%zu memory_limit_bytes=%zu",
-           server->config.address, server->yielded_total, server->connection_count,
+           server->yielded_total, server->connection_count,
            dks_memory_account_used (server->memory), dks_memory_account_limit (server->memory));
 }
 
@@ -1060,6 +1060,23 @@
   return server->open_requests;
 }
 
+uint32_t
+dks_http_server_active_requests (const dks_http_server_t *server)
+{
+  int64_t stalled_us = dks_loop_now ().mono_us - DKS_MEMORY_STALL_US;
+  uint32_t count = server->open_requests;
+  const dks_memory_claim_t *claim;
+
+  APR_RING_FOREACH (claim, &server->memory_group.rings[DKS_MEMORY_INCOMPLETE], dks_memory_claim_t,
+                    link)
+    {
+      if (claim->progress_us > stalled_us)
+        break;
+      count -= ((const dks_http_connection_t *)claim)->exchange != NULL;
+    }
+  return count;
+}
+
 uint64_t
 dks_http_server_bad_input_total (const dks_http_server_t *server)
 {
--- a/tests/test_reducer.cc
+++ b/tests/test_reducer.cc
@@ -107,6 +107,12 @@
           break;
         }
       case DKS_EFFECT_STORE_CAS:
+        if (store_is_down)
+          {
+            reply.u.store_reply.status = DKS_STORE_UNKNOWN;
+            replies.push_back (reply);
+            break;
+          }
         EXPECT_EQ (store[effect.u.store.key].first, effect.u.store.version);
         store[effect.u.store.key] = { ++revision,
                                       reinterpret_cast<const char *> (effect.u.store.value->data) };
@@ -234,6 +240,7 @@
   int64_t revision = 0;
   bool exited = false;
   bool lose_cas_replies = false; /* a CAS takes effect, but its reply is UNKNOWN */
+  bool store_is_down = false;    /* a CAS takes no effect, and its reply is UNKNOWN */
   std::map<uint64_t, int> edit_errors;
   std::map<std::string, std::pair<int64_t, std::string>> store;
   std::map<uint64_t, dks_answer_t *> answers;
@@ -473,4 +480,25 @@
   EXPECT_TRUE (exited);
 }
 
+// A platform that is gone must not keep an instance without work running: it was still there 10 min
+// after SIGTERM.
+TEST_F (ReducerTest, DrainEndsWhileThePlatformIsDown)
+{
+  dks_event_t event = {};
+
+  store_is_down = true;
+  submit (1, submission (fresh_key ("last"), 3));
+  event.type = DKS_EVENT_DRAIN;
+  apply (event);
+  advance (3000000);
+  EXPECT_FALSE (exited);
+  finish_all_attempts ();
+  advance (15000000);
+  EXPECT_FALSE (exited);
+  advance (10000000);
+  ASSERT_EQ (answers.count (1), 1u);
+  EXPECT_EQ (answers[1]->outcome, DKS_OUTCOME_COMPLETE);
+  EXPECT_TRUE (exited);
+}
+
 } // namespace
