--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -12,9 +12,11 @@
 #ifndef DKS_COMMON_MEMORY_ACCOUNT_H
 #define DKS_COMMON_MEMORY_ACCOUNT_H
 
+/* apr_ring.h takes the macro offsetof when it is there. */
+#include <stddef.h>
+
 #include <apr_ring.h>
 #include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 
 enum
--- a/tests/process/test_crowd.cc
+++ b/tests/process/test_crowd.cc
@@ -1,6 +1,7 @@
 /* Crowds of clients that nobody controls: however many connect, and whatever they hold open, the
  * process lives, stays within its memory and descriptors, and answers an ordinary request. Nothing
  * here depends on the speed of the machine. */
+#include "../platform/front_names.h"
 #include "cluster.h"
 
 #include <algorithm>
@@ -334,7 +335,7 @@
   ask_job () const
   {
     return http ("POST", "http://127.0.0.1:" + std::to_string (port_) + "/words/0123456789abcdef",
-                 R"({"spec":"x","steps":[{"count":1,"cpu":1}]})", { "Deadline-Ms: 3000" });
+                 FRONT_JOB_BODY, { FRONT_DEADLINE_HEADER });
   }
 
   void
@@ -347,7 +348,8 @@
     }));
     for (int i = 0; i < TURNS; i++)
       EXPECT_NE (
-          0, http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + "/api/ready").status);
+          0,
+          http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + FRONT_READY_PATH).status);
     expect_within_limits (instance_->pid (), connections_);
   }
 
@@ -625,11 +627,11 @@
 {
   start ();
   Crowd crowd (port_ + 1, 300, [] (int i) {
-    return i % 2 == 0 ? text ("") : stated_body ("/api/ready", 8000000, 65536);
+    return i % 2 == 0 ? text ("") : stated_body (FRONT_READY_PATH, 8000000, 65536);
   });
   crowd.send_all ();
   EXPECT_TRUE (eventually ([&] {
-    Reply reply = http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + "/api/ready");
+    Reply reply = http ("GET", "http://127.0.0.1:" + std::to_string (port_ + 1) + FRONT_READY_PATH);
     return reply.field ("ready") != "" || reply.body.find ("\"ready\"") != std::string::npos;
   }));
   expect_within_limits (instance_->pid (), connections_);
