leased_handover: lend until the handover; a leader in the place of a drained one yields sooner

A small leader that succeeded one that drained kept the leadership for 2 s beside a large one that was back: now 0.5 s. Tried and not taken: 0.5 s for every leader, which made LeasedMembers.NewInstanceDoesNotLeadBesideALeaderThatItHasNotHeardOfYet fail.

Tests: both large ones drain together under load, the only one does, lent tasks (all seen to fail with the handover at once), and 40 seeds of rolls, cuts and freezes without a double run (not run without the change).

--- a/core/leased_handover.c
+++ b/core/leased_handover.c
@@ -24,10 +24,7 @@
      on an instance that keeps up. */
   DRAINING_TIE_US = 100000,
   /* By this a draining successor has more processor time than the instances that do not drain. */
-  DRAINING_SIZE_RATIO = 2,
-  /* Time before the handover in which no more tasks are taken from other leaders: most of them end
-     in it. */
-  LENT_END_US = 500000
+  DRAINING_SIZE_RATIO = 2
 };
 
 static bool
@@ -77,8 +74,7 @@
 {
   if (leased->drain_start_us == 0)
     return true;
-  return leads_on (leased) && dks_leased_entry_handover_left_us (leased) > LENT_END_US
-         && !has_able_successor (leased);
+  return leads_on (leased) && !has_able_successor (leased);
 }
 
 bool
--- a/core/leased_leader.c
+++ b/core/leased_leader.c
@@ -61,6 +61,9 @@
   /* Least age of a leadership that is handed over, and of the connection to its successor: each
      change costs running jobs some ms, so two must not follow in a row. */
   YIELD_MIN_AGE_US = 2000000,
+  /* The same for a leader that succeeded one that drained: a larger one is about to be back. Time
+     for a process that has just started to connect and to read the lists of the platform. */
+  STOPGAP_MIN_AGE_US = 500000,
   /* Least ratio of the successor's processor time to the leader's: makes up for the cost of the
      change. */
   YIELD_PROCESSOR_RATIO = 2
@@ -556,16 +559,17 @@
 update_yielding (dks_leased_t *leased)
 {
   const dks_leased_peer_t *peer;
+  int64_t min_age_us = leased->is_stopgap ? STOPGAP_MIN_AGE_US : YIELD_MIN_AGE_US;
   bool yields = false;
 
-  if (leased->term > 0 && leased->r->now.mono_us - leased->term_start_us >= YIELD_MIN_AGE_US)
+  if (leased->term > 0 && leased->r->now.mono_us - leased->term_start_us >= min_age_us)
     {
       APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
         yields =
             yields
             || (dks_leased_peer_is_local (leased, peer) && dks_leased_peer_is_alive (leased, peer)
                 && !peer->draining && peer->knows_targets
-                && leased->r->now.mono_us - peer->connected_us >= YIELD_MIN_AGE_US
+                && leased->r->now.mono_us - peer->connected_us >= min_age_us
                 && peer->processor_milli
                        >= YIELD_PROCESSOR_RATIO * leased->r->config.processor_milli);
     }
@@ -602,7 +606,10 @@
   update_yielding (leased);
   if (leased->term == 0 && (leader == NULL || may_take_over_from (leased, leader))
       && !superseded_unheard && may_lead (leased, leader))
-    start_leading (leased);
+    {
+      leased->is_stopgap = leader != NULL && leader->draining;
+      start_leading (leased);
+    }
   dks_leased_handover_update (leased);
   leased->leader_known = leased->term > 0 || find_leading_peer (leased) != NULL;
   dks_leased_entry_resubmit (leased);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -498,6 +498,7 @@
   uint64_t term;              /**< of the leadership of this instance, 0: it does not lead */
   bool leader_known; /**< a leader of the data centre is known, which may be this instance */
   dks_leased_handover_t handover;
+  bool is_stopgap; /**< its present or latest term succeeded that of an instance that drained */
   bool yields_leadership;  /**< this instance leads, and offers to hand over to a larger one */
   int64_t late_until_us;   /**< when messages of most peers were last handled late, 0: never */
   int64_t term_late_us;    /**< when they were first handled late in the present term, 0: not yet */
--- a/tests/test_leased_roll.cc
+++ b/tests/test_leased_roll.cc
@@ -12,6 +12,7 @@
 #include <random>
 
 using leased::count_logged;
+using leased::got_answer;
 using leased::ms;
 using leased::Processors;
 using leased::World;
@@ -42,7 +43,12 @@
   void run_for (int64_t us);
   // Asks the instance to shut down, and starts it again when it has, as a rolling restart does.
   void roll (size_t instance);
-  size_t leader () const;
+  bool
+  is_rolling (size_t instance) const
+  {
+    return rolling.count (instance) > 0;
+  }
+  size_t leader (); // the latest instance to begin to lead
   int64_t
   led_by_small_us () const
   {
@@ -53,6 +59,7 @@
 
   World world;
   bool submits = true;
+  bool was_killed = false; // an instance had not ended in its grace period
 
 private:
   void
@@ -74,6 +81,9 @@
   int64_t next_job_us;
   int64_t small_us = 0; // for which no large instance led
   uint64_t next_id = 0;
+  size_t lines_read = 0; // of the log
+  size_t latest_leader = SIZE_MAX;
+  std::set<size_t> rolling; // instances that are asked to shut down and are not back yet
 };
 
 DataCentre::DataCentre (int large, int small, int targets, int64_t in_gap_us) : gap_us (in_gap_us)
@@ -88,16 +98,16 @@
 }
 
 size_t
-DataCentre::leader () const
+DataCentre::leader ()
 {
-  size_t found = SIZE_MAX;
-
-  for (auto &line : world.log)
+  for (; lines_read < world.log.size (); lines_read++)
     {
+      const std::string &line = world.log[lines_read];
+
       if (line.find ("event=leader-start") != std::string::npos)
-        found = world.find (line.substr (0, line.find (' ')));
+        latest_leader = world.find (line.substr (0, line.find (' ')));
     }
-  return found;
+  return latest_leader;
 }
 
 // At an instance that accepts jobs: callers leave those that shut down.
@@ -115,7 +125,8 @@
         ready.push_back (i);
     }
   snprintf (id, sizeof (id), "%016llx", static_cast<unsigned long long> (++next_id));
-  ASSERT_FALSE (ready.empty ());
+  if (ready.empty ())
+    return;
   uint64_t caller = world.submit (ready[random () % ready.size ()], id,
                                   { { is_short ? 2U : 6U, 6800, run_ms, run_ms } }, caller_ms);
   jobs[caller] = { world.now_us,
@@ -153,6 +164,7 @@
   auto look = std::make_shared<std::function<void ()>> ();
   int64_t kill_us = world.now_us + grace_us;
 
+  rolling.insert (instance);
   world.drain (instance);
   *look = [this, instance, kill_us, weak = std::weak_ptr (look)] {
     auto again = weak.lock ();
@@ -162,10 +174,13 @@
         after (10 * ms, [again] { (*again) (); });
         return;
       }
-    EXPECT_TRUE (world.instances[instance]->exited) << instance << " is killed";
+    was_killed |= !world.instances[instance]->exited;
     after (exit_linger_us, [this, instance] {
       world.kill (instance);
-      after (start_us, [this, instance] { world.restart (instance); });
+      after (start_us, [this, instance] {
+        world.restart (instance);
+        rolling.erase (instance);
+      });
     });
   };
   (*look) ();
@@ -201,6 +216,22 @@
        << " refused, " << outcome.unanswered << " unanswered";
 }
 
+// All callers are served, 97% of them in the objective.
+void
+expect_served (DataCentre &dc)
+{
+  Outcome outcome;
+
+  dc.submits = false;
+  dc.run_for (2000 * ms);
+  outcome = dc.outcome ();
+  EXPECT_FALSE (dc.was_killed);
+  EXPECT_EQ (outcome.refused + outcome.unanswered, 0) << testing::PrintToString (outcome);
+  EXPECT_GT (outcome.in_aim, 97 * (outcome.in_aim + outcome.late) / 100)
+      << testing::PrintToString (outcome);
+  EXPECT_EQ (dc.world.double_runs, 0);
+}
+
 }
 
 // Guards against a data centre that an instance of an eighth of a core leads for the whole drain of
@@ -315,8 +346,8 @@
     }
 }
 
-// Both at the same time: a small one leads only from the end of their drain until one is back.
-TEST (LeasedRoll, SmallInstanceLeadsShortlyWhenTwoLargeOnesDrainTogether)
+// Both at the same time: the one that does not lead has less to wait for, and is back in time.
+TEST (LeasedRoll, TwoLargeInstancesThatDrainTogetherKeepLeadership)
 {
   DataCentre dc (2, 8, 24, 10 * ms);
 
@@ -324,7 +355,7 @@
   dc.roll (0);
   dc.roll (1);
   dc.run_for (12000 * ms);
-  EXPECT_LT (dc.led_by_small_us (), 2000 * ms);
+  EXPECT_EQ (dc.led_by_small_us (), 0);
   EXPECT_LT (dc.leader (), 2U);
   EXPECT_EQ (dc.world.double_runs, 0);
   dc.submits = false;
@@ -360,18 +391,130 @@
   DataCentre dc (2, 8, 117, 4 * ms);
   Processors processors (dc.world);
   size_t leader = dc.leader ();
-  Outcome outcome;
 
   dc.run_for (3000 * ms);
   dc.roll (1 - leader);
   dc.run_for (2000 * ms);
   dc.roll (leader);
   dc.run_for (9000 * ms);
+  expect_served (dc);
+}
+
+// The same load when both are stopped at the same moment.
+TEST (LeasedRoll, CallersAreServedWhileTwoLargeInstancesDrainTogether)
+{
+  DataCentre dc (2, 8, 117, 4 * ms);
+  Processors processors (dc.world);
+
+  dc.run_for (3000 * ms);
+  dc.roll (0);
+  dc.roll (1);
+  dc.run_for (9000 * ms);
+  expect_served (dc);
+}
+
+// The only large one drains under this load: a small one leads from the end of its drain until it
+// is back, and refuses what it cannot do meanwhile. One in twenty may have to try again.
+TEST (LeasedRoll, FewAreRefusedWhileTheOnlyLargeInstanceRestarts)
+{
+  DataCentre dc (1, 8, 117, 4 * ms);
+  Processors processors (dc.world);
+  Outcome outcome;
+
+  dc.run_for (3000 * ms);
+  dc.roll (0);
+  dc.run_for (12000 * ms);
   dc.submits = false;
   dc.run_for (2000 * ms);
   outcome = dc.outcome ();
-  EXPECT_EQ (outcome.refused + outcome.unanswered, 0) << testing::PrintToString (outcome);
-  EXPECT_GT (outcome.in_aim, 97 * (outcome.in_aim + outcome.late) / 100)
+  EXPECT_LT (dc.led_by_small_us (), 2000 * ms);
+  EXPECT_LT (20 * (outcome.refused + outcome.unanswered), outcome.in_aim + outcome.late)
       << testing::PrintToString (outcome);
   EXPECT_EQ (dc.world.double_runs, 0);
 }
+
+// Guards against a data centre that lends no room for the whole drain of its leader: another leader
+// goes on lending tasks to one that leads on, and no task is lost or run twice when that hands
+// over.
+TEST (LeasedRoll, LeaderThatLeadsOnTakesLentTasks)
+{
+  World world;
+  std::vector<uint64_t> callers;
+  uint32_t starts_before = 0;
+  uint32_t starts_while_draining = 0;
+  size_t lender = world.add_instance ("a", false, large_milli);
+  size_t large = world.add_instance ("b", false, large_milli);
+
+  for (int i = 0; i < 3; i++)
+    world.add_instance ("b", false, small_milli);
+  world.add_target ("a");
+  for (int i = 0; i < 20; i++)
+    world.add_target ("b");
+  world.start_all ();
+  world.run_for (3000 * ms);
+  for (auto &target : world.targets)
+    starts_before += target->info.data_centre == std::string ("b") ? target->starts : 0;
+  world.drain (large);
+  for (int i = 0; i < 160; i++)
+    {
+      char id[17];
+
+      snprintf (id, sizeof (id), "%016x", i + 1);
+      callers.push_back (world.submit (lender, id, { { 6, 6800, 200, 200 } }));
+      world.run_for (50 * ms);
+      if (i == 79)
+        {
+          EXPECT_EQ (count_logged (world, "b-1 event=leader-stop"), 0U);
+          for (auto &target : world.targets)
+            starts_while_draining +=
+                target->info.data_centre == std::string ("b") ? target->starts : 0;
+        }
+    }
+  EXPECT_GT (starts_while_draining, starts_before + 80);
+  EXPECT_EQ (count_logged (world, "b-1 event=leader-stop"), 1U);
+  EXPECT_TRUE (world.instances[large]->exited);
+  world.run_for (2000 * ms);
+  for (uint64_t caller : callers)
+    EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+  EXPECT_EQ (world.double_runs, 0);
+}
+
+// No task runs twice, whatever happens while leaders lead on: seeded rolls, kills, freezes and cuts
+// between instances, one upon the other.
+TEST (LeasedRoll, NoTaskRunsTwiceAmidRollsAndFaults)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      DataCentre dc (2, 3, 8, 10 * ms);
+      std::mt19937_64 random (seed);
+      size_t count = dc.world.instances.size ();
+
+      for (int i = 0; i < 12; i++)
+        {
+          size_t a = random () % count;
+          size_t b = (a + 1 + random () % (count - 1)) % count;
+          bool is_up = dc.world.instances[a]->up && !dc.is_rolling (a);
+
+          switch (random () % 4)
+            {
+            case 0:
+            case 1:
+              if (is_up)
+                dc.roll (a);
+              break;
+            case 2:
+              dc.world.set_cut_both_ways (a, b, true);
+              dc.run_for (static_cast<int64_t> (random () % 900) * ms);
+              dc.world.set_cut_both_ways (a, b, false);
+              break;
+            default:
+              dc.world.set_frozen (a, true);
+              dc.run_for (static_cast<int64_t> (random () % 700) * ms);
+              dc.world.set_frozen (a, false);
+              break;
+            }
+          dc.run_for (static_cast<int64_t> (random () % 1500) * ms);
+        }
+      EXPECT_EQ (dc.world.double_runs, 0) << "seed " << seed;
+    }
+}
