leased-starts: starts of tasks in a file of their own; kept room ends with its task

Found by the review of plans: room that a plan kept stayed kept when its task was cancelled or lent and nothing else waited, and was told to other leaders as free; a planned start did not look at the room again after a run had been adopted.

Change: the passes over waiting tasks move to leased_starts.c, unchanged but for names. A pass without waiting tasks keeps no room, kept room does not count as free, and a planned start checks its room.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -20,19 +20,7 @@
   /* Least time from the receipt of a job to its refusal because no task could start; a new leader
    * has read the run lists of its targets by then. */
   PLACEMENT_WAIT_MIN_US = 100000,
-  /* Between two checks of a resent job for runs that earlier leaders may have started: each answer
-   * of another leader about one of its tasks causes a pass over all jobs. */
-  PRIOR_RUNS_CHECK_INTERVAL_US = 20000,
-  RETRY_DELAY_US = 5000, /* from the failure of a task to its next start */
-  /* A pass over the waiting tasks takes some us for each of them, and nearly every event makes one
-     due. Above this many, passes are made at most once in PLACEMENT_TASK_US for each waiting task,
-     and in PLACEMENT_PAUSE_MAX_US in all, so that a backlog does not take all processor time. */
-  LARGE_BACKLOG_TASKS = 100,
-  PLACEMENT_TASK_US = 20,
-  PLACEMENT_PAUSE_MAX_US = 20000,
-  /* Number of the first run that this leader starts for a task of a resent job: above the numbers
-   * of runs of earlier leaders that are not known here. */
-  SUCCESSOR_FIRST_RUN = 8
+  RETRY_DELAY_US = 5000 /* from the failure of a task to its next start */
 };
 
 /* Least run time of a task, that on the fastest target, as a part of its observed run time on an
@@ -77,9 +65,9 @@
   dks_msg_unref (msg);
 }
 
-static void
-send_lent_done (dks_leased_t *leased, const char *peer, uint64_t request, uint32_t index,
-                uint32_t run_number, dks_lent_result_t result)
+void
+dks_leased_job_send_lent_done (dks_leased_t *leased, const char *peer, uint64_t request,
+                               uint32_t index, uint32_t run_number, dks_lent_result_t result)
 {
   dks_msg_t *msg = dks_msg_create (DKS_MSG_LENT_DONE);
 
@@ -172,8 +160,8 @@
   job_remove_from_request (job);
 }
 
-static void
-job_free (dks_leased_job_t *job)
+void
+dks_leased_job_free (dks_leased_job_t *job)
 {
   dks_leased_t *leased = job->leased;
 
@@ -212,7 +200,7 @@
         task_cancel_lent (job, task);
     }
   dks_leased_prior_runs_cancel (job);
-  job_free (job);
+  dks_leased_job_free (job);
 }
 
 static void
@@ -252,9 +240,8 @@
               dks_leased_admission_retry_after_ms (job), detail);
 }
 
-/* Refuses a job for which no capacity is expected to become free in time. */
-static void
-job_refuse_by_estimate (dks_leased_job_t *job, const char *detail)
+void
+dks_leased_job_refuse_by_estimate (dks_leased_job_t *job, const char *detail)
 {
   dks_leased_drain_record_refusal (job->leased);
   dks_leased_admission_log_estimate (job);
@@ -272,13 +259,13 @@
     {
       /* The home leader decides whether to cancel the task. */
       lent_task->late_reported = true;
-      send_lent_done (job->leased, job->origin, job->request_id, lent_task->index,
-                      lent_task->lent_run_number, DKS_LENT_LATE);
+      dks_leased_job_send_lent_done (job->leased, job->origin, job->request_id, lent_task->index,
+                                     lent_task->lent_run_number, DKS_LENT_LATE);
     }
 }
 
-static void
-job_arm_timer (dks_leased_job_t *job)
+void
+dks_leased_job_arm_timer (dks_leased_job_t *job)
 {
   int64_t at_us = job->deadline_us;
 
@@ -296,7 +283,7 @@
   if (job->is_lent)
     job_stop (job);
   else if (!job->started && time_us >= job->refuse_at_us)
-    job_refuse_by_estimate (job, "no room in time");
+    dks_leased_job_refuse_by_estimate (job, "no room in time");
   else if (job->started && time_us >= job->deadline_us)
     job_answer (job, DKS_BATCH_LOST, 0, "the caller's time is over");
   else
@@ -304,7 +291,7 @@
       job->objective_missed = job->objective_missed || !job->started;
       APR_RING_REMOVE (job, link);
       dks_leased_admission_insert (job);
-      job_arm_timer (job);
+      dks_leased_job_arm_timer (job);
       job->leased->placement_due = true;
     }
 }
@@ -414,331 +401,6 @@
     }
 }
 
-/* Placement */
-
-bool
-dks_leased_task_is_due (const dks_leased_job_t *job, const dks_leased_task_t *task)
-{
-  uint32_t after = job->batch->steps[task->batch_step].after_mask;
-
-  if (task->state != DKS_LEASED_TASK_WAITING
-      || task->retry_not_before_us > dks_leased_now_us (job->leased))
-    return false;
-  for (uint32_t step = 0; after != 0 && !job->is_lent; step++, after >>= 1)
-    {
-      if ((after & 1) != 0 && job->step_unfinished[step] > 0)
-        return false;
-    }
-  return true;
-}
-
-uint32_t
-dks_leased_task_next_run_number (const dks_leased_job_t *job, const dks_leased_task_t *task)
-{
-  return job->resent && task->run_number == 0 ? SUCCESSOR_FIRST_RUN : task->run_number + 1;
-}
-
-void
-dks_leased_task_leave_waiting (dks_leased_job_t *job, dks_leased_task_t *task,
-                               dks_leased_task_state_t state)
-{
-  task->state = state;
-  job->waiting_count--;
-  job->leased->waiting_tasks--;
-  job->last_start_us = dks_leased_now_us (job->leased);
-  if (state != DKS_LEASED_TASK_DONE)
-    dks_leased_drain_record_start (job->leased);
-  if (job->started)
-    return;
-  dks_leased_drain_record_first_start (job);
-  if (!job->is_lent)
-    dks_metrics_observe (job->leased->metrics, DKS_HISTOGRAM_QUEUE_WAIT, job->batch->queue,
-                         dks_leased_now_us (job->leased) - job->arrival_us);
-  job->started = true;
-  job_arm_timer (job);
-}
-
-static void
-task_requeue (dks_leased_job_t *job, dks_leased_task_t *task)
-{
-  task->state = DKS_LEASED_TASK_WAITING;
-  task->current_run = NULL;
-  job->waiting_count++;
-  job->leased->waiting_tasks++;
-  job->leased->placement_due = true;
-}
-
-/* Assigns a run that an earlier leader started to its task. */
-static void
-task_adopt_run (dks_leased_job_t *job, uint32_t index, dks_leased_run_t *run)
-{
-  dks_leased_task_t *task = &job->tasks[index];
-
-  dks_leased_run_set_resources (run, &job->batch->steps[task->batch_step]);
-  run->job = job;
-  run->released_us = 0;
-  run->task_index = index;
-  run->expected_us = dks_leased_estimate_run_us (job->leased, job->batch, task->batch_step);
-  task->current_run = run;
-  task->run_number = run->number;
-  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
-  /* The call under way was sent when no job had the run, and extends no lease. */
-  dks_leased_target_poll (run->target);
-  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-adopted task=%s run=%u", run->task_name,
-                run->number);
-}
-
-/* Whether the run is one of a lent task whose home leader was superseded by the sender of `job`. */
-static bool
-is_lent_by_earlier_leader (const dks_leased_run_t *run, const dks_leased_job_t *job)
-{
-  const dks_leased_t *leased = job->leased;
-  const dks_leased_peer_t *earlier;
-  const dks_leased_peer_t *later = dks_leased_peer_find (leased, job->origin);
-
-  if (run->job == NULL || !run->job->is_lent || strcmp (run->job->origin, job->origin) == 0)
-    return false;
-  earlier = dks_leased_peer_find (leased, run->job->origin);
-  return earlier != NULL && later != NULL && earlier->highest_term < later->highest_term
-         && strcmp (earlier->data_centre, later->data_centre) == 0;
-}
-
-/* Has the run of a lent task go on for the successor of its home leader, which asks for it. */
-static void
-task_take_over_run (dks_leased_job_t *job, uint32_t index, dks_leased_run_t *run)
-{
-  dks_leased_task_t *task = &job->tasks[index];
-  dks_leased_job_t *earlier = run->job;
-
-  DKS_INVARIANT (earlier != NULL);
-  dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=run-taken-over task=%s run=%u from=%s to=%s",
-                run->task_name, run->number, earlier->origin, job->origin);
-  /* The earlier job stays until its sender cancels it or is lost, or its time is over. */
-  earlier->tasks[run->task_index].state = DKS_LEASED_TASK_DONE;
-  earlier->tasks[run->task_index].current_run = NULL;
-  earlier->done_count++;
-  run->job = job;
-  run->task_index = index;
-  task->current_run = run;
-  task->run_number = run->number;
-  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
-}
-
-/* Tells the successor of a home leader that the task does not run here. */
-static void
-task_answer_no_run (dks_leased_job_t *job, dks_leased_task_t *task)
-{
-  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
-  job->done_count++;
-  send_lent_done (job->leased, job->origin, job->request_id, task->index, task->lent_run_number,
-                  DKS_LENT_INTERRUPTED);
-}
-
-/* Whether a run that an earlier sender or leader started may be active for the task. Adopts the run
- * if a target of this leader is running it. */
-static bool
-task_has_prior_run (dks_leased_job_t *job, uint32_t index)
-{
-  dks_leased_task_t *task = &job->tasks[index];
-  char name[DKS_TASK_NAME_SIZE];
-  dks_leased_run_t *run;
-
-  job->leased->prior_run_checks++;
-  dks_batch_task_name (job->batch->id, task->step, task->index, name);
-  run = dks_leased_run_find (job->leased, name);
-  if (run != NULL && run->job == NULL && run->state == DKS_LEASED_RUN_RUNNING)
-    task_adopt_run (job, index, run);
-  else if (run != NULL && job->is_lent && job->resent && is_lent_by_earlier_leader (run, job))
-    task_take_over_run (job, index, run);
-  if (run != NULL)
-    return true; /* a run that is being stopped has to end first */
-  if (!job->resent)
-    return false;
-  if (dks_leased_targets_may_be_unknown (job->leased))
-    return true;
-  if (!job->is_lent)
-    return !dks_leased_prior_runs_exclude (job, task);
-  /* The run lists of all targets have been read without the run, and a start of an earlier leader
-   * that arrives now is rejected for its fencing token. */
-  task_answer_no_run (job, task);
-  return true;
-}
-
-/* Whether the task may start, as far as runs of earlier leaders are concerned. */
-static bool
-task_is_free_of_prior_runs (dks_leased_job_t *job, uint32_t index)
-{
-  dks_leased_t *leased = job->leased;
-  dks_leased_task_t *task = &job->tasks[index];
-
-  if (!task->no_prior_run && task_has_prior_run (job, index))
-    return false;
-  if (!task->no_prior_run && job->resent)
-    dks_emit_log (leased->r, DKS_LOG_DEBUG,
-                  "event=no-prior-run job=%s task=%u.%u waited_ms=%" PRId64 " term_age_ms=%" PRId64,
-                  job->batch->id, task->step, task->index,
-                  (dks_leased_now_us (leased) - job->received_us) / 1000,
-                  (dks_leased_now_us (leased) - leased->term_start_us) / 1000);
-  task->no_prior_run = true;
-  return true;
-}
-
-static void
-task_start (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target)
-{
-  dks_leased_task_t *task = &job->tasks[index];
-
-  /* The run number of a lent task was chosen by its home leader. */
-  if (!job->is_lent)
-    task->run_number = dks_leased_task_next_run_number (job, task);
-  dks_leased_run_start (job->leased, target, job, index);
-  dks_leased_targets_update_free_cpu (job->leased);
-  dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_PLACED);
-}
-
-bool
-dks_leased_job_start_on (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target)
-{
-  if (!task_is_free_of_prior_runs (job, index))
-    return false;
-  task_start (job, index, target);
-  return true;
-}
-
-/* With `in_time_only`, a task that would end late on every target here keeps waiting, to be lent to
- * another data centre; a task of a resent job is placed all the same. */
-static bool
-task_place (dks_leased_job_t *job, uint32_t index, bool in_time_only)
-{
-  dks_leased_t *leased = job->leased;
-  dks_leased_task_t *task = &job->tasks[index];
-  dks_leased_target_t *target;
-  dks_leased_choice_t choice;
-
-  if (!task_is_free_of_prior_runs (job, index))
-    return true;
-  target = dks_leased_targets_choose (leased, job, task, &choice);
-  task->wants_faster_target = !choice.in_time;
-  task->best_slowness = choice.slowness;
-
-  if (target == NULL || (in_time_only && task->wants_faster_target && !job->resent))
-    return false;
-  task_start (job, index, target);
-  dks_leased_plan_count_start (leased, task);
-  return true;
-}
-
-bool
-dks_leased_job_may_start_first_time (dks_leased_job_t *job)
-{
-  dks_leased_t *leased = job->leased;
-
-  if (dks_leased_prior_jobs_are_awaited (leased))
-    {
-      leased->prior_check_due = true;
-      return false;
-    }
-  if (dks_leased_prior_jobs_contain (leased, job->batch->id))
-    {
-      job->resent = true;
-      job->started = true;
-      job_arm_timer (job);
-    }
-  return true;
-}
-
-/* Starts due tasks for which targets of this leader have free capacity; with `can_lend`, which says
- * that other leaders reported free capacity, lends tasks to leaders of other data centres. */
-static void
-job_place (dks_leased_job_t *job, bool can_lend)
-{
-  bool some_waiting = false;
-
-  if (!job->started && !job->is_lent && !dks_leased_job_may_start_first_time (job))
-    return;
-  job->next_prior_check_us = dks_leased_now_us (job->leased) + PRIOR_RUNS_CHECK_INTERVAL_US;
-  if (job->resent && !dks_leased_targets_are_synced (job->leased, job->received_us))
-    return;
-  if (job->resent && job->is_lent
-      && !dks_leased_targets_confirm_term (job->leased, job->received_us))
-    return;
-  for (uint32_t i = 0; i < job->task_count && job->waiting_count > 0; i++)
-    {
-      if (dks_leased_task_is_due (job, &job->tasks[i]) && !task_place (job, i, !job->is_lent))
-        some_waiting = true;
-    }
-  if (!some_waiting || job->is_lent)
-    return;
-  if (can_lend)
-    dks_leased_lend_waiting (job, true);
-  for (uint32_t i = 0; i < job->task_count && job->waiting_count > 0; i++)
-    {
-      if (job->tasks[i].wants_faster_target && dks_leased_task_is_due (job, &job->tasks[i]))
-        task_place (job, i, false);
-    }
-  if (can_lend && job->waiting_count > 0)
-    dks_leased_lend_waiting (job, false);
-}
-
-/* Refuses the jobs that found no room and would only end late, before they cost anything. */
-static void
-refuse_hopeless (dks_leased_t *leased)
-{
-  dks_leased_job_t *job;
-  dks_leased_job_t *next;
-
-  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
-    {
-      leased->load.counts.job_visits++;
-      if (dks_leased_admission_is_hopeless (job))
-        job_refuse_by_estimate (job, "the objective cannot be met any more");
-    }
-}
-
-void
-dks_leased_jobs_place_waiting (dks_leased_t *leased)
-{
-  bool can_lend = dks_leased_lend_has_capacity (leased);
-  dks_leased_job_t *job;
-  dks_leased_job_t *next;
-
-  if (leased->waiting_tasks > LARGE_BACKLOG_TASKS
-      && dks_leased_now_us (leased) < leased->next_placement_us)
-    return; /* it stays due, and checks on runs cause an event every 20 ms */
-  leased->placement_due = false;
-  dks_leased_prior_jobs_send_due (leased);
-  leased->prior_check_due = leased->prior_jobs_due;
-  leased->next_placement_us =
-      dks_leased_now_us (leased)
-      + min_us ((int64_t)PLACEMENT_TASK_US * leased->waiting_tasks, PLACEMENT_PAUSE_MAX_US);
-  leased->load.counts.passes++;
-  if (leased->term > 0 && leased->remote_lost_tasks > 0)
-    dks_leased_lend_query_successors (leased);
-  if (leased->term == 0 || leased->waiting_tasks == 0)
-    return;
-  dks_leased_targets_update_free_cpu (leased);
-  dks_leased_plan_place (leased, can_lend);
-  APR_RING_FOREACH_SAFE (job, next, &leased->jobs, dks_leased_job_t, link)
-    {
-      leased->load.counts.job_visits++;
-      if (job->resent && dks_leased_now_us (leased) < job->next_prior_check_us)
-        {
-          leased->prior_check_due = true;
-          continue;
-        }
-      if (job->waiting_count == 0
-          || (job->prior_runs_checked && !can_lend
-              && job->min_cpu_milli > leased->max_free_cpu_milli))
-        continue;
-      job->prior_runs_checked = !job->resent;
-      job_place (job, can_lend);
-      if (job->is_lent && job->done_count == job->task_count)
-        job_free (job);
-    }
-  dks_leased_plan_end_pass (leased);
-  refuse_hopeless (leased);
-}
-
 /* Admission */
 
 static bool
@@ -763,33 +425,6 @@
   return false;
 }
 
-/* Starts tasks that another leader lent, and refuses those that do not fit on a target now. */
-static void
-place_lent (dks_leased_job_t *job)
-{
-  dks_leased_t *leased = job->leased;
-
-  dks_leased_targets_update_free_cpu (leased);
-  job_place (job, false);
-  for (uint32_t i = 0; i < job->task_count; i++)
-    {
-      dks_leased_task_t *task = &job->tasks[i];
-
-      /* A resent task, which was lent before to an earlier leader, waits until the run lists of the
-       * targets have been read. */
-      if (task->state != DKS_LEASED_TASK_WAITING || job->resent)
-        continue;
-      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
-      job->done_count++;
-      send_lent_done (leased, job->origin, job->request_id, task->index, task->lent_run_number,
-                      DKS_LENT_REFUSED);
-    }
-  if (job->done_count == job->task_count)
-    job_free (job);
-  else
-    job_arm_timer (job);
-}
-
 /* The caller submitted the job again, through another instance: the new request replaces the
  * earlier one. */
 static void
@@ -804,7 +439,7 @@
   job->request_id = msg->u.work.request;
   job_add_to_request (job);
   job->deadline_us = dks_leased_now_us (job->leased) - msg->u.work.age_us + msg->u.work.budget_us;
-  job_arm_timer (job);
+  dks_leased_job_arm_timer (job);
 }
 
 /* Whether lent tasks must not be started: they were lent to another leadership than the present one
@@ -836,8 +471,8 @@
 refuse_lent (dks_leased_t *leased, const char *origin, const dks_msg_t *msg)
 {
   for (uint32_t i = 0; i < msg->u.work.lent_count; i++)
-    send_lent_done (leased, origin, msg->u.work.request, msg->u.work.lent_tasks[i],
-                    msg->u.work.lent_runs[i], DKS_LENT_REFUSED);
+    dks_leased_job_send_lent_done (leased, origin, msg->u.work.request, msg->u.work.lent_tasks[i],
+                                   msg->u.work.lent_runs[i], DKS_LENT_REFUSED);
 }
 
 static void
@@ -898,7 +533,7 @@
   job_init_tasks (job, msg);
   if (lent)
     {
-      place_lent (job);
+      dks_leased_starts_place_lent (job);
       return;
     }
   if (!job->resent && is_job_late (leased, peer, msg, lag_us))
@@ -908,11 +543,11 @@
   else if (has_unplaceable_step (job))
     job_refuse (job, "no target can run it");
   else if (!job->resent && dks_leased_admission_wait_is_too_long (job))
-    job_refuse_by_estimate (job, "the wait would be too long");
+    dks_leased_job_refuse_by_estimate (job, "the wait would be too long");
   else
     {
       dks_leased_drain_record_admission (job);
-      job_arm_timer (job);
+      dks_leased_job_arm_timer (job);
       leased->placement_due = true;
     }
 }
@@ -940,6 +575,16 @@
 
 /* Outcomes */
 
+static void
+task_requeue (dks_leased_job_t *job, dks_leased_task_t *task)
+{
+  task->state = DKS_LEASED_TASK_WAITING;
+  task->current_run = NULL;
+  job->waiting_count++;
+  job->leased->waiting_tasks++;
+  job->leased->placement_due = true;
+}
+
 static void
 task_finish (dks_leased_job_t *job, dks_leased_task_t *task)
 {
@@ -996,10 +641,10 @@
   task->state = DKS_LEASED_TASK_DONE;
   task->current_run = NULL;
   job->done_count++;
-  send_lent_done (job->leased, job->origin, job->request_id, task->index, task->lent_run_number,
-                  result);
+  dks_leased_job_send_lent_done (job->leased, job->origin, job->request_id, task->index,
+                                 task->lent_run_number, result);
   if (job->done_count == job->task_count)
-    job_free (job);
+    dks_leased_job_free (job);
 }
 
 void
@@ -1172,7 +817,7 @@
             task_cancel_lent (job, task);
         }
       dks_leased_prior_runs_cancel (job);
-      job_free (job);
+      dks_leased_job_free (job);
     }
 }
 
@@ -1189,5 +834,5 @@
 dks_leased_jobs_clear (dks_leased_t *leased)
 {
   while (!APR_RING_EMPTY (&leased->jobs, dks_leased_job_t, link))
-    job_free (APR_RING_FIRST (&leased->jobs));
+    dks_leased_job_free (APR_RING_FIRST (&leased->jobs));
 }
--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -70,6 +70,15 @@
          && target->accelerators_used + step->accelerators <= target->info.accelerators;
 }
 
+bool
+dks_leased_targets_can_start (const dks_leased_target_t *target, const dks_leased_job_t *job,
+                              uint32_t index)
+{
+  const dks_batch_step_t *step = &job->batch->steps[job->tasks[index].batch_step];
+
+  return is_usable (target) && has_free_capacity (target, step);
+}
+
 /* Number of runs of the task's step on the target, including those that an earlier sender of the
  * job started and those of tasks that were lent in other messages. */
 static uint32_t
@@ -265,7 +274,7 @@
 
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
-      if (is_usable (target) && target->info.cpu_milli > target->cpu_used
+      if (is_usable (target) && !target->kept && target->info.cpu_milli > target->cpu_used
           && dks_leased_target_slowness (target) <= slowness_max)
         count += count_tasks_of_mean_size (target->info.cpu_milli - target->cpu_used, leased);
     }
@@ -304,7 +313,7 @@
   *slowness = HUGE_VAL;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     {
-      if (is_usable (target) && target->info.cpu_milli > target->cpu_used
+      if (is_usable (target) && !target->kept && target->info.cpu_milli > target->cpu_used
           && count_tasks_of_mean_size (target->info.cpu_milli - target->cpu_used, leased) > 0
           && dks_leased_target_slowness (target) < *slowness)
         *slowness = dks_leased_target_slowness (target);
--- a/core/leased_plan.c
+++ b/core/leased_plan.c
@@ -322,11 +322,13 @@
     }
 }
 
-static void
-keep_nothing (dks_leased_t *leased)
+void
+dks_leased_plan_keep_nothing (dks_leased_t *leased)
 {
   dks_leased_target_t *target;
 
+  if (leased->plan == NULL)
+    return;
   APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
     target->kept = false;
 }
@@ -341,15 +343,12 @@
 
   if (!leased->r->config.fill_gaps)
     {
-      if (leased->plan != NULL)
-        {
-          keep_nothing (leased);
-          dks_leased_plan_clear (leased);
-        }
+      dks_leased_plan_keep_nothing (leased);
+      dks_leased_plan_clear (leased);
       return;
     }
   p = plan_get (leased);
-  keep_nothing (leased);
+  dks_leased_plan_keep_nothing (leased);
   smallest_milli = collect_tasks (leased);
   reserve (leased, &largest);
   if (p->plan.pool_count == 0 || !dks_plan_is_worthwhile (&p->plan, &largest))
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -14,8 +14,8 @@
 
 enum
 {
-  /* Longest wait of an instance without work until it has left the view, while the platform is
-   * down. After it, the others treat the instance as failed. */
+  /* Longest wait of an instance without work until it has left the view, which the platform may
+   * hold up. After it, the others treat the instance as failed. */
   LEAVE_MAX_US = 20000000
 };
 
@@ -325,7 +325,7 @@
   dks_leased_handle_event (r->leased, event);
   dks_timers_run (r->timers, r->now.mono_us);
   if (r->leased->placement_due)
-    dks_leased_jobs_place_waiting (r->leased);
+    dks_leased_starts_place_waiting (r->leased);
   if (r->exit_sent || !dks_leased_entry_is_drained (r->leased))
     return;
   r->exit_sent = true;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -4,15 +4,15 @@
  *
  * Every instance takes requests of callers (leased_entry.c) and passes them to the leader of its
  * data centre (leased_leader.c, leased_members.c). The leader controls the targets of its data
- * centre (leased_targets.c, leased_runs.c) and places the tasks of jobs on them (leased_jobs.c). It
- * lends tasks to leaders of other data centres that have free capacity, and runs tasks that they
- * lend to it (leased_lend.c). leased_feed.c follows the platform's configuration and its list of
- * targets, leased_crashes.c counts the crashes of targets under each task, leased_prior_runs.c
- * finds out where tasks run that an earlier leader lent, leased_prior_jobs.c which jobs run in
- * other data centres at all, leased_share.c tells a successor of targets that it may not know.
- * leased_evacuation.c keeps which data centres get no work, leased_handover.c decides who follows a
- * leader that drains. leased_load.c counts what keeps an instance busy. leased_plan.c places tasks
- * by plans (plan.h), where the settings ask for it.
+ * centre (leased_targets.c, leased_runs.c) and places the tasks of jobs (leased_jobs.c) on them
+ * (leased_starts.c). It lends tasks to leaders of other data centres that have free capacity, and
+ * runs tasks that they lend to it (leased_lend.c). leased_feed.c follows the platform's
+ * configuration and its list of targets, leased_crashes.c counts the crashes of targets under each
+ * task, leased_prior_runs.c finds out where tasks run that an earlier leader lent,
+ * leased_prior_jobs.c which jobs run in other data centres at all, leased_share.c tells a successor
+ * of targets that it may not know. leased_evacuation.c keeps which data centres get no work,
+ * leased_handover.c decides who follows a leader that drains. leased_load.c counts what keeps an
+ * instance busy. leased_plan.c places tasks by plans (plan.h), where the settings ask for it.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
@@ -885,6 +885,9 @@
 bool dks_leased_target_is_in_unlisted_grace (const dks_leased_target_t *target);
 /** Updates `max_free_cpu_milli`. */
 void dks_leased_targets_update_free_cpu (dks_leased_t *leased);
+/** Whether the task fits on the target now, whatever its speed and labels. */
+bool dks_leased_targets_can_start (const dks_leased_target_t *target, const dks_leased_job_t *job,
+                                   uint32_t index);
 /** Best target with free capacity for the task now, or NULL. */
 dks_leased_target_t *dks_leased_targets_choose (dks_leased_t *leased, const dks_leased_job_t *job,
                                                 const dks_leased_task_t *task,
@@ -923,6 +926,8 @@
  * tasks call for it; else does nothing. What it leaves waiting is placed in the order of service.
  */
 void dks_leased_plan_place (dks_leased_t *leased, bool can_lend);
+/** Lets all tasks use the room that the latest plan keeps. */
+void dks_leased_plan_keep_nothing (dks_leased_t *leased);
 /** Ends the pass over all jobs that dks_leased_plan_place() began. */
 void dks_leased_plan_end_pass (dks_leased_t *leased);
 /** Counts the start of a task that the plan did not look at, which overtakes those that wait. */
@@ -997,6 +1002,9 @@
 /** Takes back the crashes that were counted because the target refused connections: it has answered
  * as the same incarnation, so its process did not end. */
 void dks_leased_crashes_withdraw (dks_leased_target_t *target);
+/** Keeps the crashes that were counted because the target refused connections: another incarnation
+ * has shown that its process ended, or the target is gone. */
+void dks_leased_crashes_confirm (dks_leased_target_t *target);
 /** Whether so many targets have crashed under the task that it is not started again. */
 bool dks_leased_crashes_forbid_start (const dks_leased_job_t *job, const dks_leased_task_t *task);
 void dks_leased_crashes_handle_msg (dks_leased_t *leased, const dks_msg_t *msg);
@@ -1075,7 +1083,7 @@
 /** Marks the tasks lent to `peer`, which leads no more; its successor is queried for them. */
 void dks_leased_lend_handle_remote_lost (dks_leased_t *leased, const char *peer);
 
-/* leased_jobs.c */
+/* leased_starts.c */
 /** Whether the task may start now: it waits, and the steps before it have ended. */
 bool dks_leased_task_is_due (const dks_leased_job_t *job, const dks_leased_task_t *task);
 /** Number of the next run of the task, of a job that was not lent to this leader. */
@@ -1090,6 +1098,21 @@
 /** Starts a waiting task on the target, unless a run that an earlier leader started may be active.
  */
 bool dks_leased_job_start_on (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target);
+/** Starts or lends waiting tasks where there is free capacity. */
+void dks_leased_starts_place_waiting (dks_leased_t *leased);
+/** Starts tasks that another leader lent, and refuses those that do not fit on a target now. */
+void dks_leased_starts_place_lent (dks_leased_job_t *job);
+
+/* leased_jobs.c */
+/** Sets the timer to the next moment at which the job may have to be reordered, refused or ended.
+ */
+void dks_leased_job_arm_timer (dks_leased_job_t *job);
+/** Refuses a job for which no capacity is expected to become free in time. */
+void dks_leased_job_refuse_by_estimate (dks_leased_job_t *job, const char *detail);
+/** Tells a home leader how a run of a task that it lent has ended, or that there was none. */
+void dks_leased_job_send_lent_done (dks_leased_t *leased, const char *peer, uint64_t request,
+                                    uint32_t index, uint32_t run_number, dks_lent_result_t result);
+void dks_leased_job_free (dks_leased_job_t *job);
 void dks_leased_jobs_init (dks_leased_t *leased);
 void dks_leased_jobs_clear (dks_leased_t *leased);
 /** Accepts or refuses a job of an entry instance, which may be this one, or tasks lent to it. */
@@ -1101,8 +1124,6 @@
 void dks_leased_jobs_handle_peer_lost (dks_leased_t *leased, const char *peer);
 /** Drops all jobs after leadership ended; their senders submit them again to the next leader. */
 void dks_leased_jobs_drop_all (dks_leased_t *leased);
-/** Starts or lends waiting tasks where there is free capacity. */
-void dks_leased_jobs_place_waiting (dks_leased_t *leased);
 /** Ends a job that cannot complete before its caller leaves, or reports that for a lent task. */
 void dks_leased_jobs_give_up (dks_leased_job_t *job, uint32_t task_index);
 /** Ends the job of the task, if this leader has it, since too many targets crashed under the task.
