leased-crashes: withdraw only what was counted

Cause, found by the review of the withdrawal: a supposed crash that a new incarnation had proved could be withdrawn after a later cut of the same target; and other instances took the weight off although they had never added it.

Change: a new incarnation, or the end of the target, settles what was supposed. A message names the weight that is left, and a receiver takes the withdrawal over only if it had the same weight before. Not mended: a new leader does not know what its predecessor had supposed, and withdraws nothing of it.

--- a/core/leased_crashes.c
+++ b/core/leased_crashes.c
@@ -83,14 +83,15 @@
   return entry;
 }
 
-/* Takes `weight` off that of the task's crashes. */
+/* Takes off what another leader has withdrawn, which left `weight` there. Where the weight here was
+ * another one, it is not known to contain what is withdrawn. */
 static void
-entry_withdraw (dks_leased_t *leased, const char *task_name, uint32_t weight)
+entry_withdraw (dks_leased_t *leased, const char *task_name, uint32_t weight, uint32_t withdrawn)
 {
   dks_leased_task_crashes_t *entry = entry_find (leased, task_name);
 
-  if (entry != NULL)
-    entry->weight -= weight < entry->weight ? weight : entry->weight;
+  if (entry != NULL && entry->weight == weight + withdrawn)
+    entry->weight = weight;
 }
 
 /* Notes that `weight` was counted for a target that may not have crashed. */
@@ -135,14 +136,14 @@
   return msg;
 }
 
-/* Adds the task with the weight of its crashes, or, with `withdrawn`, what is taken off it. */
+/* Adds the task with the weight of its crashes, and with what was just taken off it. */
 static void
 add_to_msg (dks_msg_t *msg, const dks_leased_task_crashes_t *entry, uint32_t withdrawn)
 {
   dks_task_crashes_t *to = &msg->u.speeds.task_crashes[msg->u.speeds.task_crashes_count++];
 
   dks_strcpy (to->task_name, sizeof (to->task_name), entry->task_name);
-  to->weight = withdrawn > 0 ? 0 : entry->weight;
+  to->weight = entry->weight;
   to->withdrawn = withdrawn;
 }
 
@@ -168,7 +169,7 @@
       const dks_task_crashes_t *task = &msg->u.speeds.task_crashes[i];
 
       if (task->withdrawn > 0)
-        entry_withdraw (leased, task->task_name, task->withdrawn);
+        entry_withdraw (leased, task->task_name, task->weight, task->withdrawn);
       else
         entry_put (leased, task->task_name, task->weight);
     }
@@ -264,7 +265,7 @@
 
       if (weight == 0)
         continue;
-      entry_withdraw (leased, entry->task_name, weight);
+      entry->weight -= weight < entry->weight ? weight : entry->weight;
       dks_emit_log (leased->r, DKS_LOG_NOTICE, "event=crash-withdrawn target=%s task=%s weight=%u",
                     target->info.id, entry->task_name, entry->weight);
       add_to_msg (msg, entry, weight);
@@ -274,6 +275,18 @@
   dks_msg_unref (msg);
 }
 
+void
+dks_leased_crashes_confirm (dks_leased_target_t *target)
+{
+  dks_leased_task_crashes_t *entry;
+
+  if (!target->crash_supposed)
+    return;
+  target->crash_supposed = false;
+  APR_RING_FOREACH (entry, &target->leased->task_crashes, dks_leased_task_crashes_t, link)
+    entry_take_supposed (entry, target->info.id);
+}
+
 bool
 dks_leased_crashes_forbid_start (const dks_leased_job_t *job, const dks_leased_task_t *task)
 {
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -237,6 +237,7 @@
 
   while (!APR_RING_EMPTY (&target->runs, dks_leased_run_t, link))
     dks_leased_run_free (APR_RING_FIRST (&target->runs));
+  dks_leased_crashes_confirm (target);
   target_release_control (target);
   apr_hash_set (leased->targets_by_id, target->info.id, APR_HASH_KEY_STRING, NULL);
   APR_RING_REMOVE (target, link);
@@ -353,8 +354,8 @@
 static void
 target_begin_incarnation (dks_leased_target_t *target, int64_t incarnation_ms)
 {
+  dks_leased_crashes_confirm (target);
   target->incarnation_ms = incarnation_ms;
-  target->crash_supposed = false;
   target->last_end_number = 0;
   target->clock_known = false;
   target->synced = false;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -87,9 +87,9 @@
 typedef struct
 {
   char task_name[DKS_TASK_NAME_SIZE];
-  uint32_t weight; /**< 2 for each crash under a confirmed run, 1 for each other one */
-  uint32_t
-      withdrawn; /**< weight of supposed crashes that turned out to be none; `weight` is 0 then */
+  uint32_t weight;    /**< 2 for each crash under a confirmed run, 1 for each other one */
+  uint32_t withdrawn; /**< weight of supposed crashes that turned out to be none; `weight` is what
+                         is left */
 } dks_task_crashes_t;
 
 const char *dks_lent_result_name (dks_lent_result_t result);
--- a/tests/test_leased_crashes.cc
+++ b/tests/test_leased_crashes.cc
@@ -2,6 +2,7 @@
 
 #include "leased_world.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using leased::count_logged;
@@ -420,6 +421,40 @@
   EXPECT_EQ (world.double_runs, 0);
 }
 
+// Guards against taking back a crash that was proven, when the target is only cut off later.
+TEST (LeasedCrashes, ProvenCrashIsNotWithdrawnAfterALaterCut)
+{
+  World world;
+  add_data_centre (world, "a", 2, 8);
+  start (world);
+  world.deadly_tasks.clear ();
+  world.submit (0, job, { { 1, 6800, 3000, 3000 } }, 12000);
+  world.run_for (100 * ms);
+  auto busy = std::find_if (world.targets.begin (), world.targets.end (),
+                            [] (auto &target) { return !target->runs.empty (); });
+  ASSERT_NE (busy, world.targets.end ());
+  leased::Target &crashed = **busy;
+  world.crash (crashed, 1500 * ms);
+  world.run_for (2500 * ms);
+  ASSERT_EQ (count_logged (world, "event=target-crashed"), 1u);
+  for (int i = 0; crashed.runs.empty () && i < 20; i++)
+    {
+      world.submit (0, "00000000000001" + std::to_string (10 + i), { { 1, 6800, 3000, 3000 } },
+                    12000);
+      world.run_for (10 * ms);
+    }
+  ASSERT_FALSE (crashed.runs.empty ());
+  crashed.refused_calls = 1000;
+  world.run_for (600 * ms);
+  crashed.refused_calls = 0;
+  world.run_for (600 * ms);
+  ASSERT_GE (count_logged (world, "event=target-crashed"), 2u);
+  EXPECT_GE (count_logged (world, "event=crash-withdrawn"), 1u);
+  EXPECT_EQ (count_logged (world, std::string ("event=crash-withdrawn target=") + crashed.info.id
+                                      + " task=" + deadly_task),
+             0u);
+}
+
 // Guards against runs on a target that leaves and ends its process being taken for crashes.
 TEST (LeasedCrashes, EndOfATargetThatLeavesIsNoCrash)
 {
