memory account: one walk finds and sums what has stalled

Cause: two loops over the same claims, one for their sum and one for the largest. Change: one function does both; no change of behaviour.

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -151,10 +151,11 @@
 }
 
 /* The largest claim in `state` that has stalled and holds more than `min_bytes`, other than
- * `asking`. */
+ * `asking`. Adds the bytes of all of these to `sum`. */
 static dks_memory_claim_t *
 account_find_stalled (dks_memory_account_t *account, dks_memory_state_t state,
-                      const dks_memory_claim_t *asking, size_t min_bytes, int64_t now_us)
+                      const dks_memory_claim_t *asking, size_t min_bytes, int64_t now_us,
+                      size_t *sum)
 {
   dks_memory_claim_t *largest = NULL;
   dks_memory_group_t *group;
@@ -166,36 +167,16 @@
         {
           if (now_us - claim->progress_us < DKS_MEMORY_STALL_US)
             break;
-          if (claim != asking && claim->bytes > (largest != NULL ? largest->bytes : min_bytes))
+          if (claim == asking || claim->bytes <= min_bytes)
+            continue;
+          *sum += claim->bytes;
+          if (largest == NULL || claim->bytes > largest->bytes)
             largest = claim;
         }
     }
   return largest;
 }
 
-/* Bytes of the claims in `state` that have stalled and hold more than `min_bytes`, other than
- * `asking`. */
-static size_t
-account_sum_stalled (dks_memory_account_t *account, dks_memory_state_t state,
-                     const dks_memory_claim_t *asking, size_t min_bytes, int64_t now_us)
-{
-  size_t bytes = 0;
-  dks_memory_group_t *group;
-  dks_memory_claim_t *claim;
-
-  APR_RING_FOREACH (group, &account->groups, dks_memory_group_t, link)
-    {
-      APR_RING_FOREACH (claim, &group->rings[state], dks_memory_claim_t, link)
-        {
-          if (now_us - claim->progress_us < DKS_MEMORY_STALL_US)
-            break;
-          if (claim != asking && claim->bytes > min_bytes)
-            bytes += claim->bytes;
-        }
-    }
-  return bytes;
-}
-
 static bool
 claim_yield (dks_memory_claim_t *claim)
 {
@@ -225,26 +206,18 @@
   size_t allowance = account_allowance (account, bytes);
   size_t min_bytes = bytes / YIELD_RATIO_MAX;
   size_t growth = bytes > claim->bytes ? bytes - claim->bytes : 0;
-  bool is_short = growth > 0 && dks_memory_account_used (account) + growth > allowance;
-
-  /* No claim gives way where all of them would not be enough. */
-  if (is_short
-      && dks_memory_account_used (account) + growth
-             > allowance
-                   + account_sum_stalled (account, DKS_MEMORY_INCOMPLETE, claim, min_bytes, now_us)
-                   + account_sum_stalled (account, DKS_MEMORY_UNTAKEN, claim, min_bytes, now_us))
-    {
-      account->refused_total++;
-      return false;
-    }
-  while (is_short && dks_memory_account_used (account) + growth > allowance)
-    {
-      dks_memory_claim_t *stalled =
-          account_find_stalled (account, DKS_MEMORY_INCOMPLETE, claim, min_bytes, now_us);
 
-      if (stalled == NULL)
-        stalled = account_find_stalled (account, DKS_MEMORY_UNTAKEN, claim, min_bytes, now_us);
-      if (stalled == NULL)
+  while (growth > 0 && dks_memory_account_used (account) + growth > allowance)
+    {
+      size_t stalled_bytes = 0;
+      dks_memory_claim_t *incomplete = account_find_stalled (account, DKS_MEMORY_INCOMPLETE, claim,
+                                                             min_bytes, now_us, &stalled_bytes);
+      dks_memory_claim_t *untaken = account_find_stalled (account, DKS_MEMORY_UNTAKEN, claim,
+                                                          min_bytes, now_us, &stalled_bytes);
+      dks_memory_claim_t *stalled = incomplete != NULL ? incomplete : untaken;
+
+      /* No claim gives way where all of them would not be enough. */
+      if (dks_memory_account_used (account) + growth > allowance + stalled_bytes)
         {
           account->refused_total++;
           return false;
