tests: items of evacuations point to strings that stay

Cause: the fake feed handed out a pointer into a map of its own function when a read had an evacuation. The product was not at fault.

Change: the pointer goes to the change itself, which the fake world keeps.

--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -826,7 +826,7 @@
   for (auto &[data_centre, change] : latest)
     {
       if (!call.is_watch && change->is_evacuated)
-        items->push_back ({ "evacuation", false, nullptr, nullptr, data_centre.c_str () });
+        items->push_back ({ "evacuation", false, nullptr, nullptr, change->data_centre.c_str () });
     }
 }
 
