memory account: other instances have a share of their own, not the whole limit

Change: such a frame may grow, however large, as long as 6/8 of the limit are in use: more than large bodies of clients have (5/8), less than small requests (7/8).

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -199,11 +199,12 @@
   return bytes <= DKS_MEMORY_MEDIUM_BYTES ? 6 * eighth : 5 * eighth;
 }
 
-bool
-dks_memory_claim_grow (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
+/* Grows the claim to `bytes` if no more than `allowance` is in use then, after others have given
+ * way if needed. */
+static bool
+claim_grow_within (dks_memory_claim_t *claim, size_t bytes, size_t allowance, int64_t now_us)
 {
   dks_memory_account_t *account = claim->group->account;
-  size_t allowance = account_allowance (account, bytes);
   size_t min_bytes = bytes / YIELD_RATIO_MAX;
   size_t growth = bytes > claim->bytes ? bytes - claim->bytes : 0;
 
@@ -229,6 +230,21 @@
   return true;
 }
 
+bool
+dks_memory_claim_grow (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
+{
+  return claim_grow_within (claim, bytes, account_allowance (claim->group->account, bytes), now_us);
+}
+
+bool
+dks_memory_claim_grow_preferred (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
+{
+  size_t rank_bytes = bytes < DKS_MEMORY_MEDIUM_BYTES ? bytes : (size_t)DKS_MEMORY_MEDIUM_BYTES;
+
+  return claim_grow_within (claim, bytes, account_allowance (claim->group->account, rank_bytes),
+                            now_us);
+}
+
 bool
 dks_memory_claim_finish (dks_memory_claim_t *claim, size_t bytes)
 {
--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -98,6 +98,9 @@
 void dks_memory_claim_progress (dks_memory_claim_t *claim, size_t bytes, int64_t now_us);
 /** Grows the claim to `bytes` if it may, after others have given way if needed. */
 bool dks_memory_claim_grow (dks_memory_claim_t *claim, size_t bytes, int64_t now_us);
+/** Likewise for another instance: however large, the claim may use what one of
+ * DKS_MEMORY_MEDIUM_BYTES may, so that large requests of clients leave room for it. */
+bool dks_memory_claim_grow_preferred (dks_memory_claim_t *claim, size_t bytes, int64_t now_us);
 /** Grows a claim whose request is complete, and needs the memory only while it is decoded: the
  * whole limit may be in use. */
 bool dks_memory_claim_finish (dks_memory_claim_t *claim, size_t bytes);
--- a/net/peer.c
+++ b/net/peer.c
@@ -323,12 +323,11 @@
 
   if (link->claim.state != state)
     dks_memory_claim_set_state (&link->claim, state, dks_loop_now ().mono_us);
-  /* Clients may use a part of the limit only, so that they do not cut off the other instances. */
-  if (link->in.capacity > link->claim.bytes && link->up
-      && dks_memory_claim_finish (&link->claim, link->in.capacity))
-    return true;
   if (link->in.capacity > link->claim.bytes)
-    return dks_memory_claim_grow (&link->claim, link->in.capacity, dks_loop_now ().mono_us);
+    return link->up
+               ? dks_memory_claim_grow_preferred (&link->claim, link->in.capacity,
+                                                  dks_loop_now ().mono_us)
+               : dks_memory_claim_grow (&link->claim, link->in.capacity, dks_loop_now ().mono_us);
   dks_memory_claim_set (&link->claim, link->in.capacity);
   return true;
 }
--- a/tests/test_memory_account.cc
+++ b/tests/test_memory_account.cc
@@ -187,6 +187,18 @@
   EXPECT_EQ (dks_memory_account_yielded_total (account), 1u);
 }
 
+/* Guards against large requests of clients that cut off other instances, and against frames of
+ * other instances that leave nothing for ordinary requests. */
+TEST_F (MemoryAccount, OtherInstancesHaveRoomBesideLargeRequestsAndLeaveSome)
+{
+  for (size_t i = 0; i < 4; i++)
+    add (i);
+  EXPECT_TRUE (grow (0, 20 * MB));
+  EXPECT_TRUE (dks_memory_claim_grow_preferred (&claims[1], 4 * MB, now_us));
+  EXPECT_FALSE (dks_memory_claim_grow_preferred (&claims[2], 1 * MB, now_us));
+  EXPECT_TRUE (grow (3, 64 << 10));
+}
+
 /* Guards against closing every stalled connection for a request that is refused all the same. */
 TEST_F (MemoryAccount, NothingGivesWayInVain)
 {
