--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -7,7 +7,8 @@
  *   small requests still fit when large ones do not.
  * - When memory is short, a claim that has made no progress for DKS_MEMORY_STALL_US gives way: the
  *   largest of those whose request is incomplete, or else of those whose answer is not taken. A
- *   claim that makes progress never gives way to a later one, so that what has begun ends.
+ *   claim that makes progress never gives way to a later one, so that what has begun ends. Of
+ *   answers no progress is known: one that is taken slowly may give way.
  */
 #ifndef DKS_COMMON_MEMORY_ACCOUNT_H
 #define DKS_COMMON_MEMORY_ACCOUNT_H
--- a/tests/test_memory_account.cc
+++ b/tests/test_memory_account.cc
@@ -79,7 +79,7 @@
   EXPECT_EQ (dks_memory_limit (UINT64_MAX), 512 * MB);
 }
 
-/* On the smallest machine of the sheets. */
+/* A machine of 120 MB and the largest body of a submission. */
 TEST_F (MemoryAccount, TheLargestBodyFitsOnTheSmallestMachine)
 {
   dks_memory_account_t *smallest = dks_memory_account_create (dks_memory_limit (120 * MB));
