http_server: an answer that is not taken gives way to new connections

Seen by callers: with 100 connections allowed, 300 clients that pipeline 300 GET /metrics each and read nothing, every other request is answered with 503 "this instance holds as many connections as it may", until the idle timeout (60 s by default) ends them.

Cause: only incomplete requests gave way to a new connection, and a connection with unread input never did. These clients wait for nothing but room in their own buffers, and what is unread is their next requests.

Change: an answer that has made no progress for 1 s gives way, whatever waits behind it. Progress is what the client has acknowledged (TCP_INFO); it is looked for every 0.5 s while more than half of the connections or of the memory are in use, and when the answer is to give way. So a client that takes its answer slowly and steadily keeps its connection, which was a gap of the memory account as well. A claim that is to stay moves to the end of its ring, and a new connection asks 256 claims at most.

The idle timeout of the tests is 600 s, so that it helps no test.

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -12,7 +12,8 @@
   LIMIT_MAX_BYTES = 512 << 20,
   /* A claim gives way only to one up to this many times as large: closing many idle connections for
    * one large body would not help. */
-  YIELD_RATIO_MAX = 64
+  YIELD_RATIO_MAX = 64,
+  YIELD_ATTEMPTS_MAX = 256 /* claims asked to make room for one connection */
 };
 
 struct dks_memory_account_t
@@ -260,15 +261,31 @@
   return true;
 }
 
-bool
-dks_memory_group_yield_oldest (dks_memory_group_t *group, const dks_memory_claim_t *claim)
+/* Lets the claim in `state` with the oldest progress give way, if that is `min_age_us` ago. One
+ * that is to stay counts as having made progress. */
+static bool
+group_yield_from (dks_memory_group_t *group, dks_memory_state_t state, int64_t min_age_us,
+                  const dks_memory_claim_t *asking, int64_t now_us)
 {
-  dks_memory_claim_t *oldest;
+  struct dks_memory_ring_t *ring = &group->rings[state];
 
-  APR_RING_FOREACH (oldest, &group->rings[DKS_MEMORY_INCOMPLETE], dks_memory_claim_t, link)
+  for (int i = 0; i < YIELD_ATTEMPTS_MAX && !APR_RING_EMPTY (ring, dks_memory_claim_t, link); i++)
     {
-      if (oldest != claim && claim_yield (oldest))
+      dks_memory_claim_t *oldest = APR_RING_FIRST (ring);
+
+      if (oldest == asking || now_us - oldest->progress_us < min_age_us)
+        return false;
+      if (claim_yield (oldest))
         return true;
+      dks_memory_claim_set_state (oldest, state, now_us);
     }
   return false;
 }
+
+bool
+dks_memory_group_yield_oldest (dks_memory_group_t *group, const dks_memory_claim_t *claim,
+                               int64_t now_us)
+{
+  return group_yield_from (group, DKS_MEMORY_INCOMPLETE, 0, claim, now_us)
+         || group_yield_from (group, DKS_MEMORY_UNTAKEN, DKS_MEMORY_STALL_US, claim, now_us);
+}
--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -7,8 +7,7 @@
  *   small requests still fit when large ones do not.
  * - When memory is short, a claim that has made no progress for DKS_MEMORY_STALL_US gives way: the
  *   largest of those whose request is incomplete, or else of those whose answer is not taken. A
- *   claim that makes progress never gives way to a later one, so that what has begun ends. Of
- *   answers no progress is known: one that is taken slowly may give way.
+ *   claim that makes progress never gives way to a later one, so that what has begun ends.
  */
 #ifndef DKS_COMMON_MEMORY_ACCOUNT_H
 #define DKS_COMMON_MEMORY_ACCOUNT_H
@@ -42,7 +41,7 @@
 
 /** Called when a claim has to give way; it must reduce or remove the claim before it returns.
  * Returns false when the claim is to stay: its client has done its part, and this process has not
- * seen it yet. */
+ * seen it yet, or has taken some of the answer. */
 typedef bool (*dks_memory_yield_t) (void *context, dks_memory_claim_t *claim);
 
 /** What one connection holds. */
@@ -107,8 +106,10 @@
 bool dks_memory_claim_finish (dks_memory_claim_t *claim, size_t bytes);
 /** Sets the bytes of a claim that are in use in any case. */
 void dks_memory_claim_set (dks_memory_claim_t *claim, size_t bytes);
-/** Lets the INCOMPLETE claim of the group with the oldest progress give way, for want of something
- * else than memory. Returns false when there is none but `claim`. */
-bool dks_memory_group_yield_oldest (dks_memory_group_t *group, const dks_memory_claim_t *claim);
+/** Lets the INCOMPLETE claim of the group with the oldest progress give way, or else the UNTAKEN
+ * one that has stalled for longest, for want of something else than memory. Returns false when
+ * there is none but `claim`. */
+bool dks_memory_group_yield_oldest (dks_memory_group_t *group, const dks_memory_claim_t *claim,
+                                    int64_t now_us);
 
 #endif
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -59,11 +59,12 @@
   dks_memory_account_t *memory;
   dks_memory_account_t *own_memory; /**< `memory` when the configuration gave none, or NULL */
   dks_memory_group_t memory_group;
-  size_t connection_bytes;  /**< of libmicrohttpd for one connection */
-  uint32_t closing_count;   /**< connections that had to give way and are not closed yet */
-  uint64_t yielded_total;   /**< connections that had to give way */
-  int64_t yield_logged_us;  /**< monotonic time of the last log line about them */
-  uint64_t bad_input_total; /**< requests that could not be decoded */
+  size_t connection_bytes;   /**< of libmicrohttpd for one connection */
+  uint32_t closing_count;    /**< connections that had to give way and are not closed yet */
+  uint64_t yielded_total;    /**< connections that had to give way */
+  int64_t yield_logged_us;   /**< monotonic time of the last log line about them */
+  uint64_t bad_input_total;  /**< requests that could not be decoded */
+  dks_timer_t answers_timer; /**< looks for progress of answers while others may need the room */
 };
 
 /** A connection of a client. */
@@ -75,6 +76,7 @@
   dks_http_exchange_t *exchange; /**< the present request, once its headers have arrived */
   bool over_limit;               /**< above max_connections; closed after the reply */
   bool closing;                  /**< had to give way */
+  uint64_t acknowledged; /**< bytes of replies, when it was last considered for giving way */
 };
 
 /** One request and its reply. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -6,6 +6,7 @@
 #include "core/key.h"
 #include "net/address.h"
 #include "net/http_exchange.h"
+#include "net/socket.h"
 
 #include <apr_pools.h>
 #include <errno.h>
@@ -42,6 +43,7 @@
   CONNECTION_MIN_BYTES = 8 << 10,
   CONNECTION_MAX_BYTES = 32 << 10,
   YIELD_LOG_INTERVAL_US = 1000000,
+  ANSWERS_CHECK_INTERVAL_US = 500000, /* between two looks for progress of answers */
   /* Between two checks of waiting callers whose connections have unread input: the input hides the
    * end of the stream from the event loop. */
   CALLERS_CHECK_INTERVAL_US = 100000,
@@ -651,10 +653,24 @@
   free (exchange);
 }
 
+/* Whether connections may soon have to give way. */
+static bool
+server_is_under_pressure (const dks_http_server_t *server)
+{
+  return server->connection_count > server->config.max_connections / 2
+         || dks_memory_account_used (server->memory)
+                > dks_memory_account_limit (server->memory) / 2;
+}
+
 static enum MHD_Result
 exchange_queue_response (dks_http_exchange_t *exchange)
 {
+  dks_http_server_t *server = exchange->server;
+
   connection_set_state (exchange->client, DKS_MEMORY_UNTAKEN);
+  if (server_is_under_pressure (server) && !dks_timer_is_armed (&server->answers_timer))
+    dks_timer_set (dks_loop_timers (server->loop), &server->answers_timer,
+                   dks_loop_now ().mono_us + ANSWERS_CHECK_INTERVAL_US);
   return MHD_queue_response (exchange->connection, exchange->status, exchange->response);
 }
 
@@ -816,7 +832,8 @@
   if (server->connection_count - server->closing_count <= server->config.max_connections)
     return;
   if (!server->config.replaces_waiting
-      || !dks_memory_group_yield_oldest (&server->memory_group, &client->claim))
+      || !dks_memory_group_yield_oldest (&server->memory_group, &client->claim,
+                                         dks_loop_now ().mono_us))
     {
       client->over_limit = true;
       MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
@@ -856,6 +873,49 @@
   return poll (&connection, 1, 0) > 0 && connection.revents == POLLIN;
 }
 
+static int
+connection_fd (const dks_http_connection_t *client)
+{
+  return MHD_get_connection_info (client->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
+/* Whether the client has taken some of its answer since the last call. */
+static bool
+connection_answer_progressed (dks_http_connection_t *client)
+{
+  uint64_t acknowledged = dks_socket_acknowledged (connection_fd (client));
+  bool progressed = acknowledged != client->acknowledged;
+
+  client->acknowledged = acknowledged;
+  return progressed;
+}
+
+/* Looks for progress of the answers that have not been taken, so that it is known when connections
+ * have to give way. */
+static void
+handle_answers_timer (void *context, int64_t now_us)
+{
+  dks_http_server_t *server = context;
+  struct dks_memory_ring_t *ring = &server->memory_group.rings[DKS_MEMORY_UNTAKEN];
+  dks_memory_claim_t *claim;
+  dks_memory_claim_t *next;
+
+  if (APR_RING_EMPTY (ring, dks_memory_claim_t, link) || !server_is_under_pressure (server))
+    return;
+  APR_RING_FOREACH_SAFE (claim, next, ring, dks_memory_claim_t, link)
+    {
+      dks_http_connection_t *client = (dks_http_connection_t *)claim;
+
+      if (now_us - claim->progress_us < ANSWERS_CHECK_INTERVAL_US)
+        break;
+      if (connection_answer_progressed (client))
+        connection_set_state (client, DKS_MEMORY_UNTAKEN);
+    }
+  dks_timer_set (dks_loop_timers (server->loop), &server->answers_timer,
+                 now_us + ANSWERS_CHECK_INTERVAL_US);
+}
+
 /* Closes a connection whose client keeps the server waiting, and frees what it holds. One above the
  * limit of connections is answered at once and stays for that. */
 static bool
@@ -863,12 +923,13 @@
 {
   dks_http_server_t *server = context;
   dks_http_connection_t *client = (dks_http_connection_t *)claim;
-  int fd =
-      MHD_get_connection_info (client->connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+  int fd = connection_fd (client);
   bool incomplete = claim->state == DKS_MEMORY_INCOMPLETE;
   int64_t now_us = dks_loop_now ().mono_us;
 
-  if (client->over_limit || (incomplete && has_unread_input (fd)))
+  if (client->over_limit)
+    return false;
+  if (incomplete ? has_unread_input (fd) : connection_answer_progressed (client))
     return false;
   connection_set_state (client, DKS_MEMORY_HELD);
   client->closing = true;
@@ -1016,6 +1077,7 @@
   created->epoll_fd = MHD_get_daemon_info (created->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   dks_timer_init (&created->run_timer, handle_run_timer, created);
   dks_timer_init (&created->callers_timer, handle_callers_timer, created);
+  dks_timer_init (&created->answers_timer, handle_answers_timer, created);
   if (dks_loop_watch (loop, created->epoll_fd, DKS_LOOP_READ, handle_epoll, created) != DKS_OK)
     {
       dks_http_server_destroy (created);
@@ -1042,6 +1104,7 @@
   MHD_stop_daemon (server->daemon);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->callers_timer);
+  dks_timer_cancel (dks_loop_timers (server->loop), &server->answers_timer);
   apr_pool_destroy (server->pool);
   server_free (server);
 }
--- a/tests/process/crowd.cc
+++ b/tests/process/crowd.cc
@@ -25,6 +25,7 @@
  * has read what the crowd has sent. */
 constexpr int TURNS = 300;
 constexpr int QUIET_MS = 3000; /* a crowd that can send nothing for this long is held up for good */
+constexpr int IDLE_TIMEOUT_S = 600; /* no connection is closed because it is idle */
 
 int
 descriptors (pid_t pid)
@@ -163,6 +164,38 @@
   };
 }
 
+SlowReader::SlowReader (int port, const std::string &request)
+    : fd_ (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  sockaddr_in address = loopback_address (port);
+
+  setsockopt (fd_, SOL_SOCKET, SO_RCVBUF, &SMALL_BUFFER, sizeof (SMALL_BUFFER));
+  EXPECT_EQ (0, connect (fd_, reinterpret_cast<sockaddr *> (&address), sizeof (address)));
+  for (size_t sent = 0; sent < request.size ();)
+    {
+      ssize_t n = send (fd_, request.data () + sent, request.size () - sent, MSG_NOSIGNAL);
+      if (n <= 0)
+        return;
+      sent += static_cast<size_t> (n);
+    }
+}
+
+SlowReader::~SlowReader ()
+{
+  close (fd_);
+}
+
+bool
+SlowReader::read_some ()
+{
+  char piece[1024];
+  ssize_t n = recv (fd_, piece, sizeof (piece), 0);
+
+  if (n > 0)
+    received_.append (piece, static_cast<size_t> (n));
+  return n > 0;
+}
+
 Crowd::Crowd (int port, int count, const std::function<source_t (int)> &source, bool reads)
     : reads_ (reads)
 {
@@ -274,6 +307,7 @@
 {
   setenv ("DAMASKSHORE_MEMORY_MB", std::to_string (MEMORY_MB).c_str (), 1);
   setenv ("DAMASKSHORE_HTTP_CONNECTIONS", std::to_string (connections).c_str (), 1);
+  setenv ("DAMASKSHORE_HTTP_IDLE_TIMEOUT_S", std::to_string (IDLE_TIMEOUT_S).c_str (), 1);
 }
 
 void
@@ -309,6 +343,14 @@
   expect_within_limits (cluster_->instance (0).pid (), connections_);
 }
 
+void
+OwnInterface::expect_serves_again ()
+{
+  EXPECT_TRUE (
+      eventually ([&] { return submit (*cluster_, { 0 }, new_key (), 1).outcome == "complete"; }));
+  expect_within_limits (cluster_->instance (0).pid (), connections_);
+}
+
 void
 FrontAddress::start (int connections)
 {
--- a/tests/process/crowd.h
+++ b/tests/process/crowd.h
@@ -68,6 +68,28 @@
   bool reads_;
 };
 
+/** A client that sends one request and takes its answer in small pieces. */
+class SlowReader
+{
+public:
+  SlowReader (int port, const std::string &request);
+  ~SlowReader ();
+  SlowReader (const SlowReader &) = delete;
+  SlowReader &operator= (const SlowReader &) = delete;
+
+  /** Waits for the next piece; returns false at the end of the connection. */
+  bool read_some ();
+  const std::string &
+  received () const
+  {
+    return received_;
+  }
+
+private:
+  int fd_;
+  std::string received_;
+};
+
 /** Memory in kB of /proc/PID/status, by its name there; 0 when the process has ended. */
 int memory_kb (pid_t pid, const std::string &name);
 /** Sets the limits of the instances that are started from now on. */
@@ -80,6 +102,8 @@
 protected:
   void start (int connections = CONNECTIONS);
   void expect_bears (Crowd &crowd);
+  /** A request is answered once those that are in its way have given way. */
+  void expect_serves_again ();
 
   std::unique_ptr<Cluster> cluster_;
   int connections_ = 0;
--- a/tests/process/test_crowd.cc
+++ b/tests/process/test_crowd.cc
@@ -121,6 +121,47 @@
   expect_bears (crowd);
 }
 
+std::string
+metrics_requests (int count)
+{
+  std::string requests;
+
+  for (int i = 0; i < count; i++)
+    requests += "GET /metrics HTTP/1.1\r\nHost: crowd\r\n\r\n";
+  return requests;
+}
+
+TEST_F (OwnInterface, MoreUnreadAnswersThanAllowed)
+{
+  start (FEW_CONNECTIONS);
+  Crowd crowd (
+      cluster_->http_port (0), 300, [] (int) { return text (metrics_requests (300)); }, false);
+  crowd.send_all ();
+  expect_serves_again ();
+}
+
+/* A client that takes its answer slowly and steadily gets all of it, while others that take nothing
+ * are in the way of new connections. */
+TEST_F (OwnInterface, AnswerThatIsTakenSlowly)
+{
+  start (FEW_CONNECTIONS);
+  std::string echo (200000, 'x');
+  std::string body = R"({"service":"roasting","team":"pricing","deadline_ms":30000,"task":)"
+                     R"({"run_ms":1,"payload":"{\"run_ms\":1,\"echo\":\")"
+                     + echo + R"(\"}"}})";
+  SlowReader reader (cluster_->http_port (0),
+                     post_head ("/v1/requests", "Connection: close\r\nContent-Length: "
+                                                    + std::to_string (body.size ()))
+                         + body);
+  Crowd crowd (
+      cluster_->http_port (0), 300, [] (int) { return text (metrics_requests (300)); }, false);
+  crowd.send_all ();
+  while (reader.read_some ())
+    http ("GET", cluster_->url (0, "/healthz"));
+  EXPECT_NE (std::string::npos, reader.received ().find (echo));
+  expect_serves_again ();
+}
+
 TEST_F (OwnInterface, MoreIdleConnectionsThanAllowed)
 {
   start (FEW_CONNECTIONS);
--- a/tests/test_memory_account.cc
+++ b/tests/test_memory_account.cc
@@ -252,9 +252,26 @@
   for (size_t i = 0; i < 3; i++)
     add (i);
   dks_memory_claim_set_state (&claims[0], DKS_MEMORY_HELD, now_us);
-  EXPECT_TRUE (dks_memory_group_yield_oldest (&group, &claims[2]));
+  EXPECT_TRUE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
   EXPECT_EQ (yielded, std::vector<long>{ 1 });
-  EXPECT_FALSE (dks_memory_group_yield_oldest (&group, &claims[2]));
+  EXPECT_FALSE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
+}
+
+/* An answer that is not taken makes room only after it has stalled, whatever the claim has
+ * received.
+ */
+TEST_F (MemoryAccount, StalledAnswerMakesRoomForAConnection)
+{
+  for (size_t i = 0; i < 3; i++)
+    add (i);
+  for (size_t i = 0; i < 2; i++)
+    dks_memory_claim_set_state (&claims[i], DKS_MEMORY_UNTAKEN, now_us);
+  EXPECT_FALSE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
+  now_us += DKS_MEMORY_STALL_US;
+  stays = 0;
+  EXPECT_TRUE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
+  EXPECT_EQ (yielded, std::vector<long>{ 1 });
+  EXPECT_FALSE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
 }
 
 /* Random use never exceeds the limit, and at the end the account is at 0. */
