http_server: accept again after all connections were in use

Seen by callers: after a crowd has filled all connections, those above the limit included, and has left, no new connection is accepted: requests time out until the idle timeout (60 s by default) of a connection passes. With a long idle timeout the instance serves nobody.

Cause: libmicrohttpd stops watching its listening socket at its limit of connections, and looks for room when it runs again. When the last connections end in one run, nothing makes it run once more.

Change: the end of a connection at the limit schedules another run.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -79,6 +79,13 @@
     dks_memory_claim_set_state (&client->claim, state, dks_loop_now ().mono_us);
 }
 
+/* Connections that libmicrohttpd accepts. */
+static uint32_t
+server_connection_limit (const dks_http_server_t *server)
+{
+  return server->config.max_connections + OVER_LIMIT_CONNECTIONS_MAX;
+}
+
 /* ---- Replies ---- */
 
 const char *
@@ -815,6 +822,10 @@
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
+      /* libmicrohttpd accepts nothing at its limit, and notices only when it runs again that there
+       * is room. */
+      if (server->connection_count >= server_connection_limit (server))
+        server_schedule_run (server);
       server->connection_count--;
       server->closing_count -= client->closing;
       dks_memory_claim_remove (&client->claim);
@@ -1006,8 +1017,7 @@
     /* The logger must come first to get the messages about later options. */
     { MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)handle_log, server },
     { MHD_OPTION_SOCK_ADDR, 0, (void *)&address->any },
-    { MHD_OPTION_CONNECTION_LIMIT,
-      (intptr_t)server->config.max_connections + OVER_LIMIT_CONNECTIONS_MAX, NULL },
+    { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)server_connection_limit (server), NULL },
     { MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t)server->connection_bytes, NULL },
     { MHD_OPTION_CONNECTION_TIMEOUT, server->config.idle_timeout_s, NULL },
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)handle_completed, server },
--- a/tests/test_http_server.cc
+++ b/tests/test_http_server.cc
@@ -908,6 +908,22 @@
   EXPECT_FALSE (held.closed);
 }
 
+/* Guards against a server that, once it was full, accepts nothing before a connection is idle for
+ * too long. */
+TEST_F (HttpServer, AcceptsAgainAfterAllConnectionsWereInUse)
+{
+  config.max_connections = 1;
+  start ();
+  {
+    std::vector<Client> crowd;
+    for (int i = 0; i < 100; i++)
+      crowd.emplace_back (port);
+    for (int i = 0; i < 100; i++)
+      turn ();
+  }
+  EXPECT_TRUE (run_until ([&] { return call ("GET", "/healthz").status == 200; }));
+}
+
 TEST_F (HttpServer, ClosesIdleConnections)
 {
   config.idle_timeout_s = 1;
