net, host: what connections hold in the kernel is bounded and counted

Seen: while an instance is slow, what clients send waits in its sockets, and counts as memory of its machine. With a tenth of a processor (stopped for 90 ms of each 100 ms) and clients whose bodies stop short, memory and unread input together pass the memory that the instance was told (64 MiB), so its machine would end it.

Cause: no socket had a buffer of a fixed size, so the kernel grew them, and the memory account began where libmicrohttpd has read.

Change: the buffers of each accepted connection are bounded, and that for input is in the account, on the own interface, the front address, the readiness check and the address for other instances, also for connections that wait to be accepted, whose number is bounded too. A larger value gets smaller buffers and is lowered only where three quarters of the limit do not hold them. As connections now take more of the account, answers of more than 1 KiB to reads of the instance's own state are refused once three quarters of the limit are in use. With leased targets the own interface, which then serves operators only, has 64 connections.

Not bounded: unread answers of targets and of the platform.

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -114,6 +114,7 @@
   claim->group = group;
   claim->state = DKS_MEMORY_INCOMPLETE;
   claim->bytes = 0;
+  claim->base_bytes = 0;
   claim_insert (claim, now_us);
 }
 
@@ -189,15 +190,15 @@
   return true;
 }
 
-/* Bytes that may be in use after a claim has grown to `bytes`. */
+/* Bytes that may be in use after the claim has grown to `bytes`. */
 static size_t
-account_allowance (const dks_memory_account_t *account, size_t bytes)
+claim_allowance (const dks_memory_claim_t *claim, size_t bytes)
 {
-  size_t eighth = account->limit / 8;
+  size_t eighth = claim->group->account->limit / 8;
 
-  if (bytes <= DKS_MEMORY_SMALL_BYTES)
+  if (bytes <= claim->base_bytes + DKS_MEMORY_SMALL_BYTES)
     return 7 * eighth;
-  return bytes <= DKS_MEMORY_MEDIUM_BYTES ? 6 * eighth : 5 * eighth;
+  return bytes <= claim->base_bytes + DKS_MEMORY_MEDIUM_BYTES ? 6 * eighth : 5 * eighth;
 }
 
 /* Grows the claim to `bytes` if no more than `allowance` is in use then, after others have given
@@ -234,7 +235,7 @@
 bool
 dks_memory_claim_grow (dks_memory_claim_t *claim, size_t bytes, int64_t now_us)
 {
-  return claim_grow_within (claim, bytes, account_allowance (claim->group->account, bytes), now_us);
+  return claim_grow_within (claim, bytes, claim_allowance (claim, bytes), now_us);
 }
 
 bool
@@ -242,8 +243,7 @@
 {
   size_t rank_bytes = bytes < DKS_MEMORY_MEDIUM_BYTES ? bytes : (size_t)DKS_MEMORY_MEDIUM_BYTES;
 
-  return claim_grow_within (claim, bytes, account_allowance (claim->group->account, rank_bytes),
-                            now_us);
+  return claim_grow_within (claim, bytes, claim_allowance (claim, rank_bytes), now_us);
 }
 
 bool
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -35,7 +35,11 @@
    * drain ends still arrive and are answered. */
   EXIT_LINGER_US = 100000,
   RESERVED_DESCRIPTORS = 512, /* for refused callers, peers, the platform and some targets */
-  READINESS_CONNECTIONS = 64, /* maximum of connections to the readiness check */
+  CONNECTIONS_DEFAULT_MAX = 4096,
+  /* Maximum of connections to the readiness check, and with leased targets also to the own
+   * interface, which then serves operators only. */
+  SERVICE_CONNECTIONS = 64,
+  SERVICE_MEMORY_SHARE = 32, /* part of the memory limit that these connections may take */
   SETTINGS_CHECK_INTERVAL_US = 2000000, /* between two checks of the settings file */
   /* Per leased target: a long poll that waits, a poll, and starts that are answered within
    * milliseconds. */
@@ -446,33 +450,53 @@
 }
 
 /* Raises the limit of open descriptors to the hard limit: one is needed per caller, target
- * connection and peer. With leased targets, lowers `http_connections` when the hard limit is too
- * small. */
-static int
-raise_descriptor_limit (dks_options_t *options)
+ * connection and peer. Returns the limit, or 0. */
+static uint64_t
+raise_descriptor_limit (void)
 {
   struct rlimit limit;
-  rlim_t needed = (rlim_t)options->http_connections + RESERVED_DESCRIPTORS;
 
   if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
-    return DKS_ERR_IO;
-  if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < needed && options->config.leased_targets
-      && limit.rlim_max > 2 * (rlim_t)RESERVED_DESCRIPTORS)
-    {
-      options->http_connections = (uint32_t)limit.rlim_max - RESERVED_DESCRIPTORS;
-      dks_log (DKS_LOG_NOTICE, "event=connections-limited connections=%u descriptors=%" PRIu64,
-               options->http_connections, (uint64_t)limit.rlim_max);
-    }
-  else if (limit.rlim_max != RLIM_INFINITY && limit.rlim_max < needed)
+    return 0;
+  limit.rlim_cur = limit.rlim_max;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return 0;
+  return limit.rlim_max != RLIM_INFINITY ? limit.rlim_max : UINT64_MAX;
+}
+
+/* Sets `http_connections` where it is not given, and lowers it where memory, or with leased targets
+ * descriptors, are too few for it. */
+static int
+limit_connections (dks_options_t *options, size_t memory_limit)
+{
+  uint64_t descriptors = raise_descriptor_limit ();
+  uint32_t wanted = options->http_connections;
+  uint32_t most = wanted == 0 ? dks_http_connections_fitting (memory_limit / 2, true)
+                              : dks_http_connections_fitting (memory_limit / 4 * 3, false);
+  uint32_t connections = wanted > 0 ? wanted : CONNECTIONS_DEFAULT_MAX;
+
+  if (connections > most)
+    connections = most;
+  if (descriptors < (uint64_t)connections + RESERVED_DESCRIPTORS
+      && (options->config.leased_targets || wanted == 0)
+      && descriptors > 2 * (uint64_t)RESERVED_DESCRIPTORS)
+    connections = (uint32_t)(descriptors - RESERVED_DESCRIPTORS);
+  if (descriptors < (uint64_t)connections + RESERVED_DESCRIPTORS)
     {
-      dks_log (DKS_LOG_ERROR,
-               "event=start-failed reason=\"--http-connections %u needs %" PRIu64
-               " descriptors, the limit is %" PRIu64 "\"",
-               options->http_connections, (uint64_t)needed, (uint64_t)limit.rlim_max);
+      dks_log (
+          DKS_LOG_ERROR,
+          "event=start-failed reason=\"--http-connections %u needs %u descriptors, the limit is "
+          "%" PRIu64 "\"",
+          connections, connections + RESERVED_DESCRIPTORS, descriptors);
       return DKS_ERR_UNAVAILABLE;
     }
-  limit.rlim_cur = limit.rlim_max;
-  return setrlimit (RLIMIT_NOFILE, &limit) == 0 ? DKS_OK : DKS_ERR_IO;
+  if (wanted > connections)
+    dks_log (DKS_LOG_NOTICE,
+             "event=connections-limited connections=%u descriptors=%" PRIu64
+             " memory_limit_bytes=%zu",
+             connections, descriptors, memory_limit);
+  options->http_connections = connections;
+  return DKS_OK;
 }
 
 static int
@@ -515,12 +539,20 @@
   return error;
 }
 
+static size_t
+service_connections_bytes (const dks_host_t *host)
+{
+  return dks_memory_account_limit (host->memory) / SERVICE_MEMORY_SHARE;
+}
+
 static int
 open_server (dks_host_t *host, const dks_options_t *options)
 {
+  bool is_service = options->config.leased_targets;
   const dks_http_server_config_t config = {
     .address = options->http_address,
-    .max_connections = options->http_connections,
+    .max_connections = is_service ? (uint32_t)SERVICE_CONNECTIONS : options->http_connections,
+    .connections_bytes = is_service ? service_connections_bytes (host) : 0,
     .idle_timeout_s = options->http_idle_timeout_s,
     .data_centre = options->config.data_centre,
     .deadline_default_ms = options->deadline_default_ms,
@@ -549,7 +581,8 @@
   bool is_front = interface == &dks_platform_front;
   const dks_http_server_config_t config = {
     .address = address,
-    .max_connections = is_front ? options->http_connections : (uint32_t)READINESS_CONNECTIONS,
+    .max_connections = is_front ? options->http_connections : (uint32_t)SERVICE_CONNECTIONS,
+    .connections_bytes = is_front ? 0 : service_connections_bytes (host),
     .idle_timeout_s = options->http_idle_timeout_s,
     .data_centre = options->config.data_centre,
     .caller_id_base = is_front ? FRONT_CALLER_ID_BASE : 0,
@@ -625,7 +658,7 @@
 {
   dks_host_t *host = dks_alloc (sizeof (*host));
   dks_options_t limited_options = *options;
-  int error = raise_descriptor_limit (&limited_options);
+  int error;
 
   host->options = *options;
   options = &limited_options;
@@ -633,6 +666,7 @@
   host->signal_fd = -1;
   host->loop = dks_loop_create ();
   host->memory = dks_memory_account_create (dks_memory_limit (memory_bytes (options)));
+  error = limit_connections (&limited_options, dks_memory_account_limit (host->memory));
   dks_timer_init (&host->tick_timer, handle_tick, host);
   dks_timer_init (&host->settings_timer, handle_settings_timer, host);
   dks_timer_init (&host->exit_timer, handle_exit_timer, host);
--- a/damaskshored/options.c
+++ b/damaskshored/options.c
@@ -286,8 +286,9 @@
   { "http-address", "IP:PORT", set_listen_address, "127.0.0.1:8080", false, 0, 0, 0,
     FIELD (http_address), "a numeric IP address and a port from 1 to 65535",
     "address of the HTTP server" },
-  { "http-connections", "N", set_number, "4096", false, 1, 60000, 1, FIELD (http_connections), NULL,
-    "connections of callers held at once" },
+  { "http-connections", "N", set_number, NULL, false, 1, 60000, 1, FIELD (http_connections), NULL,
+    "connections of callers held at once; by default as many as memory and descriptors allow, up "
+    "to 4096" },
   { "http-idle-timeout-s", "S", set_number, "60", false, 1, 3600, 1, FIELD (http_idle_timeout_s),
     NULL, "time after which an idle connection of a caller is closed" },
   { "id", "NAME", set_id, NULL, true, 0, 0, 0, FIELD (config.id), NAME_ALLOWED,
--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -51,6 +51,8 @@
   dks_memory_group_t *group; /**< NULL before it is added */
   dks_memory_state_t state;
   size_t bytes;
+  size_t base_bytes;     /**< of `bytes`, what the connection itself takes: no part of the size by
+                              which a claim may use more or less of the limit */
   size_t progress_bytes; /**< received since `progress_us` */
   int64_t progress_us;   /**< monotonic time of the last progress */
   int64_t received_us;   /**< monotonic time at which bytes were last received, 0: none yet */
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -59,7 +59,8 @@
   dks_memory_account_t *memory;
   dks_memory_account_t *own_memory; /**< `memory` when the configuration gave none, or NULL */
   dks_memory_group_t memory_group;
-  size_t connection_bytes;   /**< of libmicrohttpd for one connection */
+  dks_memory_claim_t queue_claim; /**< of connections that wait to be accepted */
+  dks_http_connection_sizes_t sizes;
   uint32_t closing_count;    /**< connections that had to give way and are not closed yet */
   uint64_t yielded_total;    /**< connections that had to give way */
   int64_t yield_logged_us;   /**< monotonic time of the last log line about them */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -34,12 +34,28 @@
   uint64_t caller_id_base;      /**< caller ids start one above this; servers that share a reducer
                                      need disjoint ranges */
   dks_memory_account_t *memory; /**< of the process; NULL: an own one of the largest limit */
+  size_t connections_bytes;     /**< that all connections together may take, whatever they are used
+                                     for; 0: half of the limit of the memory account */
   /** A connection above max_connections takes the place of the one whose client has kept the server
    * waiting for longest, if there is one, instead of being answered with 503. */
   bool replaces_waiting;
   const dks_http_interface_t *interface; /**< NULL: the default, docs/design.md section 7 */
 } dks_http_server_config_t;
 
+/** What one connection takes. */
+typedef struct
+{
+  size_t pool_bytes;    /**< headers and unread input in this process */
+  size_t receive_bytes; /**< received input in the kernel */
+} dks_http_connection_sizes_t;
+
+/** Sizes for `max_connections` that may take `connections_bytes` together. */
+dks_http_connection_sizes_t
+dks_http_connection_sizes (size_t connections_bytes, uint32_t max_connections);
+/** The most connections that fit into `connections_bytes`; with `ample`, those of a size at which a
+ * client on a link of 25 Mbit/s sends at full speed. */
+uint32_t dks_http_connections_fitting (size_t connections_bytes, bool ample);
+
 /** Starts to listen. Returns DKS_ERR_INVALID for an address that is not a numeric IP:port,
  * DKS_ERR_IO when the server cannot listen there. */
 int dks_http_server_create (dks_loop_t *loop, const dks_http_server_config_t *config,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -29,6 +29,7 @@
    * connection with unread data resets it, and the caller may lose the reply. */
   BODY_READ_MAX_BYTES = 4 * DKS_SUBMISSION_MAX,
   BODY_INITIAL_CAPACITY = 4096, /* bytes */
+  SMALL_ANSWER_BYTES = 1024,    /* answers up to this size are always given */
   BODY_PAGE_BYTES = 4096,
   /* Up to this capacity a body doubles its buffer, above it the buffer grows by a quarter. */
   BODY_DOUBLING_MAX_BYTES = 64 << 10,
@@ -40,8 +41,18 @@
   ARRAY_BYTES = 136,
   VALUE_BYTES = 64,
   /* What libmicrohttpd holds for one connection: headers and unread input. */
-  CONNECTION_MIN_BYTES = 8 << 10,
-  CONNECTION_MAX_BYTES = 32 << 10,
+  POOL_MIN_BYTES = 8 << 10,
+  POOL_MAX_BYTES = 32 << 10,
+  /* In the kernel, for the input of one connection. Half of it is for data, the rest for the
+   * structures of the kernel; the window is then at most the product of 25 Mbit/s and a round trip
+   * of 2.6 ms. */
+  RECEIVE_MIN_BYTES = 4 << 10,
+  RECEIVE_MAX_BYTES = 16 << 10,
+  SEND_BYTES = 16 << 10, /* in the kernel for output, which is in the account as an answer */
+  /* Connections that wait to be accepted may take this part of the limit. */
+  LISTEN_QUEUE_SHARE = 16,
+  LISTEN_QUEUE_MIN = 64,
+  LISTEN_QUEUE_MAX = 1024,
   YIELD_LOG_INTERVAL_US = 1000000,
   ANSWERS_CHECK_INTERVAL_US = 500000, /* between two looks for progress of answers */
   /* Between two checks of waiting callers whose connections have unread input: the input hides the
@@ -52,12 +63,51 @@
 
 /* ---- Memory ---- */
 
+static size_t
+sizes_total (const dks_http_connection_sizes_t *sizes)
+{
+  return sizes->pool_bytes + sizes->receive_bytes;
+}
+
+static size_t
+clamp_size (size_t bytes, size_t min, size_t max)
+{
+  if (bytes < min)
+    return min;
+  return bytes < max ? bytes / BODY_PAGE_BYTES * BODY_PAGE_BYTES : max;
+}
+
+dks_http_connection_sizes_t
+dks_http_connection_sizes (size_t connections_bytes, uint32_t max_connections)
+{
+  size_t bytes = connections_bytes / (max_connections + OVER_LIMIT_CONNECTIONS_MAX);
+  size_t receive_bytes = clamp_size (bytes / 3 * 2, RECEIVE_MIN_BYTES, RECEIVE_MAX_BYTES);
+  size_t rest = bytes > receive_bytes ? bytes - receive_bytes : 0;
+
+  return (dks_http_connection_sizes_t){
+    .pool_bytes = clamp_size (rest, POOL_MIN_BYTES, POOL_MAX_BYTES),
+    .receive_bytes = receive_bytes,
+  };
+}
+
+uint32_t
+dks_http_connections_fitting (size_t connections_bytes, bool ample)
+{
+  size_t bytes = POOL_MIN_BYTES + (size_t)(ample ? RECEIVE_MAX_BYTES : RECEIVE_MIN_BYTES);
+  size_t count = connections_bytes / bytes;
+
+  if (count <= OVER_LIMIT_CONNECTIONS_MAX)
+    return 1;
+  count -= OVER_LIMIT_CONNECTIONS_MAX;
+  return count < UINT32_MAX ? (uint32_t)count : UINT32_MAX;
+}
+
 /* States what the connection holds. A connection that had to give way counts as freed. */
 static size_t
 connection_bytes (const dks_http_connection_t *client)
 {
   const dks_http_exchange_t *exchange = client->exchange;
-  size_t bytes = client->server->connection_bytes;
+  size_t bytes = client->claim.base_bytes;
 
   if (client->closing)
     return 0;
@@ -176,10 +226,10 @@
 /* Refuses a request for want of memory. Where the status itself says that a job never runs, as of a
  * job that may have been sent before, it says that the outcome is unknown. */
 static void
-exchange_fail_for_memory (dks_http_exchange_t *exchange)
+exchange_fail_overloaded (dks_http_exchange_t *exchange, const char *detail)
 {
-  exchange_fail (exchange, exchange->route->needs_caller ? 504 : 503, "overloaded",
-                 "too many bytes of requests are held", OVERLOAD_RETRY_MS);
+  exchange_fail (exchange, exchange->route->needs_caller ? 504 : 503, "overloaded", detail,
+                 OVERLOAD_RETRY_MS);
 }
 
 void
@@ -535,7 +585,6 @@
 static void
 exchange_append_body (dks_http_exchange_t *exchange, const char *data, size_t len)
 {
-  dks_http_server_t *server = exchange->server;
   size_t capacity;
 
   if (exchange->response != NULL)
@@ -553,11 +602,12 @@
   capacity = exchange_body_capacity (exchange, exchange->body_len + len);
   if (capacity != exchange->body_capacity)
     {
-      if (!dks_memory_claim_grow (&exchange->client->claim, server->connection_bytes + capacity,
+      if (!dks_memory_claim_grow (&exchange->client->claim,
+                                  exchange->client->claim.base_bytes + capacity,
                                   dks_loop_now ().mono_us))
         {
           exchange_drop_body (exchange);
-          exchange_fail_for_memory (exchange);
+          exchange_fail_overloaded (exchange, "too many bytes of requests are held");
           return;
         }
       exchange->body = dks_realloc (exchange->body, capacity);
@@ -644,6 +694,14 @@
   return exchange;
 }
 
+static void
+exchange_drop_response (dks_http_exchange_t *exchange)
+{
+  MHD_destroy_response (exchange->response);
+  exchange->response = NULL;
+  exchange->answer_bytes = 0;
+}
+
 static void
 exchange_destroy (dks_http_exchange_t *exchange)
 {
@@ -738,7 +796,19 @@
                                connection_bytes (exchange->client) + bytes))
     exchange->decode_bytes = bytes;
   else
-    exchange_fail_for_memory (exchange);
+    exchange_fail_overloaded (exchange, "too many bytes of requests are held");
+}
+
+/* Answers that come from this instance's own state must leave room for small requests when clients
+ * do not take them. */
+static bool
+exchange_has_room_for_answer (const dks_http_exchange_t *exchange)
+{
+  const dks_memory_account_t *memory = exchange->server->memory;
+
+  return exchange->caller_id != 0 || strcmp (exchange->route->method, MHD_HTTP_METHOD_GET) != 0
+         || exchange->answer_bytes <= SMALL_ANSWER_BYTES
+         || dks_memory_account_used (memory) <= dks_memory_account_limit (memory) / 4 * 3;
 }
 
 static enum MHD_Result
@@ -758,6 +828,11 @@
         exchange_reserve_decoding (exchange);
       if (exchange->response == NULL)
         exchange->route->handle (exchange);
+      if (exchange->response != NULL && !exchange_has_room_for_answer (exchange))
+        {
+          exchange_drop_response (exchange);
+          exchange_fail_overloaded (exchange, "too many bytes of answers are held");
+        }
       exchange->decode_bytes = 0;
       exchange_drop_body (exchange);
       if (exchange->response == NULL && !exchange->caller_gone)
@@ -837,6 +912,7 @@
   client->server = server;
   client->connection = connection;
   dks_memory_claim_add (&client->claim, &server->memory_group, dks_loop_now ().mono_us);
+  client->claim.base_bytes = sizes_total (&server->sizes);
   connection_account (client);
   *socket_context = client;
   server->connection_count++;
@@ -1009,16 +1085,29 @@
   dks_log (DKS_LOG_DEBUG, "event=http-server text=\"%s\"", text);
 }
 
+static int
+server_listen_queue (const dks_http_server_t *server)
+{
+  size_t length =
+      dks_memory_account_limit (server->memory) / LISTEN_QUEUE_SHARE / server->sizes.receive_bytes;
+
+  if (length < LISTEN_QUEUE_MIN)
+    return LISTEN_QUEUE_MIN;
+  return length < LISTEN_QUEUE_MAX ? (int)length : LISTEN_QUEUE_MAX;
+}
+
+/* Takes ownership of the listening socket. */
 static struct MHD_Daemon *
-start_daemon (dks_http_server_t *server, const dks_address_t *address)
+start_daemon (dks_http_server_t *server, const dks_address_t *address, int listen_fd)
 {
+  struct MHD_Daemon *daemon;
   unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
   const struct MHD_OptionItem options[] = {
     /* The logger must come first to get the messages about later options. */
     { MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)handle_log, server },
-    { MHD_OPTION_SOCK_ADDR, 0, (void *)&address->any },
+    { MHD_OPTION_LISTEN_SOCKET, listen_fd, NULL },
     { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)server_connection_limit (server), NULL },
-    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t)server->connection_bytes, NULL },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t)server->sizes.pool_bytes, NULL },
     { MHD_OPTION_CONNECTION_TIMEOUT, server->config.idle_timeout_s, NULL },
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)handle_completed, server },
     { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)handle_connection, server },
@@ -1027,25 +1116,40 @@
 
   if (address->any.sa_family == AF_INET6)
     flags |= MHD_USE_IPv6;
-  return MHD_start_daemon (flags, 0, NULL, NULL, handle_access, server, MHD_OPTION_ARRAY, options,
-                           MHD_OPTION_END);
+  daemon = MHD_start_daemon (flags, 0, NULL, NULL, handle_access, server, MHD_OPTION_ARRAY, options,
+                             MHD_OPTION_END);
+  if (daemon == NULL)
+    close (listen_fd);
+  return daemon;
 }
 
-/* The connections of one server may take half of the limit. */
-static size_t
-server_connection_bytes (const dks_http_server_t *server)
+static struct MHD_Daemon *
+server_listen (dks_http_server_t *server, const dks_address_t *address)
+{
+  int listen_fd = dks_socket_listen (address, server->sizes.receive_bytes, SEND_BYTES,
+                                     server_listen_queue (server));
+
+  return listen_fd >= 0 ? start_daemon (server, address, listen_fd) : NULL;
+}
+
+static void
+server_open_account (dks_http_server_t *server)
 {
-  size_t bytes = dks_memory_account_limit (server->memory) / 2 / server->config.max_connections;
+  size_t connections_bytes = server->config.connections_bytes;
 
-  if (bytes < CONNECTION_MIN_BYTES)
-    return CONNECTION_MIN_BYTES;
-  return bytes < CONNECTION_MAX_BYTES ? bytes / BODY_PAGE_BYTES * BODY_PAGE_BYTES
-                                      : (size_t)CONNECTION_MAX_BYTES;
+  if (connections_bytes == 0)
+    connections_bytes = dks_memory_account_limit (server->memory) / 2;
+  server->sizes = dks_http_connection_sizes (connections_bytes, server->config.max_connections);
+  dks_memory_claim_add (&server->queue_claim, &server->memory_group, 0);
+  dks_memory_claim_set_state (&server->queue_claim, DKS_MEMORY_HELD, 0);
+  dks_memory_claim_set (&server->queue_claim,
+                        (size_t)server_listen_queue (server) * server->sizes.receive_bytes);
 }
 
 static void
 server_free (dks_http_server_t *server)
 {
+  dks_memory_claim_remove (&server->queue_claim);
   dks_memory_group_remove (&server->memory_group);
   dks_memory_account_destroy (server->own_memory);
   free (server);
@@ -1074,8 +1178,8 @@
     created->own_memory = dks_memory_account_create (dks_memory_limit (UINT64_MAX));
   created->memory = config->memory != NULL ? config->memory : created->own_memory;
   dks_memory_group_init (&created->memory_group, created->memory, handle_yield, created);
-  created->connection_bytes = server_connection_bytes (created);
-  created->daemon = start_daemon (created, &address);
+  server_open_account (created);
+  created->daemon = server_listen (created, &address);
   if (created->daemon == NULL)
     {
       server_free (created);
--- a/net/peer.c
+++ b/net/peer.c
@@ -5,6 +5,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "net/codec.h"
+#include "net/socket.h"
 
 #include <apr_network_io.h>
 #include <apr_portable.h>
@@ -35,6 +36,10 @@
   READ_PER_TURN_BYTES = 1 << 20,        /* bound of the reads from one connection in one turn */
   BUFFER_DOUBLING_MAX_BYTES = 64 << 10, /* a larger buffer grows by a quarter */
   BUFFER_KEEP_BYTES = 64 << 10,         /* an empty buffer with a larger capacity is freed */
+  /* Each of the two buffers of a connection in the kernel, before its hello and after it. Only that
+   * for input is in the account: output is there as backlog. */
+  HELLO_SOCKET_BUFFER_BYTES = 8 << 10,
+  SOCKET_BUFFER_BYTES = 32 << 10,
   LISTEN_BACKLOG = 64,
   MEMBER_BUCKETS = 64,
   /* TCP_USER_TIMEOUT: without it, a connection that broke during a network partition is detected
@@ -318,17 +323,16 @@
 static bool
 link_account (link_t *link)
 {
+  size_t bytes = link->claim.base_bytes + link->in.capacity;
   dks_memory_state_t state =
       buffer_len (&link->in) > DKS_MEMORY_SMALL_BYTES ? DKS_MEMORY_INCOMPLETE : DKS_MEMORY_HELD;
 
   if (link->claim.state != state)
     dks_memory_claim_set_state (&link->claim, state, dks_loop_now ().mono_us);
-  if (link->in.capacity > link->claim.bytes)
-    return link->up
-               ? dks_memory_claim_grow_preferred (&link->claim, link->in.capacity,
-                                                  dks_loop_now ().mono_us)
-               : dks_memory_claim_grow (&link->claim, link->in.capacity, dks_loop_now ().mono_us);
-  dks_memory_claim_set (&link->claim, link->in.capacity);
+  if (bytes > link->claim.bytes)
+    return link->up ? dks_memory_claim_grow_preferred (&link->claim, bytes, dks_loop_now ().mono_us)
+                    : dks_memory_claim_grow (&link->claim, bytes, dks_loop_now ().mono_us);
+  dks_memory_claim_set (&link->claim, bytes);
   return true;
 }
 
@@ -376,6 +380,7 @@
   setsockopt (link->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
   setsockopt (link->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof (on));
   setsockopt (link->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof (timeout_ms));
+  dks_socket_bound_buffers (link->fd, HELLO_SOCKET_BUFFER_BYTES, HELLO_SOCKET_BUFFER_BYTES);
   if (link_watch (link) != DKS_OK)
     {
       apr_pool_destroy (pool);
@@ -385,6 +390,8 @@
   APR_RING_INSERT_TAIL (&peers->links, link, link_t, all_link);
   dks_memory_claim_add (&link->claim, &peers->memory_group, dks_loop_now ().mono_us);
   dks_memory_claim_set_state (&link->claim, DKS_MEMORY_HELD, dks_loop_now ().mono_us);
+  link->claim.base_bytes = HELLO_SOCKET_BUFFER_BYTES;
+  dks_memory_claim_set (&link->claim, link->claim.base_bytes);
   if (endpoint != NULL)
     endpoint->connection = link;
   else
@@ -443,6 +450,18 @@
   return link_write (link);
 }
 
+/* Enlarges the buffers in the kernel when there is memory for them; otherwise the connection goes
+ * on with small ones. */
+static void
+link_enlarge_buffers (link_t *link)
+{
+  if (!dks_memory_claim_grow_preferred (&link->claim, SOCKET_BUFFER_BYTES + link->in.capacity,
+                                        dks_loop_now ().mono_us))
+    return;
+  link->claim.base_bytes = SOCKET_BUFFER_BYTES;
+  dks_socket_bound_buffers (link->fd, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES);
+}
+
 static void
 link_set_up (link_t *link)
 {
@@ -456,6 +475,7 @@
   link->up_us = dks_loop_now ().mono_us;
   link->next = *bucket;
   *bucket = link;
+  link_enlarge_buffers (link);
   if (link->endpoint != NULL)
     link->endpoint->failing_since_us = 0;
   dks_log (DKS_LOG_NOTICE, "event=peer-up address=%s member=%s data_centre=%s outgoing=%d",
@@ -889,10 +909,12 @@
   apr_socket_opt_set (peers->listener, APR_SO_REUSEADDR, 1);
   apr_socket_opt_set (peers->listener, APR_SO_NONBLOCK, 1);
   apr_socket_timeout_set (peers->listener, 0);
+  apr_os_sock_get (&peers->listener_fd, peers->listener);
+  dks_socket_bound_buffers (peers->listener_fd, HELLO_SOCKET_BUFFER_BYTES,
+                            HELLO_SOCKET_BUFFER_BYTES);
   if (apr_socket_bind (peers->listener, address) != APR_SUCCESS
       || apr_socket_listen (peers->listener, LISTEN_BACKLOG) != APR_SUCCESS)
     return DKS_ERR_IO;
-  apr_os_sock_get (&peers->listener_fd, peers->listener);
   return dks_loop_watch (peers->loop, peers->listener_fd, DKS_LOOP_READ, handle_listener, peers);
 }
 
--- a/tests/process/crowd.cc
+++ b/tests/process/crowd.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <dirent.h>
 #include <fstream>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,6 +27,9 @@
 constexpr int TURNS = 300;
 constexpr int QUIET_MS = 3000; /* a crowd that can send nothing for this long is held up for good */
 constexpr int IDLE_TIMEOUT_S = 600; /* no connection is closed because it is idle */
+constexpr int SLOW_TURNS = 60;
+constexpr int STOPPED_MS = 90; /* of each turn */
+constexpr int RUNNING_MS = 10;
 
 int
 descriptors (pid_t pid)
@@ -51,6 +55,27 @@
   return address;
 }
 
+/* Bytes in the receive queues of the connections to a local port, in kB. */
+int
+unread_kb (int port)
+{
+  std::ifstream table ("/proc/net/tcp");
+  std::string line;
+  long bytes = 0;
+
+  while (std::getline (table, line))
+    {
+      unsigned local_port;
+      unsigned state;
+      unsigned long received;
+      if (sscanf (line.c_str (), " %*d: %*x:%x %*x:%*x %x %*x:%lx", &local_port, &state, &received)
+              == 3
+          && local_port == static_cast<unsigned> (port) && state != TCP_LISTEN)
+        bytes += static_cast<long> (received);
+    }
+  return static_cast<int> (bytes / 1024);
+}
+
 std::string
 field (int number, const std::string &value)
 {
@@ -223,10 +248,16 @@
 
 void
 Crowd::send_all ()
+{
+  send_until ([] { return false; });
+}
+
+void
+Crowd::send_until (const std::function<bool ()> &ended)
 {
   std::vector<pollfd> descriptors;
 
-  for (;;)
+  while (!ended ())
     {
       descriptors.clear ();
       for (const Client &client : clients_)
@@ -287,6 +318,49 @@
     client.closed = true;
 }
 
+Slowdown::Slowdown (pid_t pid, int port) : thread_ ([=] { run (pid, port); })
+{
+}
+
+Slowdown::~Slowdown ()
+{
+  if (thread_.joinable ())
+    thread_.join ();
+}
+
+void
+Slowdown::run (pid_t pid, int port)
+{
+  for (int i = 0; i < SLOW_TURNS; i++)
+    {
+      kill (pid, SIGSTOP);
+      std::this_thread::sleep_for (std::chrono::milliseconds (STOPPED_MS));
+      int resident = memory_kb (pid, "VmRSS");
+      int unread = unread_kb (port);
+      if (resident + unread > resident_kb_ + unread_kb_)
+        {
+          resident_kb_ = resident;
+          unread_kb_ = unread;
+        }
+      kill (pid, SIGCONT);
+      std::this_thread::sleep_for (std::chrono::milliseconds (RUNNING_MS));
+    }
+  ended_ = true;
+}
+
+void
+Slowdown::expect_within_memory ()
+{
+  thread_.join ();
+  printf ("peak while slow: memory %d kB, unread %d kB\n", resident_kb_, unread_kb_);
+  EXPECT_GT (resident_kb_, 0) << "the process has ended";
+#ifdef __SANITIZE_ADDRESS__ /* the memory of a sanitizer is not that of the product */
+  EXPECT_LT (unread_kb_, MEMORY_MB * 1024);
+#else
+  EXPECT_LT (resident_kb_ + unread_kb_, MEMORY_MB * 1024);
+#endif
+}
+
 int
 memory_kb (pid_t pid, const std::string &name)
 {
@@ -351,6 +425,16 @@
   expect_within_limits (cluster_->instance (0).pid (), connections_);
 }
 
+void
+OwnInterface::expect_bears_slowed (Crowd &crowd, int port)
+{
+  Slowdown slowdown (cluster_->instance (0).pid (), port);
+
+  crowd.send_until ([&] { return slowdown.ended (); });
+  slowdown.expect_within_memory ();
+  expect_bears (crowd);
+}
+
 void
 FrontAddress::start (int connections)
 {
@@ -392,4 +476,14 @@
   expect_within_limits (instance_->pid (), connections_);
 }
 
+void
+FrontAddress::expect_bears_slowed (Crowd &crowd, int port)
+{
+  Slowdown slowdown (instance_->pid (), port);
+
+  crowd.send_until ([&] { return slowdown.ended (); });
+  slowdown.expect_within_memory ();
+  expect_bears (crowd);
+}
+
 }
--- a/tests/process/crowd.h
+++ b/tests/process/crowd.h
@@ -6,7 +6,9 @@
 
 #include "cluster.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace process
 {
@@ -47,6 +49,8 @@
 
   /** Sends until every client has sent all it has, was closed, or can send no more. */
   void send_all ();
+  /** The same, until `ended` returns true. */
+  void send_until (const std::function<bool ()> &ended);
   /** Waits until every client has had an answer or was closed. */
   bool await_answers ();
 
@@ -90,6 +94,36 @@
   std::string received_;
 };
 
+/** Stops a process and lets it continue in turns, as on a machine with a tenth of a processor, and
+ * watches its memory together with what its sockets have received and it has not read yet. */
+class Slowdown
+{
+public:
+  /** `port` is that of the sockets on the side of the process. */
+  Slowdown (pid_t pid, int port);
+  /** Waits for the end of the last turn. */
+  ~Slowdown ();
+  Slowdown (const Slowdown &) = delete;
+  Slowdown &operator= (const Slowdown &) = delete;
+
+  bool
+  ended () const
+  {
+    return ended_;
+  }
+  /** Waits for the end of the last turn; the sum must have stayed within the memory of the machine.
+   */
+  void expect_within_memory ();
+
+private:
+  void run (pid_t pid, int port);
+
+  std::atomic<bool> ended_ = false;
+  int resident_kb_ = 0; /* the next two at the moment of the largest sum */
+  int unread_kb_ = 0;
+  std::thread thread_;
+};
+
 /** Memory in kB of /proc/PID/status, by its name there; 0 when the process has ended. */
 int memory_kb (pid_t pid, const std::string &name);
 /** Sets the limits of the instances that are started from now on. */
@@ -102,6 +136,8 @@
 protected:
   void start (int connections = CONNECTIONS);
   void expect_bears (Crowd &crowd);
+  /** The same for a crowd at `port` while the instance is slow. */
+  void expect_bears_slowed (Crowd &crowd, int port);
   /** A request is answered once those that are in its way have given way. */
   void expect_serves_again ();
 
@@ -117,6 +153,8 @@
   void start (int connections = CONNECTIONS);
   Reply ask_job () const;
   void expect_bears (Crowd &crowd);
+  /** The same for a crowd at `port` while the instance is slow. */
+  void expect_bears_slowed (Crowd &crowd, int port);
 
   std::unique_ptr<Platform> platform_;
   std::unique_ptr<Process> instance_;
