http_server: a turn of the loop begins a bounded amount of requests

Cause: one turn of the loop handles everything that is ready, and libmicrohttpd hands over all requests that have arrived.

Change: the server counts the work that it begins (bytes of bodies, values of their JSON text, requests). A request that others wait with is refused like one without memory when more than 50 turns of work wait; one that waits alone never is. In calm nothing waits.

Evidence: HttpServer.CrowdOfLargeJobsLeavesTurnsToOthers, without a clock: of 300 jobs of 480 tasks one turn handled 300 before (3 of 3 runs), 10 at most with the change, as bounded (3 of 3), and a timer that is due runs in every turn. BodyInChunksArrivesWholeWhenEachTurnReadsLittle, RefusesRequestsWhenTooManyWaitForATurn, ServesALargeJobThatIsAloneInManyTurns and StopsWhileRequestsWaitForATurn guard the queue.

Not bounded, see docs/design/memory.md: one large body by itself, the headers of all ready connections, and what a job of many tasks costs later. That a leader keeps its place beside such a crowd was not tested.

--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -559,6 +559,7 @@
     .memory = host->memory,
     .replaces_waiting = true,
     /* Instances with the same --seed must not generate the same keys. */
+    .processor_milli = options->config.processor_milli,
     .key_seed = options->config.seed ^ options->config.incarnation,
   };
   const dks_http_server_callbacks_t callbacks = {
@@ -585,6 +586,7 @@
     .connections_bytes = is_front ? 0 : service_connections_bytes (host),
     .idle_timeout_s = options->http_idle_timeout_s,
     .data_centre = options->config.data_centre,
+    .processor_milli = options->config.processor_milli,
     .caller_id_base = is_front ? FRONT_CALLER_ID_BASE : 0,
     .memory = host->memory,
     .replaces_waiting = true,
--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -9,6 +9,7 @@
 #include "net/http_server.h"
 
 #include <apr_hash.h>
+#include <apr_ring.h>
 #include <microhttpd.h>
 
 typedef struct dks_http_exchange_t dks_http_exchange_t;
@@ -61,10 +62,15 @@
   dks_memory_group_t memory_group;
   dks_memory_claim_t queue_claim; /**< of connections that wait to be accepted */
   dks_http_connection_sizes_t sizes;
-  uint32_t closing_count;    /**< connections that had to give way and are not closed yet */
-  uint64_t yielded_total;    /**< connections that had to give way */
-  int64_t yield_logged_us;   /**< monotonic time of the last log line about them */
-  uint64_t bad_input_total;  /**< requests that could not be decoded */
+  uint32_t closing_count;   /**< connections that had to give way and are not closed yet */
+  uint64_t yielded_total;   /**< connections that had to give way */
+  int64_t yield_logged_us;  /**< monotonic time of the last log line about them */
+  uint64_t bad_input_total; /**< requests that could not be decoded */
+  uint64_t work_turn;       /**< turn of the loop in which `work_left` was last set */
+  int64_t work_left;        /**< units of work that may begin in that turn */
+  uint64_t deferred_work;   /**< units of all deferred requests */
+  APR_RING_HEAD (dks_deferred_ring_t, dks_http_exchange_t) deferred; /**< the next one first */
+  dks_timer_t deferred_timer;
   dks_timer_t answers_timer; /**< looks for progress of answers while others may need the room */
 };
 
@@ -94,10 +100,16 @@
   uint8_t *body;
   size_t body_len;
   size_t body_capacity;
-  size_t body_stated;    /**< length that the caller has stated; 0 when it has not */
-  size_t decode_bytes;   /**< estimate of what decoding takes, while it is under way */
-  size_t answer_bytes;   /**< of the reply */
-  size_t body_received;  /**< bytes received of the body, those that were dropped included */
+  size_t body_stated;         /**< length that the caller has stated; 0 when it has not */
+  size_t decode_needed_bytes; /**< estimate of what decoding takes */
+  size_t decode_bytes;        /**< the same while it is under way */
+  size_t answer_bytes;        /**< of the reply */
+  size_t body_received;       /**< bytes received of the body, those that were dropped included */
+  APR_RING_ENTRY (dks_http_exchange_t) deferred_link; /**< in `deferred` of the server */
+  bool complete;                                      /**< all of the request has arrived */
+  bool handled;                                       /**< the route has handled the request */
+  size_t granted_bytes;  /**< of the body that may still be read without another look at the work */
+  uint32_t work;         /**< units of work of the request, once it is complete */
   uint64_t caller_id;    /**< identifies the caller to the reducer; 0 before it is registered */
   bool waiting;          /**< registered, and the reducer has not replied yet */
   bool suspended;        /**< the connection is suspended in libmicrohttpd */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -36,6 +36,8 @@
   dks_memory_account_t *memory; /**< of the process; NULL: an own one of the largest limit */
   size_t connections_bytes;     /**< that all connections together may take, whatever they are used
                                      for; 0: half of the limit of the memory account */
+  uint32_t processor_milli; /**< thousandths of a processor that this process may use, from which
+                               the work that may begin in a turn of the loop follows; 0: 1000 */
   /** A connection above max_connections takes the place of the one whose client has kept the server
    * waiting for longest, if there is one, instead of being answered with 503. */
   bool replaces_waiting;
--- a/include/net/loop.h
+++ b/include/net/loop.h
@@ -36,6 +36,8 @@
 /** Monotonic time at which the latest turn had the descriptors polled: what arrived before has been
  * handled, or is being handled in this turn. */
 int64_t dks_loop_polled_us (const dks_loop_t *loop);
+/** Number of the present turn; the first is 1. */
+uint64_t dks_loop_turn_number (const dks_loop_t *loop);
 /** Runs until dks_loop_stop() is called. */
 void dks_loop_run (dks_loop_t *loop);
 /** Runs one turn and waits at most `wait_us` microseconds. For tests. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -55,6 +55,13 @@
   LISTEN_QUEUE_MAX = 1024,
   YIELD_LOG_INTERVAL_US = 1000000,
   ANSWERS_CHECK_INTERVAL_US = 500000, /* between two looks for progress of answers */
+  /* Work is counted in units of about 20 ns of a processor. */
+  WORK_PER_TURN = 1000000, /* of a whole processor: about 20 ms */
+  WORK_REQUEST = 2000,
+  WORK_VALUE = 64,   /* of a JSON text, including the task that is made of it */
+  WORK_PER_BYTE = 1, /* of a body */
+  /* Deferred work of more turns is refused. */
+  DEFERRED_TURNS_MAX = 50,
   /* Between two checks of waiting callers whose connections have unread input: the input hides the
    * end of the stream from the event loop. */
   CALLERS_CHECK_INTERVAL_US = 100000,
@@ -223,8 +230,8 @@
   dks_http_exchange_reply_problem (exchange, &problem);
 }
 
-/* Refuses a request for want of memory. Where the status itself says that a job never runs, as of a
- * job that may have been sent before, it says that the outcome is unknown. */
+/* Refuses a request for want of memory or processor time. Where the status itself says that a job
+ * never runs, as of a job that may have been sent before, it says that the outcome is unknown. */
 static void
 exchange_fail_overloaded (dks_http_exchange_t *exchange, const char *detail)
 {
@@ -502,11 +509,11 @@
   server_schedule_callers_check (exchange->server);
 }
 
+/* Waits for the reply of the reducer on a connection that is suspended in libmicrohttpd. */
 static void
-exchange_suspend (dks_http_exchange_t *exchange)
+exchange_await_reply (dks_http_exchange_t *exchange)
 {
   exchange->suspended = true;
-  MHD_suspend_connection (exchange->connection);
   dks_loop_watch (exchange->server->loop, exchange_fd (exchange), DKS_LOOP_READ,
                   handle_caller_readable, exchange);
 }
@@ -764,11 +771,80 @@
   return size > BODY_READ_MAX_BYTES || (expect != NULL && strcasecmp (expect, "100-continue") == 0);
 }
 
-/* Takes the memory for decoding the body, as far as its text shows what that takes: the text itself
- * as values and again as the request that is made of it, and the structures of the parser. Refuses
- * the request when there is not enough. */
+/* ---- Work ---- */
+
+/* Units of work that may begin in one turn of the loop, so that timers, other instances, targets
+ * and the platform are not kept waiting by the requests of clients. */
+static int64_t
+server_work_per_turn (const dks_http_server_t *server)
+{
+  uint32_t processor_milli =
+      server->config.processor_milli > 0 ? server->config.processor_milli : 1000;
+
+  return (int64_t)WORK_PER_TURN * processor_milli / 1000;
+}
+
+static int64_t
+server_work_left (dks_http_server_t *server)
+{
+  uint64_t turn = dks_loop_turn_number (server->loop);
+
+  if (server->work_turn != turn)
+    {
+      server->work_turn = turn;
+      server->work_left = server_work_per_turn (server);
+    }
+  return server->work_left;
+}
+
 static void
-exchange_reserve_decoding (dks_http_exchange_t *exchange)
+server_spend_work (dks_http_server_t *server, size_t work)
+{
+  server->work_left = server_work_left (server) - (int64_t)work;
+}
+
+/* Whether a request may go on at once. Those that wait go first. */
+static bool
+server_admits_work (dks_http_server_t *server)
+{
+  return APR_RING_EMPTY (&server->deferred, dks_http_exchange_t, deferred_link)
+         && server_work_left (server) > 0;
+}
+
+/* Suspends the connection until its turn; to be called from within the access handler. */
+static void
+exchange_defer (dks_http_exchange_t *exchange)
+{
+  dks_http_server_t *server = exchange->server;
+
+  MHD_suspend_connection (exchange->connection);
+  server->deferred_work += exchange->work;
+  connection_set_state (exchange->client, DKS_MEMORY_HELD);
+  APR_RING_INSERT_TAIL (&server->deferred, exchange, dks_http_exchange_t, deferred_link);
+  if (!dks_timer_is_armed (&server->deferred_timer))
+    dks_timer_set (dks_loop_timers (server->loop), &server->deferred_timer,
+                   dks_loop_now ().mono_us);
+}
+
+static void
+exchange_undefer (dks_http_exchange_t *exchange)
+{
+  exchange->server->deferred_work -= exchange->work;
+  APR_RING_REMOVE (exchange, deferred_link);
+}
+
+static void
+exchange_resume_deferred (dks_http_exchange_t *exchange)
+{
+  MHD_resume_connection (exchange->connection);
+  server_schedule_run (exchange->server);
+}
+
+/* Counts what the body holds: sets the memory that decoding takes, as far as the text shows it, and
+ * the work. Decoding takes the text itself as values and again as the request that is made of it,
+ * and the structures of the parser. */
+static void
+exchange_measure (dks_http_exchange_t *exchange)
 {
   const uint8_t *end = exchange->body + exchange->body_len;
   size_t bytes = 2 * exchange->body_len;
@@ -787,11 +863,19 @@
           bytes += *c == '{' ? OBJECT_BYTES : *c == '[' ? ARRAY_BYTES : VALUE_BYTES;
         }
     }
+  exchange->work =
+      (uint32_t)(WORK_REQUEST + WORK_PER_BYTE * exchange->body_len + WORK_VALUE * values);
+  exchange->decode_needed_bytes = bytes;
   if (values > VALUES_MAX)
-    {
-      dks_http_exchange_reject (exchange, 413, "too-large", "the body has too many values");
-      return;
-    }
+    dks_http_exchange_reject (exchange, 413, "too-large", "the body has too many values");
+}
+
+/* Takes the memory for decoding the body. Refuses the request when there is not enough. */
+static void
+exchange_reserve_decoding (dks_http_exchange_t *exchange)
+{
+  size_t bytes = exchange->decode_needed_bytes;
+
   if (dks_memory_claim_finish (&exchange->client->claim,
                                connection_bytes (exchange->client) + bytes))
     exchange->decode_bytes = bytes;
@@ -811,33 +895,102 @@
          || dks_memory_account_used (memory) <= dks_memory_account_limit (memory) / 4 * 3;
 }
 
+/* Lets the route handle the request. Afterwards it has a reply, or its caller waits or is gone. */
+static void
+exchange_handle (dks_http_exchange_t *exchange)
+{
+  exchange->handled = true;
+  /* The request may have waited for longer than its caller did, in the socket while this process
+   * stood still, and the caller may have sent it again elsewhere. */
+  if (exchange->route->needs_caller && exchange_is_caller_gone (exchange))
+    {
+      dks_log (DKS_LOG_INFO, "event=request-abandoned method=%s", exchange->route->method);
+      exchange->caller_gone = true;
+      return;
+    }
+  server_spend_work (exchange->server, exchange->work);
+  connection_set_state (exchange->client, DKS_MEMORY_HELD);
+  if (exchange->body_len > 0)
+    exchange_reserve_decoding (exchange);
+  if (exchange->response == NULL)
+    exchange->route->handle (exchange);
+  if (exchange->response != NULL && !exchange_has_room_for_answer (exchange))
+    {
+      exchange_drop_response (exchange);
+      exchange_fail_overloaded (exchange, "too many bytes of answers are held");
+    }
+  exchange->decode_bytes = 0;
+  exchange_drop_body (exchange);
+}
+
+static bool
+exchange_awaits_reply (const dks_http_exchange_t *exchange)
+{
+  return exchange->response == NULL && !exchange->caller_gone;
+}
+
+/* Whether the request may wait for its turn. One that waits alone always may, however large. */
+static bool
+exchange_may_wait (const dks_http_exchange_t *exchange)
+{
+  const dks_http_server_t *server = exchange->server;
+
+  return server->deferred_work == 0
+         || server->deferred_work + exchange->work
+                <= (uint64_t)server_work_per_turn (server) * DEFERRED_TURNS_MAX;
+}
+
+/* Lets the connection read as much of the body as it holds unread. */
+static void
+exchange_grant_read (dks_http_exchange_t *exchange)
+{
+  dks_http_server_t *server = exchange->server;
+
+  exchange->granted_bytes = server->sizes.pool_bytes;
+  server_spend_work (server, WORK_PER_BYTE * exchange->granted_bytes);
+}
+
+/* Whether `size` bytes of the body that have arrived may be read in this turn. */
+static bool
+exchange_may_read (dks_http_exchange_t *exchange, size_t size)
+{
+  dks_http_server_t *server = exchange->server;
+
+  if (exchange->granted_bytes > 0)
+    {
+      exchange->granted_bytes -= size < exchange->granted_bytes ? size : exchange->granted_bytes;
+      return true;
+    }
+  if (!server_admits_work (server))
+    return false;
+  server_spend_work (server, WORK_PER_BYTE * size + WORK_VALUE);
+  return true;
+}
+
+/* Handles a request that has arrived completely, now or in a later turn. */
 static enum MHD_Result
 exchange_process (dks_http_exchange_t *exchange)
 {
-  if (exchange->response == NULL && exchange->caller_id == 0)
+  if (!exchange->complete && exchange->response == NULL)
+    exchange_measure (exchange);
+  exchange->complete = true;
+  if (exchange->response == NULL && !exchange->handled && !server_admits_work (exchange->server))
     {
-      /* The request may have waited in the socket for longer than its caller did, while this
-       * process stood still, and the caller may have sent it again elsewhere. */
-      if (exchange->route->needs_caller && exchange_is_caller_gone (exchange))
-        {
-          dks_log (DKS_LOG_INFO, "event=request-abandoned method=%s", exchange->route->method);
-          return MHD_NO;
-        }
-      connection_set_state (exchange->client, DKS_MEMORY_HELD);
-      if (exchange->body_len > 0)
-        exchange_reserve_decoding (exchange);
-      if (exchange->response == NULL)
-        exchange->route->handle (exchange);
-      if (exchange->response != NULL && !exchange_has_room_for_answer (exchange))
+      if (exchange_may_wait (exchange))
         {
-          exchange_drop_response (exchange);
-          exchange_fail_overloaded (exchange, "too many bytes of answers are held");
+          exchange_defer (exchange);
+          return MHD_YES;
         }
-      exchange->decode_bytes = 0;
       exchange_drop_body (exchange);
-      if (exchange->response == NULL && !exchange->caller_gone)
+      exchange_fail_overloaded (exchange, "too many requests wait to be handled");
+    }
+  if (exchange->response == NULL && !exchange->handled)
+    {
+      exchange_handle (exchange);
+      if (exchange_awaits_reply (exchange))
         {
-          exchange_suspend (exchange);
+          MHD_suspend_connection (exchange->connection);
+          exchange_await_reply (exchange);
           return MHD_YES;
         }
     }
@@ -846,6 +999,37 @@
   return exchange_queue_response (exchange);
 }
 
+/* Goes on with a deferred request. */
+static void
+exchange_continue (dks_http_exchange_t *exchange)
+{
+  exchange_undefer (exchange);
+  if (!exchange->complete)
+    {
+      exchange_grant_read (exchange);
+      connection_set_state (exchange->client, DKS_MEMORY_INCOMPLETE);
+      exchange_resume_deferred (exchange);
+      return;
+    }
+  exchange_handle (exchange);
+  if (exchange_awaits_reply (exchange))
+    exchange_await_reply (exchange);
+  else
+    exchange_resume_deferred (exchange);
+}
+
+static void
+handle_deferred_timer (void *context, int64_t now_us)
+{
+  dks_http_server_t *server = context;
+
+  while (!APR_RING_EMPTY (&server->deferred, dks_http_exchange_t, deferred_link)
+         && server_work_left (server) > 0)
+    exchange_continue (APR_RING_FIRST (&server->deferred));
+  if (!APR_RING_EMPTY (&server->deferred, dks_http_exchange_t, deferred_link))
+    dks_timer_set (dks_loop_timers (server->loop), &server->deferred_timer, now_us);
+}
+
 static enum MHD_Result
 handle_access (void *context, struct MHD_Connection *connection, const char *url,
                const char *method, const char *version, const char *upload_data,
@@ -865,6 +1049,11 @@
     }
   if (*upload_data_size == 0)
     return exchange_process (exchange);
+  if (!exchange_may_read (exchange, *upload_data_size))
+    {
+      exchange_defer (exchange);
+      return MHD_YES;
+    }
   exchange->body_received += *upload_data_size;
   dks_memory_claim_progress (&exchange->client->claim, *upload_data_size, dks_loop_now ().mono_us);
   if (exchange->body_received > BODY_READ_MAX_BYTES)
@@ -1177,6 +1366,7 @@
   if (config->memory == NULL)
     created->own_memory = dks_memory_account_create (dks_memory_limit (UINT64_MAX));
   created->memory = config->memory != NULL ? config->memory : created->own_memory;
+  APR_RING_INIT (&created->deferred, dks_http_exchange_t, deferred_link);
   dks_memory_group_init (&created->memory_group, created->memory, handle_yield, created);
   server_open_account (created);
   created->daemon = server_listen (created, &address);
@@ -1191,6 +1381,7 @@
   created->epoll_fd = MHD_get_daemon_info (created->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   dks_timer_init (&created->run_timer, handle_run_timer, created);
   dks_timer_init (&created->callers_timer, handle_callers_timer, created);
+  dks_timer_init (&created->deferred_timer, handle_deferred_timer, created);
   dks_timer_init (&created->answers_timer, handle_answers_timer, created);
   if (dks_loop_watch (loop, created->epoll_fd, DKS_LOOP_READ, handle_epoll, created) != DKS_OK)
     {
@@ -1214,10 +1405,18 @@
       dks_http_exchange_t *exchange = apr_hash_this_val (i);
       exchange_resume (exchange);
     }
+  while (!APR_RING_EMPTY (&server->deferred, dks_http_exchange_t, deferred_link))
+    {
+      dks_http_exchange_t *exchange = APR_RING_FIRST (&server->deferred);
+
+      exchange_undefer (exchange);
+      MHD_resume_connection (exchange->connection);
+    }
   dks_loop_watch (server->loop, server->epoll_fd, 0, NULL, NULL);
   MHD_stop_daemon (server->daemon);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->run_timer);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->callers_timer);
+  dks_timer_cancel (dks_loop_timers (server->loop), &server->deferred_timer);
   dks_timer_cancel (dks_loop_timers (server->loop), &server->answers_timer);
   apr_pool_destroy (server->pool);
   server_free (server);
--- a/net/loop.c
+++ b/net/loop.c
@@ -40,6 +40,7 @@
   void (*turn_end) (void *context);
   void *turn_end_context;
   int64_t polled_us;
+  uint64_t turn_number;
   bool running;
 };
 
@@ -200,6 +201,7 @@
   apr_int32_t count = 0;
   apr_status_t status;
 
+  loop->turn_number++;
   if (until_timer_us != INT64_MAX)
     until_timer_us -= dks_loop_now ().mono_us;
   if (until_timer_us < wait_us)
@@ -228,6 +230,12 @@
   return loop->polled_us;
 }
 
+uint64_t
+dks_loop_turn_number (const dks_loop_t *loop)
+{
+  return loop->turn_number;
+}
+
 void
 dks_loop_run (dks_loop_t *loop)
 {
--- a/tests/test_http_server.cc
+++ b/tests/test_http_server.cc
@@ -908,6 +908,169 @@
   EXPECT_FALSE (held.closed);
 }
 
+/* A crowd whose clients send as fast as the server reads. */
+class Senders
+{
+public:
+  Senders (int port, size_t count, std::string text) : text_ (std::move (text)), sent_ (count)
+  {
+    for (size_t i = 0; i < count; i++)
+      clients.emplace_back (port);
+  }
+
+  void
+  send_some ()
+  {
+    for (size_t i = 0; i < clients.size (); i++)
+      {
+        ssize_t n =
+            send (clients[i].fd, text_.data () + sent_[i], text_.size () - sent_[i], MSG_NOSIGNAL);
+        sent_[i] += n > 0 ? static_cast<size_t> (n) : 0;
+      }
+  }
+
+  std::vector<Client> clients;
+
+private:
+  std::string text_;
+  std::vector<size_t> sent_;
+};
+
+std::string
+job_of_480_tasks ()
+{
+  std::string body = "{'service':'s','team':'t','deadline_ms':1000,'tasks':[";
+
+  for (int i = 0; i < 480; i++)
+    body += std::string (i > 0 ? "," : "") + "{'payload':'x'}";
+  return body + "]}";
+}
+
+/* Guards against a process that sends no status and renews no lease while it handles the requests
+ * that have arrived at once. */
+TEST_F (HttpServer, CrowdOfLargeJobsLeavesTurnsToOthers)
+{
+  const size_t turn_max = 10; /* jobs of 480 tasks that one turn handles */
+  size_t count = 0;
+  size_t most = 0;
+  int timer_runs = 0;
+  dks_timer_t timer;
+
+  config.max_connections = 400;
+  start ();
+  on_event = [&] (const Event &event) { reply_complete (event.caller, { "" }); };
+  Senders crowd (port, 300, request ("POST", "/v1/jobs", job_of_480_tasks ()));
+  for (int i = 0; i < 100; i++)
+    turn (); /* accepts all connections before they send */
+  dks_timer_init (
+      &timer, [] (void *context, int64_t now_us) { ++*static_cast<int *> (context); }, &timer_runs);
+  for (int turns = 1; events.size () < 300 && turns < 10000; turns++)
+    {
+      crowd.send_some ();
+      dks_timer_set (dks_loop_timers (loop), &timer, dks_loop_now ().mono_us);
+      turn ();
+      EXPECT_EQ (timer_runs, turns);
+      most = std::max (most, events.size () - count);
+      count = events.size ();
+    }
+  EXPECT_EQ (events.size (), 300u);
+  EXPECT_LE (most, turn_max);
+  for (Client &client : crowd.clients)
+    EXPECT_EQ (receive (client).status, 200);
+}
+
+/* Guards against pieces of a body that are lost or read twice when its connection waits for its
+ * turn between them. */
+TEST_F (HttpServer, BodyInChunksArrivesWholeWhenEachTurnReadsLittle)
+{
+  std::string payload;
+  std::string message =
+      "POST /v1/jobs HTTP/1.1\r\nHost: localhost\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  for (int i = 0; i < 5000; i++)
+    payload += std::to_string (i);
+  std::string body = with_double_quotes (job_body);
+  body.replace (body.find ("\"x\""), 3, "\"" + payload + "\"");
+  for (size_t at = 0; at < body.size (); at += 16)
+    {
+      std::string chunk = body.substr (at, 16);
+      char length[16];
+      snprintf (length, sizeof (length), "%zx\r\n", chunk.size ());
+      message += length + chunk + "\r\n";
+    }
+  message += "0\r\n\r\n";
+  config.processor_milli = 10;
+  start ();
+  on_event = [&] (const Event &event) { reply_complete (event.caller, { "" }); };
+  Senders crowd (port, 10, message);
+  EXPECT_TRUE (run_until ([&] {
+    crowd.send_some ();
+    return events.size () == 10;
+  }));
+  for (const Event &event : events)
+    EXPECT_EQ (event.payload, payload);
+  for (Client &client : crowd.clients)
+    EXPECT_EQ (receive (client).status, 200);
+  EXPECT_EQ (dks_http_server_open_requests (server), 0u);
+}
+
+/* Requests that would wait too long for a turn are refused, and have not run. */
+TEST_F (HttpServer, RefusesRequestsWhenTooManyWaitForATurn)
+{
+  size_t refused = 0;
+
+  config.max_connections = 400;
+  config.processor_milli = 10;
+  start ();
+  on_event = [&] (const Event &event) { reply_complete (event.caller, { "" }); };
+  Senders crowd (port, 300, request ("POST", "/v1/jobs", job_of_480_tasks ()));
+  EXPECT_TRUE (run_until ([&] {
+    crowd.send_some ();
+    return dks_http_server_open_requests (server) > 0;
+  }));
+  for (Client &client : crowd.clients)
+    {
+      Response response;
+      EXPECT_TRUE (run_until ([&] {
+        crowd.send_some ();
+        client.read_available ();
+        return client.take_response (response);
+      }));
+      if (response.status == 200)
+        continue;
+      refused++;
+      EXPECT_EQ (response.status, 503);
+      EXPECT_EQ (response.field ("type"), "urn:damaskshore:problem:overloaded");
+      EXPECT_EQ (response.field ("not_run"), "true");
+      EXPECT_EQ (response.header ("Retry-After"), "1");
+    }
+  EXPECT_GT (refused, 0u);
+  EXPECT_EQ (events.size (), 300 - refused);
+  EXPECT_EQ (call ("POST", "/v1/jobs", job_body).status, 200);
+}
+
+/* A request that no other waits with is served, however little a turn may do. */
+TEST_F (HttpServer, ServesALargeJobThatIsAloneInManyTurns)
+{
+  config.processor_milli = 1;
+  start ();
+  on_event = [&] (const Event &event) { reply_complete (event.caller, { "" }); };
+  EXPECT_EQ (call ("POST", "/v1/jobs", job_of_480_tasks ()).status, 200);
+}
+
+/* A server can be destroyed while requests wait for a turn. */
+TEST_F (HttpServer, StopsWhileRequestsWaitForATurn)
+{
+  config.processor_milli = 10;
+  start ();
+  Senders crowd (port, 50, request ("POST", "/v1/jobs", job_of_480_tasks ()));
+  EXPECT_TRUE (run_until ([&] {
+    crowd.send_some ();
+    return !events.empty ();
+  }));
+  stop ();
+}
+
 /* Guards against a server that, once it was full, accepts nothing before a connection is idle for
  * too long. */
 TEST_F (HttpServer, AcceptsAgainAfterAllConnectionsWereInUse)
