net: split the files of the HTTP server

Replies move to http_reply.c, what connections take and when they give way to http_connection.c, the work of a turn to http_work.c; what they share is declared in net/http_exchange.h. No change of behaviour: functions that are shared now have the prefix dks_http_, nothing else differs.

--- a/include/net/http_exchange.h
+++ b/include/net/http_exchange.h
@@ -1,6 +1,8 @@
 /**
- * Internals of the HTTP server, shared by http_server.c (connections, bodies, waiting callers) and
- * the interfaces that it serves: http_routes.c, and others that define a dks_http_interface_t.
+ * Internals of the HTTP server, shared by http_server.c (bodies, waiting callers),
+ * http_connection.c (what connections take), http_work.c (what a turn of the loop begins),
+ * http_reply.c, and the interfaces that it serves: http_routes.c, and others that define a
+ * dks_http_interface_t.
  */
 #ifndef DKS_NET_HTTP_EXCHANGE_H
 #define DKS_NET_HTTP_EXCHANGE_H
@@ -12,6 +14,15 @@
 #include <apr_ring.h>
 #include <microhttpd.h>
 
+enum
+{
+  /** Connections accepted above max_connections, only to answer them with 503: otherwise their
+   * callers would wait in the listen queue without any reply. */
+  DKS_HTTP_OVER_LIMIT_MAX = 64,
+  /** Retry-After, in ms, when there are too many connections, bodies or requests. */
+  DKS_HTTP_OVERLOAD_RETRY_MS = 1000
+};
+
 typedef struct dks_http_exchange_t dks_http_exchange_t;
 typedef struct dks_http_connection_t dks_http_connection_t;
 
@@ -156,4 +167,52 @@
 /** Prepares the reply for the outcome of a settings edit. */
 void dks_http_exchange_reply_edit (dks_http_exchange_t *exchange, const dks_effect_t *effect);
 
+/* ---- Replies ---- */
+
+/** Returns the problem of a request that the reducer has not received. The server does not know
+ * whether an earlier submission with the caller's key has run, so the reply says "not_run" only
+ * when the key has just been generated. */
+dks_http_problem_t dks_http_exchange_problem (const dks_http_exchange_t *exchange, int status,
+                                              const char *name, const char *detail,
+                                              uint32_t retry_after_ms);
+void dks_http_exchange_fail (dks_http_exchange_t *exchange, int status, const char *name,
+                             const char *detail, uint32_t retry_after_ms);
+/** Refuses a request for want of memory or processor time. */
+void dks_http_exchange_fail_overloaded (dks_http_exchange_t *exchange, const char *detail);
+
+/* ---- Connections ---- */
+
+/** Whether the client has taken some of its answer since the last call. */
+bool dks_http_connection_answer_progressed (dks_http_connection_t *client);
+size_t dks_http_connection_sizes_total (const dks_http_connection_sizes_t *sizes);
+/** What the connection holds. One that had to give way counts as freed. */
+size_t dks_http_connection_bytes (const dks_http_connection_t *client);
+/** States what the connection holds in the memory account. */
+void dks_http_connection_account (dks_http_connection_t *client);
+void dks_http_connection_set_state (dks_http_connection_t *client, dks_memory_state_t state);
+/** Closes a connection whose client keeps the server waiting, and frees what it holds. One above
+ * the limit of connections is answered at once and stays for that. */
+bool dks_http_connection_yield (void *context, dks_memory_claim_t *claim);
+void dks_http_exchange_drop_body (dks_http_exchange_t *exchange);
+
+/* ---- Work of a turn ---- */
+
+/** Units of work that may still begin in this turn of the loop; negative when more has begun. */
+int64_t dks_http_server_work_left (dks_http_server_t *server);
+void dks_http_server_spend_work (dks_http_server_t *server, size_t work);
+/** Whether a request may go on at once. Those that wait go first. */
+bool dks_http_server_admits_work (dks_http_server_t *server);
+/** Sets the memory and the work that a complete body takes; rejects one of too many values. */
+void dks_http_exchange_measure (dks_http_exchange_t *exchange);
+/** Whether the request may wait for its turn. One that waits alone always may, however large. */
+bool dks_http_exchange_may_wait (const dks_http_exchange_t *exchange);
+/** Whether `size` bytes of the body that have arrived may be read in this turn. */
+bool dks_http_exchange_may_read (dks_http_exchange_t *exchange, size_t size);
+/** Lets the connection read as much of the body as it holds unread. */
+void dks_http_exchange_grant_read (dks_http_exchange_t *exchange);
+/** Suspends the connection until its turn; to be called from within the access handler. */
+void dks_http_exchange_defer (dks_http_exchange_t *exchange);
+/** Takes the exchange out of the queue of deferred ones. */
+void dks_http_exchange_undefer (dks_http_exchange_t *exchange);
+
 #endif
