--- a/net/http_connection.c
+++ b/net/http_connection.c
@@ -26,7 +26,6 @@
   MS_PER_S = 1000
 };
 
-/* States what the connection holds. A connection that had to give way counts as freed. */
 size_t
 dks_http_connection_bytes (const dks_http_connection_t *client)
 {
@@ -125,31 +124,28 @@
 }
 
 static int
-dks_http_connection_fd (const dks_http_connection_t *client)
+connection_fd (const dks_http_connection_t *client)
 {
   return MHD_get_connection_info (client->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
       ->connect_fd;
 }
 
-/* Whether the client has taken some of its answer since the last call. */
 bool
 dks_http_connection_answer_progressed (dks_http_connection_t *client)
 {
-  uint64_t acknowledged = dks_socket_acknowledged (dks_http_connection_fd (client));
+  uint64_t acknowledged = dks_socket_acknowledged (connection_fd (client));
   bool progressed = acknowledged != client->acknowledged;
 
   client->acknowledged = acknowledged;
   return progressed;
 }
 
-/* Closes a connection whose client keeps the server waiting, and frees what it holds. One above the
- * limit of connections is answered at once and stays for that. */
 bool
 dks_http_connection_yield (void *context, dks_memory_claim_t *claim)
 {
   dks_http_server_t *server = context;
   dks_http_connection_t *client = (dks_http_connection_t *)claim;
-  int fd = dks_http_connection_fd (client);
+  int fd = connection_fd (client);
   bool incomplete = claim->state == DKS_MEMORY_INCOMPLETE;
   int64_t now_us = dks_loop_now ().mono_us;
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -25,8 +25,8 @@
    * connection with unread data resets it, and the caller may lose the reply. */
   BODY_READ_MAX_BYTES = 4 * DKS_SUBMISSION_MAX,
   BODY_INITIAL_CAPACITY = 4096, /* bytes */
-  SMALL_ANSWER_BYTES = 1024,    /* answers up to this size are always given */
   BODY_PAGE_BYTES = 4096,
+  SMALL_ANSWER_BYTES = 1024, /* answers up to this size are always given */
   /* Up to this capacity a body doubles its buffer, above it the buffer grows by a quarter. */
   BODY_DOUBLING_MAX_BYTES = 64 << 10,
   SEND_BYTES = 16 << 10, /* in the kernel for output, which is in the account as an answer */
--- a/net/http_work.c
+++ b/net/http_work.c
@@ -50,7 +50,6 @@
   server->work_left = dks_http_server_work_left (server) - (int64_t)work;
 }
 
-/* Whether a request may go on at once. Those that wait go first. */
 bool
 dks_http_server_admits_work (dks_http_server_t *server)
 {
@@ -58,7 +57,6 @@
          && dks_http_server_work_left (server) > 0;
 }
 
-/* Suspends the connection until its turn; to be called from within the access handler. */
 void
 dks_http_exchange_defer (dks_http_exchange_t *exchange)
 {
@@ -110,7 +108,6 @@
     dks_http_exchange_reject (exchange, 413, "too-large", "the body has too many values");
 }
 
-/* Whether the request may wait for its turn. One that waits alone always may, however large. */
 bool
 dks_http_exchange_may_wait (const dks_http_exchange_t *exchange)
 {
@@ -121,7 +118,6 @@
                 <= (uint64_t)server_work_per_turn (server) * DEFERRED_TURNS_MAX;
 }
 
-/* Lets the connection read as much of the body as it holds unread. */
 void
 dks_http_exchange_grant_read (dks_http_exchange_t *exchange)
 {
@@ -131,7 +127,6 @@
   dks_http_server_spend_work (server, WORK_PER_BYTE * exchange->granted_bytes);
 }
 
-/* Whether `size` bytes of the body that have arrived may be read in this turn. */
 bool
 dks_http_exchange_may_read (dks_http_exchange_t *exchange, size_t size)
 {
