memory account: bodies of up to 64 KiB leave room for an ordinary request

Cause: an ordinary request shared its part of the limit (7/8) with bodies of up to 64 KiB. 300 of them with their connections just fitted before; since buffers in the kernel count, connections take 36 KiB in place of 32, and the queue of new ones 2 MiB, so they fill that part until they have stalled for 1 s.

Change: claims of up to 16 KiB without their connection may use 15/16 of the limit.

Evidence: MemoryAccount.TinyRequestsFitWhenSmallOnesDoNot fails without the change and passes with it.

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -196,6 +196,8 @@
 {
   size_t eighth = claim->group->account->limit / 8;
 
+  if (bytes <= claim->base_bytes + DKS_MEMORY_TINY_BYTES)
+    return 7 * eighth + eighth / 2;
   if (bytes <= claim->base_bytes + DKS_MEMORY_SMALL_BYTES)
     return 7 * eighth;
   return bytes <= claim->base_bytes + DKS_MEMORY_MEDIUM_BYTES ? 6 * eighth : 5 * eighth;
--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -23,6 +23,7 @@
 {
   DKS_MEMORY_STALL_US = 1000000, /**< without progress for this long, a claim may have to yield */
   DKS_MEMORY_PROGRESS_BYTES = 4096,   /**< received bytes that count as progress */
+  DKS_MEMORY_TINY_BYTES = 16 << 10,   /**< claims up to this size may use 15/16 of the limit */
   DKS_MEMORY_SMALL_BYTES = 64 << 10,  /**< claims up to this size may use 7/8 of the limit */
   DKS_MEMORY_MEDIUM_BYTES = 512 << 10 /**< up to this size 6/8; larger ones 5/8 */
 };
--- a/tests/test_memory_account.cc
+++ b/tests/test_memory_account.cc
@@ -257,6 +257,19 @@
   EXPECT_FALSE (dks_memory_group_yield_oldest (&group, &claims[2], now_us));
 }
 
+/* Guards against bodies of up to 64 KiB that leave no room for an ordinary request. */
+TEST_F (MemoryAccount, TinyRequestsFitWhenSmallOnesDoNot)
+{
+  for (size_t i = 0; i < 1000; i++)
+    add (i);
+  size_t filled = 0;
+  while (filled < 999 && grow (filled, 64 << 10))
+    filled++;
+  EXPECT_LT (filled, 999u);
+  EXPECT_FALSE (grow (999, 64 << 10));
+  EXPECT_TRUE (grow (999, 16 << 10));
+}
+
 /* An answer that is not taken makes room only after it has stalled, whatever the claim has
  * received.
  */
