leased_feed: tell which configuration is rejected, why, and that an instance is behind

A rejected configuration was logged without version, size or reason, an answer of the store that is too large as an error of the store, and nothing told that an instance knows of a newer version than the one in force.

Change: decoders of the configuration return its version and the reason; event catalog-rejected has both. Gauges catalog_newest_version, catalog_behind_seconds, catalog_rejected, counter catalogs_total, the same in the status. No decision depends on them yet.

Evidence: LeasedFeed.InstanceThatRejectsAConfigurationReportsThatItIsBehind, Adapter.RejectedConfigurationHasItsVersionAndAReason and Adapter.ReadThatIsTooLargeIsToldFromARejectedOne pass; there was nothing that they could have read before.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -4,6 +4,8 @@
 #include "common/error.h"
 
 #include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -91,6 +93,26 @@
   return NULL;
 }
 
+int
+dks_catalog_reject (dks_catalog_rejection_t *rejection, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (rejection->reason, sizeof (rejection->reason), format, args);
+  va_end (args);
+  return DKS_ERR_INVALID;
+}
+
+int
+dks_catalog_check_count (dks_catalog_rejection_t *rejection, const char *list, size_t count)
+{
+  if (count > DKS_CATALOG_ENTRIES_MAX)
+    return dks_catalog_reject (rejection, "%zu %s, at most %d", count, list,
+                               DKS_CATALOG_ENTRIES_MAX);
+  return DKS_OK;
+}
+
 /* The JSON record in which instances send the catalog to each other */
 
 static json_t *
@@ -180,38 +202,57 @@
   return DKS_OK;
 }
 
-int
-dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog)
+static int
+catalog_from_json (const json_t *json, dks_catalog_t **catalog, dks_catalog_rejection_t *rejection)
 {
-  json_t *json = json_loadb ((const char *)record->data, record->len, 0, NULL);
-  json_t *queues = json_object_get (json, "queues");
-  json_t *services = json_object_get (json, "services");
+  const json_t *queues = json_object_get (json, "queues");
+  const json_t *services = json_object_get (json, "services");
   dks_catalog_t *created;
   int error = DKS_OK;
 
-  *catalog = NULL;
-  if (!json_is_array (queues) || !json_is_array (services)
-      || json_array_size (queues) > DKS_CATALOG_ENTRIES_MAX
-      || json_array_size (services) > DKS_CATALOG_ENTRIES_MAX)
-    {
-      json_decref (json);
-      return DKS_ERR_INVALID;
-    }
+  rejection->version = json_integer_value (json_object_get (json, "version"));
+  if (rejection->version < 1)
+    return dks_catalog_reject (rejection, "no version");
+  if (!json_is_array (queues) || !json_is_array (services))
+    return dks_catalog_reject (rejection, "no list of queues or services");
+  error = dks_catalog_check_count (rejection, "queues", json_array_size (queues));
+  if (error == DKS_OK)
+    error = dks_catalog_check_count (rejection, "services", json_array_size (services));
+  if (error != DKS_OK)
+    return error;
   created =
       dks_catalog_create ((uint32_t)json_array_size (queues), (uint32_t)json_array_size (services));
-  created->version = json_integer_value (json_object_get (json, "version"));
-  if (created->version < 1)
-    error = DKS_ERR_INVALID;
+  created->version = rejection->version;
   for (uint32_t i = 0; i < created->queue_count && error == DKS_OK; i++)
-    error = queue_from_json (json_array_get (queues, i), &created->queues[i]);
+    {
+      error = queue_from_json (json_array_get (queues, i), &created->queues[i]);
+      if (error != DKS_OK)
+        dks_catalog_reject (rejection, "queue %u is malformed", i);
+    }
   for (uint32_t i = 0; i < created->service_count && error == DKS_OK; i++)
-    error = service_from_json (json_array_get (services, i), &created->services[i]);
-  json_decref (json);
-  if (error != DKS_OK)
     {
-      dks_catalog_unref (created);
-      return error;
+      error = service_from_json (json_array_get (services, i), &created->services[i]);
+      if (error != DKS_OK)
+        dks_catalog_reject (rejection, "service %u is malformed", i);
     }
-  *catalog = created;
-  return DKS_OK;
+  if (error == DKS_OK)
+    *catalog = created;
+  else
+    dks_catalog_unref (created);
+  return error;
+}
+
+int
+dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog,
+                    dks_catalog_rejection_t *rejection)
+{
+  json_t *json = json_loadb ((const char *)record->data, record->len, 0, NULL);
+  int error;
+
+  *catalog = NULL;
+  *rejection = (dks_catalog_rejection_t){ 0 };
+  error = json != NULL ? catalog_from_json (json, catalog, rejection)
+                       : dks_catalog_reject (rejection, "not JSON");
+  json_decref (json);
+  return error;
 }
--- a/core/leased.c
+++ b/core/leased.c
@@ -61,10 +61,11 @@
 handle_catalog_record (dks_leased_t *leased, const char *from, const dks_msg_t *msg)
 {
   dks_catalog_t *catalog = NULL;
+  dks_catalog_rejection_t rejection;
 
-  if (dks_catalog_decode (msg->u.record.value, &catalog) != DKS_OK)
+  if (dks_catalog_decode (msg->u.record.value, &catalog, &rejection) != DKS_OK)
     {
-      dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-unreadable source=%s", from);
+      dks_leased_feed_reject_catalog (leased, &rejection, from);
       return;
     }
   dks_leased_feed_apply_catalog (leased, catalog, from);
@@ -230,9 +231,12 @@
   for (uint32_t i = 0; i < leased->evacuations.count; i++)
     json_array_append_new (evacuated, json_string (leased->evacuations.names[i]));
   json = json_pack (
-      "{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:I,s:o}", "member", leased->r->self, "leader",
+      "{s:s,s:s,s:I,s:I,s:I,s:I,s:s,s:b,s:I,s:I,s:I,s:I,s:o}", "member", leased->r->self, "leader",
       leader != NULL ? leader : "", "term", (json_int_t)leased->term, "catalog_version",
-      (json_int_t)(leased->catalog != NULL ? leased->catalog->version : 0), "ready",
+      (json_int_t)(leased->catalog != NULL ? leased->catalog->version : 0),
+      "catalog_newest_version", (json_int_t)leased->newest_catalog.version, "catalog_behind_ms",
+      (json_int_t)(dks_leased_feed_behind_us (leased) / 1000), "catalog_rejection",
+      leased->newest_catalog.is_rejected ? leased->newest_catalog.rejection : "", "ready",
       (int)dks_leased_is_ready (leased), "requests", (json_int_t)leased->request_count, "jobs",
       (json_int_t)leased->job_count, "waiting_tasks", (json_int_t)leased->waiting_tasks,
       "free_tasks", (json_int_t)dks_leased_targets_free_tasks (leased), "evacuated", evacuated);
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -24,6 +24,8 @@
   LOGGED_FAILURES_MAX = 3     /* failed calls in a row that are logged */
 };
 
+static const char platform_source[] = "platform"; /* else the source is a peer */
+
 static const char *
 feed_name (dks_feed_t feed)
 {
@@ -45,6 +47,8 @@
       return "unreachable";
     case DKS_FEED_UNANSWERED:
       return "unanswered";
+    case DKS_FEED_TOO_LARGE:
+      return "too_large";
     }
   return "unknown";
 }
@@ -125,11 +129,77 @@
 
 /* Items */
 
+static bool
+is_behind (const dks_leased_t *leased)
+{
+  return leased->catalog != NULL
+         && (leased->newest_catalog.is_rejected
+             || leased->newest_catalog.version > leased->catalog->version);
+}
+
+static void
+update_behind (dks_leased_t *leased)
+{
+  if (!is_behind (leased))
+    leased->newest_catalog.missing_since_us = 0;
+  else if (leased->newest_catalog.missing_since_us == 0)
+    leased->newest_catalog.missing_since_us = leased->r->now.mono_us;
+}
+
+void
+dks_leased_feed_note_version (dks_leased_t *leased, int64_t version)
+{
+  if (version > leased->newest_catalog.version)
+    leased->newest_catalog.version = version;
+  update_behind (leased);
+}
+
+int64_t
+dks_leased_feed_behind_us (const dks_leased_t *leased)
+{
+  int64_t since_us = leased->newest_catalog.missing_since_us;
+
+  return since_us > 0 ? leased->r->now.mono_us - since_us : 0;
+}
+
+static void
+count_catalog (dks_leased_t *leased, const char *source, const char *result)
+{
+  dks_metrics_increment (leased->metrics, DKS_LABELLED_CATALOGS,
+                         strcmp (source, platform_source) == 0 ? source : "peer", result);
+}
+
+void
+dks_leased_feed_reject_catalog (dks_leased_t *leased, const dks_catalog_rejection_t *rejection,
+                                const char *source)
+{
+  dks_emit_log (leased->r, DKS_LOG_ERROR,
+                "event=catalog-rejected version=%" PRId64 " in_force=%" PRId64
+                " source=%s reason=\"%s\"",
+                rejection->version, leased->catalog != NULL ? leased->catalog->version : 0, source,
+                rejection->reason);
+  count_catalog (leased, source, "rejected");
+  if (strcmp (source, platform_source) == 0)
+    {
+      leased->newest_catalog.is_rejected = true;
+      dks_strcpy (leased->newest_catalog.rejection, sizeof (leased->newest_catalog.rejection),
+                  rejection->reason);
+    }
+  dks_leased_feed_note_version (leased, rejection->version);
+}
+
 void
 dks_leased_feed_apply_catalog (dks_leased_t *leased, dks_catalog_t *catalog, const char *source)
 {
+  if (strcmp (source, platform_source) == 0)
+    leased->newest_catalog.is_rejected = false;
   if (leased->catalog != NULL && leased->catalog->version >= catalog->version)
-    return;
+    {
+      count_catalog (leased, source, "known");
+      update_behind (leased);
+      return;
+    }
+  count_catalog (leased, source, "applied");
   dks_emit_log (leased->r, DKS_LOG_NOTICE,
                 "event=catalog-applied version=%" PRId64 " previous=%" PRId64
                 " queues=%u source=%s",
@@ -139,6 +209,9 @@
   dks_blob_unref (leased->catalog_record);
   leased->catalog = dks_catalog_ref (catalog);
   leased->catalog_record = NULL;
+  if (catalog->version >= leased->newest_catalog.version)
+    leased->newest_catalog.is_rejected = false;
+  dks_leased_feed_note_version (leased, catalog->version);
   dks_counter_increment (&leased->r->counters, DKS_COUNTER_SETTINGS_APPLIED);
   dks_leased_members_notify_all (leased);
 }
@@ -265,10 +338,11 @@
       if (item->data_centre != NULL)
         dks_leased_evacuation_add_item (leased, item);
       else if (item->catalog != NULL)
-        dks_leased_feed_apply_catalog (leased, item->catalog, "platform");
+        dks_leased_feed_apply_catalog (leased, item->catalog, platform_source);
+      else if (item->rejection != NULL)
+        dks_leased_feed_reject_catalog (leased, item->rejection, platform_source);
       else
-        dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-%s key=%s",
-                      item->deleted ? "deleted" : "unreadable", item->key);
+        dks_emit_log (leased->r, DKS_LOG_WARNING, "event=catalog-deleted key=%s", item->key);
       return;
     }
   if (item->target != NULL)
@@ -327,6 +401,16 @@
                 (leased->r->now.mono_us - feed->sent_us) / 1000, feed->failures);
 }
 
+/* The version is not known, as nothing of the answer was read. */
+static void
+reject_unread_catalog (dks_leased_t *leased)
+{
+  dks_catalog_rejection_t rejection = { 0 };
+
+  dks_catalog_reject (&rejection, "the answer of the store is too large");
+  dks_leased_feed_reject_catalog (leased, &rejection, platform_source);
+}
+
 void
 dks_leased_feed_handle_event (dks_leased_t *leased, const dks_event_t *event)
 {
@@ -346,6 +430,8 @@
     {
       if (feed->failures < LOGGED_FAILURES_MAX || event->u.feed.status == DKS_FEED_HISTORY_GONE)
         log_failure (leased, which, event->u.feed.status);
+      if (which == DKS_FEED_CATALOG && event->u.feed.status == DKS_FEED_TOO_LARGE)
+        reject_unread_catalog (leased);
       if (event->u.feed.status == DKS_FEED_HISTORY_GONE)
         begin_read (leased, which);
       else
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -507,6 +507,7 @@
     peer->last_leading_us = leased->r->now.mono_us;
   peer->started_ms = msg->u.leased_status.started_ms;
   peer->catalog_version = msg->u.leased_status.catalog_version;
+  dks_leased_feed_note_version (leased, peer->catalog_version);
   dks_leased_evacuation_handle_status (leased, peer, msg);
   /* A leader may not know yet that its data centre is evacuated. */
   peer_is_evacuated = dks_leased_evacuation_covers (leased, peer->data_centre);
--- a/include/common/metrics.h
+++ b/include/common/metrics.h
@@ -29,7 +29,10 @@
      "in-kept-room; room-kept: targets that were kept for a task.")                                \
   X (LEADER_ENDS, "leader_ends_total", "reason", "",                                               \
      "Leadership terms of this instance that ended, by reason.")                                   \
-  X (FEED_CALLS, "feed_calls_total", "feed", "result", "Calls to the platform's store.")
+  X (FEED_CALLS, "feed_calls_total", "feed", "result", "Calls to the platform's store.")           \
+  X (CATALOGS, "catalogs_total", "source", "result",                                               \
+     "Versions of the configuration received, by source (platform or peer) and result (applied, "  \
+     "known or rejected).")
 
 /** X(identifier, metric name without prefix and unit, label, help text) */
 #define DKS_HISTOGRAMS(X)                                                                          \
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -50,6 +50,13 @@
   dks_service_entry_t *services;
 } dks_catalog_t;
 
+/** Why a configuration cannot be put in force. */
+typedef struct
+{
+  int64_t version; /**< as the configuration states, 0: it states none that can be read */
+  char reason[DKS_TEXT_SIZE];
+} dks_catalog_rejection_t;
+
 /** New catalog with empty entries and one reference. */
 dks_catalog_t *dks_catalog_create (uint32_t queue_count, uint32_t service_count);
 dks_catalog_t *dks_catalog_ref (dks_catalog_t *catalog);
@@ -65,7 +72,14 @@
 const dks_service_entry_t *dks_catalog_service (const dks_catalog_t *catalog, const char *name);
 /** Serializes the catalog to a JSON record for other instances. */
 dks_blob_t *dks_catalog_encode (const dks_catalog_t *catalog);
-/** Parses a record that dks_catalog_encode() wrote. Returns DKS_ERR_INVALID if it is malformed. */
-int dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog);
+/** Parses a record that dks_catalog_encode() wrote. Returns DKS_ERR_INVALID, and sets `rejection`,
+ * if it cannot be put in force. */
+int dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog,
+                        dks_catalog_rejection_t *rejection);
+/** Sets the reason of the rejection, with printf() formatting, and returns DKS_ERR_INVALID. */
+int dks_catalog_reject (dks_catalog_rejection_t *rejection, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/** Checks the number of entries of a list. */
+int dks_catalog_check_count (dks_catalog_rejection_t *rejection, const char *list, size_t count);
 
 #endif
--- a/include/core/event.h
+++ b/include/core/event.h
@@ -38,6 +38,7 @@
   DKS_FEED_REJECTED,     /**< the platform answered with an error, or unreadably */
   DKS_FEED_UNREACHABLE,  /**< the call was not sent, or its connection broke */
   DKS_FEED_UNANSWERED,   /**< no answer within the timeout */
+  DKS_FEED_TOO_LARGE,    /**< read only: the answer is larger than this instance can receive */
 } dks_feed_status_t;
 
 /** One item of a feed. */
@@ -45,12 +46,14 @@
 {
   const char *key; /**< identifies the item within its feed */
   bool deleted;
-  /** Configuration only; NULL when deleted or not readable. */
+  /** Configuration only; NULL when deleted or rejected. */
   dks_catalog_t *catalog;
   /** Target only; NULL when deleted or not readable. */
   const dks_target_info_t *target;
   /** Evacuation only, else NULL: name of the data centre, which is taken back when deleted. */
   const char *data_centre;
+  /** Configuration that cannot be put in force, else NULL. */
+  const dks_catalog_rejection_t *rejection;
 } dks_feed_item_t;
 
 /** Operation that a caller requests for a batch. */
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -502,6 +502,15 @@
   dks_leased_counts_t reported; /**< `counts` at the latest report */
 } dks_leased_load_t;
 
+/** What is known of the newest configuration, which need not be in force here. */
+typedef struct
+{
+  int64_t version;               /**< highest known to exist, 0: none */
+  bool is_rejected;              /**< the latest of the platform cannot be put in force here */
+  char rejection[DKS_TEXT_SIZE]; /**< why */
+  int64_t missing_since_us;      /**< when it became known, 0: it is in force */
+} dks_leased_newest_catalog_t;
+
 struct dks_leased_t
 {
   dks_reducer_t *r;
@@ -554,6 +563,7 @@
   dks_catalog_t *catalog;           /**< in force, NULL before the first */
   dks_blob_t *catalog_record;       /**< `catalog` encoded for peers, NULL: not asked for yet */
   dks_leased_fetch_t catalog_fetch; /**< of a newer configuration from a peer */
+  dks_leased_newest_catalog_t newest_catalog;
   dks_leased_fetch_t targets_fetch; /**< of the list of targets from a peer */
 
   /* leased_evacuation.c */
@@ -801,6 +811,13 @@
 dks_leased_feed_handle_record_ask (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Uses a peer's list of targets as long as the platform's has not been read. */
 void dks_leased_feed_handle_targets (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
+/** Reports a version of the configuration that is in force at another instance. */
+void dks_leased_feed_note_version (dks_leased_t *leased, int64_t version);
+/** Time for which a newer configuration has been known than the one in force, 0: there is none. */
+int64_t dks_leased_feed_behind_us (const dks_leased_t *leased);
+/** Reports a configuration that cannot be put in force. `source` is "platform" or a peer. */
+void dks_leased_feed_reject_catalog (dks_leased_t *leased, const dks_catalog_rejection_t *rejection,
+                                     const char *source);
 /** Puts the catalog in force, unless the version in force is as new or newer. */
 void
 dks_leased_feed_apply_catalog (dks_leased_t *leased, dks_catalog_t *catalog, const char *source);
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -17,8 +17,9 @@
                      has a body above 2 MiB or header lines above 64 KiB in all */
   bool refused; /**< `error` is DKS_ERR_UNAVAILABLE because nothing listens at the address */
   int status;   /**< HTTP status code when `error` is 0 */
-  bool not_run; /**< header Damaskshore-Not-Run: 1 */
-  bool leaving; /**< header Damaskshore-Leaving: 1, or Connection: close with status 503 */
+  uint64_t announced_bytes; /**< length of the body as the reply announces, 0: it does not */
+  bool not_run;             /**< header Damaskshore-Not-Run: 1 */
+  bool leaving;     /**< header Damaskshore-Leaving: 1, or Connection: close with status 503 */
   dks_blob_t *body; /**< never NULL when `error` is 0; take a reference to keep it */
 } dks_http_result_t;
 
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -9,8 +9,10 @@
 
 #include <jansson.h>
 
-/** Decodes the operator's configuration; DKS_ERR_INVALID when it is malformed. */
-int dks_wire_decode_catalog (const json_t *json, dks_catalog_t **catalog);
+/** Decodes the operator's configuration. Returns DKS_ERR_INVALID, and sets `rejection`, when it
+ * cannot be put in force. `json` may be NULL. */
+int dks_wire_decode_catalog (const json_t *json, dks_catalog_t **catalog,
+                             dks_catalog_rejection_t *rejection);
 /** Decodes the record of target `id`; DKS_ERR_INVALID when it is malformed, or when the target is
  * neither ready nor draining. */
 int dks_wire_decode_target (const char *id, const json_t *json, dks_target_info_t *info);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -225,8 +225,11 @@
 {
   dks_http_result_t result = { .error = error };
   long os_error = 0;
+  curl_off_t announced_bytes = 0;
 
   curl_easy_getinfo (request->easy, CURLINFO_OS_ERRNO, &os_error);
+  curl_easy_getinfo (request->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announced_bytes);
+  result.announced_bytes = announced_bytes > 0 ? (uint64_t)announced_bytes : 0;
   result.refused = error == DKS_ERR_UNAVAILABLE && os_error == ECONNREFUSED;
   if (error == DKS_OK)
     {
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -655,7 +655,9 @@
         {
           size_t other = side->first.second;
 
-          if (side->second.peer_member_id != effect.u.peer_send.peer)
+          if (side->second.peer_member_id != effect.u.peer_send.peer
+              || (effect.u.peer_send.msg->type == DKS_MSG_RECORD
+                  && !instances[other]->catalog_rejection.empty ()))
             continue;
           std::shared_ptr<dks_msg_t> msg (dks_msg_ref (effect.u.peer_send.msg), dks_msg_unref);
           statuses_to_other_data_centres +=
@@ -819,14 +821,15 @@
   for (auto &change : evacuation_changes)
     {
       if (call.is_watch && change.revision > call.after_revision)
-        items->push_back (
-            { "evacuation", !change.is_evacuated, nullptr, nullptr, change.data_centre.c_str () });
+        items->push_back ({ "evacuation", !change.is_evacuated, nullptr, nullptr,
+                            change.data_centre.c_str (), nullptr });
       latest[change.data_centre] = &change;
     }
   for (auto &[data_centre, change] : latest)
     {
       if (!call.is_watch && change->is_evacuated)
-        items->push_back ({ "evacuation", false, nullptr, nullptr, change->data_centre.c_str () });
+        items->push_back (
+            { "evacuation", false, nullptr, nullptr, change->data_centre.c_str (), nullptr });
     }
 }
 
@@ -863,6 +866,7 @@
   dks_event_t event = {};
   std::vector<dks_feed_item_t> items;
   dks_catalog_t *catalog = nullptr;
+  dks_catalog_rejection_t rejection = {};
 
   if (found == feed_calls.end ())
     return;
@@ -884,8 +888,14 @@
     }
   if (call.is_answered && call.feed == DKS_FEED_CATALOG && (!call.is_watch || has_change (call)))
     {
-      catalog = create_catalog ();
-      items.push_back ({ "catalog", false, catalog, nullptr, nullptr });
+      const std::string &reason = instances[index]->catalog_rejection;
+
+      if (reason.empty ())
+        catalog = create_catalog ();
+      rejection.version = catalog_version;
+      set_text (rejection.reason, sizeof (rejection.reason), reason);
+      items.push_back ({ "catalog", false, catalog, nullptr, nullptr,
+                         catalog == nullptr ? &rejection : nullptr });
       add_evacuations (call, &items);
     }
   if (call.is_answered && call.feed == DKS_FEED_TARGETS && (!call.is_watch || call.has_targets))
@@ -893,7 +903,7 @@
       for (auto &target : targets)
         {
           if (target->listed)
-            items.push_back ({ target->info.id, false, nullptr, &target->info, nullptr });
+            items.push_back ({ target->info.id, false, nullptr, &target->info, nullptr, nullptr });
         }
     }
   event.u.feed.count = items.size ();
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -123,13 +123,15 @@
   std::function<void ()> turn_tick;
   std::vector<OutgoingMsg> turn_output;
   bool in_turn = false;
-  size_t peers_read = 0;                 // connections read in this turn
-  uint64_t generation = 0;               // rises with each end of its process
-  bool event_scheduled = false;          // the handling of the first pending event
-  bool tick_pending = false;             // a tick is among the pending events
-  bool feed_down = false;                // the platform's feeds are unavailable to it
-  bool targets_feed_down = false;        // that of targets is
-  bool catalog_feed_down = false;        // that of the operator's configuration is
+  size_t peers_read = 0;          // connections read in this turn
+  uint64_t generation = 0;        // rises with each end of its process
+  bool event_scheduled = false;   // the handling of the first pending event
+  bool tick_pending = false;      // a tick is among the pending events
+  bool feed_down = false;         // the platform's feeds are unavailable to it
+  bool targets_feed_down = false; // that of targets is
+  bool catalog_feed_down = false; // that of the operator's configuration is
+  // Why it cannot put a configuration in force, whoever delivers it; empty: it can.
+  std::string catalog_rejection;
   bool history_gone = false;             // the history that its next watch of that needs is gone
   uint32_t processor_milli = 1000;       // processor time it may use, thousandths of a processor
   uint64_t feed_op[DKS_FEED_COUNT] = {}; // operation number of its latest call for each feed
--- a/tests/platform/test_fuzz.cc
+++ b/tests/platform/test_fuzz.cc
@@ -185,11 +185,12 @@
       json_t *json = json_loadb (text.data (), text.size (), 0, nullptr);
       dks_catalog_t *decoded = nullptr;
       dks_catalog_t *again = nullptr;
+      dks_catalog_rejection_t rejection;
 
-      if (dks_wire_decode_catalog (json, &decoded) == DKS_OK)
+      if (dks_wire_decode_catalog (json, &decoded, &rejection) == DKS_OK)
         {
           dks_blob_t *record = dks_catalog_encode (decoded);
-          EXPECT_EQ (dks_catalog_decode (record, &again), DKS_OK) << text;
+          EXPECT_EQ (dks_catalog_decode (record, &again, &rejection), DKS_OK) << text;
           dks_blob_unref (record);
           dks_catalog_unref (again);
         }
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -129,6 +129,9 @@
           self->targets.push_back (*item.target);
         if (item.catalog != nullptr)
           self->versions.push_back (item.catalog->version);
+        if (item.rejection != nullptr)
+          self->rejections.push_back (std::to_string (item.rejection->version) + " "
+                                      + item.rejection->reason);
         if (item.data_centre != nullptr)
           self->evacuations.push_back ((item.deleted ? "-" : "+") + std::string (item.data_centre));
       }
@@ -180,6 +183,7 @@
   std::vector<bool> deleted;
   std::vector<dks_target_info_t> targets;
   std::vector<int64_t> versions;
+  std::vector<std::string> rejections;  // "VERSION REASON"
   std::vector<std::string> evacuations; // "+NAME", or "-NAME" for an end
   std::string last_key;
 };
@@ -496,6 +500,44 @@
   EXPECT_EQ (keys.size (), 1U);
 }
 
+// Guards against a configuration that is rejected without its version and the reason.
+TEST_F (Adapter, RejectedConfigurationHasItsVersionAndAReason)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  // {"version":3,"routes":[],"services":{}}
+  platform.queue_reply (
+      200,
+      R"({"items":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6e319"}],)"
+      R"("store_revision":9})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_OK);
+  EXPECT_EQ (versions.size (), 0U);
+  ASSERT_EQ (rejections.size (), 1U);
+  EXPECT_EQ (rejections[0].find ("3 no list of"), 0U) << rejections[0];
+}
+
+// Guards against an answer that this instance cannot receive, but takes for an error of the store.
+TEST_F (Adapter, ReadThatIsTooLargeIsToldFromARejectedOne)
+{
+  dks_effect_t effect = {};
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  platform.queue_reply (200,
+                        R"({"items":[)" + std::string (3 << 20, ' ') + R"(],"store_revision":4})");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_TOO_LARGE);
+}
+
 // One call each reads and watches all that the operator writes.
 TEST_F (Adapter, ReadHasTheConfigurationAndTheEvacuations)
 {
@@ -716,9 +758,10 @@
       R"("target_factor":1.6}],"services":[{"name":"s","enforces_capacity":true}],"limits":{}})",
       0, nullptr);
   dks_catalog_t *catalog = nullptr;
+  dks_catalog_rejection_t rejection;
   const char *rest = nullptr;
 
-  ASSERT_EQ (dks_wire_decode_catalog (json, &catalog), DKS_OK);
+  ASSERT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_OK);
   EXPECT_EQ (catalog->version, 7);
   const dks_queue_entry_t *queue =
       dks_catalog_match_queue (catalog, "H.example:80", "/l/ab", &rest);
@@ -733,14 +776,14 @@
   // The record that other instances get decodes to the same catalog.
   dks_blob_t *record = dks_catalog_encode (catalog);
   dks_catalog_t *copy = nullptr;
-  ASSERT_EQ (dks_catalog_decode (record, &copy), DKS_OK);
+  ASSERT_EQ (dks_catalog_decode (record, &copy, &rejection), DKS_OK);
   EXPECT_EQ (memcmp (copy->queues, catalog->queues, sizeof (catalog->queues[0])), 0);
   EXPECT_EQ (copy->version, 7);
   dks_blob_unref (record);
   dks_catalog_unref (copy);
   dks_catalog_unref (catalog);
   json_object_del (json, "version");
-  EXPECT_EQ (dks_wire_decode_catalog (json, &catalog), DKS_ERR_INVALID);
+  EXPECT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_ERR_INVALID);
   json_decref (json);
 }
 
--- a/tests/test_leased_evacuation.cc
+++ b/tests/test_leased_evacuation.cc
@@ -369,7 +369,7 @@
 {
   World world;
   start_two (world);
-  dks_feed_item_t item = { "evacuation", false, nullptr, nullptr, "a" };
+  dks_feed_item_t item = { "evacuation", false, nullptr, nullptr, "a", nullptr };
   dks_event_t event = {};
 
   apply_status (world, 0, 1, 50, {});
--- a/tests/test_leased_feed.cc
+++ b/tests/test_leased_feed.cc
@@ -3,6 +3,7 @@
 #include "leased_world.h"
 
 #include <gtest/gtest.h>
+#include <jansson.h>
 
 using leased::count_logged;
 using leased::ms;
@@ -18,6 +19,34 @@
   return count_logged (world, "event=catalog-applied version=" + std::to_string (version) + " ");
 }
 
+// Number in the status of an instance.
+int64_t
+status_number (const World &world, size_t instance, const char *name)
+{
+  char *text = dks_reducer_status (world.instances[instance]->reducer);
+  json_t *json = json_loads (text, 0, nullptr);
+  json_t *member = json_object_get (json, name);
+
+  EXPECT_TRUE (json_is_integer (member)) << name;
+  int64_t number = json_integer_value (member);
+  json_decref (json);
+  free (text);
+  return number;
+}
+
+// Gauge in the metrics of an instance, by its name without prefix.
+double
+gauge (const World &world, size_t instance, const std::string &name)
+{
+  char *text = dks_reducer_metrics (world.instances[instance]->reducer);
+  std::string metrics = text;
+  size_t at = metrics.find ("\ndamaskshore_" + name + " ");
+
+  free (text);
+  EXPECT_NE (at, std::string::npos) << name;
+  return at != std::string::npos ? std::stod (metrics.substr (metrics.find (' ', at) + 1)) : 0;
+}
+
 // Guards against a confirmed configuration that is not in force in time because the connections to
 // the store have gone silent without a reset. After a change the watches of all instances begin at
 // the same moment, so that no peer can help. Instances have to be up to date 3 s after the fault,
@@ -40,4 +69,41 @@
   EXPECT_EQ (count_applied (world, 3), 7U);
 }
 
+// Guards against instances that stay at an old configuration and do not say so.
+TEST (LeasedFeed, InstanceThatRejectsAConfigurationReportsThatItIsBehind)
+{
+  World world;
+
+  for (size_t i = 0; i < 3; i++)
+    world.add_instance ("a");
+  world.start_all ();
+  world.run_for (3000 * ms);
+  for (auto &instance : world.instances)
+    instance->catalog_rejection = "too long";
+  world.change_catalog ();
+  world.run_for (2000 * ms);
+  for (size_t i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (status_number (world, i, "catalog_version"), 1);
+      EXPECT_EQ (status_number (world, i, "catalog_newest_version"), 2);
+      EXPECT_GT (status_number (world, i, "catalog_behind_ms"), 1900);
+      EXPECT_EQ (gauge (world, i, "catalog_rejected"), 1);
+      EXPECT_GT (gauge (world, i, "catalog_behind_seconds"), 1.9);
+    }
+  EXPECT_EQ (count_logged (world, "event=catalog-rejected version=2 in_force=1 source=platform "
+                                  "reason=\"too long\""),
+             3U);
+
+  for (auto &instance : world.instances)
+    instance->catalog_rejection.clear ();
+  world.change_catalog ();
+  world.run_for (100 * ms);
+  for (size_t i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (status_number (world, i, "catalog_version"), 3);
+      EXPECT_EQ (status_number (world, i, "catalog_behind_ms"), 0);
+      EXPECT_EQ (gauge (world, i, "catalog_rejected"), 0);
+    }
+}
+
 }
