--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -750,6 +750,48 @@
   EXPECT_EQ (feed_status, DKS_FEED_UNREACHABLE);
 }
 
+// A configuration with so many queues.
+std::string
+catalog_text (size_t queues)
+{
+  std::string text = R"({"version":7,"services":[{"name":"s"}],"routes":[)";
+
+  for (size_t i = 0; i < queues; i++)
+    {
+      std::string id = std::to_string (i);
+
+      text += (i > 0 ? "," : "") + (R"({"name":"r-)" + id + R"(","host":"h.example","prefix":"/p)")
+              + id + R"(/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":60,"priority":0,)"
+              + R"("service":"s","max_attempts":2,"target_factor":1.6})";
+    }
+  return text + "]}";
+}
+
+// Guards against instances that stay at an old configuration because a newer one has more queues
+// than a limit of their own.
+TEST (Wire, CatalogsOfAnyNumberOfQueuesAreDecoded)
+{
+  for (size_t count : { 4095, 4096, 4097, 20000 })
+    {
+      std::string text = catalog_text (count);
+      json_t *json = json_loadb (text.data (), text.size (), 0, nullptr);
+      dks_catalog_t *catalog = nullptr;
+      dks_catalog_t *copy = nullptr;
+      dks_catalog_rejection_t rejection;
+
+      ASSERT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_OK) << rejection.reason;
+      EXPECT_EQ (catalog->queue_count, count);
+      dks_blob_t *record = dks_catalog_encode (catalog);
+      ASSERT_EQ (dks_catalog_decode (record, &copy, &rejection), DKS_OK) << rejection.reason;
+      EXPECT_EQ (copy->queue_count, count);
+      EXPECT_STREQ (copy->queues[count - 1].prefix, catalog->queues[count - 1].prefix);
+      dks_blob_unref (record);
+      dks_catalog_unref (copy);
+      dks_catalog_unref (catalog);
+      json_decref (json);
+    }
+}
+
 TEST (Wire, CatalogDecodesQueuesAndServices)
 {
   json_t *json = json_loads (
