catalog: no limit on the number of queues and services

Seen by callers: after a change to more than 4,096 routes all instances went on with the configuration before it, for as long as every further version had as many: new routes were answered with 404 and dropped ones were served.

Cause: DKS_CATALOG_ENTRIES_MAX rejected the configuration as a whole.

Change: the limit is gone, on the way from the platform and between instances. What a configuration takes is bounded by the size of an answer of the store.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -104,15 +104,6 @@
   return DKS_ERR_INVALID;
 }
 
-int
-dks_catalog_check_count (dks_catalog_rejection_t *rejection, const char *list, size_t count)
-{
-  if (count > DKS_CATALOG_ENTRIES_MAX)
-    return dks_catalog_reject (rejection, "%zu %s, at most %d", count, list,
-                               DKS_CATALOG_ENTRIES_MAX);
-  return DKS_OK;
-}
-
 /* The JSON record in which instances send the catalog to each other */
 
 static json_t *
@@ -215,11 +206,6 @@
     return dks_catalog_reject (rejection, "no version");
   if (!json_is_array (queues) || !json_is_array (services))
     return dks_catalog_reject (rejection, "no list of queues or services");
-  error = dks_catalog_check_count (rejection, "queues", json_array_size (queues));
-  if (error == DKS_OK)
-    error = dks_catalog_check_count (rejection, "services", json_array_size (services));
-  if (error != DKS_OK)
-    return error;
   created =
       dks_catalog_create ((uint32_t)json_array_size (queues), (uint32_t)json_array_size (services));
   created->version = rejection->version;
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -11,9 +11,8 @@
 
 enum
 {
-  DKS_HOST_SIZE = 128,           /**< bytes of a host name with NUL */
-  DKS_PREFIX_SIZE = 256,         /**< bytes of a path prefix with NUL */
-  DKS_CATALOG_ENTRIES_MAX = 4096 /**< queues, and as many services */
+  DKS_HOST_SIZE = 128,  /**< bytes of a host name with NUL */
+  DKS_PREFIX_SIZE = 256 /**< bytes of a path prefix with NUL */
 };
 
 typedef struct
@@ -79,7 +78,5 @@
 /** Sets the reason of the rejection, with printf() formatting, and returns DKS_ERR_INVALID. */
 int dks_catalog_reject (dks_catalog_rejection_t *rejection, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
-/** Checks the number of entries of a list. */
-int dks_catalog_check_count (dks_catalog_rejection_t *rejection, const char *list, size_t count);
 
 #endif
