leased_entry: no 404 from a configuration that is known to be old

Seen by callers: while an instance stayed at an old configuration, it told them that queues do not exist which had been confirmed, and it went on to take new callers while others would have served them.

Cause: nothing compared the version in force with the newest one known, which peers state ten times a second.

Change: an instance that knows of a newer version, from a peer or since it cannot put the platform's in force, refuses requests for queues it does not know with 503 and Retry-After. After 3 s it is not ready, if a live peer has the newer version.

--- a/core/leased.c
+++ b/core/leased.c
@@ -217,7 +217,7 @@
 dks_leased_is_ready (const dks_leased_t *leased)
 {
   return leased->drain_start_us == 0 && leased->catalog != NULL
-         && dks_leased_leader_id (leased) != NULL;
+         && dks_leased_leader_id (leased) != NULL && !dks_leased_feed_is_outdated (leased);
 }
 
 char *
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -459,6 +459,12 @@
       return;
     }
   queue = dks_catalog_match_queue (leased->catalog, event->u.batch.host, event->u.batch.path, &id);
+  if (queue == NULL && dks_leased_feed_is_behind (leased))
+    {
+      answer_at_once (leased, event, "", "", DKS_BATCH_REFUSED, NO_CATALOG_RETRY_AFTER_MS,
+                      "a newer configuration is not in force here yet");
+      return;
+    }
   if (queue == NULL)
     {
       reply (leased, caller, DKS_BATCH_NO_QUEUE, 0, "no such queue");
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -21,7 +21,10 @@
      it to most instances by then. */
   FETCH_DELAY_US = 250000,
   FETCH_INTERVAL_US = 700000, /* until another peer is asked */
-  LOGGED_FAILURES_MAX = 3     /* failed calls in a row that are logged */
+  /* A change has to be in force within 2 s; small instances need most of it while a change is
+     large. */
+  OUTDATED_AFTER_US = 3000000,
+  LOGGED_FAILURES_MAX = 3 /* failed calls in a row that are logged */
 };
 
 static const char platform_source[] = "platform"; /* else the source is a peer */
@@ -129,8 +132,18 @@
 
 /* Items */
 
+/* Whether the peer has what this instance lacks. */
 static bool
-is_behind (const dks_leased_t *leased)
+peer_has (const dks_leased_t *leased, const dks_leased_peer_t *peer, dks_feed_t which)
+{
+  int64_t version = leased->catalog != NULL ? leased->catalog->version : 0;
+
+  return which == DKS_FEED_CATALOG ? peer->catalog_version > version
+                                   : peer->knows_targets && !leased->feeds[which].is_loaded;
+}
+
+bool
+dks_leased_feed_is_behind (const dks_leased_t *leased)
 {
   return leased->catalog != NULL
          && (leased->newest_catalog.is_rejected
@@ -140,7 +153,7 @@
 static void
 update_behind (dks_leased_t *leased)
 {
-  if (!is_behind (leased))
+  if (!dks_leased_feed_is_behind (leased))
     leased->newest_catalog.missing_since_us = 0;
   else if (leased->newest_catalog.missing_since_us == 0)
     leased->newest_catalog.missing_since_us = leased->r->now.mono_us;
@@ -162,6 +175,21 @@
   return since_us > 0 ? leased->r->now.mono_us - since_us : 0;
 }
 
+bool
+dks_leased_feed_is_outdated (const dks_leased_t *leased)
+{
+  const dks_leased_peer_t *peer;
+
+  if (dks_leased_feed_behind_us (leased) < OUTDATED_AFTER_US)
+    return false;
+  APR_RING_FOREACH (peer, &leased->peers, dks_leased_peer_t, link)
+    {
+      if (dks_leased_peer_is_alive (leased, peer) && peer_has (leased, peer, DKS_FEED_CATALOG))
+        return true;
+    }
+  return false;
+}
+
 static void
 count_catalog (dks_leased_t *leased, const char *source, const char *result)
 {
@@ -239,16 +267,6 @@
 
 /* Records of peers */
 
-/* Whether the peer has what this instance lacks. */
-static bool
-peer_has (const dks_leased_t *leased, const dks_leased_peer_t *peer, dks_feed_t which)
-{
-  int64_t version = leased->catalog != NULL ? leased->catalog->version : 0;
-
-  return which == DKS_FEED_CATALOG ? peer->catalog_version > version
-                                   : peer->knows_targets && !leased->feeds[which].is_loaded;
-}
-
 /* The peer to ask: one that was not asked last, then one of the own data centre, then its leader,
  * which is the most likely to be up to date. NULL: no peer has it. */
 static const dks_leased_peer_t *
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -813,8 +813,13 @@
 void dks_leased_feed_handle_targets (dks_leased_t *leased, const char *from, const dks_msg_t *msg);
 /** Reports a version of the configuration that is in force at another instance. */
 void dks_leased_feed_note_version (dks_leased_t *leased, int64_t version);
+/** Whether a newer configuration is known than the one in force. */
+bool dks_leased_feed_is_behind (const dks_leased_t *leased);
 /** Time for which a newer configuration has been known than the one in force, 0: there is none. */
 int64_t dks_leased_feed_behind_us (const dks_leased_t *leased);
+/** Whether a newer configuration has been known for long that is in force at other instances, so
+ * that callers are better served there. */
+bool dks_leased_feed_is_outdated (const dks_leased_t *leased);
 /** Reports a configuration that cannot be put in force. `source` is "platform" or a peer. */
 void dks_leased_feed_reject_catalog (dks_leased_t *leased, const dks_catalog_rejection_t *rejection,
                                      const char *source);
--- a/tests/test_leased_feed.cc
+++ b/tests/test_leased_feed.cc
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 using leased::count_logged;
+using leased::got_answer;
 using leased::ms;
 using leased::World;
 
@@ -107,3 +108,55 @@
 }
 
 }
+
+// Guards against a caller that is told that a queue does not exist by an instance that knows of a
+// newer configuration, in which the queue may be.
+TEST (LeasedFeed, UnknownQueueIsRefusedWhileANewerConfigurationIsNotInForce)
+{
+  World world;
+
+  world.add_instance ("a");
+  world.start_all ();
+  world.run_for (3000 * ms);
+  uint64_t caller = world.submit (0, "0000000000000001", { { 1, 100, 100, 100 } }, 1500, "new");
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_NO_QUEUE));
+  world.instances[0]->catalog_rejection = "too long";
+  world.further_queues.push_back ({ "new", 0 });
+  world.change_catalog ();
+  world.run_for (10 * ms);
+  caller = world.submit (0, "0000000000000002", { { 1, 100, 100, 100 } }, 1500, "new");
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_REFUSED));
+  EXPECT_GT (world.answers[caller].retry_after_ms, 0U);
+}
+
+// Guards against an instance that takes new callers although it stays at an old configuration that
+// others have replaced.
+TEST (LeasedFeed, InstanceThatStaysAtAnOldConfigurationIsNotReadyIfOthersHaveTheNewOne)
+{
+  World world;
+  std::vector<bool> ready;
+  auto read_ready = [&] {
+    ready.clear ();
+    for (auto &instance : world.instances)
+      ready.push_back (instance->up && dks_reducer_is_ready (instance->reducer));
+  };
+
+  for (size_t i = 0; i < 3; i++)
+    world.add_instance ("a");
+  world.start_all ();
+  world.run_for (3000 * ms);
+  world.instances[0]->catalog_rejection = "too long";
+  world.change_catalog ();
+  world.run_for (2500 * ms);
+  read_ready ();
+  EXPECT_EQ (ready, std::vector<bool> ({ true, true, true }));
+  world.run_for (1000 * ms);
+  read_ready ();
+  EXPECT_EQ (ready, std::vector<bool> ({ false, true, true }));
+  // With no instance that has the newer one, each is as good as the others.
+  world.kill (1);
+  world.kill (2);
+  world.run_for (5000 * ms);
+  read_ready ();
+  EXPECT_TRUE (ready[0]);
+}
