catalog: parse the configuration as a stream; no value rejects it for its size

One route with a host of 128 bytes, a prefix of 256, a name or service of 48, a priority of 2^32 or a factor of 1,000 made all instances reject the whole configuration.

Cause: entries had fixed fields, and numbers that do not fit into theirs were malformed.

Change: entries hold their texts at their own length, larger numbers are limited. Only malformed values reject a configuration, and the reason names list, index and member. A job whose queue or service has a name that does not fit into a job is refused. yajl parses the text as a stream: the tree of JSON values took several times its length, which bounds what a small instance can hold. Weighed: jansson, as before, has no such interface.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -3,26 +3,79 @@
 #include "common/alloc.h"
 #include "common/error.h"
 
-#include <jansson.h>
-#include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <yajl/yajl_gen.h>
 
 dks_catalog_t *
-dks_catalog_create (uint32_t queue_count, uint32_t service_count)
+dks_catalog_create (int64_t version)
 {
   dks_catalog_t *catalog = dks_alloc (sizeof (*catalog));
 
   catalog->refs = 1;
-  catalog->queue_count = queue_count;
-  catalog->service_count = service_count;
-  catalog->queues = dks_alloc ((queue_count + 1) * sizeof (catalog->queues[0]));
-  catalog->services = dks_alloc ((service_count + 1) * sizeof (catalog->services[0]));
+  catalog->version = version;
   return catalog;
 }
 
+/* Capacity of an array that `count` elements fill: at least one more. */
+static uint32_t
+grown_capacity (uint32_t count)
+{
+  DKS_INVARIANT (count < UINT32_MAX / 2);
+  return count + count / 2 + 4;
+}
+
+/* Copies `text` to `*to`, and moves `*to` behind it. */
+static const char *
+append_text (char **to, const char *text)
+{
+  size_t size = strlen (text) + 1;
+  const char *copy = memcpy (*to, text, size);
+
+  *to += size;
+  return copy;
+}
+
+void
+dks_catalog_add_queue (dks_catalog_t *catalog, const dks_queue_entry_t *queue)
+{
+  size_t size = strlen (queue->name) + strlen (queue->host) + strlen (queue->prefix)
+                + strlen (queue->service) + 4;
+  char *texts = dks_alloc (size);
+  dks_queue_entry_t *added;
+
+  if (catalog->queue_count == catalog->queue_capacity)
+    {
+      catalog->queue_capacity = grown_capacity (catalog->queue_count);
+      catalog->queues =
+          dks_realloc (catalog->queues, catalog->queue_capacity * sizeof (catalog->queues[0]));
+    }
+  added = &catalog->queues[catalog->queue_count++];
+  *added = *queue;
+  /* The name is the first, and so the address to be freed. */
+  added->name = append_text (&texts, queue->name);
+  added->host = append_text (&texts, queue->host);
+  added->prefix = append_text (&texts, queue->prefix);
+  added->service = append_text (&texts, queue->service);
+}
+
+void
+dks_catalog_add_service (dks_catalog_t *catalog, const dks_service_entry_t *service)
+{
+  dks_service_entry_t *added;
+
+  if (catalog->service_count == catalog->service_capacity)
+    {
+      catalog->service_capacity = grown_capacity (catalog->service_count);
+      catalog->services = dks_realloc (catalog->services,
+                                       catalog->service_capacity * sizeof (catalog->services[0]));
+    }
+  added = &catalog->services[catalog->service_count++];
+  *added = *service;
+  added->name = dks_strdup (service->name);
+}
+
 dks_catalog_t *
 dks_catalog_ref (dks_catalog_t *catalog)
 {
@@ -35,6 +88,10 @@
 {
   if (catalog == NULL || --catalog->refs > 0)
     return;
+  for (uint32_t i = 0; i < catalog->queue_count; i++)
+    free ((char *)catalog->queues[i].name);
+  for (uint32_t i = 0; i < catalog->service_count; i++)
+    free ((char *)catalog->services[i].name);
   free (catalog->queues);
   free (catalog->services);
   free (catalog);
@@ -93,152 +150,114 @@
   return NULL;
 }
 
-int
-dks_catalog_reject (dks_catalog_rejection_t *rejection, const char *format, ...)
+/* The JSON record in which instances send the catalog to each other */
+
+static const dks_catalog_format_t record_format = {
+  .queues = "queues",
+  .services = "services",
+  .members = {
+    [DKS_CATALOG_NAME] = "name",
+    [DKS_CATALOG_HOST] = "host",
+    [DKS_CATALOG_PREFIX] = "prefix",
+    [DKS_CATALOG_SERVICE] = "service",
+    [DKS_CATALOG_PRIORITY] = "priority",
+    [DKS_CATALOG_MAX_ATTEMPTS] = "max_attempts",
+    [DKS_CATALOG_TIMEOUT] = "timeout_ms",
+    [DKS_CATALOG_OBJECTIVE_FACTOR] = "factor_milli",
+    [DKS_CATALOG_OBJECTIVE_EXTRA] = "extra_ms",
+    [DKS_CATALOG_ADVICE] = "advice",
+    [DKS_CATALOG_REJECTS_EXCESS_RUNS] = "guards",
+    [DKS_CATALOG_STANDBY] = "standby",
+  },
+  .objective_factor_milli = 1,
+};
+
+static void
+put_key (yajl_gen gen, const char *key)
 {
-  va_list args;
+  yajl_gen_string (gen, (const unsigned char *)key, strlen (key));
+}
 
-  va_start (args, format);
-  vsnprintf (rejection->reason, sizeof (rejection->reason), format, args);
-  va_end (args);
-  return DKS_ERR_INVALID;
+static void
+put_text (yajl_gen gen, dks_catalog_member_t member, const char *text)
+{
+  put_key (gen, record_format.members[member]);
+  yajl_gen_string (gen, (const unsigned char *)text, strlen (text));
 }
 
-/* The JSON record in which instances send the catalog to each other */
+static void
+put_number (yajl_gen gen, dks_catalog_member_t member, uint32_t number)
+{
+  put_key (gen, record_format.members[member]);
+  yajl_gen_integer (gen, number);
+}
+
+static void
+put_bool (yajl_gen gen, dks_catalog_member_t member, bool value)
+{
+  put_key (gen, record_format.members[member]);
+  yajl_gen_bool (gen, value);
+}
+
+static void
+put_queue (yajl_gen gen, const dks_queue_entry_t *queue)
+{
+  yajl_gen_map_open (gen);
+  put_text (gen, DKS_CATALOG_NAME, queue->name);
+  put_text (gen, DKS_CATALOG_HOST, queue->host);
+  put_text (gen, DKS_CATALOG_PREFIX, queue->prefix);
+  put_text (gen, DKS_CATALOG_SERVICE, queue->service);
+  put_number (gen, DKS_CATALOG_PRIORITY, queue->priority);
+  put_number (gen, DKS_CATALOG_MAX_ATTEMPTS, queue->max_attempts);
+  put_number (gen, DKS_CATALOG_TIMEOUT, queue->timeout_ms);
+  put_number (gen, DKS_CATALOG_OBJECTIVE_FACTOR, queue->objective_factor_milli);
+  put_number (gen, DKS_CATALOG_OBJECTIVE_EXTRA, queue->objective_extra_ms);
+  put_bool (gen, DKS_CATALOG_ADVICE, queue->needs_advice);
+  yajl_gen_map_close (gen);
+}
 
-static json_t *
-queue_to_json (const dks_queue_entry_t *queue)
+static void
+put_service (yajl_gen gen, const dks_service_entry_t *service)
 {
-  return json_pack ("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "name", queue->name, "host",
-                    queue->host, "prefix", queue->prefix, "service", queue->service, "priority",
-                    (json_int_t)queue->priority, "max_attempts", (json_int_t)queue->max_attempts,
-                    "timeout_ms", (json_int_t)queue->timeout_ms, "factor_milli",
-                    (json_int_t)queue->objective_factor_milli, "extra_ms",
-                    (json_int_t)queue->objective_extra_ms, "advice", (int)queue->needs_advice);
+  yajl_gen_map_open (gen);
+  put_text (gen, DKS_CATALOG_NAME, service->name);
+  put_bool (gen, DKS_CATALOG_REJECTS_EXCESS_RUNS, service->rejects_excess_runs);
+  put_bool (gen, DKS_CATALOG_STANDBY, service->standby);
+  yajl_gen_map_close (gen);
 }
 
 dks_blob_t *
 dks_catalog_encode (const dks_catalog_t *catalog)
 {
-  json_t *queues = json_array ();
-  json_t *services = json_array ();
-  json_t *record;
+  yajl_gen gen = yajl_gen_alloc (NULL);
+  const unsigned char *text = NULL;
+  size_t len = 0;
   dks_blob_t *blob;
-  char *text;
 
+  DKS_INVARIANT (gen != NULL);
+  yajl_gen_map_open (gen);
+  put_key (gen, "version");
+  yajl_gen_integer (gen, catalog->version);
+  put_key (gen, record_format.queues);
+  yajl_gen_array_open (gen);
   for (uint32_t i = 0; i < catalog->queue_count; i++)
-    json_array_append_new (queues, queue_to_json (&catalog->queues[i]));
+    put_queue (gen, &catalog->queues[i]);
+  yajl_gen_array_close (gen);
+  put_key (gen, record_format.services);
+  yajl_gen_array_open (gen);
   for (uint32_t i = 0; i < catalog->service_count; i++)
-    json_array_append_new (services,
-                           json_pack ("{s:s,s:b,s:b}", "name", catalog->services[i].name, "guards",
-                                      (int)catalog->services[i].rejects_excess_runs, "standby",
-                                      (int)catalog->services[i].standby));
-  record = json_pack ("{s:I,s:o,s:o}", "version", (json_int_t)catalog->version, "queues", queues,
-                      "services", services);
-  text = json_dumps (record, JSON_COMPACT);
-  DKS_INVARIANT (text != NULL);
-  blob = dks_blob_create_text (text);
-  free (text);
-  json_decref (record);
+    put_service (gen, &catalog->services[i]);
+  yajl_gen_array_close (gen);
+  yajl_gen_map_close (gen);
+  DKS_INVARIANT (yajl_gen_get_buf (gen, &text, &len) == yajl_gen_status_ok);
+  blob = dks_blob_create (text, len);
+  yajl_gen_free (gen);
   return blob;
 }
 
-static int
-queue_from_json (json_t *json, dks_queue_entry_t *queue)
-{
-  const char *name;
-  const char *host;
-  const char *prefix;
-  const char *service;
-  json_int_t priority;
-  json_int_t max_attempts;
-  json_int_t timeout_ms;
-  json_int_t factor_milli;
-  json_int_t extra_ms;
-  int advice;
-
-  if (json_unpack (json, "{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "name", &name, "host", &host,
-                   "prefix", &prefix, "service", &service, "priority", &priority, "max_attempts",
-                   &max_attempts, "timeout_ms", &timeout_ms, "factor_milli", &factor_milli,
-                   "extra_ms", &extra_ms, "advice", &advice)
-          != 0
-      || dks_strcpy (queue->name, sizeof (queue->name), name) != DKS_OK
-      || dks_strcpy (queue->host, sizeof (queue->host), host) != DKS_OK
-      || dks_strcpy (queue->prefix, sizeof (queue->prefix), prefix) != DKS_OK
-      || dks_strcpy (queue->service, sizeof (queue->service), service) != DKS_OK)
-    return DKS_ERR_INVALID;
-  queue->priority = (uint32_t)priority;
-  queue->max_attempts = (uint32_t)max_attempts;
-  queue->timeout_ms = (uint32_t)timeout_ms;
-  queue->objective_factor_milli = (uint32_t)factor_milli;
-  queue->objective_extra_ms = (uint32_t)extra_ms;
-  queue->needs_advice = advice != 0;
-  return DKS_OK;
-}
-
-static int
-service_from_json (json_t *json, dks_service_entry_t *service)
-{
-  const char *name;
-  int rejects_excess_runs;
-  int standby;
-
-  if (json_unpack (json, "{s:s,s:b,s:b}", "name", &name, "guards", &rejects_excess_runs, "standby",
-                   &standby)
-          != 0
-      || dks_strcpy (service->name, sizeof (service->name), name) != DKS_OK)
-    return DKS_ERR_INVALID;
-  service->rejects_excess_runs = rejects_excess_runs != 0;
-  service->standby = standby != 0;
-  return DKS_OK;
-}
-
-static int
-catalog_from_json (const json_t *json, dks_catalog_t **catalog, dks_catalog_rejection_t *rejection)
-{
-  const json_t *queues = json_object_get (json, "queues");
-  const json_t *services = json_object_get (json, "services");
-  dks_catalog_t *created;
-  int error = DKS_OK;
-
-  rejection->version = json_integer_value (json_object_get (json, "version"));
-  if (rejection->version < 1)
-    return dks_catalog_reject (rejection, "no version");
-  if (!json_is_array (queues) || !json_is_array (services))
-    return dks_catalog_reject (rejection, "no list of queues or services");
-  created =
-      dks_catalog_create ((uint32_t)json_array_size (queues), (uint32_t)json_array_size (services));
-  created->version = rejection->version;
-  for (uint32_t i = 0; i < created->queue_count && error == DKS_OK; i++)
-    {
-      error = queue_from_json (json_array_get (queues, i), &created->queues[i]);
-      if (error != DKS_OK)
-        dks_catalog_reject (rejection, "queue %u is malformed", i);
-    }
-  for (uint32_t i = 0; i < created->service_count && error == DKS_OK; i++)
-    {
-      error = service_from_json (json_array_get (services, i), &created->services[i]);
-      if (error != DKS_OK)
-        dks_catalog_reject (rejection, "service %u is malformed", i);
-    }
-  if (error == DKS_OK)
-    *catalog = created;
-  else
-    dks_catalog_unref (created);
-  return error;
-}
-
 int
 dks_catalog_decode (const dks_blob_t *record, dks_catalog_t **catalog,
                     dks_catalog_rejection_t *rejection)
 {
-  json_t *json = json_loadb ((const char *)record->data, record->len, 0, NULL);
-  int error;
-
-  *catalog = NULL;
-  *rejection = (dks_catalog_rejection_t){ 0 };
-  error = json != NULL ? catalog_from_json (json, catalog, rejection)
-                       : dks_catalog_reject (rejection, "not JSON");
-  json_decref (json);
-  return error;
+  return dks_catalog_parse (&record_format, record->data, record->len, catalog, rejection);
 }
--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -400,8 +400,13 @@
                       "estimate_ms: the longest chain of steps is above 86400 s");
       return;
     }
-  dks_strcpy (batch->service, sizeof (batch->service), queue->service);
-  dks_strcpy (batch->queue, sizeof (batch->queue), queue->name);
+  if (dks_strcpy (batch->service, sizeof (batch->service), queue->service) != DKS_OK
+      || dks_strcpy (batch->queue, sizeof (batch->queue), queue->name) != DKS_OK)
+    {
+      answer_at_once (leased, event, queue->name, id, DKS_BATCH_REFUSED, 0,
+                      "the name of the queue or of its service is too long");
+      return;
+    }
   batch->priority = queue->priority;
   batch->max_attempts = queue->max_attempts;
   if (ends_after_drain (leased, batch))
--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -423,9 +423,8 @@
 static void
 reject_unread_catalog (dks_leased_t *leased)
 {
-  dks_catalog_rejection_t rejection = { 0 };
+  const dks_catalog_rejection_t rejection = { 0, "the answer of the store is too large" };
 
-  dks_catalog_reject (&rejection, "the answer of the store is too large");
   dks_leased_feed_reject_catalog (leased, &rejection, platform_source);
 }
 
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -10,8 +10,8 @@
 #include <jansson.h>
 
 /** Decodes the operator's configuration. Returns DKS_ERR_INVALID, and sets `rejection`, when it
- * cannot be put in force. `json` may be NULL. */
-int dks_wire_decode_catalog (const json_t *json, dks_catalog_t **catalog,
+ * cannot be put in force. */
+int dks_wire_decode_catalog (const void *text, size_t len, dks_catalog_t **catalog,
                              dks_catalog_rejection_t *rejection);
 /** Decodes the record of target `id`; DKS_ERR_INVALID when it is malformed, or when the target is
  * neither ready nor draining. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -836,26 +836,29 @@
 dks_catalog_t *
 World::create_catalog () const
 {
-  dks_catalog_t *catalog = dks_catalog_create (1 + further_queues.size (), 1);
+  dks_catalog_t *catalog = dks_catalog_create (catalog_version);
+  dks_service_entry_t service = {};
 
-  catalog->version = catalog_version;
   for (size_t i = 0; i <= further_queues.size (); i++)
     {
-      dks_queue_entry_t &entry = catalog->queues[i];
-
-      set_text (entry.name, DKS_NAME_SIZE, i == 0 ? "queue" : further_queues[i - 1].first);
-      set_text (entry.host, DKS_HOST_SIZE, "host");
-      set_text (entry.prefix, DKS_PREFIX_SIZE,
-                i == 0 ? "/q/" : "/" + further_queues[i - 1].first + "/");
-      set_text (entry.service, DKS_NAME_SIZE, "words");
+      std::string name = i == 0 ? "queue" : further_queues[i - 1].first;
+      std::string prefix = i == 0 ? "/q/" : "/" + name + "/";
+      dks_queue_entry_t entry = {};
+
+      entry.name = name.c_str ();
+      entry.host = "host";
+      entry.prefix = prefix.c_str ();
+      entry.service = "words";
       entry.priority = i == 0 ? 0 : further_queues[i - 1].second;
       entry.max_attempts = 3;
       entry.timeout_ms = queue_timeout_ms;
       entry.objective_factor_milli = static_cast<uint32_t> (objective_factor_milli);
       entry.objective_extra_ms = static_cast<uint32_t> (objective_extra_ms);
+      dks_catalog_add_queue (catalog, &entry);
     }
-  set_text (catalog->services[0].name, DKS_NAME_SIZE, "words");
-  catalog->services[0].rejects_excess_runs = rejects_excess_runs;
+  service.name = "words";
+  service.rejects_excess_runs = rejects_excess_runs;
+  dks_catalog_add_service (catalog, &service);
   return catalog;
 }
 
--- a/tests/platform/test_fuzz.cc
+++ b/tests/platform/test_fuzz.cc
@@ -182,20 +182,23 @@
   for (int i = 0; i < input_count (); i++)
     {
       std::string text = mutate (catalog);
-      json_t *json = json_loadb (text.data (), text.size (), 0, nullptr);
       dks_catalog_t *decoded = nullptr;
       dks_catalog_t *again = nullptr;
       dks_catalog_rejection_t rejection;
 
-      if (dks_wire_decode_catalog (json, &decoded, &rejection) == DKS_OK)
+      if (dks_wire_decode_catalog (text.data (), text.size (), &decoded, &rejection) == DKS_OK)
         {
           dks_blob_t *record = dks_catalog_encode (decoded);
           EXPECT_EQ (dks_catalog_decode (record, &again, &rejection), DKS_OK) << text;
           dks_blob_unref (record);
           dks_catalog_unref (again);
         }
+      else
+        {
+          EXPECT_NE (rejection.reason[0], '\0') << text;
+          EXPECT_EQ (decoded, nullptr);
+        }
       dks_catalog_unref (decoded);
-      json_decref (json);
     }
 }
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -774,12 +774,12 @@
   for (size_t count : { 4095, 4096, 4097, 20000 })
     {
       std::string text = catalog_text (count);
-      json_t *json = json_loadb (text.data (), text.size (), 0, nullptr);
       dks_catalog_t *catalog = nullptr;
       dks_catalog_t *copy = nullptr;
       dks_catalog_rejection_t rejection;
 
-      ASSERT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_OK) << rejection.reason;
+      ASSERT_EQ (dks_wire_decode_catalog (text.data (), text.size (), &catalog, &rejection), DKS_OK)
+          << rejection.reason;
       EXPECT_EQ (catalog->queue_count, count);
       dks_blob_t *record = dks_catalog_encode (catalog);
       ASSERT_EQ (dks_catalog_decode (record, &copy, &rejection), DKS_OK) << rejection.reason;
@@ -788,45 +788,148 @@
       dks_blob_unref (record);
       dks_catalog_unref (copy);
       dks_catalog_unref (catalog);
-      json_decref (json);
     }
 }
 
+dks_catalog_t *
+decode_catalog (const std::string &text, dks_catalog_rejection_t *rejection)
+{
+  dks_catalog_t *catalog = nullptr;
+
+  dks_wire_decode_catalog (text.data (), text.size (), &catalog, rejection);
+  return catalog;
+}
+
 TEST (Wire, CatalogDecodesQueuesAndServices)
 {
-  json_t *json = json_loads (
+  dks_catalog_rejection_t rejection;
+  dks_catalog_t *catalog = decode_catalog (
       R"({"version":7,"routes":[{"name":"r-1","host":"h.example","prefix":"/l/","kind":"unsafe",)"
       R"("timeout_ms":1500,"target_latency_ms":60,"priority":2,"service":"s","max_attempts":3,)"
       R"("target_factor":1.6}],"services":[{"name":"s","enforces_capacity":true}],"limits":{}})",
-      0, nullptr);
-  dks_catalog_t *catalog = nullptr;
-  dks_catalog_rejection_t rejection;
+      &rejection);
   const char *rest = nullptr;
 
-  ASSERT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_OK);
+  ASSERT_NE (catalog, nullptr) << rejection.reason;
   EXPECT_EQ (catalog->version, 7);
   const dks_queue_entry_t *queue =
       dks_catalog_match_queue (catalog, "H.example:80", "/l/ab", &rest);
   ASSERT_NE (queue, nullptr);
   EXPECT_STREQ (rest, "ab");
+  EXPECT_STREQ (queue->name, "r-1");
+  EXPECT_STREQ (queue->service, "s");
   EXPECT_EQ (queue->objective_factor_milli, 1600U);
   EXPECT_EQ (queue->objective_extra_ms, 60U);
   EXPECT_EQ (queue->priority, 2U);
+  EXPECT_EQ (queue->max_attempts, 3U);
+  EXPECT_EQ (queue->timeout_ms, 1500U);
+  EXPECT_FALSE (queue->needs_advice);
   EXPECT_TRUE (dks_catalog_service (catalog, "s")->rejects_excess_runs);
   EXPECT_EQ (dks_catalog_match_queue (catalog, "other", "/l/ab", &rest), nullptr);
 
   // The record that other instances get decodes to the same catalog.
   dks_blob_t *record = dks_catalog_encode (catalog);
   dks_catalog_t *copy = nullptr;
-  ASSERT_EQ (dks_catalog_decode (record, &copy, &rejection), DKS_OK);
-  EXPECT_EQ (memcmp (copy->queues, catalog->queues, sizeof (catalog->queues[0])), 0);
+  ASSERT_EQ (dks_catalog_decode (record, &copy, &rejection), DKS_OK) << rejection.reason;
   EXPECT_EQ (copy->version, 7);
+  ASSERT_EQ (copy->queue_count, 1U);
+  EXPECT_STREQ (copy->queues[0].name, queue->name);
+  EXPECT_STREQ (copy->queues[0].host, queue->host);
+  EXPECT_STREQ (copy->queues[0].prefix, queue->prefix);
+  EXPECT_STREQ (copy->queues[0].service, queue->service);
+  EXPECT_EQ (copy->queues[0].priority, queue->priority);
+  EXPECT_EQ (copy->queues[0].max_attempts, queue->max_attempts);
+  EXPECT_EQ (copy->queues[0].timeout_ms, queue->timeout_ms);
+  EXPECT_EQ (copy->queues[0].objective_factor_milli, queue->objective_factor_milli);
+  EXPECT_EQ (copy->queues[0].objective_extra_ms, queue->objective_extra_ms);
+  EXPECT_EQ (copy->queues[0].needs_advice, queue->needs_advice);
+  EXPECT_TRUE (dks_catalog_service (copy, "s")->rejects_excess_runs);
   dks_blob_unref (record);
   dks_catalog_unref (copy);
   dks_catalog_unref (catalog);
-  json_object_del (json, "version");
-  EXPECT_EQ (dks_wire_decode_catalog (json, &catalog, &rejection), DKS_ERR_INVALID);
-  json_decref (json);
+}
+
+// Guards against instances that stay at an old configuration because a value in a newer one is
+// larger than they can represent.
+TEST (Wire, CatalogsOfLargeValuesAreDecoded)
+{
+  const std::string long_text (5000, 'x');
+  dks_catalog_rejection_t rejection;
+  dks_catalog_t *catalog = decode_catalog (
+      R"({"limits":{"a":[[{"name":1}]]},"services":[{"host":1,"priority":"x","name":")" + long_text
+          + R"("}],"routes":[{"name":")" + long_text + R"(","host":")" + long_text
+          + R"(","prefix":"/)" + long_text + R"(","service":")" + long_text
+          + R"(","priority":99999999999999999999,"timeout_ms":4294967296,"max_attempts":0,)"
+          + R"("target_factor":1e9,"advice":{"name":"x"}}],"version":9223372036854775807})",
+      &rejection);
+
+  ASSERT_NE (catalog, nullptr) << rejection.reason;
+  EXPECT_EQ (catalog->version, INT64_MAX);
+  EXPECT_EQ (catalog->queues[0].name, long_text);
+  EXPECT_EQ (catalog->queues[0].host, long_text);
+  EXPECT_EQ (catalog->queues[0].prefix, "/" + long_text);
+  EXPECT_EQ (catalog->queues[0].service, long_text);
+  EXPECT_EQ (catalog->queues[0].priority, UINT32_MAX);
+  EXPECT_EQ (catalog->queues[0].timeout_ms, UINT32_MAX);
+  EXPECT_EQ (catalog->queues[0].max_attempts, 1U);
+  EXPECT_EQ (catalog->queues[0].objective_factor_milli, 1000000U);
+  EXPECT_TRUE (catalog->queues[0].needs_advice);
+  EXPECT_EQ (catalog->services[0].name, long_text);
+  dks_catalog_unref (catalog);
+}
+
+// Guards against a malformed configuration that is put in force in part, or rejected without saying
+// what is at fault.
+TEST (Wire, MalformedCatalogsAreRejectedWithTheirVersionAndFault)
+{
+  const std::string queue = R"({"name":"q","host":"h","prefix":"/q/","service":"s"})";
+  const struct
+  {
+    std::string text;
+    int64_t version;
+    const char *fault;
+  } rows[] = {
+    { "", 0, "not JSON" },
+    { R"({"version":7,"routes":[)", 7, "not JSON" },
+    { R"({"version":7,"routes":[],"services":[]} x)", 7, "not JSON" },
+    { "[]", 0, "no version" },
+    { R"({"routes":[],"services":[]})", 0, "no version" },
+    { R"({"version":"7","routes":[],"services":[]})", 0, "no version" },
+    { R"({"version":0,"routes":[],"services":[]})", 0, "version: " },
+    { R"({"version":7.5,"routes":[],"services":[]})", 0, "version: " },
+    { R"({"version":9223372036854775808,"routes":[],"services":[]})", 0, "version: " },
+    { R"({"version":7,"services":[]})", 7, "no list of routes" },
+    { R"({"version":7,"routes":{"x":[]},"services":[]})", 7, "no list of routes" },
+    { R"({"version":7,"routes":[]})", 7, "no list of services" },
+    { R"({"version":7,"routes":[)" + queue + R"(,5],"services":[]})", 7, "an entry of routes" },
+    { R"({"version":7,"routes":[[)" + queue + R"(]],"services":[]})", 7, "an entry of routes" },
+    { R"({"version":7,"routes":[],"services":["s"]})", 7, "an entry of services" },
+    { R"({"version":7,"routes":[],"services":[{}]})", 7, "services[0].name: missing" },
+    { R"({"version":7,"routes":[)" + queue + R"(,{"name":"r","prefix":"/","service":"s"}],)"
+          + R"("services":[]})",
+      7, "routes[1].host: missing" },
+    { R"({"version":7,"routes":[{"name":""}],"services":[]})", 7, "routes[0].name: empty" },
+    { R"({"version":7,"routes":[{"name":"a\u0000b"}],"services":[]})", 7, "routes[0].name: " },
+    { R"({"version":7,"routes":[{"name":null}],"services":[]})", 7, "routes[0].name: null" },
+    { R"({"version":7,"routes":[{"host":{}}],"services":[]})", 7, "routes[0].host: an array" },
+    { R"({"version":7,"routes":[{"host":5}],"services":[]})", 7, "routes[0].host: not a text" },
+    { R"({"version":7,"routes":[{"priority":-1}],"services":[]})", 7, "routes[0].priority: " },
+    { R"({"version":7,"routes":[{"priority":1.5}],"services":[]})", 7, "routes[0].priority: " },
+    { R"({"version":7,"routes":[{"priority":"1"}],"services":[]})", 7, "routes[0].priority: " },
+    { R"({"version":7,"routes":[{"priority":true}],"services":[]})", 7, "routes[0].priority: " },
+    { R"({"version":7,"routes":[{"target_factor":-1}],"services":[]})", 7,
+      "routes[0].target_factor: " },
+  };
+
+  for (auto &row : rows)
+    {
+      dks_catalog_rejection_t rejection;
+
+      EXPECT_EQ (decode_catalog (row.text, &rejection), nullptr) << row.text;
+      EXPECT_EQ (rejection.version, row.version) << row.text;
+      EXPECT_EQ (std::string (rejection.reason).find (row.fault), 0U)
+          << row.text << ": " << rejection.reason;
+    }
 }
 
 // Guards against running a job without a feature that it asks for, such as all its tasks at once.
--- a/tests/test_leased_feed.cc
+++ b/tests/test_leased_feed.cc
@@ -160,3 +160,21 @@
   read_ready ();
   EXPECT_TRUE (ready[0]);
 }
+
+// Guards against a job that runs under a cut name of its queue or service.
+TEST (LeasedFeed, JobOfAQueueWhoseNameIsTooLongIsRefused)
+{
+  World world;
+  std::string name (DKS_NAME_SIZE, 'n');
+
+  world.add_instance ("a");
+  world.add_target ("a");
+  world.further_queues.push_back ({ name, 0 });
+  world.start_all ();
+  world.run_for (3000 * ms);
+  uint64_t refused = world.submit (0, "0000000000000001", { { 1, 100, 100, 100 } }, 1500, name);
+  uint64_t served = world.submit (0, "0000000000000002", { { 1, 100, 100, 100 } });
+  world.run_for (1000 * ms);
+  EXPECT_TRUE (got_answer (world, refused, DKS_BATCH_REFUSED));
+  EXPECT_TRUE (got_answer (world, served, DKS_BATCH_COMPLETED));
+}
