http_client, host: an answer of the store may be as large as memory allows

Each read failed again and again.

Cause: a reply may have 2 MiB, whatever the instance can hold; the configuration of 9,000 routes has more in base64.

A large body grows by a quarter and is not held twice while it is decoded.

Evidence: Adapter.ReadMayBeAsLargeAsTheClientAllows fails without the setting (too_large) and passes.

--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -36,6 +36,18 @@
   return limit < LIMIT_MAX_BYTES ? (size_t)limit : (size_t)LIMIT_MAX_BYTES;
 }
 
+size_t
+dks_memory_rest (uint64_t memory_bytes)
+{
+  uint64_t rest_max = PROCESS_BYTES + LIMIT_MAX_BYTES / 3;
+  size_t limit = dks_memory_limit (memory_bytes);
+  uint64_t rest = memory_bytes > limit ? memory_bytes - limit : 0;
+
+  if (rest < PROCESS_BYTES)
+    return PROCESS_BYTES;
+  return rest < rest_max ? (size_t)rest : (size_t)rest_max;
+}
+
 dks_memory_account_t *
 dks_memory_account_create (size_t limit)
 {
--- a/damaskshored/host.c
+++ b/damaskshored/host.c
@@ -40,6 +40,9 @@
    * interface, which then serves operators only. */
   SERVICE_CONNECTIONS = 64,
   SERVICE_MEMORY_SHARE = 32, /* part of the memory limit that these connections may take */
+  /* Part of the memory that belongs to no client which a reply of the platform's store may have. It
+     is held once as it arrives, twice while it is decoded, and what it decodes to once more. */
+  STORE_REPLY_MEMORY_SHARE = 8,
   SETTINGS_CHECK_INTERVAL_US = 2000000, /* between two checks of the settings file */
   /* Per leased target: a long poll that waits, a poll, and starts that are answered within
    * milliseconds. */
@@ -605,6 +608,16 @@
   return error;
 }
 
+static uint64_t
+memory_bytes (const dks_options_t *options)
+{
+  struct sysinfo info;
+
+  if (options->memory_mb > 0)
+    return (uint64_t)options->memory_mb << 20;
+  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : UINT64_MAX;
+}
+
 /* Opens the servers for callers' batches and for the readiness check, and the HTTP client that
  * controls leased targets. */
 static int
@@ -614,6 +627,8 @@
 
   dks_strcpy (host->platform_url, sizeof (host->platform_url), options->platform_url);
   host->leased_http = dks_http_client_create (host->loop, LEASED_TARGET_CONNECTIONS);
+  dks_http_client_set_reply_max (host->leased_http, dks_memory_rest (memory_bytes (options))
+                                                        / STORE_REPLY_MEMORY_SHARE);
   error = open_platform_server (host, options, options->front_address, &dks_platform_front,
                                 &host->front);
   if (error != DKS_OK)
@@ -645,16 +660,6 @@
   host->store = dks_store_client_create (host->loop, &config, &callbacks);
 }
 
-static uint64_t
-memory_bytes (const dks_options_t *options)
-{
-  struct sysinfo info;
-
-  if (options->memory_mb > 0)
-    return (uint64_t)options->memory_mb << 20;
-  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : UINT64_MAX;
-}
-
 int
 dks_host_create (const dks_options_t *options, dks_host_t **host_out)
 {
--- a/include/common/memory_account.h
+++ b/include/common/memory_account.h
@@ -74,6 +74,9 @@
 /** Bytes that clients may make a process hold which may use `memory_bytes` in all. */
 size_t dks_memory_limit (uint64_t memory_bytes);
 
+/** Bytes that such a process may use for all else. */
+size_t dks_memory_rest (uint64_t memory_bytes);
+
 dks_memory_account_t *dks_memory_account_create (size_t limit);
 /** All groups must have been removed. Accepts NULL. */
 void dks_memory_account_destroy (dks_memory_account_t *account);
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -14,7 +14,7 @@
 {
   int error;    /**< 0, or DKS_ERR_UNAVAILABLE: no byte of the request was sent; DKS_ERR_TIMEOUT and
                      DKS_ERR_IO: the peer may have received the request; DKS_ERR_TOO_LARGE: the reply
-                     has a body above 2 MiB or header lines above 64 KiB in all */
+                     has a body above the maximum of the client or header lines above 64 KiB */
   bool refused; /**< `error` is DKS_ERR_UNAVAILABLE because nothing listens at the address */
   int status;   /**< HTTP status code when `error` is 0 */
   uint64_t announced_bytes; /**< length of the body as the reply announces, 0: it does not */
@@ -43,6 +43,8 @@
 /** Opens at most `max_connections_per_host` connections to one address; further requests wait until
  * one of them is free. */
 dks_http_client_t *dks_http_client_create (dks_loop_t *loop, int max_connections_per_host);
+/** Sets the largest body of a reply that is received, by default 2 MiB. */
+void dks_http_client_set_reply_max (dks_http_client_t *client, size_t bytes);
 /** Cancels the open requests without a callback. */
 void dks_http_client_destroy (dks_http_client_t *client);
 /** Starts a request and returns its id, never reused. */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -15,8 +15,10 @@
 
 enum
 {
-  REPLY_BODY_MAX_BYTES = 2 << 20,  /* fits a result of DKS_PAYLOAD_MAX bytes and its envelope */
-  REPLY_HEAD_MAX_BYTES = 64 << 10, /* all header lines of one reply */
+  REPLY_BODY_MAX_BYTES = 2 << 20,     /* by default; fits a result of DKS_PAYLOAD_MAX bytes and its
+                                         envelope */
+  BODY_DOUBLING_MAX_BYTES = 64 << 10, /* a larger body grows by a quarter */
+  REPLY_HEAD_MAX_BYTES = 64 << 10,    /* all header lines of one reply */
   /* TCP retransmits a lost SYN after 1 s, so this allows for one lost SYN. */
   CONNECT_TIMEOUT_MS = 2000,
   IDLE_CONNECTIONS_MAX = 4096, /* that libcurl keeps open, over all hosts */
@@ -66,7 +68,7 @@
   bool before_send_called;       /* a connection was ready for the request at least once */
   bool restart_pending;          /* to be started once more, on a new connection */
   bool restarted;
-  bool too_large; /* the reply exceeds REPLY_BODY_MAX_BYTES or REPLY_HEAD_MAX_BYTES */
+  bool too_large; /* the reply exceeds reply_max_bytes or REPLY_HEAD_MAX_BYTES */
   bool framed;    /* the reply has a Content-Length or is chunked */
   bool not_run;
   bool leaving;
@@ -90,6 +92,7 @@
   CURLM *multi;
   dks_timer_t curl_timer; /* next timeout of libcurl */
   int max_connections_per_host;
+  size_t reply_max_bytes; /* of a body */
   uint64_t next_id;
   struct http_ring_t active;
   http_request_t *requests[HASH_BUCKETS];
@@ -240,6 +243,8 @@
       result.not_run = request->not_run;
       result.leaving = request->leaving || (request->connection_close && status == 503);
       result.body = dks_blob_create (request->reply_body, request->reply_body_len);
+      free (request->reply_body);
+      request->reply_body = NULL;
     }
   request_detach (request);
   request->func (request->context, request->id, &result);
@@ -491,7 +496,7 @@
   http_request_t *request = context;
   size_t len = size * count;
 
-  if (len > REPLY_BODY_MAX_BYTES - request->reply_body_len)
+  if (len > request->client->reply_max_bytes - request->reply_body_len)
     {
       request->too_large = true;
       return 0;
@@ -501,7 +506,7 @@
       size_t capacity = request->reply_body_capacity > 0 ? request->reply_body_capacity : 1024;
 
       while (capacity < request->reply_body_len + len)
-        capacity *= 2;
+        capacity += capacity < BODY_DOUBLING_MAX_BYTES ? capacity : capacity / 4;
       request->reply_body = dks_realloc (request->reply_body, capacity);
       request->reply_body_capacity = capacity;
     }
@@ -572,6 +577,7 @@
   DKS_INVARIANT (curl_global_init (CURL_GLOBAL_DEFAULT) == CURLE_OK);
   client->loop = loop;
   client->max_connections_per_host = max_connections_per_host;
+  client->reply_max_bytes = REPLY_BODY_MAX_BYTES;
   client->next_id = 1;
   APR_RING_INIT (&client->active, http_request_t, link);
   dks_timer_init (&client->curl_timer, handle_curl_timer, client);
@@ -588,6 +594,12 @@
   return client;
 }
 
+void
+dks_http_client_set_reply_max (dks_http_client_t *client, size_t bytes)
+{
+  client->reply_max_bytes = bytes;
+}
+
 void
 dks_http_client_destroy (dks_http_client_t *client)
 {
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -538,6 +538,32 @@
   EXPECT_EQ (feed_status, DKS_FEED_TOO_LARGE);
 }
 
+// Guards against instances that cannot receive the configuration although they have the memory.
+TEST_F (Adapter, ReadMayBeAsLargeAsTheClientAllows)
+{
+  dks_effect_t effect = {};
+  // {"version":3,"routes":[],"services":[]}
+  std::string body =
+      R"({"items":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"}],)"
+      R"("store_revision":9})";
+
+  effect.type = DKS_EFFECT_FEED_READ;
+  effect.u.feed.feed = DKS_FEED_CATALOG;
+  effect.u.feed.timeout_ms = 4000;
+  body += std::string ((5 << 20) - body.size (), ' ');
+  dks_http_client_set_reply_max (client, 5 << 20);
+  platform.queue_reply (200, body);
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (versions, std::vector<int64_t> ({ 3 }));
+  platform.queue_reply (200, body + " ");
+  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
+                          this);
+  wait_for_event ();
+  EXPECT_EQ (feed_status, DKS_FEED_TOO_LARGE);
+}
+
 // One call each reads and watches all that the operator writes.
 TEST_F (Adapter, ReadHasTheConfigurationAndTheEvacuations)
 {
