http_client: an answer that keeps arriving does not time out

Cause: the 1.5 s of a watch or read cover the whole answer. One that takes longer, over a slow link or on a small instance, can never arrive: each call fails at the same point.

Change: calls to the store count their time-out anew from each part of the body. A connection that goes silent is noticed as early as before.

--- a/include/core/event.h
+++ b/include/core/event.h
@@ -334,8 +334,8 @@
       int64_t revision;                  /**< FEED_WATCH: reports changes after this revision */
       char after_key[DKS_FEED_KEY_SIZE]; /**< FEED_READ: returns items after this key; empty: from
                                             the first item */
-      int64_t timeout_ms; /**< timeout of the call; the platform is asked to answer a FEED_WATCH a
-                             margin earlier */
+      int64_t timeout_ms; /**< timeout of the call, extended while its answer arrives; the platform
+                             is asked to answer a FEED_WATCH a margin earlier */
     } feed;
     struct
     {
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -34,6 +34,7 @@
   const char *const *headers; /**< "Name: value" lines, NULL-terminated; may be NULL */
   dks_blob_t *body;           /**< may be NULL; a reference is taken */
   int64_t timeout_ms;         /**< counted from dks_http_client_send(); 1 or more */
+  bool extends_timeout;       /**< it is counted anew from each receipt of a part of the body */
   dks_http_func_t func;
   void *context;
   /** Called with `context` for a request that is cancelled, in place of `func`; may be NULL. */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -54,6 +54,7 @@
   struct curl_slist *headers;
   dks_blob_t *body;
   dks_timer_t timeout;
+  int64_t extension_us; /* of the timeout from each receipt of a part of the body, 0: none */
   dks_http_func_t func;
   void *context;
   void (*context_free) (void *context); /* may be NULL */
@@ -510,6 +511,9 @@
       request->reply_body = dks_realloc (request->reply_body, capacity);
       request->reply_body_capacity = capacity;
     }
+  if (request->extension_us > 0)
+    dks_timer_set (dks_loop_timers (request->client->loop), &request->timeout,
+                   dks_loop_now ().mono_us + request->extension_us);
   memcpy (request->reply_body + request->reply_body_len, data, len);
   request->reply_body_len += len;
   return len;
@@ -690,6 +694,7 @@
   entry->func = request->func;
   entry->context = request->context;
   entry->context_free = request->context_free;
+  entry->extension_us = request->extends_timeout ? request->timeout_ms * 1000 : 0;
   entry->body = dks_blob_ref (request->body);
   entry->easy = curl_easy_init ();
   DKS_INVARIANT (entry->easy != NULL);
