--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -15,6 +15,7 @@
   RECOVER  too few callers served after all faults have ended
   HASTY    a job given up before its caller's deadline, after all faults have ended
   CONFIG   an old configuration in force long after a change
+  STALE    an instance that never puts a configuration in force that has grown (--growths)
   BUDGET   a task started three times more after three executors have crashed under it
   EXIT     an instance that ended by itself, or with an unexpected exit status
   CUT      a request that an instance cut off when it shut down
@@ -50,6 +51,7 @@
 QUIET_S = 4.0  # of traffic without faults at the end, in which callers must be served
 START_S = 1.0  # from the start of an instance until it has surely read its settings
 SETTLE_S = 3.0  # from the end of the traffic until no run may be left: a lease and a stop
+GROWTH_ROUTES = 1400  # by which the configuration grows at once, with --growths
 CONFIG_S = 2.0  # within which a change of the configuration must be in force
 # Checks that also fail when the machine is too slow.
 TIMED_RULES = ("SILENT", "RECOVER", "HASTY", "CONFIG", "CUT")
@@ -208,6 +210,7 @@
         self.executor_proxies = []
         self.version = 3
         self.routes = [self.route("/q/")]
+        self.grown_routes = []
         self.started_s = time.monotonic()
 
     def now(self):
@@ -302,9 +305,18 @@
 
     def publish(self):
         self.version += self.rng.randint(1, 3)
-        self.store.put("op/config", {"version": self.version, "routes": self.routes,
+        self.store.put("op/config", {"version": self.version,
+                                     "routes": self.routes + self.grown_routes,
                                      "services": [{"name": "words", "enforces_capacity": True}]})
 
+    async def grow_configuration(self):
+        """Adds many routes at once, several times while there are faults."""
+        for growth in range(self.options.growths):
+            await asyncio.sleep(self.options.seconds / (self.options.growths + 1))
+            self.grown_routes += [self.route("/g%d-%d/" % (growth, i)) for i in range(GROWTH_ROUTES)]
+            self.log_event("the configuration has %d routes more" % len(self.grown_routes))
+            self.publish()
+
     async def send_heartbeats(self):
         """Writes the entries of executors to the store, as their heartbeats, every 1.5 s.
 
@@ -625,6 +637,15 @@
                 self.report_violation("CONFIG", "%s answers %s and %s" % (
                     instance.name, status, last))
 
+    async def check_growth(self):
+        if not self.grown_routes:
+            return
+        for instance in self.instances:
+            status, _ = await self.call(instance, "GET", self.grown_routes[-1]["prefix"], b"")
+            if status != 200:
+                self.report_violation("STALE", "%s answers %s for the last of %d routes" % (
+                    instance.name, status, len(self.grown_routes)))
+
     def check_orphans(self):
         for executor in self.executors:
             executor.end_due_runs()
@@ -665,15 +686,18 @@
         await asyncio.sleep(1.0)
         faults_end = 1.0 + self.options.seconds
         callers = asyncio.create_task(self.traffic(faults_end + 8 + QUIET_S))
+        growth = asyncio.create_task(self.grow_configuration())
         await self.inject(faults_end)
         # A drain takes 6 s, and a restart with an election takes 1 s.
         quiet_since = max(self.now() + 2, faults_end + 7)
         await callers
+        await growth
         await asyncio.sleep(SETTLE_S)
         self.check_refusals()
         self.check_recovery(quiet_since)
         self.check_orphans()
         await self.check_config()
+        await self.check_growth()
         self.closing = True
         for instance in self.instances:
             instance.send(signal.SIGKILL)
@@ -706,6 +730,8 @@
     parser.add_argument("--faults", type=float, default=1.5, help="faults a second")
     parser.add_argument("--instances", type=int, default=5)
     parser.add_argument("--executors", type=int, default=10)
+    parser.add_argument("--growths", type=int, default=0,
+                        help="times that the configuration grows by %d routes" % GROWTH_ROUTES)
     parser.add_argument("--keep", help="folder for the logs of each seed")
     parser.add_argument("--rules-only", action="store_true",
                         help="leave out the checks that a slow machine can fail: %s"
