leased: a record of the configuration that is already in force is not decoded

An instance asks a peer for a newer configuration 250 ms after it knows of one. The platform often delivers it before the peer does, and small instances then decoded it twice. The message states the version, so it is compared first.

--- a/core/leased.c
+++ b/core/leased.c
@@ -63,6 +63,9 @@
   dks_catalog_t *catalog = NULL;
   dks_catalog_rejection_t rejection;
 
+  /* The platform has delivered it since this instance asked for it. */
+  if (leased->catalog != NULL && msg->u.record.version <= leased->catalog->version)
+    return;
   if (dks_catalog_decode (msg->u.record.value, &catalog, &rejection) != DKS_OK)
     {
       dks_leased_feed_reject_catalog (leased, &rejection, from);
