leased_feed: a configuration that cannot be received is reported once

Change: the first failure of a row reports it; the state stays until a read succeeds.

Evidence: LeasedFeed.InstanceThatCannotReceiveAConfigurationReportsThatItIsBehind is new; it passes, and wants one line in 5 s.

--- a/core/leased_feed.c
+++ b/core/leased_feed.c
@@ -21,8 +21,7 @@
      it to most instances by then. */
   FETCH_DELAY_US = 250000,
   FETCH_INTERVAL_US = 700000, /* until another peer is asked */
-  /* A change has to be in force within 2 s; small instances need most of it while a change is
-     large. */
+  /* Small instances need up to 2 s to put a large configuration in force. */
   OUTDATED_AFTER_US = 3000000,
   LOGGED_FAILURES_MAX = 3 /* failed calls in a row that are logged */
 };
@@ -447,7 +446,8 @@
     {
       if (feed->failures < LOGGED_FAILURES_MAX || event->u.feed.status == DKS_FEED_HISTORY_GONE)
         log_failure (leased, which, event->u.feed.status);
-      if (which == DKS_FEED_CATALOG && event->u.feed.status == DKS_FEED_TOO_LARGE)
+      if (which == DKS_FEED_CATALOG && event->u.feed.status == DKS_FEED_TOO_LARGE
+          && feed->failures == 0)
         reject_unread_catalog (leased);
       if (event->u.feed.status == DKS_FEED_HISTORY_GONE)
         begin_read (leased, which);
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -97,7 +97,7 @@
 /** Service by its name, or NULL. */
 const dks_service_entry_t *dks_catalog_service (const dks_catalog_t *catalog, const char *name);
 /** Parses JSON text of the given format. Returns DKS_ERR_INVALID, and sets `rejection`, if it
- * cannot be put in force. Numbers that are too large to be told apart here are limited. */
+ * cannot be put in force. Numbers above the range of their members count as its end. */
 int dks_catalog_parse (const dks_catalog_format_t *format, const void *text, size_t len,
                        dks_catalog_t **catalog, dks_catalog_rejection_t *rejection);
 /** Serializes the catalog to a JSON record for other instances. */
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -889,6 +889,13 @@
       apply (index, &event);
       return;
     }
+  if (call.is_answered && !call.is_watch && call.feed == DKS_FEED_CATALOG
+      && instances[index]->catalog_too_large)
+    {
+      event.u.feed.status = DKS_FEED_TOO_LARGE;
+      apply (index, &event);
+      return;
+    }
   if (call.is_answered && call.feed == DKS_FEED_CATALOG && (!call.is_watch || has_change (call)))
     {
       const std::string &reason = instances[index]->catalog_rejection;
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -130,6 +130,7 @@
   bool feed_down = false;         // the platform's feeds are unavailable to it
   bool targets_feed_down = false; // that of targets is
   bool catalog_feed_down = false; // that of the operator's configuration is
+  bool catalog_too_large = false; // what it reads of that is more than it can receive
   // Why it cannot put a configuration in force, whoever delivers it; empty: it can.
   std::string catalog_rejection;
   bool history_gone = false;             // the history that its next watch of that needs is gone
--- a/tests/test_leased_feed.cc
+++ b/tests/test_leased_feed.cc
@@ -109,6 +109,31 @@
 
 }
 
+// Guards against an instance that fails to read a configuration again and again, as it is too
+// large, and does not say that it is behind.
+TEST (LeasedFeed, InstanceThatCannotReceiveAConfigurationReportsThatItIsBehind)
+{
+  World world;
+
+  world.add_instance ("a");
+  world.start_all ();
+  world.run_for (3000 * ms);
+  world.instances[0]->history_gone = true;
+  world.instances[0]->catalog_too_large = true;
+  world.change_catalog ();
+  world.run_for (5000 * ms);
+  EXPECT_EQ (status_number (world, 0, "catalog_version"), 1);
+  EXPECT_GT (status_number (world, 0, "catalog_behind_ms"), 4900);
+  EXPECT_EQ (gauge (world, 0, "catalog_rejected"), 1);
+  EXPECT_EQ (count_logged (world, "event=catalog-rejected version=0 in_force=1 "), 1U);
+
+  world.instances[0]->catalog_too_large = false;
+  world.run_for (2000 * ms);
+  EXPECT_EQ (status_number (world, 0, "catalog_version"), 2);
+  EXPECT_EQ (status_number (world, 0, "catalog_behind_ms"), 0);
+  EXPECT_EQ (gauge (world, 0, "catalog_rejected"), 0);
+}
+
 // Guards against a caller that is told that a queue does not exist by an instance that knows of a
 // newer configuration, in which the queue may be.
 TEST (LeasedFeed, UnknownQueueIsRefusedWhileANewerConfigurationIsNotInForce)
