soak: an end that an executor never told looks like a crash

Cause, by the log of the second one: run 1 of the task was due to end at 5.05 s; its executor crashed at 5.072 s, by another task, and only then the soak ended what was due, as done. No answer of the executor had that end, and its last list had the run. The instance can only take it for a crash under the run, and the second one at 6.20 s made two. The soak's loop is late where it encodes a large configuration, so that an end and a crash fall together more often than before.

Change: an end as done that was in no answer of the executor before it crashed counts as a crash for the check, as it does for the instance. One that was told still counts as done, so the check finds a job that fails after one crash as before.

Evidence: a script that calls the stand-in: end_lost is called for an untold end and not for a told one.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -295,6 +295,13 @@
             job.bad_ends.setdefault(run.task, []).append(end_kind)
         self.log_event("run %s %d on %s ends: %s" % (run.task, run.number, executor.name, end_kind))
 
+    def end_lost(self, executor, row):
+        """The executor crashed before it told of this end, so that it can only be taken for a crash."""
+        _, task, number, end_kind, _ = row
+        if end_kind == "done":
+            self.job_of(task).bad_ends.setdefault(task, []).append("crashed")
+            self.log_event("run %s %d on %s ended untold" % (task, number, executor.name))
+
     # Platform
 
     def route(self, prefix):
