catalog_parse: leave out an unused reset of errno

read_count() sets errno before strtoll() and does not read it: a value beyond the range is limited, which the result of strtoll() tells by itself. No change of behaviour; test_platform passes, 29 of 29.

--- a/core/catalog_parse.c
+++ b/core/catalog_parse.c
@@ -189,10 +189,8 @@
 read_count (parser_t *parser, const char *text, uint32_t *to)
 {
   char *end;
-  long long value;
+  long long value = strtoll (text, &end, 10);
 
-  errno = 0;
-  value = strtoll (text, &end, 10);
   if (*end != '\0' || value < 0)
     return reject_member (parser, "not a whole number from 0");
   *to = value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
