--- a/common/memory_account.c
+++ b/common/memory_account.c
@@ -39,7 +39,7 @@
 size_t
 dks_memory_rest (uint64_t memory_bytes)
 {
-  uint64_t rest_max = PROCESS_BYTES + LIMIT_MAX_BYTES / 3;
+  uint64_t rest_max = PROCESS_BYTES + LIMIT_MAX_BYTES / 3; /* where the limit is reached */
   size_t limit = dks_memory_limit (memory_bytes);
   uint64_t rest = memory_bytes > limit ? memory_bytes - limit : 0;
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -148,6 +148,21 @@
     ASSERT_EQ (event_count, before + 1);
   }
 
+  // Reads the configuration from a platform that replies with this body.
+  void
+  read_catalog (const std::string &body)
+  {
+    dks_effect_t effect = {};
+
+    effect.type = DKS_EFFECT_FEED_READ;
+    effect.u.feed.feed = DKS_FEED_CATALOG;
+    effect.u.feed.timeout_ms = 4000;
+    platform.queue_reply (200, body);
+    dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect,
+                            handle_event, this);
+    wait_for_event ();
+  }
+
   dks_effect_t
   lease_effect (dks_effect_type_t type)
   {
@@ -503,19 +518,10 @@
 // Guards against a configuration that is rejected without its version and the reason.
 TEST_F (Adapter, RejectedConfigurationHasItsVersionAndAReason)
 {
-  dks_effect_t effect = {};
-
-  effect.type = DKS_EFFECT_FEED_READ;
-  effect.u.feed.feed = DKS_FEED_CATALOG;
-  effect.u.feed.timeout_ms = 4000;
   // {"version":3,"routes":[],"services":{}}
-  platform.queue_reply (
-      200,
+  read_catalog (
       R"({"items":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6e319"}],)"
       R"("store_revision":9})");
-  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
-                          this);
-  wait_for_event ();
   EXPECT_EQ (feed_status, DKS_FEED_OK);
   EXPECT_EQ (versions.size (), 0U);
   ASSERT_EQ (rejections.size (), 1U);
@@ -525,42 +531,23 @@
 // Guards against an answer that this instance cannot receive, but takes for an error of the store.
 TEST_F (Adapter, ReadThatIsTooLargeIsToldFromARejectedOne)
 {
-  dks_effect_t effect = {};
-
-  effect.type = DKS_EFFECT_FEED_READ;
-  effect.u.feed.feed = DKS_FEED_CATALOG;
-  effect.u.feed.timeout_ms = 4000;
-  platform.queue_reply (200,
-                        R"({"items":[)" + std::string (3 << 20, ' ') + R"(],"store_revision":4})");
-  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
-                          this);
-  wait_for_event ();
+  read_catalog (R"({"items":[)" + std::string (3 << 20, ' ') + R"(],"store_revision":4})");
   EXPECT_EQ (feed_status, DKS_FEED_TOO_LARGE);
 }
 
 // Guards against instances that cannot receive the configuration although they have the memory.
 TEST_F (Adapter, ReadMayBeAsLargeAsTheClientAllows)
 {
-  dks_effect_t effect = {};
   // {"version":3,"routes":[],"services":[]}
   std::string body =
       R"({"items":[{"key":"op/config","rev":1,"value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"}],)"
       R"("store_revision":9})";
 
-  effect.type = DKS_EFFECT_FEED_READ;
-  effect.u.feed.feed = DKS_FEED_CATALOG;
-  effect.u.feed.timeout_ms = 4000;
   body += std::string ((5 << 20) - body.size (), ' ');
   dks_http_client_set_reply_max (client, 5 << 20);
-  platform.queue_reply (200, body);
-  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
-                          this);
-  wait_for_event ();
+  read_catalog (body);
   EXPECT_EQ (versions, std::vector<int64_t> ({ 3 }));
-  platform.queue_reply (200, body + " ");
-  dks_platform_feed_call (client, ("http://" + platform.address ()).c_str (), &effect, handle_event,
-                          this);
-  wait_for_event ();
+  read_catalog (body + " ");
   EXPECT_EQ (feed_status, DKS_FEED_TOO_LARGE);
 }
 
--- a/tests/test_memory_account.cc
+++ b/tests/test_memory_account.cc
@@ -318,4 +318,13 @@
   EXPECT_FALSE (yielded.empty ());
 }
 
+// Guards against replies that together with what clients hold take more than the process has.
+TEST (MemoryLimit, LimitAndRestAreTheWholeMemory)
+{
+  for (uint64_t mb : { 60, 120, 512, 600 })
+    EXPECT_EQ (dks_memory_limit (mb * MB) + dks_memory_rest (mb * MB), mb * MB) << mb;
+  EXPECT_LE (dks_memory_rest (UINT64_MAX), 200 * MB);
+  EXPECT_GT (dks_memory_rest (0), 0U);
+}
+
 }
