--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -7,6 +7,8 @@
 import asyncio
 import json
 import os
+import random
+import shutil
 import signal
 import socket
 import sys
@@ -24,6 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.5
 READY_TIMEOUT_S = 15.0
+FIRST_PORT, LAST_PORT = 15000, 32000
 REMOTE_FACTOR = 3
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -34,13 +37,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Ports below the range from which the kernel takes those of outgoing connections."""
+    ports = set()
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                ports.add(port)
+            except OSError:
+                pass
+    return list(ports)
 
 
 class ProxiedExecutor(Executor):
@@ -131,7 +138,7 @@
         self.instances = [Instance(self, "front-%s-%d" % (zone, n + 1), zone)
                           for zone in zones for n in range(instances_per_zone)]
         ports = free_ports(len(zones) * executors_per_zone)
-        rng = __import__("random").Random(1)
+        rng = random.Random(1)
         self.executors = [executor_class(self, "i-%s-%d" % (zone, n + 1), zone, ports.pop(), rng)
                           for zone in zones for n in range(executors_per_zone)]
         self.tasks = []
@@ -234,7 +241,7 @@
     def write_record(self, folder):
         keep = os.environ.get("KEEP_LOGS")
         if keep:
-            __import__("shutil").copytree(self.folder, keep, dirs_exist_ok=True)
+            shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         with open(os.path.join(folder, "record.txt"), "w") as stream:
             stream.write("TROUBLE=%d\n%s\n" % (TROUBLE, "\n".join(self.lines)))
 
