--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -50,18 +50,33 @@
     return list(ports)
 
 
-class ProxiedExecutor(Executor):
-    """An executor with the labels `labels`, which the instances reach through a proxy.
+class CutProxy(Proxy):
+    """Is a partition while `blocked` is set.
 
-    While `proxy.blocked` is set, the proxy holds back the bytes of both directions. They arrive when
-    it is cleared, as those that a partition holds up do.
+    It holds back the bytes of both directions on connections that were open before, which arrive when
+    it is cleared. A connection that is opened meanwhile gets no further.
     """
 
+    async def connection(self, reader, writer):
+        try:
+            if not self.blocked:
+                await super().connection(reader, writer)
+                return
+            while self.blocked:
+                await asyncio.sleep(0.01)
+        except asyncio.CancelledError:
+            pass  # the case has ended
+        writer.transport.abort()
+
+
+class ProxiedExecutor(Executor):
+    """An executor with the labels `labels`, which the instances reach through a proxy."""
+
     labels = ["a", "r1"]
     proxy = None
 
     async def open(self):
-        self.proxy = Proxy(self.port)
+        self.proxy = CutProxy(self.port)
         proxy_port = free_ports(1)[0]
         await self.proxy.open(proxy_port)
         await self.server.open(self.port)
