--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -36,17 +36,23 @@
     """The case cannot be carried out on this machine."""
 
 
+given_ports = set()
+
+
 def free_ports(count):
     """Ports below the range from which the kernel takes those of outgoing connections."""
     ports = set()
     while len(ports) < count:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
                 ports.add(port)
             except OSError:
                 pass
+    given_ports.update(ports)
     return list(ports)
 
 
@@ -106,6 +112,8 @@
 class Instance:
     """A process of damaskshored, with the options of the deploy file."""
 
+    more_settings = ""
+
     def __init__(self, world, name, zone):
         self.world = world
         self.name = name
@@ -118,8 +126,8 @@
         settings = os.path.join(folder, self.name + ".conf")
         seeds = ",".join("127.0.0.1:%d" % i.control for i in self.world.instances[:3])
         with open(settings, "w") as stream:
-            stream.write("remote-factor = %d\nprocessors = 0.25\nmemory-mb = 260\nseeds = %s\n"
-                         % (REMOTE_FACTOR, seeds))
+            stream.write("remote-factor = %d\nprocessors = 0.25\nmemory-mb = 260\nseeds = %s\n%s"
+                         % (REMOTE_FACTOR, seeds, self.more_settings))
         arguments = [DAEMON, "--targets=leased", "--id=" + self.name, "--data-centre=" + self.zone,
                      "--front-address=127.0.0.1:%d" % self.front,
                      "--ready-address=127.0.0.1:%d" % self.ready,
@@ -140,7 +148,7 @@
     """Instances, executors, the store, and a record of what was sent, answered and run."""
 
     def __init__(self, zones, instances_per_zone, executors_per_zone, work_s,
-                 executor_class=ProxiedExecutor):
+                 executor_class=ProxiedExecutor, instance_class=Instance):
         self.work_s = work_s  # task name -> run time of the task
         self.begin_s = time.monotonic()
         self.lines = []
@@ -150,7 +158,7 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.store = Store()
-        self.instances = [Instance(self, "front-%s-%d" % (zone, n + 1), zone)
+        self.instances = [instance_class(self, "front-%s-%d" % (zone, n + 1), zone)
                           for zone in zones for n in range(instances_per_zone)]
         ports = free_ports(len(zones) * executors_per_zone)
         rng = random.Random(1)
