leased_jobs: refuse a job that arrives late also when it was sent before

A leader was killed while a cut held up what one entry instance sent. The entry instance sent its job again, to the successor, and froze; its caller left and submitted the job elsewhere 1.3 s later. The successor received the job 1.15 s after it was sent, and started it.

Cause: a leader refuses a job that was sent over 0.5 s ago, as its caller may have left since. Jobs that were sent to another leader or term before were left out of that check, together with the check for load: both were one function.

Change: the two checks are apart. The age counts for every job. A resent one is answered as lost, as it may have run; the check for load still leaves it out.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -455,15 +455,14 @@
          || !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US);
 }
 
-/* Whether a job has been under way for so long that its caller may have left meanwhile. A sender
- * that has not yet answered a status of this leader is trusted. */
+/* Whether a job has been under way for so long that its caller may have left meanwhile, and may
+ * have submitted it elsewhere. A sender that has not yet answered a status of this leader is
+ * trusted. */
 static bool
-is_job_late (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg,
-             int64_t lag_us)
+is_job_outdated (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg)
 {
-  return lag_us > WORK_LAG_MAX_US
-         || (peer != NULL && peer->echo_known
-             && !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US));
+  return peer != NULL && peer->echo_known
+         && !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US);
 }
 
 /* Answers that the lent tasks of a message were not started. */
@@ -536,7 +535,9 @@
       dks_leased_starts_place_lent (job);
       return;
     }
-  if (!job->resent && is_job_late (leased, peer, msg, lag_us))
+  if (is_job_outdated (leased, peer, msg))
+    job_refuse (job, "the job arrived too late");
+  else if (!job->resent && lag_us > WORK_LAG_MAX_US)
     job_refuse (job, "the leader cannot keep up");
   else if (has_forbidden_task (job))
     job_answer (job, DKS_BATCH_FAILED, 0, crash_reason);
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -1025,6 +1025,34 @@
   EXPECT_TRUE (has_no_double_run (world));
 }
 
+// Guards against a job that a new leader starts over a second after it was sent to it: its entry
+// instance had sent it to an earlier leader before (review/13).
+TEST (LeasedOverlap, JobHeldUpOnItsWayToASecondLeaderIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 3, 4 }, { 1, 4 } });
+  size_t entry = world.find ("a-3");
+
+  for (size_t other = 0; other < world.instances.size (); other++)
+    {
+      if (other != entry)
+        world.set_cut (entry, other, true);
+    }
+  uint64_t caller = submit_long_task (world, "a-3");
+  world.run_for (50 * ms);
+  world.kill (world.find ("a-1"));
+  world.run_for (200 * ms);
+  ASSERT_EQ (leased::count_logged (world, "a-2 event=leader-start"), 1U);
+  ASSERT_EQ (leased::count_logged (world, "a-3 event=request-moved"), 1U);
+  world.set_frozen (entry, true);
+  submit_elsewhere (world, entry, caller, "b");
+  for (size_t other = 0; other < world.instances.size (); other++)
+    world.set_cut (entry, other, false);
+  world.run_for (500 * ms);
+  EXPECT_EQ (leased::count_logged (world, "a-2 event=job-lost"), 1U);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
 // Guards against a lent run that outlasts its caller's next submission: the remote leader was cut
 // off, went on extending the lease for as long as it took to notice, and was then superseded by one
 // that loses the target at once, so that nobody could stop the run.
