leased_jobs: an outdated request replaces no later one

A cut had held up its first request for over a second.

Cause: a request for a job that the leader has counts as the caller's latest one. The leader made it the job's request whatever its age, answered the later one as lost, and then handled the cancellation of the first.

Change: a request that was sent over 0.5 s ago is answered as lost itself, and changes nothing. A caller submits its job again 1.3 s after it left at the earliest.

Evidence: RequestHeldUpByACutDoesNotReplaceALaterOne fails without the change (the second caller gets "lost") and passes with it.

--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -31,6 +31,7 @@
 #define EXPECTED_RUN_FACTOR_MIN 0.45
 
 static const char crash_reason[] = "targets crashed while they ran a task";
+static const char outdated_reason[] = "the job arrived too late";
 
 static int64_t
 min_us (int64_t a, int64_t b)
@@ -426,13 +427,21 @@
 }
 
 /* The caller submitted the job again, through another instance: the new request replaces the
- * earlier one. */
+ * earlier one. An outdated request may itself be the earlier one. */
 static void
-job_change_origin (dks_leased_job_t *job, const char *origin, const dks_msg_t *msg)
+job_change_origin (dks_leased_job_t *job, const char *origin, const dks_msg_t *msg,
+                   bool is_outdated)
 {
+  bool is_same_request =
+      strcmp (job->origin, origin) == 0 && job->request_id == msg->u.work.request;
+
+  if (is_outdated && !is_same_request)
+    send_done (job->leased, origin, msg->u.work.request, DKS_BATCH_LOST, 0, outdated_reason);
+  if (is_outdated)
+    return;
   dks_emit_log (job->leased->r, DKS_LOG_INFO, "event=job-joined job=%s from=%s to=%s",
                 job->batch->id, job->origin, origin);
-  if (strcmp (job->origin, origin) != 0 || job->request_id != msg->u.work.request)
+  if (!is_same_request)
     send_done (job->leased, job->origin, job->request_id, DKS_BATCH_LOST, 0, "submitted again");
   dks_strcpy (job->origin, sizeof (job->origin), origin);
   job_remove_from_request (job);
@@ -521,7 +530,7 @@
     }
   if (job != NULL)
     {
-      job_change_origin (job, origin, msg);
+      job_change_origin (job, origin, msg, is_job_outdated (leased, peer, msg));
       return;
     }
   dks_emit_log (leased->r, DKS_LOG_DEBUG,
@@ -536,7 +545,7 @@
       return;
     }
   if (is_job_outdated (leased, peer, msg))
-    job_refuse (job, "the job arrived too late");
+    job_refuse (job, outdated_reason);
   else if (!job->resent && lag_us > WORK_LAG_MAX_US)
     job_refuse (job, "the leader cannot keep up");
   else if (has_forbidden_task (job))
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -1053,6 +1053,29 @@
   EXPECT_TRUE (has_no_double_run (world));
 }
 
+// Guards against a job that an earlier request of its caller, held up for over a second, takes over
+// from the later one, which is answered as lost.
+TEST (LeasedOverlap, RequestHeldUpByACutDoesNotReplaceALaterOne)
+{
+  World world;
+  start_data_centres (world, { { 3, 4 }, { 1, 4 } });
+  size_t leader = world.find ("a-1");
+  size_t entry = world.find ("a-2");
+
+  world.set_cut (entry, leader, true);
+  uint64_t first = submit_long_task (world, "a-2");
+  world.run_for (20 * ms);
+  world.leave (entry, first);
+  world.run_for (retransmit_ms * ms);
+  uint64_t second = submit_long_task (world, "a-3");
+  world.run_for (20 * ms);
+  ASSERT_EQ (count_runs (world, "a"), 1U);
+  world.set_cut (entry, leader, false);
+  world.run_for (2100 * ms);
+  EXPECT_TRUE (leased::got_answer (world, second, DKS_BATCH_COMPLETED));
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
 // Guards against a lent run that outlasts its caller's next submission: the remote leader was cut
 // off, went on extending the lease for as long as it took to notice, and was then superseded by one
 // that loses the target at once, so that nobody could stop the run.
