leased_targets: a deadline allows for what a target's clock has lost since it was read

A target that had been idle for 80 s was cut off for 2 s; the start that the cut held up was carried out 1.7 s after it was sent, beside the run that had been started elsewhere after 1.3 s.

Cause: a start carries a deadline on the target's clock, 0.7 s ahead. It was computed from the offset of that clock at the target's latest answer, whatever its age. The platform's clocks may be 2% slow, so the deadline lay 20 ms further ahead for each second of idleness, 2.3 s ahead after 80 s.

Change: a reading of a clock carries its time, and a deadline assumes the slowest clock allowed since then. With a reading of more than 10 s too little of the lease would be left, so the clock is read again before a start; the task waits for that answer. Lent tasks that wait for it are not refused meanwhile. A target whose clock cannot be read gets no start for 200 ms. Targets that are idle get no further calls.

Evidence: StartHeldUpOnItsWayToATargetThatWasIdleIsRejected fails without the change after 9, 80 and 600 s of idleness (the start is carried out; in the latter two cases with a double run), and passes with it. JobOnTargetsThatWereIdleIsServedAtOnce and LentTaskStartsOnATargetThatWasIdle pass before and after: they guard the calm case.

--- a/core/leased_starts.c
+++ b/core/leased_starts.c
@@ -201,8 +201,8 @@
 bool
 dks_leased_job_start_on (dks_leased_job_t *job, uint32_t index, dks_leased_target_t *target)
 {
-  if (!task_is_free_of_prior_runs (job, index)
-      || !dks_leased_targets_can_start (target, job, index))
+  if (!task_is_free_of_prior_runs (job, index) || !dks_leased_targets_can_start (target, job, index)
+      || !dks_leased_target_ensure_clock (target))
     return false;
   task_start (job, index, target);
   return true;
@@ -223,9 +223,15 @@
   target = dks_leased_targets_choose (leased, job, task, &choice);
   task->wants_faster_target = !choice.in_time;
   task->best_slowness = choice.slowness;
+  task->awaits_clock = false;
 
   if (target == NULL || (in_time_only && task->wants_faster_target && !job->resent))
     return false;
+  if (!dks_leased_target_ensure_clock (target))
+    {
+      task->awaits_clock = true;
+      return true;
+    }
   task_start (job, index, target);
   dks_leased_plan_count_start (leased, task);
   return true;
@@ -283,6 +289,25 @@
     dks_leased_lend_waiting (job, false);
 }
 
+/* Refuses the lent tasks that found no room, so that the home leader lends them elsewhere. A resent
+ * task, which was lent before to an earlier leader, waits until the run lists of the targets have
+ * been read. */
+static void
+refuse_unplaced_lent (dks_leased_job_t *job)
+{
+  for (uint32_t i = 0; i < job->task_count && !job->resent; i++)
+    {
+      dks_leased_task_t *task = &job->tasks[i];
+
+      if (task->state != DKS_LEASED_TASK_WAITING || task->awaits_clock)
+        continue;
+      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
+      job->done_count++;
+      dks_leased_job_send_lent_done (job->leased, job->origin, job->request_id, task->index,
+                                     task->lent_run_number, DKS_LENT_REFUSED);
+    }
+}
+
 /* Refuses the jobs that found no room and would only end late, before they cost anything. */
 static void
 refuse_hopeless (dks_leased_t *leased)
@@ -336,8 +361,10 @@
           || (job->prior_runs_checked && !can_lend
               && job->min_cpu_milli > leased->max_free_cpu_milli))
         continue;
-      job->prior_runs_checked = !job->resent;
+      job->prior_runs_checked = !job->resent && !job->is_lent;
       job_place (job, can_lend);
+      if (job->is_lent)
+        refuse_unplaced_lent (job);
       if (job->is_lent && job->done_count == job->task_count)
         dks_leased_job_free (job);
     }
@@ -352,19 +379,7 @@
 
   dks_leased_targets_update_free_cpu (leased);
   job_place (job, false);
-  for (uint32_t i = 0; i < job->task_count; i++)
-    {
-      dks_leased_task_t *task = &job->tasks[i];
-
-      /* A resent task, which was lent before to an earlier leader, waits until the run lists of the
-       * targets have been read. */
-      if (task->state != DKS_LEASED_TASK_WAITING || job->resent)
-        continue;
-      dks_leased_task_leave_waiting (job, task, DKS_LEASED_TASK_DONE);
-      job->done_count++;
-      dks_leased_job_send_lent_done (leased, job->origin, job->request_id, task->index,
-                                     task->lent_run_number, DKS_LENT_REFUSED);
-    }
+  refuse_unplaced_lent (job);
   if (job->done_count == job->task_count)
     dks_leased_job_free (job);
   else
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -25,6 +25,9 @@
   /* Added to a lease, besides the error of the target's clock, for network delay and rounding. */
   EXPIRY_MARGIN_US = 60000,
   CLOCK_ERROR_PERCENT = 2, /* by which a target's clock may be slow at most */
+  /* Age of a reading of a target's clock above which the clock is read again before a start: the
+   * error that has to be allowed for would take up most of the lease. */
+  CLOCK_READING_AGE_MAX_US = 10000000,
   /* Time between two holds of a target that does not answer or rejects them, and between two checks
    * whether an unlisted target still has runs. */
   RETRY_DELAY_US = 200000,
@@ -82,6 +85,21 @@
   return limit_ms < ahead_ms ? limit_ms : ahead_ms;
 }
 
+static int64_t
+clock_reading_age_us (const dks_leased_target_t *target)
+{
+  return dks_leased_now_us (target->leased) - target->clock_read_us;
+}
+
+/* Earliest time that the target's clock can show now, if it has been slow since it was read. */
+static int64_t
+target_clock_min_ms (const dks_leased_target_t *target)
+{
+  int64_t error_ms = clock_reading_age_us (target) * CLOCK_ERROR_PERCENT / 100 / 1000 + 1;
+
+  return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms - error_ms;
+}
+
 int64_t
 dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms)
 {
@@ -89,7 +107,18 @@
 
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
     ahead_ms = limit_lease_ms (run, ahead_ms);
-  return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms + ahead_ms;
+  return target_clock_min_ms (target) + ahead_ms;
+}
+
+bool
+dks_leased_target_ensure_clock (dks_leased_target_t *target)
+{
+  if (clock_reading_age_us (target) <= CLOCK_READING_AGE_MAX_US)
+    return true;
+  if (target->poll_op == 0)
+    dks_leased_target_poll (target);
+  target->clock_awaited = true;
+  return false;
 }
 
 /* Time by which a lease that was extended at `extended_us` has expired, by the slowest clock
@@ -222,6 +251,7 @@
   dks_timer_cancel (timers, &target->expiry_timer);
   target->held = false;
   target->synced = false;
+  target->clock_awaited = false;
 }
 
 static void
@@ -346,6 +376,7 @@
   if (target->clock_known && target->clock_offset_ms - offset_ms > CLOCK_JUMP_MS + idle_ms / 20)
     target->last_end_number = 0;
   target->clock_offset_ms = offset_ms;
+  target->clock_read_us = dks_leased_now_us (target->leased);
   target->clock_known = true;
 }
 
@@ -519,6 +550,7 @@
   int64_t sent_us = is_poll ? target->poll_sent_us : target->hold_sent_us;
   int64_t last_end_seen = is_poll ? target->poll_last_end_seen : target->hold_last_end_seen;
   bool was_synced = target->synced;
+  bool clock_was_awaited = is_poll && target->clock_awaited;
 
   dks_metrics_increment (leased->metrics, DKS_LABELLED_HOLDS,
                          dks_lease_status_name (event->u.lease_reply.status), "");
@@ -526,6 +558,11 @@
     target->poll_op = 0;
   else
     target->hold_op = 0;
+  if (clock_was_awaited)
+    {
+      target->clock_awaited = false;
+      leased->placement_due = true;
+    }
   switch (event->u.lease_reply.status)
     {
     case DKS_LEASE_OK:
@@ -571,6 +608,8 @@
                      dks_leased_now_us (leased) + RETRY_DELAY_US);
       break;
     }
+  if (clock_was_awaited && clock_reading_age_us (target) > CLOCK_READING_AGE_MAX_US)
+    target->full_until_us = dks_leased_now_us (leased) + RETRY_DELAY_US;
   if (target->poll_again && target->poll_op == 0)
     dks_leased_target_poll (target);
   dks_leased_target_hold (target);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -210,8 +210,11 @@
                              not known */
   int64_t restart_seen_us; /**< when a list last showed another incarnation, 0: never */
   int64_t last_end_number; /**< number of the latest run end in its list that was handled */
-  int64_t clock_offset_ms; /**< target's clock less the local monotonic clock, rounded down */
+  int64_t clock_offset_ms; /**< target's clock less the local monotonic clock, rounded down, as of
+                              `clock_read_us` */
+  int64_t clock_read_us;   /**< when an answer last told the target's clock */
   bool clock_known;
+  bool clock_awaited; /**< a task waits for the poll under way, which reads the target's clock */
   uint64_t hold_op; /**< id of the hold under way, a long poll that extends the lease; 0 for none */
   int64_t hold_sent_us;       /**< when the hold was sent */
   int64_t hold_last_end_seen; /**< `last_end_number` that the hold named */
@@ -241,7 +244,8 @@
   double failure_rate;      /**< moving average over run ends, 0 to 1 */
   int64_t ejected_until_us; /**< gets no work before this */
   uint32_t ejections;
-  int64_t full_until_us; /**< no start is sent before this: it rejected one for lack of resources */
+  int64_t full_until_us; /**< no start is sent before this: it rejected one for lack of resources,
+                            or its clock could not be read */
   bool kept;             /**< the latest plan keeps its room for a waiting task */
   uint32_t kept_for;     /**< position of that task in the latest plan */
   int64_t kept_until_us; /**< when that task is expected to fit */
@@ -299,6 +303,7 @@
   bool was_moved;     /**< to another target, because it would have ended too late or was slow */
   bool late_reported; /**< the home leader knows that this lent task will end too late */
 
+  bool awaits_clock;        /**< the clock of the target that was chosen for it is being read */
   bool no_prior_run;        /**< no run that an earlier leader started is active */
   uint32_t run_number;      /**< of the latest run */
   uint32_t lent_run_number; /**< of a task lent to this leader: number that the home leader sent */
@@ -855,8 +860,12 @@
 /** Adds a call to the target with its fencing token; the calling code sets the other fields. */
 dks_effect_t *
 dks_leased_target_call (dks_leased_target_t *target, dks_effect_type_t type, int64_t timeout_ms);
-/** Time on the target's clock, `ahead_ms` from now. */
+/** Time on the target's clock, `ahead_ms` from now at the latest: the clock may have been slow
+ * since it was read. */
 int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
+/** Whether the latest reading of the target's clock is recent enough for a start. If not, reads the
+ * clock; a placement is due afterwards. */
+bool dks_leased_target_ensure_clock (dks_leased_target_t *target);
 /** Keeps a hold open while the target has runs, or sends a short one until its lists were read. */
 void dks_leased_target_hold (dks_leased_target_t *target);
 /** Handles an answer to a call that was sent at `sent_us`; `clock_ms` is 0 when it tells no clock.
--- a/tests/leased_world.cc
+++ b/tests/leased_world.cc
@@ -1110,11 +1110,28 @@
     }
 }
 
+static int64_t
+clock_ms (const Target &target, int64_t now_us)
+{
+  return static_cast<int64_t> (target.clock_rate
+                               * static_cast<double> (now_us - target.clock_start_us))
+         / 1000;
+}
+
 // Deadline of the call, which is on the target's clock.
 static int64_t
 deadline_us (const Target &target, const dks_effect_t &effect)
 {
-  return 1000 * effect.u.lease.deadline_ms + target.clock_start_us;
+  return static_cast<int64_t> (1000 * static_cast<double> (effect.u.lease.deadline_ms)
+                               / target.clock_rate)
+         + target.clock_start_us;
+}
+
+// Longest lease that the platform allows, which is measured by the target's clock.
+static int64_t
+lease_max (const Target &target)
+{
+  return static_cast<int64_t> (static_cast<double> (lease_max_us) / target.clock_rate);
 }
 
 dks_lease_status_t
@@ -1141,8 +1158,8 @@
       target.rejected_starts++;
       return DKS_LEASE_NO_CAPACITY;
     }
-  target.lease_end_us = std::max (target.lease_end_us,
-                                  std::min (deadline_us (target, effect), now_us + lease_max_us));
+  target.lease_end_us = std::max (
+      target.lease_end_us, std::min (deadline_us (target, effect), now_us + lease_max (target)));
   target.starts++;
   target.runs.push_back ({ task, run, now_us, target.stalled ? INT64_MAX : now_us + length_us,
                            false, instances[starter]->id, task_cpu_milli (task) });
@@ -1258,8 +1275,9 @@
             }
         }
       else if (effect.u.lease.deadline_ms > 0)
-        target.lease_end_us = std::max (
-            target.lease_end_us, std::min (deadline_us (target, effect), now_us + lease_max_us));
+        target.lease_end_us =
+            std::max (target.lease_end_us,
+                      std::min (deadline_us (target, effect), now_us + lease_max (target)));
     }
   if (effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK && effect.u.lease.wait_ms > 0)
     {
@@ -1307,7 +1325,7 @@
   auto lists = std::make_shared<Lists> ();
   bool with_lists =
       call != nullptr && call->effect.type == DKS_EFFECT_LEASE_HOLD && status == DKS_LEASE_OK;
-  int64_t clock_ms = target != nullptr ? (now_us - target->clock_start_us) / 1000 : 0;
+  int64_t target_clock_ms = target != nullptr ? clock_ms (*target, now_us) : 0;
   dks_reducer_t *reducer = instances[index]->reducer;
 
   if (target != nullptr && (target->silent || target_cuts.count ({ index, target }) > 0))
@@ -1353,7 +1371,7 @@
     event.type = DKS_EVENT_LEASE_REPLY;
     event.u.lease_reply.op = op;
     event.u.lease_reply.status = status;
-    event.u.lease_reply.target_clock_ms = status == DKS_LEASE_UNANSWERED ? 0 : clock_ms;
+    event.u.lease_reply.target_clock_ms = status == DKS_LEASE_UNANSWERED ? 0 : target_clock_ms;
     view.incarnation_ms = born_ms;
     view.running_count = lists->running.size ();
     view.running = lists->running.data ();
--- a/tests/leased_world.h
+++ b/tests/leased_world.h
@@ -77,6 +77,7 @@
   int64_t starts_late_until_us = 0; // starts that are sent before are delayed in the same way
   int64_t highest_fence = 0;        // fencing token of the latest call; lower ones are rejected
   int64_t clock_start_us = 0;       // its clock read 0 then; a new process begins at 0 again
+  double clock_rate = 1;            // of its clock, below 1 when that is slow
   int64_t lease_end_us = 0;         // runs that have not ended by then end as DKS_RUN_LEASE_EXPIRED
   int64_t next_end_number = 1;
   int64_t stop_duration_us = 20 * ms; // from the arrival of a stop to the end of the run
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -153,3 +153,108 @@
   EXPECT_GE (stops, 1);
   EXPECT_LE (stops, 25);
 }
+
+namespace
+{
+
+// Data centre "a" with one instance and two targets, of which the first is the first choice for a
+// task. They are idle for `idle_ms`, and their clocks have the rate `clock_rate`.
+void
+start_idle_targets (World &world, int64_t idle_ms, double clock_rate)
+{
+  world.add_instance ("a");
+  world.add_target ("a", 8000);
+  world.add_target ("a", 16000);
+  for (auto &target : world.targets)
+    target->clock_rate = clock_rate;
+  world.start_all ();
+  world.run_for ((4000 + idle_ms) * ms);
+}
+
+}
+
+// Guards against a start that is carried out long after it was sent, when its task has started
+// elsewhere: the clock of the target was read before the target was idle, and is slow (review/11).
+TEST (LeasedRuns, StartHeldUpOnItsWayToATargetThatWasIdleIsRejected)
+{
+  for (auto [idle_ms, delay_ms] : { std::pair (9000, 800), { 80000, 1700 }, { 600000, 1700 } })
+    {
+      World world;
+      start_idle_targets (world, idle_ms, 0.98);
+      Target &target = *world.targets[0];
+
+      target.delayed_starts = 1;
+      target.start_delay_us = delay_ms * ms;
+      world.submit (0, job_id, { { 1, 6800, 3000, 3000 } }, 9000);
+      world.run_for (20 * ms);
+      ASSERT_EQ (target.delayed_starts, 0);
+      world.target_cuts.insert ({ 0, &target });
+      world.run_for (3000 * ms);
+      EXPECT_EQ (target.starts, 0U) << "idle for " << idle_ms << " ms";
+      EXPECT_EQ (world.targets[1]->starts, 1U) << "idle for " << idle_ms << " ms";
+      EXPECT_EQ (world.double_runs, 0) << "idle for " << idle_ms << " ms";
+    }
+}
+
+// Guards against starts that are rejected as late by targets that were idle, whose clocks may be
+// slow or not.
+TEST (LeasedRuns, JobOnTargetsThatWereIdleIsServedAtOnce)
+{
+  for (double clock_rate : { 0.98, 1.0 })
+    {
+      for (int idle_ms : { 9000, 30000, 600000 })
+        {
+          World world;
+          start_idle_targets (world, idle_ms, clock_rate);
+          uint64_t caller = world.submit (0, job_id, { { 2, 6800, 60, 60 } });
+
+          world.run_for (70 * ms);
+          EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED)) << idle_ms;
+          EXPECT_EQ (leased::count_logged (world, "event=start-rejected"), 0U) << idle_ms;
+        }
+    }
+}
+
+// Guards against a task that waits for a target that was idle and is silent.
+TEST (LeasedRuns, TaskDoesNotWaitForASilentTargetThatWasIdle)
+{
+  World world;
+  start_idle_targets (world, 60000, 1);
+  world.targets[0]->silent = true;
+  uint64_t caller = world.submit (0, job_id, { { 1, 6800, 60, 60 } });
+
+  world.run_for (500 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
+
+// Guards against calls without a pause to a target that rejects the one that reads its clock.
+TEST (LeasedRuns, TargetThatRejectsTheReadingOfItsClockIsNotCalledAgainAndAgain)
+{
+  World world;
+  start_idle_targets (world, 60000, 1);
+  int calls = 0;
+
+  for (auto &target : world.targets)
+    target->rejection = [&calls] (const dks_effect_t &call) {
+      calls += call.type == DKS_EFFECT_LEASE_HOLD;
+      return DKS_LEASE_UNHEALTHY;
+    };
+  world.submit (0, job_id, { { 1, 6800, 60, 60 } });
+  world.run_for (1000 * ms);
+  EXPECT_GE (calls, 2);
+  EXPECT_LE (calls, 12); // one in 200 ms for each target
+}
+
+// Guards against lent tasks that are refused by a leader whose targets were idle.
+TEST (LeasedRuns, LentTaskStartsOnATargetThatWasIdle)
+{
+  World world;
+  start_data_centres (world, 1);
+  world.run_for (60000 * ms);
+  world.submit (0, neighbour_id, { { 2, 6800, 4000, 4000 } }, 12000);
+  world.run_for (20 * ms);
+  ASSERT_EQ (count_runs (world, neighbour_id, "a"), 2U);
+  world.submit (0, job_id, { { 1, 6800, 900, 900 } }, 6000);
+  world.run_for (20 * ms);
+  EXPECT_EQ (count_runs (world, job_id, "b"), 1U);
+}
