leased_jobs: the first job on a connection has to prove its age as well

Callers saw (in virtual time): a job of an entry instance that had just started was held up for 1.4 s on its way to the leader, and was started beside the caller's next submission elsewhere.

Cause: the age of a job has a bound only once its sender has answered a status of the leader. Before that the sender was trusted.

Change: a message with a job, or with lent tasks, states the latest status of the receiver that its sender has handled, as statuses do. A sender knows its leader by such a status, so there is a bound from the first job on, and none is trusted. The targets in the schedules of test_leased_overlap have slow clocks now.

Evidence: FirstJobOnASlowConnectionIsNotStarted fails without the change (the job is started after 1.4 s) and passes with it.

--- a/core/leased_entry.c
+++ b/core/leased_entry.c
@@ -153,11 +153,13 @@
 request_send (dks_leased_request_t *request, const char *leader)
 {
   dks_leased_t *leased = request->leased;
+  const dks_leased_peer_t *peer = dks_leased_peer_find (leased, leader);
   dks_msg_t *msg = dks_msg_create (DKS_MSG_WORK);
 
   msg->u.work.request = request->id;
   msg->u.work.batch = dks_batch_ref (request->batch);
   msg->u.work.sent_us = dks_leased_now_us (leased);
+  msg->u.work.heard_us = peer != NULL ? peer->last_sent_us : 0;
   msg->u.work.age_us = dks_leased_now_us (leased) - request->arrival_us;
   msg->u.work.objective_us = request->objective_us;
   msg->u.work.budget_us = request->budget_us;
--- a/core/leased_jobs.c
+++ b/core/leased_jobs.c
@@ -464,13 +464,12 @@
          || !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US);
 }
 
-/* Whether a job has been under way for so long that its caller may have left meanwhile, and may
- * have submitted it elsewhere. A sender that has not yet answered a status of this leader is
- * trusted. */
+/* Whether a job may have been under way for so long that its caller has left meanwhile, and has
+ * submitted it elsewhere. */
 static bool
 is_job_outdated (const dks_leased_t *leased, const dks_leased_peer_t *peer, const dks_msg_t *msg)
 {
-  return peer != NULL && peer->echo_known
+  return peer != NULL
          && !dks_leased_peer_sent_within (leased, peer, msg->u.work.sent_us, WORK_AGE_MAX_US);
 }
 
@@ -499,7 +498,7 @@
 {
   bool lent = msg->u.work.lent_count > 0;
   dks_leased_job_t *job = lent ? NULL : job_find_by_batch_id (leased, msg->u.work.batch->id);
-  const dks_leased_peer_t *peer = dks_leased_peer_find (leased, origin);
+  dks_leased_peer_t *peer = dks_leased_peer_find (leased, origin);
   int64_t lag_us = peer != NULL ? dks_leased_peer_lag_us (leased, peer, msg->u.work.sent_us) : 0;
   bool outdated;
 
@@ -508,6 +507,8 @@
       refuse_malformed (leased, origin, msg);
       return;
     }
+  if (peer != NULL)
+    dks_leased_peer_record_echo (peer, msg->u.work.sent_us, msg->u.work.heard_us);
   if (lent)
     dks_leased_leader_note_term (leased, origin, msg->u.work.home_term);
   outdated = lent && !msg->u.work.resent && is_lend_outdated (leased, peer, msg, lag_us);
--- a/core/leased_lend.c
+++ b/core/leased_lend.c
@@ -111,6 +111,7 @@
   msg->u.work.request = job->step_lend_id[batch_step];
   msg->u.work.batch = single_step_batch (job->batch, batch_step, spec);
   msg->u.work.sent_us = dks_leased_now_us (leased);
+  msg->u.work.heard_us = peer->last_sent_us;
   msg->u.work.age_us = dks_leased_now_us (leased) - job->arrival_us;
   msg->u.work.objective_us = dks_batch_limit_span_us (objective_us);
   msg->u.work.budget_us = job->deadline_us - job->arrival_us;
--- a/core/leased_members.c
+++ b/core/leased_members.c
@@ -426,6 +426,15 @@
     }
 }
 
+void
+dks_leased_peer_record_echo (dks_leased_peer_t *peer, int64_t sent_us, int64_t heard_us)
+{
+  if (heard_us == 0 || (peer->echo_known && heard_us - sent_us <= peer->max_echo_diff_us))
+    return;
+  peer->max_echo_diff_us = heard_us - sent_us;
+  peer->echo_known = true;
+}
+
 /* Records how much later than usual a status was handled. The least difference of the two clocks is
  * that of a status which was not delayed. It outlasts silence and connections: the first status
  * after a cut has been held up as long as the messages that follow it. */
@@ -439,11 +448,7 @@
 
   peer->min_clock_diff_us += drift_us;
   peer->max_echo_diff_us -= drift_us;
-  if (heard_us > 0 && (!peer->echo_known || heard_us - sent_us > peer->max_echo_diff_us))
-    {
-      peer->max_echo_diff_us = heard_us - sent_us;
-      peer->echo_known = true;
-    }
+  dks_leased_peer_record_echo (peer, sent_us, heard_us);
   if (peer->last_status_us == 0 || clock_diff_us < peer->min_clock_diff_us)
     peer->min_clock_diff_us = clock_diff_us;
   peer->last_status_us = leased->r->now.mono_us;
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -699,6 +699,9 @@
  * connection on which all messages so far have been delayed. */
 bool dks_leased_peer_sent_within (const dks_leased_t *leased, const dks_leased_peer_t *peer,
                                   int64_t sent_us, int64_t age_us);
+/** Records that the peer sent a message at `sent_us`, by its own clock, after it had handled the
+ * status which this instance sent at `heard_us`; 0: it had handled none. */
+void dks_leased_peer_record_echo (dks_leased_peer_t *peer, int64_t sent_us, int64_t heard_us);
 /** Delay of a message, sent at `sent_us` by the peer, in transit and in this instance's queue,
  * beyond that of the fastest message so far. */
 int64_t
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -299,6 +299,8 @@
       uint32_t *lent_tasks; /**< indices of lent tasks */
       uint32_t *lent_runs;  /**< run number of each lent task */
       int64_t sent_us;      /**< monotonic time of the sender */
+      int64_t heard_us;     /**< `sent_us` of the latest status of the receiver that the sender has
+                               handled, 0: none, or not stated */
       uint64_t home_term;   /**< lent tasks: term of the sender, 0: not stated */
       uint64_t remote_term; /**< term of the receiver, as the sender knows it; 0: not stated */
       uint64_t sent_term;   /**< highest term of the leaders to which the sender has sent the work
--- a/net/codec_leased.c
+++ b/net/codec_leased.c
@@ -221,6 +221,7 @@
   body.age_us = msg->u.work.age_us;
   body.objective_us = msg->u.work.objective_us;
   body.sent_us = msg->u.work.sent_us;
+  body.heard_us = msg->u.work.heard_us;
   body.budget_us = msg->u.work.budget_us;
   body.resent = msg->u.work.resent;
   body.step = msg->u.work.step;
@@ -514,8 +515,8 @@
 {
   return dks_batch_id_is_valid (batch->id) && is_span_valid (body->age_us)
          && is_span_valid (body->objective_us) && is_span_valid (body->budget_us)
-         && body->sent_us >= 0 && body->sent_us <= MONOTONIC_MAX_US
-         && (body->n_lent == 0 || body->n_steps == 1);
+         && body->sent_us >= 0 && body->sent_us <= MONOTONIC_MAX_US && body->heard_us >= 0
+         && body->heard_us <= MONOTONIC_MAX_US && (body->n_lent == 0 || body->n_steps == 1);
 }
 
 int
@@ -538,6 +539,7 @@
   msg->u.work.age_us = body->age_us;
   msg->u.work.objective_us = body->objective_us;
   msg->u.work.sent_us = body->sent_us;
+  msg->u.work.heard_us = body->heard_us;
   msg->u.work.budget_us = body->budget_us;
   msg->u.work.resent = body->resent;
   msg->u.work.step = body->step;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -4315,7 +4315,7 @@
   (ProtobufCMessageInit) dks__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dks__work__field_descriptors[19] =
+static const ProtobufCFieldDescriptor dks__work__field_descriptors[20] =
 {
   {
     "request",
@@ -4545,10 +4545,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_us",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dks__Work, heard_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dks__work__field_indices_by_name[] = {
   7,   /* field[7] = age_us */
   9,   /* field[9] = budget_us */
+  19,   /* field[19] = heard_us */
   16,   /* field[16] = home_term */
   1,   /* field[1] = id */
   12,   /* field[12] = lent */
@@ -4570,7 +4583,7 @@
 static const ProtobufCIntRange dks__work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor dks__work__descriptor =
 {
@@ -4580,7 +4593,7 @@
   "Dks__Work",
   "dks",
   sizeof(Dks__Work),
-  19,
+  20,
   dks__work__field_descriptors,
   dks__work__field_indices_by_name,
   1,  dks__work__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -579,10 +579,14 @@
    * Highest term of the leaders to which the sender has sent the job before; 0: not stated.
    */
   uint64_t sent_term;
+  /*
+   * `sent_us` of the latest status of the receiver that the sender has handled, 0: none, or not stated.
+   */
+  int64_t heard_us;
 };
 #define DKS__WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dks__work__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Dks__WorkDone
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -229,8 +229,8 @@
       msg->u.addresses.items[1] = { "10.0.0.2:7000", 7200 };
       break;
     case DKS_MSG_WORK:
-      msg->u.work = { 7,       make_batch (), 1500, 60000, 1500000, true, 3,    2,
-                      nullptr, nullptr,       78,   79,    80,      81,   false };
+      msg->u.work = { 7,       make_batch (), 1500, 60000, 1500000, true, 3,  2,
+                      nullptr, nullptr,       78,   82,    79,      80,   81, false };
       msg->u.work.lent_tasks = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.lent_runs = static_cast<uint32_t *> (calloc (2, sizeof (uint32_t)));
       msg->u.work.lent_tasks[1] = 479;
@@ -482,6 +482,7 @@
         add (msg->u.work.age_us);
         add (msg->u.work.objective_us);
         add (msg->u.work.sent_us);
+        add (msg->u.work.heard_us);
         add (msg->u.work.budget_us);
         add (msg->u.work.resent);
         add (msg->u.work.step);
--- a/tests/test_leased_overlap.cc
+++ b/tests/test_leased_overlap.cc
@@ -85,7 +85,7 @@
 public:
   Schedule (uint64_t seed, const Options &options)
       : random (seed), patience (seed), rejections (seed), listings (seed), evacuations (seed),
-        options (options)
+        clocks (seed), options (options)
   {
   }
 
@@ -111,6 +111,8 @@
         for (int64_t j = 0; j < targets; j++)
           world.add_target (name);
       }
+    for (auto &target : world.targets)
+      target->clock_rate = static_cast<double> (clocks.between (980, 1000)) / 1000;
     if (options.targets_reject_calls)
       make_targets_reject_calls ();
     home = names[static_cast<size_t> (random.between (0, data_centres - 1))];
@@ -608,6 +610,7 @@
   Random rejections; // of calls, by targets
   Random listings;   // of targets
   Random evacuations;
+  Random clocks; // of the targets
   Options options;
   std::vector<std::string> names; // of the data centres
   std::string home;               // data centre that gets most of the jobs
@@ -1076,6 +1079,26 @@
   EXPECT_TRUE (has_no_double_run (world));
 }
 
+// The same for the first job of an entry instance that has just started, which has sent no status
+// since it heard the leader.
+TEST (LeasedOverlap, FirstJobOnASlowConnectionIsNotStarted)
+{
+  World world;
+  start_data_centres (world, { { 2, 4 }, { 1, 4 } });
+  size_t entry = world.find ("a-2");
+  world.kill (entry);
+  world.run_for (100 * ms);
+  world.link_delay_us[{ entry, world.find ("a-1") }] = 1400 * ms;
+  world.restart (entry);
+  world.run_for (3 * ms);
+  uint64_t caller = submit_long_task (world, "a-2");
+  world.run_for (1 * ms);
+  ASSERT_EQ (world.sent (DKS_MSG_WORK), 1U);
+  submit_elsewhere (world, entry, caller, "b");
+  world.run_for (500 * ms);
+  EXPECT_TRUE (has_no_double_run (world));
+}
+
 // Guards against a lent run that outlasts its caller's next submission: the remote leader was cut
 // off, went on extending the lease for as long as it took to notice, and was then superseded by one
 // that loses the target at once, so that nobody could stop the run.
