leased_runs: a target that rejected a start as late is used again

Callers saw (in virtual time): a target got no more starts until the next leader began. It had rejected a start as late, and then, as unhealthy, the call that was to read its clock.

Cause: a late start made the target's clock unknown, and one poll was sent to read it. An idle target gets no further calls, so when that one was rejected, the clock stayed unknown.

Change: a late start makes the reading of the clock outdated. The next start reads it again, as after a time of idleness, as often as it takes.

Evidence: TargetThatRejectedAStartAsLateIsUsedAgain fails without the change (the second job gets no answer in time) and passes with it.

--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -312,8 +312,7 @@
       dks_leased_target_eject (target, "unhealthy");
       break;
     case DKS_LEASE_LATE:
-      target->clock_known = false;
-      dks_leased_target_poll (target);
+      dks_leased_target_discard_clock (target);
       break;
     case DKS_LEASE_OLD_RUN:
       /* An earlier sender of the job has started runs of the task there. */
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -121,6 +121,12 @@
   return false;
 }
 
+void
+dks_leased_target_discard_clock (dks_leased_target_t *target)
+{
+  target->clock_read_us = dks_leased_now_us (target->leased) - CLOCK_READING_AGE_MAX_US - 1;
+}
+
 /* Time by which a lease that was extended at `extended_us` has expired, by the slowest clock
  * allowed, plus a margin. */
 static int64_t
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -869,6 +869,8 @@
 /** Whether the latest reading of the target's clock is recent enough for a start. If not, reads the
  * clock; a placement is due afterwards. */
 bool dks_leased_target_ensure_clock (dks_leased_target_t *target);
+/** Has the target's clock read again before the next start. */
+void dks_leased_target_discard_clock (dks_leased_target_t *target);
 /** Keeps a hold open while the target has runs, or sends a short one until its lists were read. */
 void dks_leased_target_hold (dks_leased_target_t *target);
 /** Handles an answer to a call that was sent at `sent_us`; `clock_ms` is 0 when it tells no clock.
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -258,3 +258,27 @@
   world.run_for (20 * ms);
   EXPECT_EQ (count_runs (world, job_id, "b"), 1U);
 }
+
+// Guards against a target that gets no more starts: it rejected one as late, and then the call that
+// read its clock.
+TEST (LeasedRuns, TargetThatRejectedAStartAsLateIsUsedAgain)
+{
+  World world;
+  start_idle_targets (world, 0, 1);
+  std::deque<dks_lease_status_t> statuses = { DKS_LEASE_LATE, DKS_LEASE_UNHEALTHY };
+
+  world.targets[1]->silent = true;
+  world.targets[0]->rejection = [&statuses] (const dks_effect_t &) {
+    if (statuses.empty ())
+      return DKS_LEASE_OK;
+    dks_lease_status_t status = statuses.front ();
+    statuses.pop_front ();
+    return status;
+  };
+  world.submit (0, neighbour_id, { { 1, 6800, 60, 60 } });
+  world.run_for (3000 * ms);
+  ASSERT_TRUE (statuses.empty ());
+  uint64_t caller = world.submit (0, job_id, { { 1, 6800, 60, 60 } });
+  world.run_for (500 * ms);
+  EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
+}
