leased_targets: the release of a run does not put off the end of its lease

An entry instance froze, and the target rejected the stops of its run, so that the run ended with its lease, up to 1.7 s later; its caller was back after 1.3 s.

Cause: the lease of a run ends 1.1 s after the latest message of its entry instance at most, or after its release. The release, which follows the loss of the entry instance by 0.6 s or more, took the place of the message.

Change: a run keeps the earlier one of the two limits when it is released.

Evidence: ReleaseOfARunDoesNotPutOffTheEndOfItsLease fails without the change (one double run) and passes with it.

--- a/core/leased_runs.c
+++ b/core/leased_runs.c
@@ -227,9 +227,7 @@
 void
 dks_leased_run_stop (dks_leased_run_t *run)
 {
-  run->job = NULL;
-  if (run->released_us == 0)
-    run->released_us = dks_leased_now_us (run->leased);
+  dks_leased_run_release (run);
   if (run->state != DKS_LEASED_RUN_STOPPING)
     send_stop (run);
 }
--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -49,6 +49,12 @@
 #define INITIAL_MEAN_CPU_MILLI 4000.0
 #define INITIAL_MEAN_RUN_US 200000.0 /* mean run time of a task until the first one is known */
 
+static int64_t
+min_us (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
 /* Calls */
 
 dks_effect_t *
@@ -64,25 +70,32 @@
   return effect;
 }
 
-/* How far ahead a lease for the run may end, at most `ahead_ms`. */
+/* Latest time at which a lease for the run may end. */
 static int64_t
-limit_lease_ms (const dks_leased_run_t *run, int64_t ahead_ms)
+lease_limit_us (const dks_leased_run_t *run)
 {
-  const dks_leased_t *leased = run->leased;
   const dks_leased_peer_t *origin =
-      run->job != NULL ? dks_leased_peer_find (leased, run->job->origin) : NULL;
-  int64_t limit_ms;
+      run->job != NULL ? dks_leased_peer_find (run->leased, run->job->origin) : NULL;
 
   if (origin != NULL)
-    limit_ms = LEASE_AFTER_MESSAGE_MAX_MS
-               - (dks_leased_now_us (leased) - origin->proven_running_us) / 1000;
-  else if (run->job == NULL && run->released_us > 0)
-    limit_ms = LEASE_AFTER_STOP_MAX_MS - (dks_leased_now_us (leased) - run->released_us) / 1000;
-  else
-    return ahead_ms; /* adopted, or for this instance itself */
-  if (limit_ms < 0)
-    limit_ms = 0;
-  return limit_ms < ahead_ms ? limit_ms : ahead_ms;
+    return origin->proven_running_us + INT64_C (1000) * LEASE_AFTER_MESSAGE_MAX_MS;
+  if (run->job == NULL && run->released_us > 0)
+    return run->lease_limit_us;
+  return INT64_MAX; /* adopted, or for this instance itself */
+}
+
+void
+dks_leased_run_release (dks_leased_run_t *run)
+{
+  int64_t now_us = dks_leased_now_us (run->leased);
+  int64_t limit_us = lease_limit_us (run);
+
+  if (run->released_us == 0)
+    {
+      run->lease_limit_us = min_us (limit_us, now_us + INT64_C (1000) * LEASE_AFTER_STOP_MAX_MS);
+      run->released_us = now_us;
+    }
+  run->job = NULL;
 }
 
 static int64_t
@@ -103,11 +116,13 @@
 int64_t
 dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms)
 {
+  int64_t now_us = dks_leased_now_us (target->leased);
+  int64_t end_us = now_us + 1000 * ahead_ms;
   const dks_leased_run_t *run;
 
   APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
-    ahead_ms = limit_lease_ms (run, ahead_ms);
-  return target_clock_min_ms (target) + ahead_ms;
+    end_us = min_us (end_us, lease_limit_us (run));
+  return target_clock_min_ms (target) + (end_us > now_us ? (end_us - now_us) / 1000 : 0);
 }
 
 bool
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -182,6 +182,7 @@
   int64_t stop_sent_us;      /**< when the stop was last sent */
   bool stop_failed;          /**< the latest stop was rejected or got no answer; it is sent again */
   int64_t released_us;       /**< when it was first stopped without a job that waits, 0: not */
+  int64_t lease_limit_us;    /**< of a released run: latest time at which its lease may end */
   uint64_t op;               /**< id of the start or stop under way, 0 for none */
   bool crash_recorded;       /**< the crash of its target was counted */
   bool slowness_recorded;    /**< its run time was counted as a sample of its target's slowness */
@@ -866,6 +867,9 @@
 /** Adds a call to the target with its fencing token; the calling code sets the other fields. */
 dks_effect_t *
 dks_leased_target_call (dks_leased_target_t *target, dks_effect_type_t type, int64_t timeout_ms);
+/** Takes the run from its job, of which the caller was told or has left. This puts off no end of
+ * its lease. */
+void dks_leased_run_release (dks_leased_run_t *run);
 /** Time on the target's clock, `ahead_ms` from now at the latest: the clock may have been slow
  * since it was read. */
 int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -2,6 +2,7 @@
 
 #include "leased_world.h"
 
+#include <climits>
 #include <gtest/gtest.h>
 
 using leased::count_runs;
@@ -92,6 +93,29 @@
   EXPECT_EQ (count_runs (world, neighbour_id, "a"), 1U);
 }
 
+// Guards against the same when the entry instance is lost: the release of the run, 0.6 s after
+// that, put off the end of the lease by as much (review/12).
+TEST (LeasedRuns, ReleaseOfARunDoesNotPutOffTheEndOfItsLease)
+{
+  World world;
+  world.add_instance ("a");
+  start_data_centres (world, 1);
+  size_t entry = world.find ("a-2");
+
+  uint64_t caller = world.submit (entry, job_id, { { 1, 6800, 4000, 4000 } }, 8000);
+  world.submit (world.find ("a-1"), neighbour_id, { { 1, 6800, 6000, 6000 } }, 20000);
+  world.run_for (500 * ms);
+  ASSERT_EQ (count_runs (world, job_id, "a"), 1U);
+  ASSERT_EQ (count_runs (world, neighbour_id, "a"), 1U);
+  reject_stops (*world.targets[0], job_id, DKS_LEASE_UNHEALTHY, INT_MAX);
+  world.set_frozen (entry, true);
+  world.leave (entry, caller);
+  world.run_for (retransmit_ms * ms);
+  world.submit (world.find ("b-1"), job_id, { { 1, 6800, 4000, 4000 } }, 8000);
+  world.run_for (500 * ms);
+  EXPECT_EQ (world.double_runs, 0);
+}
+
 // Guards against a task that stays on a slow target: the stop for its move was rejected, so that
 // neither its run ended nor another one began.
 TEST (LeasedRuns, TaskIsMovedAlthoughItsStopIsRejected)
