leased_lease: how long leases may last, apart from the calls to targets

The limits of leases, and the deadlines and readings of targets' clocks, have a file of their own. No change of behaviour: moved code, one condition that stood twice became a function.

--- a/core/leased_targets.c
+++ b/core/leased_targets.c
@@ -10,24 +10,9 @@
 
 enum
 {
-  LEASE_MS = 1000, /* length of a lease, the longest that the platform allows */
-  /* Longest time from the sending of the latest message of the instance that a run works for to the
-   * end of the run's lease: this leader may lose the target before it notices that the instance is
-   * lost, and a caller submits its job again 1.3 s after it left. */
-  LEASE_AFTER_MESSAGE_MAX_MS = 1100,
-  /* Longest time from the stop of a run, of which its caller has been told or has left, to the end
-   * of its lease: the target may reject every stop, and the caller submits its job again after 1.3
-   * s. */
-  LEASE_AFTER_STOP_MAX_MS = 1100,
   HOLD_WAIT_MS = 300, /* time that a hold waits for a run end; three holds fit into a lease */
   /* A target whose clock falls back by more than this is taken for a new incarnation. */
   CLOCK_JUMP_MS = 500,
-  /* Added to a lease, besides the error of the target's clock, for network delay and rounding. */
-  EXPIRY_MARGIN_US = 60000,
-  CLOCK_ERROR_PERCENT = 2, /* by which a target's clock may be slow at most */
-  /* Age of a reading of a target's clock above which the clock is read again before a start: the
-   * error that has to be allowed for would take up most of the lease. */
-  CLOCK_READING_AGE_MAX_US = 10000000,
   /* Time between two holds of a target that does not answer or rejects them, and between two checks
    * whether an unlisted target still has runs. */
   RETRY_DELAY_US = 200000,
@@ -49,12 +34,6 @@
 #define INITIAL_MEAN_CPU_MILLI 4000.0
 #define INITIAL_MEAN_RUN_US 200000.0 /* mean run time of a task until the first one is known */
 
-static int64_t
-min_us (int64_t a, int64_t b)
-{
-  return a < b ? a : b;
-}
-
 /* Calls */
 
 dks_effect_t *
@@ -70,92 +49,11 @@
   return effect;
 }
 
-/* Latest time at which a lease for the run may end. */
-static int64_t
-lease_limit_us (const dks_leased_run_t *run)
-{
-  const dks_leased_peer_t *origin =
-      run->job != NULL ? dks_leased_peer_find (run->leased, run->job->origin) : NULL;
-
-  if (origin != NULL)
-    return origin->proven_running_us + INT64_C (1000) * LEASE_AFTER_MESSAGE_MAX_MS;
-  if (run->job == NULL && run->released_us > 0)
-    return run->lease_limit_us;
-  return INT64_MAX; /* adopted, or for this instance itself */
-}
-
-void
-dks_leased_run_release (dks_leased_run_t *run)
-{
-  int64_t now_us = dks_leased_now_us (run->leased);
-  int64_t limit_us = lease_limit_us (run);
-
-  if (run->released_us == 0)
-    {
-      run->lease_limit_us = min_us (limit_us, now_us + INT64_C (1000) * LEASE_AFTER_STOP_MAX_MS);
-      run->released_us = now_us;
-    }
-  run->job = NULL;
-}
-
-static int64_t
-clock_reading_age_us (const dks_leased_target_t *target)
-{
-  return dks_leased_now_us (target->leased) - target->clock_read_us;
-}
-
-/* Earliest time that the target's clock can show now, if it has been slow since it was read. */
-static int64_t
-target_clock_min_ms (const dks_leased_target_t *target)
-{
-  int64_t error_ms = clock_reading_age_us (target) * CLOCK_ERROR_PERCENT / 100 / 1000 + 1;
-
-  return dks_leased_now_us (target->leased) / 1000 + target->clock_offset_ms - error_ms;
-}
-
-int64_t
-dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms)
-{
-  int64_t now_us = dks_leased_now_us (target->leased);
-  int64_t end_us = now_us + 1000 * ahead_ms;
-  const dks_leased_run_t *run;
-
-  APR_RING_FOREACH (run, &target->runs, dks_leased_run_t, link)
-    end_us = min_us (end_us, lease_limit_us (run));
-  return target_clock_min_ms (target) + (end_us > now_us ? (end_us - now_us) / 1000 : 0);
-}
-
-bool
-dks_leased_target_ensure_clock (dks_leased_target_t *target)
-{
-  if (clock_reading_age_us (target) <= CLOCK_READING_AGE_MAX_US)
-    return true;
-  if (target->poll_op == 0)
-    dks_leased_target_poll (target);
-  target->clock_awaited = true;
-  return false;
-}
-
-void
-dks_leased_target_discard_clock (dks_leased_target_t *target)
-{
-  target->clock_read_us = dks_leased_now_us (target->leased) - CLOCK_READING_AGE_MAX_US - 1;
-}
-
-/* Time by which a lease that was extended at `extended_us` has expired, by the slowest clock
- * allowed, plus a margin. */
-static int64_t
-lease_end_us (int64_t extended_us)
-{
-  return extended_us + INT64_C (1000) * LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100
-         + EXPIRY_MARGIN_US;
-}
-
 /* Time by which all runs of a target that does not answer have ended. */
 static int64_t
 target_expiry_us (const dks_leased_target_t *target)
 {
-  return lease_end_us (target->lease_extended_us);
+  return dks_leased_lease_end_us (target->lease_extended_us);
 }
 
 /* Whether a call may extend the lease. Runs of an earlier leader that no job has claimed end with
@@ -192,7 +90,7 @@
   effect->u.lease.wait_ms = wait_ms;
   if (may_extend_lease (target))
     {
-      effect->u.lease.deadline_ms = dks_leased_target_deadline (target, LEASE_MS);
+      effect->u.lease.deadline_ms = dks_leased_target_deadline (target, DKS_LEASED_LEASE_MS);
       target->lease_extended_us = dks_leased_now_us (leased);
     }
   apr_hash_set (leased->targets_by_op, op, sizeof (*op), target);
@@ -460,7 +358,7 @@
       && run->acked_us > 0 && run->acked_us <= sent_us)
     return true;
   /* No stop was carried out, but a start that did not arrive by now is too late. */
-  return run->stop_failed && sent_us >= lease_end_us (run->start_sent_us);
+  return run->stop_failed && sent_us >= dks_leased_lease_end_us (run->start_sent_us);
 }
 
 /* Updates the known runs of the target by the list of running ones that a call sent at `sent_us`
@@ -629,7 +527,7 @@
                      dks_leased_now_us (leased) + RETRY_DELAY_US);
       break;
     }
-  if (clock_was_awaited && clock_reading_age_us (target) > CLOCK_READING_AGE_MAX_US)
+  if (clock_was_awaited && !dks_leased_target_clock_is_recent (target))
     target->full_until_us = dks_leased_now_us (leased) + RETRY_DELAY_US;
   if (target->poll_again && target->poll_op == 0)
     dks_leased_target_poll (target);
@@ -842,8 +740,8 @@
       && now_us - leased->targets_told_us < DKS_LEASED_NOTED_RETENTION_US)
     return 0;
   if (!dks_leased_members_has_local_peer (leased))
-    return lease_end_us (leased->start_us);
-  return lease_end_us (now_us + INT64_C (1000) * HOLD_WAIT_MS);
+    return dks_leased_lease_end_us (leased->start_us);
+  return dks_leased_lease_end_us (now_us + INT64_C (1000) * HOLD_WAIT_MS);
 }
 
 bool
@@ -885,7 +783,7 @@
   int64_t now_us = dks_leased_now_us (leased);
 
   return now_us < since_us + DKS_LEASED_ORPHAN_LIFETIME_MAX_US
-         && now_us < lease_end_us (dks_leased_leader_rival_until_us (leased));
+         && now_us < dks_leased_lease_end_us (dks_leased_leader_rival_until_us (leased));
 }
 
 bool
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -4,15 +4,15 @@
  *
  * Every instance takes requests of callers (leased_entry.c) and passes them to the leader of its
  * data centre (leased_leader.c, leased_members.c). The leader controls the targets of its data
- * centre (leased_targets.c, leased_runs.c) and places the tasks of jobs (leased_jobs.c) on them
- * (leased_starts.c). It lends tasks to leaders of other data centres that have free capacity, and
- * runs tasks that they lend to it (leased_lend.c). leased_feed.c follows the platform's
- * configuration and its list of targets, leased_crashes.c counts the crashes of targets under each
- * task, leased_prior_runs.c finds out where tasks run that an earlier leader lent,
- * leased_prior_jobs.c which jobs run in other data centres at all, leased_share.c tells a successor
- * of targets that it may not know. leased_evacuation.c keeps which data centres get no work,
- * leased_handover.c decides who follows a leader that drains. leased_load.c counts what keeps an
- * instance busy. leased_plan.c places tasks by plans (plan.h), where the settings ask for it.
+ * centre (leased_targets.c, leased_runs.c, leased_lease.c) and places the tasks of jobs
+ * (leased_jobs.c) on them (leased_starts.c). It lends tasks to leaders of other data centres that
+ * have free capacity, and runs tasks that they lend to it (leased_lend.c). leased_feed.c follows
+ * the platform's configuration and its list of targets, leased_crashes.c counts the crashes of
+ * targets under each task, leased_prior_runs.c finds out where tasks run that an earlier leader
+ * lent, leased_prior_jobs.c which jobs run in other data centres at all, leased_share.c tells a
+ * successor of targets that it may not know. leased_evacuation.c keeps which data centres get no
+ * work, leased_handover.c decides who follows a leader that drains. leased_load.c counts what keeps
+ * an instance busy. leased_plan.c places tasks by plans (plan.h), where the settings ask for it.
  *
  * A lent task has a home leader, which has the job, and a remote leader, whose targets run it.
  *
@@ -35,6 +35,8 @@
   /** Time-out of a call, beyond the time that the target is asked to wait. A target answers within
    * some ms, but this instance may be stalled for 100 ms. */
   DKS_LEASED_ANSWER_TIMEOUT_MS = 200,
+  /** Length of a lease, the longest that the platform allows. */
+  DKS_LEASED_LEASE_MS = 1000,
   /** Time after which a target that the platform does not list any more gets no more work. Entries
    * that expired while the platform's store was unavailable return within 2 s. */
   DKS_LEASED_UNLISTED_GRACE_US = 2500000,
@@ -867,17 +869,6 @@
 /** Adds a call to the target with its fencing token; the calling code sets the other fields. */
 dks_effect_t *
 dks_leased_target_call (dks_leased_target_t *target, dks_effect_type_t type, int64_t timeout_ms);
-/** Takes the run from its job, of which the caller was told or has left. This puts off no end of
- * its lease. */
-void dks_leased_run_release (dks_leased_run_t *run);
-/** Time on the target's clock, `ahead_ms` from now at the latest: the clock may have been slow
- * since it was read. */
-int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
-/** Whether the latest reading of the target's clock is recent enough for a start. If not, reads the
- * clock; a placement is due afterwards. */
-bool dks_leased_target_ensure_clock (dks_leased_target_t *target);
-/** Has the target's clock read again before the next start. */
-void dks_leased_target_discard_clock (dks_leased_target_t *target);
 /** Keeps a hold open while the target has runs, or sends a short one until its lists were read. */
 void dks_leased_target_hold (dks_leased_target_t *target);
 /** Handles an answer to a call that was sent at `sent_us`; `clock_ms` is 0 when it tells no clock.
@@ -891,6 +882,23 @@
 /** Ends all runs, since another target answers at the address and none of the runs are left. */
 void dks_leased_target_handle_replaced (dks_leased_target_t *target);
 
+/* leased_lease.c */
+/** Takes the run from its job, of which the caller was told or has left. This puts off no end of
+ * its lease. */
+void dks_leased_run_release (dks_leased_run_t *run);
+/** Time on the target's clock, `ahead_ms` from now at the latest: the clock may have been slow
+ * since it was read. */
+int64_t dks_leased_target_deadline (const dks_leased_target_t *target, int64_t ahead_ms);
+/** Time by which a lease that was extended at `extended_us` has expired, by the slowest clock
+ * allowed, plus a margin. */
+int64_t dks_leased_lease_end_us (int64_t extended_us);
+/** Whether the latest reading of the target's clock is recent enough for a start. */
+bool dks_leased_target_clock_is_recent (const dks_leased_target_t *target);
+/** The same; if not, reads the clock, and a placement is due afterwards. */
+bool dks_leased_target_ensure_clock (dks_leased_target_t *target);
+/** Has the target's clock read again before the next start. */
+void dks_leased_target_discard_clock (dks_leased_target_t *target);
+
 /* leased_runs.c */
 /** New run on the target, with state 0 and without resources. */
 dks_leased_run_t *
