leased_starts: tasks wait for the clocks of different targets at the same time

A task that waits for the reading of a target's clock takes no room there, so that all waiting tasks chose the same target: the start of the traffic, when all targets are idle, went on at one target in each round trip.

Change: such a task reserves its room for the rest of the placement pass. The others go to further targets, whose clocks are read at the same time, and the same tasks choose the same targets in the next pass.

--- a/core/leased_place.c
+++ b/core/leased_place.c
@@ -70,6 +70,37 @@
          && target->accelerators_used + step->accelerators <= target->info.accelerators;
 }
 
+void
+dks_leased_target_reserve (dks_leased_target_t *target, const dks_batch_step_t *step)
+{
+  target->cpu_used += step->cpu_milli;
+  target->memory_used += step->memory_mb;
+  target->accelerators_used += step->accelerators;
+  target->cpu_reserved += step->cpu_milli;
+  target->memory_reserved += step->memory_mb;
+  target->accelerators_reserved += step->accelerators;
+  target->leased->has_reservations = true;
+}
+
+void
+dks_leased_targets_end_reservations (dks_leased_t *leased)
+{
+  dks_leased_target_t *target;
+
+  if (!leased->has_reservations)
+    return;
+  leased->has_reservations = false;
+  APR_RING_FOREACH (target, &leased->targets, dks_leased_target_t, link)
+    {
+      target->cpu_used -= target->cpu_reserved;
+      target->memory_used -= target->memory_reserved;
+      target->accelerators_used -= target->accelerators_reserved;
+      target->cpu_reserved = 0;
+      target->memory_reserved = 0;
+      target->accelerators_reserved = 0;
+    }
+}
+
 bool
 dks_leased_targets_can_start (const dks_leased_target_t *target, const dks_leased_job_t *job,
                               uint32_t index)
--- a/core/leased_starts.c
+++ b/core/leased_starts.c
@@ -230,6 +230,7 @@
   if (!dks_leased_target_ensure_clock (target))
     {
       task->awaits_clock = true;
+      dks_leased_target_reserve (target, &job->batch->steps[task->batch_step]);
       return true;
     }
   task_start (job, index, target);
@@ -369,6 +370,7 @@
         dks_leased_job_free (job);
     }
   dks_leased_plan_end_pass (leased);
+  dks_leased_targets_end_reservations (leased);
   refuse_hopeless (leased);
 }
 
@@ -379,6 +381,7 @@
 
   dks_leased_targets_update_free_cpu (leased);
   job_place (job, false);
+  dks_leased_targets_end_reservations (leased);
   refuse_unplaced_lent (job);
   if (job->done_count == job->task_count)
     dks_leased_job_free (job);
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -242,6 +242,10 @@
   uint32_t cpu_used;
   uint32_t memory_used;
   uint32_t accelerators_used;
+  /** Parts of the above that waiting tasks take during a placement pass. */
+  uint32_t cpu_reserved;
+  uint32_t memory_reserved;
+  uint32_t accelerators_reserved;
   double slowness; /**< run time over expected run time, moving average */
   uint32_t slowness_samples;
   uint32_t slow_run_ends; /**< latest runs in a row that were much slower than `slowness` */
@@ -588,6 +592,7 @@
   apr_hash_t *runs_by_op;        /**< id of a start or stop under way -> run */
   apr_hash_t *runs_by_task_name; /**< task name -> its latest run on a controlled target */
   uint32_t max_free_cpu_milli;   /**< most free on one usable target, as last updated */
+  bool has_reservations;         /**< some target has reservations of the present placement pass */
   uint64_t prior_run_checks;     /**< checks of tasks for runs of earlier leaders, in all */
   uint64_t targets_digest;       /**< of the listed targets of the data centre */
   int64_t targets_told_us; /**< when this instance last led, or heard a leader that had told it of
@@ -936,6 +941,10 @@
 bool dks_leased_target_is_in_unlisted_grace (const dks_leased_target_t *target);
 /** Updates `max_free_cpu_milli`. */
 void dks_leased_targets_update_free_cpu (dks_leased_t *leased);
+/** Reserves capacity for a task that waits for the target, so that the others of this placement
+ * pass wait for other targets at the same time. */
+void dks_leased_target_reserve (dks_leased_target_t *target, const dks_batch_step_t *step);
+void dks_leased_targets_end_reservations (dks_leased_t *leased);
 /** Whether the task fits on the target now, whatever its speed and labels. */
 bool dks_leased_targets_can_start (const dks_leased_target_t *target, const dks_leased_job_t *job,
                                    uint32_t index);
--- a/tests/test_leased_runs.cc
+++ b/tests/test_leased_runs.cc
@@ -306,3 +306,28 @@
   world.run_for (500 * ms);
   EXPECT_TRUE (got_answer (world, caller, DKS_BATCH_COMPLETED));
 }
+
+// Guards against tasks that start one after the other, as each waits for the clock of the same
+// target although many are idle.
+TEST (LeasedRuns, TasksOnManyIdleTargetsStartTogether)
+{
+  World world;
+  world.add_instance ("a");
+  for (int i = 0; i < 50; i++)
+    world.add_target ("a");
+  world.call_delay_us = 5 * ms;
+  world.start_all ();
+  world.run_for (60000 * ms);
+  for (int i = 0; i < 50; i++)
+    {
+      char id[17];
+
+      snprintf (id, sizeof (id), "%016x", i + 1);
+      world.submit (0, id, { { 2, 6800, 900, 900 } }, 6000);
+    }
+  world.run_for (20 * ms);
+  uint32_t starts = 0;
+  for (auto &target : world.targets)
+    starts += target->starts;
+  EXPECT_EQ (starts, 100U);
+}
