codec, leased_lease: bounds of the new field are tested, comments say what holds

JobThatBreaksABoundIsMalformedAndNoError covers `heard_us` of a job; it fails when the check of that field is taken out of is_work_valid(). The comment on the age of a clock's reading said that the allowance takes up most of a lease, which is 0.2 s of 0.7 at that age. No change of behaviour.

--- a/core/leased_lease.c
+++ b/core/leased_lease.c
@@ -15,7 +15,7 @@
   EXPIRY_MARGIN_US = 60000,
   CLOCK_ERROR_PERCENT = 2, /* by which a target's clock may be slow at most */
   /* Age of a reading of a target's clock above which the clock is read again before a start: the
-   * error that has to be allowed for would take up most of the lease. */
+   * allowance for its error shortens the lease of the start. */
   CLOCK_READING_AGE_MAX_US = 10000000,
 };
 
--- a/include/core/leased.h
+++ b/include/core/leased.h
@@ -888,8 +888,8 @@
 void dks_leased_target_handle_replaced (dks_leased_target_t *target);
 
 /* leased_lease.c */
-/** Takes the run from its job, of which the caller was told or has left. This puts off no end of
- * its lease. */
+/** Detaches the run from its job, whose caller has been answered or has left. Its lease ends no
+ * later for that. */
 void dks_leased_run_release (dks_leased_run_t *run);
 /** Time on the target's clock, `ahead_ms` from now at the latest: the clock may have been slow
  * since it was read. */
@@ -899,7 +899,8 @@
 int64_t dks_leased_lease_end_us (int64_t extended_us);
 /** Whether the latest reading of the target's clock is recent enough for a start. */
 bool dks_leased_target_clock_is_recent (const dks_leased_target_t *target);
-/** The same; if not, reads the clock, and a placement is due afterwards. */
+/** Whether the latest reading of the target's clock is recent enough for a start. Sends a call that
+ * reads the clock if not; its answer makes a placement due. */
 bool dks_leased_target_ensure_clock (dks_leased_target_t *target);
 /** Has the target's clock read again before the next start. */
 void dks_leased_target_discard_clock (dks_leased_target_t *target);
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -845,6 +845,8 @@
     [] (dks_msg_t *m) { m->u.work.objective_us = -1; },
     [] (dks_msg_t *m) { m->u.work.sent_us = INT64_MAX; },
     [] (dks_msg_t *m) { m->u.work.sent_us = -1; },
+    [] (dks_msg_t *m) { m->u.work.heard_us = INT64_MAX; },
+    [] (dks_msg_t *m) { m->u.work.heard_us = -1; },
     [] (dks_msg_t *m) { set_text (m->u.work.batch->id, DKS_BATCH_ID_SIZE, "\xff\xfe"); },
     [] (dks_msg_t *m) { set_text (m->u.work.batch->id, DKS_BATCH_ID_SIZE, ""); },
     [] (dks_msg_t *m) { m->u.work.batch->steps[0].count = 0; },
